--- /dev/null
+++ b/src/base/common/clock.ts
@@ -0,0 +1,148 @@
+/** The one clock of the project, in milliseconds, and its manual twin for tests. */
+
+import { type Disposable, toDisposable } from "./lifecycle.ts";
+import { MinHeap } from "./min_heap.ts";
+
+/** Source of time and of timers. */
+export interface Clock {
+  /** Wall clock: milliseconds since the Unix epoch; it may jump. */
+  nowMs(): number;
+
+  /** Milliseconds since an arbitrary start; it never goes back. */
+  monotonicMs(): number;
+
+  /**
+   * Runs a callback once, later.
+   *
+   * @param delayMs - Delay in milliseconds.
+   * @param callback - Runs once unless the timer is disposed before.
+   * @returns The timer; disposing it cancels the callback.
+   */
+  setTimer(delayMs: number, callback: () => void): Disposable;
+}
+
+/**
+ * Waits for a time on a clock.
+ *
+ * @param clock - The clock to wait on.
+ * @param delayMs - The wait in milliseconds.
+ */
+export function sleep(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise((resolve) => clock.setTimer(delayMs, resolve));
+}
+
+/**
+ * Runs a callback again and again, each time a period after the last one ended.
+ *
+ * @param clock - The clock to run on.
+ * @param periodMs - The period in milliseconds.
+ * @param callback - The work of one round.
+ * @returns Disposing it stops the rounds.
+ */
+export function setPeriodic(
+  clock: Clock,
+  periodMs: number,
+  callback: () => void,
+): Disposable {
+  let timer: Disposable;
+  const runRound = (): void => {
+    timer = clock.setTimer(periodMs, runRound);
+    callback();
+  };
+  timer = clock.setTimer(periodMs, runRound);
+  return toDisposable(() => timer.dispose());
+}
+
+interface ManualTimer {
+  readonly dueMs: number;
+  readonly sequence: number;
+  readonly callback: () => void;
+  isCancelled: boolean;
+}
+
+/** A clock that moves only when told to; timers run in order of due time. */
+export class ManualClock implements Clock {
+  #nowMs: number;
+  #sequence = 0;
+  readonly #startMs: number;
+  readonly #timers = new MinHeap<ManualTimer>(
+    (left, right) => left.dueMs - right.dueMs || left.sequence - right.sequence,
+  );
+
+  /** @param startMs - First value of `nowMs`, in milliseconds. */
+  constructor(startMs = 1_700_000_000_000) {
+    this.#nowMs = startMs;
+    this.#startMs = startMs;
+  }
+
+  /** {@inheritDoc Clock.nowMs} */
+  nowMs(): number {
+    return this.#nowMs;
+  }
+
+  /** {@inheritDoc Clock.monotonicMs} */
+  monotonicMs(): number {
+    return this.#nowMs - this.#startMs;
+  }
+
+  /** {@inheritDoc Clock.setTimer} */
+  setTimer(delayMs: number, callback: () => void): Disposable {
+    const timer: ManualTimer = {
+      dueMs: this.#nowMs + Math.max(0, delayMs),
+      sequence: this.#sequence++,
+      callback,
+      isCancelled: false,
+    };
+    this.#timers.push(timer);
+    return toDisposable(() => {
+      timer.isCancelled = true;
+    });
+  }
+
+  /** Due time of the next timer in wall-clock milliseconds, if there is one. */
+  nextDueMs(): number | undefined {
+    while (this.#timers.peek()?.isCancelled) this.#timers.pop();
+    return this.#timers.peek()?.dueMs;
+  }
+
+  /**
+   * Moves time forward and runs what falls due, without waiting for promises.
+   *
+   * @param byMs - How far to move, in milliseconds.
+   */
+  advance(byMs: number): void {
+    const untilMs = this.#nowMs + byMs;
+    while ((this.nextDueMs() ?? Infinity) <= untilMs) this.#runNext();
+    this.#nowMs = untilMs;
+  }
+
+  /**
+   * Moves time forward and lets promises settle after each timer.
+   *
+   * @param byMs - How far to move, in milliseconds.
+   */
+  async advanceSettled(byMs: number): Promise<void> {
+    const untilMs = this.#nowMs + byMs;
+    await settlePromises();
+    while ((this.nextDueMs() ?? Infinity) <= untilMs) {
+      this.#runNext();
+      await settlePromises();
+    }
+    this.#nowMs = untilMs;
+    await settlePromises();
+  }
+
+  #runNext(): void {
+    const timer = this.#timers.pop();
+    if (!timer) return;
+    this.#nowMs = Math.max(this.#nowMs, timer.dueMs);
+    timer.callback();
+  }
+}
+
+const SETTLE_ROUNDS = 25;
+
+/** Lets chains of already settled promises run to their end. */
+export async function settlePromises(): Promise<void> {
+  for (let round = 0; round < SETTLE_ROUNDS; round++) await Promise.resolve();
+}
--- /dev/null
+++ b/src/cli/node/cli_context.ts
@@ -0,0 +1,53 @@
+/** What the commands of the command line share. */
+
+import { type Address, asId } from "../../base/common/ids.ts";
+import type { StoreClient } from "../../platform/store/common/store_client.ts";
+
+/** Exit codes of `ragwort`, documented in docs/OPERATING.md. */
+export const EXIT_CODES = {
+  ok: 0,
+  failed: 1,
+  badInput: 2,
+  conflict: 3,
+  unreachable: 4,
+} as const;
+
+/** Exit code of `ragwort`. */
+export type ExitCode = (typeof EXIT_CODES)[keyof typeof EXIT_CODES];
+
+/** Where a command reads from and writes to. */
+export interface CliContext {
+  readonly store: StoreClient;
+  /** Operator ports of the daemons. */
+  readonly daemons: readonly Address[];
+  readonly operatorKey: string;
+  readonly isJson: boolean;
+  createChangeId(): string;
+  /** Writes one line of result. */
+  print(line: string): void;
+  /** Writes one line about a failure and what to do. */
+  printError(line: string): void;
+}
+
+/**
+ * Prints a result in the form that was asked for.
+ *
+ * @param context - Where to print.
+ * @param json - The result for programs.
+ * @param text - The result for people.
+ */
+export function printResult(
+  context: CliContext,
+  json: unknown,
+  text: string,
+): void {
+  context.print(context.isJson ? JSON.stringify(json) : text);
+}
+
+/**
+ * @param text - Addresses separated by commas.
+ * @returns The addresses.
+ */
+export function parseAddresses(text: string): Address[] {
+  return text.split(",").filter((part) => part !== "").map(asId<Address>);
+}
--- /dev/null
+++ b/src/daemon/common/daemon_core.ts
@@ -0,0 +1,122 @@
+/**
+ * All features of a daemon, wired over the platform that it is given: sockets
+ * and the system clock in `ragwortd`, in-process stand-ins in scenarios.
+ */
+
+import type { Clock } from "../../base/common/clock.ts";
+import type { Hasher } from "../../base/common/hasher.ts";
+import type { HostId, ZoneName } from "../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../base/common/lifecycle.ts";
+import { CallService } from "../../features/calls/common/call_service.ts";
+import type { Configuration } from "../../features/configuration/common/configuration.ts";
+import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
+import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
+import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
+import type { Signer } from "../../features/generations/common/generation_id.ts";
+import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
+import type { GenerationService } from "../../features/generations/common/generation_service.ts";
+import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
+import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
+import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
+import type { Logger } from "../../platform/log/common/logger.ts";
+import type { Membership } from "../../platform/membership/common/membership.ts";
+import type { Metrics } from "../../platform/metrics/common/metrics.ts";
+import type { PeerLinks } from "../../platform/peers/common/peer_links.ts";
+import type { StoreClient } from "../../platform/store/common/store_client.ts";
+
+/** What a daemon stands on. */
+export interface DaemonPlatform {
+  readonly clock: Clock;
+  readonly hasher: Hasher;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly store: StoreClient;
+  readonly engines: EngineClient;
+  readonly apps: AppClient;
+  readonly links: PeerLinks;
+  readonly membership: Membership;
+  readonly signer: Signer;
+  /** @returns A text that no two calls return, on any host. */
+  createNonce(): string;
+  /** @returns A collision-resistant hash of all parts and their borders. */
+  fingerprint(parts: readonly (string | Uint8Array)[]): string;
+}
+
+/** Limits and names of one daemon. */
+export interface DaemonCoreOptions {
+  readonly host: HostId;
+  readonly zone: ZoneName;
+  readonly resumeWindowMs: number;
+}
+
+/** The features of one daemon. */
+export class DaemonCore implements Disposable {
+  readonly configuration: Configuration;
+  readonly generations: GenerationService;
+  readonly calls: CallService;
+  readonly #owned = new DisposableStore();
+  readonly #watcher: ConfigurationWatcher;
+  #isDraining = false;
+
+  /**
+   * @param platform - What the features stand on; not owned.
+   * @param options - Limits and names.
+   */
+  constructor(platform: DaemonPlatform, options: DaemonCoreOptions) {
+    const { clock, store, logger } = platform;
+    const table = new ConfigurationTable();
+    this.configuration = table;
+    this.#watcher = this.#owned.add(
+      new ConfigurationWatcher({ clock, store, logger, table }),
+    );
+    const dispatcher = new LocalDispatcher({
+      ...options,
+      clock,
+      configuration: table,
+    });
+    this.generations = new GenerationRelayService({
+      ...platform,
+      ...options,
+      configuration: table,
+      dispatcher,
+    });
+    this.calls = new CallService({
+      ...platform,
+      dispatcher,
+      ledger: new StoreClaimLedger({ ...platform, ...options }),
+    });
+  }
+
+  /** Whether new requests are taken. */
+  get isReady(): boolean {
+    return this.configuration.isReady && !this.#isDraining;
+  }
+
+  /** Whether a stop was asked for. */
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
+  /** Requests that have not ended. */
+  get activeCount(): number {
+    return this.generations.activeCount + this.calls.activeCount;
+  }
+
+  /** Starts to follow the configuration. */
+  start(): void {
+    this.#watcher.start();
+  }
+
+  /** Takes no new requests from now on. */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Stops all features. */
+  dispose(): void {
+    this.#owned.dispose();
+  }
+}
--- /dev/null
+++ b/src/daemon/node/call_routes.ts
@@ -0,0 +1,144 @@
+/** HTTP routes of plain calls. */
+
+import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import { type Either, Left, Right, rightOf } from "../../base/common/result.ts";
+import type { CallRequest } from "../../features/calls/common/call_service.ts";
+import type { KnownWorkspace } from "../../features/configuration/common/configuration.ts";
+import type { IdempotencyKey } from "../../features/ledger/common/claim_ledger.ts";
+import { asId } from "../../base/common/ids.ts";
+import type {
+  AppResponse,
+  HeaderLine,
+} from "../../platform/endpoints/common/app_client.ts";
+import type { Failure } from "../../platform/outcomes/common/failure.ts";
+import { identifyCaller } from "./caller_identity.ts";
+import {
+  bodyBytes,
+  type FrontServices,
+  headerValue,
+} from "./generation_routes.ts";
+import { refuse, sendProblem } from "./problem_reply.ts";
+
+const MAX_KEY_CHARACTERS = 255;
+
+/** Headers that belong to one connection and are not passed on (RFC 9110). */
+const HOP_BY_HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+/**
+ * Adds the route that takes every path without a route of its own.
+ *
+ * @param server - The server for callers.
+ * @param services - What the routes work with.
+ */
+export function addCallRoutes(
+  server: FastifyInstance,
+  services: FrontServices,
+): void {
+  server.all("/*", async (request, reply) => {
+    const abort = new AbortController();
+    reply.raw.on("close", () => {
+      if (!reply.raw.writableFinished) abort.abort();
+    });
+    const prepared = identifyCaller(request, services.core.configuration)
+      .chain((workspace) =>
+        toCallRequest(services, workspace, request, abort.signal)
+      );
+    const call = rightOf(prepared);
+    if (!call) {
+      prepared.ifLeft((failure) => sendProblem(reply, failure));
+      return reply;
+    }
+    const result = await services.core.calls.run(call);
+    result.caseOf({
+      Left: (failure) => sendProblem(reply, failure),
+      Right: (response) => sendResponse(reply, response),
+    });
+    return reply;
+  });
+}
+
+function toCallRequest(
+  { core, createRequestId }: FrontServices,
+  workspace: KnownWorkspace,
+  request: FastifyRequest,
+  signal: AbortSignal,
+): Either<Failure, CallRequest> {
+  const path = request.raw.url ?? "/";
+  const { configuration } = core;
+  const route = configuration.findCall(workspace.team, path);
+  if (!route) return Left(refuse("not-found", "no route has this path"));
+  const { classes } = route.route;
+  const wanted = headerValue(request, "x-ragwort-class");
+  const known = configuration.findClass(workspace.team, classes, wanted);
+  if (!known) {
+    return Left(
+      refuse(
+        "bad-request",
+        `x-ragwort-class must be one of ${classes.join(", ")}`,
+      ),
+    );
+  }
+  const key = headerValue(request, "idempotency-key");
+  if (key !== undefined && (key === "" || key.length > MAX_KEY_CHARACTERS)) {
+    return Left(
+      refuse(
+        "bad-request",
+        `Idempotency-Key must have 1 to ${MAX_KEY_CHARACTERS} characters`,
+      ),
+    );
+  }
+  return Right({
+    requestId: createRequestId(),
+    workspace: workspace.id,
+    route,
+    class: known,
+    method: request.method,
+    path,
+    headers: endToEndHeaders(toHeaderLines(request.raw.rawHeaders)),
+    body: bodyBytes(request),
+    idempotencyKey: key === undefined ? undefined : asId<IdempotencyKey>(key),
+    signal,
+  });
+}
+
+function sendResponse(reply: FastifyReply, response: AppResponse): void {
+  reply.hijack();
+  const headers = endToEndHeaders(response.headers)
+    .filter(({ name }) => name.toLowerCase() !== "content-length")
+    .flatMap(({ name, value }) => [name, value]);
+  headers.push("Content-Length", String(response.body.byteLength));
+  reply.raw.writeHead(response.status, headers);
+  reply.raw.end(response.body);
+}
+
+function toHeaderLines(raw: readonly string[]): HeaderLine[] {
+  const lines: HeaderLine[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    lines.push({ name: raw[index]!, value: raw[index + 1]! });
+  }
+  return lines;
+}
+
+/** Leaves out what belongs to a connection, as its `Connection` header names. */
+function endToEndHeaders(lines: readonly HeaderLine[]): HeaderLine[] {
+  const named = lines
+    .filter(({ name }) => name.toLowerCase() === "connection")
+    .flatMap(({ value }) =>
+      value.toLowerCase().split(",").map((part) => part.trim())
+    );
+  return lines.filter(({ name }) => {
+    const lower = name.toLowerCase();
+    return !HOP_BY_HOP_HEADERS.has(lower) && !named.includes(lower);
+  });
+}
--- /dev/null
+++ b/src/daemon/node/caller_identity.ts
@@ -0,0 +1,43 @@
+/** Finds the workspace of a request by its API key. */
+
+import { createHash } from "node:crypto";
+import type { FastifyRequest } from "fastify";
+import { type Either, Left, Right } from "../../base/common/result.ts";
+import type {
+  Configuration,
+  KnownWorkspace,
+} from "../../features/configuration/common/configuration.ts";
+import type { Failure } from "../../platform/outcomes/common/failure.ts";
+import { refuse } from "./problem_reply.ts";
+
+/**
+ * @param apiKey - An API key as text.
+ * @returns Its hash as it stands in a team's document.
+ */
+export function hashApiKey(apiKey: string): string {
+  return createHash("sha256").update(apiKey).digest("hex");
+}
+
+/**
+ * Finds who asks. Only hashes are looked up, so the time of the look-up tells
+ * nothing of a key.
+ *
+ * @param request - The request.
+ * @param configuration - The workspaces.
+ * @returns The workspace, or the refusal.
+ */
+export function identifyCaller(
+  request: FastifyRequest,
+  configuration: Configuration,
+): Either<Failure, KnownWorkspace> {
+  const header = request.headers.authorization ?? "";
+  const apiKey = /^Bearer (.+)$/i.exec(header)?.[1];
+  const workspace = apiKey && configuration.findWorkspace(hashApiKey(apiKey));
+  if (workspace) return Right(workspace);
+  return Left(
+    refuse(
+      "unauthorized",
+      "send a valid API key as `Authorization: Bearer KEY`",
+    ),
+  );
+}
--- /dev/null
+++ b/src/daemon/node/daemon.ts
@@ -0,0 +1,203 @@
+/** One running daemon: the core over sockets and the system clock. */
+
+import { createHash, randomBytes, randomUUID } from "node:crypto";
+import type { AddressInfo } from "node:net";
+import type { FastifyInstance } from "fastify";
+import { sleep } from "../../base/common/clock.ts";
+import { createHasher } from "../../base/common/hasher.ts";
+import { type Address, asId, type RequestId } from "../../base/common/ids.ts";
+import { DisposableStore } from "../../base/common/lifecycle.ts";
+import { SystemClock } from "../../base/node/system_clock.ts";
+import {
+  HmacSigner,
+  type SigningKey,
+} from "../../features/generations/node/hmac_signer.ts";
+import { HttpAppClient } from "../../platform/endpoints/node/http_app_client.ts";
+import { HttpEngineClient } from "../../platform/endpoints/node/http_engine_client.ts";
+import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
+import { StaticMembership } from "../../platform/membership/common/membership.ts";
+import {
+  type Metrics,
+  NO_METRICS,
+} from "../../platform/metrics/common/metrics.ts";
+import { StatsdMetrics } from "../../platform/metrics/node/statsd_metrics.ts";
+import { SoloPeerLinks } from "../../platform/peers/common/solo_peer_links.ts";
+import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
+import { splitAddress } from "../../platform/settings/common/schema_parts.ts";
+import { EtcdStoreClient } from "../../platform/store/node/etcd_store_client.ts";
+import { DaemonCore } from "../common/daemon_core.ts";
+import { createCallerFront } from "./caller_front.ts";
+import { createOperatorFront } from "./operator_front.ts";
+
+const DRAIN_POLL_MS = 20;
+const NONCE_BYTES = 9;
+
+/** Secrets of a daemon, already read. */
+export interface DaemonSecrets {
+  readonly signingKeys: readonly SigningKey[];
+  readonly operatorKey: string;
+}
+
+/** A daemon in this process. */
+export class Daemon {
+  readonly #settings: DaemonSettings;
+  readonly #clock = new SystemClock();
+  readonly #owned = new DisposableStore();
+  readonly #logger: DebugLogger;
+  readonly #core: DaemonCore;
+  readonly #callers: FastifyInstance;
+  readonly #operators: FastifyInstance;
+  #stopping: Promise<void> | undefined;
+
+  private constructor(
+    settings: DaemonSettings,
+    secrets: DaemonSecrets,
+    hasher: Awaited<ReturnType<typeof createHasher>>,
+  ) {
+    const { host, zone, limits } = settings;
+    const clock = this.#clock;
+    this.#settings = settings;
+    this.#logger = new DebugLogger(clock, host);
+    this.#core = this.#owned.add(
+      new DaemonCore({
+        clock,
+        hasher,
+        logger: this.#logger,
+        metrics: this.#createMetrics(),
+        store: this.#owned.add(new EtcdStoreClient(settings.store.addresses)),
+        engines: this.#owned.add(new HttpEngineClient()),
+        apps: this.#owned.add(new HttpAppClient()),
+        links: this.#owned.add(new SoloPeerLinks()),
+        membership: new StaticMembership({
+          host,
+          zone,
+          address: settings.listen.peers,
+          incarnation: clock.nowMs(),
+          state: "alive",
+        }),
+        signer: new HmacSigner(secrets.signingKeys),
+        createNonce: () => randomBytes(NONCE_BYTES).toString("base64url"),
+        fingerprint,
+      }, { host, zone, resumeWindowMs: limits.resumeWindowMs }),
+    );
+    this.#callers = createCallerFront({
+      clock,
+      core: this.#core,
+      createRequestId: () => asId<RequestId>(randomUUID()),
+    }, limits);
+    this.#operators = createOperatorFront({
+      core: this.#core,
+      host,
+      zone,
+      operatorKey: secrets.operatorKey,
+      requestDrain: () => void this.drainAndStop(),
+    });
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param settings - Its settings.
+   * @param secrets - Its secrets.
+   * @returns The daemon, once it listens.
+   */
+  static async start(
+    settings: DaemonSettings,
+    secrets: DaemonSecrets,
+  ): Promise<Daemon> {
+    const daemon = new Daemon(settings, secrets, await createHasher());
+    await daemon.#listen();
+    return daemon;
+  }
+
+  /** Address for callers; its port is known even when the settings say 0. */
+  get callerAddress(): Address {
+    return addressOf(this.#callers);
+  }
+
+  /** Address of the operator port. */
+  get operatorAddress(): Address {
+    return addressOf(this.#operators);
+  }
+
+  /** Whether new requests are taken. */
+  get isReady(): boolean {
+    return this.#core.isReady;
+  }
+
+  /** Takes nothing new, lets what runs end, and stops. */
+  drainAndStop(): Promise<void> {
+    this.#stopping ??= this.#drainThenStop();
+    return this.#stopping;
+  }
+
+  /** Stops at once and cuts what runs, as a crash would. */
+  async abort(): Promise<void> {
+    this.#callers.server.closeAllConnections();
+    await this.#close();
+  }
+
+  #createMetrics(): Metrics {
+    const { statsd } = this.#settings.metrics;
+    if (statsd === undefined) return NO_METRICS;
+    const { ip, port } = splitAddress(statsd);
+    return this.#owned.add(new StatsdMetrics(ip, port));
+  }
+
+  async #listen(): Promise<void> {
+    const { listen, host, zone } = this.#settings;
+    this.#core.start();
+    await listenOn(this.#operators, listen.operators);
+    await listenOn(this.#callers, listen.callers);
+    this.#logger.log("info", "daemon-started", {
+      zone,
+      hostName: host,
+      callers: this.callerAddress,
+    });
+  }
+
+  async #drainThenStop(): Promise<void> {
+    this.#core.startDraining();
+    this.#logger.log("info", "drain-started", {
+      active: this.#core.activeCount,
+    });
+    const deadlineMs = this.#clock.monotonicMs() +
+      this.#settings.limits.drainMs;
+    while (
+      this.#core.activeCount > 0 && this.#clock.monotonicMs() < deadlineMs
+    ) {
+      await sleep(this.#clock, DRAIN_POLL_MS);
+    }
+    this.#logger.log("info", "drain-ended", { active: this.#core.activeCount });
+    await this.#close();
+  }
+
+  async #close(): Promise<void> {
+    this.#callers.server.closeIdleConnections();
+    await Promise.all([this.#callers.close(), this.#operators.close()]);
+    this.#owned.dispose();
+  }
+}
+
+async function listenOn(
+  server: FastifyInstance,
+  address: Address,
+): Promise<void> {
+  const { ip, port } = splitAddress(address);
+  await server.listen({ host: ip, port });
+}
+
+function addressOf(server: FastifyInstance): Address {
+  const { address, port } = server.server.address() as AddressInfo;
+  return asId<Address>(`${address}:${port}`);
+}
+
+/** Each part is preceded by its length, so that borders cannot be moved. */
+function fingerprint(parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash("sha256");
+  for (const part of parts) {
+    const bytes = typeof part === "string" ? Buffer.from(part) : part;
+    hash.update(`${bytes.byteLength}:`).update(bytes);
+  }
+  return hash.digest("hex");
+}
--- /dev/null
+++ b/src/daemon/node/generation_routes.ts
@@ -0,0 +1,219 @@
+/** HTTP routes of generations. */
+
+import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import type { Clock } from "../../base/common/clock.ts";
+import type { RequestId } from "../../base/common/ids.ts";
+import { type Either, Left, Right, rightOf } from "../../base/common/result.ts";
+import type { KnownWorkspace } from "../../features/configuration/common/configuration.ts";
+import type {
+  GenerationRequest,
+  ResumeRequest,
+} from "../../features/generations/common/generation_service.ts";
+import type { Failure } from "../../platform/outcomes/common/failure.ts";
+import type { DaemonCore } from "../common/daemon_core.ts";
+import {
+  type CompletionKind,
+  type CompletionRequest,
+  parseCompletionRequest,
+} from "../common/openai_format.ts";
+import { identifyCaller } from "./caller_identity.ts";
+import { refuse, sendProblem } from "./problem_reply.ts";
+import { SseCaller } from "./sse_caller.ts";
+import { WholeCaller } from "./whole_caller.ts";
+
+const HTTP_OK = 200;
+
+/** What the routes work with. */
+export interface FrontServices {
+  readonly clock: Clock;
+  readonly core: DaemonCore;
+  createRequestId(): RequestId;
+}
+
+interface GenerationParams {
+  readonly id: string;
+}
+
+/**
+ * Adds the routes.
+ *
+ * @param server - The server for callers.
+ * @param services - What the routes work with.
+ */
+export function addGenerationRoutes(
+  server: FastifyInstance,
+  services: FrontServices,
+): void {
+  server.post("/v1/chat/completions", (request, reply) => {
+    startGeneration(services, "chat", request, reply);
+    return reply;
+  });
+  server.post("/v1/completions", (request, reply) => {
+    startGeneration(services, "text", request, reply);
+    return reply;
+  });
+  server.get<{ Params: GenerationParams }>(
+    "/v1/generations/:id",
+    (request, reply) => {
+      resumeGeneration(services, request, reply);
+      return reply;
+    },
+  );
+  server.delete<{ Params: GenerationParams }>(
+    "/v1/generations/:id",
+    async (request, reply) => {
+      await cancelGeneration(services, request, reply);
+      return reply;
+    },
+  );
+}
+
+function startGeneration(
+  services: FrontServices,
+  kind: CompletionKind,
+  request: FastifyRequest,
+  reply: FastifyReply,
+): void {
+  const { core, clock } = services;
+  const prepared = identifyCaller(request, core.configuration).chain((
+    workspace,
+  ) =>
+    parseCompletionRequest(kind, bodyText(request))
+      .mapLeft((detail) => refuse("bad-request", detail))
+      .chain((completion) =>
+        toGenerationRequest(services, workspace, completion, request)
+      )
+      .map((generation) => ({
+        generation,
+        isStream: generation.delivery === "stream",
+      }))
+  );
+  prepared.caseOf({
+    Left: (failure) => sendProblem(reply, failure),
+    Right: ({ generation, isStream }) => {
+      const context = { kind, model: generation.model, clock };
+      const caller = isStream
+        ? new SseCaller(reply, context)
+        : new WholeCaller(reply, context);
+      caller.attach(core.generations.start(generation, caller));
+    },
+  });
+}
+
+function toGenerationRequest(
+  { core, createRequestId }: FrontServices,
+  workspace: KnownWorkspace,
+  completion: CompletionRequest,
+  request: FastifyRequest,
+): Either<Failure, GenerationRequest> {
+  const { configuration } = core;
+  const found = configuration.findModel(workspace.team, completion.model);
+  if (!found) return Left(refuse("not-found", "no route has this model"));
+  const { route, service } = found;
+  const wanted = headerValue(request, "x-ragwort-class");
+  const known = configuration.findClass(workspace.team, route.classes, wanted);
+  if (!known) {
+    return Left(
+      refuse(
+        "bad-request",
+        `x-ragwort-class must be one of ${route.classes.join(", ")}`,
+      ),
+    );
+  }
+  return Right({
+    requestId: createRequestId(),
+    workspace: workspace.id,
+    service: service.id,
+    className: known.name,
+    model: completion.model,
+    prompt: completion.prompt,
+    maxTokens: Math.min(
+      completion.maxTokens ?? route.maxTokens,
+      route.maxTokens,
+    ),
+    sizeBytes: bodyBytes(request).byteLength,
+    maxWaitMs: known.config.maxWaitMs,
+    delivery: completion.isStream ? "stream" : "whole",
+  });
+}
+
+function resumeGeneration(
+  services: FrontServices,
+  request: FastifyRequest<{ Params: GenerationParams }>,
+  reply: FastifyReply,
+): void {
+  const { core, clock } = services;
+  identifyCaller(request, core.configuration)
+    .chain((workspace) => toResumeRequest(services, workspace, request))
+    .caseOf({
+      Left: (failure) => sendProblem(reply, failure),
+      Right: (resume) => {
+        const query = request.query as { kind?: string };
+        const kind = query.kind === "text" ? "text" : "chat";
+        const caller = new SseCaller(reply, { kind, model: "", clock });
+        caller.attach(core.generations.resume(resume, caller));
+      },
+    });
+}
+
+function toResumeRequest(
+  { createRequestId }: FrontServices,
+  workspace: KnownWorkspace,
+  request: FastifyRequest<{ Params: GenerationParams }>,
+): Either<Failure, ResumeRequest> {
+  const lastEventId = headerValue(request, "last-event-id");
+  const { after } = request.query as { after?: string };
+  const lastOffset = lastEventId?.slice(lastEventId.lastIndexOf(":") + 1) ??
+    after;
+  const fromOffset = lastOffset === undefined ? 0 : Number(lastOffset) + 1;
+  if (!Number.isSafeInteger(fromOffset) || fromOffset < 0) {
+    return Left(
+      refuse("bad-request", "`after` must be the offset of the last token"),
+    );
+  }
+  return Right({
+    requestId: createRequestId(),
+    workspace: workspace.id,
+    id: request.params.id,
+    fromOffset,
+  });
+}
+
+async function cancelGeneration(
+  { core }: FrontServices,
+  request: FastifyRequest<{ Params: GenerationParams }>,
+  reply: FastifyReply,
+): Promise<void> {
+  const identified = identifyCaller(request, core.configuration);
+  const workspace = rightOf(identified);
+  if (!workspace) {
+    identified.ifLeft((failure) => sendProblem(reply, failure));
+    return;
+  }
+  const cancelled = await core.generations.cancel(
+    workspace.id,
+    request.params.id,
+  );
+  cancelled.caseOf({
+    Left: (failure) => sendProblem(reply, failure),
+    Right: (result) => void reply.code(HTTP_OK).send({ result }),
+  });
+}
+
+/** @returns The value of a header that must stand once. */
+export function headerValue(
+  request: FastifyRequest,
+  name: string,
+): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** @returns The body's bytes; empty when there is none. */
+export function bodyBytes(request: FastifyRequest): Uint8Array {
+  return request.body instanceof Uint8Array ? request.body : new Uint8Array();
+}
+
+function bodyText(request: FastifyRequest): string {
+  return Buffer.from(bodyBytes(request)).toString("utf8");
+}
--- /dev/null
+++ b/src/daemon/node/main.ts
@@ -0,0 +1,69 @@
+#!/usr/bin/env node
+/** Entry of `ragwortd`. */
+
+import { cac } from "cac";
+import type { StepError } from "../../base/common/errors.ts";
+import { messageOf } from "../../base/common/errors.ts";
+import { type Either, Right } from "../../base/common/result.ts";
+import type { SigningKey } from "../../features/generations/node/hmac_signer.ts";
+import { enableLogLevels } from "../../platform/log/node/debug_logger.ts";
+import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
+import {
+  readSecret,
+  readSettings,
+} from "../../platform/settings/node/settings_file.ts";
+import { Daemon, type DaemonSecrets } from "./daemon.ts";
+
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+function readSecrets(
+  settings: DaemonSettings,
+): Either<StepError, DaemonSecrets> {
+  const { secrets } = settings;
+  const keys = secrets.signingKeys.reduce<Either<StepError, SigningKey[]>>(
+    (collected, { id, source }) =>
+      collected.chain((list) =>
+        readSecret(source).map((secret) => [...list, { id, secret }])
+      ),
+    Right([]),
+  );
+  return keys.chain((signingKeys) =>
+    readSecret(secrets.operator).map((operatorKey) => ({
+      signingKeys,
+      operatorKey,
+    }))
+  );
+}
+
+async function run(settingsPath: string): Promise<void> {
+  const prepared = readSettings(settingsPath).chain((settings) =>
+    readSecrets(settings).map((secrets) => ({ settings, secrets }))
+  );
+  if (prepared.isLeft()) {
+    process.stderr.write(`${prepared.extract().message}\n`);
+    process.exitCode = EXIT_BAD_SETTINGS;
+    return;
+  }
+  const { settings, secrets } = prepared.unsafeCoerce();
+  enableLogLevels(settings.log.levels);
+  const daemon = await Daemon.start(settings, secrets);
+  const stop = (): void => void daemon.drainAndStop();
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+}
+
+const cli = cac("ragwortd");
+cli.option("--settings <file>", "Settings of this daemon, in YAML");
+cli.help();
+const { options } = cli.parse();
+const path: unknown = options["settings"];
+if (typeof path === "string") {
+  run(path).catch((thrown: unknown) => {
+    process.stderr.write(`${messageOf(thrown)}\n`);
+    process.exitCode = EXIT_FAILED;
+  });
+} else if (!options["help"]) {
+  process.stderr.write("say which settings to use: ragwortd --settings FILE\n");
+  process.exitCode = EXIT_BAD_SETTINGS;
+}
--- /dev/null
+++ b/src/daemon/node/sse_caller.ts
@@ -0,0 +1,91 @@
+/** A caller that gets a generation as server-sent events. */
+
+import type { FastifyReply } from "fastify";
+import type { Clock } from "../../base/common/clock.ts";
+import type { GenerationId } from "../../base/common/ids.ts";
+import type { Token } from "../../features/generations/common/frame_sequencer.ts";
+import type {
+  GenerationCaller,
+  GenerationEnd,
+  GenerationHandle,
+} from "../../features/generations/common/generation_service.ts";
+import { toProblemBody } from "../../platform/outcomes/common/failure.ts";
+import {
+  ChunkWriter,
+  type CompletionKind,
+  formatStreamProblem,
+} from "../common/openai_format.ts";
+import { sendProblem } from "./problem_reply.ts";
+
+const HTTP_OK = 200;
+
+/** What an answer says of its request. */
+export interface AnswerContext {
+  readonly kind: CompletionKind;
+  readonly model: string;
+  readonly clock: Clock;
+}
+
+/** Writes each token to the caller's connection as soon as it is there. */
+export class SseCaller implements GenerationCaller {
+  readonly #reply: FastifyReply;
+  readonly #context: AnswerContext;
+  #writer: ChunkWriter | undefined;
+
+  /**
+   * @param reply - The reply; nothing has been sent on it.
+   * @param context - What the answer says of its request.
+   */
+  constructor(reply: FastifyReply, context: AnswerContext) {
+    this.#reply = reply;
+    this.#context = context;
+  }
+
+  /** Ties the connection's flow control and its end to a generation. */
+  attach(handle: GenerationHandle): void {
+    const { raw } = this.#reply;
+    raw.on("drain", () => handle.resumeReading());
+    raw.on("close", () => {
+      if (!raw.writableFinished) handle.callerGone();
+    });
+  }
+
+  /** {@inheritDoc GenerationCaller.onStarted} */
+  onStarted(id: GenerationId): void {
+    if (this.#writer) return;
+    const { kind, model, clock } = this.#context;
+    this.#writer = new ChunkWriter({
+      kind,
+      id,
+      model,
+      createdMs: clock.nowMs(),
+    });
+    this.#reply.hijack();
+    const { raw } = this.#reply;
+    raw.writeHead(HTTP_OK, {
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      "x-ragwort-generation": id,
+    });
+    raw.flushHeaders();
+  }
+
+  /** {@inheritDoc GenerationCaller.onTokens} */
+  onTokens(tokens: readonly Token[]): boolean {
+    return this.#reply.raw.write(this.#writer?.tokens(tokens) ?? "");
+  }
+
+  /** {@inheritDoc GenerationCaller.onEnded} */
+  onEnded(end: GenerationEnd): void {
+    if (!this.#writer) {
+      if (end.kind === "failed") sendProblem(this.#reply, end.failure);
+      else this.#reply.raw.destroy();
+      return;
+    }
+    this.#reply.raw.end(
+      end.kind === "completed"
+        ? this.#writer.end(end.finish)
+        : formatStreamProblem(toProblemBody(end.failure)),
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/node/whole_caller.ts
@@ -0,0 +1,64 @@
+/** A caller that gets a generation as one JSON body. */
+
+import type { FastifyReply } from "fastify";
+import type { GenerationId } from "../../base/common/ids.ts";
+import type { Token } from "../../features/generations/common/frame_sequencer.ts";
+import type {
+  GenerationCaller,
+  GenerationEnd,
+  GenerationHandle,
+} from "../../features/generations/common/generation_service.ts";
+import { formatWholeAnswer } from "../common/openai_format.ts";
+import { sendProblem } from "./problem_reply.ts";
+import type { AnswerContext } from "./sse_caller.ts";
+
+/** Collects the tokens and sends the whole answer. */
+export class WholeCaller implements GenerationCaller {
+  readonly #reply: FastifyReply;
+  readonly #context: AnswerContext;
+  readonly #texts: string[] = [];
+  #id: GenerationId | undefined;
+
+  /**
+   * @param reply - The reply; nothing has been sent on it.
+   * @param context - What the answer says of its request.
+   */
+  constructor(reply: FastifyReply, context: AnswerContext) {
+    this.#reply = reply;
+    this.#context = context;
+  }
+
+  /** Ties the end of the connection to a generation. */
+  attach(handle: GenerationHandle): void {
+    const { raw } = this.#reply;
+    raw.on("close", () => {
+      if (!raw.writableFinished) handle.callerGone();
+    });
+  }
+
+  /** {@inheritDoc GenerationCaller.onStarted} */
+  onStarted(id: GenerationId): void {
+    this.#id = id;
+    this.#reply.header("x-ragwort-generation", id);
+  }
+
+  /** {@inheritDoc GenerationCaller.onTokens} */
+  onTokens(tokens: readonly Token[]): boolean {
+    for (const token of tokens) this.#texts.push(token.text);
+    return true;
+  }
+
+  /** {@inheritDoc GenerationCaller.onEnded} */
+  onEnded(end: GenerationEnd): void {
+    if (end.kind === "failed") {
+      sendProblem(this.#reply, end.failure);
+      return;
+    }
+    const { kind, model, clock } = this.#context;
+    const head = { kind, id: this.#id!, model, createdMs: clock.nowMs() };
+    const text = this.#texts.join("");
+    void this.#reply
+      .type("application/json")
+      .send(formatWholeAnswer(head, text, end.finish, end.tokenCount));
+  }
+}
--- /dev/null
+++ b/src/features/calls/common/call_service.ts
@@ -0,0 +1,273 @@
+/** Plain calls: routed to an app service, run at most once where asked. */
+
+import { assertNever } from "../../../base/common/errors.ts";
+import type { RequestId, WorkspaceId } from "../../../base/common/ids.ts";
+import {
+  type Either,
+  type Eventually,
+  Left,
+  leftOf,
+  Right,
+  rightOf,
+} from "../../../base/common/result.ts";
+import type {
+  AppClient,
+  AppFailure,
+  AppRequest,
+  AppResponse,
+} from "../../../platform/endpoints/common/app_client.ts";
+import type { Metrics } from "../../../platform/metrics/common/metrics.ts";
+import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+import type {
+  KnownClass,
+  ResolvedRoute,
+} from "../../configuration/common/configuration.ts";
+import type { CallRoute } from "../../configuration/common/team_document.ts";
+import type { Clock } from "../../../base/common/clock.ts";
+import type {
+  Dispatcher,
+  Grant,
+  GrantEnd,
+} from "../../dispatch/common/dispatcher.ts";
+import { toRefusalFailure } from "../../dispatch/common/refusal_failure.ts";
+import type {
+  ClaimEnd,
+  ClaimLedger,
+  HeldClaim,
+  IdempotencyKey,
+} from "../../ledger/common/claim_ledger.ts";
+
+/** A call as its caller made it. */
+export interface CallRequest {
+  readonly requestId: RequestId;
+  readonly workspace: WorkspaceId;
+  readonly route: ResolvedRoute<CallRoute>;
+  readonly class: KnownClass;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: AppRequest["headers"];
+  readonly body: Uint8Array;
+  readonly idempotencyKey: IdempotencyKey | undefined;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** What the service works with. */
+export interface CallServices {
+  readonly clock: Clock;
+  readonly apps: AppClient;
+  readonly dispatcher: Dispatcher;
+  readonly ledger: ClaimLedger;
+  readonly metrics: Metrics;
+  /** @returns A hash of the parts that no two different calls share. */
+  fingerprint(parts: readonly (string | Uint8Array)[]): string;
+}
+
+const MAX_ATTEMPTS = 3;
+
+/** Runs plain calls. */
+export class CallService {
+  readonly #services: CallServices;
+  #activeCount = 0;
+
+  /** @param services - What the service works with. */
+  constructor(services: CallServices) {
+    this.#services = services;
+  }
+
+  /** Number of calls that have not ended. */
+  get activeCount(): number {
+    return this.#activeCount;
+  }
+
+  /**
+   * Runs a call.
+   *
+   * @param call - The call.
+   * @returns The service's answer, or what became of the call.
+   */
+  async run(call: CallRequest): Eventually<Failure, AppResponse> {
+    this.#activeCount++;
+    const recorder = this.#services.metrics.forRequest({
+      service: call.route.service.id,
+      workspace: call.workspace,
+      className: call.class.name,
+    });
+    const result = call.idempotencyKey === undefined
+      ? await this.#attempt(call)
+      : await this.#runKeyed(call, call.idempotencyKey);
+    this.#activeCount--;
+    recorder.recordEnd(
+      result.caseOf({
+        Left: (failure) => failure.outcome,
+        Right: () => "completed",
+      }),
+      0,
+    );
+    return result;
+  }
+
+  async #runKeyed(
+    call: CallRequest,
+    key: IdempotencyKey,
+  ): Eventually<Failure, AppResponse> {
+    const { ledger, fingerprint } = this.#services;
+    const claimed = await ledger.claim({
+      workspace: call.workspace,
+      key,
+      fingerprint: fingerprint([call.method, call.path, call.body]),
+    });
+    const result = rightOf(claimed);
+    if (!result) {
+      return Left(createFailure({
+        reason: "store-unavailable",
+        isRetryable: true,
+        detail: "the key could not be claimed, so the call was not run",
+      }));
+    }
+    switch (result.kind) {
+      case "held":
+        return await this.#runClaimed(call, result.claim);
+      case "done":
+        return Right(result.response);
+      case "unknown":
+        return Left(createFailure({
+          outcome: "unknown",
+          reason: "endpoint-lost",
+          detail: "an earlier run under this key may have taken effect",
+        }));
+      case "in-progress":
+        return Left(createFailure({
+          outcome: "unknown",
+          reason: "key-in-progress",
+          detail:
+            "a run under this key has not ended; ask again with the same key",
+        }));
+      case "mismatch":
+        return Left(createFailure({
+          reason: "key-conflict",
+          detail: "this key was used for another request",
+        }));
+      default:
+        return assertNever(result);
+    }
+  }
+
+  async #runClaimed(
+    call: CallRequest,
+    claim: HeldClaim,
+  ): Eventually<Failure, AppResponse> {
+    const result = await this.#attempt(call);
+    await this.#services.ledger.end(claim, toClaimEnd(result));
+    return result;
+  }
+
+  async #attempt(call: CallRequest): Eventually<Failure, AppResponse> {
+    const excluded: Grant["endpoint"]["id"][] = [];
+    const isIdempotent = call.route.route.idempotentMethods.includes(
+      call.method,
+    );
+    let mayHaveRun = false;
+    for (let attempt = 1;; attempt++) {
+      const granted = await this.#acquire(call, excluded);
+      const grant = rightOf(granted);
+      if (!grant) {
+        return granted.map(() => EMPTY_RESPONSE).mapLeft((failure) =>
+          mayHaveRun ? { ...failure, outcome: "unknown" } : failure
+        );
+      }
+      const sent = await this.#send(call, grant, isIdempotent);
+      const failure = leftOf(sent);
+      if (!failure) return sent.mapLeft(toCallFailure);
+      mayHaveRun ||= failure.kind === "unknown";
+      const mayRepeat = failure.kind === "not-sent" || isIdempotent;
+      if (!mayRepeat || attempt >= MAX_ATTEMPTS) {
+        return Left(toCallFailure({
+          ...failure,
+          kind: mayHaveRun ? "unknown" : "not-sent",
+        }));
+      }
+      excluded.push(grant.endpoint.id);
+    }
+  }
+
+  async #acquire(
+    call: CallRequest,
+    excludedEndpoints: readonly Grant["endpoint"]["id"][],
+  ): Eventually<Failure, Grant> {
+    const { clock, dispatcher } = this.#services;
+    const waitMs = call.class.config.maxWaitMs ?? call.route.route.timeoutMs;
+    const granted = await dispatcher.acquire({
+      requestId: call.requestId,
+      service: call.route.service.id,
+      workspace: call.workspace,
+      className: call.class.name,
+      prompt: "",
+      maxTokens: 0,
+      sizeBytes: call.body.byteLength,
+      deadlineMs: clock.nowMs() + waitMs,
+      excludedEndpoints,
+    }, call.signal);
+    return granted.mapLeft(toRefusalFailure);
+  }
+
+  async #send(
+    call: CallRequest,
+    grant: Grant,
+    isIdempotent: boolean,
+  ): Eventually<AppFailure, AppResponse> {
+    const { apps, dispatcher } = this.#services;
+    const sent = await apps.send(grant.endpoint, {
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+      body: call.body,
+      timeoutMs: call.route.route.timeoutMs,
+      isIdempotent,
+    });
+    const end = sent.caseOf<GrantEnd>({
+      Left: (failure) => failure.kind === "not-sent" ? "not-run" : "failed",
+      Right: () => "completed",
+    });
+    dispatcher.release(grant.id, end, 0);
+    return sent;
+  }
+}
+
+const EMPTY_RESPONSE: AppResponse = {
+  status: 204,
+  headers: [],
+  body: new Uint8Array(),
+};
+
+function toClaimEnd(result: Either<Failure, AppResponse>): ClaimEnd {
+  return result.caseOf<ClaimEnd>({
+    Right: (response) => ({ kind: "done", response }),
+    Left: (failure) =>
+      failure.outcome === "not-run" ? { kind: "not-run" } : { kind: "unknown" },
+  });
+}
+
+function toCallFailure(failure: AppFailure): Failure {
+  const wasNotRun = failure.kind === "not-sent";
+  return {
+    outcome: wasNotRun ? "not-run" : "unknown",
+    reason: wasNotRun ? "endpoint-refused" : "endpoint-lost",
+    isRetryable: wasNotRun,
+    step: failure.step,
+    peer: failure.peer,
+    detail: failure.detail,
+  };
+}
+
+function createFailure(
+  fields: Pick<Failure, "reason" | "detail"> & Partial<Failure>,
+): Failure {
+  return {
+    outcome: "not-run",
+    isRetryable: false,
+    step: "call.claim",
+    peer: "",
+    ...fields,
+  };
+}
--- /dev/null
+++ b/src/features/configuration/common/configuration.ts
@@ -0,0 +1,126 @@
+/** Contract of the configuration in force, and the look-ups that requests need. */
+
+import type { Event } from "../../../base/common/event.ts";
+import type {
+  EndpointId,
+  ServiceId,
+  TeamName,
+  WorkspaceId,
+} from "../../../base/common/ids.ts";
+import { asId } from "../../../base/common/ids.ts";
+import type {
+  CallRoute,
+  ClassConfig,
+  GenerationRoute,
+  ServiceConfig,
+  TeamDocument,
+  WorkspaceConfig,
+} from "./team_document.ts";
+
+/** Start of the store's keys of the teams' documents. */
+export const TEAM_KEY_PREFIX = "config/teams/";
+
+/** One team's document at one revision of the store. */
+export interface TeamRevision {
+  readonly team: TeamName;
+  readonly revision: number;
+  /** `undefined` when the team's document has been deleted. */
+  readonly document: TeamDocument | undefined;
+}
+
+/** A workspace with its team. */
+export interface KnownWorkspace {
+  readonly id: WorkspaceId;
+  readonly team: TeamName;
+  readonly config: WorkspaceConfig;
+}
+
+/** A service with its name. */
+export interface KnownService {
+  readonly id: ServiceId;
+  readonly config: ServiceConfig;
+}
+
+/** A route with what it leads to. */
+export interface ResolvedRoute<R> {
+  readonly route: R;
+  readonly service: KnownService;
+}
+
+/** A class that a request was put in. */
+export interface KnownClass {
+  readonly name: string;
+  readonly config: ClassConfig;
+}
+
+/** The configuration in force at this daemon. */
+export interface Configuration {
+  /** Fires after a team's document came into force. */
+  readonly onDidChangeConfiguration: Event<TeamRevision>;
+  /** Whether the configuration has been heard from the store or a peer. */
+  readonly isReady: boolean;
+  /** Revisions in force, deleted teams included. */
+  revisions(): readonly TeamRevision[];
+  /** @returns The workspace of an API key, by the key's SHA-256. */
+  findWorkspace(apiKeyHash: string): KnownWorkspace | undefined;
+  /** @returns The workspace by its id. */
+  workspace(id: WorkspaceId): WorkspaceConfig | undefined;
+  /** @returns The route for a model. */
+  findModel(
+    team: TeamName,
+    model: string,
+  ): ResolvedRoute<GenerationRoute> | undefined;
+  /** @returns The route with the longest prefix that fits a path. */
+  findCall(team: TeamName, path: string): ResolvedRoute<CallRoute> | undefined;
+  /**
+   * @param wanted - Class that the caller asks for, if any.
+   * @returns The class, or `undefined` when the route does not allow it.
+   */
+  findClass(
+    team: TeamName,
+    allowed: readonly string[],
+    wanted: string | undefined,
+  ): KnownClass | undefined;
+  /** @returns The service by its id. */
+  service(id: ServiceId): KnownService | undefined;
+  /** @returns The class of a service's team by name. */
+  classOf(id: ServiceId, className: string): ClassConfig | undefined;
+}
+
+/**
+ * @param team - The team.
+ * @param name - Name within the team.
+ * @returns The id of the team's service.
+ */
+export function serviceIdOf(team: TeamName, name: string): ServiceId {
+  return asId<ServiceId>(`${team}/${name}`);
+}
+
+/**
+ * @param team - The team.
+ * @param name - Name within the team.
+ * @returns The id of the team's workspace.
+ */
+export function workspaceIdOf(team: TeamName, name: string): WorkspaceId {
+  return asId<WorkspaceId>(`${team}/${name}`);
+}
+
+/**
+ * @param id - A service or a workspace.
+ * @returns The team that it belongs to.
+ */
+export function teamOf(id: ServiceId | WorkspaceId): TeamName {
+  return asId<TeamName>(id.slice(0, id.indexOf("/")));
+}
+
+/**
+ * @param service - The service.
+ * @param id - Name of the endpoint.
+ * @returns The endpoint's configuration.
+ */
+export function findEndpoint(
+  service: KnownService,
+  id: EndpointId,
+): ServiceConfig["endpoints"][number] | undefined {
+  return service.config.endpoints.find((endpoint) => endpoint.id === id);
+}
--- /dev/null
+++ b/src/features/generations/common/frame_sequencer.ts
@@ -0,0 +1,121 @@
+/** Puts a generation's frames in order and drops what does not belong. */
+
+import type {
+  EngineFrame,
+  FinishReason,
+} from "../../../platform/endpoints/common/engine_client.ts";
+
+/** A token with its place in the generation. */
+export interface Token {
+  readonly offset: number;
+  readonly text: string;
+}
+
+/** Why frames were dropped. */
+export interface DroppedFrames {
+  duplicate: number;
+  foreign: number;
+  beyondBuffer: number;
+}
+
+const MAX_BUFFERED_TOKENS = 1_024;
+
+/**
+ * Accepts frames of any connection and yields each token once, in order. Frames
+ * ahead of a gap wait until the gap is filled.
+ */
+export class FrameSequencer {
+  readonly #generation: string;
+  readonly #ahead = new Map<number, string>();
+  readonly #dropped: DroppedFrames = {
+    duplicate: 0,
+    foreign: 0,
+    beyondBuffer: 0,
+  };
+  #nextOffset: number;
+  #endOffset: number | undefined;
+  #finish: FinishReason | undefined;
+
+  /**
+   * @param generation - Id whose frames are wanted.
+   * @param nextOffset - Offset of the first wanted token.
+   */
+  constructor(generation: string, nextOffset: number) {
+    this.#generation = generation;
+    this.#nextOffset = nextOffset;
+  }
+
+  /** Offset of the next token to deliver. */
+  get nextOffset(): number {
+    return this.#nextOffset;
+  }
+
+  /** How the generation ended, once every token before its end was yielded. */
+  get finish(): FinishReason | undefined {
+    return this.#endOffset !== undefined && this.#nextOffset >= this.#endOffset
+      ? this.#finish
+      : undefined;
+  }
+
+  /** Counts of dropped frames. */
+  get dropped(): Readonly<DroppedFrames> {
+    return this.#dropped;
+  }
+
+  /** Whether frames wait behind a gap. */
+  get hasGap(): boolean {
+    return this.#ahead.size > 0 ||
+      (this.#endOffset !== undefined && this.#nextOffset < this.#endOffset);
+  }
+
+  /**
+   * Takes frames in order of arrival.
+   *
+   * @param frames - Frames of one connection.
+   * @returns The tokens that can be delivered now.
+   */
+  accept(frames: readonly EngineFrame[]): Token[] {
+    const ready: Token[] = [];
+    for (const frame of frames) {
+      if (frame.generation !== this.#generation) {
+        this.#dropped.foreign++;
+      } else if (frame.kind === "end") {
+        this.#endOffset ??= frame.offset;
+        this.#finish ??= frame.finish;
+      } else {
+        this.#acceptToken(frame.offset, frame.text, ready);
+      }
+    }
+    return ready;
+  }
+
+  #acceptToken(offset: number, text: string, ready: Token[]): void {
+    if (offset < this.#nextOffset || this.#ahead.has(offset)) {
+      this.#dropped.duplicate++;
+      return;
+    }
+    if (offset > this.#nextOffset) {
+      this.#keepAhead(offset, text);
+      return;
+    }
+    ready.push({ offset, text });
+    this.#nextOffset++;
+    this.#takeAhead(ready);
+  }
+
+  #keepAhead(offset: number, text: string): void {
+    if (this.#ahead.size >= MAX_BUFFERED_TOKENS) this.#dropped.beyondBuffer++;
+    else this.#ahead.set(offset, text);
+  }
+
+  #takeAhead(ready: Token[]): void {
+    if (this.#ahead.size === 0) return;
+    let text = this.#ahead.get(this.#nextOffset);
+    while (text !== undefined) {
+      this.#ahead.delete(this.#nextOffset);
+      ready.push({ offset: this.#nextOffset, text });
+      this.#nextOffset++;
+      text = this.#ahead.get(this.#nextOffset);
+    }
+  }
+}
--- /dev/null
+++ b/src/features/generations/common/generation_relay_service.ts
@@ -0,0 +1,136 @@
+/** The generation service over endpoints, dispatcher and configuration. */
+
+import {
+  asId,
+  type GenerationId,
+  type WorkspaceId,
+} from "../../../base/common/ids.ts";
+import { type Eventually, Left, Right } from "../../../base/common/result.ts";
+import type {
+  CancelResult,
+  Endpoint,
+} from "../../../platform/endpoints/common/engine_client.ts";
+import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+import { findEndpoint } from "../../configuration/common/configuration.ts";
+import { decodeGenerationId } from "./generation_id.ts";
+import type {
+  GenerationCaller,
+  GenerationHandle,
+  GenerationRequest,
+  GenerationService,
+  ResumeRequest,
+} from "./generation_service.ts";
+import type { RelayServices } from "./relay_services.ts";
+import { ResumedGeneration } from "./resumed_generation.ts";
+import { StartedGeneration } from "./started_generation.ts";
+
+const NOT_FOUND: Failure = {
+  outcome: "not-run",
+  reason: "not-found",
+  isRetryable: false,
+  step: "generation.find",
+  peer: "",
+  detail: "there is no such generation",
+};
+
+const ENDED_HANDLE: GenerationHandle = {
+  resumeReading: () => undefined,
+  callerGone: () => undefined,
+};
+
+interface LocatedGeneration {
+  readonly endpoint: Endpoint;
+  readonly id: GenerationId;
+}
+
+/** Generations of this daemon. */
+export class GenerationRelayService implements GenerationService {
+  readonly #services: RelayServices;
+  #activeCount = 0;
+
+  /** @param services - What the feature works with. */
+  constructor(services: RelayServices) {
+    this.#services = services;
+  }
+
+  /** {@inheritDoc GenerationService.activeCount} */
+  get activeCount(): number {
+    return this.#activeCount;
+  }
+
+  /** {@inheritDoc GenerationService.start} */
+  start(
+    request: GenerationRequest,
+    caller: GenerationCaller,
+  ): GenerationHandle {
+    this.#activeCount++;
+    const generation = new StartedGeneration(
+      this.#services,
+      request,
+      caller,
+      () => this.#activeCount--,
+    );
+    void generation.begin();
+    return generation;
+  }
+
+  /** {@inheritDoc GenerationService.resume} */
+  resume(request: ResumeRequest, caller: GenerationCaller): GenerationHandle {
+    const found = this.#locate(request.workspace, request.id);
+    if (!found) {
+      caller.onEnded({
+        kind: "failed",
+        failure: NOT_FOUND,
+        deliveredTokens: 0,
+      });
+      return ENDED_HANDLE;
+    }
+    this.#activeCount++;
+    const generation = new ResumedGeneration(
+      this.#services,
+      found.endpoint,
+      found.id,
+      request.fromOffset,
+      caller,
+      () => this.#activeCount--,
+    );
+    generation.begin();
+    return generation;
+  }
+
+  /** {@inheritDoc GenerationService.cancel} */
+  async cancel(
+    workspace: WorkspaceId,
+    id: string,
+  ): Eventually<Failure, CancelResult> {
+    const found = this.#locate(workspace, id);
+    if (!found) return Left(NOT_FOUND);
+    const cancelled = await this.#services.engines.cancel(
+      found.endpoint,
+      found.id,
+    );
+    return cancelled.mapLeft((failure): Failure => ({
+      outcome: "unknown",
+      reason: "endpoint-lost",
+      isRetryable: true,
+      step: failure.step,
+      peer: failure.peer,
+      detail: "the endpoint did not confirm that it cancelled",
+    })).chain((result) =>
+      result === "unknown-generation" ? Left(NOT_FOUND) : Right(result)
+    );
+  }
+
+  /** Finds a generation's endpoint; one of another workspace is not found. */
+  #locate(workspace: WorkspaceId, id: string): LocatedGeneration | undefined {
+    const name = decodeGenerationId(id, this.#services.signer);
+    if (!name || name.workspace !== workspace) return undefined;
+    const service = this.#services.configuration.service(name.service);
+    const config = service && findEndpoint(service, name.endpoint);
+    if (!config) return undefined;
+    return {
+      endpoint: { id: name.endpoint, address: config.address },
+      id: asId<GenerationId>(id),
+    };
+  }
+}
--- /dev/null
+++ b/src/features/generations/common/generation_service.ts
@@ -0,0 +1,103 @@
+/** Contract of generations: start, resume and cancel for a caller. */
+
+import type {
+  GenerationId,
+  RequestId,
+  ServiceId,
+  WorkspaceId,
+} from "../../../base/common/ids.ts";
+import type { Eventually } from "../../../base/common/result.ts";
+import type {
+  CancelResult,
+  FinishReason,
+} from "../../../platform/endpoints/common/engine_client.ts";
+import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+import type { Token } from "./frame_sequencer.ts";
+
+/** A generation as its caller asked for it. */
+export interface GenerationRequest {
+  readonly requestId: RequestId;
+  readonly workspace: WorkspaceId;
+  readonly service: ServiceId;
+  readonly className: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly sizeBytes: number;
+  readonly maxWaitMs: number | undefined;
+  /**
+   * `stream`: tokens are passed on as they come. `whole`: the answer is
+   * delivered only when it is complete, and may be restarted until then.
+   */
+  readonly delivery: "stream" | "whole";
+}
+
+/** How a generation ended for its caller. */
+export type GenerationEnd =
+  | {
+    readonly kind: "completed";
+    readonly finish: FinishReason;
+    readonly tokenCount: number;
+  }
+  | {
+    readonly kind: "failed";
+    readonly failure: Failure;
+    readonly deliveredTokens: number;
+  };
+
+/** The caller's side of a generation. */
+export interface GenerationCaller {
+  /**
+   * The generation has been accepted. With `delivery: whole` it may be called
+   * again, for a restart.
+   */
+  onStarted(id: GenerationId): void;
+  /**
+   * @param tokens - Tokens in order, each once.
+   * @returns `false` when the caller is slow; call `resumeReading` later.
+   */
+  onTokens(tokens: readonly Token[]): boolean;
+  /** Called exactly once, unless the caller went away first. */
+  onEnded(end: GenerationEnd): void;
+}
+
+/** A running generation. */
+export interface GenerationHandle {
+  /** The caller takes tokens again. */
+  resumeReading(): void;
+  /** The caller went away; it may resume within the resume window. */
+  callerGone(): void;
+}
+
+/** Where a caller wants to go on. */
+export interface ResumeRequest {
+  readonly requestId: RequestId;
+  readonly workspace: WorkspaceId;
+  /** The id as the caller sent it. */
+  readonly id: string;
+  /** First token that the caller has not got. */
+  readonly fromOffset: number;
+}
+
+/** Generations of this daemon. */
+export interface GenerationService {
+  /** Number of generations that are being passed on. */
+  readonly activeCount: number;
+
+  /** Starts a generation. */
+  start(request: GenerationRequest, caller: GenerationCaller): GenerationHandle;
+
+  /** Goes on with a generation that any daemon started. */
+  resume(request: ResumeRequest, caller: GenerationCaller): GenerationHandle;
+
+  /**
+   * Cancels a generation that any daemon started.
+   *
+   * @param workspace - Must be the one that started it.
+   * @param id - The id as the caller sent it.
+   */
+  cancel(
+    workspace: WorkspaceId,
+    id: string,
+  ): Eventually<Failure, CancelResult>;
+}
--- /dev/null
+++ b/src/features/generations/common/relay_services.ts
@@ -0,0 +1,26 @@
+/** What the parts of the generation feature work with. */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { HostId } from "../../../base/common/ids.ts";
+import type { EngineClient } from "../../../platform/endpoints/common/engine_client.ts";
+import type { Logger } from "../../../platform/log/common/logger.ts";
+import type { Metrics } from "../../../platform/metrics/common/metrics.ts";
+import type { Configuration } from "../../configuration/common/configuration.ts";
+import type { Dispatcher } from "../../dispatch/common/dispatcher.ts";
+import type { Signer } from "./generation_id.ts";
+
+/** Services and limits of the generation feature. */
+export interface RelayServices {
+  readonly clock: Clock;
+  readonly host: HostId;
+  readonly engines: EngineClient;
+  readonly dispatcher: Dispatcher;
+  readonly configuration: Configuration;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly signer: Signer;
+  /** @returns A text that no other generation has. */
+  createNonce(): string;
+  /** How long a generation goes on without its caller, in milliseconds. */
+  readonly resumeWindowMs: number;
+}
--- /dev/null
+++ b/src/features/generations/node/hmac_signer_test.ts
@@ -0,0 +1,38 @@
+import { asId } from "../../../base/common/ids.ts";
+import {
+  decodeGenerationId,
+  encodeGenerationId,
+  type GenerationName,
+} from "../common/generation_id.ts";
+import { HmacSigner } from "./hmac_signer.ts";
+
+const NAME: GenerationName = {
+  service: asId("team/service"),
+  endpoint: asId("e1"),
+  workspace: asId("team/workspace"),
+  host: asId("h1"),
+  model: "m",
+  startedMs: 1_700_000_000_000,
+  nonce: "n",
+};
+const OLD_KEY = { id: "k.1", secret: "old secret of sixteen" };
+const NEW_KEY = { id: "k2", secret: "new secret of sixteen" };
+
+describe("signed generation ids", () => {
+  it("name what they were made from, also after a rotation of keys", () => {
+    const id = encodeGenerationId(NAME, new HmacSigner([OLD_KEY]));
+    const rotated = new HmacSigner([NEW_KEY, OLD_KEY]);
+    expect(decodeGenerationId(id, rotated)).toEqual(NAME);
+  });
+
+  it("are refused when changed in any character or signed by a dropped key", () => {
+    const signer = new HmacSigner([OLD_KEY]);
+    const id = encodeGenerationId(NAME, signer);
+    for (let index = 0; index < id.length; index++) {
+      const other = id[index] === "A" ? "B" : "A";
+      const changed = id.slice(0, index) + other + id.slice(index + 1);
+      expect(decodeGenerationId(changed, signer)).toBeUndefined();
+    }
+    expect(decodeGenerationId(id, new HmacSigner([NEW_KEY]))).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/src/features/ledger/common/claim_ledger.ts
@@ -0,0 +1,61 @@
+/** Contract of the ledger that lets a keyed call run at most once. */
+
+import type { Brand } from "../../../base/common/brand.ts";
+import type { WorkspaceId } from "../../../base/common/ids.ts";
+import type { Eventually } from "../../../base/common/result.ts";
+import type { AppResponse } from "../../../platform/endpoints/common/app_client.ts";
+
+/** Value of a caller's `Idempotency-Key` header. */
+export type IdempotencyKey = Brand<string, "IdempotencyKey">;
+
+/** What is claimed. */
+export interface ClaimRequest {
+  readonly workspace: WorkspaceId;
+  readonly key: IdempotencyKey;
+  /** Hash of method, path and body; another body under the key is refused. */
+  readonly fingerprint: string;
+}
+
+/** A claim that this daemon holds and must end. */
+export interface HeldClaim {
+  readonly request: ClaimRequest;
+  /** Names the claim uniquely, so that a lost answer can be settled. */
+  readonly nonce: string;
+}
+
+/** End of the run under a claim. */
+export type ClaimEnd =
+  /** The call ran and this is its answer. */
+  | { readonly kind: "done"; readonly response: AppResponse }
+  /** The call may have run; it must not run again. */
+  | { readonly kind: "unknown" }
+  /** The call certainly did not run; the key is free again. */
+  | { readonly kind: "not-run" };
+
+/** What a claim led to. */
+export type ClaimResult =
+  /** The caller of `claim` must run the call and end the claim. */
+  | { readonly kind: "held"; readonly claim: HeldClaim }
+  /** The key has run before; this is its answer. */
+  | { readonly kind: "done"; readonly response: AppResponse }
+  /** The key may have run before, with an answer that nobody has. */
+  | { readonly kind: "unknown" }
+  /** Another run under the key has not ended. */
+  | { readonly kind: "in-progress" }
+  /** The key was used for another request. */
+  | { readonly kind: "mismatch" };
+
+/** Why a claim could not be decided; nothing may run. */
+export interface LedgerFailure {
+  readonly step: string;
+  readonly peer: string;
+  readonly detail: string;
+}
+
+/** Claims of idempotency keys, kept in the platform's store. */
+export interface ClaimLedger {
+  /** Claims a key before anything is sent. */
+  claim(request: ClaimRequest): Eventually<LedgerFailure, ClaimResult>;
+  /** Records how the run under a claim ended. */
+  end(claim: HeldClaim, end: ClaimEnd): Eventually<LedgerFailure, void>;
+}
--- /dev/null
+++ b/src/platform/endpoints/node/http_engine_client.ts
@@ -0,0 +1,191 @@
+/** Engine client over HTTP with server-sent events. */
+
+import { Agent, request } from "undici";
+import type { z } from "zod";
+import { messageOf } from "../../../base/common/errors.ts";
+import type { GenerationId } from "../../../base/common/ids.ts";
+import { type Eventually, Left, Right } from "../../../base/common/result.ts";
+import type {
+  CacheEventPage,
+  CancelResult,
+  Endpoint,
+  EngineClient,
+  EngineFailure,
+  EngineRequest,
+  EngineState,
+  EngineStream,
+  EngineStreamListener,
+  FencedOrder,
+  LoadReport,
+} from "../common/engine_client.ts";
+import {
+  cacheEventPageSchema,
+  cancelAnswerSchema,
+  engineStateSchema,
+  loadReportSchema,
+} from "./engine_messages.ts";
+import { HttpEngineStream } from "./http_engine_stream.ts";
+
+const CALL_TIMEOUT_MS = 2_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+const HTTP_OK = 200;
+const HTTP_PRECONDITION_FAILED = 412;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_SERVER_ERROR = 500;
+
+/** One call that is not a stream. */
+interface EngineCall<T> {
+  readonly step: string;
+  readonly method: "GET" | "POST" | "DELETE";
+  readonly path: string;
+  readonly schema: z.ZodType<T>;
+  readonly body?: unknown;
+}
+
+/** Talks to engines; each stream has a connection of its own. */
+export class HttpEngineClient implements EngineClient {
+  readonly #agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    pipelining: 1,
+  });
+
+  /** {@inheritDoc EngineClient.start} */
+  start(
+    endpoint: Endpoint,
+    engineRequest: EngineRequest,
+    listener: EngineStreamListener,
+  ): EngineStream {
+    return new HttpEngineStream(this.#agent, {
+      address: endpoint.address,
+      method: "POST",
+      path: "/generations",
+      body: JSON.stringify(engineRequest),
+    }, listener);
+  }
+
+  /** {@inheritDoc EngineClient.resume} */
+  resume(
+    endpoint: Endpoint,
+    id: GenerationId,
+    fromOffset: number,
+    listener: EngineStreamListener,
+  ): EngineStream {
+    return new HttpEngineStream(this.#agent, {
+      address: endpoint.address,
+      method: "GET",
+      path: `/generations/${id}?from=${fromOffset}`,
+    }, listener);
+  }
+
+  /** {@inheritDoc EngineClient.cancel} */
+  async cancel(
+    endpoint: Endpoint,
+    id: GenerationId,
+  ): Eventually<EngineFailure, CancelResult> {
+    const answer = await this.#call(endpoint, {
+      step: "engine.cancel",
+      method: "DELETE",
+      path: `/generations/${id}`,
+      schema: cancelAnswerSchema,
+    });
+    return answer.map(({ result }) => result);
+  }
+
+  /** {@inheritDoc EngineClient.readLoad} */
+  readLoad(endpoint: Endpoint): Eventually<EngineFailure, LoadReport> {
+    return this.#call(endpoint, {
+      step: "engine.load",
+      method: "GET",
+      path: "/load",
+      schema: loadReportSchema,
+    });
+  }
+
+  /** {@inheritDoc EngineClient.readCacheEvents} */
+  readCacheEvents(
+    endpoint: Endpoint,
+    afterSequence: number,
+  ): Eventually<EngineFailure, CacheEventPage> {
+    return this.#call(endpoint, {
+      step: "engine.cache-events",
+      method: "GET",
+      path: `/cache-events?after=${afterSequence}`,
+      schema: cacheEventPageSchema,
+    });
+  }
+
+  /** {@inheritDoc EngineClient.order} */
+  order(
+    endpoint: Endpoint,
+    order: FencedOrder,
+  ): Eventually<EngineFailure, EngineState> {
+    return this.#call(endpoint, {
+      step: "engine.order",
+      method: "POST",
+      path: "/orders",
+      schema: engineStateSchema,
+      body: order,
+    });
+  }
+
+  /** {@inheritDoc EngineClient.readState} */
+  readState(endpoint: Endpoint): Eventually<EngineFailure, EngineState> {
+    return this.#call(endpoint, {
+      step: "engine.state",
+      method: "GET",
+      path: "/state",
+      schema: engineStateSchema,
+    });
+  }
+
+  /** Closes all connections. */
+  dispose(): void {
+    void this.#agent.destroy();
+  }
+
+  async #call<T>(
+    { address }: Endpoint,
+    call: EngineCall<T>,
+  ): Eventually<EngineFailure, T> {
+    const fail = (
+      kind: EngineFailure["kind"],
+      detail: string,
+    ): EngineFailure => ({
+      kind,
+      step: call.step,
+      peer: address,
+      detail,
+    });
+    try {
+      const response = await request(`http://${address}${call.path}`, {
+        method: call.method,
+        dispatcher: this.#agent,
+        headersTimeout: CALL_TIMEOUT_MS,
+        bodyTimeout: CALL_TIMEOUT_MS,
+        headers: { "content-type": "application/json" },
+        ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
+      });
+      const body: unknown = await response.body.json();
+      if (response.statusCode !== HTTP_OK) {
+        const kind = toFailureKind(response.statusCode);
+        return Left(fail(kind, `status ${response.statusCode}`));
+      }
+      const checked = call.schema.safeParse(body);
+      if (checked.success) return Right(checked.data);
+      return Left(
+        fail("unknown", `malformed answer: ${checked.error.message}`),
+      );
+    } catch (thrown) {
+      const isRefused = (thrown as { code?: string }).code === "ECONNREFUSED";
+      return Left(fail(isRefused ? "not-done" : "unknown", messageOf(thrown)));
+    }
+  }
+}
+
+function toFailureKind(status: number): EngineFailure["kind"] {
+  if (status === HTTP_PRECONDITION_FAILED) return "stale-fence";
+  if (status >= HTTP_BAD_REQUEST && status < HTTP_SERVER_ERROR) {
+    return "not-done";
+  }
+  return "unknown";
+}
--- /dev/null
+++ b/src/platform/peers/common/peer_links.ts
@@ -0,0 +1,70 @@
+/** Contract for messages between the daemons. */
+
+import type { Event } from "../../../base/common/event.ts";
+import type { Address, HostId, ZoneName } from "../../../base/common/ids.ts";
+import type { Disposable } from "../../../base/common/lifecycle.ts";
+import type { Either } from "../../../base/common/result.ts";
+
+/** Where a daemon listens for its peers. */
+export interface PeerAddress {
+  readonly host: HostId;
+  readonly zone: ZoneName;
+  readonly address: Address;
+}
+
+/**
+ * A kind of messages. Each feature owns its channels; the decoder checks every
+ * message, so that a foreign or malformed one never reaches the feature.
+ */
+export interface PeerChannelSpec<T> {
+  /** Name and version, such as `dispatch.v1`. */
+  readonly name: string;
+  /** @returns The typed message, or what is wrong with it. */
+  decode(body: unknown): Either<string, T>;
+}
+
+/** A message with its sender. */
+export interface PeerMessage<T> {
+  readonly from: HostId;
+  readonly body: T;
+}
+
+/** What became of a message that was handed over for sending. */
+export type SendResult = "queued" | "not-connected" | "queue-full";
+
+/** One kind of messages on all links. Delivery is at most once, in order. */
+export interface PeerChannel<T> extends Disposable {
+  /** Fires for each valid message. */
+  readonly onDidReceive: Event<PeerMessage<T>>;
+  /** Sends to one host. */
+  send(to: HostId, body: T): SendResult;
+}
+
+/** A link that came up or went down. */
+export interface PeerLinkChange {
+  readonly host: HostId;
+  readonly isUp: boolean;
+  readonly reason: string;
+}
+
+/** Traffic of all links since the start. */
+export interface PeerTraffic {
+  readonly messagesSent: number;
+  readonly messagesReceived: number;
+  readonly bytesSent: number;
+  readonly bytesReceived: number;
+}
+
+/** The links of one daemon to its peers. */
+export interface PeerLinks extends Disposable {
+  /** Fires when a link comes up or goes down. */
+  readonly onDidChangeLink: Event<PeerLinkChange>;
+  /** Hosts with a link that is up. */
+  connectedHosts(): readonly HostId[];
+  /** Replaces the hosts that links are kept to. */
+  setPeers(peers: readonly PeerAddress[]): void;
+  /** Opens a channel; each name once. */
+  openChannel<T>(spec: PeerChannelSpec<T>): PeerChannel<T>;
+  /** Counters of the traffic. */
+  traffic(): PeerTraffic;
+}
--- /dev/null
+++ b/src/platform/settings/common/daemon_settings.ts
@@ -0,0 +1,86 @@
+/** Settings of one daemon. */
+
+import { z } from "zod";
+import type { HostId, ZoneName } from "../../../base/common/ids.ts";
+import { addressSchema, nameSchema } from "./schema_parts.ts";
+
+const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+const DEFAULT_MAX_HEADER_COUNT = 100;
+const DEFAULT_MAX_HEADER_BYTES = 16_384;
+const DEFAULT_REQUEST_READ_MS = 15_000;
+const DEFAULT_RESUME_WINDOW_MS = 30_000;
+const DEFAULT_DRAIN_MS = 600_000;
+const MAX_BODY_LIMIT_BYTES = 67_108_864;
+
+/** Where a secret is read from; it never stands in the settings themselves. */
+export const secretSourceSchema = z.union([
+  z.strictObject({
+    env: z.string().min(1).describe("Name of an environment variable"),
+  }),
+  z.strictObject({ file: z.string().min(1).describe("Path of a file") }),
+], "must have either `env` (a variable's name) or `file` (a path)");
+
+/** Where a secret is read from. */
+export type SecretSource = z.infer<typeof secretSourceSchema>;
+
+const bytes = z.number().int().positive().max(MAX_BODY_LIMIT_BYTES);
+const durationMs = z.number().int().positive();
+
+/** Schema of the settings file. */
+export const daemonSettingsSchema = z.strictObject({
+  host: nameSchema.transform((text) => text as HostId)
+    .describe("Name of this host, unique in the deployment"),
+  zone: nameSchema.transform((text) => text as ZoneName)
+    .describe("Availability zone of this host"),
+  listen: z.strictObject({
+    callers: addressSchema.describe("Address for callers"),
+    peers: addressSchema.describe("Address for the other daemons"),
+    operators: addressSchema.describe("Address of the operator port"),
+  }),
+  store: z.strictObject({
+    addresses: z.array(addressSchema).min(1)
+      .describe("Addresses of the platform's key-value service"),
+  }),
+  hostList: z.strictObject({
+    address: addressSchema.describe("Address of the platform's host list"),
+  }).optional(),
+  peers: z.array(z.strictObject({
+    host: nameSchema.transform((text) => text as HostId),
+    zone: nameSchema.transform((text) => text as ZoneName),
+    address: addressSchema,
+  })).default([]).describe("Daemons that are known from the start"),
+  secrets: z.strictObject({
+    signingKeys: z.array(z.strictObject({
+      id: nameSchema.describe("Id of the key, kept in each generation id"),
+      source: secretSourceSchema,
+    })).min(1).describe("Keys that sign generation ids; the first one signs"),
+    peer: secretSourceSchema.describe("Secret that the daemons share"),
+    operator: secretSourceSchema.describe("Key of the operator port"),
+  }),
+  limits: z.strictObject({
+    maxBodyBytes: bytes.default(DEFAULT_MAX_BODY_BYTES)
+      .describe("Largest body of a request"),
+    maxHeaderCount: z.number().int().positive()
+      .default(DEFAULT_MAX_HEADER_COUNT)
+      .describe("Most header lines of a request"),
+    maxHeaderBytes: bytes.default(DEFAULT_MAX_HEADER_BYTES)
+      .describe("Most bytes of all header lines"),
+    requestReadMs: durationMs.default(DEFAULT_REQUEST_READ_MS)
+      .describe("Time within which a request must have arrived whole"),
+    resumeWindowMs: durationMs.default(DEFAULT_RESUME_WINDOW_MS)
+      .describe("How long a generation goes on without its caller"),
+    drainMs: durationMs.default(DEFAULT_DRAIN_MS)
+      .describe("How long streams may run on after a stop was asked for"),
+  }).prefault({}),
+  metrics: z.strictObject({
+    statsd: addressSchema.optional().describe("Address of the StatsD agent"),
+  }).prefault({}),
+  log: z.strictObject({
+    levels: z.array(z.enum(["info", "warn", "error"]))
+      .default(["info", "warn", "error"])
+      .describe("Levels that are written"),
+  }).prefault({}),
+});
+
+/** Settings of one daemon. */
+export type DaemonSettings = z.infer<typeof daemonSettingsSchema>;
--- /dev/null
+++ b/src/platform/store/node/etcd_store_client.ts
@@ -0,0 +1,248 @@
+/** Store client over the JSON gateway of the etcd v3 API. */
+
+import { Agent, request } from "undici";
+import type { Address } from "../../../base/common/ids.ts";
+import { messageOf } from "../../../base/common/errors.ts";
+import {
+  type Disposable,
+  toDisposable,
+} from "../../../base/common/lifecycle.ts";
+import { type Eventually, Left, Right } from "../../../base/common/result.ts";
+import { readLines } from "../../endpoints/node/line_reader.ts";
+import type {
+  LeaseId,
+  StoreClient,
+  StoreDelete,
+  StoreEntry,
+  StoreFailure,
+  StoreLease,
+  StoreListing,
+  StorePut,
+  StoreWriteResult,
+  WatchListener,
+} from "../common/store_client.ts";
+import {
+  decodeEntry,
+  decodeWatchMessage,
+  encodeKey,
+  encodePrefixRange,
+  type LeaseAnswer,
+  type RangeAnswer,
+  toDeleteBody,
+  toPutBody,
+  toWriteResult,
+  type TxnAnswer,
+} from "./etcd_messages.ts";
+
+const CALL_TIMEOUT_MS = 3_000;
+const HTTP_OK = 200;
+const HTTP_TOO_MANY_REQUESTS = 429;
+const MS_PER_SECOND = 1_000;
+
+/** Connection errors that arise before a byte of the call is sent. */
+const NOT_SENT_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Client of an etcd-compatible store at one of several addresses. */
+export class EtcdStoreClient implements StoreClient {
+  readonly #addresses: readonly Address[];
+  readonly #agent = new Agent({ connect: { timeout: CALL_TIMEOUT_MS } });
+  #preferred = 0;
+
+  /** @param addresses - Addresses of the store's members; at least one. */
+  constructor(addresses: readonly Address[]) {
+    this.#addresses = addresses;
+  }
+
+  /** {@inheritDoc StoreClient.get} */
+  async get(key: string): Eventually<StoreFailure, StoreEntry | undefined> {
+    const answer = await this.#call<RangeAnswer>("range", "/v3/kv/range", {
+      key: encodeKey(key),
+    });
+    return answer.map(({ kvs }) => kvs?.[0] && decodeEntry(kvs[0]));
+  }
+
+  /** {@inheritDoc StoreClient.list} */
+  async list(prefix: string): Eventually<StoreFailure, StoreListing> {
+    const answer = await this.#call<RangeAnswer>(
+      "range",
+      "/v3/kv/range",
+      encodePrefixRange(prefix),
+    );
+    return answer.map(({ kvs, header }) => ({
+      entries: (kvs ?? []).map(decodeEntry),
+      revision: Number(header.revision),
+    }));
+  }
+
+  /** {@inheritDoc StoreClient.put} */
+  async put(write: StorePut): Eventually<StoreFailure, StoreWriteResult> {
+    const answer = await this.#call<TxnAnswer>(
+      "put",
+      "/v3/kv/txn",
+      toPutBody(write),
+    );
+    return answer.map(toWriteResult);
+  }
+
+  /** {@inheritDoc StoreClient.delete} */
+  async delete(write: StoreDelete): Eventually<StoreFailure, StoreWriteResult> {
+    const answer = await this.#call<TxnAnswer>(
+      "delete",
+      "/v3/kv/txn",
+      toDeleteBody(write),
+    );
+    return answer.map(toWriteResult);
+  }
+
+  /** {@inheritDoc StoreClient.watch} */
+  watch(
+    prefix: string,
+    afterRevision: number,
+    listener: WatchListener,
+  ): Disposable {
+    const abort = new AbortController();
+    void this.#runWatch(prefix, afterRevision, listener, abort.signal);
+    return toDisposable(() => abort.abort());
+  }
+
+  /** {@inheritDoc StoreClient.grantLease} */
+  async grantLease(ttlMs: number): Eventually<StoreFailure, StoreLease> {
+    const answer = await this.#call<LeaseAnswer>(
+      "lease-grant",
+      "/v3/lease/grant",
+      {
+        TTL: String(Math.ceil(ttlMs / MS_PER_SECOND)),
+        ID: "0",
+      },
+    );
+    return answer.map(({ ID, TTL }) => ({
+      id: ID as LeaseId,
+      ttlMs: Number(TTL) * MS_PER_SECOND,
+    }));
+  }
+
+  /** {@inheritDoc StoreClient.keepLease} */
+  async keepLease(
+    id: LeaseId,
+  ): Eventually<StoreFailure, StoreLease | undefined> {
+    const answer = await this.#call<{ result: LeaseAnswer }>(
+      "lease-keep",
+      "/v3/lease/keepalive",
+      { ID: id },
+    );
+    return answer.map(({ result }) => {
+      const ttlMs = Number(result.TTL ?? 0) * MS_PER_SECOND;
+      return ttlMs > 0 ? { id, ttlMs } : undefined;
+    });
+  }
+
+  /** {@inheritDoc StoreClient.revokeLease} */
+  async revokeLease(id: LeaseId): Eventually<StoreFailure, void> {
+    const answer = await this.#call<unknown>(
+      "lease-revoke",
+      "/v3/lease/revoke",
+      {
+        ID: id,
+      },
+    );
+    return answer.map(() => undefined);
+  }
+
+  /** Closes the connections. */
+  dispose(): void {
+    void this.#agent.destroy();
+  }
+
+  async #call<T>(
+    step: string,
+    path: string,
+    body: unknown,
+  ): Eventually<StoreFailure, T> {
+    const address = this.#addresses[this.#preferred]!;
+    try {
+      const response = await request(`http://${address}${path}`, {
+        method: "POST",
+        body: JSON.stringify(body),
+        headers: { "content-type": "application/json" },
+        dispatcher: this.#agent,
+        headersTimeout: CALL_TIMEOUT_MS,
+        bodyTimeout: CALL_TIMEOUT_MS,
+      });
+      const text = await response.body.text();
+      if (response.statusCode === HTTP_OK) return Right(JSON.parse(text) as T);
+      this.#preferNext();
+      const kind = response.statusCode === HTTP_TOO_MANY_REQUESTS
+        ? "rate-limited"
+        : "not-done";
+      return Left(
+        toFailure(step, address, kind, `status ${response.statusCode}`),
+      );
+    } catch (thrown) {
+      this.#preferNext();
+      const code = (thrown as { code?: string }).code ?? "";
+      const kind = NOT_SENT_CODES.has(code) ? "not-done" : "unknown";
+      return Left(toFailure(step, address, kind, messageOf(thrown) || code));
+    }
+  }
+
+  #preferNext(): void {
+    this.#preferred = (this.#preferred + 1) % this.#addresses.length;
+  }
+
+  async #runWatch(
+    prefix: string,
+    afterRevision: number,
+    listener: WatchListener,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const address = this.#addresses[this.#preferred]!;
+    try {
+      const response = await request(`http://${address}/v3/watch`, {
+        method: "POST",
+        body: JSON.stringify({
+          create_request: {
+            ...encodePrefixRange(prefix),
+            start_revision: String(afterRevision + 1),
+            progress_notify: true,
+          },
+        }),
+        headers: { "content-type": "application/json" },
+        dispatcher: this.#agent,
+        headersTimeout: CALL_TIMEOUT_MS,
+        bodyTimeout: 0,
+        signal,
+      });
+      if (response.statusCode !== HTTP_OK) {
+        response.body.destroy();
+        listener.onEnded("refused");
+        return;
+      }
+      for await (const line of readLines(response.body)) {
+        const message = decodeWatchMessage(line);
+        if (message.isCompacted) {
+          listener.onEnded("compacted");
+          return;
+        }
+        if (message.changes.length > 0) listener.onChanges(message.changes);
+      }
+      if (!signal.aborted) listener.onEnded("lost");
+    } catch {
+      if (signal.aborted) return;
+      this.#preferNext();
+      listener.onEnded("lost");
+    }
+  }
+}
+
+function toFailure(
+  step: string,
+  peer: string,
+  kind: StoreFailure["kind"],
+  detail: string,
+): StoreFailure {
+  return { kind, step: `store.${step}`, peer, detail };
+}
--- /dev/null
+++ b/standins/app/in_process_app_client.ts
@@ -0,0 +1,62 @@
+/** App client that reaches stand-in services in the same process. */
+
+import { type Clock, sleep } from "../../src/base/common/clock.ts";
+import type { Address } from "../../src/base/common/ids.ts";
+import { type Eventually, Left, Right } from "../../src/base/common/result.ts";
+import type {
+  AppClient,
+  AppFailure,
+  AppRequest,
+  AppResponse,
+} from "../../src/platform/endpoints/common/app_client.ts";
+import type { Endpoint } from "../../src/platform/endpoints/common/engine_client.ts";
+import type { BookingApp } from "./booking_app.ts";
+
+const LINK_DELAY_MS = 1;
+
+/** One host's client. */
+export class InProcessAppClient implements AppClient {
+  readonly #clock: Clock;
+  readonly #apps: ReadonlyMap<Address, BookingApp>;
+
+  /**
+   * @param clock - Clock of delays.
+   * @param apps - The services by address.
+   */
+  constructor(clock: Clock, apps: ReadonlyMap<Address, BookingApp>) {
+    this.#clock = clock;
+    this.#apps = apps;
+  }
+
+  /** {@inheritDoc AppClient.send} */
+  async send(
+    endpoint: Endpoint,
+    request: AppRequest,
+  ): Eventually<AppFailure, AppResponse> {
+    await sleep(this.#clock, LINK_DELAY_MS);
+    const app = this.#apps.get(endpoint.address);
+    if (!app || app.faults.isDown) {
+      return Left(fail(endpoint, "not-sent", "refused"));
+    }
+    const timeout = sleep(this.#clock, request.timeoutMs).then(() =>
+      "timeout" as const
+    );
+    const answer = await Promise.race([app.run(request), timeout]);
+    if (answer === "timeout") return Left(fail(endpoint, "unknown", "timeout"));
+    if (!answer) return Left(fail(endpoint, "unknown", "the connection broke"));
+    return Right(answer);
+  }
+
+  /** Releases nothing. */
+  dispose(): void {
+    // Nothing is held.
+  }
+}
+
+function fail(
+  { address }: Endpoint,
+  kind: AppFailure["kind"],
+  detail: string,
+): AppFailure {
+  return { kind, step: "app.send", peer: address, detail };
+}
--- /dev/null
+++ b/standins/demo/demo.ts
@@ -0,0 +1,189 @@
+/** The steps of the demo; each prints what was seen and whether it held. */
+
+import { sleep } from "../../src/base/common/clock.ts";
+import { asId, type TeamName } from "../../src/base/common/ids.ts";
+import { applyConfig } from "../../src/cli/node/config_commands.ts";
+import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+import { tokenText } from "../engine/engine_options.ts";
+import {
+  book,
+  emptyStream,
+  type ReceivedStream,
+  resumeChat,
+  streamChat,
+} from "./demo_caller.ts";
+import { DEMO_OPERATOR_KEY, DemoDeployment } from "./demo_deployment.ts";
+
+const TEAM = asId<TeamName>("taranga");
+const MID_STREAM_MS = 400;
+
+/** Prints one line. */
+export type Print = (line: string) => void;
+
+/**
+ * Runs the demo.
+ *
+ * @param print - Receives what was seen.
+ * @returns Number of promises that did not hold.
+ */
+export async function runDemo(print: Print): Promise<number> {
+  const deployment = new DemoDeployment();
+  await deployment.start();
+  const demo = new Demo(deployment, print);
+  await demo.run();
+  await deployment.stop();
+  return demo.failedCount;
+}
+
+class Demo {
+  failedCount = 0;
+  readonly #deployment: DemoDeployment;
+  readonly #print: Print;
+
+  constructor(deployment: DemoDeployment, print: Print) {
+    this.#deployment = deployment;
+    this.#print = print;
+  }
+
+  async run(): Promise<void> {
+    await this.#applyConfiguration();
+    await this.#streamTimetable();
+    await this.#checkRota();
+    await this.#bookTwice();
+    await this.#killHostInMidStream();
+    await this.#killEndpointInMidStream();
+    await this.#drainInMidStream();
+  }
+
+  #check(promise: string, holds: boolean, seen: string): void {
+    if (!holds) this.failedCount++;
+    this.#print(`${holds ? "ok  " : "FAIL"} ${promise}: ${seen}`);
+  }
+
+  async #applyConfiguration(): Promise<void> {
+    const deployment = this.#deployment;
+    const store = new EtcdStoreClient([deployment.storeAddress]);
+    const exitCode = await applyConfig({
+      store,
+      daemons: [],
+      operatorKey: DEMO_OPERATOR_KEY,
+      isJson: false,
+      createChangeId: () => "demo-change",
+      print: (line) => this.#print(`     ${line}`),
+      printError: (line) => this.#print(`     ${line}`),
+    }, { team: TEAM, text: deployment.teamDocument(), source: "demo.yaml" });
+    store.dispose();
+    const isReady = await deployment.waitUntilReady();
+    this.#check(
+      "a configuration comes into force on every host",
+      exitCode === 0 && isReady,
+      `${deployment.daemons.length} daemons ready`,
+    );
+  }
+
+  async #streamTimetable(): Promise<void> {
+    const received = emptyStream();
+    await streamChat(
+      this.#address(0),
+      "term timetable #tokens=120",
+      "timetable",
+      received,
+    );
+    this.#checkWhole("a timetable arrives whole and in order", received, 120);
+  }
+
+  async #checkRota(): Promise<void> {
+    const received = emptyStream();
+    await streamChat(
+      this.#address(1),
+      "rota check #tokens=5",
+      "lookup",
+      received,
+    );
+    this.#checkWhole("a short check arrives whole", received, 5);
+  }
+
+  async #bookTwice(): Promise<void> {
+    const body = "trial for Asha on Sunday";
+    const first = await book(this.#address(0), "key-1", body);
+    const second = await book(this.#address(2), "key-1", body);
+    const runs = this.#deployment.app.runsOf(body);
+    this.#check(
+      "a booking sent twice with one key runs once",
+      runs === 1 && first.status === 200 && second.text === first.text,
+      `ran ${runs} time, both answers ${first.status}`,
+    );
+  }
+
+  async #killHostInMidStream(): Promise<void> {
+    const received = emptyStream();
+    const stream = streamChat(
+      this.#address(0),
+      "draft #tokens=150",
+      "timetable",
+      received,
+    );
+    await sleep(this.#deployment.clock, MID_STREAM_MS);
+    await this.#deployment.daemons[0]?.abort();
+    await stream;
+    const before = received.texts.length;
+    await resumeChat(this.#address(1), received);
+    this.#print(`     ${before} tokens before the host died`);
+    this.#checkWhole("a stream goes on at another host", received, 150);
+  }
+
+  async #killEndpointInMidStream(): Promise<void> {
+    const received = emptyStream();
+    const stream = streamChat(
+      this.#address(1),
+      "draft #tokens=500",
+      "timetable",
+      received,
+    );
+    await sleep(this.#deployment.clock, MID_STREAM_MS);
+    const engine = this.#deployment.engines.find(({ model }) =>
+      model.runningCount > 0
+    );
+    engine?.model.crash();
+    await stream;
+    const isPrefix = received.texts.every((text, offset) =>
+      text === tokenText(received.id, offset)
+    );
+    this.#check(
+      "an endpoint's death in mid-stream is told truly, with no foreign token",
+      isPrefix && !received.isDone &&
+        received.problem?.includes(`"outcome":"interrupted"`) === true,
+      `${received.texts.length} tokens of one generation, then an error event`,
+    );
+    engine?.model.restart();
+  }
+
+  async #drainInMidStream(): Promise<void> {
+    const received = emptyStream();
+    const stream = streamChat(
+      this.#address(2),
+      "draft #tokens=150",
+      "timetable",
+      received,
+    );
+    await sleep(this.#deployment.clock, MID_STREAM_MS);
+    await this.#deployment.daemons[2]?.drainAndStop();
+    await stream;
+    this.#checkWhole("a host that drains cuts no stream", received, 150);
+  }
+
+  #checkWhole(promise: string, received: ReceivedStream, tokens: number): void {
+    const isExact = received.texts.every((text, offset) =>
+      text === tokenText(received.id, offset)
+    );
+    this.#check(
+      promise,
+      isExact && received.isDone && received.texts.length === tokens,
+      `${received.texts.length} of ${tokens} tokens, each once`,
+    );
+  }
+
+  #address(index: number) {
+    return this.#deployment.daemons[index]!.callerAddress;
+  }
+}
--- /dev/null
+++ b/standins/engine/in_process_engine_client.ts
@@ -0,0 +1,238 @@
+/** Engine client that reaches stand-in engines in the same process. */
+
+import { type Clock, sleep } from "../../src/base/common/clock.ts";
+import type { Address, GenerationId } from "../../src/base/common/ids.ts";
+import { type Eventually, Left, Right } from "../../src/base/common/result.ts";
+import type {
+  CacheEventPage,
+  CancelResult,
+  Endpoint,
+  EngineClient,
+  EngineFailure,
+  EngineFrame,
+  EngineRequest,
+  EngineState,
+  EngineStream,
+  EngineStreamListener,
+  FencedOrder,
+  LoadReport,
+} from "../../src/platform/endpoints/common/engine_client.ts";
+import type { EngineModel } from "./engine_model.ts";
+
+const LINK_DELAY_MS = 1;
+const CALL_TIMEOUT_MS = 2_000;
+
+/** Engines by address. */
+export type EngineDirectory = ReadonlyMap<Address, EngineModel>;
+
+/** One host's client; its links to single engines can be cut. */
+export class InProcessEngineClient implements EngineClient {
+  /** Addresses that cannot be reached from this host. */
+  readonly cutAddresses = new Set<Address>();
+  readonly #clock: Clock;
+  readonly #engines: EngineDirectory;
+
+  /**
+   * @param clock - Clock of delays.
+   * @param engines - The engines.
+   */
+  constructor(clock: Clock, engines: EngineDirectory) {
+    this.#clock = clock;
+    this.#engines = engines;
+  }
+
+  /** {@inheritDoc EngineClient.start} */
+  start(
+    endpoint: Endpoint,
+    request: EngineRequest,
+    listener: EngineStreamListener,
+  ): EngineStream {
+    const stream = new InProcessStream(this.#clock, listener);
+    this.#clock.setTimer(LINK_DELAY_MS, () => {
+      const engine = this.#reach(endpoint);
+      const result = engine?.start(request, stream) ?? "down";
+      if (result === "accepted") stream.bind(engine!, request.id);
+      else if (result === "leaving") {
+        stream.close({ kind: "not-run", reason: "leaving", detail: "leaving" });
+      } else {
+        stream.close({
+          kind: "not-run",
+          reason: "unreachable",
+          detail: "refused",
+        });
+      }
+    });
+    return stream;
+  }
+
+  /** {@inheritDoc EngineClient.resume} */
+  resume(
+    endpoint: Endpoint,
+    id: GenerationId,
+    fromOffset: number,
+    listener: EngineStreamListener,
+  ): EngineStream {
+    const stream = new InProcessStream(this.#clock, listener);
+    this.#clock.setTimer(LINK_DELAY_MS, () => {
+      const engine = this.#reach(endpoint);
+      if (!engine) {
+        stream.close({
+          kind: "not-run",
+          reason: "unreachable",
+          detail: "refused",
+        });
+      } else if (engine.attach(id, fromOffset, stream)) stream.bind(engine, id);
+      else stream.close({ kind: "unknown-generation", detail: "not known" });
+    });
+    return stream;
+  }
+
+  /** {@inheritDoc EngineClient.cancel} */
+  cancel(
+    endpoint: Endpoint,
+    id: GenerationId,
+  ): Eventually<EngineFailure, CancelResult> {
+    return this.#call("cancel", endpoint, (engine) => engine.cancel(id));
+  }
+
+  /** {@inheritDoc EngineClient.readLoad} */
+  readLoad(endpoint: Endpoint): Eventually<EngineFailure, LoadReport> {
+    return this.#call("load", endpoint, (engine) => engine.readLoad());
+  }
+
+  /** {@inheritDoc EngineClient.readCacheEvents} */
+  readCacheEvents(
+    endpoint: Endpoint,
+    afterSequence: number,
+  ): Eventually<EngineFailure, CacheEventPage> {
+    return this.#call(
+      "cache-events",
+      endpoint,
+      (engine) => engine.readCacheEvents(afterSequence),
+    );
+  }
+
+  /** {@inheritDoc EngineClient.order} */
+  async order(
+    endpoint: Endpoint,
+    order: FencedOrder,
+  ): Eventually<EngineFailure, EngineState> {
+    const answer = await this.#call(
+      "order",
+      endpoint,
+      (engine) => engine.order(order),
+    );
+    return answer.chain((state) =>
+      state ? Right(state) : Left(toFailure("order", endpoint, "stale-fence"))
+    );
+  }
+
+  /** {@inheritDoc EngineClient.readState} */
+  readState(endpoint: Endpoint): Eventually<EngineFailure, EngineState> {
+    return this.#call("state", endpoint, (engine) => engine.readState());
+  }
+
+  /** Releases nothing. */
+  dispose(): void {
+    // Streams are owned by those who opened them.
+  }
+
+  #reach({ address }: Endpoint): EngineModel | undefined {
+    const engine = this.#engines.get(address);
+    return engine?.isDown || this.cutAddresses.has(address)
+      ? undefined
+      : engine;
+  }
+
+  async #call<T>(
+    step: string,
+    endpoint: Endpoint,
+    run: (engine: EngineModel) => T,
+  ): Eventually<EngineFailure, T> {
+    await sleep(this.#clock, LINK_DELAY_MS);
+    const engine = this.#reach(endpoint);
+    if (engine) return Right(run(engine));
+    if (!this.cutAddresses.has(endpoint.address)) {
+      return Left(toFailure(step, endpoint, "not-done"));
+    }
+    await sleep(this.#clock, CALL_TIMEOUT_MS);
+    return Left(toFailure(step, endpoint, "unknown"));
+  }
+}
+
+/** Delivers frames after the delay of a link. */
+class InProcessStream implements EngineStream {
+  readonly #clock: Clock;
+  readonly #listener: EngineStreamListener;
+  #engine: EngineModel | undefined;
+  #id: GenerationId | undefined;
+  #held: (() => void)[] = [];
+  #isPaused = false;
+  #isDisposed = false;
+
+  constructor(clock: Clock, listener: EngineStreamListener) {
+    this.#clock = clock;
+    this.#listener = listener;
+  }
+
+  /** The engine has taken the request. */
+  bind(engine: EngineModel, id: GenerationId): void {
+    this.#engine = engine;
+    this.#id = id;
+    if (this.#isDisposed) engine.detach(id, this);
+    else this.#listener.onAccepted();
+  }
+
+  onFrames(frames: readonly EngineFrame[]): void {
+    this.#deliver(() => this.#listener.onFrames(frames));
+  }
+
+  onClosed(reason: "closed" | "broken"): void {
+    this.close(
+      reason === "closed"
+        ? { kind: "closed" }
+        : { kind: "lost", detail: "the connection broke" },
+    );
+  }
+
+  close(close: Parameters<EngineStreamListener["onClosed"]>[0]): void {
+    this.#deliver(() => {
+      this.#isDisposed = true;
+      this.#listener.onClosed(close);
+    });
+  }
+
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    const held = this.#held;
+    this.#held = [];
+    for (const run of held) this.#run(run);
+  }
+
+  dispose(): void {
+    this.#isDisposed = true;
+    if (this.#engine && this.#id) this.#engine.detach(this.#id, this);
+  }
+
+  #deliver(run: () => void): void {
+    this.#clock.setTimer(LINK_DELAY_MS, () => this.#run(run));
+  }
+
+  #run(run: () => void): void {
+    if (this.#isDisposed) return;
+    if (this.#isPaused) this.#held.push(run);
+    else run();
+  }
+}
+
+function toFailure(
+  step: string,
+  { address }: Endpoint,
+  kind: EngineFailure["kind"],
+): EngineFailure {
+  return { kind, step: `engine.${step}`, peer: address, detail: kind };
+}
--- /dev/null
+++ b/standins/engine/sequence.ts
@@ -0,0 +1,113 @@
+/** One generation inside the stand-in engine. */
+
+import type {
+  EngineFrame,
+  EngineRequest,
+  FinishReason,
+} from "../../src/platform/endpoints/common/engine_client.ts";
+import { hashBlocks } from "./prefix_cache.ts";
+import { countPromptTokens, tokenText } from "./engine_options.ts";
+
+/** Reads the frames of one generation over one connection. */
+export interface FrameReader {
+  onFrames(frames: readonly EngineFrame[]): void;
+  /** The engine closed or broke the connection. */
+  onClosed(reason: "closed" | "broken"): void;
+}
+
+/** State of a sequence. */
+export type SequenceState = "queued" | "running" | "ended";
+
+/** A request with what has been generated for it. */
+export class Sequence {
+  readonly request: EngineRequest;
+  readonly promptTokens: number;
+  readonly blocks: readonly string[];
+  readonly lengthTokens: number;
+  readonly arrivalOrder: number;
+  readonly readers = new Set<FrameReader>();
+  state: SequenceState = "queued";
+  generatedTokens = 0;
+  /** Tokens whose memory is shared through the prefix cache. */
+  cachedTokens = 0;
+  preemptions = 0;
+  finish: FinishReason | undefined;
+
+  /**
+   * @param request - The request.
+   * @param lengthTokens - Number of tokens to generate.
+   * @param arrivalOrder - Place in the order of arrival.
+   */
+  constructor(
+    request: EngineRequest,
+    lengthTokens: number,
+    arrivalOrder: number,
+  ) {
+    this.request = request;
+    this.lengthTokens = lengthTokens;
+    this.arrivalOrder = arrivalOrder;
+    this.promptTokens = countPromptTokens(request.prompt);
+    this.blocks = hashBlocks(request.prompt);
+  }
+
+  /** Memory that the sequence holds while it runs, in tokens. */
+  get memoryTokens(): number {
+    return this.promptTokens + this.generatedTokens - this.cachedTokens;
+  }
+
+  /** Generates the next token and passes it to the readers. */
+  generate(): void {
+    const frame = this.#tokenFrame(this.generatedTokens);
+    this.generatedTokens++;
+    for (const reader of this.readers) reader.onFrames([frame]);
+  }
+
+  /** Ends the sequence and tells the readers. */
+  end(finish: FinishReason): void {
+    this.state = "ended";
+    this.finish = finish;
+    const frames = [this.#endFrame()];
+    for (const reader of this.readers) {
+      reader.onFrames(frames);
+      reader.onClosed("closed");
+    }
+    this.readers.clear();
+  }
+
+  /** Breaks the connections of all readers. */
+  breakReaders(): void {
+    for (const reader of this.readers) reader.onClosed("broken");
+    this.readers.clear();
+  }
+
+  /** Lets a reader catch up from an offset and follow. */
+  attach(reader: FrameReader, fromOffset: number): void {
+    const frames: EngineFrame[] = [];
+    for (let offset = fromOffset; offset < this.generatedTokens; offset++) {
+      frames.push(this.#tokenFrame(offset));
+    }
+    if (this.state === "ended") frames.push(this.#endFrame());
+    if (frames.length > 0) reader.onFrames(frames);
+    if (this.state === "ended") reader.onClosed("closed");
+    else this.readers.add(reader);
+  }
+
+  #tokenFrame(offset: number): EngineFrame {
+    const generation = this.request.id;
+    return {
+      kind: "token",
+      generation,
+      offset,
+      text: tokenText(generation, offset),
+    };
+  }
+
+  #endFrame(): EngineFrame {
+    return {
+      kind: "end",
+      generation: this.request.id,
+      offset: this.generatedTokens,
+      finish: this.finish ?? "stop",
+    };
+  }
+}
--- /dev/null
+++ b/standins/store/in_process_store_client.ts
@@ -0,0 +1,157 @@
+/** Store client that reaches a stand-in store in the same process. */
+
+import { type Clock, sleep } from "../../src/base/common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+  toDisposable,
+} from "../../src/base/common/lifecycle.ts";
+import { type Eventually, Left, Right } from "../../src/base/common/result.ts";
+import type {
+  LeaseId,
+  StoreChange,
+  StoreClient,
+  StoreDelete,
+  StoreEntry,
+  StoreFailure,
+  StoreLease,
+  StoreListing,
+  StorePut,
+  StoreWriteResult,
+  WatchListener,
+} from "../../src/platform/store/common/store_client.ts";
+import type { CallKind, KvStore } from "./kv_store.ts";
+
+const LINK_DELAY_MS = 1;
+const LOST_ANSWER_MS = 3_000;
+
+/** One host's client; its link to the store can be cut. */
+export class InProcessStoreClient implements StoreClient {
+  /** Whether the link to the store is cut: calls time out without effect. */
+  isCut = false;
+  readonly #clock: Clock;
+  readonly #store: KvStore;
+  readonly #watches = new DisposableStore();
+
+  /**
+   * @param clock - Clock of delays.
+   * @param store - The store.
+   */
+  constructor(clock: Clock, store: KvStore) {
+    this.#clock = clock;
+    this.#store = store;
+  }
+
+  /** {@inheritDoc StoreClient.get} */
+  get(key: string): Eventually<StoreFailure, StoreEntry | undefined> {
+    return this.#call("get", "read", () => this.#store.get(key));
+  }
+
+  /** {@inheritDoc StoreClient.list} */
+  list(prefix: string): Eventually<StoreFailure, StoreListing> {
+    return this.#call("list", "read", () => this.#store.list(prefix));
+  }
+
+  /** {@inheritDoc StoreClient.put} */
+  put(write: StorePut): Eventually<StoreFailure, StoreWriteResult> {
+    return this.#call("put", "write", () => this.#store.put(write));
+  }
+
+  /** {@inheritDoc StoreClient.delete} */
+  delete(write: StoreDelete): Eventually<StoreFailure, StoreWriteResult> {
+    return this.#call("delete", "write", () => this.#store.delete(write));
+  }
+
+  /** {@inheritDoc StoreClient.watch} */
+  watch(
+    prefix: string,
+    afterRevision: number,
+    listener: WatchListener,
+  ): Disposable {
+    const end = (reason: "lost" | "compacted"): Disposable =>
+      this.#clock.setTimer(LINK_DELAY_MS, () => listener.onEnded(reason));
+    if (
+      this.isCut || this.#store.faults.isDown || !this.#store.admitCall("read")
+    ) {
+      return end("lost");
+    }
+    const missed = this.#store.changesAfter(prefix, afterRevision);
+    if (!missed) return end("compacted");
+    const deliver = (changes: readonly StoreChange[]): void => {
+      this.#clock.setTimer(LINK_DELAY_MS, () => {
+        if (isOpen) listener.onChanges(changes);
+      });
+    };
+    let isOpen = true;
+    if (missed.length > 0) deliver(missed);
+    const subscription = this.#store.subscribe(prefix, (change) => {
+      if (!this.isCut) deliver([change]);
+    });
+    return this.#watches.add(toDisposable(() => {
+      isOpen = false;
+      subscription.dispose();
+    }));
+  }
+
+  /** {@inheritDoc StoreClient.grantLease} */
+  grantLease(ttlMs: number): Eventually<StoreFailure, StoreLease> {
+    return this.#call("lease-grant", "write", () => ({
+      id: this.#store.grantLease(ttlMs),
+      ttlMs,
+    }));
+  }
+
+  /** {@inheritDoc StoreClient.keepLease} */
+  keepLease(id: LeaseId): Eventually<StoreFailure, StoreLease | undefined> {
+    return this.#call("lease-keep", "write", () => {
+      const ttlMs = this.#store.keepLease(id);
+      return ttlMs > 0 ? { id, ttlMs } : undefined;
+    });
+  }
+
+  /** {@inheritDoc StoreClient.revokeLease} */
+  revokeLease(id: LeaseId): Eventually<StoreFailure, void> {
+    return this.#call(
+      "lease-revoke",
+      "write",
+      () => this.#store.revokeLease(id),
+    );
+  }
+
+  /** Ends all watches. */
+  dispose(): void {
+    this.#watches.dispose();
+  }
+
+  async #call<T>(
+    step: string,
+    kind: CallKind,
+    run: () => T,
+  ): Eventually<StoreFailure, T> {
+    const { faults } = this.#store;
+    const fail = (
+      failure: StoreFailure["kind"],
+      detail: string,
+    ): StoreFailure => ({
+      kind: failure,
+      step: `store.${step}`,
+      peer: "store",
+      detail,
+    });
+    await sleep(this.#clock, LINK_DELAY_MS + faults.delayMs);
+    if (this.isCut) {
+      await sleep(this.#clock, LOST_ANSWER_MS);
+      return Left(fail("unknown", "no answer"));
+    }
+    if (faults.isDown) return Left(fail("not-done", "the store is down"));
+    if (!this.#store.admitCall(kind)) {
+      return Left(fail("rate-limited", "too many calls"));
+    }
+    const value = run();
+    if (kind === "write" && this.#store.takeLostAnswer()) {
+      await sleep(this.#clock, LOST_ANSWER_MS);
+      return Left(fail("unknown", "no answer"));
+    }
+    return Right(value);
+  }
+}
--- /dev/null
+++ b/standins/store/kv_store.ts
@@ -0,0 +1,234 @@
+/** Stand-in for the platform's key-value service, without sockets. */
+
+import type { Clock } from "../../src/base/common/clock.ts";
+import type { Disposable } from "../../src/base/common/lifecycle.ts";
+import { toDisposable } from "../../src/base/common/lifecycle.ts";
+import type {
+  LeaseId,
+  StoreChange,
+  StoreDelete,
+  StoreEntry,
+  StoreListing,
+  StorePut,
+  StoreWriteResult,
+} from "../../src/platform/store/common/store_client.ts";
+import { MAX_STORE_VALUE_BYTES } from "../../src/platform/store/common/store_client.ts";
+
+const RATE_WINDOW_MS = 1_000;
+const DEFAULT_KEPT_CHANGES = 10_000;
+
+/** Faults and limits that can be changed at any time. */
+export interface StoreFaults {
+  /** The store refuses every call. */
+  isDown: boolean;
+  /** Delay of each answer. */
+  delayMs: number;
+  /** Number of coming writes whose answer is lost after their effect. */
+  loseWriteAnswers: number;
+  /** Most writes a second; beyond it calls are refused. */
+  maxWritesPerSecond: number;
+  /** Most reads a second, a waiting watch counted as one. */
+  maxReadsPerSecond: number;
+}
+
+interface Watcher {
+  readonly prefix: string;
+  readonly onChange: (change: StoreChange) => void;
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  readonly keys: Set<string>;
+  timer: Disposable;
+}
+
+/** Kind of a call, for its rate. */
+export type CallKind = "read" | "write";
+
+/** Keys, revisions, leases and watches in memory. */
+export class KvStore {
+  readonly faults: StoreFaults = {
+    isDown: false,
+    delayMs: 0,
+    loseWriteAnswers: 0,
+    maxWritesPerSecond: Infinity,
+    maxReadsPerSecond: Infinity,
+  };
+  readonly #clock: Clock;
+  readonly #entries = new Map<string, StoreEntry>();
+  readonly #changes: StoreChange[] = [];
+  readonly #watchers = new Set<Watcher>();
+  readonly #leases = new Map<LeaseId, Lease>();
+  readonly #recentCalls: Record<CallKind, number[]> = { read: [], write: [] };
+  readonly #callCounts: Record<CallKind, number> = { read: 0, write: 0 };
+  #revision = 1;
+  #oldestChange = 1;
+  #leaseSequence = 1;
+
+  /** @param clock - Clock of leases and rates. */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Revision of the last write. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Calls since the start, refused ones included. */
+  get callCounts(): Readonly<Record<CallKind, number>> {
+    return this.#callCounts;
+  }
+
+  /** @returns Whether the rate allows one more call now. */
+  admitCall(kind: CallKind): boolean {
+    this.#callCounts[kind]++;
+    const nowMs = this.#clock.monotonicMs();
+    const recent = this.#recentCalls[kind];
+    while (recent.length > 0 && recent[0]! <= nowMs - RATE_WINDOW_MS) {
+      recent.shift();
+    }
+    const limit = kind === "read"
+      ? this.faults.maxReadsPerSecond
+      : this.faults.maxWritesPerSecond;
+    if (recent.length >= limit) return false;
+    recent.push(nowMs);
+    return true;
+  }
+
+  /** @returns Whether this write's answer is to be lost. */
+  takeLostAnswer(): boolean {
+    if (this.faults.loseWriteAnswers <= 0) return false;
+    this.faults.loseWriteAnswers--;
+    return true;
+  }
+
+  /** @returns The entry of a key. */
+  get(key: string): StoreEntry | undefined {
+    return this.#entries.get(key);
+  }
+
+  /** @returns All entries under a prefix, in order of their keys. */
+  list(prefix: string): StoreListing {
+    const entries = [...this.#entries.values()]
+      .filter(({ key }) => key.startsWith(prefix))
+      .sort((left, right) => left.key < right.key ? -1 : 1);
+    return { entries, revision: this.#revision };
+  }
+
+  /** Compare-and-swap of one key. */
+  put(write: StorePut): StoreWriteResult {
+    if (Buffer.byteLength(write.value) > MAX_STORE_VALUE_BYTES) {
+      throw new RangeError("the value is larger than a megabyte");
+    }
+    const current = this.#entries.get(write.key);
+    if ((current?.revision ?? 0) !== write.expectedRevision) {
+      return { kind: "conflict", current };
+    }
+    const revision = ++this.#revision;
+    const entry = { key: write.key, value: write.value, revision };
+    this.#entries.set(write.key, entry);
+    this.#bindToLease(write);
+    this.#publish({ kind: "put", entry });
+    return { kind: "written", revision };
+  }
+
+  /** Compare-and-swap delete of one key. */
+  delete(write: StoreDelete): StoreWriteResult {
+    const current = this.#entries.get(write.key);
+    if ((current?.revision ?? 0) !== write.expectedRevision) {
+      return { kind: "conflict", current };
+    }
+    if (current) this.#remove(write.key);
+    return { kind: "written", revision: this.#revision };
+  }
+
+  /**
+   * @param afterRevision - Changes after this one are wanted.
+   * @returns The kept changes, or `undefined` when some have been compacted.
+   */
+  changesAfter(
+    prefix: string,
+    afterRevision: number,
+  ): StoreChange[] | undefined {
+    if (afterRevision + 1 < this.#oldestChange) return undefined;
+    return this.#changes.filter((change) =>
+      revisionOf(change) > afterRevision && keyOf(change).startsWith(prefix)
+    );
+  }
+
+  /** Calls a listener on each change under a prefix. */
+  subscribe(
+    prefix: string,
+    onChange: (change: StoreChange) => void,
+  ): Disposable {
+    const watcher = { prefix, onChange };
+    this.#watchers.add(watcher);
+    return toDisposable(() => this.#watchers.delete(watcher));
+  }
+
+  /** Drops the history, so that old watches are refused. */
+  compact(): void {
+    this.#changes.length = 0;
+    this.#oldestChange = this.#revision + 1;
+  }
+
+  /** @returns The id of a new lease. */
+  grantLease(ttlMs: number): LeaseId {
+    const id = String(this.#leaseSequence++) as LeaseId;
+    this.#leases.set(id, {
+      ttlMs,
+      keys: new Set(),
+      timer: this.#clock.setTimer(ttlMs, () => this.revokeLease(id)),
+    });
+    return id;
+  }
+
+  /** @returns The renewed time to live, or 0 when the lease has lapsed. */
+  keepLease(id: LeaseId): number {
+    const lease = this.#leases.get(id);
+    if (!lease) return 0;
+    lease.timer.dispose();
+    lease.timer = this.#clock.setTimer(lease.ttlMs, () => this.revokeLease(id));
+    return lease.ttlMs;
+  }
+
+  /** Ends a lease and deletes its keys. */
+  revokeLease(id: LeaseId): void {
+    const lease = this.#leases.get(id);
+    if (!lease) return;
+    lease.timer.dispose();
+    this.#leases.delete(id);
+    for (const key of lease.keys) if (this.#entries.has(key)) this.#remove(key);
+  }
+
+  #bindToLease({ key, leaseId }: StorePut): void {
+    for (const lease of this.#leases.values()) lease.keys.delete(key);
+    if (leaseId !== undefined) this.#leases.get(leaseId)?.keys.add(key);
+  }
+
+  #remove(key: string): void {
+    const revision = ++this.#revision;
+    this.#entries.delete(key);
+    this.#publish({ kind: "delete", key, revision });
+  }
+
+  #publish(change: StoreChange): void {
+    this.#changes.push(change);
+    if (this.#changes.length > DEFAULT_KEPT_CHANGES) {
+      const dropped = this.#changes.shift()!;
+      this.#oldestChange = revisionOf(dropped) + 1;
+    }
+    for (const watcher of [...this.#watchers]) {
+      if (keyOf(change).startsWith(watcher.prefix)) watcher.onChange(change);
+    }
+  }
+}
+
+function revisionOf(change: StoreChange): number {
+  return change.kind === "put" ? change.entry.revision : change.revision;
+}
+
+function keyOf(change: StoreChange): string {
+  return change.kind === "put" ? change.entry.key : change.key;
+}
