Add the test language, the in-process world and the bench runner

Cause: features need one way to be proved under faults before they grow. A world is a whole deployment in one process on the manual clock: hosts with killable and freezable clocks, engines, app services, store and peer links.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,59 @@
+/** `npm run bench -- NAME --json`: runs a measurement of `bench/benches`. */
+
+import { existsSync, readdirSync } from "node:fs";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { cac } from "cac";
+import type { Bench } from "./bench.ts";
+
+const BENCH_FOLDER = join(dirname(fileURLToPath(import.meta.url)), "benches");
+const DEFAULT_SEED = 1;
+
+interface BenchFlags {
+  readonly json?: boolean;
+  readonly seed?: number;
+}
+
+async function runBench(
+  name: string,
+  args: readonly string[],
+  flags: BenchFlags,
+): Promise<void> {
+  const path = join(BENCH_FOLDER, `${name}.ts`);
+  if (!/^[a-z-]+$/.test(name) || !existsSync(path)) {
+    const names = readdirSync(BENCH_FOLDER).map((file) =>
+      file.replace(".ts", "")
+    );
+    process.stderr.write(
+      `there is no bench ${name}; known: ${names.join(", ")}\n`,
+    );
+    process.exitCode = 2;
+    return;
+  }
+  const { bench } = await import(path) as { readonly bench: Bench };
+  const print = flags.json
+    ? (row: object) => process.stdout.write(`${JSON.stringify(row)}\n`)
+    : (row: object) => console.table([row]);
+  const summary = await bench.run({
+    seed: Number(flags.seed ?? DEFAULT_SEED),
+    args,
+    printRow: print,
+    printNote: (line) => process.stderr.write(`${line}\n`),
+  });
+  print(summary);
+}
+
+const cli = cac("bench");
+cli.command("<name> [...args]", "Run a measurement")
+  .option("--json", "Print one JSON object a line")
+  .option("--seed <number>", "Seed of everything random")
+  .action(runBench);
+cli.help();
+cli.parse(process.argv, { run: false });
+Promise.resolve(cli.runMatchedCommand()).then(
+  () => process.exit(),
+  (thrown: unknown) => {
+    process.stderr.write(`${String(thrown)}\n`);
+    process.exit(1);
+  },
+);
--- /dev/null
+++ b/scenarios/runner/caller_record.ts
@@ -0,0 +1,100 @@
+/** What the callers of a scenario have received. */
+
+import type { Either } from "../../src/base/common/result.ts";
+import type { Token } from "../../src/features/generations/common/frame_sequencer.ts";
+import type {
+  GenerationCaller,
+  GenerationEnd,
+} from "../../src/features/generations/common/generation_service.ts";
+import type { AppResponse } from "../../src/platform/endpoints/common/app_client.ts";
+import type { Failure } from "../../src/platform/outcomes/common/failure.ts";
+import { tokenText } from "../../standins/engine/engine_options.ts";
+
+/** A caller of a generation. */
+export class GenerationRecord implements GenerationCaller {
+  readonly workspace: string;
+  readonly tokens: Token[] = [];
+  id = "";
+  ends: GenerationEnd[] = [];
+  /** Set when the host dies under the caller's connection. */
+  isCutOff = false;
+
+  /** @param workspace - Name of the caller's workspace. */
+  constructor(workspace: string) {
+    this.workspace = workspace;
+  }
+
+  /** {@inheritDoc GenerationCaller.onStarted} */
+  onStarted(id: string): void {
+    this.id = id;
+  }
+
+  /** {@inheritDoc GenerationCaller.onTokens} */
+  onTokens(tokens: readonly Token[]): boolean {
+    if (!this.isCutOff) this.tokens.push(...tokens);
+    return true;
+  }
+
+  /** {@inheritDoc GenerationCaller.onEnded} */
+  onEnded(end: GenerationEnd): void {
+    if (!this.isCutOff) this.ends.push(end);
+  }
+
+  /** Outcome that the caller was told, or `none`. */
+  get outcome(): string {
+    const end = this.ends.at(-1);
+    if (!end) return "none";
+    return end.kind === "completed" ? "completed" : end.failure.outcome;
+  }
+
+  /** Reason of the failure that the caller was told. */
+  get reason(): string | undefined {
+    const end = this.ends.at(-1);
+    return end?.kind === "failed" ? end.failure.reason : undefined;
+  }
+
+  /**
+   * Checks what must always hold of an answer.
+   *
+   * @returns What is wrong, if anything.
+   */
+  findViolation(): string | undefined {
+    const wrong = this.tokens.findIndex(({ offset, text }, index) =>
+      offset !== index || text !== tokenText(this.id, index)
+    );
+    if (wrong >= 0) {
+      return `token ${wrong} is not the next one of its generation`;
+    }
+    if (this.ends.length > 1) return "the answer ended more than once";
+    return undefined;
+  }
+}
+
+/** A caller of a plain call. */
+export class CallRecord {
+  result: Either<Failure, AppResponse> | undefined;
+
+  /** Outcome that the caller was told, or `none`. */
+  get outcome(): string {
+    return this.result?.caseOf<string>({
+      Left: (failure) => failure.outcome,
+      Right: () => "completed",
+    }) ?? "none";
+  }
+
+  /** Reason of the failure that the caller was told. */
+  get reason(): string | undefined {
+    return this.result?.caseOf<string | undefined>({
+      Left: (failure) => failure.reason,
+      Right: () => undefined,
+    });
+  }
+
+  /** HTTP status of the service's answer. */
+  get status(): number | undefined {
+    return this.result?.caseOf<number | undefined>({
+      Left: () => undefined,
+      Right: (response) => response.status,
+    });
+  }
+}
--- /dev/null
+++ b/scenarios/runner/faults.ts
@@ -0,0 +1,88 @@
+/** Switches the faults of a world. */
+
+import { asId, type HostId } from "../../src/base/common/ids.ts";
+import { assertNever } from "../../src/base/common/errors.ts";
+import type { World } from "../../standins/world/world.ts";
+import type { FaultStep } from "./scenario_schema.ts";
+
+/**
+ * @param world - The world.
+ * @param step - The fault.
+ */
+export function applyFault(world: World, step: FaultStep): void {
+  switch (step.fault) {
+    case "crash-engine":
+      return world.engine(step.engine).crash();
+    case "restart-engine":
+      return world.engine(step.engine).restart();
+    case "reclaim-engine":
+      return world.engine(step.engine).reclaim(step.noticeMs);
+    case "stall-engine":
+      return world.engine(step.engine).setStalled(true);
+    case "unstall-engine":
+      return world.engine(step.engine).setStalled(false);
+    case "silence-engine":
+      return world.engine(step.engine).silenceConnections();
+    case "crash-host":
+      return world.crashHost(step.host);
+    case "restart-host":
+      return world.restartHost(step.host);
+    case "drain-host":
+      return world.host(step.host).core.startDraining();
+    case "freeze-host":
+      return world.host(step.host).clock.freeze();
+    case "thaw-host":
+      return world.host(step.host).clock.thaw();
+    case "cut-store":
+      world.host(step.host).store.isCut = true;
+      return;
+    case "heal-store":
+      world.host(step.host).store.isCut = false;
+      return;
+    case "store-down":
+      world.store.faults.isDown = true;
+      return;
+    case "store-up":
+      world.store.faults.isDown = false;
+      return;
+    case "store-slow":
+      world.store.faults.delayMs = step.delayMs;
+      return;
+    case "store-lose-answers":
+      world.store.faults.loseWriteAnswers = step.count;
+      return;
+    case "store-compact":
+      return world.store.compact();
+    case "app-down":
+      world.app(step.app).faults.isDown = true;
+      return;
+    case "app-up":
+      world.app(step.app).faults.isDown = false;
+      return;
+    case "app-slow":
+      world.app(step.app).faults.delayMs = step.delayMs;
+      return;
+    case "app-lose-answers":
+      world.app(step.app).faults.loseAnswers = step.count;
+      return;
+    case "cut-hosts":
+      return world.network.cut(asId<HostId>(step.from), asId<HostId>(step.to));
+    case "cut-engine":
+      return cutEngine(world, step.from, step.to);
+    case "heal-links":
+      return healLinks(world);
+    default:
+      assertNever(step);
+  }
+}
+
+function cutEngine(world: World, host: string, engine: string): void {
+  const endpoint = world.endpoints.find(({ id }) => id === engine);
+  if (!endpoint) throw new Error(`there is no endpoint ${engine}`);
+  world.host(host).engines.cutAddresses.add(endpoint.address);
+}
+
+function healLinks(world: World): void {
+  world.network.heal();
+  for (const host of world.hosts.values()) host.engines.cutAddresses.clear();
+}
--- /dev/null
+++ b/scenarios/runner/main.ts
@@ -0,0 +1,32 @@
+/** `npm run scenario -- FILE...`: runs scenarios and prints what did not hold. */
+
+import { readScenario } from "./scenario_file.ts";
+import { runScenario } from "./scenario_runner.ts";
+
+async function runFile(path: string): Promise<boolean> {
+  const scenario = readScenario(path);
+  if (scenario.isLeft()) {
+    process.stderr.write(`${scenario.extract()}\n`);
+    return false;
+  }
+  const failures = await runScenario(scenario.unsafeCoerce());
+  process.stdout.write(`${failures.length === 0 ? "ok  " : "FAIL"} ${path}\n`);
+  for (const { step, detail } of failures) {
+    process.stdout.write(`     step ${step}: ${detail}\n`);
+  }
+  return failures.length === 0;
+}
+
+async function runAll(paths: readonly string[]): Promise<void> {
+  if (paths.length === 0) {
+    process.stderr.write(
+      "say which scenarios to run: npm run scenario -- FILE...\n",
+    );
+    process.exitCode = 2;
+  }
+  for (const path of paths) {
+    if (!await runFile(path)) process.exitCode = 1;
+  }
+}
+
+void runAll(process.argv.slice(2));
--- /dev/null
+++ b/scenarios/runner/scenario_schema.ts
@@ -0,0 +1,201 @@
+/** The test language: what a scenario file may say. */
+
+import { z } from "zod";
+
+const name = z.string().min(1);
+const durationMs = z.number().int().nonnegative();
+const count = z.number().int().nonnegative();
+
+const worldSchema = z.strictObject({
+  zones: z.record(name, z.strictObject({ hosts: count })),
+  services: z.record(
+    name,
+    z.strictObject({
+      kind: z.enum(["engine", "app"]),
+      favour: z.enum(["stall", "token-latency"]).optional(),
+      replicas: z.record(name, count),
+      engine: z.strictObject({
+        memoryTokens: count.exactOptional(),
+        maxRunning: count.exactOptional(),
+        baseStepMs: z.number().positive().exactOptional(),
+        loadLagMs: durationMs.exactOptional(),
+        keepEndedMs: durationMs.exactOptional(),
+        honoursFence: z.boolean().exactOptional(),
+      }).optional(),
+    }),
+  ),
+  workspaces: z.array(name),
+  classes: z.record(
+    name,
+    z.strictObject({
+      priority: z.number().int(),
+      maxWaitMs: durationMs.optional(),
+      starvationMs: durationMs.optional(),
+    }),
+  ),
+  resumeWindowMs: durationMs.optional(),
+});
+
+/** Starts a generation. */
+const generateSchema = z.strictObject({
+  do: z.literal("generate"),
+  as: name,
+  host: name,
+  workspace: name,
+  service: name,
+  class: name,
+  tokens: count,
+  prompt: z.string().default(""),
+  maxWaitMs: durationMs.optional(),
+  delivery: z.enum(["stream", "whole"]).default("stream"),
+});
+
+/** Goes on with a generation after the last token that its caller has. */
+const resumeSchema = z.strictObject({
+  do: z.literal("resume"),
+  of: name,
+  host: name,
+  /** Another workspace than the one that started it. */
+  workspace: name.optional(),
+});
+
+/** Sends a plain call. */
+const callSchema = z.strictObject({
+  do: z.literal("call"),
+  as: name,
+  host: name,
+  workspace: name,
+  service: name,
+  class: name,
+  method: z.string().default("POST"),
+  body: z.string(),
+  key: z.string().optional(),
+});
+
+/** Lets time pass. */
+const waitSchema = z.strictObject({ do: z.literal("wait"), forMs: durationMs });
+
+const engineFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.enum([
+    "crash-engine",
+    "restart-engine",
+    "reclaim-engine",
+    "stall-engine",
+    "unstall-engine",
+    "silence-engine",
+  ]),
+  engine: name,
+  noticeMs: durationMs.default(0),
+});
+
+const hostFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.enum([
+    "crash-host",
+    "restart-host",
+    "drain-host",
+    "freeze-host",
+    "thaw-host",
+    "cut-store",
+    "heal-store",
+  ]),
+  host: name,
+});
+
+const storeFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.enum([
+    "store-down",
+    "store-up",
+    "store-slow",
+    "store-lose-answers",
+    "store-compact",
+  ]),
+  delayMs: durationMs.default(0),
+  count: count.default(1),
+});
+
+const appFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.enum(["app-down", "app-up", "app-slow", "app-lose-answers"]),
+  app: name,
+  delayMs: durationMs.default(0),
+  count: count.default(1),
+});
+
+const cutFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.enum(["cut-hosts", "cut-engine"]),
+  from: name,
+  to: name,
+});
+
+const healFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.literal("heal-links"),
+});
+
+const faultSchema = z.discriminatedUnion("fault", [
+  engineFault,
+  hostFault,
+  storeFault,
+  appFault,
+  cutFault,
+  healFault,
+]);
+
+/** Says what must have been seen by now. */
+const expectSchema = z.strictObject({
+  do: z.literal("expect"),
+  request: name.optional(),
+  outcome: z.enum(["completed", "not-run", "interrupted", "unknown", "none"])
+    .optional(),
+  reason: name.optional(),
+  tokens: count.optional(),
+  tokensAtLeast: count.optional(),
+  status: count.optional(),
+  app: name.optional(),
+  body: z.string().optional(),
+  runs: count.optional(),
+  engine: name.optional(),
+  started: count.optional(),
+  running: count.optional(),
+  host: name.optional(),
+  active: count.optional(),
+  isReady: z.boolean().optional(),
+});
+
+/** Schema of one step. */
+export const stepSchema = z.union([
+  generateSchema,
+  resumeSchema,
+  callSchema,
+  waitSchema,
+  faultSchema,
+  expectSchema,
+]);
+
+/** Schema of a scenario file. */
+export const scenarioSchema = z.strictObject({
+  name,
+  /** Sentence of the brief that the scenario proves. */
+  proves: z.string(),
+  world: worldSchema,
+  steps: z.array(stepSchema).min(1),
+});
+
+/** A scenario. */
+export type Scenario = z.infer<typeof scenarioSchema>;
+/** One step of a scenario. */
+export type Step = z.infer<typeof stepSchema>;
+/** A step that starts a generation. */
+export type GenerateStep = z.infer<typeof generateSchema>;
+/** A step that resumes a generation. */
+export type ResumeStep = z.infer<typeof resumeSchema>;
+/** A step that sends a call. */
+export type CallStep = z.infer<typeof callSchema>;
+/** A step that changes a fault. */
+export type FaultStep = z.infer<typeof faultSchema>;
+/** A step that checks. */
+export type ExpectStep = z.infer<typeof expectSchema>;
--- /dev/null
+++ b/scenarios/scenarios_test.ts
@@ -0,0 +1,12 @@
+import { findScenarios, readScenario } from "./runner/scenario_file.ts";
+import { runScenario } from "./runner/scenario_runner.ts";
+
+describe("scenarios", () => {
+  for (const path of findScenarios("scenarios")) {
+    it(path, async () => {
+      const scenario = readScenario(path);
+      if (scenario.isLeft()) throw new Error(scenario.extract());
+      expect(await runScenario(scenario.unsafeCoerce())).toEqual([]);
+    });
+  }
+});
--- /dev/null
+++ b/standins/peers/in_process_links.ts
@@ -0,0 +1,163 @@
+/** Links between daemons of the same process; they can be cut one way. */
+
+import type { Clock } from "../../src/base/common/clock.ts";
+import { Emitter } from "../../src/base/common/event.ts";
+import type { HostId } from "../../src/base/common/ids.ts";
+import type {
+  PeerAddress,
+  PeerChannel,
+  PeerChannelSpec,
+  PeerLinkChange,
+  PeerLinks,
+  PeerMessage,
+  PeerTraffic,
+  SendResult,
+} from "../../src/platform/peers/common/peer_links.ts";
+
+const LINK_DELAY_MS = 1;
+
+/** All links of a process, by host. */
+export class InProcessNetwork {
+  readonly #hosts = new Map<HostId, InProcessPeerLinks>();
+  readonly #cuts = new Set<string>();
+
+  /** Adds a host, in place of an earlier one of the same name. */
+  join(host: HostId, clock: Clock): InProcessPeerLinks {
+    const links = new InProcessPeerLinks(this, host, clock);
+    this.#hosts.get(host)?.dispose();
+    this.#hosts.set(host, links);
+    this.refresh();
+    return links;
+  }
+
+  /** Drops a host. */
+  leave(host: HostId): void {
+    this.#hosts.delete(host);
+    this.refresh();
+  }
+
+  /** Drops all messages from one host to another. */
+  cut(from: HostId, to: HostId): void {
+    this.#cuts.add(`${from}>${to}`);
+    this.refresh();
+  }
+
+  /** Lets all messages through again. */
+  heal(): void {
+    this.#cuts.clear();
+    this.refresh();
+  }
+
+  /** @returns The receiver of a message, unless the way is cut. */
+  find(from: HostId, to: HostId): InProcessPeerLinks | undefined {
+    return this.#cuts.has(`${from}>${to}`) ? undefined : this.#hosts.get(to);
+  }
+
+  /** Recomputes which links are up. */
+  refresh(): void {
+    for (const links of this.#hosts.values()) links.refresh();
+  }
+}
+
+/** Links of one host. */
+export class InProcessPeerLinks implements PeerLinks {
+  readonly #network: InProcessNetwork;
+  readonly #host: HostId;
+  readonly #clock: Clock;
+  readonly #didChangeLink = new Emitter<PeerLinkChange>();
+  readonly #receivers = new Map<
+    string,
+    (from: HostId, body: unknown) => void
+  >();
+  #peers: readonly PeerAddress[] = [];
+  #connected = new Set<HostId>();
+  #messagesSent = 0;
+  #messagesReceived = 0;
+
+  /** {@inheritDoc PeerLinks.onDidChangeLink} */
+  readonly onDidChangeLink = this.#didChangeLink.event;
+
+  /**
+   * @param network - The other hosts.
+   * @param host - This host.
+   * @param clock - Clock of this host's process.
+   */
+  constructor(network: InProcessNetwork, host: HostId, clock: Clock) {
+    this.#network = network;
+    this.#host = host;
+    this.#clock = clock;
+  }
+
+  /** {@inheritDoc PeerLinks.connectedHosts} */
+  connectedHosts(): readonly HostId[] {
+    return [...this.#connected];
+  }
+
+  /** {@inheritDoc PeerLinks.setPeers} */
+  setPeers(peers: readonly PeerAddress[]): void {
+    this.#peers = peers;
+    this.refresh();
+  }
+
+  /** {@inheritDoc PeerLinks.openChannel} */
+  openChannel<T>(spec: PeerChannelSpec<T>): PeerChannel<T> {
+    const received = new Emitter<PeerMessage<T>>();
+    this.#receivers.set(spec.name, (from, body) => {
+      spec.decode(body).ifRight((value) =>
+        received.fire({ from, body: value })
+      );
+    });
+    return {
+      onDidReceive: received.event,
+      send: (to, body) => this.#send(to, spec.name, body),
+      dispose: () => {
+        this.#receivers.delete(spec.name);
+        received.dispose();
+      },
+    };
+  }
+
+  /** {@inheritDoc PeerLinks.traffic} */
+  traffic(): PeerTraffic {
+    return {
+      messagesSent: this.#messagesSent,
+      messagesReceived: this.#messagesReceived,
+      bytesSent: 0,
+      bytesReceived: 0,
+    };
+  }
+
+  /** Recomputes which links are up: both ways must be open. */
+  refresh(): void {
+    for (const { host } of this.#peers) {
+      const isUp = this.#network.find(this.#host, host) !== undefined &&
+        this.#network.find(host, this.#host) === this;
+      if (isUp === this.#connected.has(host)) continue;
+      if (isUp) this.#connected.add(host);
+      else this.#connected.delete(host);
+      this.#didChangeLink.fire({ host, isUp, reason: isUp ? "opened" : "cut" });
+    }
+  }
+
+  /** Hands a message to its channel after the link's delay. */
+  receive(from: HostId, channel: string, body: unknown): void {
+    this.#clock.setTimer(LINK_DELAY_MS, () => {
+      this.#messagesReceived++;
+      this.#receivers.get(channel)?.(from, body);
+    });
+  }
+
+  /** Releases the listeners. */
+  dispose(): void {
+    this.#receivers.clear();
+    this.#didChangeLink.dispose();
+  }
+
+  #send(to: HostId, channel: string, body: unknown): SendResult {
+    const target = this.#network.find(this.#host, to);
+    if (!target) return "not-connected";
+    this.#messagesSent++;
+    target.receive(this.#host, channel, structuredClone(body));
+    return "queued";
+  }
+}
--- /dev/null
+++ b/standins/world/process_clock.ts
@@ -0,0 +1,75 @@
+/** Clock of one simulated process, which can be frozen or killed. */
+
+import type { Clock } from "../../src/base/common/clock.ts";
+import {
+  type Disposable,
+  NO_DISPOSABLE,
+  toDisposable,
+} from "../../src/base/common/lifecycle.ts";
+
+/**
+ * All that a process does in-process starts from a timer of its clock; so a
+ * process without timers does nothing.
+ */
+export class ProcessClock implements Clock {
+  readonly #clock: Clock;
+  #held: (() => void)[] = [];
+  #isFrozen = false;
+  #isKilled = false;
+
+  /** @param clock - The clock of the world. */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Whether the process is dead. */
+  get isKilled(): boolean {
+    return this.#isKilled;
+  }
+
+  /** {@inheritDoc Clock.nowMs} */
+  nowMs(): number {
+    return this.#clock.nowMs();
+  }
+
+  /** {@inheritDoc Clock.monotonicMs} */
+  monotonicMs(): number {
+    return this.#clock.monotonicMs();
+  }
+
+  /** {@inheritDoc Clock.setTimer} */
+  setTimer(delayMs: number, callback: () => void): Disposable {
+    if (this.#isKilled) return NO_DISPOSABLE;
+    let isCancelled = false;
+    const runUnlessCancelled = (): void => {
+      if (!isCancelled && !this.#isKilled) callback();
+    };
+    const timer = this.#clock.setTimer(delayMs, () => {
+      if (this.#isFrozen) this.#held.push(runUnlessCancelled);
+      else runUnlessCancelled();
+    });
+    return toDisposable(() => {
+      isCancelled = true;
+      timer.dispose();
+    });
+  }
+
+  /** The process does nothing until it is thawed. */
+  freeze(): void {
+    this.#isFrozen = true;
+  }
+
+  /** The process goes on and runs what fell due in between. */
+  thaw(): void {
+    this.#isFrozen = false;
+    const held = this.#held;
+    this.#held = [];
+    for (const run of held) this.setTimer(0, run);
+  }
+
+  /** The process never does anything again. */
+  kill(): void {
+    this.#isKilled = true;
+    this.#held = [];
+  }
+}
--- /dev/null
+++ b/standins/world/world.ts
@@ -0,0 +1,226 @@
+/** A whole deployment in one process on a manual clock. */
+
+import { createHash } from "node:crypto";
+import { ManualClock } from "../../src/base/common/clock.ts";
+import { createHasher, type Hasher } from "../../src/base/common/hasher.ts";
+import {
+  type Address,
+  asId,
+  type HostId,
+  type ZoneName,
+} from "../../src/base/common/ids.ts";
+import { TEAM_KEY_PREFIX } from "../../src/features/configuration/common/configuration.ts";
+import { BookingApp } from "../app/booking_app.ts";
+import { EngineModel } from "../engine/engine_model.ts";
+import type { EngineOptions } from "../engine/engine_options.ts";
+import { InProcessNetwork } from "../peers/in_process_links.ts";
+import { KvStore } from "../store/kv_store.ts";
+import { WorldHost } from "./world_host.ts";
+
+/** Team of every world. */
+export const WORLD_TEAM = "team";
+
+/** One service of a world. */
+export interface WorldService {
+  readonly kind: "engine" | "app";
+  readonly favour?: "stall" | "token-latency" | undefined;
+  /** Number of replicas in each zone. */
+  readonly replicas: Readonly<Record<string, number>>;
+  /** Differences of its engines from the stand-in's defaults. */
+  readonly engine?: Partial<EngineOptions> | undefined;
+}
+
+/** What a world consists of. */
+export interface WorldOptions {
+  readonly zones: Readonly<Record<string, { readonly hosts: number }>>;
+  readonly services: Readonly<Record<string, WorldService>>;
+  readonly workspaces: readonly string[];
+  readonly classes: Readonly<Record<string, object>>;
+  readonly resumeWindowMs?: number | undefined;
+}
+
+/** A replica with its names. */
+export interface WorldEndpoint {
+  readonly service: string;
+  readonly id: string;
+  readonly zone: string;
+  readonly address: Address;
+}
+
+const DEFAULT_RESUME_WINDOW_MS = 30_000;
+
+/** Hosts, endpoints and store of one scenario or property test. */
+export class World {
+  readonly clock = new ManualClock();
+  readonly store = new KvStore(this.clock);
+  readonly network = new InProcessNetwork();
+  readonly engines = new Map<string, EngineModel>();
+  readonly apps = new Map<string, BookingApp>();
+  readonly enginesByAddress = new Map<Address, EngineModel>();
+  readonly appsByAddress = new Map<Address, BookingApp>();
+  readonly hosts = new Map<string, WorldHost>();
+  readonly endpoints: WorldEndpoint[] = [];
+  readonly options: WorldOptions;
+  readonly #hasher: Hasher;
+
+  private constructor(options: WorldOptions, hasher: Hasher) {
+    this.options = options;
+    this.#hasher = hasher;
+    this.#createEndpoints();
+    this.writeTeamDocument();
+    this.#createHosts();
+  }
+
+  /** Creates a world and waits until its hosts have the configuration. */
+  static async create(options: WorldOptions): Promise<World> {
+    const world = new World(options, await createHasher());
+    await world.clock.advanceSettled(100);
+    return world;
+  }
+
+  /** @returns A host by name; throws for an unknown name. */
+  host(name: string): WorldHost {
+    return findOrThrow(this.hosts, name, "host");
+  }
+
+  /** @returns An engine by the id of its endpoint. */
+  engine(name: string): EngineModel {
+    return findOrThrow(this.engines, name, "engine");
+  }
+
+  /** @returns An app service by the id of its endpoint. */
+  app(name: string): BookingApp {
+    return findOrThrow(this.apps, name, "app");
+  }
+
+  /** Kills a host's process. */
+  crashHost(name: string): void {
+    this.host(name).kill();
+  }
+
+  /** Starts a host's process anew. */
+  restartHost(name: string): void {
+    const { zone } = this.host(name);
+    this.host(name).kill();
+    this.hosts.set(name, this.#createHost(name, zone));
+    this.#introduceHosts();
+  }
+
+  /** Writes the team's document from the options. */
+  writeTeamDocument(): void {
+    const key = `${TEAM_KEY_PREFIX}${WORLD_TEAM}`;
+    this.store.put({
+      key,
+      value: JSON.stringify(this.#teamDocument()),
+      expectedRevision: this.store.get(key)?.revision ?? 0,
+    });
+  }
+
+  #createEndpoints(): void {
+    let port = 10_000;
+    for (
+      const [service, { replicas, kind, engine }] of Object.entries(
+        this.options.services,
+      )
+    ) {
+      for (const [zone, count] of Object.entries(replicas)) {
+        for (let number = 1; number <= count; number++) {
+          const address = asId<Address>(`127.0.0.1:${port++}`);
+          const id = `${service}-${zone}-${number}`;
+          this.endpoints.push({ service, id, zone, address });
+          if (kind === "engine") this.#addEngine(id, address, engine);
+          else this.#addApp(id, address);
+        }
+      }
+    }
+  }
+
+  #addEngine(
+    id: string,
+    address: Address,
+    options?: Partial<EngineOptions>,
+  ): void {
+    const model = new EngineModel(this.clock, options);
+    this.engines.set(id, model);
+    this.enginesByAddress.set(address, model);
+  }
+
+  #addApp(id: string, address: Address): void {
+    const app = new BookingApp(this.clock);
+    this.apps.set(id, app);
+    this.appsByAddress.set(address, app);
+  }
+
+  #createHosts(): void {
+    for (const [zone, { hosts }] of Object.entries(this.options.zones)) {
+      for (let number = 1; number <= hosts; number++) {
+        const name = `${zone}-host-${number}`;
+        this.hosts.set(name, this.#createHost(name, asId<ZoneName>(zone)));
+      }
+    }
+    this.#introduceHosts();
+  }
+
+  #createHost(name: string, zone: ZoneName): WorldHost {
+    return new WorldHost({
+      world: this,
+      hasher: this.#hasher,
+      host: asId<HostId>(name),
+      zone,
+      resumeWindowMs: this.options.resumeWindowMs ?? DEFAULT_RESUME_WINDOW_MS,
+    });
+  }
+
+  #introduceHosts(): void {
+    const addresses = [...this.hosts.values()].map((host) => host.peerAddress);
+    for (const host of this.hosts.values()) {
+      host.links.setPeers(addresses.filter((peer) => peer.host !== host.host));
+    }
+  }
+
+  #teamDocument(): unknown {
+    const { services, workspaces, classes } = this.options;
+    const classNames = Object.keys(classes);
+    return {
+      workspaces: Object.fromEntries(
+        workspaces.map((name) => [name, { apiKeyHashes: [hashOf(name)] }]),
+      ),
+      services: Object.fromEntries(
+        Object.entries(services).map(([name, { kind, favour }]) => [name, {
+          kind,
+          ...(favour ? { favour } : {}),
+          endpoints: this.endpoints
+            .filter(({ service }) => service === name)
+            .map(({ id, address, zone }) => ({ id, address, zone })),
+        }]),
+      ),
+      classes,
+      routes: Object.entries(services).map(([service, { kind }]) =>
+        kind === "engine"
+          ? { kind: "generation", model: service, service, classes: classNames }
+          : {
+            kind: "call",
+            prefix: `/${service}`,
+            service,
+            classes: classNames,
+          }
+      ),
+    };
+  }
+}
+
+function findOrThrow<T>(
+  map: ReadonlyMap<string, T>,
+  name: string,
+  kind: string,
+): T {
+  const found = map.get(name);
+  if (found) return found;
+  throw new Error(
+    `there is no ${kind} ${name}; known: ${[...map.keys()].join(", ")}`,
+  );
+}
+
+function hashOf(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- /dev/null
+++ b/standins/world/world_host.ts
@@ -0,0 +1,99 @@
+/** One host of a world: a daemon's core over in-process clients. */
+
+import { createHash } from "node:crypto";
+import type { Hasher } from "../../src/base/common/hasher.ts";
+import {
+  type Address,
+  asId,
+  type HostId,
+  type ZoneName,
+} from "../../src/base/common/ids.ts";
+import { DaemonCore } from "../../src/daemon/common/daemon_core.ts";
+import { HmacSigner } from "../../src/features/generations/node/hmac_signer.ts";
+import { MemoryLogger } from "../../src/platform/log/common/logger.ts";
+import { StaticMembership } from "../../src/platform/membership/common/membership.ts";
+import { NO_METRICS } from "../../src/platform/metrics/common/metrics.ts";
+import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
+import { InProcessAppClient } from "../app/in_process_app_client.ts";
+import { InProcessEngineClient } from "../engine/in_process_engine_client.ts";
+import type { InProcessPeerLinks } from "../peers/in_process_links.ts";
+import { InProcessStoreClient } from "../store/in_process_store_client.ts";
+import { ProcessClock } from "./process_clock.ts";
+import type { World } from "./world.ts";
+
+/** What a host is made from. */
+export interface WorldHostOptions {
+  readonly world: World;
+  readonly hasher: Hasher;
+  readonly host: HostId;
+  readonly zone: ZoneName;
+  readonly resumeWindowMs: number;
+}
+
+const SIGNING_KEY = { id: "k1", secret: "signing key of every world" };
+
+/** One process; a restart makes a new one. */
+export class WorldHost {
+  readonly host: HostId;
+  readonly zone: ZoneName;
+  readonly clock: ProcessClock;
+  readonly logger = new MemoryLogger();
+  readonly store: InProcessStoreClient;
+  readonly engines: InProcessEngineClient;
+  readonly links: InProcessPeerLinks;
+  readonly core: DaemonCore;
+  readonly #world: World;
+  #nonces = 0;
+
+  /** @param options - Where the host lives. */
+  constructor(options: WorldHostOptions) {
+    const { world, host, zone, hasher, resumeWindowMs } = options;
+    this.#world = world;
+    this.host = host;
+    this.zone = zone;
+    this.clock = new ProcessClock(world.clock);
+    this.store = new InProcessStoreClient(this.clock, world.store);
+    this.engines = new InProcessEngineClient(
+      this.clock,
+      world.enginesByAddress,
+    );
+    this.links = world.network.join(host, this.clock);
+    const startedMs = world.clock.nowMs();
+    this.core = new DaemonCore({
+      clock: this.clock,
+      hasher,
+      logger: this.logger,
+      metrics: NO_METRICS,
+      store: this.store,
+      engines: this.engines,
+      apps: new InProcessAppClient(this.clock, world.appsByAddress),
+      links: this.links,
+      membership: new StaticMembership({
+        ...this.peerAddress,
+        incarnation: startedMs,
+        state: "alive",
+      }),
+      signer: new HmacSigner([SIGNING_KEY]),
+      createNonce: () => `${host}-${startedMs}-${this.#nonces++}`,
+      fingerprint: (parts) => {
+        const hash = createHash("sha256");
+        for (const part of parts) hash.update(`${part.length}:`).update(part);
+        return hash.digest("hex");
+      },
+    }, { host, zone, resumeWindowMs });
+    this.core.start();
+  }
+
+  /** Where its peers find it; in-process, by name alone. */
+  get peerAddress(): PeerAddress {
+    const address = asId<Address>("127.0.0.1:1");
+    return { host: this.host, zone: this.zone, address };
+  }
+
+  /** The process dies at once. */
+  kill(): void {
+    this.clock.kill();
+    this.core.dispose();
+    this.#world.network.leave(this.host);
+  }
+}
