--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -15,6 +15,7 @@
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
+import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
@@ -72,9 +73,11 @@
     this.#watcher = this.#owned.add(
       new ConfigurationWatcher({ clock, store, logger, table }),
     );
+    const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
     const dispatcher = new LocalDispatcher({
       ...options,
       clock,
+      endpoints,
       configuration: table,
     });
     this.generations = new GenerationRelayService({
--- a/src/features/dispatch/common/local_dispatcher.ts
+++ b/src/features/dispatch/common/local_dispatcher.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import { asId, type HostId, type ZoneName } from "../../../base/common/ids.ts";
 import { type Eventually, Left, Right } from "../../../base/common/result.ts";
+import type { EndpointDirectory } from "../../endpoints/common/endpoint_directory.ts";
 import type { Endpoint } from "../../../platform/endpoints/common/engine_client.ts";
 import type {
   Configuration,
@@ -27,6 +28,7 @@
 export interface LocalDispatcherServices {
   readonly clock: Clock;
   readonly configuration: Configuration;
+  readonly endpoints: EndpointDirectory;
   readonly host: HostId;
   readonly zone: ZoneName;
 }
@@ -171,12 +173,11 @@
 
   /** Endpoints of the own zone, or else those of the others. */
   #candidates(service: KnownService, request: GrantRequest): Endpoint[] {
-    const usable = service.config.endpoints
-      .map((config) => ({ ...config, id: asId<Endpoint["id"]>(config.id) }))
-      .filter((endpoint) => !request.excludedEndpoints.includes(endpoint.id));
-    const near = usable.filter((endpoint) =>
-      endpoint.zone === this.#services.zone
+    const usable = this.#services.endpoints.endpointsOf(service.id).filter(
+      ({ id, isLeaving }) =>
+        !isLeaving && !request.excludedEndpoints.includes(id),
     );
+    const near = usable.filter(({ zone }) => zone === this.#services.zone);
     return near.length > 0 ? near : usable;
   }
 
