Measure the path over sockets and reuse engine connections

Cause: each generation cost a new connection to its engine, since the relay dropped the connection at the end frame instead of letting the response close. Ruled out: Nagle (both sides set no delay), authentication and parsing (0.18 ms between the request and the start of the generation, in a trial trace).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,14 @@
 /** `npm run bench -- NAME --json`: runs a measurement of `bench/benches`. */
 
 import { existsSync, readdirSync } from "node:fs";
-import { dirname, join } from "node:path";
+import { dirname, extname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { cac } from "cac";
 import type { Bench } from "./bench.ts";
 
 const BENCH_FOLDER = join(dirname(fileURLToPath(import.meta.url)), "benches");
+/** `.js` when compiled, as `npm run bench` does, or `.ts` under a loader. */
+const EXTENSION = extname(fileURLToPath(import.meta.url));
 const DEFAULT_SEED = 1;
 
 interface BenchFlags {
@@ -19,10 +21,10 @@
   args: readonly string[],
   flags: BenchFlags,
 ): Promise<void> {
-  const path = join(BENCH_FOLDER, `${name}.ts`);
+  const path = join(BENCH_FOLDER, name + EXTENSION);
   if (!/^[a-z-]+$/.test(name) || !existsSync(path)) {
     const names = readdirSync(BENCH_FOLDER).map((file) =>
-      file.replace(".ts", "")
+      file.replace(EXTENSION, "")
     );
     process.stderr.write(
       `there is no bench ${name}; known: ${names.join(", ")}\n`,
--- /dev/null
+++ b/bench/path/engine_process.ts
@@ -0,0 +1,21 @@
+/** A stand-in engine in a process of its own: `engine_process.ts STEP_MS`. */
+
+import type { AddressInfo } from "node:net";
+import { SystemClock } from "../../src/base/node/system_clock.ts";
+import { EngineModel } from "../../standins/engine/engine_model.ts";
+import { createEngineServer } from "../../standins/engine/engine_server.ts";
+import { serveParent } from "./child.ts";
+
+const model = new EngineModel(new SystemClock(), {
+  baseStepMs: Number(process.argv[2]),
+  stepMsPerSequence: 0,
+  prefillTokensPerMs: Infinity,
+  maxRunning: Infinity,
+  memoryTokens: Infinity,
+  reportsMemoryTotal: false,
+});
+const server = createEngineServer(model);
+server.listen(0, "127.0.0.1", () => {
+  const { port } = server.address() as AddressInfo;
+  serveParent(`127.0.0.1:${port}`, (isStalled) => model.setStalled(isStalled));
+});
--- /dev/null
+++ b/bench/path/load_client.ts
@@ -0,0 +1,160 @@
+/** Streams and calls that load a daemon or an engine over sockets. */
+
+import { Agent, request } from "undici";
+
+/** API key of the bench's workspace. */
+export const BENCH_API_KEY = "api key of the bench workspace";
+
+const EVENT_MARK = "\nid: ";
+const CONNECTION_LIMIT = 10_000;
+
+const agent = new Agent({
+  connections: CONNECTION_LIMIT,
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+});
+
+/** A stream that counts the tokens it receives. */
+export interface CountedStream {
+  tokens: number;
+  /** Settles when the stream has ended. */
+  readonly ended: Promise<void>;
+  /** Drops the connection. */
+  abort(): void;
+}
+
+/** @returns The request that asks the engine itself. */
+function engineBody(tokens: number, id: string): string {
+  return JSON.stringify({
+    id,
+    model: "m",
+    prompt: `#tokens=${tokens}`,
+    maxTokens: tokens,
+    priority: 1,
+  });
+}
+
+/** @returns The request that asks a daemon. */
+function daemonBody(tokens: number): string {
+  return JSON.stringify({
+    model: "bench-model",
+    prompt: `#tokens=${tokens}`,
+    max_tokens: tokens,
+    stream: true,
+  });
+}
+
+let sequence = 0;
+
+async function open(
+  address: string,
+  target: "engine" | "daemon",
+  tokens: number,
+  signal: AbortSignal | null,
+): Promise<AsyncIterable<Uint8Array>> {
+  const isEngine = target === "engine";
+  const path = isEngine ? "/generations" : "/v1/completions";
+  const response = await request(`http://${address}${path}`, {
+    method: "POST",
+    dispatcher: agent,
+    signal,
+    headers: {
+      authorization: `Bearer ${BENCH_API_KEY}`,
+      "content-type": "application/json",
+    },
+    body: isEngine
+      ? engineBody(tokens, `bench-${sequence++}`)
+      : daemonBody(tokens),
+  });
+  if (response.statusCode === 200) return response.body;
+  throw new Error(`${target}: ${await response.body.text()}`);
+}
+
+/**
+ * Measures the time to the first token of one generation.
+ *
+ * @param address - The daemon or the engine.
+ * @param target - Which of them it is.
+ * @returns The time in milliseconds.
+ */
+export async function measureFirstToken(
+  address: string,
+  target: "engine" | "daemon",
+): Promise<number> {
+  const startMs = performance.now();
+  const body = await open(address, target, 1, null);
+  let firstMs: number | undefined;
+  for await (const chunk of body) {
+    if (firstMs === undefined && chunk.byteLength > 0) {
+      firstMs = performance.now() - startMs;
+    }
+  }
+  return firstMs ?? NaN;
+}
+
+/**
+ * Opens a stream through a daemon.
+ *
+ * @param address - The daemon.
+ * @param tokens - Tokens to ask for.
+ */
+export function openStream(address: string, tokens: number): CountedStream {
+  const abort = new AbortController();
+  const stream: CountedStream = {
+    tokens: 0,
+    ended: Promise.resolve(),
+    abort: () => abort.abort(),
+  };
+  const read = async (): Promise<void> => {
+    const body = await open(address, "daemon", tokens, abort.signal);
+    for await (const chunk of body) {
+      stream.tokens += countEvents(Buffer.from(chunk).toString("latin1"));
+    }
+  };
+  return Object.assign(stream, {
+    ended: read().catch((thrown: unknown) => {
+      if (!abort.signal.aborted) throw thrown;
+    }),
+  });
+}
+
+/**
+ * Sends plain calls, several at one time.
+ *
+ * @param address - The daemon.
+ * @param concurrency - Calls at one time.
+ * @param durationMs - How long.
+ * @returns Number of calls that were answered.
+ */
+export async function runCalls(
+  address: string,
+  concurrency: number,
+  durationMs: number,
+): Promise<number> {
+  const endMs = performance.now() + durationMs;
+  let answered = 0;
+  const runOne = async (): Promise<void> => {
+    while (performance.now() < endMs) {
+      const response = await request(`http://${address}/calls/lookup`, {
+        dispatcher: agent,
+        headers: { authorization: `Bearer ${BENCH_API_KEY}` },
+      });
+      await response.body.dump();
+      if (response.statusCode === 200) answered++;
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, runOne));
+  return answered;
+}
+
+/** Counts events by the line that starts each of them. */
+function countEvents(text: string): number {
+  let count = text.startsWith(EVENT_MARK.slice(1)) ? 1 : 0;
+  let index = text.indexOf(EVENT_MARK);
+  while (index >= 0) {
+    count++;
+    index = text.indexOf(EVENT_MARK, index + 1);
+  }
+  return count;
+}
--- a/src/platform/endpoints/node/http_engine_stream.ts
+++ b/src/platform/endpoints/node/http_engine_stream.ts
@@ -45,6 +45,7 @@
   #status = 0;
   #isNotRun = false;
   #isClosed = false;
+  #hasEnded = false;
 
   /**
    * @param dispatcher - Gives the connection.
@@ -73,10 +74,18 @@
     this.#controller?.resume();
   }
 
-  /** Drops the connection without a further call of the listener. */
+  /**
+   * Ends the stream without a further call of the listener. After the end
+   * frame the connection is left to close in order, so that it can be used
+   * again; before it, the connection is dropped.
+   */
   dispose(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
+    if (!this.#hasEnded) this.#drop();
+  }
+
+  #drop(): void {
     this.#controller?.abort(new Error("the stream was dropped"));
   }
 
@@ -117,6 +126,7 @@
       },
       Right: (frame) => {
         this.#frames.push(frame);
+        if (frame.kind === "end") this.#hasEnded = true;
       },
     });
   }
