Give fenced orders to engines, with canary and automatic stop

Cause: nothing loaded models, versions or adapters. One lease per zone names the giver of orders; its store revision fences them. A rollout drains one endpoint, waits for a report made after the drain was known, orders, watches the canary at work and stops when a changed endpoint fails.

Ruled out by taking each out and seeing a test fail: the age of the report, the wait for the last holder with engines that ignore fencing, the check of the remaining lease, the stop. A first canary that passed by time alone let a bad version through to all three engines; it now counts time at work.

Downloads and leases have been run against stand-ins only.

--- a/scenarios/runner/faults.ts
+++ b/scenarios/runner/faults.ts
@@ -39,6 +39,9 @@
     case "heal-store":
       world.host(step.host).store.isCut = false;
       return;
+    case "slow-engine-links":
+      world.host(step.host).engines.callDelayMs = step.delayMs;
+      return;
     case "store-down":
       world.store.faults.isDown = true;
       return;
--- a/scenarios/runner/scenario_runner.ts
+++ b/scenarios/runner/scenario_runner.ts
@@ -13,6 +13,7 @@
 import { applyFault } from "./faults.ts";
 import type {
   CallStep,
+  DesireStep,
   ExpectStep,
   FaultStep,
   GenerateStep,
@@ -73,6 +74,9 @@
       case "wait":
         await this.#world.clock.advanceSettled(step.forMs);
         break;
+      case "desire":
+        this.#desire(step);
+        break;
       case "fault":
         this.#fault(step);
         break;
@@ -161,6 +165,18 @@
     });
   }
 
+  #desire(
+    { service, model, version, adapters, canaryObserveMs }: DesireStep,
+  ): void {
+    this.#world.desired.set(service, {
+      model,
+      version,
+      adapters,
+      canaryObserveMs,
+    });
+    this.#world.writeTeamDocument();
+  }
+
   #fault(step: FaultStep): void {
     applyFault(this.#world, step);
     if (step.fault !== "crash-host" && step.fault !== "restart-host") return;
@@ -183,27 +199,36 @@
       this.#same(number, `${step.app} runs`, runs, step.runs);
     }
     if (step.engine !== undefined) {
-      const engine = this.#world.engine(step.engine);
-      this.#same(
-        number,
-        `${step.engine} started`,
-        engine.counts.started,
-        step.started,
-      );
-      this.#same(
-        number,
-        `${step.engine} running`,
-        engine.runningCount,
-        step.running,
-      );
+      this.#expectEngine(step, step.engine, number);
     }
     if (step.host !== undefined) {
       const { core } = this.#world.host(step.host);
       this.#same(number, `${step.host} active`, core.activeCount, step.active);
       this.#same(number, `${step.host} isReady`, core.isReady, step.isReady);
+      const { isHolder } = core.orders;
+      this.#same(
+        number,
+        `${step.host} gives orders`,
+        isHolder,
+        step.isOrderHolder,
+      );
     }
   }
 
+  #expectEngine(step: ExpectStep, id: string, number: number): void {
+    const engine = this.#world.engine(id);
+    const { started, staleOrders } = engine.counts;
+    this.#same(number, `${id} started`, started, step.started);
+    this.#same(number, `${id} running`, engine.runningCount, step.running);
+    this.#same(
+      number,
+      `${id} version`,
+      engine.readState().version,
+      step.version,
+    );
+    this.#same(number, `${id} stale orders`, staleOrders, step.staleOrders);
+  }
+
   #expectRequest(step: ExpectStep, request: string, number: number): void {
     const record = this.#calls.get(request) ?? this.#generation(request);
     this.#same(number, `${request} outcome`, record.outcome, step.outcome);
--- a/scenarios/runner/scenario_schema.ts
+++ b/scenarios/runner/scenario_schema.ts
@@ -21,6 +21,7 @@
         loadLagMs: durationMs.exactOptional(),
         keepEndedMs: durationMs.exactOptional(),
         honoursFence: z.boolean().exactOptional(),
+        badVersion: z.string().exactOptional(),
       }).optional(),
     }),
   ),
@@ -72,6 +73,16 @@
   key: z.string().optional(),
 });
 
+/** Changes what the engines of a service are to have loaded. */
+const desireSchema = z.strictObject({
+  do: z.literal("desire"),
+  service: name,
+  model: name,
+  version: name,
+  adapters: z.array(name).default([]),
+  canaryObserveMs: durationMs.default(5_000),
+});
+
 /** Lets time pass. */
 const waitSchema = z.strictObject({ do: z.literal("wait"), forMs: durationMs });
 
@@ -99,8 +110,10 @@
     "thaw-host",
     "cut-store",
     "heal-store",
+    "slow-engine-links",
   ]),
   host: name,
+  delayMs: durationMs.default(0),
 });
 
 const storeFault = z.strictObject({
@@ -161,9 +174,12 @@
   engine: name.optional(),
   started: count.optional(),
   running: count.optional(),
+  version: z.string().optional(),
+  staleOrders: count.optional(),
   host: name.optional(),
   active: count.optional(),
   isReady: z.boolean().optional(),
+  isOrderHolder: z.boolean().optional(),
 });
 
 /** Schema of one step. */
@@ -172,6 +188,7 @@
   resumeSchema,
   callSchema,
   waitSchema,
+  desireSchema,
   faultSchema,
   expectSchema,
 ]);
@@ -195,6 +212,8 @@
 export type ResumeStep = z.infer<typeof resumeSchema>;
 /** A step that sends a call. */
 export type CallStep = z.infer<typeof callSchema>;
+/** A step that changes a desired state. */
+export type DesireStep = z.infer<typeof desireSchema>;
 /** A step that changes a fault. */
 export type FaultStep = z.infer<typeof faultSchema>;
 /** A step that checks. */
--- a/src/cli/node/main.ts
+++ b/src/cli/node/main.ts
@@ -14,6 +14,7 @@
   parseAddresses,
 } from "./cli_context.ts";
 import { applyConfig, checkDocument, getConfig } from "./config_commands.ts";
+import { showOrders } from "./orders_command.ts";
 import { showStatus } from "./status_command.ts";
 
 interface GlobalOptions {
@@ -97,6 +98,8 @@
   );
 cli.command("status", "Show every daemon")
   .action((options: GlobalOptions) => withContext(options, showStatus));
+cli.command("orders", "Show rollouts of models, versions and adapters")
+  .action((options: GlobalOptions) => withContext(options, showOrders));
 cli.help();
 
 try {
--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -19,6 +19,7 @@
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
+import { OrderService } from "../../features/orders/common/order_service.ts";
 import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
@@ -58,6 +59,7 @@
   readonly configuration: Configuration;
   readonly generations: GenerationService;
   readonly calls: CallService;
+  readonly orders: OrderService;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
   #isDraining = false;
@@ -80,6 +82,14 @@
       endpoints,
       configuration: table,
     });
+    this.orders = this.#owned.add(
+      new OrderService({
+        ...platform,
+        ...options,
+        configuration: table,
+        endpoints,
+      }),
+    );
     this.generations = new GenerationRelayService({
       ...platform,
       ...options,
@@ -111,6 +121,7 @@
   /** Starts to follow the configuration. */
   start(): void {
     this.#watcher.start();
+    this.orders.start();
   }
 
   /** Takes no new requests from now on. */
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -47,6 +47,12 @@
       isDeleted: document === undefined,
     })),
   }));
+  server.get("/orders", () => ({
+    host,
+    zone,
+    isHolder: core.orders.isHolder,
+    rollouts: core.orders.statuses(),
+  }));
   server.post("/drain", () => {
     services.requestDrain();
     return { isDraining: true };
--- a/src/features/configuration/common/team_document.ts
+++ b/src/features/configuration/common/team_document.ts
@@ -18,10 +18,25 @@
   zone: nameSchema.describe("Availability zone of the endpoint"),
 });
 
+const desiredSchema = z.strictObject({
+  model: z.string().min(1).max(200).describe("Model to load"),
+  version: z.string().min(1).max(200).describe("Version of the model"),
+  adapters: z.array(z.string().min(1).max(200)).default([])
+    .describe("Adapters to load, and no others"),
+  canaryObserveMs: z.number().int().positive().default(30_000)
+    .describe("How long the first changed endpoint is watched alone"),
+});
+
 const serviceSchema = z.strictObject({
   kind: z.enum(["engine", "app"]).describe("Model engine or plain service"),
   favour: z.enum(["stall", "token-latency"]).default("stall")
     .describe("What weighs more when memory is short"),
+  desired: desiredSchema.optional()
+    .describe(
+      "What the engines are to have loaded; left out, no orders are given",
+    ),
+  honoursFence: z.boolean().default(false)
+    .describe("Whether the engines refuse orders with an old fencing number"),
   endpoints: z.array(endpointSchema).default([])
     .describe("Replicas of the service"),
 });
--- a/src/features/endpoints/common/configured_endpoints.ts
+++ b/src/features/endpoints/common/configured_endpoints.ts
@@ -55,6 +55,12 @@
     this.#didChange.fire(service);
   }
 
+  /** {@inheritDoc EndpointDirectory.markReturned} */
+  markReturned(service: ServiceId, endpoint: EndpointId): void {
+    this.#leaving.delete(`${service}/${endpoint}`);
+    this.#didChange.fire(service);
+  }
+
   /** Stops following the configuration. */
   dispose(): void {
     this.#owned.dispose();
--- /dev/null
+++ b/src/features/orders/common/order_service_test.ts
@@ -0,0 +1,172 @@
+import { ManualClock } from "../../../base/common/clock.ts";
+import {
+  type Address,
+  asId,
+  type EndpointId,
+} from "../../../base/common/ids.ts";
+import { NO_DISPOSABLE } from "../../../base/common/lifecycle.ts";
+import { Left, Right } from "../../../base/common/result.ts";
+import type { EngineClient } from "../../../platform/endpoints/common/engine_client.ts";
+import { SILENT_LOGGER } from "../../../platform/log/common/logger.ts";
+import type {
+  LeaseId,
+  StoreClient,
+} from "../../../platform/store/common/store_client.ts";
+import { ConfigurationTable } from "../../configuration/common/configuration_table.ts";
+import { ConfiguredEndpoints } from "../../endpoints/common/configured_endpoints.ts";
+import { OrderService } from "./order_service.ts";
+import { LEASE_TTL_MS } from "./zone_lease.ts";
+
+const ORDER_TIMEOUT_MS = 3_000;
+const FENCE = 7;
+
+/** A store whose lease is free and whose answers can be switched off. */
+class FakeStore {
+  isDown = false;
+  revokedLeases = 0;
+
+  client(): StoreClient {
+    const answer = <T>(value: T) =>
+      Promise.resolve(
+        this.isDown
+          ? Left({
+            kind: "not-done" as const,
+            step: "s",
+            peer: "p",
+            detail: "",
+          })
+          : Right(value),
+      );
+    const lease = { id: asId<LeaseId>("1"), ttlMs: LEASE_TTL_MS };
+    return {
+      get: () => answer(undefined),
+      list: () => answer({ entries: [], revision: 1 }),
+      put: () => answer({ kind: "written" as const, revision: FENCE }),
+      delete: () => answer({ kind: "written" as const, revision: FENCE }),
+      watch: () => NO_DISPOSABLE,
+      grantLease: () => answer(lease),
+      keepLease: () => answer(lease),
+      revokeLease: () => {
+        this.revokedLeases++;
+        return answer(undefined);
+      },
+      dispose: () => undefined,
+    };
+  }
+}
+
+/** An engine that lacks an adapter, which needs no drain. */
+class FakeEngine {
+  readonly orderTimesMs: number[] = [];
+  readonly fences: number[] = [];
+  isStaleFence = false;
+
+  client(clock: ManualClock): EngineClient {
+    const state = {
+      model: "m",
+      version: "1",
+      adapters: [],
+      role: "serve" as const,
+      highestFence: 0,
+    };
+    const failure = { step: "s", peer: "p", detail: "" };
+    return {
+      readState: () => Promise.resolve(Right(state)),
+      readLoad: () =>
+        Promise.resolve(Left({ ...failure, kind: "unknown" as const })),
+      order: (_endpoint, { fence }) => {
+        this.orderTimesMs.push(clock.monotonicMs());
+        this.fences.push(fence);
+        return Promise.resolve(
+          this.isStaleFence
+            ? Left({ ...failure, kind: "stale-fence" as const })
+            : Right(state),
+        );
+      },
+    } as Partial<EngineClient> as EngineClient;
+  }
+}
+
+function createService(honoursFence: boolean) {
+  const clock = new ManualClock();
+  const store = new FakeStore();
+  const engine = new FakeEngine();
+  const table = new ConfigurationTable();
+  const service = new OrderService({
+    clock,
+    store: store.client(),
+    host: asId("h1"),
+    zone: asId("z1"),
+    createNonce: () => "n",
+    engines: engine.client(clock),
+    configuration: table,
+    endpoints: new ConfiguredEndpoints(table),
+    logger: SILENT_LOGGER,
+  });
+  table.apply({
+    team: asId("team"),
+    revision: 1,
+    document: {
+      workspaces: {},
+      classes: {},
+      routes: [],
+      services: {
+        s: {
+          kind: "engine",
+          favour: "stall",
+          honoursFence,
+          desired: {
+            model: "m",
+            version: "1",
+            adapters: ["a"],
+            canaryObserveMs: 1,
+          },
+          endpoints: [{
+            id: asId<EndpointId>("e1"),
+            address: asId<Address>("127.0.0.1:1"),
+            zone: "z1",
+          }],
+        },
+      },
+    },
+  });
+  service.start();
+  return { clock, store, engine, service };
+}
+
+describe("OrderService", () => {
+  it("orders at once with the lease's revision when engines honour fencing", async () => {
+    const { clock, engine } = createService(true);
+    await clock.advanceSettled(5_000);
+    expect(engine.orderTimesMs.length).toBeGreaterThan(0);
+    expect(new Set(engine.fences)).toEqual(new Set([FENCE]));
+  });
+
+  it("waits out the last holder when engines ignore fencing", async () => {
+    const { clock, engine } = createService(false);
+    await clock.advanceSettled(60_000);
+    expect(engine.orderTimesMs[0]).toBeGreaterThanOrEqual(
+      LEASE_TTL_MS + ORDER_TIMEOUT_MS,
+    );
+  });
+
+  it("gives no order that could outlive the lease while the store is down", async () => {
+    const { clock, store, engine, service } = createService(true);
+    await clock.advanceSettled(5_000);
+    store.isDown = true;
+    const downMs = clock.monotonicMs();
+    await clock.advanceSettled(60_000);
+    expect(Math.max(...engine.orderTimesMs)).toBeLessThanOrEqual(
+      downMs + LEASE_TTL_MS - ORDER_TIMEOUT_MS,
+    );
+    expect(service.isHolder).toBe(false);
+  });
+
+  it("gives the lease up when an engine has seen a newer holder", async () => {
+    const { clock, store, engine } = createService(true);
+    engine.isStaleFence = true;
+    await clock.advanceSettled(2_500);
+    expect(engine.orderTimesMs).toHaveLength(1);
+    expect(store.revokedLeases).toBe(1);
+  });
+});
--- a/standins/engine/engine_model.ts
+++ b/standins/engine/engine_model.ts
@@ -33,6 +33,8 @@
   generatedTokens: number;
   started: number;
   crashes: number;
+  /** Orders carried out although a higher fencing number had been seen. */
+  staleOrders: number;
 }
 
 /** Queue, batch and memory of one engine. */
@@ -43,6 +45,7 @@
     generatedTokens: 0,
     started: 0,
     crashes: 0,
+    staleOrders: 0,
   };
   readonly #clock: Clock;
   readonly #sequences = new Map<GenerationId, Sequence>();
@@ -167,7 +170,9 @@
   order(order: FencedOrder): EngineState | undefined {
     const isStale = order.fence < this.#state.highestFence;
     if (isStale && this.options.honoursFence) return undefined;
+    if (isStale) this.counts.staleOrders++;
     this.#state = applyOrder(this.#state, order);
+    if (order.order.kind === "load-model") this.#dropSequences();
     return this.#state;
   }
 
@@ -182,6 +187,11 @@
     this.#isDown = true;
     this.#isStepping = false;
     this.#step.dispose();
+    this.#dropSequences();
+  }
+
+  /** Loading a model takes the memory of all that runs. */
+  #dropSequences(): void {
     const lost = [...this.#sequences.values()];
     this.#sequences.clear();
     this.#queue = [];
@@ -266,7 +276,8 @@
   }
 
   #decode(): void {
-    if (this.#running.some(isPoison)) {
+    const isBad = this.#state.version === this.options.badVersion;
+    if (this.#running.some(isPoison) || (isBad && this.#running.length > 0)) {
       this.crash();
       return;
     }
--- a/standins/engine/engine_options.ts
+++ b/standins/engine/engine_options.ts
@@ -27,6 +27,8 @@
   readonly keptCacheEvents: number;
   /** Whether orders with an old fencing number are refused. */
   readonly honoursFence: boolean;
+  /** A version that crashes the engine at its first token. */
+  readonly badVersion: string;
   /** Whether the load report says the whole memory. */
   readonly reportsMemoryTotal: boolean;
   /** @returns Number of tokens that the engine will generate. */
@@ -49,6 +51,7 @@
   cacheEventDelayMs: 500,
   keptCacheEvents: 500,
   honoursFence: true,
+  badVersion: "",
   reportsMemoryTotal: true,
   lengthOf: lengthFromPrompt,
 };
--- a/standins/engine/in_process_engine_client.ts
+++ b/standins/engine/in_process_engine_client.ts
@@ -29,6 +29,8 @@
 export class InProcessEngineClient implements EngineClient {
   /** Addresses that cannot be reached from this host. */
   readonly cutAddresses = new Set<Address>();
+  /** Added before each call that is not a stream reaches its engine. */
+  callDelayMs = 0;
   readonly #clock: Clock;
   readonly #engines: EngineDirectory;
 
@@ -149,7 +151,7 @@
     endpoint: Endpoint,
     run: (engine: EngineModel) => T,
   ): Eventually<EngineFailure, T> {
-    await sleep(this.#clock, LINK_DELAY_MS);
+    await sleep(this.#clock, LINK_DELAY_MS + this.callDelayMs);
     const engine = this.#reach(endpoint);
     if (engine) return Right(run(engine));
     if (!this.cutAddresses.has(endpoint.address)) {
--- a/standins/world/world.ts
+++ b/standins/world/world.ts
@@ -10,6 +10,7 @@
   type ZoneName,
 } from "../../src/base/common/ids.ts";
 import { TEAM_KEY_PREFIX } from "../../src/features/configuration/common/configuration.ts";
+import type { DesiredState } from "../../src/features/orders/common/rollout.ts";
 import { BookingApp } from "../app/booking_app.ts";
 import { EngineModel } from "../engine/engine_model.ts";
 import type { EngineOptions } from "../engine/engine_options.ts";
@@ -60,6 +61,8 @@
   readonly appsByAddress = new Map<Address, BookingApp>();
   readonly hosts = new Map<string, WorldHost>();
   readonly endpoints: WorldEndpoint[] = [];
+  /** Desired states of services, part of the team's document. */
+  readonly desired = new Map<string, DesiredState>();
   readonly options: WorldOptions;
   readonly #hasher: Hasher;
 
@@ -186,9 +189,17 @@
         workspaces.map((name) => [name, { apiKeyHashes: [hashOf(name)] }]),
       ),
       services: Object.fromEntries(
-        Object.entries(services).map(([name, { kind, favour }]) => [name, {
+        Object.entries(services).map((
+          [name, { kind, favour, engine }],
+        ) => [name, {
           kind,
           ...(favour ? { favour } : {}),
+          ...(engine?.honoursFence === false
+            ? {}
+            : { honoursFence: kind === "engine" }),
+          ...(this.desired.has(name)
+            ? { desired: this.desired.get(name) }
+            : {}),
           endpoints: this.endpoints
             .filter(({ service }) => service === name)
             .map(({ id, address, zone }) => ({ id, address, zone })),
