Give retries one owner and a budget

Cause: a failed attempt was repeated at once and without a bound on the load that repeats add; an endpoint's death would send all its requests again in the same millisecond.

Generations and calls of the entry daemon share it.

Before: unbounded, no wait. No figure under load was taken.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -10,6 +10,7 @@
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
+import { SeededRandom } from "../../base/common/random.ts";
 import { CallService } from "../../features/calls/common/call_service.ts";
 import type { Configuration } from "../../features/configuration/common/configuration.ts";
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
@@ -20,6 +21,7 @@
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
 import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
+import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
 import type { Logger } from "../../platform/log/common/logger.ts";
@@ -73,6 +75,9 @@
     this.#watcher = this.#owned.add(
       new ConfigurationWatcher({ clock, store, logger, table }),
     );
+    const seed = platform.hasher.hash32(`${options.host}|${clock.nowMs()}`);
+    const random = new SeededRandom(seed);
+    const retries = new RetryBudget({ clock, random });
     const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
     const dispatcher = new LocalDispatcher({
       ...options,
@@ -85,10 +90,12 @@
       ...options,
       configuration: table,
       dispatcher,
+      retries,
     });
     this.calls = new CallService({
       ...platform,
       dispatcher,
+      retries,
       ledger: new StoreClaimLedger({ ...platform, ...options }),
     });
   }
--- a/src/features/calls/common/call_service.ts
+++ b/src/features/calls/common/call_service.ts
@@ -23,7 +23,7 @@
   ResolvedRoute,
 } from "../../configuration/common/configuration.ts";
 import type { CallRoute } from "../../configuration/common/team_document.ts";
-import type { Clock } from "../../../base/common/clock.ts";
+import { type Clock, sleep } from "../../../base/common/clock.ts";
 import type {
   Dispatcher,
   Grant,
@@ -36,6 +36,7 @@
   HeldClaim,
   IdempotencyKey,
 } from "../../ledger/common/claim_ledger.ts";
+import type { RetryBudget } from "../../retries/common/retry_budget.ts";
 
 /** A call as its caller made it. */
 export interface CallRequest {
@@ -59,6 +60,7 @@
   readonly dispatcher: Dispatcher;
   readonly ledger: ClaimLedger;
   readonly metrics: Metrics;
+  readonly retries: RetryBudget;
   /** @returns A hash of the parts that no two different calls share. */
   fingerprint(parts: readonly (string | Uint8Array)[]): string;
 }
@@ -178,16 +180,23 @@
       }
       const sent = await this.#send(call, grant, isIdempotent);
       const failure = leftOf(sent);
-      if (!failure) return sent.mapLeft(toCallFailure);
+      if (!failure) {
+        this.#services.retries.recordSuccess(call.route.service.id);
+        return sent.mapLeft(toCallFailure);
+      }
       mayHaveRun ||= failure.kind === "unknown";
       const mayRepeat = failure.kind === "not-sent" || isIdempotent;
-      if (!mayRepeat || attempt >= MAX_ATTEMPTS) {
+      const retryWaitMs = mayRepeat && attempt < MAX_ATTEMPTS
+        ? this.#services.retries.tryRetry(call.route.service.id, attempt)
+        : undefined;
+      if (retryWaitMs === undefined) {
         return Left(toCallFailure({
           ...failure,
           kind: mayHaveRun ? "unknown" : "not-sent",
         }));
       }
       excluded.push(grant.endpoint.id);
+      await sleep(this.#services.clock, retryWaitMs);
     }
   }
 
--- a/src/features/generations/common/relay_services.ts
+++ b/src/features/generations/common/relay_services.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from "../../../platform/metrics/common/metrics.ts";
 import type { Configuration } from "../../configuration/common/configuration.ts";
 import type { Dispatcher } from "../../dispatch/common/dispatcher.ts";
+import type { RetryBudget } from "../../retries/common/retry_budget.ts";
 import type { Signer } from "./generation_id.ts";
 
 /** Services and limits of the generation feature. */
@@ -19,6 +20,7 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly signer: Signer;
+  readonly retries: RetryBudget;
   /** @returns A text that no other generation has. */
   createNonce(): string;
   /** How long a generation goes on without its caller, in milliseconds. */
--- a/src/features/generations/common/started_generation.ts
+++ b/src/features/generations/common/started_generation.ts
@@ -188,6 +188,7 @@
   }
 
   #complete(end: RelayEnd & { kind: "finished" }): void {
+    this.#services.retries.recordSuccess(this.#request.service);
     if (this.#request.delivery === "whole") {
       this.#deliveredTokens = this.#whole.length;
       this.#caller.onTokens(this.#whole);
@@ -204,9 +205,13 @@
     const endpoint = this.#grant?.endpoint;
     if (endpoint) this.#excluded.push(endpoint.id);
     this.#grant = undefined;
-    if (this.#deliveredTokens === 0 && this.#attempts < MAX_ATTEMPTS) {
+    const { clock, retries } = this.#services;
+    const retryWaitMs = this.#mayRestart()
+      ? retries.tryRetry(this.#request.service, this.#attempts)
+      : undefined;
+    if (retryWaitMs !== undefined) {
       this.#whole = [];
-      void this.begin();
+      clock.setTimer(retryWaitMs, () => void this.begin());
       return;
     }
     this.#fail({
@@ -219,6 +224,11 @@
     });
   }
 
+  #mayRestart(): boolean {
+    return this.#deliveredTokens === 0 && !this.#isCallerGone &&
+      this.#attempts < MAX_ATTEMPTS;
+  }
+
   #fail(failure: Failure): void {
     const outcome = this.#mayHaveRun ? "interrupted" : failure.outcome;
     this.#deliverEnd({
