Follow streams over two connections and keep abandoned ones for their callers

Cause: a silent connection was replaced after a fixed 5 s; a caller that resumed at another daemon lost its generation when the first daemon's resume window ended; a restart before the first token left the caller with the id of the earlier run.

Silence opens a second connection at the offset; the one that brings the next token first stays. Without any connection, the generation counts as lost after 4 s, or 500 ms while it may still restart elsewhere. The id is announced with the first token. Daemons tell each other which generations are followed (generations.v1). A cancelled generation is never told as completed, and a resume never says not-run of a generation that ran. Oversized events close the connection.

Before: resume after 5 s of silence. No figure under load was taken.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -17,9 +17,11 @@
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
 import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
+import { GenerationFollowers } from "../../features/generations/common/generation_followers.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
+import { SilenceLimits } from "../../features/generations/common/silence_limits.ts";
 import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
@@ -91,6 +93,9 @@
       configuration: table,
       dispatcher,
       retries,
+      endpoints,
+      followers: this.#owned.add(new GenerationFollowers(platform.links)),
+      silenceLimits: new SilenceLimits(clock),
     });
     this.calls = new CallService({
       ...platform,
--- a/src/features/generations/common/frame_sequencer.ts
+++ b/src/features/generations/common/frame_sequencer.ts
@@ -16,6 +16,8 @@
   duplicate: number;
   foreign: number;
   beyondBuffer: number;
+  /** Contradicts what the engine has sent before. */
+  contradicting: number;
 }
 
 const MAX_BUFFERED_TOKENS = 1_024;
@@ -31,8 +33,10 @@
     duplicate: 0,
     foreign: 0,
     beyondBuffer: 0,
+    contradicting: 0,
   };
   #nextOffset: number;
+  #hasYielded = false;
   #endOffset: number | undefined;
   #finish: FinishReason | undefined;
 
@@ -80,8 +84,7 @@
       if (frame.generation !== this.#generation) {
         this.#dropped.foreign++;
       } else if (frame.kind === "end") {
-        this.#endOffset ??= frame.offset;
-        this.#finish ??= frame.finish;
+        this.#acceptEnd(frame.offset, frame.finish);
       } else {
         this.#acceptToken(frame.offset, frame.text, ready);
       }
@@ -89,7 +92,23 @@
     return ready;
   }
 
+  #acceptEnd(offset: number, finish: FinishReason): void {
+    const isKnown = this.#endOffset !== undefined;
+    const isTooEarly = offset < this.#nextOffset && !isKnown &&
+      this.#hasYielded;
+    if (isTooEarly || (isKnown && this.#endOffset !== offset)) {
+      this.#dropped.contradicting++;
+      return;
+    }
+    this.#endOffset = offset;
+    this.#finish ??= finish;
+  }
+
   #acceptToken(offset: number, text: string, ready: Token[]): void {
+    if (this.#endOffset !== undefined && offset >= this.#endOffset) {
+      this.#dropped.contradicting++;
+      return;
+    }
     if (offset < this.#nextOffset || this.#ahead.has(offset)) {
       this.#dropped.duplicate++;
       return;
@@ -100,6 +119,7 @@
     }
     ready.push({ offset, text });
     this.#nextOffset++;
+    this.#hasYielded = true;
     this.#takeAhead(ready);
   }
 
--- a/src/features/generations/common/generation_relay_service.ts
+++ b/src/features/generations/common/generation_relay_service.ts
@@ -5,7 +5,14 @@
   type GenerationId,
   type WorkspaceId,
 } from "../../../base/common/ids.ts";
-import { type Eventually, Left, Right } from "../../../base/common/result.ts";
+import {
+  type Either,
+  type Eventually,
+  Left,
+  leftOf,
+  Right,
+  rightOf,
+} from "../../../base/common/result.ts";
 import type {
   CancelResult,
   Endpoint,
@@ -33,6 +40,15 @@
   detail: "there is no such generation",
 };
 
+const ENDPOINT_GONE: Failure = {
+  outcome: "interrupted",
+  reason: "endpoint-lost",
+  isRetryable: false,
+  step: "generation.find",
+  peer: "",
+  detail: "the endpoint that ran the generation is no longer configured",
+};
+
 const ENDED_HANDLE: GenerationHandle = {
   resumeReading: () => undefined,
   callerGone: () => undefined,
@@ -76,13 +92,11 @@
 
   /** {@inheritDoc GenerationService.resume} */
   resume(request: ResumeRequest, caller: GenerationCaller): GenerationHandle {
-    const found = this.#locate(request.workspace, request.id);
+    const located = this.#locate(request.workspace, request.id);
+    const found = rightOf(located);
     if (!found) {
-      caller.onEnded({
-        kind: "failed",
-        failure: NOT_FOUND,
-        deliveredTokens: 0,
-      });
+      const failure = leftOf(located) ?? NOT_FOUND;
+      caller.onEnded({ kind: "failed", failure, deliveredTokens: 0 });
       return ENDED_HANDLE;
     }
     this.#activeCount++;
@@ -103,8 +117,9 @@
     workspace: WorkspaceId,
     id: string,
   ): Eventually<Failure, CancelResult> {
-    const found = this.#locate(workspace, id);
-    if (!found) return Left(NOT_FOUND);
+    const located = this.#locate(workspace, id);
+    const found = rightOf(located);
+    if (!found) return Left(leftOf(located) ?? NOT_FOUND);
     const cancelled = await this.#services.engines.cancel(
       found.endpoint,
       found.id,
@@ -122,15 +137,18 @@
   }
 
   /** Finds a generation's endpoint; one of another workspace is not found. */
-  #locate(workspace: WorkspaceId, id: string): LocatedGeneration | undefined {
+  #locate(
+    workspace: WorkspaceId,
+    id: string,
+  ): Either<Failure, LocatedGeneration> {
     const name = decodeGenerationId(id, this.#services.signer);
-    if (!name || name.workspace !== workspace) return undefined;
+    if (!name || name.workspace !== workspace) return Left(NOT_FOUND);
     const service = this.#services.configuration.service(name.service);
     const config = service && findEndpoint(service, name.endpoint);
-    if (!config) return undefined;
-    return {
+    if (!config) return Left(ENDPOINT_GONE);
+    return Right({
       endpoint: { id: name.endpoint, address: config.address },
       id: asId<GenerationId>(id),
-    };
+    });
   }
 }
--- a/src/features/generations/common/relay_services.ts
+++ b/src/features/generations/common/relay_services.ts
@@ -7,8 +7,11 @@
 import type { Metrics } from "../../../platform/metrics/common/metrics.ts";
 import type { Configuration } from "../../configuration/common/configuration.ts";
 import type { Dispatcher } from "../../dispatch/common/dispatcher.ts";
+import type { EndpointDirectory } from "../../endpoints/common/endpoint_directory.ts";
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
+import type { GenerationFollowers } from "./generation_followers.ts";
 import type { Signer } from "./generation_id.ts";
+import type { SilenceLimits } from "./silence_limits.ts";
 
 /** Services and limits of the generation feature. */
 export interface RelayServices {
@@ -21,6 +24,9 @@
   readonly logger: Logger;
   readonly signer: Signer;
   readonly retries: RetryBudget;
+  readonly endpoints: EndpointDirectory;
+  readonly followers: GenerationFollowers;
+  readonly silenceLimits: SilenceLimits;
   /** @returns A text that no other generation has. */
   createNonce(): string;
   /** How long a generation goes on without its caller, in milliseconds. */
--- a/src/features/generations/common/started_generation.ts
+++ b/src/features/generations/common/started_generation.ts
@@ -1,16 +1,17 @@
 /** A generation that this daemon starts for a caller. */
 
 import { assertNever } from "../../../base/common/errors.ts";
+import type { EndpointId, GenerationId } from "../../../base/common/ids.ts";
 import {
-  asId,
-  type EndpointId,
-  type GenerationId,
-} from "../../../base/common/ids.ts";
-import type { RequestRecorder } from "../../../platform/metrics/common/metrics.ts";
+  type Disposable,
+  NO_DISPOSABLE,
+} from "../../../base/common/lifecycle.ts";
+import type { Endpoint } from "../../../platform/endpoints/common/engine_client.ts";
 import type { Failure } from "../../../platform/outcomes/common/failure.ts";
 import type { Grant, GrantEnd } from "../../dispatch/common/dispatcher.ts";
 import { toRefusalFailure } from "../../dispatch/common/refusal_failure.ts";
 import type { Token } from "./frame_sequencer.ts";
+import { type Follower, ResumeWindow } from "./generation_followers.ts";
 import { encodeGenerationId } from "./generation_id.ts";
 import type {
   GenerationCaller,
@@ -19,33 +20,43 @@
   GenerationRequest,
 } from "./generation_service.ts";
 import type { RelayServices } from "./relay_services.ts";
+import { ResumedGeneration } from "./resumed_generation.ts";
 import { type RelayEnd, StreamRelay } from "./stream_relay.ts";
+import { TokenTimes } from "./token_times.ts";
 
 const MAX_ATTEMPTS = 3;
-/** A gap between tokens above this counts as a stall. */
-const STALL_LIMIT_MS = 500;
+
+/** Use of one endpoint for the request. */
+interface Run {
+  readonly grant: Grant;
+  readonly id: GenerationId;
+  readonly relay: StreamRelay;
+  readonly registration: Disposable;
+}
 
 /** Takes a generation from its grant to its end. */
-export class StartedGeneration implements GenerationHandle {
+export class StartedGeneration implements GenerationHandle, Follower {
   readonly #services: RelayServices;
   readonly #request: GenerationRequest;
   readonly #caller: GenerationCaller;
   readonly #onDidEnd: () => void;
-  readonly #recorder: RequestRecorder;
+  readonly #times: TokenTimes;
   readonly #abort = new AbortController();
   readonly #excluded: EndpointId[] = [];
-  readonly #startedMs: number;
-  #grant: Grant | undefined;
-  #relay: StreamRelay | undefined;
-  #id: GenerationId | undefined;
+  readonly #window = new ResumeWindow();
+  readonly #deadlineMs: number | undefined;
+  #run: Run | undefined;
   #attempts = 0;
   #whole: Token[] = [];
   #deliveredTokens = 0;
-  #lastTokenMs: number | undefined;
+  /** Whether the caller has the id, so that it can resume. */
+  #isAnnounced = false;
   /** Whether an endpoint may have run an earlier attempt. */
   #mayHaveRun = false;
   #isCallerGone = false;
+  #isTakenElsewhere = false;
   #isEnded = false;
+  #retryTimer: Disposable = NO_DISPOSABLE;
 
   /**
    * @param services - Services of the feature.
@@ -63,55 +74,99 @@
     this.#request = request;
     this.#caller = caller;
     this.#onDidEnd = onDidEnd;
-    this.#startedMs = services.clock.monotonicMs();
-    this.#recorder = services.metrics.forRequest(request);
+    this.#times = new TokenTimes(
+      services.clock,
+      services.metrics.forRequest(request),
+    );
+    this.#deadlineMs = request.maxWaitMs === undefined
+      ? undefined
+      : services.clock.nowMs() + request.maxWaitMs;
   }
 
   /** Asks for a grant and starts the generation with it. */
   async begin(): Promise<void> {
     this.#attempts++;
-    const { dispatcher, clock } = this.#services;
-    const { maxWaitMs } = this.#request;
-    const deadlineMs = maxWaitMs === undefined
-      ? undefined
-      : clock.nowMs() + maxWaitMs;
-    const granted = await dispatcher.acquire({
+    const granted = await this.#services.dispatcher.acquire({
       ...this.#request,
-      deadlineMs,
+      deadlineMs: this.#deadlineMs,
       excludedEndpoints: this.#excluded,
     }, this.#abort.signal);
     granted.caseOf({
       Left: (refusal) => this.#fail(toRefusalFailure(refusal)),
-      Right: (grant) => this.#run(grant),
+      Right: (grant) => this.#start(grant),
     });
   }
 
   /** {@inheritDoc GenerationHandle.resumeReading} */
   resumeReading(): void {
-    this.#relay?.resumeReading();
+    this.#run?.relay.resumeReading();
   }
 
-  /** {@inheritDoc GenerationHandle.callerGone} */
+  /**
+   * The caller went away; it may resume within the resume window. The relay
+   * goes on without a receiver, so that the grant is given back when the
+   * generation ends, whoever follows it then.
+   */
   callerGone(): void {
     if (this.#isEnded || this.#isCallerGone) return;
     this.#isCallerGone = true;
     this.#abort.abort();
-    if (!this.#grant) return;
-    this.#relay?.dispose();
+    if (!this.#run) {
+      this.#retryTimer.dispose();
+      this.#fail(this.#createFailure("cancelled", "the caller went away"));
+      return;
+    }
+    if (!this.#isAnnounced) {
+      this.#cancelAbandoned();
+      return;
+    }
+    this.#run.relay.resumeReading();
+    if (!this.#isTakenElsewhere) this.#startWindow();
+  }
+
+  /** {@inheritDoc Follower.onTakenElsewhere} */
+  onTakenElsewhere(): void {
+    this.#isTakenElsewhere = true;
+    this.#window.dispose();
+  }
+
+  /** {@inheritDoc Follower.onGivenUpElsewhere} */
+  onGivenUpElsewhere(): void {
+    this.#isTakenElsewhere = false;
+    if (this.#isCallerGone && this.#run && !this.#isEnded) this.#startWindow();
+  }
+
+  #startWindow(): void {
     const { clock, resumeWindowMs } = this.#services;
-    clock.setTimer(resumeWindowMs, () => this.#cancelAbandoned());
+    this.#window.start(clock, resumeWindowMs, () => this.#cancelAbandoned());
   }
 
-  #run(grant: Grant): void {
-    const { engines, clock, host, signer } = this.#services;
-    if (this.#isCallerGone) {
-      this.#services.dispatcher.release(grant.id, "not-run", 0);
-      this.#finish();
+  #start(grant: Grant): void {
+    const { engines, followers, dispatcher } = this.#services;
+    if (this.#isEnded) {
+      dispatcher.release(grant.id, "not-run", 0);
       return;
     }
-    this.#grant = grant;
-    this.#recorder.recordQueueWait(grant.waitMs);
-    const id = encodeGenerationId({
+    this.#times.recordQueueWait(grant.waitMs);
+    const id = this.#createId(grant);
+    const relay = new StreamRelay(this.#services, grant.endpoint, id, 0, {
+      onAccepted: () => undefined,
+      onTokens: (tokens) => this.#onTokens(tokens),
+      onEnded: (end) => this.#onRelayEnded(end),
+      mayRestart: () => this.#mayRestart(),
+    });
+    this.#run = { grant, id, relay, registration: followers.add(id, this) };
+    const { model, prompt, maxTokens } = this.#request;
+    const { priority } = grant;
+    const engineRequest = { id, model, prompt, maxTokens, priority };
+    relay.open((listener) =>
+      engines.start(grant.endpoint, engineRequest, listener)
+    );
+  }
+
+  #createId(grant: Grant): GenerationId {
+    const { clock, host, signer } = this.#services;
+    return encodeGenerationId({
       service: this.#request.service,
       endpoint: grant.endpoint.id,
       workspace: this.#request.workspace,
@@ -120,115 +175,134 @@
       startedMs: clock.nowMs(),
       nonce: this.#services.createNonce(),
     }, signer);
-    this.#id = id;
-    const { model, prompt, maxTokens } = this.#request;
-    const engineRequest = {
-      id,
-      model,
-      prompt,
-      maxTokens,
-      priority: grant.priority,
-    };
-    this.#relay = new StreamRelay(this.#services, grant.endpoint, id, 0, {
-      onAccepted: () => this.#caller.onStarted(id),
-      onTokens: (tokens) => this.#onTokens(tokens),
-      onEnded: (end) => this.#onRelayEnded(end),
-    });
-    this.#relay.open((listener) =>
-      engines.start(grant.endpoint, engineRequest, listener)
-    );
   }
 
   #onTokens(tokens: readonly Token[]): boolean {
-    this.#measure(tokens.length);
-    const { dispatcher } = this.#services;
-    if (this.#grant) {
-      dispatcher.reportProgress(this.#grant.id, this.#relay?.nextOffset ?? 0);
-    }
+    if (!this.#run) return true;
+    const { grant, relay, id } = this.#run;
+    this.#services.dispatcher.reportProgress(grant.id, relay.nextOffset);
+    if (this.#isCallerGone) return true;
+    this.#times.recordTokens(tokens.length);
     if (this.#request.delivery === "whole") {
       this.#whole.push(...tokens);
       return true;
     }
+    this.#announce(id);
     this.#deliveredTokens += tokens.length;
     return this.#caller.onTokens(tokens);
   }
 
-  #measure(tokenCount: number): void {
-    const nowMs = this.#services.clock.monotonicMs();
-    if (this.#lastTokenMs === undefined) {
-      this.#recorder.recordFirstToken(nowMs - this.#startedMs);
-    } else {
-      const gapMs = nowMs - this.#lastTokenMs;
-      this.#recorder.recordTokenGap(gapMs / tokenCount);
-      if (gapMs > STALL_LIMIT_MS) {
-        this.#recorder.recordStall(gapMs - STALL_LIMIT_MS);
-      }
-    }
-    this.#lastTokenMs = nowMs;
+  /** The id is final with the first token; before, a restart changes it. */
+  #announce(id: GenerationId): void {
+    if (this.#isAnnounced) return;
+    this.#isAnnounced = true;
+    this.#caller.onStarted(id);
   }
 
   #onRelayEnded(end: RelayEnd): void {
     switch (end.kind) {
       case "finished":
-        this.#releaseGrant("completed");
-        this.#complete(end);
+        this.#onFinished(end);
         return;
       case "not-run":
-        this.#releaseGrant("not-run");
-        this.#restartOrFail(end.detail, "not-run");
+        this.#onNotRun(end);
         return;
       case "lost":
-        this.#mayHaveRun = true;
-        this.#releaseGrant("failed");
-        this.#restartOrFail(end.detail, "interrupted");
+        this.#onLost(end);
         return;
       default:
         assertNever(end);
     }
   }
 
-  #complete(end: RelayEnd & { kind: "finished" }): void {
+  #onFinished({ finish }: RelayEnd & { kind: "finished" }): void {
+    const id = this.#run?.id;
+    if (finish === "cancelled") {
+      this.#mayHaveRun = true;
+      this.#endRun("cancelled");
+      this.#fail(this.#createFailure("cancelled", "it was cancelled"));
+      return;
+    }
+    this.#endRun("completed");
     this.#services.retries.recordSuccess(this.#request.service);
-    if (this.#request.delivery === "whole") {
-      this.#deliveredTokens = this.#whole.length;
-      this.#caller.onTokens(this.#whole);
+    if (id && !this.#isCallerGone) this.#deliverRest(id);
+    const tokenCount = this.#deliveredTokens;
+    this.#deliverEnd({ kind: "completed", finish, tokenCount });
+  }
+
+  #deliverRest(id: GenerationId): void {
+    this.#announce(id);
+    if (this.#request.delivery !== "whole") return;
+    this.#deliveredTokens = this.#whole.length;
+    this.#caller.onTokens(this.#whole);
+  }
+
+  #onNotRun(end: RelayEnd & { kind: "not-run" }): void {
+    const endpoint = this.#endRun("not-run");
+    if (end.isLeaving && endpoint) {
+      const { service } = this.#request;
+      this.#services.endpoints.markLeaving(service, endpoint.id, "engine");
     }
-    this.#deliverEnd({
-      kind: "completed",
-      finish: end.finish,
-      tokenCount: this.#deliveredTokens,
-    });
+    this.#restartOrFail(
+      this.#createFailure("endpoint-refused", end.detail, endpoint?.address),
+    );
+  }
+
+  #onLost(end: RelayEnd & { kind: "lost" }): void {
+    this.#mayHaveRun = true;
+    const id = this.#run?.id;
+    const endpoint = this.#endRun("failed");
+    if (id && endpoint && end.endpoint !== "dead") {
+      this.#leaveRunning(endpoint, id);
+    }
+    this.#restartOrFail(
+      this.#createFailure("endpoint-lost", end.detail, endpoint?.address),
+    );
   }
 
-  /** A restart is allowed only while the caller has no token of this run. */
-  #restartOrFail(detail: string, outcome: "not-run" | "interrupted"): void {
-    const endpoint = this.#grant?.endpoint;
-    if (endpoint) this.#excluded.push(endpoint.id);
-    this.#grant = undefined;
+  /** The caller may go on through a daemon that still reaches the endpoint. */
+  #leaveRunning(endpoint: Endpoint, id: GenerationId): void {
+    if (!this.#isAnnounced) void this.#services.engines.cancel(endpoint, id);
+    else if (!this.#isTakenElsewhere) {
+      new ResumedGeneration(this.#services, endpoint, id).callerGone();
+    }
+  }
+
+  /** A restart is allowed only while the caller has nothing of this run. */
+  #restartOrFail(failure: Failure): void {
     const { clock, retries } = this.#services;
     const retryWaitMs = this.#mayRestart()
       ? retries.tryRetry(this.#request.service, this.#attempts)
       : undefined;
-    if (retryWaitMs !== undefined) {
-      this.#whole = [];
-      clock.setTimer(retryWaitMs, () => void this.begin());
+    if (retryWaitMs === undefined) {
+      this.#fail(failure);
       return;
     }
-    this.#fail({
-      outcome,
-      reason: outcome === "not-run" ? "endpoint-refused" : "endpoint-lost",
-      isRetryable: true,
-      step: "generation.stream",
-      peer: endpoint?.address ?? "",
-      detail,
-    });
+    this.#whole = [];
+    this.#retryTimer = clock.setTimer(retryWaitMs, () => void this.begin());
   }
 
   #mayRestart(): boolean {
-    return this.#deliveredTokens === 0 && !this.#isCallerGone &&
+    return !this.#isAnnounced && !this.#isCallerGone &&
       this.#attempts < MAX_ATTEMPTS;
   }
 
+  #createFailure(
+    reason: Failure["reason"],
+    detail: string,
+    peer = "",
+  ): Failure {
+    return {
+      outcome: "not-run",
+      reason,
+      isRetryable: true,
+      step: "generation.stream",
+      peer,
+      detail,
+    };
+  }
+
+  /** `not-run` is true only when no attempt may have run. */
   #fail(failure: Failure): void {
     const outcome = this.#mayHaveRun ? "interrupted" : failure.outcome;
     this.#deliverEnd({
@@ -239,32 +313,43 @@
   }
 
   #deliverEnd(end: GenerationEnd): void {
+    if (this.#isEnded) return;
     const outcome = end.kind === "completed"
       ? "completed"
       : end.failure.outcome;
-    this.#recorder.recordEnd(outcome, this.#deliveredTokens);
+    this.#times.recordEnd(
+      this.#isCallerGone ? "interrupted" : outcome,
+      this.#deliveredTokens,
+    );
     if (!this.#isCallerGone) this.#caller.onEnded(end);
     this.#finish();
   }
 
   #cancelAbandoned(): void {
-    if (this.#isEnded || !this.#grant || !this.#id) return;
-    const { engines } = this.#services;
-    void engines.cancel(this.#grant.endpoint, asId<GenerationId>(this.#id));
-    this.#releaseGrant("cancelled");
-    this.#recorder.recordEnd("interrupted", this.#deliveredTokens);
+    if (this.#isEnded || !this.#run) return;
+    const { grant, id } = this.#run;
+    void this.#services.engines.cancel(grant.endpoint, id);
+    this.#endRun("cancelled");
+    this.#times.recordEnd("interrupted", this.#deliveredTokens);
     this.#finish();
   }
 
-  #releaseGrant(end: GrantEnd): void {
-    if (!this.#grant) return;
-    const generated = this.#relay?.nextOffset ?? 0;
-    this.#services.dispatcher.release(this.#grant.id, end, generated);
+  /** Ends the use of the endpoint; its grant is given back once. */
+  #endRun(end: GrantEnd): Endpoint | undefined {
+    if (!this.#run) return undefined;
+    const { grant, relay, registration } = this.#run;
+    this.#run = undefined;
+    registration.dispose();
+    relay.dispose();
+    this.#services.dispatcher.release(grant.id, end, relay.nextOffset);
+    if (end !== "completed") this.#excluded.push(grant.endpoint.id);
+    return grant.endpoint;
   }
 
   #finish(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#window.dispose();
     this.#onDidEnd();
   }
 }
--- a/src/features/generations/common/stream_relay.ts
+++ b/src/features/generations/common/stream_relay.ts
@@ -17,16 +17,33 @@
   FinishReason,
   StreamClose,
 } from "../../../platform/endpoints/common/engine_client.ts";
+import {
+  type Connection,
+  type ConnectionOpening,
+  ConnectionSet,
+} from "./connection_set.ts";
 import { FrameSequencer, type Token } from "./frame_sequencer.ts";
 import type { RelayServices } from "./relay_services.ts";
+import { MAX_SILENCE_LIMIT_MS } from "./silence_limits.ts";
+
+/** Whether an endpoint that lost a generation is known to have died. */
+export type EndpointState = "dead" | "unreachable";
 
 /** How following a generation ended. */
 export type RelayEnd =
   | { readonly kind: "finished"; readonly finish: FinishReason }
   /** The engine did not run it. */
-  | { readonly kind: "not-run"; readonly detail: string }
+  | {
+    readonly kind: "not-run";
+    readonly isLeaving: boolean;
+    readonly detail: string;
+  }
   /** The engine is gone or does not know the generation any more. */
-  | { readonly kind: "lost"; readonly detail: string };
+  | {
+    readonly kind: "lost";
+    readonly endpoint: EndpointState;
+    readonly detail: string;
+  };
 
 /** Receiver of a relay. */
 export interface RelayListener {
@@ -36,14 +53,20 @@
   onTokens(tokens: readonly Token[]): boolean;
   /** Called at most once; nothing follows. */
   onEnded(end: RelayEnd): void;
+  /** @returns Whether another endpoint may run the request from its start. */
+  mayRestart(): boolean;
 }
 
-/** How a relay opens its first connection. */
-export type RelayOpening = (listener: EngineStreamListener) => EngineStream;
-
-const MAX_RECONNECTS = 4;
-const FIRST_RECONNECT_DELAY_MS = 50;
-const SILENCE_LIMIT_MS = 5_000;
+/** An engine may queue a request for as long before its first token. */
+const FIRST_TOKEN_LIMIT_MS = MAX_SILENCE_LIMIT_MS;
+const MAX_PROBE_WAIT_MS = 10_000;
+const MAX_RECONNECT_WAIT_ATTEMPT = 5;
+/** Time without any connection after which a generation counts as lost. */
+const RECONNECT_WINDOW_MS = 4_000;
+/** The same while the request may still be run elsewhere. */
+const RESTARTABLE_RECONNECT_WINDOW_MS = 500;
+/** A connection that stood for so long ends a row of failures. */
+const STABLE_CONNECTION_MS = 1_000;
 
 /** One generation, followed to its end. */
 export class StreamRelay implements Disposable {
@@ -52,14 +75,19 @@
   readonly #id: GenerationId;
   readonly #listener: RelayListener;
   readonly #sequencer: FrameSequencer;
-  #stream: EngineStream | undefined;
-  #connection = 0;
-  #failedConnects = 0;
+  readonly #connections: ConnectionSet;
+  #progressConnection: Connection | undefined;
+  #lastProgressMs = 0;
+  #lastProbeMs = 0;
+  #probes = 0;
+  #failures = 0;
+  #firstFailureMs: number | undefined;
   #isPaused = false;
   #isEnded = false;
   #isAccepted = false;
-  #timer: Disposable = NO_DISPOSABLE;
-  #lastFrameMs = 0;
+  #hasProgress = false;
+  #silenceTimer: Disposable = NO_DISPOSABLE;
+  #reconnectTimer: Disposable = NO_DISPOSABLE;
 
   /**
    * @param services - Services of the feature.
@@ -80,6 +108,11 @@
     this.#id = id;
     this.#listener = listener;
     this.#sequencer = new FrameSequencer(id, fromOffset);
+    this.#connections = new ConnectionSet({
+      onAccepted: () => this.#onAccepted(),
+      onFrames: (connection, frames) => this.#onFrames(connection, frames),
+      onClosed: (connection, close) => this.#onClosed(connection, close),
+    });
   }
 
   /** Offset of the next token to deliver. */
@@ -88,128 +121,190 @@
   }
 
   /** Opens the first connection with a new generation's request. */
-  open(opening: RelayOpening): void {
-    this.#connect(opening);
+  open(opening: ConnectionOpening): void {
+    this.#lastProgressMs = this.#services.clock.monotonicMs();
+    this.#connections.open(opening, this.#lastProgressMs);
+    this.#watchSilence(FIRST_TOKEN_LIMIT_MS);
   }
 
   /** Opens the first connection to a generation that runs already. */
   openResumed(): void {
-    this.#reconnect();
+    this.open((listener) => this.#openAtOffset(listener));
   }
 
   /** The caller takes tokens again. */
   resumeReading(): void {
-    if (!this.#isPaused) return;
+    if (!this.#isPaused || this.#isEnded) return;
     this.#isPaused = false;
-    this.#lastFrameMs = this.#services.clock.monotonicMs();
-    this.#stream?.resume();
+    this.#progressConnection = undefined;
+    this.#lastProgressMs = this.#services.clock.monotonicMs();
+    this.#connections.resume();
   }
 
-  /** Drops the connection; nothing follows. */
+  /** Drops the connections; nothing follows. */
   dispose(): void {
     this.#isEnded = true;
-    this.#timer.dispose();
-    this.#stream?.dispose();
-  }
-
-  #connect(opening: RelayOpening): void {
-    this.#timer.dispose();
-    this.#stream?.dispose();
-    const connection = ++this.#connection;
-    const isCurrent = (): boolean =>
-      !this.#isEnded && connection === this.#connection;
-    this.#lastFrameMs = this.#services.clock.monotonicMs();
-    this.#stream = opening({
-      onAccepted: () => isCurrent() && this.#onAccepted(),
-      onFrames: (frames) => isCurrent() && this.#onFrames(frames),
-      onClosed: (close) => isCurrent() && this.#onClosed(close),
-    });
-    if (isCurrent()) this.#watchSilence(SILENCE_LIMIT_MS);
+    this.#silenceTimer.dispose();
+    this.#reconnectTimer.dispose();
+    this.#connections.dispose();
   }
 
-  #reconnect(): void {
-    this.#connect((listener) =>
-      this.#services.engines.resume(
-        this.#endpoint,
-        this.#id,
-        this.#sequencer.nextOffset,
-        listener,
-      )
+  #openAtOffset(listener: EngineStreamListener): EngineStream {
+    return this.#services.engines.resume(
+      this.#endpoint,
+      this.#id,
+      this.#sequencer.nextOffset,
+      listener,
     );
   }
 
+  #reconnect(): void {
+    if (this.#isEnded) return;
+    this.#services.metrics.count("streams_resumed");
+    const nowMs = this.#services.clock.monotonicMs();
+    this.#connections.open((listener) => this.#openAtOffset(listener), nowMs);
+  }
+
   #onAccepted(): void {
     if (this.#isAccepted) return;
     this.#isAccepted = true;
     this.#listener.onAccepted();
   }
 
-  #onFrames(frames: readonly EngineFrame[]): void {
-    this.#lastFrameMs = this.#services.clock.monotonicMs();
+  #onFrames(connection: Connection, frames: readonly EngineFrame[]): void {
     const before = countDropped(this.#sequencer);
     const tokens = this.#sequencer.accept(frames);
     const dropped = countDropped(this.#sequencer) - before;
     if (dropped > 0) this.#services.metrics.count("frames_dropped", dropped);
-    if (tokens.length > 0) this.#passOn(tokens);
+    if (tokens.length > 0) {
+      this.#recordProgress(connection);
+      this.#passOn(tokens);
+    }
     const finish = this.#sequencer.finish;
     if (finish) this.#end({ kind: "finished", finish });
   }
 
+  /** The connection that brings the next token first is the one to keep. */
+  #recordProgress(connection: Connection): void {
+    const nowMs = this.#services.clock.monotonicMs();
+    if (connection === this.#progressConnection) {
+      const gapMs = nowMs - this.#lastProgressMs;
+      this.#services.silenceLimits.observe(this.#endpoint.address, gapMs);
+    }
+    this.#progressConnection = connection;
+    this.#hasProgress = true;
+    this.#lastProgressMs = nowMs;
+    this.#probes = 0;
+    this.#failures = 0;
+    this.#firstFailureMs = undefined;
+    this.#connections.keepOnly(connection);
+  }
+
   #passOn(tokens: readonly Token[]): void {
-    this.#failedConnects = 0;
     if (this.#listener.onTokens(tokens) || this.#isEnded) return;
     this.#isPaused = true;
-    this.#stream?.pause();
+    this.#connections.pause();
   }
 
-  #onClosed(close: StreamClose): void {
+  #onClosed(connection: Connection, close: StreamClose): void {
     switch (close.kind) {
       case "not-run":
-        if (this.#isAccepted || this.#connection > 1) {
-          this.#retryConnection(close.detail);
-        } else this.#end({ kind: "not-run", detail: close.detail });
+        this.#onNotRun(connection, close);
         return;
       case "unknown-generation":
-        this.#end({ kind: "lost", detail: close.detail });
+        this.#end({ kind: "lost", endpoint: "dead", detail: close.detail });
         return;
       case "lost":
-        this.#retryConnection(close.detail);
+        this.#retryConnection(connection, "unreachable", close.detail);
         return;
       case "closed":
-        this.#retryConnection("the engine closed before the end");
+        this.#retryConnection(
+          connection,
+          "unreachable",
+          "the engine closed before the end",
+        );
         return;
       default:
         assertNever(close);
     }
   }
 
-  #retryConnection(detail: string): void {
-    this.#failedConnects++;
-    if (this.#failedConnects > MAX_RECONNECTS) {
-      this.#end({ kind: "lost", detail });
+  /** Only the first connection carries the request itself. */
+  #onNotRun(
+    connection: Connection,
+    { reason, detail }: StreamClose & { kind: "not-run" },
+  ): void {
+    if (connection.number === 1 && !connection.isAccepted) {
+      this.#end({ kind: "not-run", isLeaving: reason === "leaving", detail });
       return;
     }
-    this.#services.metrics.count("streams_resumed");
-    const delayMs = FIRST_RECONNECT_DELAY_MS * 2 ** (this.#failedConnects - 1);
-    this.#timer.dispose();
-    this.#timer = this.#services.clock.setTimer(
-      delayMs,
+    const endpoint = reason === "down" ? "dead" : "unreachable";
+    this.#retryConnection(connection, endpoint, detail);
+  }
+
+  #retryConnection(
+    connection: Connection,
+    endpoint: EndpointState,
+    detail: string,
+  ): void {
+    if (this.#connections.size > 0) return;
+    const { clock, retries } = this.#services;
+    const nowMs = clock.monotonicMs();
+    const wasStable = connection.isAccepted &&
+      nowMs - connection.openedMs >= STABLE_CONNECTION_MS;
+    if (wasStable) this.#firstFailureMs = undefined;
+    this.#firstFailureMs ??= nowMs;
+    if (nowMs - this.#firstFailureMs >= this.#reconnectWindowMs()) {
+      this.#end({ kind: "lost", endpoint, detail });
+      return;
+    }
+    this.#failures = Math.min(this.#failures + 1, MAX_RECONNECT_WAIT_ATTEMPT);
+    this.#reconnectTimer.dispose();
+    this.#reconnectTimer = clock.setTimer(
+      retries.jitteredWaitMs(this.#failures),
       () => this.#reconnect(),
     );
   }
 
-  /** A connection without frames is taken for dead and replaced. */
+  #reconnectWindowMs(): number {
+    return this.#listener.mayRestart()
+      ? RESTARTABLE_RECONNECT_WINDOW_MS
+      : RECONNECT_WINDOW_MS;
+  }
+
+  /** Silence opens a second connection; the first one stays until it loses. */
   #watchSilence(delayMs: number): void {
-    const { clock } = this.#services;
-    this.#timer = clock.setTimer(delayMs, () => {
-      const silentMs = clock.monotonicMs() - this.#lastFrameMs;
-      if (this.#isPaused) this.#watchSilence(SILENCE_LIMIT_MS);
-      else if (silentMs < SILENCE_LIMIT_MS) {
-        this.#watchSilence(SILENCE_LIMIT_MS - silentMs);
-      } else this.#retryConnection("the connection is silent");
+    if (this.#isEnded) return;
+    this.#silenceTimer = this.#services.clock.setTimer(delayMs, () => {
+      const waitMs = this.#silenceWaitMs();
+      if (waitMs <= 0) this.#probe();
+      this.#watchSilence(waitMs > 0 ? waitMs : this.#silenceWaitMs());
     });
   }
 
+  #probe(): void {
+    this.#probes++;
+    this.#lastProbeMs = this.#services.clock.monotonicMs();
+    if (this.#connections.size > 0) this.#reconnect();
+  }
+
+  /** Time until the silence is too long; each probe doubles the patience. */
+  #silenceWaitMs(): number {
+    const limitMs = this.#silenceLimitMs();
+    if (this.#isPaused) return limitMs;
+    const nowMs = this.#services.clock.monotonicMs();
+    if (this.#probes === 0) return this.#lastProgressMs + limitMs - nowMs;
+    const waitMs = Math.min(MAX_PROBE_WAIT_MS, limitMs * 2 ** this.#probes);
+    return this.#lastProbeMs + waitMs - nowMs;
+  }
+
+  #silenceLimitMs(): number {
+    const { silenceLimits } = this.#services;
+    return this.#hasProgress
+      ? silenceLimits.limitMs(this.#endpoint.address)
+      : FIRST_TOKEN_LIMIT_MS;
+  }
+
   #end(end: RelayEnd): void {
     if (this.#isEnded) return;
     this.dispose();
@@ -218,6 +313,6 @@
 }
 
 function countDropped(sequencer: FrameSequencer): number {
-  const { duplicate, foreign, beyondBuffer } = sequencer.dropped;
-  return duplicate + foreign + beyondBuffer;
+  const { duplicate, foreign, beyondBuffer, contradicting } = sequencer.dropped;
+  return duplicate + foreign + beyondBuffer + contradicting;
 }
--- a/src/platform/endpoints/common/engine_client.ts
+++ b/src/platform/endpoints/common/engine_client.ts
@@ -44,12 +44,18 @@
     readonly finish: FinishReason;
   };
 
+/**
+ * How it is known that the engine did not run a request: it could not be
+ * reached, no process listens there (`down`), or the engine itself says so.
+ */
+export type NotRunReason = "unreachable" | "down" | "refused" | "leaving";
+
 /** How a connection that carried a stream ended. */
 export type StreamClose =
   /** Evidence that the engine did not run the request. */
   | {
     readonly kind: "not-run";
-    readonly reason: "unreachable" | "refused" | "leaving";
+    readonly reason: NotRunReason;
     readonly detail: string;
   }
   /** The engine does not know this generation (any more). */
--- a/src/platform/endpoints/node/http_engine_stream.ts
+++ b/src/platform/endpoints/node/http_engine_stream.ts
@@ -12,6 +12,8 @@
 import { decodeFrame } from "./engine_messages.ts";
 
 const HEADERS_TIMEOUT_MS = 5_000;
+/** A longer event closes the connection. */
+const MAX_EVENT_CHARACTERS = 65_536;
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
 const HTTP_SERVICE_UNAVAILABLE = 503;
@@ -58,7 +60,13 @@
   ) {
     this.#listener = listener;
     this.#parser = createParser({
+      maxBufferSize: MAX_EVENT_CHARACTERS,
       onEvent: ({ data }) => this.#onEvent(data),
+      onError: (error) => {
+        if (error.type === "max-buffer-size-exceeded") {
+          this.#malformed = "an event is too long";
+        }
+      },
     });
     this.#dispatch(dispatcher, request);
   }
@@ -151,7 +159,8 @@
     const code = (error as { code?: string }).code ?? "";
     const detail = error.message || code;
     if (NOT_SENT_CODES.has(code)) {
-      this.#close({ kind: "not-run", reason: "unreachable", detail });
+      const reason = code === "ECONNREFUSED" ? "down" : "unreachable";
+      this.#close({ kind: "not-run", reason, detail });
     } else this.#close({ kind: "lost", detail });
   }
 
--- a/standins/engine/in_process_engine_client.ts
+++ b/standins/engine/in_process_engine_client.ts
@@ -21,6 +21,7 @@
 
 const LINK_DELAY_MS = 1;
 const CALL_TIMEOUT_MS = 2_000;
+const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Engines by address. */
 export type EngineDirectory = ReadonlyMap<Address, EngineModel>;
@@ -48,18 +49,11 @@
     listener: EngineStreamListener,
   ): EngineStream {
     const stream = new InProcessStream(this.#clock, listener);
-    this.#clock.setTimer(LINK_DELAY_MS, () => {
-      const engine = this.#reach(endpoint);
-      const result = engine?.start(request, stream) ?? "down";
-      if (result === "accepted") stream.bind(engine!, request.id);
-      else if (result === "leaving") {
-        stream.close({ kind: "not-run", reason: "leaving", detail: "leaving" });
-      } else {
-        stream.close({
-          kind: "not-run",
-          reason: "unreachable",
-          detail: "refused",
-        });
+    this.#connect(endpoint, stream, (engine) => {
+      const result = engine.start(request, stream);
+      if (result === "accepted") stream.bind(engine, request.id);
+      else {
+        stream.close({ kind: "not-run", reason: result, detail: result });
       }
     });
     return stream;
@@ -73,15 +67,8 @@
     listener: EngineStreamListener,
   ): EngineStream {
     const stream = new InProcessStream(this.#clock, listener);
-    this.#clock.setTimer(LINK_DELAY_MS, () => {
-      const engine = this.#reach(endpoint);
-      if (!engine) {
-        stream.close({
-          kind: "not-run",
-          reason: "unreachable",
-          detail: "refused",
-        });
-      } else if (engine.attach(id, fromOffset, stream)) stream.bind(engine, id);
+    this.#connect(endpoint, stream, (engine) => {
+      if (engine.attach(id, fromOffset, stream)) stream.bind(engine, id);
       else stream.close({ kind: "unknown-generation", detail: "not known" });
     });
     return stream;
@@ -137,6 +124,29 @@
     // Streams are owned by those who opened them.
   }
 
+  /** A cut link shows only when the connection attempt times out. */
+  #connect(
+    endpoint: Endpoint,
+    stream: InProcessStream,
+    onConnected: (engine: EngineModel) => void,
+  ): void {
+    this.#clock.setTimer(LINK_DELAY_MS, () => {
+      const engine = this.#reach(endpoint);
+      if (engine) onConnected(engine);
+      else if (this.cutAddresses.has(endpoint.address)) {
+        this.#clock.setTimer(CONNECT_TIMEOUT_MS, () => {
+          stream.close({
+            kind: "not-run",
+            reason: "unreachable",
+            detail: "the connection attempt timed out",
+          });
+        });
+      } else {
+        stream.close({ kind: "not-run", reason: "down", detail: "refused" });
+      }
+    });
+  }
+
   #reach({ address }: Endpoint): EngineModel | undefined {
     const engine = this.#engines.get(address);
     return engine?.isDown || this.cutAddresses.has(address)
