Quarantine requests that kill endpoints

Cause: a request that crashes each engine that runs it was restarted on up to three engines, and on three more each time that its caller sent it again.

All that an endpoint ran when it died unannounced are suspects, by workspace and canonical request. A suspect runs only where no other suspect runs; daemons agree by claims over quarantine.v1, the lower run name wins within 25 ms. A second death refuses it for 10 minutes as quarantined, a third one when one other workspace had requests at each death, so that its poison cannot get this one refused. Reclaimed and leaving endpoints accuse nobody. Operators may list and release.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -23,6 +23,8 @@
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
 import { SilenceLimits } from "../../features/generations/common/silence_limits.ts";
 import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
+import { IsolatedAdmission } from "../../features/quarantine/common/isolated_admission.ts";
+import { Quarantine } from "../../features/quarantine/common/quarantine.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
@@ -62,6 +64,8 @@
   readonly configuration: Configuration;
   readonly generations: GenerationService;
   readonly calls: CallService;
+  /** Requests that kill endpoints; operators may list and release them. */
+  readonly quarantine: Quarantine;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
   #isDraining = false;
@@ -87,6 +91,10 @@
       endpoints,
       configuration: table,
     });
+    const quarantine = this.#owned.add(
+      new Quarantine({ ...platform, ...options, endpoints }),
+    );
+    this.quarantine = quarantine;
     this.generations = new GenerationRelayService({
       ...platform,
       ...options,
@@ -94,6 +102,13 @@
       dispatcher,
       retries,
       endpoints,
+      quarantine,
+      admission: new IsolatedAdmission({
+        clock,
+        dispatcher,
+        endpoints,
+        quarantine,
+      }),
       followers: this.#owned.add(new GenerationFollowers(platform.links)),
       silenceLimits: new SilenceLimits(clock),
     });
--- a/src/features/generations/common/relay_services.ts
+++ b/src/features/generations/common/relay_services.ts
@@ -8,6 +8,8 @@
 import type { Configuration } from "../../configuration/common/configuration.ts";
 import type { Dispatcher } from "../../dispatch/common/dispatcher.ts";
 import type { EndpointDirectory } from "../../endpoints/common/endpoint_directory.ts";
+import type { IsolatedAdmission } from "../../quarantine/common/isolated_admission.ts";
+import type { Quarantine } from "../../quarantine/common/quarantine.ts";
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
 import type { GenerationFollowers } from "./generation_followers.ts";
 import type { Signer } from "./generation_id.ts";
@@ -25,8 +27,12 @@
   readonly signer: Signer;
   readonly retries: RetryBudget;
   readonly endpoints: EndpointDirectory;
+  readonly admission: IsolatedAdmission;
+  readonly quarantine: Quarantine;
   readonly followers: GenerationFollowers;
   readonly silenceLimits: SilenceLimits;
+  /** @returns A collision-resistant hash of all parts and their borders. */
+  fingerprint(parts: readonly string[]): string;
   /** @returns A text that no other generation has. */
   createNonce(): string;
   /** How long a generation goes on without its caller, in milliseconds. */
--- a/src/features/generations/common/started_generation.ts
+++ b/src/features/generations/common/started_generation.ts
@@ -10,6 +10,12 @@
 import type { Failure } from "../../../platform/outcomes/common/failure.ts";
 import type { Grant, GrantEnd } from "../../dispatch/common/dispatcher.ts";
 import { toRefusalFailure } from "../../dispatch/common/refusal_failure.ts";
+import type { IsolatedGrant } from "../../quarantine/common/isolated_admission.ts";
+import type {
+  RequestIdentity,
+  RunEnd,
+  WatchedRun,
+} from "../../quarantine/common/quarantine.ts";
 import type { Token } from "./frame_sequencer.ts";
 import { type Follower, ResumeWindow } from "./generation_followers.ts";
 import { encodeGenerationId } from "./generation_id.ts";
@@ -26,12 +32,22 @@
 
 const MAX_ATTEMPTS = 3;
 
+const QUARANTINED: Failure = {
+  outcome: "not-run",
+  reason: "quarantined",
+  isRetryable: false,
+  step: "generation.admit",
+  peer: "",
+  detail: "endpoints have died while they ran this request",
+};
+
 /** Use of one endpoint for the request. */
 interface Run {
   readonly grant: Grant;
   readonly id: GenerationId;
   readonly relay: StreamRelay;
   readonly registration: Disposable;
+  readonly watched: WatchedRun;
 }
 
 /** Takes a generation from its grant to its end. */
@@ -45,6 +61,7 @@
   readonly #excluded: EndpointId[] = [];
   readonly #window = new ResumeWindow();
   readonly #deadlineMs: number | undefined;
+  readonly #identity: RequestIdentity;
   #run: Run | undefined;
   #attempts = 0;
   #whole: Token[] = [];
@@ -78,6 +95,16 @@
       services.clock,
       services.metrics.forRequest(request),
     );
+    this.#identity = {
+      workspace: request.workspace,
+      fingerprint: services.fingerprint([
+        request.workspace,
+        request.service,
+        request.model,
+        String(request.maxTokens),
+        request.prompt,
+      ]),
+    };
     this.#deadlineMs = request.maxWaitMs === undefined
       ? undefined
       : services.clock.nowMs() + request.maxWaitMs;
@@ -86,14 +113,25 @@
   /** Asks for a grant and starts the generation with it. */
   async begin(): Promise<void> {
     this.#attempts++;
-    const granted = await this.#services.dispatcher.acquire({
-      ...this.#request,
-      deadlineMs: this.#deadlineMs,
-      excludedEndpoints: this.#excluded,
-    }, this.#abort.signal);
+    const retryAfterMs = this.#services.quarantine.quarantinedForMs(
+      this.#identity,
+    );
+    if (retryAfterMs !== undefined) {
+      this.#fail({ ...QUARANTINED, retryAfterMs });
+      return;
+    }
+    const granted = await this.#services.admission.acquire(
+      {
+        ...this.#request,
+        deadlineMs: this.#deadlineMs,
+        excludedEndpoints: this.#excluded,
+      },
+      this.#identity.fingerprint,
+      this.#abort.signal,
+    );
     granted.caseOf({
       Left: (refusal) => this.#fail(toRefusalFailure(refusal)),
-      Right: (grant) => this.#start(grant),
+      Right: (isolated) => this.#start(isolated),
     });
   }
 
@@ -141,9 +179,10 @@
     this.#window.start(clock, resumeWindowMs, () => this.#cancelAbandoned());
   }
 
-  #start(grant: Grant): void {
-    const { engines, followers, dispatcher } = this.#services;
+  #start({ grant, claim }: IsolatedGrant): void {
+    const { engines, followers, dispatcher, quarantine } = this.#services;
     if (this.#isEnded) {
+      claim?.dispose();
       dispatcher.release(grant.id, "not-run", 0);
       return;
     }
@@ -155,7 +194,17 @@
       onEnded: (end) => this.#onRelayEnded(end),
       mayRestart: () => this.#mayRestart(),
     });
-    this.#run = { grant, id, relay, registration: followers.add(id, this) };
+    const place = {
+      service: this.#request.service,
+      endpoint: grant.endpoint.id,
+    };
+    this.#run = {
+      grant,
+      id,
+      relay,
+      registration: followers.add(id, this),
+      watched: quarantine.watchRun(this.#identity, place, claim),
+    };
     const { model, prompt, maxTokens } = this.#request;
     const { priority } = grant;
     const engineRequest = { id, model, prompt, maxTokens, priority };
@@ -179,7 +228,8 @@
 
   #onTokens(tokens: readonly Token[]): boolean {
     if (!this.#run) return true;
-    const { grant, relay, id } = this.#run;
+    const { grant, relay, id, watched } = this.#run;
+    watched.recordToken();
     this.#services.dispatcher.reportProgress(grant.id, relay.nextOffset);
     if (this.#isCallerGone) return true;
     this.#times.recordTokens(tokens.length);
@@ -251,7 +301,10 @@
   #onLost(end: RelayEnd & { kind: "lost" }): void {
     this.#mayHaveRun = true;
     const id = this.#run?.id;
-    const endpoint = this.#endRun("failed");
+    const endpoint = this.#endRun(
+      "failed",
+      end.endpoint === "dead" ? "endpoint-died" : "other",
+    );
     if (id && endpoint && end.endpoint !== "dead") {
       this.#leaveRunning(endpoint, id);
     }
@@ -335,10 +388,14 @@
   }
 
   /** Ends the use of the endpoint; its grant is given back once. */
-  #endRun(end: GrantEnd): Endpoint | undefined {
+  #endRun(
+    end: GrantEnd,
+    runEnd: RunEnd = end === "completed" ? "completed" : "other",
+  ): Endpoint | undefined {
     if (!this.#run) return undefined;
-    const { grant, relay, registration } = this.#run;
+    const { grant, relay, registration, watched } = this.#run;
     this.#run = undefined;
+    watched.end(runEnd);
     registration.dispose();
     relay.dispose();
     this.#services.dispatcher.release(grant.id, end, relay.nextOffset);
--- a/src/features/generations/common/stream_relay.ts
+++ b/src/features/generations/common/stream_relay.ts
@@ -24,7 +24,10 @@
 } from "./connection_set.ts";
 import { FrameSequencer, type Token } from "./frame_sequencer.ts";
 import type { RelayServices } from "./relay_services.ts";
-import { MAX_SILENCE_LIMIT_MS } from "./silence_limits.ts";
+import {
+  MAX_SILENCE_LIMIT_MS,
+  MIN_SILENCE_LIMIT_MS,
+} from "./silence_limits.ts";
 
 /** Whether an endpoint that lost a generation is known to have died. */
 export type EndpointState = "dead" | "unreachable";
@@ -65,6 +68,8 @@
 const RECONNECT_WINDOW_MS = 4_000;
 /** The same while the request may still be run elsewhere. */
 const RESTARTABLE_RECONNECT_WINDOW_MS = 500;
+/** A port without a process for so long means that the engine has died. */
+const DOWN_WINDOW_MS = 200;
 /** A connection that stood for so long ends a row of failures. */
 const STABLE_CONNECTION_MS = 1_000;
 
@@ -124,7 +129,7 @@
   open(opening: ConnectionOpening): void {
     this.#lastProgressMs = this.#services.clock.monotonicMs();
     this.#connections.open(opening, this.#lastProgressMs);
-    this.#watchSilence(FIRST_TOKEN_LIMIT_MS);
+    this.#watchSilence();
   }
 
   /** Opens the first connection to a generation that runs already. */
@@ -254,7 +259,7 @@
       nowMs - connection.openedMs >= STABLE_CONNECTION_MS;
     if (wasStable) this.#firstFailureMs = undefined;
     this.#firstFailureMs ??= nowMs;
-    if (nowMs - this.#firstFailureMs >= this.#reconnectWindowMs()) {
+    if (nowMs - this.#firstFailureMs >= this.#reconnectWindowMs(endpoint)) {
       this.#end({ kind: "lost", endpoint, detail });
       return;
     }
@@ -266,19 +271,23 @@
     );
   }
 
-  #reconnectWindowMs(): number {
+  #reconnectWindowMs(endpoint: EndpointState): number {
+    if (endpoint === "dead") return DOWN_WINDOW_MS;
     return this.#listener.mayRestart()
       ? RESTARTABLE_RECONNECT_WINDOW_MS
       : RECONNECT_WINDOW_MS;
   }
 
-  /** Silence opens a second connection; the first one stays until it loses. */
-  #watchSilence(delayMs: number): void {
+  /**
+   * Silence opens a second connection; the first one stays until it loses. The
+   * limit may shrink while it is learnt, so it is looked at often.
+   */
+  #watchSilence(): void {
     if (this.#isEnded) return;
-    this.#silenceTimer = this.#services.clock.setTimer(delayMs, () => {
-      const waitMs = this.#silenceWaitMs();
-      if (waitMs <= 0) this.#probe();
-      this.#watchSilence(waitMs > 0 ? waitMs : this.#silenceWaitMs());
+    const waitMs = Math.min(this.#silenceWaitMs(), MIN_SILENCE_LIMIT_MS);
+    this.#silenceTimer = this.#services.clock.setTimer(waitMs, () => {
+      if (this.#silenceWaitMs() <= 0) this.#probe();
+      this.#watchSilence();
     });
   }
 
--- /dev/null
+++ b/src/features/quarantine/common/quarantine.ts
@@ -0,0 +1,283 @@
+/**
+ * Finds requests that kill endpoints. All that an endpoint ran when it died
+ * unannounced are suspects; a suspect whose endpoint dies again is refused for
+ * a time.
+ */
+
+import { assertNever } from "../../../base/common/errors.ts";
+import type { Clock } from "../../../base/common/clock.ts";
+import type {
+  EndpointId,
+  HostId,
+  ServiceId,
+  WorkspaceId,
+} from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import type {
+  PeerChannel,
+  PeerLinks,
+} from "../../../platform/peers/common/peer_links.ts";
+import type { EndpointDirectory } from "../../endpoints/common/endpoint_directory.ts";
+import { type EndpointClaim, EndpointClaims } from "./endpoint_claims.ts";
+import {
+  MAX_OTHER_WORKSPACES,
+  MAX_RECORDS_PER_MESSAGE,
+  QUARANTINE_CHANNEL,
+  type QuarantineMessage,
+} from "./quarantine_messages.ts";
+import {
+  type QuarantinedRequest,
+  type SuspectRecord,
+  SuspectTable,
+} from "./suspect_table.ts";
+
+/** What the quarantine works with. */
+export interface QuarantineServices {
+  readonly clock: Clock;
+  readonly host: HostId;
+  readonly links: PeerLinks;
+  readonly endpoints: EndpointDirectory;
+}
+
+/** A request by what it asks for. */
+export interface RequestIdentity {
+  readonly workspace: WorkspaceId;
+  readonly fingerprint: string;
+}
+
+/** Where a request runs. */
+export interface RunPlace {
+  readonly service: ServiceId;
+  readonly endpoint: EndpointId;
+}
+
+/** How a run ended, as far as its endpoint is concerned. */
+export type RunEnd = "completed" | "endpoint-died" | "other";
+
+/** A run that is being watched. */
+export interface WatchedRun {
+  /** The endpoint has brought a token. */
+  recordToken(): void;
+  /** @param end - How the run ended; a second call does nothing. */
+  end(end: RunEnd): void;
+}
+
+/** A suspect that ran for so long after its first token shares its endpoint. */
+const ISOLATION_MS = 5_000;
+/** Runs that died count as co-runners of each other for this time. */
+const CO_RUNNER_MS = 10_000;
+
+interface Run extends RequestIdentity, RunPlace {
+  readonly claim: EndpointClaim | undefined;
+}
+
+/** Suspects and quarantined requests, shared between the daemons. */
+export class Quarantine implements Disposable {
+  readonly claims: EndpointClaims;
+  readonly #services: QuarantineServices;
+  readonly #table: SuspectTable;
+  readonly #channel: PeerChannel<QuarantineMessage>;
+  readonly #runs = new Map<string, Set<Run>>();
+  readonly #owned = new DisposableStore();
+
+  /** @param services - What the quarantine works with. */
+  constructor(services: QuarantineServices) {
+    const { clock, host, links } = services;
+    this.#services = services;
+    this.#table = new SuspectTable(clock);
+    this.claims = new EndpointClaims(clock, host, {
+      announceClaim: (endpoint, run, isRunning) =>
+        this.#broadcast({ kind: "claim", endpoint, run, isRunning }),
+      announceUnclaim: (endpoint, run) =>
+        this.#broadcast({ kind: "unclaim", endpoint, run }),
+    });
+    this.#channel = this.#owned.add(links.openChannel(QUARANTINE_CHANNEL));
+    this.#owned.add(
+      this.#channel.onDidReceive(({ from, body }) =>
+        this.#onMessage(from, body)
+      ),
+    );
+    this.#owned.add(
+      links.onDidChangeLink(({ host: peer, isUp }) =>
+        isUp ? this.#introduce(peer) : this.claims.forgetHost(peer)
+      ),
+    );
+  }
+
+  /** @returns Whether the request may run only where no other suspect runs. */
+  isSuspect({ workspace, fingerprint }: RequestIdentity): boolean {
+    return this.#table.isSuspect(workspace, fingerprint);
+  }
+
+  /**
+   * @returns Time for which the request is still refused, in milliseconds, or
+   * `undefined` when it may run.
+   */
+  quarantinedForMs(
+    { workspace, fingerprint }: RequestIdentity,
+  ): number | undefined {
+    const untilMs = this.#table.quarantinedUntilMs(workspace, fingerprint);
+    if (untilMs === undefined) return undefined;
+    return Math.max(1, untilMs - this.#services.clock.nowMs());
+  }
+
+  /**
+   * Watches a run.
+   *
+   * @param request - What runs.
+   * @param place - Where it runs.
+   * @param claim - Claim of the endpoint, for a suspect.
+   */
+  watchRun(
+    request: RequestIdentity,
+    place: RunPlace,
+    claim: EndpointClaim | undefined,
+  ): WatchedRun {
+    const { workspace, fingerprint } = request;
+    const run: Run = { workspace, fingerprint, ...place, claim };
+    const key = endpointKey(place);
+    const runs = this.#runs.get(key) ?? new Set();
+    this.#runs.set(key, runs.add(run));
+    let hasToken = false;
+    let isEnded = false;
+    return {
+      recordToken: () => {
+        if (hasToken || !claim) return;
+        hasToken = true;
+        this.#services.clock.setTimer(ISOLATION_MS, () => claim.dispose());
+      },
+      end: (end) => {
+        if (isEnded) return;
+        isEnded = true;
+        this.#endRun(run, end);
+      },
+    };
+  }
+
+  /** @returns Requests that are refused now, for operators. */
+  list(): readonly QuarantinedRequest[] {
+    return this.#table.listQuarantined();
+  }
+
+  /**
+   * Lets a request run again, at all daemons.
+   *
+   * @param fingerprint - As listed.
+   * @returns Whether there was such a request.
+   */
+  release(fingerprint: string): boolean {
+    const record = this.#table.release(fingerprint);
+    this.#spread(record);
+    return record !== undefined;
+  }
+
+  /** Stops listening. */
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  #endRun(run: Run, end: RunEnd): void {
+    const { workspace, fingerprint, claim } = run;
+    switch (end) {
+      case "completed":
+        this.#forgetRun(run);
+        this.#spread(this.#table.clear(workspace, fingerprint));
+        break;
+      case "endpoint-died":
+        this.#accuse(run);
+        this.#services.clock.setTimer(
+          CO_RUNNER_MS,
+          () => this.#forgetRun(run),
+        );
+        break;
+      case "other":
+        this.#forgetRun(run);
+        break;
+      default:
+        assertNever(end);
+    }
+    claim?.dispose();
+  }
+
+  /** A death that was announced accuses nobody. */
+  #accuse(run: Run): void {
+    const { clock, endpoints } = this.#services;
+    const known = endpoints.endpointsOf(run.service)
+      .find(({ id }) => id === run.endpoint);
+    if (!known || known.isLeaving) return;
+    this.#spread(
+      this.#table.recordDeath(run.workspace, run.fingerprint, {
+        endpoint: endpointKey(run),
+        atMs: clock.nowMs(),
+        otherWorkspaces: this.#otherWorkspaces(run),
+      }),
+    );
+  }
+
+  #otherWorkspaces(run: Run): WorkspaceId[] {
+    const workspaces = new Set<WorkspaceId>();
+    for (const { workspace } of this.#runs.get(endpointKey(run)) ?? []) {
+      if (workspace !== run.workspace) workspaces.add(workspace);
+    }
+    return [...workspaces].slice(0, MAX_OTHER_WORKSPACES);
+  }
+
+  #forgetRun(run: Run): void {
+    const key = endpointKey(run);
+    const runs = this.#runs.get(key);
+    runs?.delete(run);
+    if (runs?.size === 0) this.#runs.delete(key);
+  }
+
+  #spread(record: SuspectRecord | undefined): void {
+    if (record) this.#broadcast({ kind: "records", records: [record] });
+  }
+
+  #broadcast(message: QuarantineMessage): void {
+    for (const host of this.#services.links.connectedHosts()) {
+      this.#channel.send(host, message);
+    }
+  }
+
+  /** Tells a daemon that has come up all that is known. */
+  #introduce(host: HostId): void {
+    const records = this.#table.records();
+    for (
+      let start = 0;
+      start < records.length;
+      start += MAX_RECORDS_PER_MESSAGE
+    ) {
+      const page = records.slice(start, start + MAX_RECORDS_PER_MESSAGE);
+      this.#channel.send(host, { kind: "records", records: page });
+    }
+  }
+
+  #onMessage(from: HostId, message: QuarantineMessage): void {
+    switch (message.kind) {
+      case "records":
+        for (const record of message.records) this.#table.merge(record);
+        return;
+      case "claim":
+        this.claims.receiveClaim(
+          from,
+          message.endpoint,
+          message.run,
+          message.isRunning,
+        );
+        return;
+      case "unclaim":
+        this.claims.receiveUnclaim(message.endpoint, message.run);
+        return;
+      default:
+        assertNever(message);
+    }
+  }
+}
+
+/** @returns The name of an endpoint among all services. */
+export function endpointKey({ service, endpoint }: RunPlace): string {
+  return `${service}/${endpoint}`;
+}
