Script the faults that touch streams, one scenario each

Cause: two scenarios covered streams; a caller that leaves or moves, a reclaimed, stalled or cut-off engine, a paused host, and a cancel through another host were not scripted. The test language gets the steps leave and cancel; a caller that was told interrupted may resume.

--- a/scenarios/runner/scenario_runner.ts
+++ b/scenarios/runner/scenario_runner.ts
@@ -7,15 +7,18 @@
   serviceIdOf,
   workspaceIdOf,
 } from "../../src/features/configuration/common/configuration.ts";
+import type { GenerationHandle } from "../../src/features/generations/common/generation_service.ts";
 import type { IdempotencyKey } from "../../src/features/ledger/common/claim_ledger.ts";
 import { World, WORLD_TEAM } from "../../standins/world/world.ts";
 import { CallRecord, GenerationRecord } from "./caller_record.ts";
 import { applyFault } from "./faults.ts";
 import type {
   CallStep,
+  CancelStep,
   ExpectStep,
   FaultStep,
   GenerateStep,
+  LeaveStep,
   ResumeStep,
   Scenario,
   Step,
@@ -52,6 +55,7 @@
   readonly #world: World;
   readonly #generations = new Map<string, GenerationRecord>();
   readonly #hostOf = new Map<GenerationRecord, string>();
+  readonly #handles = new Map<GenerationRecord, GenerationHandle>();
   readonly #calls = new Map<string, CallRecord>();
   #requests = 0;
 
@@ -67,6 +71,12 @@
       case "resume":
         this.#resume(step);
         break;
+      case "leave":
+        this.#leave(step);
+        break;
+      case "cancel":
+        this.#cancel(step);
+        break;
       case "call":
         this.#call(step);
         break;
@@ -99,7 +109,7 @@
     this.#generations.set(step.as, record);
     this.#hostOf.set(record, step.host);
     const prompt = `${step.prompt} #tokens=${step.tokens}`;
-    core.generations.start({
+    const handle = core.generations.start({
       requestId: this.#nextRequestId(),
       workspace: workspaceIdOf(TEAM, step.workspace),
       service: serviceIdOf(TEAM, step.service),
@@ -113,6 +123,7 @@
           ?.maxWaitMs,
       delivery: step.delivery,
     }, record);
+    this.#handles.set(record, handle);
   }
 
   #resume(step: ResumeStep): void {
@@ -124,13 +135,28 @@
       this.#generations.set(`${step.of}@${step.workspace}`, caller);
     }
     record.isCutOff = false;
+    if (record.outcome === "interrupted") record.ends = [];
     this.#hostOf.set(caller, step.host);
-    this.#world.host(step.host).core.generations.resume({
+    const { generations } = this.#world.host(step.host).core;
+    const handle = generations.resume({
       requestId: this.#nextRequestId(),
       workspace: workspaceIdOf(TEAM, caller.workspace),
       id: record.id,
       fromOffset: record.tokens.length,
     }, caller);
+    this.#handles.set(caller, handle);
+  }
+
+  #leave(step: LeaveStep): void {
+    const record = this.#generation(step.of);
+    record.isCutOff = true;
+    this.#handles.get(record)?.callerGone();
+  }
+
+  #cancel(step: CancelStep): void {
+    const { id, workspace } = this.#generation(step.of);
+    const { generations } = this.#world.host(step.host).core;
+    void generations.cancel(workspaceIdOf(TEAM, workspace), id);
   }
 
   #call(step: CallStep): void {
--- a/scenarios/runner/scenario_schema.ts
+++ b/scenarios/runner/scenario_schema.ts
@@ -59,6 +59,16 @@
   workspace: name.optional(),
 });
 
+/** The caller of a generation goes away. */
+const leaveSchema = z.strictObject({ do: z.literal("leave"), of: name });
+
+/** Cancels a generation through any host. */
+const cancelSchema = z.strictObject({
+  do: z.literal("cancel"),
+  of: name,
+  host: name,
+});
+
 /** Sends a plain call. */
 const callSchema = z.strictObject({
   do: z.literal("call"),
@@ -170,6 +180,8 @@
 export const stepSchema = z.union([
   generateSchema,
   resumeSchema,
+  leaveSchema,
+  cancelSchema,
   callSchema,
   waitSchema,
   faultSchema,
@@ -193,6 +205,10 @@
 export type GenerateStep = z.infer<typeof generateSchema>;
 /** A step that resumes a generation. */
 export type ResumeStep = z.infer<typeof resumeSchema>;
+/** A step in which a caller goes away. */
+export type LeaveStep = z.infer<typeof leaveSchema>;
+/** A step that cancels a generation. */
+export type CancelStep = z.infer<typeof cancelSchema>;
 /** A step that sends a call. */
 export type CallStep = z.infer<typeof callSchema>;
 /** A step that changes a fault. */
