--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -10,17 +10,23 @@
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
+import { SeededRandom } from "../../base/common/random.ts";
 import { CallService } from "../../features/calls/common/call_service.ts";
 import type { Configuration } from "../../features/configuration/common/configuration.ts";
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
 import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
+import { GenerationFollowers } from "../../features/generations/common/generation_followers.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
 import { OrderService } from "../../features/orders/common/order_service.ts";
+import { SilenceLimits } from "../../features/generations/common/silence_limits.ts";
 import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
+import { IsolatedAdmission } from "../../features/quarantine/common/isolated_admission.ts";
+import { Quarantine } from "../../features/quarantine/common/quarantine.ts";
+import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
 import type { Logger } from "../../platform/log/common/logger.ts";
@@ -60,6 +66,8 @@
   readonly generations: GenerationService;
   readonly calls: CallService;
   readonly orders: OrderService;
+  /** Requests that kill endpoints; operators may list and release them. */
+  readonly quarantine: Quarantine;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
   #isDraining = false;
@@ -75,6 +83,9 @@
     this.#watcher = this.#owned.add(
       new ConfigurationWatcher({ clock, store, logger, table }),
     );
+    const seed = platform.hasher.hash32(`${options.host}|${clock.nowMs()}`);
+    const random = new SeededRandom(seed);
+    const retries = new RetryBudget({ clock, random });
     const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
     const dispatcher = new LocalDispatcher({
       ...options,
@@ -90,15 +101,31 @@
         endpoints,
       }),
     );
+    const quarantine = this.#owned.add(
+      new Quarantine({ ...platform, ...options, endpoints }),
+    );
+    this.quarantine = quarantine;
     this.generations = new GenerationRelayService({
       ...platform,
       ...options,
       configuration: table,
       dispatcher,
+      retries,
+      endpoints,
+      quarantine,
+      admission: new IsolatedAdmission({
+        clock,
+        dispatcher,
+        endpoints,
+        quarantine,
+      }),
+      followers: this.#owned.add(new GenerationFollowers(platform.links)),
+      silenceLimits: new SilenceLimits(clock),
     });
     this.calls = new CallService({
       ...platform,
       dispatcher,
+      retries,
       ledger: new StoreClaimLedger({ ...platform, ...options }),
     });
   }
