Commit claims in groups, by shard

Cause: each claim was one write of the store and each end a read and a write, so that the store's rate bounded the keyed calls; a claim whose host died stayed in progress for ever.

Keys now hash to shards. The writer of a shard commits a batch as one compare-and-swap of its head; full heads are sealed into segments that never change. Ends no longer delay the caller's answer. A claim past its longest run is unknown, and a claim that was refused is freed.

Before: 3 store calls a keyed call.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -19,7 +19,7 @@
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
-import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
+import { ShardedClaimLedger } from "../../features/ledger/common/sharded_claim_ledger.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
 import type { Logger } from "../../platform/log/common/logger.ts";
@@ -89,7 +89,9 @@
     this.calls = new CallService({
       ...platform,
       dispatcher,
-      ledger: new StoreClaimLedger({ ...platform, ...options }),
+      ledger: this.#owned.add(
+        new ShardedClaimLedger(platform, { host: options.host }),
+      ),
     });
   }
 
--- a/src/features/calls/common/call_service.ts
+++ b/src/features/calls/common/call_service.ts
@@ -64,6 +64,7 @@
 }
 
 const MAX_ATTEMPTS = 3;
+const RETRY_AFTER_MS = 1_000;
 
 /** Runs plain calls. */
 export class CallService {
@@ -116,20 +117,16 @@
       workspace: call.workspace,
       key,
       fingerprint: fingerprint([call.method, call.path, call.body]),
+      maxRunMs: waitMsOf(call) + MAX_ATTEMPTS * call.route.route.timeoutMs,
     });
-    const result = rightOf(claimed);
-    if (!result) {
-      return Left(createFailure({
-        reason: "store-unavailable",
-        isRetryable: true,
-        detail: "the key could not be claimed, so the call was not run",
-      }));
-    }
+    const failure = leftOf(claimed);
+    if (failure) return await this.#runUnclaimed(call, failure.claim);
+    const result = rightOf(claimed)!;
     switch (result.kind) {
       case "held":
         return await this.#runClaimed(call, result.claim);
       case "done":
-        return Right(result.response);
+        return result.response ? Right(result.response) : Left(answerNotKept());
       case "unknown":
         return Left(createFailure({
           outcome: "unknown",
@@ -140,6 +137,8 @@
         return Left(createFailure({
           outcome: "unknown",
           reason: "key-in-progress",
+          isRetryable: true,
+          retryAfterMs: RETRY_AFTER_MS,
           detail:
             "a run under this key has not ended; ask again with the same key",
         }));
@@ -158,10 +157,40 @@
     claim: HeldClaim,
   ): Eventually<Failure, AppResponse> {
     const result = await this.#attempt(call);
-    await this.#services.ledger.end(claim, toClaimEnd(result));
+    this.#endClaim(claim, toClaimEnd(result));
     return result;
   }
 
+  /** The claim may stand in the store all the same, so it is ended as well. */
+  async #runUnclaimed(
+    call: CallRequest,
+    claim: HeldClaim,
+  ): Eventually<Failure, AppResponse> {
+    const { whenStoreDown } = call.route.route;
+    switch (whenStoreDown) {
+      case "run-unkeyed":
+        return await this.#runClaimed(call, claim);
+      case "refuse":
+        this.#endClaim(claim, { kind: "not-run" });
+        return Left(createFailure({
+          reason: "store-unavailable",
+          isRetryable: true,
+          retryAfterMs: RETRY_AFTER_MS,
+          detail: "the key could not be claimed, so the call was not run",
+        }));
+      default:
+        return assertNever(whenStoreDown);
+    }
+  }
+
+  /** The caller does not wait for it, but a planned stop of the host does. */
+  #endClaim(claim: HeldClaim, end: ClaimEnd): void {
+    this.#activeCount++;
+    void this.#services.ledger.end(claim, end).then(() => {
+      this.#activeCount--;
+    });
+  }
+
   async #attempt(call: CallRequest): Eventually<Failure, AppResponse> {
     const excluded: Grant["endpoint"]["id"][] = [];
     const isIdempotent = call.route.route.idempotentMethods.includes(
@@ -196,7 +225,6 @@
     excludedEndpoints: readonly Grant["endpoint"]["id"][],
   ): Eventually<Failure, Grant> {
     const { clock, dispatcher } = this.#services;
-    const waitMs = call.class.config.maxWaitMs ?? call.route.route.timeoutMs;
     const granted = await dispatcher.acquire({
       requestId: call.requestId,
       service: call.route.service.id,
@@ -205,7 +233,7 @@
       prompt: "",
       maxTokens: 0,
       sizeBytes: call.body.byteLength,
-      deadlineMs: clock.nowMs() + waitMs,
+      deadlineMs: clock.nowMs() + waitMsOf(call),
       excludedEndpoints,
     }, call.signal);
     return granted.mapLeft(toRefusalFailure);
@@ -248,6 +276,19 @@
   });
 }
 
+/** Longest wait for an endpoint. */
+function waitMsOf(call: CallRequest): number {
+  return call.class.config.maxWaitMs ?? call.route.route.timeoutMs;
+}
+
+function answerNotKept(): Failure {
+  return createFailure({
+    outcome: "interrupted",
+    reason: "answer-not-kept",
+    detail: "the call under this key has completed; its answer was not kept",
+  });
+}
+
 function toCallFailure(failure: AppFailure): Failure {
   const wasNotRun = failure.kind === "not-sent";
   return {
--- a/src/features/configuration/common/team_document.ts
+++ b/src/features/configuration/common/team_document.ts
@@ -77,6 +77,8 @@
     .describe("Methods that may be sent again"),
   timeoutMs: z.number().int().positive().default(DEFAULT_CALL_TIMEOUT_MS)
     .describe("Limit for the whole answer"),
+  whenStoreDown: z.enum(["refuse", "run-unkeyed"]).default("refuse")
+    .describe("What becomes of a keyed call that cannot claim its key"),
 });
 
 const routeSchema = z.discriminatedUnion("kind", [
--- a/src/features/ledger/common/claim_ledger.ts
+++ b/src/features/ledger/common/claim_ledger.ts
@@ -14,6 +14,8 @@
   readonly key: IdempotencyKey;
   /** Hash of method, path and body; another body under the key is refused. */
   readonly fingerprint: string;
+  /** Longest time that the run can take, its wait for an endpoint included. */
+  readonly maxRunMs: number;
 }
 
 /** A claim that this daemon holds and must end. */
@@ -36,8 +38,8 @@
 export type ClaimResult =
   /** The caller of `claim` must run the call and end the claim. */
   | { readonly kind: "held"; readonly claim: HeldClaim }
-  /** The key has run before; this is its answer. */
-  | { readonly kind: "done"; readonly response: AppResponse }
+  /** The key has run before; its answer is absent when it was not kept. */
+  | { readonly kind: "done"; readonly response: AppResponse | undefined }
   /** The key may have run before, with an answer that nobody has. */
   | { readonly kind: "unknown" }
   /** Another run under the key has not ended. */
@@ -45,17 +47,28 @@
   /** The key was used for another request. */
   | { readonly kind: "mismatch" };
 
-/** Why a claim could not be decided; nothing may run. */
-export interface LedgerFailure {
+/** Why an operation of the ledger failed. */
+export interface LedgerFault {
   readonly step: string;
   readonly peer: string;
   readonly detail: string;
 }
 
+/**
+ * Why a claim could not be decided. The claim may stand in the store all the
+ * same, so it must be ended like a held one.
+ */
+export interface LedgerFailure extends LedgerFault {
+  readonly claim: HeldClaim;
+}
+
 /** Claims of idempotency keys, kept in the platform's store. */
 export interface ClaimLedger {
   /** Claims a key before anything is sent. */
   claim(request: ClaimRequest): Eventually<LedgerFailure, ClaimResult>;
-  /** Records how the run under a claim ended. */
-  end(claim: HeldClaim, end: ClaimEnd): Eventually<LedgerFailure, void>;
+  /**
+   * Records how the run under a claim ended. Repeats on this host learn the
+   * end at once; the result comes when the store has it.
+   */
+  end(claim: HeldClaim, end: ClaimEnd): Eventually<LedgerFault, void>;
 }
--- /dev/null
+++ b/src/features/ledger/common/shard_router.ts
@@ -0,0 +1,220 @@
+/** Brings operations to the writer of their shard. */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import { assertNever } from "../../../base/common/errors.ts";
+import { type Hasher, rendezvousOrder } from "../../../base/common/hasher.ts";
+import type { HostId } from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import {
+  type Either,
+  type Eventually,
+  Left,
+  Right,
+} from "../../../base/common/result.ts";
+import type { Membership } from "../../../platform/membership/common/membership.ts";
+import type {
+  PeerChannel,
+  PeerLinks,
+  PeerMessage,
+} from "../../../platform/peers/common/peer_links.ts";
+import type { StoreClient } from "../../../platform/store/common/store_client.ts";
+import type { LedgerOperation, OperationResult } from "./claim_operation.ts";
+import type { LedgerFault } from "./claim_ledger.ts";
+import type { ClaimRecord } from "./claim_record.ts";
+import {
+  LEDGER_CHANNEL,
+  type LedgerMessage,
+  type SubmitMessage,
+} from "./ledger_messages.ts";
+import { LEDGER_KEY_PREFIX, ShardLog } from "./shard_log.ts";
+import { ShardWriter, type ShardWriterOptions } from "./shard_writer.ts";
+
+/** What the router works with. */
+export interface ShardRouterServices {
+  readonly clock: Clock;
+  readonly hasher: Hasher;
+  readonly store: StoreClient;
+  readonly links: PeerLinks;
+  readonly membership: Membership;
+  /** @returns A text that no two calls return, on any host. */
+  createNonce(): string;
+}
+
+/** How the keys are spread and committed. */
+export interface ShardRouterOptions extends ShardWriterOptions {
+  /** The same at every host of a deployment. */
+  readonly shardCount: number;
+}
+
+/** Wait for another host to take an operation before this host writes it. */
+const ACCEPT_LIMIT_MS = 300;
+/** Wait for the answer of a host that has taken an operation. */
+const REPLY_LIMIT_MS = 4_000;
+/** Age from which a running claim of a host that is not a member has ended. */
+const LOST_HOLDER_MS = 15_000;
+
+type Reply = Either<LedgerFault, OperationResult>;
+
+/** An operation at another host; ends without a reply when time is up. */
+class Question {
+  readonly reply: Promise<Reply | undefined>;
+  readonly #clock: Clock;
+  #timer: Disposable;
+  #resolve: (reply: Reply | undefined) => void = () => undefined;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.reply = new Promise((resolve) => this.#resolve = resolve);
+    this.#timer = clock.setTimer(ACCEPT_LIMIT_MS, () => this.settle(undefined));
+  }
+
+  accept(): void {
+    this.#timer.dispose();
+    this.#timer = this.#clock.setTimer(
+      REPLY_LIMIT_MS,
+      () => this.settle(undefined),
+    );
+  }
+
+  settle(reply: Reply | undefined): void {
+    this.#timer.dispose();
+    this.#resolve(reply);
+  }
+}
+
+/** Submits to the writer, or writes directly when it does not answer. */
+export class ShardRouter implements Disposable {
+  readonly #services: ShardRouterServices;
+  readonly #options: ShardRouterOptions;
+  readonly #owned = new DisposableStore();
+  readonly #channel: PeerChannel<LedgerMessage>;
+  readonly #writers = new Map<number, ShardWriter>();
+  readonly #questions = new Map<string, Question>();
+
+  /**
+   * @param services - What the router works with.
+   * @param options - How the keys are spread and committed.
+   */
+  constructor(services: ShardRouterServices, options: ShardRouterOptions) {
+    this.#services = services;
+    this.#options = options;
+    this.#channel = this.#owned.add(services.links.openChannel(LEDGER_CHANNEL));
+    this.#owned.add(
+      this.#channel.onDidReceive((message) => this.#receive(message)),
+    );
+  }
+
+  /**
+   * Submits an operation. It may be committed twice, by two writers; its nonce
+   * makes the second time a repeat of the first.
+   *
+   * @param operation - The operation.
+   */
+  async submit(
+    operation: LedgerOperation,
+  ): Eventually<LedgerFault, OperationResult> {
+    const shard = this.#shardOf(operation.key);
+    const writer = this.#writerOf(shard);
+    if (writer !== this.#services.membership.self.host) {
+      const reply = await this.#ask(writer, shard, operation);
+      if (reply?.isRight()) return reply;
+    }
+    return await this.#localWriter(shard).submit(operation);
+  }
+
+  /** Refuses what waits. */
+  dispose(): void {
+    for (const writer of this.#writers.values()) writer.dispose();
+    this.#owned.dispose();
+  }
+
+  #shardOf(key: string): number {
+    return this.#services.hasher.hash32(key) % this.#options.shardCount;
+  }
+
+  #writerOf(shard: number): HostId {
+    const { hasher, membership } = this.#services;
+    const hosts = membership.members()
+      .filter(({ state }) => state !== "leaving")
+      .map(({ host }) => host);
+    const place = `${LEDGER_KEY_PREFIX}${shard}`;
+    return rendezvousOrder(hasher, place, hosts)[0] ?? membership.self.host;
+  }
+
+  /** @returns The reply, or `undefined` when none came in time. */
+  async #ask(
+    to: HostId,
+    shard: number,
+    operation: LedgerOperation,
+  ): Promise<Reply | undefined> {
+    const id = this.#services.createNonce();
+    const message: SubmitMessage = { kind: "submit", id, shard, operation };
+    if (this.#channel.send(to, message) !== "queued") return undefined;
+    const question = new Question(this.#services.clock);
+    this.#questions.set(id, question);
+    const reply = await question.reply;
+    this.#questions.delete(id);
+    return reply;
+  }
+
+  #receive({ from, body }: PeerMessage<LedgerMessage>): void {
+    switch (body.kind) {
+      case "submit":
+        void this.#serve(from, body);
+        return;
+      case "accepted":
+        this.#questions.get(body.id)?.accept();
+        return;
+      case "reply":
+        this.#questions.get(body.id)?.settle(Right(body.result));
+        return;
+      case "fault":
+        this.#questions.get(body.id)?.settle(Left(body.fault));
+        return;
+      default:
+        assertNever(body);
+    }
+  }
+
+  async #serve(
+    from: HostId,
+    { id, shard, operation }: SubmitMessage,
+  ): Promise<void> {
+    if (shard !== this.#shardOf(operation.key)) return;
+    this.#channel.send(from, { kind: "accepted", id });
+    const done = await this.#localWriter(shard).submit(operation);
+    this.#channel.send(
+      from,
+      done.caseOf<LedgerMessage>({
+        Left: (fault) => ({ kind: "fault", id, fault }),
+        Right: (result) => ({ kind: "reply", id, result }),
+      }),
+    );
+  }
+
+  #localWriter(shard: number): ShardWriter {
+    let writer = this.#writers.get(shard);
+    if (!writer) {
+      const { clock, store } = this.#services;
+      writer = new ShardWriter({
+        clock,
+        log: new ShardLog(store, shard),
+        hasHolderEnded: (record) => this.#hasHolderEnded(record),
+      }, this.#options);
+      this.#writers.set(shard, writer);
+    }
+    return writer;
+  }
+
+  #hasHolderEnded({ host, atMs }: ClaimRecord): boolean {
+    const { clock, membership } = this.#services;
+    const members = membership.members();
+    const holder = members.find((member) => member.host === host);
+    if (holder) return holder.incarnation > atMs;
+    const isAlone = members.length === 1;
+    return !isAlone && clock.nowMs() - atMs > LOST_HOLDER_MS;
+  }
+}
--- a/src/platform/outcomes/common/failure.ts
+++ b/src/platform/outcomes/common/failure.ts
@@ -20,6 +20,7 @@
   | "quarantined"
   | "key-conflict"
   | "key-in-progress"
+  | "answer-not-kept"
   | "store-unavailable"
   | "endpoint-lost"
   | "endpoint-refused"
@@ -65,6 +66,8 @@
       return 404;
     case "key-in-progress":
       return 409;
+    case "answer-not-kept":
+      return 410;
     case "too-large":
       return 413;
     case "key-conflict":
--- /dev/null
+++ b/standins/ledger/late_store_client.ts
@@ -0,0 +1,62 @@
+/** Store client whose writes can take effect long after they were given up. */
+
+import { type Clock, sleep } from "../../src/base/common/clock.ts";
+import { type Eventually, Left } from "../../src/base/common/result.ts";
+import type {
+  StoreFailure,
+  StorePut,
+  StoreWriteResult,
+} from "../../src/platform/store/common/store_client.ts";
+import { InProcessStoreClient } from "../store/in_process_store_client.ts";
+import type { KvStore } from "../store/kv_store.ts";
+
+const GIVEN_UP_MS = 300;
+const LATE_MS = 2_000;
+
+/** Number of coming writes that arrive late, shared by all hosts. */
+export interface LateWrites {
+  count: number;
+}
+
+/** A client with late writes besides the faults of the in-process one. */
+export class LateStoreClient extends InProcessStoreClient {
+  readonly #processClock: Clock;
+  readonly #networkClock: Clock;
+  readonly #kvStore: KvStore;
+  readonly #late: LateWrites;
+
+  /**
+   * @param processClock - Clock of the host's process.
+   * @param networkClock - Clock of writes that are on their way.
+   * @param store - The store.
+   * @param late - How many writes arrive late.
+   */
+  constructor(
+    processClock: Clock,
+    networkClock: Clock,
+    store: KvStore,
+    late: LateWrites,
+  ) {
+    super(processClock, store);
+    this.#processClock = processClock;
+    this.#networkClock = networkClock;
+    this.#kvStore = store;
+    this.#late = late;
+  }
+
+  /** {@inheritDoc StoreClient.put} */
+  override async put(
+    write: StorePut,
+  ): Eventually<StoreFailure, StoreWriteResult> {
+    if (this.#late.count <= 0) return await super.put(write);
+    this.#late.count--;
+    this.#networkClock.setTimer(LATE_MS, () => void this.#kvStore.put(write));
+    await sleep(this.#processClock, GIVEN_UP_MS);
+    return Left({
+      kind: "unknown",
+      step: "store.put",
+      peer: "store",
+      detail: "no answer",
+    });
+  }
+}
--- /dev/null
+++ b/standins/ledger/ledger_world.ts
@@ -0,0 +1,305 @@
+/** Several hosts' ledgers over one store, for schedules of faults. */
+
+import { ManualClock, sleep } from "../../src/base/common/clock.ts";
+import { assertNever } from "../../src/base/common/errors.ts";
+import type { Hasher } from "../../src/base/common/hasher.ts";
+import {
+  type Address,
+  asId,
+  type HostId,
+  type WorkspaceId,
+  type ZoneName,
+} from "../../src/base/common/ids.ts";
+import { rightOf } from "../../src/base/common/result.ts";
+import type {
+  ClaimEnd,
+  ClaimRequest,
+  ClaimResult,
+  HeldClaim,
+  IdempotencyKey,
+} from "../../src/features/ledger/common/claim_ledger.ts";
+import { ShardedClaimLedger } from "../../src/features/ledger/common/sharded_claim_ledger.ts";
+import {
+  type Member,
+  StaticMembership,
+} from "../../src/platform/membership/common/membership.ts";
+import { InProcessNetwork } from "../peers/in_process_links.ts";
+import { KvStore } from "../store/kv_store.ts";
+import { ProcessClock } from "../world/process_clock.ts";
+import { LateStoreClient, type LateWrites } from "./late_store_client.ts";
+
+/** One step of a schedule. */
+export type LedgerAction =
+  | {
+    readonly kind: "claim";
+    readonly host: number;
+    readonly key: string;
+    readonly body: string;
+    readonly runMs: number;
+    readonly end: string;
+  }
+  | {
+    readonly kind:
+      | "freeze"
+      | "thaw"
+      | "restart"
+      | "cut-store"
+      | "heal-store";
+    readonly host: number;
+  }
+  | {
+    readonly kind: "lose-answers" | "delay-writes";
+    readonly count: number;
+  }
+  | { readonly kind: "slow"; readonly delayMs: number }
+  | { readonly kind: "cut-link"; readonly from: number; readonly to: number }
+  | {
+    readonly kind: "store-down" | "store-up" | "limit-rate" | "heal-links";
+  }
+  | { readonly kind: "wait"; readonly forMs: number };
+
+const MAX_RUN_MS = 10_000;
+const SETTLE_MS = 200_000;
+const LIMITED_WRITES_PER_SECOND = 2;
+/** Small, so that schedules seal segments. */
+const SEAL_BYTES = 300;
+
+interface LedgerHost {
+  readonly clock: ProcessClock;
+  readonly store: LateStoreClient;
+  readonly ledger: ShardedClaimLedger;
+}
+
+/** Hosts with their ledgers, and what ran under each key. */
+export class LedgerWorld {
+  readonly violations: string[] = [];
+  readonly clock = new ManualClock();
+  readonly store = new KvStore(this.clock);
+  readonly #hasher: Hasher;
+  readonly #network = new InProcessNetwork();
+  readonly #late: LateWrites = { count: 0 };
+  readonly #hosts: LedgerHost[] = [];
+  /** Keys of which a run is going on or may have taken effect. */
+  readonly #ran = new Map<string, string>();
+  readonly #keys = new Set<string>();
+  #nonces = 0;
+
+  /**
+   * @param hasher - The hash of all hosts.
+   * @param hostCount - Number of hosts.
+   */
+  constructor(hasher: Hasher, hostCount: number) {
+    this.#hasher = hasher;
+    for (let index = 0; index < hostCount; index++) this.#start(index);
+    this.#introduce();
+  }
+
+  /** Runs one step. */
+  async run(action: LedgerAction): Promise<void> {
+    switch (action.kind) {
+      case "claim":
+        void this.#claimAndRun(action);
+        break;
+      case "freeze":
+        this.#hosts[action.host]!.clock.freeze();
+        break;
+      case "thaw":
+        this.#hosts[action.host]!.clock.thaw();
+        break;
+      case "restart":
+        this.#restart(action.host);
+        break;
+      case "cut-store":
+        this.#hosts[action.host]!.store.isCut = true;
+        break;
+      case "heal-store":
+        this.#hosts[action.host]!.store.isCut = false;
+        break;
+      case "lose-answers":
+        this.store.faults.loseWriteAnswers = action.count;
+        break;
+      case "delay-writes":
+        this.#late.count = action.count;
+        break;
+      case "slow":
+        this.store.faults.delayMs = action.delayMs;
+        break;
+      case "cut-link":
+        this.#network.cut(hostOf(action.from), hostOf(action.to));
+        break;
+      case "store-down":
+        this.store.faults.isDown = true;
+        break;
+      case "store-up":
+        this.store.faults.isDown = false;
+        break;
+      case "limit-rate":
+        this.store.faults.maxWritesPerSecond = LIMITED_WRITES_PER_SECOND;
+        break;
+      case "heal-links":
+        this.#network.heal();
+        break;
+      case "wait":
+        await this.clock.advanceSettled(action.forMs);
+        break;
+      default:
+        assertNever(action);
+    }
+    await this.clock.advanceSettled(0);
+  }
+
+  /** Mends everything and checks that each key has an end that is true. */
+  async settle(): Promise<void> {
+    Object.assign(this.store.faults, {
+      isDown: false,
+      delayMs: 0,
+      loseWriteAnswers: 0,
+      maxWritesPerSecond: Infinity,
+    });
+    this.#late.count = 0;
+    this.#network.heal();
+    for (const host of this.#hosts) {
+      host.store.isCut = false;
+      host.clock.thaw();
+    }
+    await this.clock.advanceSettled(SETTLE_MS);
+    for (const key of this.#keys) await this.#checkEnd(key);
+  }
+
+  async #checkEnd(key: string): Promise<void> {
+    let result: ClaimResult | undefined;
+    const body = this.#ran.get(key) ?? "same";
+    void this.#hosts[0]!.ledger.claim(toRequest(key, body)).then((claimed) => {
+      result = rightOf(claimed);
+    });
+    await this.clock.advanceSettled(MAX_RUN_MS);
+    const hasRun = this.#ran.has(key);
+    if (!result) {
+      this.violations.push(`${key}: no result after all was mended`);
+    } else if (result.kind === "held" && hasRun) {
+      this.violations.push(`${key}: would run again`);
+    } else if (result.kind === "in-progress") {
+      this.violations.push(`${key}: never ends`);
+    } else if (result.kind === "done") {
+      const answered = Buffer.from(result.response?.body ?? []).toString();
+      if (answered !== `${key}:${body}`) {
+        this.violations.push(`${key}: has the answer ${answered}`);
+      }
+    }
+  }
+
+  async #claimAndRun(
+    action: Extract<LedgerAction, { readonly kind: "claim" }>,
+  ): Promise<void> {
+    const { clock, ledger } = this.#hosts[action.host]!;
+    this.#keys.add(action.key);
+    const claimed = await ledger.claim(toRequest(action.key, action.body));
+    claimed.ifLeft(({ claim }) => void ledger.end(claim, { kind: "not-run" }));
+    const result = rightOf(claimed);
+    if (!result || clock.isKilled) return;
+    this.#checkAnswer(action, result);
+    if (result.kind !== "held") return;
+    if (this.#ran.has(action.key)) {
+      this.violations.push(`${action.key}: runs a second time`);
+    }
+    this.#ran.set(action.key, action.body);
+    await sleep(clock, action.runMs);
+    this.#end(ledger, action, result.claim);
+  }
+
+  #end(
+    ledger: ShardedClaimLedger,
+    { key, body, end }: Extract<LedgerAction, { readonly kind: "claim" }>,
+    claim: HeldClaim,
+  ): void {
+    if (end === "not-run") this.#ran.delete(key);
+    void ledger.end(claim, toEnd(end, `${key}:${body}`));
+  }
+
+  #checkAnswer(
+    { key, body }: Extract<LedgerAction, { readonly kind: "claim" }>,
+    result: ClaimResult,
+  ): void {
+    if (result.kind !== "done") return;
+    const answered = Buffer.from(result.response?.body ?? []).toString();
+    if (answered !== `${key}:${body}` || !this.#ran.has(key)) {
+      this.violations.push(`${key}: answered with ${answered}`);
+    }
+  }
+
+  #restart(index: number): void {
+    this.#hosts[index]!.clock.kill();
+    this.#hosts[index]!.ledger.dispose();
+    this.#start(index);
+    this.#introduce();
+  }
+
+  #start(index: number): void {
+    const clock = new ProcessClock(this.clock);
+    const host = hostOf(index);
+    const store = new LateStoreClient(
+      clock,
+      this.clock,
+      this.store,
+      this.#late,
+    );
+    const ledger = new ShardedClaimLedger({
+      clock,
+      hasher: this.#hasher,
+      store,
+      links: this.#network.join(host, clock),
+      membership: this.#membership(host),
+      createNonce: () => `nonce-${this.#nonces++}`,
+      fingerprint: (parts) => this.#hasher.hash64Hex(parts.join("|")),
+    }, { host, shardCount: 1, sealBytes: SEAL_BYTES });
+    this.#hosts[index] = { clock, store, ledger };
+  }
+
+  /** The hosts do not learn of each other's restarts. */
+  #membership(host: HostId): StaticMembership {
+    const others = [0, 1, 2].map(hostOf).filter((other) => other !== host);
+    return new StaticMembership(
+      { ...toMember(host), incarnation: this.clock.nowMs() },
+      others.map(toMember),
+    );
+  }
+
+  #introduce(): void {
+    this.#hosts.forEach((_host, index) => {
+      const links = this.#network.find(hostOf(-1), hostOf(index));
+      const others = this.#hosts
+        .map((_other, other) => toMember(hostOf(other)))
+        .filter((member) => member.host !== hostOf(index));
+      links?.setPeers(others);
+    });
+  }
+}
+
+function hostOf(index: number): HostId {
+  return asId<HostId>(`host-${index}`);
+}
+
+function toMember(host: HostId): Member {
+  return {
+    host,
+    zone: asId<ZoneName>("zone"),
+    address: asId<Address>("127.0.0.1:1"),
+    incarnation: 0,
+    state: "alive",
+  };
+}
+
+function toRequest(key: string, body: string): ClaimRequest {
+  return {
+    workspace: asId<WorkspaceId>("team/workspace"),
+    key: asId<IdempotencyKey>(key),
+    fingerprint: `fingerprint of ${body}`,
+    maxRunMs: MAX_RUN_MS,
+  };
+}
+
+function toEnd(kind: string, text: string): ClaimEnd {
+  if (kind !== "done") return { kind: kind === "unknown" ? kind : "not-run" };
+  const body = Buffer.from(text);
+  return { kind: "done", response: { status: 200, headers: [], body } };
+}
