--- a/src/features/ledger/common/shard_writer.ts
+++ b/src/features/ledger/common/shard_writer.ts
@@ -46,6 +46,8 @@
 const OPERATION_LIMIT_MS = 8_000;
 const MAX_REFUSED_TRIES = 3;
 const RETRY_WAIT_MS = 50;
+/** Longest time that an end waits for a claim. */
+const MAX_END_WAIT_MS = 100;
 /** Age of the state after which a running claim is looked up again. */
 const FRESH_STATE_MS = 1_000;
 
@@ -67,7 +69,7 @@
   readonly #options: ShardWriterOptions;
   #queue: PendingOperation[] = [];
   #timer: Disposable = NO_DISPOSABLE;
-  #isScheduled = false;
+  #isCommitting = false;
   #isDisposed = false;
   #lastStartMs = -Infinity;
   #loadedMs = -Infinity;
@@ -112,20 +114,25 @@
   }
 
   #schedule(): void {
-    if (this.#isScheduled || this.#queue.length === 0) return;
-    this.#isScheduled = true;
-    const dueMs = this.#lastStartMs + this.#options.commitIntervalMs;
-    const waitMs = dueMs - this.#services.clock.monotonicMs();
-    this.#timer = this.#services.clock.setTimer(
-      Math.max(0, waitMs),
-      () => void this.#runBatch(),
-    );
+    if (this.#isCommitting || this.#queue.length === 0) return;
+    this.#timer.dispose();
+    const { clock } = this.#services;
+    const waitMs = Math.max(0, this.#dueMs() - clock.monotonicMs());
+    this.#timer = clock.setTimer(waitMs, () => void this.#runBatch());
+  }
+
+  /** Ends wait for claims to share a write with, because nobody waits for them. */
+  #dueMs(): number {
+    const earliestMs = this.#lastStartMs + this.#options.commitIntervalMs;
+    if (this.#queue.some(isClaim)) return earliestMs;
+    return Math.max(earliestMs, this.#queue[0]!.queuedMs + MAX_END_WAIT_MS);
   }
 
   async #runBatch(): Promise<void> {
+    this.#isCommitting = true;
     this.#lastStartMs = this.#services.clock.monotonicMs();
     await this.#commit(this.#takeBatch());
-    this.#isScheduled = false;
+    this.#isCommitting = false;
     if (!this.#isDisposed) this.#schedule();
   }
 
@@ -246,6 +253,10 @@
   for (const { settle } of batch) settle(result);
 }
 
+function isClaim({ operation }: PendingOperation): boolean {
+  return operation.kind === "claim";
+}
+
 function isInProgress(result: OperationResult): boolean {
   return result.kind === "in-progress";
 }
