Send plain calls as they came, and know whether they were sent

Cause: a call's path was parsed as a URL and so rewritten, bodies of GET were dropped while their length was passed on, HEAD answers lost their length, header lines beyond the limit were dropped silently, and a call that waited for a connection counted as sent. A malformed request after a pipelined one was answered in place of it.

Calls that must not repeat keep a connection each; idempotent ones share connections that answered in the last 2 s.

--- a/src/daemon/node/call_routes.ts
+++ b/src/daemon/node/call_routes.ts
@@ -35,6 +35,9 @@
   "expect",
 ]);
 
+/** Answers that have no body, whatever their headers say (RFC 9110). */
+const BODYLESS_STATUSES = new Set([204, 304]);
+
 /**
  * Adds the route that takes every path without a route of its own.
  *
@@ -114,12 +117,22 @@
 
 function sendResponse(reply: FastifyReply, response: AppResponse): void {
   reply.hijack();
+  const { raw } = reply;
+  const isBodyless = BODYLESS_STATUSES.has(response.status) ||
+    raw.req.method === "HEAD";
   const headers = endToEndHeaders(response.headers)
-    .filter(({ name }) => name.toLowerCase() !== "content-length")
+    .filter(({ name }) => isBodyless || !isContentLength(name))
     .flatMap(({ name, value }) => [name, value]);
-  headers.push("Content-Length", String(response.body.byteLength));
-  reply.raw.writeHead(response.status, headers);
-  reply.raw.end(response.body);
+  if (!isBodyless) {
+    headers.push("Content-Length", String(response.body.byteLength));
+  }
+  raw.sendDate = false;
+  raw.writeHead(response.status, headers);
+  raw.end(isBodyless ? undefined : response.body);
+}
+
+function isContentLength(name: string): boolean {
+  return name.toLowerCase() === "content-length";
 }
 
 function toHeaderLines(raw: readonly string[]): HeaderLine[] {
--- a/src/daemon/node/caller_front.ts
+++ b/src/daemon/node/caller_front.ts
@@ -1,5 +1,6 @@
 /** The HTTP server for callers. */
 
+import type { Server } from "node:http";
 import fastify, { type FastifyInstance } from "fastify";
 import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
 import { addCallRoutes } from "./call_routes.ts";
@@ -7,11 +8,16 @@
   addGenerationRoutes,
   type FrontServices,
 } from "./generation_routes.ts";
+import { MalformedRequestHandler } from "./malformed_request.ts";
 import { refuse, sendProblem } from "./problem_reply.ts";
 
 const MAX_PATH_PARAMETER_CHARACTERS = 1_024;
 const HTTP_SERVICE_UNAVAILABLE = 503;
 const NOT_READY_RETRY_MS = 1_000;
+/** How often the server looks for requests that are too slow. */
+const SLOW_REQUEST_CHECK_MS = 500;
+/** Methods whose bodies the library drops unless told otherwise. */
+const METHODS_WITH_OPTIONAL_BODY = ["GET", "HEAD", "TRACE"];
 
 /**
  * Creates the server; it does not listen yet.
@@ -23,14 +29,27 @@
   services: FrontServices,
   limits: DaemonSettings["limits"],
 ): FastifyInstance {
+  const malformed = new MalformedRequestHandler();
   const server = fastify({
     bodyLimit: limits.maxBodyBytes,
     requestTimeout: limits.requestReadMs,
     routerOptions: { maxParamLength: MAX_PATH_PARAMETER_CHARACTERS },
-    http: { maxHeaderSize: limits.maxHeaderBytes },
+    http: {
+      maxHeaderSize: limits.maxHeaderBytes,
+      headersTimeout: limits.requestReadMs,
+      connectionsCheckingInterval: SLOW_REQUEST_CHECK_MS,
+    },
     exposeHeadRoutes: false,
+    clientErrorHandler: (error, socket) => malformed.answer(error, socket),
+    frameworkErrors: (error, _request, reply) => {
+      sendProblem(reply, refuse("bad-request", error.message));
+    },
   });
-  server.server.maxHeadersCount = limits.maxHeaderCount;
+  for (const method of METHODS_WITH_OPTIONAL_BODY) {
+    server.addHttpMethod(method, { hasBody: true, overrideExisting: true });
+  }
+  malformed.follow(server.server);
+  limitHeaderCount(server, limits.maxHeaderCount);
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
     "*",
@@ -46,6 +65,21 @@
   return server;
 }
 
+/** One line more than allowed is read, because the server drops the rest. */
+function limitHeaderCount(server: FastifyInstance, maxCount: number): void {
+  const httpServer: Server = server.server;
+  httpServer.maxHeadersCount = maxCount + 1;
+  server.addHook("onRequest", (request, reply, done) => {
+    const count = request.raw.rawHeaders.length / 2;
+    if (count <= maxCount) {
+      done();
+      return;
+    }
+    const detail = `the request has more than ${maxCount} header lines`;
+    sendProblem(reply, refuse("too-large", detail));
+  });
+}
+
 /** A host that is not ready refuses, and tells the balancer by `/readyz`. */
 function addReadiness(server: FastifyInstance, { core }: FrontServices): void {
   server.get("/healthz", () => ({ status: "alive" }));
--- a/src/platform/endpoints/node/http_app_client.ts
+++ b/src/platform/endpoints/node/http_app_client.ts
@@ -1,36 +1,39 @@
 /** App client over HTTP. */
 
-import { Agent, Client, request } from "undici";
-import { messageOf } from "../../../base/common/errors.ts";
-import { type Eventually, Left, Right } from "../../../base/common/result.ts";
+import { Agent, Client, type Dispatcher } from "undici";
+import type { Eventually } from "../../../base/common/result.ts";
 import type {
   AppClient,
   AppFailure,
   AppRequest,
   AppResponse,
-  HeaderLine,
 } from "../common/app_client.ts";
 import type { Endpoint } from "../common/engine_client.ts";
+import { AppExchange } from "./app_exchange.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
+/** A connection that was idle for longer may have gone silent. */
+const PROVEN_MS = 2_000;
+const MAX_ANSWER_HEADER_BYTES = 65_536;
 
-/** Errors that arise before a byte of the request is sent. */
-const NOT_SENT_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
+const CONNECTION_OPTIONS = {
+  connect: { timeout: CONNECT_TIMEOUT_MS },
+  pipelining: 1,
+  keepAliveTimeout: PROVEN_MS,
+  keepAliveMaxTimeout: PROVEN_MS,
+  maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
+  // The exchange has the one limit, for the whole answer.
+  headersTimeout: 0,
+  bodyTimeout: 0,
+} as const;
 
 /**
- * Idempotent calls share a pool of connections. Every other call gets a new
- * connection, which proves by its handshake that it is alive.
+ * Idempotent calls share a pool of connections that answered lately. Every
+ * other call gets a connection of its own: its handshake proves that it is
+ * alive, and no late answer to another call can arrive on it.
  */
 export class HttpAppClient implements AppClient {
-  readonly #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    pipelining: 1,
-  });
+  readonly #agent = new Agent(CONNECTION_OPTIONS);
 
   /** {@inheritDoc AppClient.send} */
   async send(
@@ -38,12 +41,14 @@
     call: AppRequest,
   ): Eventually<AppFailure, AppResponse> {
     const origin = `http://${endpoint.address}`;
-    if (call.isIdempotent) return await exchange(this.#agent, origin, call);
-    const client = new Client(origin, {
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      pipelining: 1,
-    });
-    const result = await exchange(client, origin, call);
+    const exchange = new AppExchange(endpoint.address, call);
+    if (call.isIdempotent) {
+      this.#agent.dispatch(toDispatchOptions(origin, call), exchange);
+      return await exchange.result;
+    }
+    const client = new Client(origin, CONNECTION_OPTIONS);
+    client.dispatch(toDispatchOptions(origin, call), exchange);
+    const result = await exchange.result;
     void client.destroy();
     return result;
   }
@@ -54,42 +59,17 @@
   }
 }
 
-async function exchange(
-  dispatcher: Agent | Client,
+/** The path is passed as it came; parsing it as a URL would change it. */
+function toDispatchOptions(
   origin: string,
   call: AppRequest,
-): Eventually<AppFailure, AppResponse> {
-  try {
-    const response = await request(`${origin}${call.path}`, {
-      method: call.method as "GET",
-      headers: call.headers.flatMap(({ name, value }) => [name, value]),
-      body: call.body.byteLength > 0 ? call.body : null,
-      dispatcher,
-      responseHeaders: "raw",
-      signal: AbortSignal.timeout(call.timeoutMs),
-    });
-    const body = new Uint8Array(await response.body.arrayBuffer());
-    const headers = toHeaderLines(response.headers as unknown as string[]);
-    return Right({ status: response.statusCode, headers, body });
-  } catch (thrown) {
-    const code = (thrown as { code?: string }).code ?? "";
-    return Left({
-      kind: NOT_SENT_CODES.has(code) ? "not-sent" : "unknown",
-      step: "app.send",
-      peer: origin.slice("http://".length),
-      detail: messageOf(thrown) || code,
-    });
-  }
-}
-
-/** Pairs up the flat list of names and values. */
-function toHeaderLines(raw: readonly (string | Buffer)[]): HeaderLine[] {
-  const lines: HeaderLine[] = [];
-  for (let index = 0; index + 1 < raw.length; index += 2) {
-    lines.push({
-      name: String(raw[index]),
-      value: String(raw[index + 1]),
-    });
-  }
-  return lines;
+): Dispatcher.DispatchOptions {
+  return {
+    origin,
+    path: call.path,
+    method: call.method as Dispatcher.HttpMethod,
+    headers: call.headers.flatMap(({ name, value }) => [name, value]),
+    body: call.body.byteLength > 0 ? call.body : null,
+    idempotent: call.isIdempotent,
+  };
 }
