--- a/scenarios/calls/edge_test.ts
+++ b/scenarios/calls/edge_test.ts
@@ -1,3 +1,7 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { generate } from "selfsigned";
 import { enableLogLevels } from "../../src/platform/log/node/debug_logger.ts";
 import {
   EDGE_API_KEY,
@@ -125,6 +129,53 @@
   });
 });
 
+describe("the edge for callers over TLS", () => {
+  const edge = new EdgeDeployment();
+  const folder = mkdtempSync(join(tmpdir(), "edge-tls-"));
+  let cert = "";
+
+  beforeAll(async () => {
+    const made = await generate([{ name: "commonName", value: "edge" }], {
+      keyType: "ec",
+      algorithm: "sha256",
+      extensions: [{
+        name: "subjectAltName",
+        altNames: [{ type: 7, ip: "127.0.0.1" }],
+      }],
+    });
+    cert = made.cert;
+    const callers = {
+      certFile: join(folder, "edge.crt"),
+      keyFile: join(folder, "edge.key"),
+    };
+    writeFileSync(callers.certFile, cert);
+    writeFileSync(callers.keyFile, made.private);
+    await edge.start({ tls: { callers }, limits: LIMITS });
+  });
+  afterAll(async () => {
+    await edge.stop();
+    rmSync(folder, { recursive: true });
+  });
+
+  it("serves calls and refuses what it refuses without TLS", async () => {
+    const head = `POST /app/x HTTP/1.1\r\nHost: e\r\n${AUTHORIZATION}\r\n`;
+    const served = await exchangeRaw(edge.callers, [
+      `${head}Content-Length: 0\r\n\r\n`,
+    ], cert);
+    expect(served).toMatch(/^HTTP\/1.1 200 /);
+    const refused = await exchangeRaw(edge.callers, [
+      `${head}${AMBIGUOUS["both lengths"]}`,
+    ], cert);
+    expect(refused).toMatch(/^HTTP\/1.1 400 [^]*"outcome":"not-run"/);
+  });
+
+  it("says nothing to a client without TLS, and closes silent ones", async () => {
+    expect(await exchangeRaw(edge.callers, ["GET / HTTP/1.1\r\n\r\n"]))
+      .not.toContain("HTTP");
+    expect(await exchangeRaw(edge.callers, [])).not.toContain("HTTP");
+  });
+});
+
 describe("secrets", () => {
   it("stand in no log line and in no answer of a failure", async () => {
     const lines: string[] = [];
--- a/src/daemon/node/caller_front.ts
+++ b/src/daemon/node/caller_front.ts
@@ -1,8 +1,10 @@
 /** The HTTP server for callers. */
 
 import type { Server } from "node:http";
+import type { Server as TlsServer } from "node:tls";
 import fastify, { type FastifyInstance } from "fastify";
 import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
+import type { TlsFiles } from "../../platform/tls/node/tls_files.ts";
 import { addCallRoutes } from "./call_routes.ts";
 import {
   addGenerationRoutes,
@@ -24,21 +26,19 @@
  *
  * @param services - What the routes work with.
  * @param limits - Limits on requests.
+ * @param tls - Certificate of the server; without one it uses no TLS.
  */
 export function createCallerFront(
   services: FrontServices,
   limits: DaemonSettings["limits"],
+  tls?: TlsFiles,
 ): FastifyInstance {
   const malformed = new MalformedRequestHandler();
   const server = fastify({
     bodyLimit: limits.maxBodyBytes,
     requestTimeout: limits.requestReadMs,
     routerOptions: { maxParamLength: MAX_PATH_PARAMETER_CHARACTERS },
-    http: {
-      maxHeaderSize: limits.maxHeaderBytes,
-      headersTimeout: limits.requestReadMs,
-      connectionsCheckingInterval: SLOW_REQUEST_CHECK_MS,
-    },
+    ...toServerOptions(limits, tls),
     exposeHeadRoutes: false,
     clientErrorHandler: (error, socket) => malformed.answer(error, socket),
     frameworkErrors: (error, _request, reply) => {
@@ -49,6 +49,7 @@
     server.addHttpMethod(method, { hasBody: true, overrideExisting: true });
   }
   malformed.follow(server.server);
+  tls?.follow(server.server as unknown as TlsServer);
   limitHeaderCount(server, limits.maxHeaderCount);
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
@@ -65,6 +66,25 @@
   return server;
 }
 
+/** The library has one option for either protocol. */
+function toServerOptions(
+  limits: DaemonSettings["limits"],
+  tls: TlsFiles | undefined,
+): { readonly http: object } {
+  const options = {
+    maxHeaderSize: limits.maxHeaderBytes,
+    headersTimeout: limits.requestReadMs,
+    connectionsCheckingInterval: SLOW_REQUEST_CHECK_MS,
+  };
+  if (!tls) return { http: options };
+  const https = {
+    ...options,
+    ...tls.serverOptions(),
+    handshakeTimeout: limits.requestReadMs,
+  };
+  return { https } as unknown as { readonly http: object };
+}
+
 /** One line more than allowed is read, because the server drops the rest. */
 function limitHeaderCount(server: FastifyInstance, maxCount: number): void {
   const httpServer: Server = server.server;
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -24,6 +24,7 @@
 import { SoloPeerLinks } from "../../platform/peers/common/solo_peer_links.ts";
 import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
 import { splitAddress } from "../../platform/settings/common/schema_parts.ts";
+import { TlsFiles } from "../../platform/tls/node/tls_files.ts";
 import { EtcdStoreClient } from "../../platform/store/node/etcd_store_client.ts";
 import { DaemonCore } from "../common/daemon_core.ts";
 import { createCallerFront } from "./caller_front.ts";
@@ -80,11 +81,15 @@
         fingerprint,
       }, { host, zone, resumeWindowMs: limits.resumeWindowMs }),
     );
-    this.#callers = createCallerFront({
-      clock,
-      core: this.#core,
-      createRequestId: () => asId<RequestId>(randomUUID()),
-    }, limits);
+    this.#callers = createCallerFront(
+      {
+        clock,
+        core: this.#core,
+        createRequestId: () => asId<RequestId>(randomUUID()),
+      },
+      limits,
+      this.#loadCallerTls(),
+    );
     this.#operators = createOperatorFront({
       core: this.#core,
       host,
@@ -137,6 +142,18 @@
     await this.#close();
   }
 
+  /** Throws when the files cannot be used: the daemon must not start. */
+  #loadCallerTls(): TlsFiles | undefined {
+    const { callers } = this.#settings.tls;
+    if (!callers) return undefined;
+    const services = { clock: this.#clock, logger: this.#logger };
+    const loaded = TlsFiles.load(services, callers);
+    loaded.ifLeft((error) => {
+      throw error;
+    });
+    return this.#owned.add(loaded.unsafeCoerce());
+  }
+
   #createMetrics(): Metrics {
     const { statsd } = this.#settings.metrics;
     if (statsd === undefined) return NO_METRICS;
--- a/src/daemon/node/malformed_request.ts
+++ b/src/daemon/node/malformed_request.ts
@@ -7,6 +7,8 @@
 import { refuse } from "./problem_reply.ts";
 
 const HEADERS_TOO_LARGE = "HPE_HEADER_OVERFLOW";
+/** Other errors are those of the connection or of its TLS handshake. */
+const PARSER_ERROR_PREFIX = "HPE_";
 const TOO_SLOW = "ERR_HTTP_REQUEST_TIMEOUT";
 
 /** Knows which answers are open on each connection. */
@@ -39,7 +41,9 @@
     const mayHaveRun = open.some(({ req, headersSent }) =>
       req.complete || headersSent
     );
-    if (!socket.writable || mayHaveRun) {
+    const isHttpError = error.code === TOO_SLOW ||
+      error.code?.startsWith(PARSER_ERROR_PREFIX) === true;
+    if (!isHttpError || !socket.writable || mayHaveRun) {
       socket.destroy();
       return;
     }
--- a/src/platform/settings/common/daemon_settings.ts
+++ b/src/platform/settings/common/daemon_settings.ts
@@ -26,6 +26,21 @@
 const bytes = z.number().int().positive().max(MAX_BODY_LIMIT_BYTES);
 const durationMs = z.number().int().positive();
 
+const tlsFilesShape = {
+  certFile: z.string().min(1).describe("Certificate chain, a PEM file"),
+  keyFile: z.string().min(1).describe("Its private key, a PEM file"),
+};
+
+const tlsSchema = z.strictObject({
+  callers: z.strictObject(tlsFilesShape).optional()
+    .describe("Certificate of the listener for callers"),
+  peers: z.strictObject({
+    ...tlsFilesShape,
+    caFile: z.string().min(1)
+      .describe("Authority of all hosts' certificates, a PEM file"),
+  }).optional().describe("Certificate of this host, which must name it"),
+});
+
 /** Schema of the settings file. */
 export const daemonSettingsSchema = z.strictObject({
   host: nameSchema.transform((text) => text as HostId)
@@ -57,6 +72,8 @@
     peer: secretSourceSchema.describe("Secret that the daemons share"),
     operator: secretSourceSchema.describe("Key of the operator port"),
   }),
+  tls: tlsSchema.prefault({})
+    .describe("Certificates; a listener without one uses no TLS"),
   limits: z.strictObject({
     maxBodyBytes: bytes.default(DEFAULT_MAX_BODY_BYTES)
       .describe("Largest body of a request"),
--- /dev/null
+++ b/src/platform/tls/node/tls_files_test.ts
@@ -0,0 +1,151 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import {
+  connect,
+  type ConnectionOptions,
+  createServer,
+  type Server,
+} from "node:tls";
+import { generate } from "selfsigned";
+import { ManualClock } from "../../../base/common/clock.ts";
+import { asId, type HostId } from "../../../base/common/ids.ts";
+import { leftOf } from "../../../base/common/result.ts";
+import { MemoryLogger } from "../../log/common/logger.ts";
+import { TLS_RELOAD_PERIOD_MS, TlsFiles } from "./tls_files.ts";
+
+interface KeyPair {
+  readonly cert: string;
+  readonly key: string;
+}
+
+async function createAuthority(): Promise<KeyPair> {
+  const made = await generate([{ name: "commonName", value: "authority" }], {
+    keyType: "ec",
+    algorithm: "sha256",
+    extensions: [
+      { name: "basicConstraints", cA: true },
+      { name: "keyUsage", keyCertSign: true, digitalSignature: true },
+    ],
+  });
+  return { cert: made.cert, key: made.private };
+}
+
+async function createCertificate(
+  name: string,
+  ca?: KeyPair,
+): Promise<KeyPair> {
+  const made = await generate([{ name: "commonName", value: name }], {
+    keyType: "ec",
+    algorithm: "sha256",
+    extensions: [{
+      name: "subjectAltName",
+      altNames: [{ type: 2, value: name }],
+    }],
+    ...(ca ? { ca } : {}),
+  });
+  return { cert: made.cert, key: made.private };
+}
+
+/** @returns Common name of the server, or `refused`. */
+async function nameOfServer(
+  server: Server,
+  options: ConnectionOptions,
+): Promise<string> {
+  const { port } = server.address() as AddressInfo;
+  const socket = connect({ ...options, host: "127.0.0.1", port });
+  return await new Promise((resolve) => {
+    socket.on("error", () => resolve("refused"));
+    // With TLS 1.3 a refusal of the client comes after the handshake.
+    socket.on("data", () => {
+      resolve(String(socket.getPeerCertificate().subject.CN));
+      socket.destroy();
+    });
+    socket.on("close", () => resolve("refused"));
+  });
+}
+
+describe("certificates from files", () => {
+  const host = asId<HostId>("lalitpur-1");
+  const clock = new ManualClock();
+  const logger = new MemoryLogger();
+  let folder = "";
+  let ca: KeyPair;
+  let files: TlsFiles;
+  let server: Server;
+
+  const pathsOf = (name: string): { certFile: string; keyFile: string } => ({
+    certFile: join(folder, `${name}.crt`),
+    keyFile: join(folder, `${name}.key`),
+  });
+  const write = (name: string, { cert, key }: KeyPair): void => {
+    writeFileSync(pathsOf(name).certFile, cert);
+    writeFileSync(pathsOf(name).keyFile, key);
+  };
+  const load = (name: string): TlsFiles =>
+    TlsFiles.load({ clock, logger }, {
+      ...pathsOf(name),
+      caFile: pathsOf("ca").certFile,
+    }).unsafeCoerce();
+
+  beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), "tls-files-"));
+    ca = await createAuthority();
+    write("ca", ca);
+    write("server", await createCertificate(host, ca));
+    files = load("server");
+    server = createServer(files.serverOptions(), (socket) => {
+      socket.on("error", () => undefined);
+      socket.end("hello");
+    });
+    server.on("tlsClientError", () => undefined);
+    files.follow(server);
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  });
+  afterEach(() => {
+    files.dispose();
+    server.close();
+    rmSync(folder, { recursive: true });
+  });
+
+  it("let in only hosts of the same authority, and only by their names", async () => {
+    write("peer", await createCertificate("lalitpur-2", ca));
+    write("foreign", await createCertificate("lalitpur-2"));
+    const peer = load("peer");
+    const foreign = load("foreign");
+    expect(await nameOfServer(server, peer.clientOptions(host))).toBe(host);
+    expect(await nameOfServer(server, foreign.clientOptions(host)))
+      .toBe("refused");
+    expect(await nameOfServer(server, { ca: ca.cert, servername: host }))
+      .toBe("refused");
+    const other = asId<HostId>("lalitpur-9");
+    expect(await nameOfServer(server, peer.clientOptions(other)))
+      .toBe("refused");
+    peer.dispose();
+    foreign.dispose();
+  });
+
+  it("come into force without a restart, once they fit together", async () => {
+    const renewed = await createCertificate("renewed", ca);
+    const client = (name: string): ConnectionOptions => ({
+      ...files.clientOptions(asId<HostId>(name)),
+    });
+    writeFileSync(pathsOf("server").certFile, renewed.cert);
+    clock.advance(TLS_RELOAD_PERIOD_MS);
+    expect(logger.events).toContain("tls-reload-failed");
+    expect(await nameOfServer(server, client(host))).toBe(host);
+    write("server", renewed);
+    clock.advance(TLS_RELOAD_PERIOD_MS);
+    expect(logger.events).toContain("tls-reloaded");
+    expect(await nameOfServer(server, client("renewed"))).toBe("renewed");
+    expect(await nameOfServer(server, client(host))).toBe("refused");
+  });
+
+  it("are refused with the file that is wrong", () => {
+    const paths = { ...pathsOf("server"), keyFile: pathsOf("ca").keyFile };
+    const error = leftOf(TlsFiles.load({ clock, logger }, paths));
+    expect(error?.peer).toBe(paths.certFile);
+    expect(error?.message).not.toContain("PRIVATE KEY");
+  });
+});
