--- a/scenarios/runner/faults.ts
+++ b/scenarios/runner/faults.ts
@@ -51,6 +51,9 @@
     case "store-lose-answers":
       world.store.faults.loseWriteAnswers = step.count;
       return;
+    case "store-limit-writes":
+      world.store.faults.maxWritesPerSecond = step.count;
+      return;
     case "store-compact":
       return world.store.compact();
     case "app-down":
--- a/scenarios/runner/scenario_runner.ts
+++ b/scenarios/runner/scenario_runner.ts
@@ -2,13 +2,12 @@
 
 import { assertNever } from "../../src/base/common/errors.ts";
 import { asId, type RequestId } from "../../src/base/common/ids.ts";
-import type { CallRequest } from "../../src/features/calls/common/call_service.ts";
 import {
   serviceIdOf,
   workspaceIdOf,
 } from "../../src/features/configuration/common/configuration.ts";
-import type { IdempotencyKey } from "../../src/features/ledger/common/claim_ledger.ts";
 import { World, WORLD_TEAM } from "../../standins/world/world.ts";
+import { toCallRequest } from "./call_request.ts";
 import { CallRecord, GenerationRecord } from "./caller_record.ts";
 import { applyFault } from "./faults.ts";
 import type {
@@ -134,28 +133,10 @@
   }
 
   #call(step: CallStep): void {
-    const { core } = this.#world.host(step.host);
     const record = new CallRecord();
     this.#calls.set(step.as, record);
-    const path = `/${step.service}/${step.as}`;
-    const route = core.configuration.findCall(TEAM, path);
-    const known = core.configuration.findClass(TEAM, [step.class], undefined);
-    if (!route || !known) throw new Error(`no route or class for ${step.as}`);
-    const request: CallRequest = {
-      requestId: this.#nextRequestId(),
-      workspace: workspaceIdOf(TEAM, step.workspace),
-      route,
-      class: known,
-      method: step.method,
-      path: `/${step.service}/calls`,
-      headers: [],
-      body: Buffer.from(step.body),
-      idempotencyKey: step.key === undefined
-        ? undefined
-        : asId<IdempotencyKey>(step.key),
-      signal: new AbortController().signal,
-    };
-    const { clock } = this.#world.host(step.host);
+    const { clock, core } = this.#world.host(step.host);
+    const request = toCallRequest(core, this.#nextRequestId(), step);
     void core.calls.run(request).then((result) => {
       if (!clock.isKilled) record.result = result;
     });
--- a/scenarios/runner/scenario_schema.ts
+++ b/scenarios/runner/scenario_schema.ts
@@ -14,6 +14,7 @@
       kind: z.enum(["engine", "app"]),
       favour: z.enum(["stall", "token-latency"]).optional(),
       replicas: z.record(name, count),
+      whenStoreDown: z.enum(["refuse", "run-unkeyed"]).optional(),
       engine: z.strictObject({
         memoryTokens: count.exactOptional(),
         maxRunning: count.exactOptional(),
@@ -111,6 +112,7 @@
     "store-slow",
     "store-lose-answers",
     "store-compact",
+    "store-limit-writes",
   ]),
   delayMs: durationMs.default(0),
   count: count.default(1),
--- a/standins/world/world.ts
+++ b/standins/world/world.ts
@@ -26,6 +26,8 @@
   readonly favour?: "stall" | "token-latency" | undefined;
   /** Number of replicas in each zone. */
   readonly replicas: Readonly<Record<string, number>>;
+  /** What becomes of keyed calls that cannot claim their key. */
+  readonly whenStoreDown?: "refuse" | "run-unkeyed" | undefined;
   /** Differences of its engines from the stand-in's defaults. */
   readonly engine?: Partial<EngineOptions> | undefined;
 }
@@ -195,14 +197,15 @@
         }]),
       ),
       classes,
-      routes: Object.entries(services).map(([service, { kind }]) =>
-        kind === "engine"
+      routes: Object.entries(services).map(([service, config]) =>
+        config.kind === "engine"
           ? { kind: "generation", model: service, service, classes: classNames }
           : {
             kind: "call",
             prefix: `/${service}`,
             service,
             classes: classNames,
+            whenStoreDown: config.whenStoreDown ?? "refuse",
           }
       ),
     };
