--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -23,10 +23,10 @@
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
 import { OrderService } from "../../features/orders/common/order_service.ts";
 import { SilenceLimits } from "../../features/generations/common/silence_limits.ts";
-import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
 import { IsolatedAdmission } from "../../features/quarantine/common/isolated_admission.ts";
 import { Quarantine } from "../../features/quarantine/common/quarantine.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
+import { ShardedClaimLedger } from "../../features/ledger/common/sharded_claim_ledger.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
 import type { Logger } from "../../platform/log/common/logger.ts";
@@ -126,7 +126,9 @@
       ...platform,
       dispatcher,
       retries,
-      ledger: new StoreClaimLedger({ ...platform, ...options }),
+      ledger: this.#owned.add(
+        new ShardedClaimLedger(platform, { host: options.host }),
+      ),
     });
   }
 
