--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -60,6 +60,7 @@
   readonly calls: CallService;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
+  readonly #membership: Membership;
   #isDraining = false;
 
   /**
@@ -68,6 +69,7 @@
    */
   constructor(platform: DaemonPlatform, options: DaemonCoreOptions) {
     const { clock, store, logger } = platform;
+    this.#membership = platform.membership;
     const table = new ConfigurationTable();
     this.configuration = table;
     this.#watcher = this.#owned.add(
@@ -116,6 +118,7 @@
   /** Takes no new requests from now on. */
   startDraining(): void {
     this.#isDraining = true;
+    this.#membership.announceLeaving();
   }
 
   /** Stops all features. */
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,12 +1,13 @@
 /** One running daemon: the core over sockets and the system clock. */
 
-import { createHash, randomBytes, randomUUID } from "node:crypto";
+import { createHash, randomBytes, randomInt, randomUUID } from "node:crypto";
 import type { AddressInfo } from "node:net";
 import type { FastifyInstance } from "fastify";
 import { sleep } from "../../base/common/clock.ts";
 import { createHasher } from "../../base/common/hasher.ts";
 import { type Address, asId, type RequestId } from "../../base/common/ids.ts";
 import { DisposableStore } from "../../base/common/lifecycle.ts";
+import { SeededRandom } from "../../base/common/random.ts";
 import { SystemClock } from "../../base/node/system_clock.ts";
 import {
   HmacSigner,
@@ -15,13 +16,13 @@
 import { HttpAppClient } from "../../platform/endpoints/node/http_app_client.ts";
 import { HttpEngineClient } from "../../platform/endpoints/node/http_engine_client.ts";
 import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
-import { StaticMembership } from "../../platform/membership/common/membership.ts";
+import { GossipMembership } from "../../platform/membership/common/gossip_membership.ts";
 import {
   type Metrics,
   NO_METRICS,
 } from "../../platform/metrics/common/metrics.ts";
 import { StatsdMetrics } from "../../platform/metrics/node/statsd_metrics.ts";
-import { SoloPeerLinks } from "../../platform/peers/common/solo_peer_links.ts";
+import { WsPeerLinks } from "../../platform/peers/node/ws_peer_links.ts";
 import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
 import { splitAddress } from "../../platform/settings/common/schema_parts.ts";
 import { EtcdStoreClient } from "../../platform/store/node/etcd_store_client.ts";
@@ -31,10 +32,13 @@
 
 const DRAIN_POLL_MS = 20;
 const NONCE_BYTES = 9;
+const MAX_SEED = 2 ** 31;
 
 /** Secrets of a daemon, already read. */
 export interface DaemonSecrets {
   readonly signingKeys: readonly SigningKey[];
+  /** Secret that the daemons share. */
+  readonly peerSecret: string;
   readonly operatorKey: string;
 }
 
@@ -44,9 +48,12 @@
   readonly #clock = new SystemClock();
   readonly #owned = new DisposableStore();
   readonly #logger: DebugLogger;
+  readonly #links: WsPeerLinks;
+  readonly #membership: GossipMembership;
   readonly #core: DaemonCore;
   readonly #callers: FastifyInstance;
   readonly #operators: FastifyInstance;
+  #peerAddress: Address;
   #stopping: Promise<void> | undefined;
 
   private constructor(
@@ -57,24 +64,38 @@
     const { host, zone, limits } = settings;
     const clock = this.#clock;
     this.#settings = settings;
+    this.#peerAddress = settings.listen.peers;
     this.#logger = new DebugLogger(clock, host);
+    const logger = this.#logger;
+    const metrics = this.#createMetrics();
+    const self = { host, zone, incarnation: clock.nowMs() };
+    const links = this.#owned.add(
+      new WsPeerLinks({
+        clock,
+        logger,
+        self,
+        secret: secrets.peerSecret,
+        seed: randomInt(MAX_SEED),
+        onLinkClosed: () => metrics.count("peer_links_closed"),
+      }),
+    );
+    const random = new SeededRandom(randomInt(MAX_SEED));
+    const membership = this.#owned.add(
+      new GossipMembership({ clock, hasher, random, logger, links }, self),
+    );
+    this.#links = links;
+    this.#membership = membership;
     this.#core = this.#owned.add(
       new DaemonCore({
         clock,
         hasher,
-        logger: this.#logger,
-        metrics: this.#createMetrics(),
+        logger,
+        metrics,
         store: this.#owned.add(new EtcdStoreClient(settings.store.addresses)),
         engines: this.#owned.add(new HttpEngineClient()),
         apps: this.#owned.add(new HttpAppClient()),
-        links: this.#owned.add(new SoloPeerLinks()),
-        membership: new StaticMembership({
-          host,
-          zone,
-          address: settings.listen.peers,
-          incarnation: clock.nowMs(),
-          state: "alive",
-        }),
+        links,
+        membership,
         signer: new HmacSigner(secrets.signingKeys),
         createNonce: () => randomBytes(NONCE_BYTES).toString("base64url"),
         fingerprint,
@@ -115,6 +136,11 @@
     return addressOf(this.#callers);
   }
 
+  /** Address for the other daemons. */
+  get peerAddress(): Address {
+    return this.#peerAddress;
+  }
+
   /** Address of the operator port. */
   get operatorAddress(): Address {
     return addressOf(this.#operators);
@@ -145,7 +171,9 @@
   }
 
   async #listen(): Promise<void> {
-    const { listen, host, zone } = this.#settings;
+    const { listen, host, zone, peers } = this.#settings;
+    this.#peerAddress = await this.#links.listen(listen.peers);
+    this.#membership.start(this.#peerAddress, peers);
     this.#core.start();
     await listenOn(this.#operators, listen.operators);
     await listenOn(this.#callers, listen.callers);
@@ -169,6 +197,7 @@
       await sleep(this.#clock, DRAIN_POLL_MS);
     }
     this.#logger.log("info", "drain-ended", { active: this.#core.activeCount });
+    this.#membership.announceGone();
     await this.#close();
   }
 
--- a/src/daemon/node/main.ts
+++ b/src/daemon/node/main.ts
@@ -29,10 +29,13 @@
     Right([]),
   );
   return keys.chain((signingKeys) =>
-    readSecret(secrets.operator).map((operatorKey) => ({
-      signingKeys,
-      operatorKey,
-    }))
+    readSecret(secrets.peer).chain((peerSecret) =>
+      readSecret(secrets.operator).map((operatorKey) => ({
+        signingKeys,
+        peerSecret,
+        operatorKey,
+      }))
+    )
   );
 }
 
--- a/src/platform/membership/common/membership.ts
+++ b/src/platform/membership/common/membership.ts
@@ -24,6 +24,8 @@
   members(): readonly Member[];
   /** Members of one zone that may own work: alive or suspect. */
   ownersOfZone(zone: ZoneName): readonly Member[];
+  /** Tells the others that this daemon takes no new work. */
+  announceLeaving(): void;
 }
 
 /** A membership of fixed hosts, for one daemon alone and for tests. */
@@ -56,4 +58,9 @@
       member.zone === zone && member.state !== "leaving"
     );
   }
+
+  /** {@inheritDoc Membership.announceLeaving} */
+  announceLeaving(): void {
+    // There is nobody to tell.
+  }
 }
--- a/src/platform/peers/common/peer_links.ts
+++ b/src/platform/peers/common/peer_links.ts
@@ -19,6 +19,8 @@
 export interface PeerChannelSpec<T> {
   /** Name and version, such as `dispatch.v1`. */
   readonly name: string;
+  /** @returns The body as it is sent; the message itself when left out. */
+  encode?(message: T): unknown;
   /** @returns The typed message, or what is wrong with it. */
   decode(body: unknown): Either<string, T>;
 }
@@ -38,6 +40,8 @@
   readonly onDidReceive: Event<PeerMessage<T>>;
   /** Sends to one host. */
   send(to: HostId, body: T): SendResult;
+  /** Sends to every host with a link that is up; encodes the message once. */
+  broadcast(body: T): void;
 }
 
 /** A link that came up or went down. */
@@ -47,14 +51,20 @@
   readonly reason: string;
 }
 
-/** Traffic of all links since the start. */
-export interface PeerTraffic {
+/** Traffic of one channel since the start. */
+export interface ChannelTraffic {
   readonly messagesSent: number;
   readonly messagesReceived: number;
   readonly bytesSent: number;
   readonly bytesReceived: number;
 }
 
+/** Traffic of all links since the start. */
+export interface PeerTraffic extends ChannelTraffic {
+  /** The same by channel. */
+  readonly channels: ReadonlyMap<string, ChannelTraffic>;
+}
+
 /** The links of one daemon to its peers. */
 export interface PeerLinks extends Disposable {
   /** Fires when a link comes up or goes down. */
--- a/src/platform/peers/common/solo_peer_links.ts
+++ b/src/platform/peers/common/solo_peer_links.ts
@@ -15,6 +15,7 @@
   messagesReceived: 0,
   bytesSent: 0,
   bytesReceived: 0,
+  channels: new Map(),
 };
 
 /** Never connected to anyone. */
@@ -38,6 +39,7 @@
     return {
       onDidReceive: received.event,
       send: () => "not-connected",
+      broadcast: () => undefined,
       dispose: () => received.dispose(),
     };
   }
--- /dev/null
+++ b/src/platform/peers/common/traffic_counters.ts
@@ -0,0 +1,52 @@
+/** Counters of what links carried, for each channel. */
+
+import type { ChannelTraffic, PeerTraffic } from "./peer_links.ts";
+
+type MutableTraffic = { -readonly [K in keyof ChannelTraffic]: number };
+
+/** Counts messages and bytes. */
+export class TrafficCounters {
+  readonly #total: MutableTraffic = zero();
+  readonly #channels = new Map<string, MutableTraffic>();
+
+  /** Counts a frame that was sent. */
+  countSent(channel: string, sizeBytes: number): void {
+    for (const traffic of [this.#total, this.#of(channel)]) {
+      traffic.messagesSent++;
+      traffic.bytesSent += sizeBytes;
+    }
+  }
+
+  /** Counts a frame that was received on a channel that is open here. */
+  countReceived(channel: string, sizeBytes: number): void {
+    for (const traffic of [this.#total, this.#of(channel)]) {
+      traffic.messagesReceived++;
+      traffic.bytesReceived += sizeBytes;
+    }
+  }
+
+  /** @returns A copy of the counters. */
+  snapshot(): PeerTraffic {
+    const channels = [...this.#channels].map(([name, traffic]) =>
+      [name, { ...traffic }] as const
+    );
+    return { ...this.#total, channels: new Map(channels) };
+  }
+
+  #of(channel: string): MutableTraffic {
+    const known = this.#channels.get(channel);
+    if (known) return known;
+    const traffic = zero();
+    this.#channels.set(channel, traffic);
+    return traffic;
+  }
+}
+
+function zero(): MutableTraffic {
+  return {
+    messagesSent: 0,
+    messagesReceived: 0,
+    bytesSent: 0,
+    bytesReceived: 0,
+  };
+}
--- a/standins/demo/demo_deployment.ts
+++ b/standins/demo/demo_deployment.ts
@@ -131,6 +131,10 @@
         operators: "127.0.0.1:0",
       },
       store: { addresses: [this.storeAddress] },
+      peers: this.daemons.map((daemon, index) => ({
+        ...HOSTS[index]!,
+        address: daemon.peerAddress,
+      })),
       secrets: {
         signingKeys: [{ id: "k1", source: { env: "UNUSED" } }],
         peer: { env: "UNUSED" },
@@ -140,6 +144,7 @@
     this.daemons.push(
       await Daemon.start(settings, {
         signingKeys: [{ id: "k1", secret: "demo-signing-secret-0123" }],
+        peerSecret: "demo-peer-secret-0123456789",
         operatorKey: DEMO_OPERATOR_KEY,
       }),
     );
--- a/standins/peers/in_process_links.ts
+++ b/standins/peers/in_process_links.ts
@@ -21,6 +21,11 @@
   readonly #hosts = new Map<HostId, InProcessPeerLinks>();
   readonly #cuts = new Set<string>();
 
+  /** All hosts that are there. */
+  get hosts(): ReadonlyMap<HostId, InProcessPeerLinks> {
+    return this.#hosts;
+  }
+
   /** Adds a host, in place of an earlier one of the same name. */
   join(host: HostId, clock: Clock): InProcessPeerLinks {
     const links = new InProcessPeerLinks(this, host, clock);
@@ -70,7 +75,7 @@
     (from: HostId, body: unknown) => void
   >();
   #peers: readonly PeerAddress[] = [];
-  #connected = new Set<HostId>();
+  readonly #connected = new Set<HostId>();
   #messagesSent = 0;
   #messagesReceived = 0;
 
@@ -96,7 +101,7 @@
   /** {@inheritDoc PeerLinks.setPeers} */
   setPeers(peers: readonly PeerAddress[]): void {
     this.#peers = peers;
-    this.refresh();
+    this.#network.refresh();
   }
 
   /** {@inheritDoc PeerLinks.openChannel} */
@@ -107,9 +112,14 @@
         received.fire({ from, body: value })
       );
     });
+    const send = (to: HostId, body: T): SendResult =>
+      this.#send(to, spec.name, spec.encode?.(body) ?? body);
     return {
       onDidReceive: received.event,
-      send: (to, body) => this.#send(to, spec.name, body),
+      send,
+      broadcast: (body) => {
+        for (const to of this.#connected) send(to, body);
+      },
       dispose: () => {
         this.#receivers.delete(spec.name);
         received.dispose();
@@ -124,18 +134,27 @@
       messagesReceived: this.#messagesReceived,
       bytesSent: 0,
       bytesReceived: 0,
+      channels: new Map(),
     };
   }
 
-  /** Recomputes which links are up: both ways must be open. */
+  /** Whether this host wants a link to another one. */
+  wants(host: HostId): boolean {
+    return this.#peers.some((peer) => peer.host === host);
+  }
+
+  /** Recomputes which links are up: one side wants it, both ways are open. */
   refresh(): void {
-    for (const { host } of this.#peers) {
-      const isUp = this.#network.find(this.#host, host) !== undefined &&
+    for (const [host, other] of this.#network.hosts) {
+      if (other === this) continue;
+      const isWanted = this.wants(host) || other.wants(this.#host);
+      const isUp = isWanted &&
+        this.#network.find(this.#host, host) === other &&
         this.#network.find(host, this.#host) === this;
-      if (isUp === this.#connected.has(host)) continue;
-      if (isUp) this.#connected.add(host);
-      else this.#connected.delete(host);
-      this.#didChangeLink.fire({ host, isUp, reason: isUp ? "opened" : "cut" });
+      this.#setUp(host, isUp);
+    }
+    for (const host of this.#connected) {
+      if (!this.#network.hosts.has(host)) this.#setUp(host, false);
     }
   }
 
@@ -153,9 +172,16 @@
     this.#didChangeLink.dispose();
   }
 
+  #setUp(host: HostId, isUp: boolean): void {
+    if (isUp === this.#connected.has(host)) return;
+    if (isUp) this.#connected.add(host);
+    else this.#connected.delete(host);
+    this.#didChangeLink.fire({ host, isUp, reason: isUp ? "opened" : "cut" });
+  }
+
   #send(to: HostId, channel: string, body: unknown): SendResult {
     const target = this.#network.find(this.#host, to);
-    if (!target) return "not-connected";
+    if (!target || !this.#connected.has(to)) return "not-connected";
     this.#messagesSent++;
     target.receive(this.#host, channel, structuredClone(body));
     return "queued";
--- a/standins/world/world.ts
+++ b/standins/world/world.ts
@@ -102,8 +102,9 @@
   restartHost(name: string): void {
     const { zone } = this.host(name);
     this.host(name).kill();
-    this.hosts.set(name, this.#createHost(name, zone));
-    this.#introduceHosts();
+    const host = this.#createHost(name, zone);
+    this.hosts.set(name, host);
+    this.#introduce(host);
   }
 
   /** Writes the team's document from the options. */
@@ -158,7 +159,7 @@
         this.hosts.set(name, this.#createHost(name, asId<ZoneName>(zone)));
       }
     }
-    this.#introduceHosts();
+    for (const host of this.hosts.values()) this.#introduce(host);
   }
 
   #createHost(name: string, zone: ZoneName): WorldHost {
@@ -171,11 +172,11 @@
     });
   }
 
-  #introduceHosts(): void {
-    const addresses = [...this.hosts.values()].map((host) => host.peerAddress);
-    for (const host of this.hosts.values()) {
-      host.links.setPeers(addresses.filter((peer) => peer.host !== host.host));
-    }
+  #introduce(host: WorldHost): void {
+    const addresses = [...this.hosts.values()].map((other) =>
+      other.peerAddress
+    );
+    host.introduce(addresses.filter((peer) => peer.host !== host.host));
   }
 
   #teamDocument(): unknown {
--- a/standins/world/world_host.ts
+++ b/standins/world/world_host.ts
@@ -8,10 +8,11 @@
   type HostId,
   type ZoneName,
 } from "../../src/base/common/ids.ts";
+import { SeededRandom } from "../../src/base/common/random.ts";
 import { DaemonCore } from "../../src/daemon/common/daemon_core.ts";
 import { HmacSigner } from "../../src/features/generations/node/hmac_signer.ts";
 import { MemoryLogger } from "../../src/platform/log/common/logger.ts";
-import { StaticMembership } from "../../src/platform/membership/common/membership.ts";
+import { GossipMembership } from "../../src/platform/membership/common/gossip_membership.ts";
 import { NO_METRICS } from "../../src/platform/metrics/common/metrics.ts";
 import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
 import { InProcessAppClient } from "../app/in_process_app_client.ts";
@@ -41,6 +42,7 @@
   readonly store: InProcessStoreClient;
   readonly engines: InProcessEngineClient;
   readonly links: InProcessPeerLinks;
+  readonly membership: GossipMembership;
   readonly core: DaemonCore;
   readonly #world: World;
   #nonces = 0;
@@ -59,6 +61,11 @@
     );
     this.links = world.network.join(host, this.clock);
     const startedMs = world.clock.nowMs();
+    const { clock, logger, links } = this;
+    this.membership = new GossipMembership(
+      { clock, hasher, random: new SeededRandom(startedMs), logger, links },
+      { host, zone, incarnation: startedMs },
+    );
     this.core = new DaemonCore({
       clock: this.clock,
       hasher,
@@ -68,11 +75,7 @@
       engines: this.engines,
       apps: new InProcessAppClient(this.clock, world.appsByAddress),
       links: this.links,
-      membership: new StaticMembership({
-        ...this.peerAddress,
-        incarnation: startedMs,
-        state: "alive",
-      }),
+      membership: this.membership,
       signer: new HmacSigner([SIGNING_KEY]),
       createNonce: () => `${host}-${startedMs}-${this.#nonces++}`,
       fingerprint: (parts) => {
@@ -84,6 +87,11 @@
     this.core.start();
   }
 
+  /** @param peers - The hosts that this one knows from the start. */
+  introduce(peers: readonly PeerAddress[]): void {
+    this.membership.start(this.peerAddress.address, peers);
+  }
+
   /** Where its peers find it; in-process, by name alone. */
   get peerAddress(): PeerAddress {
     const address = asId<Address>("127.0.0.1:1");
@@ -94,6 +102,7 @@
   kill(): void {
     this.clock.kill();
     this.core.dispose();
+    this.membership.dispose();
     this.#world.network.leave(this.host);
   }
 }
