--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -70,6 +70,7 @@
   readonly quarantine: Quarantine;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
+  readonly #membership: Membership;
   #isDraining = false;
 
   /**
@@ -78,6 +79,7 @@
    */
   constructor(platform: DaemonPlatform, options: DaemonCoreOptions) {
     const { clock, store, logger } = platform;
+    this.#membership = platform.membership;
     const table = new ConfigurationTable();
     this.configuration = table;
     this.#watcher = this.#owned.add(
@@ -156,6 +158,7 @@
   /** Takes no new requests from now on. */
   startDraining(): void {
     this.#isDraining = true;
+    this.#membership.announceLeaving();
   }
 
   /** Stops all features. */
