Add the deterministic core of dispatch

Cause: the local dispatcher counts grants and knows nothing of memory, lengths, fairness or deadlines.

The core holds a memory ledger with a forecast of the peak, length histograms, a fair queue, limits, a prefix index, slow start and ejection. It is not wired into the daemon yet. Block hashes of prompts move to the engine contract, since a dispatcher has to name blocks as the engine's cache events do.

--- /dev/null
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -0,0 +1,445 @@
+/**
+ * Dispatcher of one group of replicas: the deterministic core. Time is passed
+ * in, decisions go to a listener, and nothing is read or sent.
+ */
+
+import type { EndpointId } from "../../../base/common/ids.ts";
+import type {
+  CacheEventPage,
+  Endpoint,
+  LoadReport,
+} from "../../../platform/endpoints/common/engine_client.ts";
+import type { GrantId, RefusalReason } from "./dispatcher.ts";
+import { DrainRate } from "./drain_rate.ts";
+import { EndpointState } from "./endpoint_state.ts";
+import { FairQueue, type OfferResult, type QueueItem } from "./fair_queue.ts";
+import type { GroupPolicy } from "./group_policy.ts";
+import type {
+  GrantInUse,
+  GrantRelease,
+  GroupListener,
+  GroupRequest,
+} from "./group_requests.ts";
+import type { LengthModel } from "./length_knowledge.ts";
+import type { MemoryForecast } from "./memory_profile.ts";
+import { type Placed, Placement } from "./placement.ts";
+import { MAX_GROUP_ENDPOINTS, PrefixIndex } from "./prefix_index.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import { WorkspaceLimits } from "./workspace_limits.ts";
+
+const NO_RATE_RETRY_MS = 2_000;
+const MAX_RETRY_MS = 120_000;
+/** Retry hints are spread over this part of themselves, both ways. */
+const RETRY_JITTER = 0.25;
+/** Largest part of a group that may be ejected at one time. */
+const MAX_EJECTED_SHARE = 0.5;
+/** Part of the endpoints that is used before all grants in use are known. */
+const TAKEOVER_SHARE = 0.5;
+
+const NO_ENDPOINT_DETAIL = "no endpoint of the group can take the request";
+
+/** Source of randomness for the spread of hints. */
+export interface RandomSource {
+  /** A number in `[0, 1)`. */
+  float(): number;
+}
+
+/** What a group's dispatcher works with. */
+export interface GroupDispatcherOptions {
+  readonly policy: GroupPolicy;
+  readonly lengths: LengthModel;
+  readonly random: RandomSource;
+  readonly listener: GroupListener;
+  readonly nowMs: number;
+}
+
+interface Waiting extends QueueItem {
+  readonly request: GroupRequest;
+  readonly forecast: MemoryForecast;
+}
+
+interface Running {
+  readonly request: GroupRequest;
+  readonly state: EndpointState;
+  readonly chargedTokens: number;
+}
+
+/** Admits, places and orders the requests of one group. */
+export class GroupDispatcher {
+  readonly #options: GroupDispatcherOptions;
+  readonly #index = new PrefixIndex();
+  readonly #placement: Placement;
+  readonly #queue = new FairQueue<Waiting>();
+  readonly #limits = new WorkspaceLimits();
+  readonly #retries = new RetryBudget();
+  readonly #drainRate: DrainRate;
+  readonly #waiting = new Map<GrantId, Waiting>();
+  readonly #running = new Map<GrantId, Running>();
+  #states: EndpointState[] = [];
+  #share = 1;
+  #reducedUntilMs = -Infinity;
+
+  /** @param options - What the dispatcher works with. */
+  constructor(options: GroupDispatcherOptions) {
+    this.#options = options;
+    this.#placement = new Placement(options.policy, this.#index);
+    this.#drainRate = new DrainRate(options.nowMs);
+  }
+
+  /** Number of requests that wait. */
+  get queuedCount(): number {
+    return this.#queue.size;
+  }
+
+  /** Number of grants in use. */
+  get runningCount(): number {
+    return this.#running.size;
+  }
+
+  /** Endpoints with what is known of them. */
+  get states(): readonly EndpointState[] {
+    return this.#states;
+  }
+
+  /**
+   * Replaces the endpoints. A new one beside known ones starts slowly; one
+   * that has gone keeps its grants until they are released.
+   *
+   * @param endpoints - At most {@link MAX_GROUP_ENDPOINTS}.
+   * @param nowMs - The present.
+   */
+  setEndpoints(
+    endpoints: readonly (Endpoint & { readonly isLeaving: boolean })[],
+    nowMs: number,
+  ): void {
+    const known = new Map(
+      this.#states.map((state) => [state.endpoint.id, state]),
+    );
+    const slots = new Set(this.#states.map(({ slot }) => slot));
+    const kept: EndpointState[] = [];
+    const isFirst = this.#states.length === 0;
+    for (const endpoint of endpoints.slice(0, MAX_GROUP_ENDPOINTS)) {
+      const same = known.get(endpoint.id);
+      const isSame = same?.endpoint.address === endpoint.address;
+      const state = same && isSame
+        ? same
+        : this.#createState(endpoint, slots, isFirst ? -Infinity : nowMs);
+      if (!state) continue;
+      state.isLeaving = endpoint.isLeaving;
+      kept.push(state);
+    }
+    for (const state of this.#states) {
+      if (!kept.includes(state)) this.#index.forget(state.slot);
+    }
+    this.#states = kept;
+    this.#refuseWithoutEndpoint();
+    this.#serve(nowMs);
+  }
+
+  /** Sets the part of each endpoint that this dispatcher may use. */
+  setShare(share: number, nowMs: number): void {
+    this.#share = share;
+    this.#serve(nowMs);
+  }
+
+  /**
+   * Asks for a grant; the answer goes to the listener, at once or later.
+   *
+   * @param request - The request.
+   * @param nowMs - The present.
+   */
+  request(request: GroupRequest, nowMs: number): void {
+    if (this.#waiting.has(request.id) || this.#running.has(request.id)) return;
+    const forecast = this.#options.lengths.forecast(request);
+    const waiting: Waiting = {
+      request,
+      forecast,
+      workspace: request.workspace,
+      className: request.className,
+      priority: request.priority,
+      starvationMs: request.starvationMs,
+      share: request.share,
+      enqueuedMs: nowMs,
+      deadlineMs: nowMs + request.patienceMs,
+      workTokens: request.promptTokens + forecast.expectedTokens,
+      sizeBytes: request.sizeBytes,
+    };
+    if (this.#refuseAtOnce(waiting, nowMs)) return;
+    this.#drainRate.advance(nowMs, this.#queue.size > 0);
+    this.#waiting.set(request.id, waiting);
+    this.#queue.push(waiting);
+    this.#serve(nowMs);
+    if (!this.#waiting.has(request.id)) return;
+    this.#refuseIfTooLate(waiting);
+  }
+
+  /** The one who asked has gone. */
+  abandon(id: GrantId): void {
+    const waiting = this.#waiting.get(id);
+    if (!waiting) return;
+    this.#waiting.delete(id);
+    this.#queue.remove(waiting, false);
+  }
+
+  /** Takes note of how far a generation has come. */
+  progress(id: GrantId, generatedTokens: number): void {
+    const running = this.#running.get(id);
+    running?.state.ledger.progress(id, generatedTokens);
+  }
+
+  /** Takes a grant back; an unknown one changes nothing. */
+  release(release: GrantRelease, nowMs: number): void {
+    const { id, end, generatedTokens } = release;
+    const running = this.#running.get(id);
+    if (!running) {
+      this.abandon(id);
+      return;
+    }
+    this.#running.delete(id);
+    const { request, state, chargedTokens } = running;
+    state.ledger.remove(id);
+    const usedTokens = end === "not-run"
+      ? 0
+      : request.promptTokens + generatedTokens;
+    const correction = usedTokens - chargedTokens;
+    this.#limits.onEnd(request.workspace, correction, nowMs);
+    this.#queue.correct(request.className, request.workspace, correction);
+    this.#learnFromEnd(running, release, nowMs);
+    this.#serve(nowMs);
+  }
+
+  /** Takes in the load report of an endpoint. */
+  onReport(endpoint: EndpointId, report: LoadReport, nowMs: number): void {
+    const state = this.#findState(endpoint);
+    state?.onReport(report, nowMs);
+  }
+
+  /** An endpoint could not be asked for its load. */
+  onUnreachable(endpoint: EndpointId, nowMs: number): void {
+    const state = this.#findState(endpoint);
+    if (state?.onFailure()) this.#eject(state, nowMs);
+  }
+
+  /** @returns Sequence number after which cache events are wanted. */
+  lastCacheSequence(endpoint: EndpointId): number {
+    const state = this.#findState(endpoint);
+    return state ? this.#index.lastSequence(state.slot) : 0;
+  }
+
+  /** Takes in the cache events of an endpoint. */
+  onCacheEvents(endpoint: EndpointId, page: CacheEventPage): void {
+    const state = this.#findState(endpoint);
+    if (state) this.#index.apply(state.slot, page);
+  }
+
+  /**
+   * Starts to dispatch a group that had another dispatcher before.
+   *
+   * @param untilMs - End of the reduced share, unless all have answered.
+   */
+  beginTakeover(untilMs: number): void {
+    this.#reducedUntilMs = untilMs;
+  }
+
+  /** All holders of grants have told theirs. */
+  endTakeover(nowMs: number): void {
+    this.#reducedUntilMs = -Infinity;
+    this.#serve(nowMs);
+  }
+
+  /** Takes over a grant that another dispatcher gave. */
+  adopt(grant: GrantInUse, nowMs: number): void {
+    const { request, endpoint, generatedTokens } = grant;
+    const state = this.#findState(endpoint);
+    if (!state || this.#running.has(request.id)) return;
+    this.abandon(request.id);
+    const forecast = this.#options.lengths.forecast(request);
+    const chargedTokens = request.promptTokens + forecast.expectedTokens;
+    this.#running.set(request.id, { request, state, chargedTokens });
+    this.#limits.onStart(request.workspace, chargedTokens, nowMs);
+    state.ledger.add(
+      request.id,
+      forecast,
+      request.promptTokens,
+      generatedTokens,
+    );
+  }
+
+  /** Refuses what has waited too long and grants what fits by now. */
+  tick(nowMs: number): void {
+    for (const expired of this.#queue.takeExpired(nowMs)) {
+      this.#waiting.delete(expired.request.id);
+      this.#refuse(expired, "deadline", "no endpoint had room in time");
+    }
+    if (this.#states.every(({ isLeaving }) => isLeaving)) {
+      this.#refuseWithoutEndpoint();
+    }
+    this.#drainRate.advance(nowMs, this.#queue.size > 0);
+    this.#serve(nowMs);
+  }
+
+  #refuseWithoutEndpoint(): void {
+    for (const waiting of [...this.#waiting.values()]) {
+      if (this.#isAnyEndpointLeft(waiting.request)) continue;
+      this.abandon(waiting.request.id);
+      this.#refuse(waiting, "no-endpoint", NO_ENDPOINT_DETAIL);
+    }
+  }
+
+  #createState(
+    endpoint: Endpoint,
+    slots: Set<number>,
+    slowStartMs: number,
+  ): EndpointState | undefined {
+    let slot = 0;
+    while (slots.has(slot)) slot++;
+    if (slot >= MAX_GROUP_ENDPOINTS) return undefined;
+    slots.add(slot);
+    const { margin, slotLimit } = this.#options.policy;
+    return new EndpointState(endpoint, slot, margin, slotLimit, slowStartMs);
+  }
+
+  #findState(endpoint: EndpointId): EndpointState | undefined {
+    return this.#states.find((state) => state.endpoint.id === endpoint);
+  }
+
+  #refuseAtOnce(waiting: Waiting, nowMs: number): boolean {
+    const { maxQueued, maxQueuedBytes } = this.#options.policy;
+    const { request } = waiting;
+    const rateWaitMs = this.#limits.rateWaitMs(
+      request.workspace,
+      request.limit,
+      nowMs,
+    );
+    if (rateWaitMs > 0) {
+      const detail = "the workspace is above its rate of tokens";
+      this.#refuse(waiting, "rate-limited", detail, rateWaitMs);
+    } else if (
+      this.#queue.size >= maxQueued ||
+      this.#queue.sizeBytes + waiting.sizeBytes > maxQueuedBytes
+    ) {
+      this.#refuse(waiting, "queue-full", "too many requests wait");
+    } else if (request.patienceMs <= 0) {
+      this.#refuse(waiting, "deadline", "the deadline has passed");
+    } else if (!this.#isAnyEndpointLeft(request)) {
+      this.#refuse(waiting, "no-endpoint", NO_ENDPOINT_DETAIL);
+    } else if (request.excludedEndpoints.length > 0 && !this.#retries.take()) {
+      const detail = "too many requests are being retried";
+      this.#refuse(waiting, "no-endpoint", detail);
+    } else return false;
+    return true;
+  }
+
+  #isAnyEndpointLeft(request: GroupRequest): boolean {
+    return this.#states.some(({ isLeaving, endpoint }) =>
+      !isLeaving && !request.excludedEndpoints.includes(endpoint.id)
+    );
+  }
+
+  #refuseIfTooLate(waiting: Waiting): void {
+    const { patienceMs } = waiting.request;
+    if (!Number.isFinite(patienceMs)) return;
+    const waitMs = this.#forecastWaitMs(waiting);
+    if (waitMs <= patienceMs * this.#options.policy.patienceShare) return;
+    this.abandon(waiting.request.id);
+    const detail = `the wait would be about ${Math.round(waitMs)} ms`;
+    this.#refuse(waiting, "deadline", detail, waitMs - patienceMs);
+  }
+
+  #forecastWaitMs(waiting: Waiting): number {
+    const rate = this.#drainRate.tokensPerSecond;
+    if (rate === undefined) return 0;
+    return this.#queue.workAhead(waiting) / rate * 1_000;
+  }
+
+  #refuse(
+    waiting: Waiting,
+    reason: RefusalReason,
+    detail: string,
+    afterMs = this.#forecastWaitMs(waiting),
+  ): void {
+    const spread = 1 + RETRY_JITTER * (2 * this.#options.random.float() - 1);
+    const hintMs = Math.max(NO_RATE_RETRY_MS, Math.min(MAX_RETRY_MS, afterMs));
+    this.#options.listener.onRefused(waiting.request.id, {
+      reason,
+      detail,
+      retryAfterMs: Math.round(hintMs * spread),
+    });
+  }
+
+  #serve(nowMs: number): void {
+    if (this.#queue.size === 0) return;
+    const { lookAhead } = this.#options.policy;
+    const share = this.#currentShare(nowMs);
+    let placed: Placed | undefined;
+    const offer = ({ request, forecast }: Waiting): OfferResult => {
+      if (!this.#limits.mayRun(request.workspace, request.limit)) return "skip";
+      const found = this.#placement.place(
+        request,
+        forecast,
+        this.#states,
+        share,
+        nowMs,
+      );
+      if (found === "no-room") return "wait";
+      if (found === "no-endpoint") return "skip";
+      placed = found;
+      return "taken";
+    };
+    for (;;) {
+      const taken = this.#queue.serve(nowMs, lookAhead, offer);
+      if (!taken) return;
+      this.#grant(taken, placed!, nowMs);
+    }
+  }
+
+  #grant(taken: Waiting, { state, baseTokens }: Placed, nowMs: number): void {
+    const { request, forecast, workTokens } = taken;
+    const { policy, listener } = this.#options;
+    this.#waiting.delete(request.id);
+    this.#running.set(request.id, {
+      request,
+      state,
+      chargedTokens: workTokens,
+    });
+    state.ledger.add(request.id, forecast, baseTokens);
+    state.holdPrefills(baseTokens * policy.prefillSpacingMsPerToken, nowMs);
+    this.#index.expect(state.slot, request.blocks);
+    this.#limits.onStart(request.workspace, workTokens, nowMs);
+    this.#drainRate.record(workTokens);
+    listener.onGranted({
+      id: request.id,
+      endpoint: state.endpoint,
+      waitMs: nowMs - taken.enqueuedMs,
+    });
+  }
+
+  #learnFromEnd(
+    { request, state }: Running,
+    { end, generatedTokens }: GrantRelease,
+    nowMs: number,
+  ): void {
+    if (end === "completed") {
+      this.#options.lengths.observe(request, generatedTokens);
+      this.#retries.onSuccess();
+      state.onSuccess();
+    } else if (end !== "cancelled" && state.onFailure()) {
+      this.#eject(state, nowMs);
+    }
+  }
+
+  /** Ejects an endpoint unless too many of the group are ejected already. */
+  #eject(state: EndpointState, nowMs: number): void {
+    const ejected = this.#states.filter((other) => other.isEjected(nowMs));
+    const limit = this.#states.length * MAX_EJECTED_SHARE;
+    if (ejected.length + 1 <= limit) {
+      state.eject(nowMs);
+      this.#index.forget(state.slot);
+    }
+  }
+
+  #currentShare(nowMs: number): number {
+    const isReduced = nowMs < this.#reducedUntilMs;
+    return isReduced ? this.#share * TAKEOVER_SHARE : this.#share;
+  }
+}
--- /dev/null
+++ b/src/features/dispatch/common/group_policy.ts
@@ -0,0 +1,62 @@
+/** Figures of the policy of a group's dispatcher. */
+
+import type { MarginRule } from "./endpoint_state.ts";
+
+/** What weighs more when memory is short. */
+export type Favour = "stall" | "token-latency";
+
+/** Figures that a policy is made of. */
+export interface GroupPolicy {
+  readonly margin: MarginRule;
+  /** Value of a token of a prompt that the endpoint holds already. */
+  readonly affinityWeight: number;
+  /** Value of a grant less on the endpoint, in tokens. */
+  readonly crowdingTokens: number;
+  /** Flows of a class that are tried when the first does not fit. */
+  readonly lookAhead: number;
+  /** Most grants on one endpoint before its own limit is known. */
+  readonly slotLimit: number;
+  /** Least time between long prompts on one endpoint, per prompt token. */
+  readonly prefillSpacingMsPerToken: number;
+  readonly maxQueued: number;
+  readonly maxQueuedBytes: number;
+  /** Part of the patience that the forecast wait may take. */
+  readonly patienceShare: number;
+}
+
+const STALL_MARGIN: MarginRule = {
+  initialDeviations: 1,
+  minDeviations: 0.3,
+  maxDeviations: 4,
+  onPreemption: 0.25,
+  onQuiet: 0.005,
+};
+
+const STALL_POLICY: GroupPolicy = {
+  margin: STALL_MARGIN,
+  affinityWeight: 1,
+  crowdingTokens: 50,
+  lookAhead: 4,
+  slotLimit: 256,
+  prefillSpacingMsPerToken: 0,
+  maxQueued: 4_000,
+  maxQueuedBytes: 256 * 1_024 * 1_024,
+  patienceShare: 1,
+};
+
+/**
+ * @param favour - What weighs more.
+ * @returns The figures.
+ */
+export function policyFor(favour: Favour): GroupPolicy {
+  switch (favour) {
+    case "stall":
+      return STALL_POLICY;
+    case "token-latency":
+      return {
+        ...STALL_POLICY,
+        crowdingTokens: 400,
+        prefillSpacingMsPerToken: 0.5,
+      };
+  }
+}
--- /dev/null
+++ b/src/features/dispatch/common/memory_ledger.ts
@@ -0,0 +1,119 @@
+/** Memory that the grants of one endpoint hold and will hold. */
+
+import type { GrantId } from "./dispatcher.ts";
+import {
+  createProfile,
+  HORIZON_COUNT,
+  type MemoryForecast,
+  type MemoryProfile,
+} from "./memory_profile.ts";
+
+/** Progress below this does not change a forecast noticeably. */
+const REFRESH_TOKENS = 8;
+
+interface LedgerEntry {
+  readonly forecast: MemoryForecast;
+  readonly baseTokens: number;
+  readonly profile: MemoryProfile;
+  generatedTokens: number;
+}
+
+/** Sums of the profiles of all grants; each sum is a whole number. */
+export class MemoryLedger {
+  readonly #entries = new Map<GrantId, LedgerEntry>();
+  readonly #sums = createProfile();
+
+  /** Number of grants. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Memory that the grants hold now, in tokens. */
+  get heldTokens(): number {
+    return this.#sums.meanTokens[0]!;
+  }
+
+  /** Sums at each horizon. */
+  get sums(): MemoryProfile {
+    return this.#sums;
+  }
+
+  /**
+   * Adds a grant; an id that is known already stays as it is.
+   *
+   * @param id - The grant.
+   * @param forecast - Forecast of its length.
+   * @param baseTokens - Memory of its prompt, without what is shared.
+   * @param generatedTokens - Tokens generated so far.
+   */
+  add(
+    id: GrantId,
+    forecast: MemoryForecast,
+    baseTokens: number,
+    generatedTokens = 0,
+  ): void {
+    if (this.#entries.has(id)) return;
+    const profile = createProfile();
+    forecast.fill(baseTokens, generatedTokens, profile);
+    this.#entries.set(id, { forecast, baseTokens, profile, generatedTokens });
+    this.#apply(profile, 1);
+  }
+
+  /**
+   * Takes note of progress; late and repeated reports change nothing.
+   *
+   * @param id - The grant.
+   * @param generatedTokens - Tokens generated so far.
+   */
+  progress(id: GrantId, generatedTokens: number): void {
+    const entry = this.#entries.get(id);
+    if (!entry) return;
+    if (generatedTokens - entry.generatedTokens < REFRESH_TOKENS) return;
+    this.#apply(entry.profile, -1);
+    entry.generatedTokens = generatedTokens;
+    entry.forecast.fill(entry.baseTokens, generatedTokens, entry.profile);
+    this.#apply(entry.profile, 1);
+  }
+
+  /** Removes a grant; an unknown one changes nothing. */
+  remove(id: GrantId): void {
+    const entry = this.#entries.get(id);
+    if (!entry) return;
+    this.#entries.delete(id);
+    this.#apply(entry.profile, -1);
+  }
+
+  /** Removes all grants. */
+  clear(): void {
+    this.#entries.clear();
+    this.#sums.meanTokens.fill(0);
+    this.#sums.varianceTokens.fill(0);
+  }
+
+  /**
+   * Highest memory over all horizons when one more profile is added.
+   *
+   * @param added - Profile of the request that may be added.
+   * @param deviations - Standard deviations that are kept free.
+   * @returns The future peak, in tokens.
+   */
+  peakWith(added: MemoryProfile, deviations: number): number {
+    const { meanTokens, varianceTokens } = this.#sums;
+    let peak = 0;
+    for (let index = 0; index < HORIZON_COUNT; index++) {
+      const variance = varianceTokens[index]! + added.varianceTokens[index]!;
+      const held = meanTokens[index]! + added.meanTokens[index]! +
+        deviations * Math.sqrt(variance);
+      if (held > peak) peak = held;
+    }
+    return peak;
+  }
+
+  #apply(profile: MemoryProfile, sign: 1 | -1): void {
+    for (let index = 0; index < HORIZON_COUNT; index++) {
+      this.#sums.meanTokens[index]! += sign * profile.meanTokens[index]!;
+      this.#sums.varianceTokens[index]! += sign *
+        profile.varianceTokens[index]!;
+    }
+  }
+}
--- /dev/null
+++ b/src/features/dispatch/common/placement.ts
@@ -0,0 +1,114 @@
+/** Chooses the endpoint of a request. */
+
+import { BLOCK_TOKENS } from "../../../platform/endpoints/common/prompt_blocks.ts";
+import type { EndpointState } from "./endpoint_state.ts";
+import type { GroupPolicy } from "./group_policy.ts";
+import type { GroupRequest } from "./group_requests.ts";
+import {
+  createProfile,
+  HORIZON_COUNT,
+  HORIZON_TOKENS,
+  type MemoryForecast,
+  type MemoryProfile,
+} from "./memory_profile.ts";
+import { MAX_GROUP_ENDPOINTS, type PrefixIndex } from "./prefix_index.ts";
+
+/** Prompts up to this length do not hold up a decode step noticeably. */
+const LONG_PREFILL_TOKENS = 400;
+
+/** Where a request goes. */
+export interface Placed {
+  readonly state: EndpointState;
+  /** Memory of the prompt that is not shared with the prefix cache. */
+  readonly baseTokens: number;
+}
+
+/** Why a request has no place now. */
+export type Unplaced = "no-endpoint" | "no-room";
+
+/** Weighs memory headroom against cached prefixes. */
+export class Placement {
+  readonly #policy: GroupPolicy;
+  readonly #index: PrefixIndex;
+  readonly #heldBlocks = new Uint16Array(MAX_GROUP_ENDPOINTS);
+  readonly #full = createProfile();
+  readonly #shared = createProfile();
+
+  /**
+   * @param policy - Weights.
+   * @param index - Which endpoints hold which prefixes.
+   */
+  constructor(policy: GroupPolicy, index: PrefixIndex) {
+    this.#policy = policy;
+    this.#index = index;
+  }
+
+  /**
+   * @param request - The request.
+   * @param forecast - Forecast of its length.
+   * @param states - Endpoints of the group.
+   * @param share - Part of each endpoint that may be used.
+   * @param nowMs - The present.
+   * @returns The best endpoint with room, or why there is none.
+   */
+  place(
+    request: GroupRequest,
+    forecast: MemoryForecast,
+    states: readonly EndpointState[],
+    share: number,
+    nowMs: number,
+  ): Placed | Unplaced {
+    this.#index.countHeld(request.blocks, this.#heldBlocks);
+    forecast.fill(request.promptTokens, 0, this.#full);
+    let isAnyUsable = false;
+    let best: Placed | undefined;
+    let bestScore = -Infinity;
+    for (const state of states) {
+      if (!isUsable(state, request, nowMs)) continue;
+      isAnyUsable = true;
+      if (!state.hasSlot(nowMs, share)) continue;
+      const cachedTokens = Math.min(
+        request.promptTokens - 1,
+        this.#heldBlocks[state.slot]! * BLOCK_TOKENS,
+      );
+      const baseTokens = request.promptTokens - Math.max(0, cachedTokens);
+      const profile = this.#profileFor(request.promptTokens, baseTokens);
+      const headroom = state.headroomWith(profile, nowMs, share);
+      // An empty endpoint takes any request, or the largest would never run.
+      if (headroom < 0 && state.ledger.size > 0) continue;
+      if (baseTokens > LONG_PREFILL_TOKENS && !state.mayPrefill(nowMs)) {
+        continue;
+      }
+      const score = headroom + this.#policy.affinityWeight * cachedTokens -
+        this.#policy.crowdingTokens * state.ledger.size;
+      if (score <= bestScore) continue;
+      bestScore = score;
+      best = { state, baseTokens };
+    }
+    if (best) return best;
+    return isAnyUsable ? "no-room" : "no-endpoint";
+  }
+
+  /** The full profile less what the endpoint shares. */
+  #profileFor(promptTokens: number, baseTokens: number): MemoryProfile {
+    if (baseTokens === promptTokens) return this.#full;
+    const savedTokens = promptTokens - baseTokens;
+    const { meanTokens, varianceTokens } = this.#full;
+    for (let index = 0; index < HORIZON_COUNT; index++) {
+      const whole = promptTokens + HORIZON_TOKENS[index]!;
+      const kept = 1 - savedTokens / whole;
+      this.#shared.meanTokens[index] = meanTokens[index]! * kept;
+      this.#shared.varianceTokens[index] = varianceTokens[index]! * kept * kept;
+    }
+    return this.#shared;
+  }
+}
+
+function isUsable(
+  state: EndpointState,
+  request: GroupRequest,
+  nowMs: number,
+): boolean {
+  return !state.isLeaving && !state.isEjected(nowMs) &&
+    !request.excludedEndpoints.includes(state.endpoint.id);
+}
--- a/standins/engine/engine_model.ts
+++ b/standins/engine/engine_model.ts
@@ -18,10 +18,10 @@
 import {
   DEFAULT_ENGINE_OPTIONS,
   type EngineOptions,
-  POISON_MARK,
 } from "./engine_options.ts";
 import { applyOrder, INITIAL_ENGINE_STATE } from "./engine_orders.ts";
-import { BLOCK_TOKENS, PrefixCache } from "./prefix_cache.ts";
+import { BLOCK_TOKENS } from "../../src/platform/endpoints/common/prompt_blocks.ts";
+import { PrefixCache } from "./prefix_cache.ts";
 import { type FrameReader, Sequence } from "./sequence.ts";
 
 /** How an engine takes a request. */
@@ -266,7 +266,7 @@
   }
 
   #decode(): void {
-    if (this.#running.some(isPoison)) {
+    if (this.#running.some(({ isPoison }) => isPoison)) {
       this.crash();
       return;
     }
@@ -334,10 +334,6 @@
   }
 }
 
-function isPoison(sequence: Sequence): boolean {
-  return sequence.request.prompt.includes(POISON_MARK);
-}
-
 function comesBefore(left: Sequence, right: Sequence): boolean {
   const byPriority = right.request.priority - left.request.priority;
   return byPriority < 0 ||
--- a/standins/engine/prefix_cache.ts
+++ b/standins/engine/prefix_cache.ts
@@ -1,30 +1,6 @@
 /** Prefix cache of the stand-in engine: blocks of prompts, least recent out. */
 
 import type { CacheEvent } from "../../src/platform/endpoints/common/engine_client.ts";
-import { shortHash } from "../text_hash.ts";
-
-/** Characters of a prompt in one block. */
-export const BLOCK_CHARACTERS = 256;
-/** Tokens of a prompt in one block. */
-export const BLOCK_TOKENS = 64;
-
-/**
- * @param prompt - A prompt.
- * @returns Hash of each whole block; each covers all blocks before it.
- */
-export function hashBlocks(prompt: string): string[] {
-  const hashes: string[] = [];
-  let previous = "";
-  for (
-    let end = BLOCK_CHARACTERS;
-    end <= prompt.length;
-    end += BLOCK_CHARACTERS
-  ) {
-    previous = shortHash(previous + prompt.slice(end - BLOCK_CHARACTERS, end));
-    hashes.push(previous);
-  }
-  return hashes;
-}
 
 /** Bounded set of blocks. */
 export class PrefixCache {
--- a/standins/engine/sequence.ts
+++ b/standins/engine/sequence.ts
@@ -5,8 +5,8 @@
   EngineRequest,
   FinishReason,
 } from "../../src/platform/endpoints/common/engine_client.ts";
-import { hashBlocks } from "./prefix_cache.ts";
-import { countPromptTokens, tokenText } from "./engine_options.ts";
+import { hashBlocks } from "../../src/platform/endpoints/common/prompt_blocks.ts";
+import { countPromptTokens, POISON_MARK, tokenText } from "./engine_options.ts";
 
 /** Reads the frames of one generation over one connection. */
 export interface FrameReader {
@@ -22,6 +22,8 @@
 export class Sequence {
   readonly request: EngineRequest;
   readonly promptTokens: number;
+  /** Whether the engine crashes when it runs the sequence. */
+  readonly isPoison: boolean;
   readonly blocks: readonly string[];
   readonly lengthTokens: number;
   readonly arrivalOrder: number;
@@ -47,6 +49,7 @@
     this.lengthTokens = lengthTokens;
     this.arrivalOrder = arrivalOrder;
     this.promptTokens = countPromptTokens(request.prompt);
+    this.isPoison = request.prompt.includes(POISON_MARK);
     this.blocks = hashBlocks(request.prompt);
   }
 
