Dispatch through one daemon for each group of endpoints

Cause: each daemon counted only its own grants, so that daemons overfilled the endpoints that they share.

The core now runs in the daemon.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -14,7 +14,7 @@
 import type { Configuration } from "../../features/configuration/common/configuration.ts";
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
-import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
+import { PeerDispatcher } from "../../features/dispatch/common/peer_dispatcher.ts";
 import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
@@ -74,12 +74,14 @@
       new ConfigurationWatcher({ clock, store, logger, table }),
     );
     const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
-    const dispatcher = new LocalDispatcher({
-      ...options,
-      clock,
-      endpoints,
-      configuration: table,
-    });
+    const dispatcher = this.#owned.add(
+      new PeerDispatcher({
+        ...platform,
+        ...options,
+        endpoints,
+        configuration: table,
+      }),
+    );
     this.generations = new GenerationRelayService({
       ...platform,
       ...options,
--- /dev/null
+++ b/src/features/dispatch/common/dispatch_messages.ts
@@ -0,0 +1,122 @@
+/** Messages of the channel `dispatch.v1` between daemons. */
+
+import { z } from "zod";
+import type { Brand } from "../../../base/common/brand.ts";
+import {
+  type Address,
+  asId,
+  type EndpointId,
+  type ServiceId,
+  type WorkspaceId,
+} from "../../../base/common/ids.ts";
+import { Left, Right } from "../../../base/common/result.ts";
+import type { PeerChannelSpec } from "../../../platform/peers/common/peer_links.ts";
+import type { GroupId } from "./dispatch_groups.ts";
+import type { GrantId } from "./dispatcher.ts";
+
+const MAX_ID_CHARACTERS = 500;
+const MAX_BLOCKS = 64;
+const MAX_ITEMS = 10_000;
+
+function idSchema<T extends Brand<string, string>>(): z.ZodType<T> {
+  return z.string().min(1).max(MAX_ID_CHARACTERS)
+    .transform((text) => asId<T>(text)) as unknown as z.ZodType<T>;
+}
+
+const count = z.number().nonnegative();
+const grantId = idSchema<GrantId>();
+const endpointId = idSchema<EndpointId>();
+
+const requestSchema = z.object({
+  id: grantId,
+  workspace: idSchema<WorkspaceId>(),
+  className: z.string().max(MAX_ID_CHARACTERS),
+  maxTokens: count,
+  promptTokens: count,
+  blocks: z.array(z.string()).max(MAX_BLOCKS).readonly(),
+  sizeBytes: count,
+  patienceMs: z.number(),
+  excludedEndpoints: z.array(endpointId).max(MAX_ITEMS).readonly(),
+  priority: z.number(),
+  starvationMs: count,
+  share: z.number().positive(),
+  limit: z.object({
+    tokensPerSecond: z.number().positive().or(z.undefined()),
+    maxConcurrent: z.number().positive().or(z.undefined()),
+  }),
+});
+
+const refusalSchema = z.object({
+  reason: z.enum([
+    "no-endpoint",
+    "queue-full",
+    "deadline",
+    "rate-limited",
+    "cancelled",
+  ]),
+  detail: z.string(),
+  retryAfterMs: count.or(z.undefined()),
+});
+
+const base = { service: idSchema<ServiceId>(), group: idSchema<GroupId>() };
+
+const messageSchema = z.discriminatedUnion("kind", [
+  /** Asks for a grant; sent again while no answer comes. */
+  z.object({ ...base, kind: z.literal("request"), request: requestSchema }),
+  /** The dispatcher knows the request and has not decided. */
+  z.object({ ...base, kind: z.literal("queued"), id: grantId }),
+  z.object({
+    ...base,
+    kind: z.literal("granted"),
+    grant: z.object({
+      id: grantId,
+      endpoint: z.object({ id: endpointId, address: idSchema<Address>() }),
+      waitMs: count,
+    }),
+  }),
+  z.object({
+    ...base,
+    kind: z.literal("refused"),
+    id: grantId,
+    refusal: refusalSchema,
+  }),
+  z.object({ ...base, kind: z.literal("abandon"), id: grantId }),
+  z.object({
+    ...base,
+    kind: z.literal("progress"),
+    items: z.array(z.object({ id: grantId, generatedTokens: count }))
+      .max(MAX_ITEMS),
+  }),
+  z.object({
+    ...base,
+    kind: z.literal("release"),
+    release: z.object({
+      id: grantId,
+      end: z.enum(["completed", "not-run", "failed", "cancelled"]),
+      generatedTokens: count,
+    }),
+  }),
+  /** A new dispatcher asks for the grants that the receiver uses. */
+  z.object({ ...base, kind: z.literal("ask-grants") }),
+  z.object({
+    ...base,
+    kind: z.literal("grants-in-use"),
+    grants: z.array(z.object({
+      request: requestSchema,
+      endpoint: endpointId,
+      generatedTokens: count,
+    })).max(MAX_ITEMS),
+  }),
+]);
+
+/** A message of the channel. */
+export type DispatchMessage = z.infer<typeof messageSchema>;
+
+/** The channel of dispatch. */
+export const DISPATCH_CHANNEL: PeerChannelSpec<DispatchMessage> = {
+  name: "dispatch.v1",
+  decode: (body) => {
+    const parsed = messageSchema.safeParse(body);
+    return parsed.success ? Right(parsed.data) : Left(parsed.error.message);
+  },
+};
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -325,7 +325,7 @@
       this.#refuse(waiting, "no-endpoint", NO_ENDPOINT_DETAIL);
     } else if (request.excludedEndpoints.length > 0 && !this.#retries.take()) {
       const detail = "too many requests are being retried";
-      this.#refuse(waiting, "no-endpoint", detail);
+      this.#refuse(waiting, "queue-full", detail);
     } else return false;
     return true;
   }
