Add the bench of dispatch policies

Cause: the policy has to be chosen by measurement. Six policies run on the manual clock against the stand-in engines, for two workloads.

--- /dev/null
+++ b/bench/dispatch/bench_caller.ts
@@ -0,0 +1,70 @@
+/** One caller of the dispatch bench and the answer that it reads. */
+
+import type { EngineFrame } from "../../src/platform/endpoints/common/engine_client.ts";
+import type { FrameReader } from "../../standins/engine/sequence.ts";
+import type { Measures } from "./measures.ts";
+import type { Arrival } from "./workload.ts";
+
+/** What a caller tells its simulation. */
+export interface CallerListener {
+  readonly nowMs: number;
+  /** Whether tokens count towards the goodput now. */
+  readonly isMeasuring: boolean;
+  readonly measures: Measures;
+  /** The answer has come to its end. */
+  onCompleted(caller: BenchCaller): void;
+  /** The endpoint broke the connection. */
+  onBroken(caller: BenchCaller): void;
+}
+
+/** Reads tokens, checks their order and measures gaps. */
+export class BenchCaller implements FrameReader {
+  readonly arrival: Arrival;
+  readonly #listener: CallerListener;
+  readonly excluded: number[] = [];
+  endpoint: number | undefined;
+  tokens = 0;
+  stallMs = 0;
+  measuredTokens = 0;
+  attempts = 0;
+  isEnded = false;
+  #lastTokenMs = 0;
+
+  /**
+   * @param arrival - The request.
+   * @param listener - Its simulation.
+   */
+  constructor(arrival: Arrival, listener: CallerListener) {
+    this.arrival = arrival;
+    this.#listener = listener;
+  }
+
+  /** {@inheritDoc FrameReader.onFrames} */
+  onFrames(frames: readonly EngineFrame[]): void {
+    if (this.isEnded) return;
+    for (const frame of frames) {
+      if (frame.kind === "end") this.#listener.onCompleted(this);
+      else this.#onToken(frame.offset);
+    }
+  }
+
+  /** {@inheritDoc FrameReader.onClosed} */
+  onClosed(reason: "closed" | "broken"): void {
+    if (reason === "broken" && !this.isEnded) this.#listener.onBroken(this);
+  }
+
+  #onToken(offset: number): void {
+    const { nowMs, measures, isMeasuring } = this.#listener;
+    if (offset !== this.tokens) measures.doubled++;
+    this.tokens++;
+    if (this.tokens === 1) {
+      measures.onFirstToken(this.arrival.class, nowMs - this.arrival.atMs);
+    } else {
+      const gapMs = nowMs - this.#lastTokenMs;
+      measures.onGap(gapMs);
+      this.stallMs += measures.stallOf(gapMs);
+    }
+    if (isMeasuring) this.measuredTokens++;
+    this.#lastTokenMs = nowMs;
+  }
+}
--- /dev/null
+++ b/bench/dispatch/summary.ts
@@ -0,0 +1,162 @@
+/** Checks the rows of the dispatch bench against its targets. */
+
+import type { Row } from "./row.ts";
+import { WORKLOADS } from "./workload.ts";
+
+const MAX_PREEMPTION_RATIO = 0.1;
+const MAX_STALL_RATIO = 0.25;
+const MIN_GOODPUT_OF_ORACLE = 0.95;
+const MIN_GOODPUT_OF_RESERVE_MAX = 1.3;
+const MAX_SHORT_FIRST_TOKEN_MS = 1_600;
+const MAX_TOKEN_GAP_P95_MS = 56;
+const BASELINES = ["round-robin", "least-loaded", "power-of-two"];
+
+/** One target with what was measured. */
+export interface TargetResult {
+  readonly target: string;
+  readonly workload: string;
+  readonly load: number;
+  readonly measured: number;
+  readonly limit: number;
+  readonly isMet: boolean;
+}
+
+/** Last row of the bench. */
+export interface Summary {
+  readonly summary: true;
+  readonly targets: readonly TargetResult[];
+  readonly met: number;
+  readonly missed: number;
+  readonly answersLost: number;
+  readonly answersDoubled: number;
+}
+
+/**
+ * @param rows - All rows.
+ * @returns The targets that the rows can be checked against.
+ */
+export function summarize(rows: readonly Row[]): Summary {
+  const targets = WORKLOADS.flatMap(({ name }) => [
+    ...checkRelative(rows, name, 0.9),
+    ...checkRelative(rows, name, 1.1),
+    ...checkShort(rows, name, 0.9),
+    ...checkShort(rows, name, 1.5),
+  ]);
+  const sumOf = (field: "answersLost" | "answersDoubled"): number =>
+    rows.reduce((sum, row) => sum + row[field], 0);
+  return {
+    summary: true,
+    targets,
+    met: targets.filter(({ isMet }) => isMet).length,
+    missed: targets.filter(({ isMet }) => !isMet).length,
+    answersLost: sumOf("answersLost"),
+    answersDoubled: sumOf("answersDoubled"),
+  };
+}
+
+function findRow(
+  rows: readonly Row[],
+  policy: string,
+  workload: string,
+  load: number,
+): Row | undefined {
+  return rows.find((row) =>
+    row.policy === policy && row.workload === workload && row.load === load &&
+    row.variant === "calm" && row.engine === "base"
+  );
+}
+
+function checkRelative(
+  rows: readonly Row[],
+  workload: string,
+  load: number,
+): TargetResult[] {
+  const ours = findRow(rows, "ours", workload, load);
+  if (!ours) return [];
+  const results: TargetResult[] = [];
+  const addRatio = (
+    target: string,
+    own: number,
+    other: number | undefined,
+    limit: number,
+    isUpper: boolean,
+  ): void => {
+    if (other === undefined) return;
+    const measured = ratio(own, other);
+    const isMet = isUpper ? measured <= limit : measured >= limit;
+    results.push({ target, workload, load, measured, limit, isMet });
+  };
+  const baselines = BASELINES
+    .map((policy) => findRow(rows, policy, workload, load))
+    .filter((row) => row !== undefined);
+  const best = (field: "preemptionsPer1000" | "stallMsTotal"): number =>
+    Math.min(...baselines.map((row) => row[field]));
+  if (baselines.length === BASELINES.length) {
+    addRatio(
+      "preemptions of best baseline",
+      ours.preemptionsPer1000,
+      best("preemptionsPer1000"),
+      MAX_PREEMPTION_RATIO,
+      true,
+    );
+    addRatio(
+      "stall of best baseline",
+      ours.stallMsTotal,
+      best("stallMsTotal"),
+      MAX_STALL_RATIO,
+      true,
+    );
+  }
+  addRatio(
+    "goodput of oracle",
+    ours.goodputTokensPerSecond,
+    findRow(rows, "oracle", workload, load)?.goodputTokensPerSecond,
+    MIN_GOODPUT_OF_ORACLE,
+    false,
+  );
+  addRatio(
+    "goodput of reserve-max",
+    ours.goodputTokensPerSecond,
+    findRow(rows, "reserve-max", workload, load)?.goodputTokensPerSecond,
+    MIN_GOODPUT_OF_RESERVE_MAX,
+    false,
+  );
+  return results;
+}
+
+function checkShort(
+  rows: readonly Row[],
+  workload: string,
+  load: number,
+): TargetResult[] {
+  const ours = findRow(rows, "ours", workload, load);
+  const classes = WORKLOADS.find(({ name }) => name === workload)!.classes;
+  if (!ours) return [];
+  const firstToken = classes.filter(({ isShort }) => isShort).map(
+    ({ name }): TargetResult => {
+      const measured = ours.firstTokenP95Ms[name]!;
+      return {
+        target: `first token p95 of ${name}`,
+        workload,
+        load,
+        measured,
+        limit: MAX_SHORT_FIRST_TOKEN_MS,
+        isMet: measured <= MAX_SHORT_FIRST_TOKEN_MS,
+      };
+    },
+  );
+  return [...firstToken, {
+    target: "token gap p95",
+    workload,
+    load,
+    measured: ours.tokenGapP95Ms,
+    limit: MAX_TOKEN_GAP_P95_MS,
+    isMet: ours.tokenGapP95Ms <= MAX_TOKEN_GAP_P95_MS,
+  }];
+}
+
+/** Nothing against nothing counts as 0. */
+function ratio(own: number, other: number): number {
+  if (own === 0) return 0;
+  return Number((own / other).toFixed(3));
+}
--- a/src/features/dispatch/common/fair_queue.ts
+++ b/src/features/dispatch/common/fair_queue.ts
@@ -45,6 +45,8 @@
 
 /** Flows of one class that are remembered without waiting items. */
 const MAX_IDLE_FLOWS = 1_000;
+/** Work that may pass a starved item, as a multiple of its own. */
+const PASSING_SHARE = 2;
 /** Dead entries that the heap of deadlines may hold. */
 const MAX_DEAD_DEADLINES = 256;
 
@@ -58,6 +60,9 @@
     left.deadlineMs - right.deadlineMs
   );
   #sizeBytes = 0;
+  #lastStarved: T | undefined;
+  /** Work that was served while the last starved item waited. */
+  #passedTokens = 0;
 
   /** Number of waiting items. */
   get size(): number {
@@ -161,10 +166,11 @@
     if (starved) {
       const result = offer(starved);
       if (result === "taken") return this.#take(starved);
-      if (result === "wait") return undefined;
+      if (result === "wait" && !this.#mayPass(starved)) return undefined;
     }
     for (const queue of this.#classes) {
       const { taken, mustWait } = this.#serveClass(queue, lookAhead, offer);
+      if (taken) this.#passedTokens += taken.workTokens;
       if (taken || mustWait) return taken;
     }
     return undefined;
@@ -219,6 +225,13 @@
     return { ...(taken ? { taken } : {}), mustWait: waiting > 0 };
   }
 
+  /** Small work goes on while a starved item waits for much room. */
+  #mayPass(starved: T): boolean {
+    if (this.#lastStarved !== starved) this.#passedTokens = 0;
+    this.#lastStarved = starved;
+    return this.#passedTokens < PASSING_SHARE * starved.workTokens;
+  }
+
   #take(item: T): T {
     this.remove(item, true);
     return item;
