Keep room for short answers and starve no class without blocking others

Cause: short requests waited behind memory that they do not need, and a class that had starved held up all others until its oldest request fitted.

A request is judged only at the horizons at which it is likely to run, and a short answer needs little of the margin. Lower classes leave 6 % of the memory. A starved class goes first in its own fair order, while higher classes may pass 16 times the work of its oldest request. The wait is forecast from the drain rate of the own class. Unfairness is measured against max-min fair shares.

--- a/bench/benches/dispatch.ts
+++ b/bench/benches/dispatch.ts
@@ -4,6 +4,11 @@
 import { type Row, runRow } from "../dispatch/row.ts";
 import { POLICY_NAMES, type PolicyName } from "../dispatch/policies.ts";
 import { summarize } from "../dispatch/summary.ts";
+import type { MarginRule } from "../../src/features/dispatch/common/endpoint_state.ts";
+import {
+  type GroupPolicy,
+  policyFor,
+} from "../../src/features/dispatch/common/group_policy.ts";
 import { VARIANTS } from "../dispatch/simulation.ts";
 import { type EngineFigures, WORKLOADS } from "../dispatch/workload.ts";
 
@@ -58,7 +63,8 @@
   const filter = new Filter(options.args);
   const favour = filter.has("token-latency") ? "token-latency" : "stall";
   const rows: Row[] = [];
-  const base = { seed: options.seed, favour, changes: {} } as const;
+  const changes = readChanges(options.args, policyFor(favour));
+  const base = { seed: options.seed, favour, changes } as const;
   const addRow = (row: Row): void => {
     rows.push(row);
     options.printRow(row);
@@ -101,6 +107,23 @@
   return Promise.resolve(summarize(rows));
 }
 
+/** Figures of the policy given as `name=value` or `margin.name=value`. */
+function readChanges(
+  words: readonly string[],
+  policy: GroupPolicy,
+): Partial<GroupPolicy> {
+  const changes: Record<string, unknown> = {};
+  const margin: Record<string, number> = { ...policy.margin };
+  for (const word of words) {
+    const [, isMargin, name, value] =
+      /^(margin\.)?(\w+)=([\d.]+)$/.exec(word) ?? [];
+    if (name === undefined) continue;
+    if (isMargin) margin[name] = Number(value);
+    else changes[name] = Number(value);
+  }
+  return { ...changes, margin: margin as unknown as MarginRule };
+}
+
 /** The measurement. */
 export const bench: Bench = {
   description: "Dispatch policies under memory pressure and faults",
--- a/bench/dispatch/measures.ts
+++ b/bench/dispatch/measures.ts
@@ -117,16 +117,19 @@
 
   /**
    * @param except - A workspace that asked for more than its part.
-   * @returns Largest difference between the parts of their tokens that
-   *   workspaces got, from 0 to 1.
+   * @returns Largest part of its max-min fair share that a workspace did not
+   *   get, from 0 to 1.
    */
   unfairness(except: WorkspaceId | undefined): number {
-    const parts: number[] = [];
+    const all = [...this.#workspaces.values()];
+    const level = fairLevel(all);
+    let worst = 0;
     for (const [workspace, figures] of this.#workspaces) {
       if (workspace === except) continue;
-      parts.push(figures.deliveredTokens / figures.askedTokens);
+      const entitled = Math.min(figures.askedTokens, level);
+      worst = Math.max(worst, 1 - figures.deliveredTokens / entitled);
     }
-    return round(Math.max(...parts) - Math.min(...parts), 3);
+    return round(worst, 3);
   }
 
   #figuresOf(workspace: WorkspaceId): WorkspaceFigures {
@@ -139,6 +142,19 @@
   }
 }
 
+/** Tokens above which no workspace is entitled to more. */
+function fairLevel(all: readonly WorkspaceFigures[]): number {
+  let left = all.reduce((sum, figures) => sum + figures.deliveredTokens, 0);
+  const asked = all.map(({ askedTokens }) => askedTokens);
+  asked.sort((one, other) => one - other);
+  for (const [index, tokens] of asked.entries()) {
+    const level = left / (asked.length - index);
+    if (tokens > level) return level;
+    left -= tokens;
+  }
+  return Infinity;
+}
+
 /** @returns A percentile in milliseconds, with one decimal. */
 export function percentileMs(histogram: Histogram, percent: number): number {
   const value = histogram.getValueAtPercentile(percent);
--- a/src/features/dispatch/common/drain_rate.ts
+++ b/src/features/dispatch/common/drain_rate.ts
@@ -1,6 +1,6 @@
 /** Rate at which queued work is granted, measured while work waits. */
 
-const WINDOW_MS = 20_000;
+const WINDOW_MS = 30_000;
 const MIN_OBSERVED_MS = 2_000;
 
 /** Exponentially weighted rate in tokens a second. */
--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -121,10 +121,17 @@
    * @param added - Profile of the request.
    * @param nowMs - The present.
    * @param share - Part of the endpoint that this dispatcher may use.
+   * @param marginShare - Part of the margin that is kept free.
    * @returns Free memory in tokens; negative when it does not fit.
    */
-  headroomWith(added: MemoryProfile, nowMs: number, share: number): number {
-    const peak = this.ledger.peakWith(added, this.#deviations);
+  headroomWith(
+    added: MemoryProfile,
+    nowMs: number,
+    share: number,
+    marginShare: number,
+  ): number {
+    const deviations = this.#deviations * marginShare;
+    const peak = this.ledger.peakWith(added, deviations);
     return this.usableTokens(nowMs, share) - peak;
   }
 
--- a/src/features/dispatch/common/fair_queue.ts
+++ b/src/features/dispatch/common/fair_queue.ts
@@ -45,8 +45,8 @@
 
 /** Flows of one class that are remembered without waiting items. */
 const MAX_IDLE_FLOWS = 1_000;
-/** Work that may pass a starved item, as a multiple of its own. */
-const PASSING_SHARE = 2;
+/** Work that may pass a starved class, as a multiple of its oldest item. */
+const PASSING_SHARE = 16;
 /** Dead entries that the heap of deadlines may hold. */
 const MAX_DEAD_DEADLINES = 256;
 
@@ -60,8 +60,7 @@
     left.deadlineMs - right.deadlineMs
   );
   #sizeBytes = 0;
-  #lastStarved: T | undefined;
-  /** Work that was served while the last starved item waited. */
+  /** Work that was served while a starved class waited. */
   #passedTokens = 0;
 
   /** Number of waiting items. */
@@ -151,6 +150,7 @@
    * Offers waiting items in the order in which they are to be served, until
    * one is taken or the offers are used up. Within a class, the heads of a few
    * flows are offered; a lower class is offered only when none waits before.
+   * A class that has starved goes first, in its own fair order.
    *
    * @param nowMs - The present.
    * @param lookAhead - Most flows of a class that are offered.
@@ -164,41 +164,50 @@
   ): T | undefined {
     const starved = this.#findStarved(nowMs);
     if (starved) {
-      const result = offer(starved);
-      if (result === "taken") return this.#take(starved);
-      if (result === "wait" && !this.#mayPass(starved)) return undefined;
+      const { taken, mustWait } = this.#serveClass(starved, lookAhead, offer);
+      if (taken) this.#passedTokens = 0;
+      if (taken) return taken;
+      if (mustWait && !this.#mayPass(starved)) return undefined;
+      if (mustWait) return this.#serveAbove(starved, lookAhead, offer);
     }
-    for (const queue of this.#classes) {
-      const { taken, mustWait } = this.#serveClass(queue, lookAhead, offer);
-      if (taken) this.#passedTokens += taken.workTokens;
-      if (taken || mustWait) return taken;
-    }
-    return undefined;
+    return this.#serveAbove(undefined, lookAhead, offer);
   }
 
   /**
-   * Work that will be served before a new item.
+   * Work of an item's class that will be served before it.
    *
-   * @param item - The item that would join.
+   * @param item - An item that waits.
    * @returns The work in tokens.
    */
   workAhead(item: T): number {
-    let ahead = 0;
-    for (const queue of this.#classes) {
-      if (queue.priority > item.priority) ahead += queue.workTokens;
-    }
     const own = this.#classByName.get(item.className);
-    if (!own) return ahead;
-    const flow = own.flows.get(item.workspace);
-    const ownWork = (flow?.workTokens ?? 0) + item.workTokens;
-    const debt = Math.max(0, (flow?.tag ?? 0) - own.virtualTime) * item.share;
-    let before = 0;
+    const flow = own?.flows.get(item.workspace);
+    if (!own || !flow) return 0;
+    const debt = Math.max(0, flow.tag - own.virtualTime) * item.share;
+    let ahead = Math.max(0, flow.workTokens - item.workTokens);
+    const ownWork = flow.workTokens + debt;
     for (const other of own.flows.values()) {
       if (other === flow || other.items.size === 0) continue;
-      const fair = (ownWork + debt) * other.share / item.share;
-      before += Math.min(other.workTokens, fair);
+      const fair = ownWork * other.share / item.share;
+      ahead += Math.min(other.workTokens, fair);
+    }
+    return ahead;
+  }
+
+  /**
+   * @param priority - Priority of a class.
+   * @returns Part of the other known classes that come before it.
+   */
+  partOfClassesAbove(priority: number): number {
+    const above = this.#classes.filter((queue) => queue.priority > priority);
+    return above.length / Math.max(1, this.#classes.length - 1);
+  }
+
+  /** Names of the classes with the number of their waiting items. */
+  *waitingByClass(): Iterable<readonly [string, number]> {
+    for (const [name, { arrivals }] of this.#classByName) {
+      yield [name, arrivals.size];
     }
-    return ahead + before + ownWork - item.workTokens;
   }
 
   #serveClass(
@@ -225,11 +234,26 @@
     return { ...(taken ? { taken } : {}), mustWait: waiting > 0 };
   }
 
-  /** Small work goes on while a starved item waits for much room. */
-  #mayPass(starved: T): boolean {
-    if (this.#lastStarved !== starved) this.#passedTokens = 0;
-    this.#lastStarved = starved;
-    return this.#passedTokens < PASSING_SHARE * starved.workTokens;
+  /** Serves classes in order, down to one that waits already. */
+  #serveAbove(
+    starved: ClassQueue<T> | undefined,
+    lookAhead: number,
+    offer: (item: T) => OfferResult,
+  ): T | undefined {
+    for (const queue of this.#classes) {
+      if (starved && queue.priority <= starved.priority) return undefined;
+      const { taken, mustWait } = this.#serveClass(queue, lookAhead, offer);
+      if (taken && starved) this.#passedTokens += taken.workTokens;
+      if (taken || mustWait) return taken;
+    }
+    return undefined;
+  }
+
+  /** Small work goes on while a starved class waits for much room. */
+  #mayPass({ arrivals }: ClassQueue<T>): boolean {
+    const oldest = arrivals.values().next().value;
+    const workTokens = oldest?.workTokens ?? 0;
+    return this.#passedTokens < PASSING_SHARE * workTokens;
   }
 
   #take(item: T): T {
@@ -237,14 +261,18 @@
     return item;
   }
 
-  #findStarved(nowMs: number): T | undefined {
-    let longest: T | undefined;
+  /** The class whose oldest item has waited longest beyond its limit. */
+  #findStarved(nowMs: number): ClassQueue<T> | undefined {
+    let starved: ClassQueue<T> | undefined;
+    let firstMs = Infinity;
     for (const queue of this.#classes) {
       const oldest = queue.arrivals.values().next().value;
-      if (!oldest || nowMs - oldest.enqueuedMs < oldest.starvationMs) continue;
-      if (!longest || oldest.enqueuedMs < longest.enqueuedMs) longest = oldest;
+      if (!oldest || nowMs - oldest.enqueuedMs < queue.starvationMs) continue;
+      if (oldest.enqueuedMs >= firstMs) continue;
+      starved = queue;
+      firstMs = oldest.enqueuedMs;
     }
-    return longest;
+    return starved;
   }
 
   #classOf(item: T): ClassQueue<T> {
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -72,7 +72,8 @@
   readonly #queue = new FairQueue<Waiting>();
   readonly #limits = new WorkspaceLimits();
   readonly #retries = new RetryBudget();
-  readonly #drainRate: DrainRate;
+  /** Rates at which waiting work is granted, by class. */
+  readonly #drainRates = new Map<string, DrainRate>();
   readonly #waiting = new Map<GrantId, Waiting>();
   readonly #running = new Map<GrantId, Running>();
   #states: EndpointState[] = [];
@@ -83,7 +84,6 @@
   constructor(options: GroupDispatcherOptions) {
     this.#options = options;
     this.#placement = new Placement(options.policy, this.#index);
-    this.#drainRate = new DrainRate(options.nowMs);
   }
 
   /** Number of requests that wait. */
@@ -165,7 +165,7 @@
       sizeBytes: request.sizeBytes,
     };
     if (this.#refuseAtOnce(waiting, nowMs)) return;
-    this.#drainRate.advance(nowMs, this.#queue.size > 0);
+    this.#advanceDrainRates(nowMs);
     this.#waiting.set(request.id, waiting);
     this.#queue.push(waiting);
     this.#serve(nowMs);
@@ -274,7 +274,7 @@
     if (this.#states.every(({ isLeaving }) => isLeaving)) {
       this.#refuseWithoutEndpoint();
     }
-    this.#drainRate.advance(nowMs, this.#queue.size > 0);
+    this.#advanceDrainRates(nowMs);
     this.#serve(nowMs);
   }
 
@@ -346,8 +346,19 @@
     this.#refuse(waiting, "deadline", detail, waitMs - patienceMs);
   }
 
+  #advanceDrainRates(nowMs: number): void {
+    for (const [className, waiting] of this.#queue.waitingByClass()) {
+      let rate = this.#drainRates.get(className);
+      if (!rate) {
+        rate = new DrainRate(nowMs);
+        this.#drainRates.set(className, rate);
+      }
+      rate.advance(nowMs, waiting > 0);
+    }
+  }
+
   #forecastWaitMs(waiting: Waiting): number {
-    const rate = this.#drainRate.tokensPerSecond;
+    const rate = this.#drainRates.get(waiting.className)?.tokensPerSecond;
     if (rate === undefined) return 0;
     return this.#queue.workAhead(waiting) / rate * 1_000;
   }
@@ -379,6 +390,7 @@
         forecast,
         this.#states,
         share,
+        this.#memoryShareOf(request),
         nowMs,
       );
       if (found === "no-room") return "wait";
@@ -406,7 +418,10 @@
     state.holdPrefills(baseTokens * policy.prefillSpacingMsPerToken, nowMs);
     this.#index.expect(state.slot, request.blocks);
     this.#limits.onStart(request.workspace, workTokens, nowMs);
-    this.#drainRate.record(workTokens);
+    // A grant without a wait says nothing of how fast a queue drains.
+    if (nowMs > taken.enqueuedMs) {
+      this.#drainRates.get(taken.className)?.record(workTokens);
+    }
     listener.onGranted({
       id: request.id,
       endpoint: state.endpoint,
@@ -438,6 +453,12 @@
     }
   }
 
+  /** Lower classes leave room, so that higher ones find some at once. */
+  #memoryShareOf({ priority }: GroupRequest): number {
+    const higher = this.#queue.partOfClassesAbove(priority);
+    return 1 - this.#options.policy.reservedShare * higher;
+  }
+
   #currentShare(nowMs: number): number {
     const isReduced = nowMs < this.#reducedUntilMs;
     return isReduced ? this.#share * TAKEOVER_SHARE : this.#share;
--- a/src/features/dispatch/common/group_policy.ts
+++ b/src/features/dispatch/common/group_policy.ts
@@ -22,14 +22,16 @@
   readonly maxQueuedBytes: number;
   /** Part of the patience that the forecast wait may take. */
   readonly patienceShare: number;
+  /** Part of the memory that is kept free for higher classes. */
+  readonly reservedShare: number;
 }
 
 const STALL_MARGIN: MarginRule = {
-  initialDeviations: 1,
-  minDeviations: 0.3,
+  initialDeviations: 2,
+  minDeviations: 1,
   maxDeviations: 4,
   onPreemption: 0.25,
-  onQuiet: 0.005,
+  onQuiet: 0.002,
 };
 
 const STALL_POLICY: GroupPolicy = {
@@ -42,6 +44,7 @@
   maxQueued: 4_000,
   maxQueuedBytes: 256 * 1_024 * 1_024,
   patienceShare: 1,
+  reservedShare: 0.06,
 };
 
 /**
--- a/src/features/dispatch/common/memory_ledger.ts
+++ b/src/features/dispatch/common/memory_ledger.ts
@@ -10,6 +10,8 @@
 
 /** Progress below this does not change a forecast noticeably. */
 const REFRESH_TOKENS = 8;
+/** Part of its first memory below which a request is left out. */
+const NOTICEABLE_SHARE = 0.05;
 
 interface LedgerEntry {
   readonly forecast: MemoryForecast;
@@ -91,7 +93,8 @@
   }
 
   /**
-   * Highest memory over all horizons when one more profile is added.
+   * Highest memory when one more profile is added, over the horizons at which
+   * the added request is likely to run still. A later peak is not its doing.
    *
    * @param added - Profile of the request that may be added.
    * @param deviations - Standard deviations that are kept free.
@@ -99,8 +102,10 @@
    */
   peakWith(added: MemoryProfile, deviations: number): number {
     const { meanTokens, varianceTokens } = this.#sums;
+    const noticeable = added.meanTokens[0]! * NOTICEABLE_SHARE;
     let peak = 0;
     for (let index = 0; index < HORIZON_COUNT; index++) {
+      if (added.meanTokens[index]! < noticeable) continue;
       const variance = varianceTokens[index]! + added.varianceTokens[index]!;
       const held = meanTokens[index]! + added.meanTokens[index]! +
         deviations * Math.sqrt(variance);
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -16,6 +16,12 @@
 /** Prompts up to this length do not hold up a decode step noticeably. */
 const LONG_PREFILL_TOKENS = 400;
 
+/**
+ * Expected length from which the whole margin is kept; a shorter answer ends
+ * before the far forecast matters.
+ */
+const FULL_MARGIN_TOKENS = 1_024;
+
 /** Where a request goes. */
 export interface Placed {
   readonly state: EndpointState;
@@ -48,6 +54,7 @@
    * @param forecast - Forecast of its length.
    * @param states - Endpoints of the group.
    * @param share - Part of each endpoint that may be used.
+   * @param memoryShare - Part of its memory that the class may use.
    * @param nowMs - The present.
    * @returns The best endpoint with room, or why there is none.
    */
@@ -56,10 +63,15 @@
     forecast: MemoryForecast,
     states: readonly EndpointState[],
     share: number,
+    memoryShare: number,
     nowMs: number,
   ): Placed | Unplaced {
     this.#index.countHeld(request.blocks, this.#heldBlocks);
     forecast.fill(request.promptTokens, 0, this.#full);
+    const marginShare = Math.min(
+      1,
+      forecast.expectedTokens / FULL_MARGIN_TOKENS,
+    );
     let isAnyUsable = false;
     let best: Placed | undefined;
     let bestScore = -Infinity;
@@ -73,7 +85,12 @@
       );
       const baseTokens = request.promptTokens - Math.max(0, cachedTokens);
       const profile = this.#profileFor(request.promptTokens, baseTokens);
-      const headroom = state.headroomWith(profile, nowMs, share);
+      const headroom = state.headroomWith(
+        profile,
+        nowMs,
+        share * memoryShare,
+        marginShare,
+      );
       // An empty endpoint takes any request, or the largest would never run.
       if (headroom < 0 && state.ledger.size > 0) continue;
       if (baseTokens > LONG_PREFILL_TOKENS && !state.mayPrefill(nowMs)) {
