--- a/bench/path/daemon_process.ts
+++ b/bench/path/daemon_process.ts
@@ -20,6 +20,7 @@
 });
 const daemon = await Daemon.start(settings, {
   signingKeys: [{ id: "k1", secret: "signing secret of the bench" }],
+  peerSecret: "peer secret of the bench",
   operatorKey: "operator key of the bench",
 });
 serveParent(daemon.callerAddress, () => undefined);
--- a/standins/edge/edge_deployment.ts
+++ b/standins/edge/edge_deployment.ts
@@ -58,6 +58,7 @@
     });
     this.#daemon = await Daemon.start(settings, {
       signingKeys: [{ id: "k1", secret: "edge-signing-secret-0123" }],
+      peerSecret: "peer secret of the edge tests",
       operatorKey: EDGE_OPERATOR_KEY,
     });
     while (!this.#daemon.isReady) await sleep(this.clock, READY_POLL_MS);
