Refuse hopeless waits early and make decisions cheap

Cause: most refusals of long work came only at the deadline, because the forecast took the rate of the whole class; and a decision computed forecasts of waiting requests again and again.

The wait is the larger of two forecasts, by the drain rate of the class and of the workspace within it. Profiles are kept with waiting requests, a request that found no room waits until room may have come, and the ledger looks first at the horizon that was highest before.

--- a/src/features/dispatch/common/drain_rate.ts
+++ b/src/features/dispatch/common/drain_rate.ts
@@ -1,7 +1,7 @@
 /** Rate at which queued work is granted, measured while work waits. */
 
-const WINDOW_MS = 30_000;
-const MIN_OBSERVED_MS = 2_000;
+const WINDOW_MS = 90_000;
+const MIN_OBSERVED_MS = 10_000;
 
 /** Exponentially weighted rate in tokens a second. */
 export class DrainRate {
--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -131,8 +131,8 @@
     marginShare: number,
   ): number {
     const deviations = this.#deviations * marginShare;
-    const peak = this.ledger.peakWith(added, deviations);
-    return this.usableTokens(nowMs, share) - peak;
+    const usable = this.usableTokens(nowMs, share);
+    return usable - this.ledger.peakWith(added, deviations, usable);
   }
 
   /** @returns Memory that grants may use, in tokens. */
--- a/src/features/dispatch/common/fair_queue.ts
+++ b/src/features/dispatch/common/fair_queue.ts
@@ -203,11 +203,26 @@
     return above.length / Math.max(1, this.#classes.length - 1);
   }
 
-  /** Names of the classes with the number of their waiting items. */
-  *waitingByClass(): Iterable<readonly [string, number]> {
-    for (const [name, { arrivals }] of this.#classByName) {
-      yield [name, arrivals.size];
-    }
+  /**
+   * @param item - An item that waits or may join.
+   * @returns Numbers of items that wait in its class and in its flow.
+   */
+  countWith(item: T): { readonly inClass: number; readonly inFlow: number } {
+    const own = this.#classByName.get(item.className);
+    return {
+      inClass: own?.arrivals.size ?? 0,
+      inFlow: own?.flows.get(item.workspace)?.items.size ?? 0,
+    };
+  }
+
+  /**
+   * @param item - An item that waits at the end of its flow.
+   * @returns Work before it in its flow, in tokens.
+   */
+  workAheadInFlow(item: T): number {
+    const own = this.#classByName.get(item.className);
+    const work = own?.flows.get(item.workspace)?.workTokens ?? 0;
+    return Math.max(0, work - item.workTokens);
   }
 
   #serveClass(
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -10,7 +10,6 @@
   LoadReport,
 } from "../../../platform/endpoints/common/engine_client.ts";
 import type { GrantId, RefusalReason } from "./dispatcher.ts";
-import { DrainRate } from "./drain_rate.ts";
 import { EndpointState } from "./endpoint_state.ts";
 import { FairQueue, type OfferResult, type QueueItem } from "./fair_queue.ts";
 import type { GroupPolicy } from "./group_policy.ts";
@@ -21,10 +20,15 @@
   GroupRequest,
 } from "./group_requests.ts";
 import type { LengthModel } from "./length_knowledge.ts";
-import type { MemoryForecast } from "./memory_profile.ts";
+import {
+  createProfile,
+  type MemoryForecast,
+  type MemoryProfile,
+} from "./memory_profile.ts";
 import { type Placed, Placement } from "./placement.ts";
 import { MAX_GROUP_ENDPOINTS, PrefixIndex } from "./prefix_index.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { WaitForecast } from "./wait_forecast.ts";
 import { WorkspaceLimits } from "./workspace_limits.ts";
 
 const NO_RATE_RETRY_MS = 2_000;
@@ -56,6 +60,11 @@
 interface Waiting extends QueueItem {
   readonly request: GroupRequest;
   readonly forecast: MemoryForecast;
+  readonly expectedTokens: number;
+  /** Memory as it was forecast when the request came. */
+  readonly profile: MemoryProfile;
+  /** Value of the room counter when the request last found no room. */
+  noRoomAt: number;
 }
 
 interface Running {
@@ -72,11 +81,12 @@
   readonly #queue = new FairQueue<Waiting>();
   readonly #limits = new WorkspaceLimits();
   readonly #retries = new RetryBudget();
-  /** Rates at which waiting work is granted, by class. */
-  readonly #drainRates = new Map<string, DrainRate>();
+  readonly #waits = new WaitForecast(this.#queue);
   readonly #waiting = new Map<GrantId, Waiting>();
   readonly #running = new Map<GrantId, Running>();
   #states: EndpointState[] = [];
+  /** Grows whenever an endpoint may have gained room. */
+  #roomCounter = 0;
   #share = 1;
   #reducedUntilMs = -Infinity;
 
@@ -133,12 +143,14 @@
     }
     this.#states = kept;
     this.#refuseWithoutEndpoint();
+    this.#roomCounter++;
     this.#serve(nowMs);
   }
 
   /** Sets the part of each endpoint that this dispatcher may use. */
   setShare(share: number, nowMs: number): void {
     this.#share = share;
+    this.#roomCounter++;
     this.#serve(nowMs);
   }
 
@@ -151,9 +163,15 @@
   request(request: GroupRequest, nowMs: number): void {
     if (this.#waiting.has(request.id) || this.#running.has(request.id)) return;
     const forecast = this.#options.lengths.forecast(request);
+    const { expectedTokens } = forecast;
+    const profile = createProfile();
+    forecast.fill(request.promptTokens, 0, profile);
     const waiting: Waiting = {
       request,
       forecast,
+      expectedTokens,
+      profile,
+      noRoomAt: -1,
       workspace: request.workspace,
       className: request.className,
       priority: request.priority,
@@ -161,11 +179,11 @@
       share: request.share,
       enqueuedMs: nowMs,
       deadlineMs: nowMs + request.patienceMs,
-      workTokens: request.promptTokens + forecast.expectedTokens,
+      workTokens: request.promptTokens + expectedTokens,
       sizeBytes: request.sizeBytes,
     };
     if (this.#refuseAtOnce(waiting, nowMs)) return;
-    this.#advanceDrainRates(nowMs);
+    this.#waits.advance(waiting, nowMs);
     this.#waiting.set(request.id, waiting);
     this.#queue.push(waiting);
     this.#serve(nowMs);
@@ -198,6 +216,7 @@
     this.#running.delete(id);
     const { request, state, chargedTokens } = running;
     state.ledger.remove(id);
+    this.#roomCounter++;
     const usedTokens = end === "not-run"
       ? 0
       : request.promptTokens + generatedTokens;
@@ -244,6 +263,7 @@
   /** All holders of grants have told theirs. */
   endTakeover(nowMs: number): void {
     this.#reducedUntilMs = -Infinity;
+    this.#roomCounter++;
     this.#serve(nowMs);
   }
 
@@ -274,7 +294,8 @@
     if (this.#states.every(({ isLeaving }) => isLeaving)) {
       this.#refuseWithoutEndpoint();
     }
-    this.#advanceDrainRates(nowMs);
+    // Progress, reports and time itself may have made room since.
+    this.#roomCounter++;
     this.#serve(nowMs);
   }
 
@@ -339,35 +360,18 @@
   #refuseIfTooLate(waiting: Waiting): void {
     const { patienceMs } = waiting.request;
     if (!Number.isFinite(patienceMs)) return;
-    const waitMs = this.#forecastWaitMs(waiting);
+    const waitMs = this.#waits.waitMs(waiting);
     if (waitMs <= patienceMs * this.#options.policy.patienceShare) return;
     this.abandon(waiting.request.id);
     const detail = `the wait would be about ${Math.round(waitMs)} ms`;
     this.#refuse(waiting, "deadline", detail, waitMs - patienceMs);
   }
 
-  #advanceDrainRates(nowMs: number): void {
-    for (const [className, waiting] of this.#queue.waitingByClass()) {
-      let rate = this.#drainRates.get(className);
-      if (!rate) {
-        rate = new DrainRate(nowMs);
-        this.#drainRates.set(className, rate);
-      }
-      rate.advance(nowMs, waiting > 0);
-    }
-  }
-
-  #forecastWaitMs(waiting: Waiting): number {
-    const rate = this.#drainRates.get(waiting.className)?.tokensPerSecond;
-    if (rate === undefined) return 0;
-    return this.#queue.workAhead(waiting) / rate * 1_000;
-  }
-
   #refuse(
     waiting: Waiting,
     reason: RefusalReason,
     detail: string,
-    afterMs = this.#forecastWaitMs(waiting),
+    afterMs = this.#waits.waitMs(waiting),
   ): void {
     const spread = 1 + RETRY_JITTER * (2 * this.#options.random.float() - 1);
     const hintMs = Math.max(NO_RATE_RETRY_MS, Math.min(MAX_RETRY_MS, afterMs));
@@ -383,18 +387,25 @@
     const { lookAhead } = this.#options.policy;
     const share = this.#currentShare(nowMs);
     let placed: Placed | undefined;
-    const offer = ({ request, forecast }: Waiting): OfferResult => {
+    const offer = (waiting: Waiting): OfferResult => {
+      const { request, expectedTokens, profile } = waiting;
       if (!this.#limits.mayRun(request.workspace, request.limit)) return "skip";
+      if (waiting.noRoomAt === this.#roomCounter) return "wait";
       const found = this.#placement.place(
         request,
-        forecast,
+        expectedTokens,
+        profile,
         this.#states,
         share,
         this.#memoryShareOf(request),
         nowMs,
       );
-      if (found === "no-room") return "wait";
+      if (found === "no-room") {
+        waiting.noRoomAt = this.#roomCounter;
+        return "wait";
+      }
       if (found === "no-endpoint") return "skip";
+      this.#waits.advance(waiting, nowMs);
       placed = found;
       return "taken";
     };
@@ -419,9 +430,7 @@
     this.#index.expect(state.slot, request.blocks);
     this.#limits.onStart(request.workspace, workTokens, nowMs);
     // A grant without a wait says nothing of how fast a queue drains.
-    if (nowMs > taken.enqueuedMs) {
-      this.#drainRates.get(taken.className)?.record(workTokens);
-    }
+    if (nowMs > taken.enqueuedMs) this.#waits.record(taken);
     listener.onGranted({
       id: request.id,
       endpoint: state.endpoint,
--- a/src/features/dispatch/common/group_policy.ts
+++ b/src/features/dispatch/common/group_policy.ts
@@ -43,7 +43,7 @@
   prefillSpacingMsPerToken: 0,
   maxQueued: 4_000,
   maxQueuedBytes: 256 * 1_024 * 1_024,
-  patienceShare: 1,
+  patienceShare: 1.1,
   reservedShare: 0.06,
 };
 
--- a/src/features/dispatch/common/length_histogram.ts
+++ b/src/features/dispatch/common/length_histogram.ts
@@ -8,12 +8,18 @@
 const WEIGHT_GROWTH = 1 + 1 / MEMORY_SAMPLES;
 const RESCALE_AT_WEIGHT = 1e9;
 
+const MIDDLE_TOKENS = Float64Array.from(
+  { length: BUCKET_COUNT },
+  (_, bucket) => 2 ** ((bucket + 0.5) / BUCKETS_PER_DOUBLING),
+);
+
 /** Logarithmic buckets; a later sample weighs more than an earlier one. */
 export class LengthHistogram {
   readonly #weights = new Float64Array(BUCKET_COUNT);
   /** Weight of each bucket and of all after it. */
   readonly #tails = new Float64Array(BUCKET_COUNT + 1);
   #nextWeight = 1;
+  #meanTokens = 0;
   #isStale = false;
 
   /** @param tokens - Length of one finished request. */
@@ -34,11 +40,7 @@
   /** Mean length in tokens; 0 without samples. */
   get meanTokens(): number {
     this.#refresh();
-    let sum = 0;
-    for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
-      sum += this.#weights[bucket]! * middleOf(bucket);
-    }
-    return this.#tails[0]! === 0 ? 0 : sum / this.#tails[0]!;
+    return this.#meanTokens;
   }
 
   /**
@@ -56,9 +58,13 @@
   #refresh(): void {
     if (!this.#isStale) return;
     this.#isStale = false;
+    let sum = 0;
     for (let bucket = BUCKET_COUNT - 1; bucket >= 0; bucket--) {
-      this.#tails[bucket] = this.#tails[bucket + 1]! + this.#weights[bucket]!;
+      const weight = this.#weights[bucket]!;
+      this.#tails[bucket] = this.#tails[bucket + 1]! + weight;
+      sum += weight * MIDDLE_TOKENS[bucket]!;
     }
+    this.#meanTokens = sum / this.#tails[0]!;
   }
 
   #rescale(): void {
@@ -74,7 +80,3 @@
   const position = Math.log2(Math.max(1, tokens)) * BUCKETS_PER_DOUBLING;
   return Math.min(position, BUCKET_COUNT - 1);
 }
-
-function middleOf(bucket: number): number {
-  return 2 ** ((bucket + 0.5) / BUCKETS_PER_DOUBLING);
-}
--- a/src/features/dispatch/common/memory_ledger.ts
+++ b/src/features/dispatch/common/memory_ledger.ts
@@ -24,6 +24,8 @@
 export class MemoryLedger {
   readonly #entries = new Map<GrantId, LedgerEntry>();
   readonly #sums = createProfile();
+  /** Horizon of the highest memory when it was last computed. */
+  #peakIndex = 0;
 
   /** Number of grants. */
   get size(): number {
@@ -98,22 +100,41 @@
    *
    * @param added - Profile of the request that may be added.
    * @param deviations - Standard deviations that are kept free.
-   * @returns The future peak, in tokens.
+   * @param limitTokens - Peak beyond which its exact value does not matter.
+   * @returns The future peak, in tokens; any value beyond the limit.
    */
-  peakWith(added: MemoryProfile, deviations: number): number {
-    const { meanTokens, varianceTokens } = this.#sums;
+  peakWith(
+    added: MemoryProfile,
+    deviations: number,
+    limitTokens: number,
+  ): number {
     const noticeable = added.meanTokens[0]! * NOTICEABLE_SHARE;
-    let peak = 0;
+    // Most checks fail where the last one failed, so that one comes first.
+    let peak = this.#heldAt(this.#peakIndex, added, deviations, noticeable);
+    if (peak > limitTokens) return peak;
     for (let index = 0; index < HORIZON_COUNT; index++) {
-      if (added.meanTokens[index]! < noticeable) continue;
-      const variance = varianceTokens[index]! + added.varianceTokens[index]!;
-      const held = meanTokens[index]! + added.meanTokens[index]! +
-        deviations * Math.sqrt(variance);
-      if (held > peak) peak = held;
+      const held = this.#heldAt(index, added, deviations, noticeable);
+      if (held <= peak) continue;
+      peak = held;
+      this.#peakIndex = index;
+      if (held > limitTokens) return held;
     }
     return peak;
   }
 
+  #heldAt(
+    index: number,
+    added: MemoryProfile,
+    deviations: number,
+    noticeable: number,
+  ): number {
+    const addedTokens = added.meanTokens[index]!;
+    if (addedTokens < noticeable) return 0;
+    const { meanTokens, varianceTokens } = this.#sums;
+    const variance = varianceTokens[index]! + added.varianceTokens[index]!;
+    return meanTokens[index]! + addedTokens + deviations * Math.sqrt(variance);
+  }
+
   #apply(profile: MemoryProfile, sign: 1 | -1): void {
     for (let index = 0; index < HORIZON_COUNT; index++) {
       this.#sums.meanTokens[index]! += sign * profile.meanTokens[index]!;
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -8,7 +8,6 @@
   createProfile,
   HORIZON_COUNT,
   HORIZON_TOKENS,
-  type MemoryForecast,
   type MemoryProfile,
 } from "./memory_profile.ts";
 import { MAX_GROUP_ENDPOINTS, type PrefixIndex } from "./prefix_index.ts";
@@ -37,7 +36,6 @@
   readonly #policy: GroupPolicy;
   readonly #index: PrefixIndex;
   readonly #heldBlocks = new Uint16Array(MAX_GROUP_ENDPOINTS);
-  readonly #full = createProfile();
   readonly #shared = createProfile();
 
   /**
@@ -51,7 +49,8 @@
 
   /**
    * @param request - The request.
-   * @param forecast - Forecast of its length.
+   * @param expectedTokens - Expected length of its answer.
+   * @param full - Profile of its memory when nothing is shared.
    * @param states - Endpoints of the group.
    * @param share - Part of each endpoint that may be used.
    * @param memoryShare - Part of its memory that the class may use.
@@ -60,17 +59,17 @@
    */
   place(
     request: GroupRequest,
-    forecast: MemoryForecast,
+    expectedTokens: number,
+    full: MemoryProfile,
     states: readonly EndpointState[],
     share: number,
     memoryShare: number,
     nowMs: number,
   ): Placed | Unplaced {
     this.#index.countHeld(request.blocks, this.#heldBlocks);
-    forecast.fill(request.promptTokens, 0, this.#full);
     const marginShare = Math.min(
       1,
-      forecast.expectedTokens / FULL_MARGIN_TOKENS,
+      expectedTokens / FULL_MARGIN_TOKENS,
     );
     let isAnyUsable = false;
     let best: Placed | undefined;
@@ -84,7 +83,11 @@
         this.#heldBlocks[state.slot]! * BLOCK_TOKENS,
       );
       const baseTokens = request.promptTokens - Math.max(0, cachedTokens);
-      const profile = this.#profileFor(request.promptTokens, baseTokens);
+      const profile = this.#profileFor(
+        full,
+        request.promptTokens,
+        baseTokens,
+      );
       const headroom = state.headroomWith(
         profile,
         nowMs,
@@ -107,10 +110,14 @@
   }
 
   /** The full profile less what the endpoint shares. */
-  #profileFor(promptTokens: number, baseTokens: number): MemoryProfile {
-    if (baseTokens === promptTokens) return this.#full;
+  #profileFor(
+    full: MemoryProfile,
+    promptTokens: number,
+    baseTokens: number,
+  ): MemoryProfile {
+    if (baseTokens === promptTokens) return full;
     const savedTokens = promptTokens - baseTokens;
-    const { meanTokens, varianceTokens } = this.#full;
+    const { meanTokens, varianceTokens } = full;
     for (let index = 0; index < HORIZON_COUNT; index++) {
       const whole = promptTokens + HORIZON_TOKENS[index]!;
       const kept = 1 - savedTokens / whole;
