Leave retries to the entry daemon and see engines that give no report

Requests also waited in a group whose engines were all dead, since ejection keeps a floor and nothing marked an engine without reports as away.

Before: poison_test failed with 2 engines, engine_dies left a request without an answer. Conclusion: the entry daemon owns retries; an engine without an answer to two polls is no candidate until it reports.

--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -22,6 +22,7 @@
 const SLOW_START_MS = 10_000;
 const SLOW_START_SHARE = 0.2;
 const EJECT_AFTER_FAILURES = 3;
+const UNREACHABLE_AFTER_POLLS = 2;
 const EJECTION_MS = 5_000;
 const MAX_EJECTION_MS = 60_000;
 const KEPT_SNAPSHOTS = 32;
@@ -63,6 +64,7 @@
   #slowStartMs: number;
   #failures = 0;
   #ejections = 0;
+  #failedPolls = 0;
   #ejectedUntilMs = -Infinity;
   #nextPrefillMs = -Infinity;
   readonly #rule: MarginRule;
@@ -150,6 +152,7 @@
    * @param nowMs - Moment at which it was received.
    */
   onReport(report: LoadReport, nowMs: number): void {
+    this.#failedPolls = 0;
     this.#remember(nowMs);
     const last = this.#lastReport;
     const madeMs = nowMs - report.ageMs;
@@ -168,6 +171,16 @@
     this.#learnSlots(report, last);
   }
 
+  /** Whether the endpoint has given no load report for some polls. */
+  get isUnreachable(): boolean {
+    return this.#failedPolls >= UNREACHABLE_AFTER_POLLS;
+  }
+
+  /** Takes note of a poll without an answer. */
+  onFailedPoll(): void {
+    this.#failedPolls++;
+  }
+
   /** Takes note of a request that the endpoint answered in order. */
   onSuccess(): void {
     this.#failures = 0;
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -27,7 +27,6 @@
 } from "./memory_profile.ts";
 import { type Placed, Placement } from "./placement.ts";
 import { MAX_GROUP_ENDPOINTS, PrefixIndex } from "./prefix_index.ts";
-import { RetryBudget } from "./retry_budget.ts";
 import { WaitForecast } from "./wait_forecast.ts";
 import { WorkspaceLimits } from "./workspace_limits.ts";
 
@@ -80,7 +79,6 @@
   readonly #placement: Placement;
   readonly #queue = new FairQueue<Waiting>();
   readonly #limits = new WorkspaceLimits();
-  readonly #retries = new RetryBudget();
   readonly #waits = new WaitForecast(this.#queue);
   readonly #waiting = new Map<GrantId, Waiting>();
   readonly #running = new Map<GrantId, Running>();
@@ -236,6 +234,7 @@
   /** An endpoint could not be asked for its load. */
   onUnreachable(endpoint: EndpointId, nowMs: number): void {
     const state = this.#findState(endpoint);
+    state?.onFailedPoll();
     if (state?.onFailure()) this.#eject(state, nowMs);
   }
 
@@ -291,15 +290,17 @@
       this.#waiting.delete(expired.request.id);
       this.#refuse(expired, "deadline", "no endpoint had room in time");
     }
-    if (this.#states.every(({ isLeaving }) => isLeaving)) {
-      this.#refuseWithoutEndpoint();
-    }
+    this.#refuseWithoutEndpoint();
     // Progress, reports and time itself may have made room since.
     this.#roomCounter++;
     this.#serve(nowMs);
   }
 
   #refuseWithoutEndpoint(): void {
+    const isAnyAway = this.#states.some(({ isLeaving, isUnreachable }) =>
+      isLeaving || isUnreachable
+    );
+    if (!isAnyAway && this.#states.length > 0) return;
     for (const waiting of [...this.#waiting.values()]) {
       if (this.#isAnyEndpointLeft(waiting.request)) continue;
       this.abandon(waiting.request.id);
@@ -344,16 +345,14 @@
       this.#refuse(waiting, "deadline", "the deadline has passed");
     } else if (!this.#isAnyEndpointLeft(request)) {
       this.#refuse(waiting, "no-endpoint", NO_ENDPOINT_DETAIL);
-    } else if (request.excludedEndpoints.length > 0 && !this.#retries.take()) {
-      const detail = "too many requests are being retried";
-      this.#refuse(waiting, "queue-full", detail);
     } else return false;
     return true;
   }
 
   #isAnyEndpointLeft(request: GroupRequest): boolean {
-    return this.#states.some(({ isLeaving, endpoint }) =>
-      !isLeaving && !request.excludedEndpoints.includes(endpoint.id)
+    return this.#states.some(({ isLeaving, isUnreachable, endpoint }) =>
+      !isLeaving && !isUnreachable &&
+      !request.excludedEndpoints.includes(endpoint.id)
     );
   }
 
@@ -445,7 +444,6 @@
   ): void {
     if (end === "completed") {
       this.#options.lengths.observe(request, generatedTokens);
-      this.#retries.onSuccess();
       state.onSuccess();
     } else if (end !== "cancelled" && state.onFailure()) {
       this.#eject(state, nowMs);
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -133,6 +133,7 @@
   request: GroupRequest,
   nowMs: number,
 ): boolean {
-  return !state.isLeaving && !state.isEjected(nowMs) &&
+  return !state.isLeaving && !state.isUnreachable &&
+    !state.isEjected(nowMs) &&
     !request.excludedEndpoints.includes(state.endpoint.id);
 }
