Keep histograms per workspace and class, and send bounded samples to StatsD

Cause: metrics went only to StatsD, sample by sample, and none were kept for operators. Each token cost a formatted line in one case of twenty. Conclusion: own buckets, hot-shots for the sending.

--- /dev/null
+++ b/bench/benches/metrics.ts
@@ -0,0 +1,203 @@
+/** Cost of recording, memory of all histograms, and bytes sent to StatsD. */
+
+import { createSocket, type Socket } from "node:dgram";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { build } from "hdr-histogram-js";
+import { ManualClock, sleep } from "../../src/base/common/clock.ts";
+import {
+  asId,
+  type ServiceId,
+  type WorkspaceId,
+} from "../../src/base/common/ids.ts";
+import { SystemClock } from "../../src/base/node/system_clock.ts";
+import { HistogramMetrics } from "../../src/platform/metrics/common/histogram_metrics.ts";
+import { createHistogram } from "../../src/platform/metrics/common/measures.ts";
+import type {
+  MetricLabels,
+  RequestRecorder,
+} from "../../src/platform/metrics/common/metrics.ts";
+import { StatsdSink } from "../../src/platform/metrics/node/statsd_sink.ts";
+import type { Bench } from "../bench.ts";
+
+const WORKSPACE_COUNT = 6_100;
+const SERVICE_COUNT = 6;
+const CLASS_COUNT = 3;
+const TOKEN_RECORDS = 5_000_000;
+const REQUEST_RECORDS = 500_000;
+const HISTOGRAM_COUNT = 1_000;
+const SENDING_MS = 21_000;
+const SENDING_STEP_MS = 10;
+const REQUESTS_PER_STEP = 10;
+const TOKENS_PER_STEP = 1_000;
+const BYTES_PER_MB = 1_048_576;
+const OWNER = { host: "bench-1", zone: "bench-zone" };
+const HDR_OPTIONS = {
+  bitBucketSize: 32,
+  lowestDiscernibleValue: 1,
+  highestTrackableValue: 2 ** 27,
+  numberOfSignificantValueDigits: 1,
+} as const;
+
+/** Measurement of the metrics. */
+export const bench: Bench = {
+  description: "cost of recording, memory of histograms, bytes sent to StatsD",
+  run: async ({ printRow }) => {
+    const agent = await listenUdp();
+    printRow({ variant: "log-histogram", ...measureOwn() });
+    printRow({ variant: "hdr-histogram-js", ...measureHdr() });
+    const clock = new SystemClock();
+    const sink = new StatsdSink(clock, agent.address, OWNER);
+    const metrics = new HistogramMetrics(clock, OWNER, sink);
+    const { recordTokenNs, recordRequestNs } = measureRecords(metrics);
+    const histogramsMb = measureMemoryMb();
+    const bytesPerSecond = await measureBytes(clock, metrics, agent);
+    metrics.dispose();
+    sink.dispose();
+    agent.socket.close();
+    return { recordTokenNs, recordRequestNs, histogramsMb, bytesPerSecond };
+  },
+};
+
+interface UdpAgent {
+  readonly socket: Socket;
+  readonly address: { readonly ip: string; readonly port: number };
+  receivedBytes: number;
+}
+
+async function listenUdp(): Promise<UdpAgent> {
+  const socket = createSocket("udp4");
+  await new Promise<void>((resolve) => socket.bind(0, "127.0.0.1", resolve));
+  const { address, port } = socket.address();
+  const agent = { socket, address: { ip: address, port }, receivedBytes: 0 };
+  socket.on("message", (message) => {
+    agent.receivedBytes += message.byteLength;
+  });
+  return agent;
+}
+
+function labelsAt(index: number): MetricLabels {
+  const pair = Math.floor(index / WORKSPACE_COUNT);
+  return {
+    workspace: asId<WorkspaceId>(`team/workspace-${index % WORKSPACE_COUNT}`),
+    service: asId<ServiceId>(`team/model-${pair % SERVICE_COUNT}`),
+    className: `class-${Math.floor(pair / SERVICE_COUNT) % CLASS_COUNT}`,
+  };
+}
+
+function measureRecords(
+  metrics: HistogramMetrics,
+): { readonly recordTokenNs: number; readonly recordRequestNs: number } {
+  const recorders: RequestRecorder[] = [];
+  for (let index = 0; index < WORKSPACE_COUNT; index++) {
+    recorders.push(metrics.forRequest(labelsAt(index)));
+  }
+  const recordTokenNs = timeEach(
+    TOKEN_RECORDS,
+    (index) =>
+      recorders[index % WORKSPACE_COUNT]!.recordTokenGap(index % 997 / 10),
+  );
+  const labels = recorders.map((_, index) => labelsAt(index));
+  const recordRequestNs = timeEach(REQUEST_RECORDS, (index) => {
+    const recorder = metrics.forRequest(labels[index % WORKSPACE_COUNT]!);
+    recorder.recordQueueWait(index % 50);
+    recorder.recordFirstToken(index % 500);
+    recorder.recordEnd("completed", index % 3_000);
+  });
+  return { recordTokenNs, recordRequestNs };
+}
+
+/** Every workspace uses every service and class. */
+function measureMemoryMb(): number {
+  const before = usedBytes();
+  const clock = new ManualClock();
+  const sink = {
+    sample: () => undefined,
+    countEnd: () => undefined,
+    countPreemptions: () => undefined,
+    count: () => undefined,
+  };
+  const metrics = new HistogramMetrics(clock, OWNER, sink);
+  const seriesCount = WORKSPACE_COUNT * SERVICE_COUNT * CLASS_COUNT;
+  for (let index = 0; index < seriesCount; index++) {
+    const recorder = metrics.forRequest(labelsAt(index));
+    recorder.recordQueueWait(index % 50);
+    recorder.recordFirstToken(index % 500);
+    recorder.recordTokenGap(index % 100);
+    recorder.recordStall(index % 1_000);
+    recorder.recordEnd("completed", index % 3_000);
+  }
+  const usedMb = (usedBytes() - before) / BYTES_PER_MB;
+  metrics.dispose();
+  return round(usedMb);
+}
+
+async function measureBytes(
+  clock: SystemClock,
+  metrics: HistogramMetrics,
+  agent: UdpAgent,
+): Promise<number> {
+  const startMs = clock.monotonicMs();
+  const startBytes = agent.receivedBytes;
+  let index = 0;
+  while (clock.monotonicMs() - startMs < SENDING_MS) {
+    for (let count = 0; count < REQUESTS_PER_STEP; count++) {
+      const recorder = metrics.forRequest(labelsAt(index++));
+      recorder.recordQueueWait(count);
+      recorder.recordFirstToken(count);
+      for (let gap = 0; gap < TOKENS_PER_STEP / REQUESTS_PER_STEP; gap++) {
+        recorder.recordTokenGap(gap);
+      }
+      recorder.recordEnd("completed", TOKENS_PER_STEP / REQUESTS_PER_STEP);
+    }
+    await sleep(clock, SENDING_STEP_MS);
+  }
+  const tookSeconds = (clock.monotonicMs() - startMs) / 1_000;
+  return Math.round((agent.receivedBytes - startBytes) / tookSeconds);
+}
+
+function measureHdr(): object {
+  const before = usedBytes();
+  const histograms = Array.from(
+    { length: HISTOGRAM_COUNT },
+    () => build(HDR_OPTIONS),
+  );
+  const bytesEach = (usedBytes() - before) / HISTOGRAM_COUNT;
+  const recordNs = timeEach(
+    TOKEN_RECORDS,
+    (index) => histograms[index % HISTOGRAM_COUNT]!.recordValue(index % 6_400),
+  );
+  return { recordNs, bytesEach: Math.round(bytesEach) };
+}
+
+function measureOwn(): object {
+  const before = usedBytes();
+  const histograms = Array.from(
+    { length: HISTOGRAM_COUNT },
+    () => createHistogram("tokenGapMs"),
+  );
+  const bytesEach = (usedBytes() - before) / HISTOGRAM_COUNT;
+  const recordNs = timeEach(
+    TOKEN_RECORDS,
+    (index) => histograms[index % HISTOGRAM_COUNT]!.record(index % 100),
+  );
+  return { recordNs, bytesEach: Math.round(bytesEach) };
+}
+
+function timeEach(count: number, work: (index: number) => void): number {
+  const start = process.hrtime.bigint();
+  for (let index = 0; index < count; index++) work(index);
+  const tookNs = Number(process.hrtime.bigint() - start);
+  return round(tookNs / count);
+}
+
+function usedBytes(): number {
+  setFlagsFromString("--expose-gc");
+  (runInNewContext("gc") as () => void)();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
+}
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -16,11 +16,12 @@
 import { HttpEngineClient } from "../../platform/endpoints/node/http_engine_client.ts";
 import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
 import { StaticMembership } from "../../platform/membership/common/membership.ts";
+import { HistogramMetrics } from "../../platform/metrics/common/histogram_metrics.ts";
 import {
-  type Metrics,
-  NO_METRICS,
-} from "../../platform/metrics/common/metrics.ts";
-import { StatsdMetrics } from "../../platform/metrics/node/statsd_metrics.ts";
+  NO_SAMPLE_SINK,
+  type SampleSink,
+} from "../../platform/metrics/common/sample_sink.ts";
+import { StatsdSink } from "../../platform/metrics/node/statsd_sink.ts";
 import { SoloPeerLinks } from "../../platform/peers/common/solo_peer_links.ts";
 import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
 import { splitAddress } from "../../platform/settings/common/schema_parts.ts";
@@ -44,6 +45,7 @@
   readonly #clock = new SystemClock();
   readonly #owned = new DisposableStore();
   readonly #logger: DebugLogger;
+  readonly #metrics: HistogramMetrics;
   readonly #core: DaemonCore;
   readonly #callers: FastifyInstance;
   readonly #operators: FastifyInstance;
@@ -58,12 +60,15 @@
     const clock = this.#clock;
     this.#settings = settings;
     this.#logger = new DebugLogger(clock, host);
+    this.#metrics = this.#owned.add(
+      new HistogramMetrics(clock, { host, zone }, this.#createSampleSink()),
+    );
     this.#core = this.#owned.add(
       new DaemonCore({
         clock,
         hasher,
         logger: this.#logger,
-        metrics: this.#createMetrics(),
+        metrics: this.#metrics,
         store: this.#owned.add(new EtcdStoreClient(settings.store.addresses)),
         engines: this.#owned.add(new HttpEngineClient()),
         apps: this.#owned.add(new HttpAppClient()),
@@ -137,11 +142,12 @@
     await this.#close();
   }
 
-  #createMetrics(): Metrics {
-    const { statsd } = this.#settings.metrics;
-    if (statsd === undefined) return NO_METRICS;
-    const { ip, port } = splitAddress(statsd);
-    return this.#owned.add(new StatsdMetrics(ip, port));
+  #createSampleSink(): SampleSink {
+    const { host, zone, metrics: { statsd } } = this.#settings;
+    if (statsd === undefined) return NO_SAMPLE_SINK;
+    return this.#owned.add(
+      new StatsdSink(this.#clock, splitAddress(statsd), { host, zone }),
+    );
   }
 
   async #listen(): Promise<void> {
--- a/src/platform/metrics/common/metrics.ts
+++ b/src/platform/metrics/common/metrics.ts
@@ -2,8 +2,16 @@
 
 import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
 
+/** All ends of a request. */
+export const OUTCOME_KINDS = [
+  "completed",
+  "not-run",
+  "interrupted",
+  "unknown",
+] as const;
+
 /** How a request ended for its caller. */
-export type OutcomeKind = "completed" | "not-run" | "interrupted" | "unknown";
+export type OutcomeKind = (typeof OUTCOME_KINDS)[number];
 
 /** Whose request is measured. */
 export interface MetricLabels {
@@ -22,6 +30,8 @@
   recordTokenGap(gapMs: number): void;
   /** @param stallMs - Time without a token beyond the stall limit. */
   recordStall(stallMs: number): void;
+  /** @param count - How often the endpoint preempted the request. */
+  recordPreemptions(count: number): void;
   /**
    * @param outcome - How the request ended.
    * @param outputTokens - Tokens delivered to the caller.
@@ -50,6 +60,7 @@
   recordFirstToken: () => undefined,
   recordTokenGap: () => undefined,
   recordStall: () => undefined,
+  recordPreemptions: () => undefined,
   recordEnd: () => undefined,
 };
 
--- /dev/null
+++ b/src/platform/metrics/common/sample_sink.ts
@@ -0,0 +1,31 @@
+/** Contract of where single samples go besides the histograms. */
+
+import type { MeasureName } from "./measures.ts";
+import type { CounterName, OutcomeKind } from "./metrics.ts";
+
+/** Labels of a series, as they are sent. */
+export interface SeriesLabels {
+  readonly service: string;
+  readonly workspace: string;
+  readonly className: string;
+}
+
+/** Receives samples; it may drop some when there are too many. */
+export interface SampleSink {
+  /** One value out of those that were recorded. */
+  sample(name: MeasureName, value: number, labels: SeriesLabels): void;
+  /** The end of a request; every one is counted. */
+  countEnd(outcome: OutcomeKind, labels: SeriesLabels): void;
+  /** Preemptions of a series. */
+  countPreemptions(count: number, labels: SeriesLabels): void;
+  /** A counter that is not about one request. */
+  count(name: CounterName, by: number): void;
+}
+
+/** Drops every sample. */
+export const NO_SAMPLE_SINK: SampleSink = {
+  sample: () => undefined,
+  countEnd: () => undefined,
+  countPreemptions: () => undefined,
+  count: () => undefined,
+};
--- /dev/null
+++ b/src/platform/metrics/node/prometheus_text.ts
@@ -0,0 +1,196 @@
+/** The figures of a daemon as Prometheus text, by prom-client. */
+
+import { type Metric, Registry } from "prom-client";
+import {
+  type DaemonFigures,
+  mergeByKey,
+  type SeriesFigures,
+} from "../common/figures.ts";
+import { BUCKET_COUNT, type LogHistogram } from "../common/log_histogram.ts";
+import { MEASURE_NAMES, type MeasureName } from "../common/measures.ts";
+import { OUTCOME_KINDS } from "../common/metrics.ts";
+
+const MS_PER_SECOND = 1_000;
+/** Only every eighth bucket border is published: one for each doubling. */
+const PUBLISHED_BUCKET_STEP = 8;
+
+interface PublishedMeasure {
+  readonly name: string;
+  readonly help: string;
+  /** What a recorded value is divided by. */
+  readonly divisor: number;
+}
+
+const MEASURES: Readonly<Record<MeasureName, PublishedMeasure>> = {
+  queueWaitMs: {
+    name: "ragwort_queue_wait_seconds",
+    help: "Time that requests waited for a grant",
+    divisor: MS_PER_SECOND,
+  },
+  firstTokenMs: {
+    name: "ragwort_first_token_seconds",
+    help: "Time from a request to its first token",
+    divisor: MS_PER_SECOND,
+  },
+  tokenGapMs: {
+    name: "ragwort_token_gap_seconds",
+    help: "Time between two tokens",
+    divisor: MS_PER_SECOND,
+  },
+  stallMs: {
+    name: "ragwort_stall_seconds",
+    help: "Time without a token beyond the stall limit",
+    divisor: MS_PER_SECOND,
+  },
+  outputTokens: {
+    name: "ragwort_output_tokens",
+    help: "Tokens delivered to callers by one request",
+    divisor: 1,
+  },
+};
+
+interface PublishedValue {
+  readonly metricName: string;
+  readonly labels: Readonly<Record<string, string | number>>;
+  readonly value: number;
+}
+
+interface PublishedMetric {
+  readonly name: string;
+  readonly help: string;
+  readonly type: "counter" | "histogram";
+  readonly values: readonly PublishedValue[];
+}
+
+/**
+ * Histograms are published for each service and class, counters for each
+ * workspace as well.
+ *
+ * @param figures - What was measured.
+ * @returns The text of a scrape.
+ */
+export async function formatPrometheus(
+  figures: DaemonFigures,
+): Promise<string> {
+  const registry = new Registry();
+  const { host, zone } = figures;
+  registry.setDefaultLabels({ host, zone });
+  const published = [
+    ...MEASURE_NAMES.map((name) => publishMeasure(name, figures.series)),
+    publishRequests(figures.series),
+    publishPreemptions(figures.series),
+    ...publishCounters(figures),
+  ];
+  for (const metric of published) registry.registerMetric(toMetric(metric));
+  return await registry.metrics();
+}
+
+/** The registry needs only the name and the values of a metric. */
+function toMetric(metric: PublishedMetric): Metric {
+  const source = {
+    name: metric.name,
+    get: () => Promise.resolve({ ...metric, aggregator: "sum" }),
+  };
+  return source as unknown as Metric;
+}
+
+function publishMeasure(
+  measure: MeasureName,
+  series: readonly SeriesFigures[],
+): PublishedMetric {
+  const { name, help, divisor } = MEASURES[measure];
+  const groups = mergeByKey(
+    series,
+    ({ service, className }) => JSON.stringify([service, className]),
+  );
+  const values = [...groups].flatMap(([key, merged]) => {
+    const [service = "", className = ""] = JSON.parse(key) as string[];
+    const histogram = merged.histograms[measure];
+    if (histogram.count === 0) return [];
+    return toHistogramValues(
+      name,
+      histogram,
+      divisor,
+      { service, class: className },
+    );
+  });
+  return { name, help, type: "histogram", values };
+}
+
+function toHistogramValues(
+  name: string,
+  histogram: LogHistogram,
+  divisor: number,
+  labels: PublishedValue["labels"],
+): PublishedValue[] {
+  const values: PublishedValue[] = [];
+  let count = 0;
+  for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
+    count += histogram.countOf(bucket);
+    if (bucket % PUBLISHED_BUCKET_STEP !== PUBLISHED_BUCKET_STEP - 1) continue;
+    const le = histogram.upperBound(bucket) / divisor;
+    values.push({
+      metricName: `${name}_bucket`,
+      labels: { ...labels, le },
+      value: count,
+    });
+    if (count === histogram.count) break;
+  }
+  values.push(
+    {
+      metricName: `${name}_bucket`,
+      labels: { ...labels, le: "+Inf" },
+      value: histogram.count,
+    },
+    { metricName: `${name}_sum`, labels, value: histogram.sum / divisor },
+    { metricName: `${name}_count`, labels, value: histogram.count },
+  );
+  return values;
+}
+
+function publishRequests(series: readonly SeriesFigures[]): PublishedMetric {
+  const name = "ragwort_requests_total";
+  const values = series.flatMap((one) =>
+    OUTCOME_KINDS.filter((outcome) => one.outcomes[outcome] > 0).map((
+      outcome,
+    ) => ({
+      metricName: name,
+      labels: { ...labelsOf(one), outcome },
+      value: one.outcomes[outcome],
+    }))
+  );
+  return { name, help: "Requests by outcome", type: "counter", values };
+}
+
+function publishPreemptions(series: readonly SeriesFigures[]): PublishedMetric {
+  const name = "ragwort_preemptions_total";
+  const values = series.filter(({ preemptions }) => preemptions > 0).map((
+    one,
+  ) => ({ metricName: name, labels: labelsOf(one), value: one.preemptions }));
+  return {
+    name,
+    help: "Preemptions of requests by their endpoints",
+    type: "counter",
+    values,
+  };
+}
+
+function publishCounters(
+  { counters }: DaemonFigures,
+): PublishedMetric[] {
+  return Object.entries(counters).map(([counter, value]) => {
+    const name = `ragwort_daemon_${counter}_total`;
+    return {
+      name,
+      help: `Counter ${counter} of the daemon`,
+      type: "counter",
+      values: [{ metricName: name, labels: {}, value }],
+    };
+  });
+}
+
+function labelsOf(
+  { service, workspace, className }: SeriesFigures,
+): PublishedValue["labels"] {
+  return { service, workspace, class: className };
+}
--- /dev/null
+++ b/src/platform/metrics/node/statsd_sink.ts
@@ -0,0 +1,148 @@
+/** Samples sent to a StatsD address by hot-shots. */
+
+import { StatsD } from "hot-shots";
+import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import type { AddressParts } from "../../settings/common/schema_parts.ts";
+import type { MetricsOwner } from "../common/histogram_metrics.ts";
+import type { MeasureName } from "../common/measures.ts";
+import { noOutcomes } from "../common/figures.ts";
+import {
+  type CounterName,
+  OUTCOME_KINDS,
+  type OutcomeKind,
+} from "../common/metrics.ts";
+import type { SampleSink, SeriesLabels } from "../common/sample_sink.ts";
+
+const MAX_DATAGRAM_BYTES = 1_400;
+const FLUSH_PERIOD_MS = 1_000;
+/** Samples above this rate are dropped; counters are never dropped. */
+const MAX_SAMPLES_PER_FLUSH = 500;
+const COUNTER_FLUSH_PERIOD_MS = 10_000;
+
+const STATSD_NAMES: Readonly<Record<MeasureName, string>> = {
+  queueWaitMs: "queue_wait_ms",
+  firstTokenMs: "first_token_ms",
+  tokenGapMs: "token_gap_ms",
+  stallMs: "stall_ms",
+  outputTokens: "output_tokens",
+};
+
+/** What has been counted since the last flush of counters. */
+interface PendingCounts {
+  readonly outcomes: Record<OutcomeKind, number>;
+  preemptions: number;
+}
+
+/** Sends batches over UDP, a bounded number of samples a second. */
+export class StatsdSink implements SampleSink, Disposable {
+  readonly #client: StatsD;
+  readonly #timers = new DisposableStore();
+  readonly #tags = new WeakMap<SeriesLabels, string[]>();
+  #pending = new Map<SeriesLabels, PendingCounts>();
+  #samplesLeft = MAX_SAMPLES_PER_FLUSH;
+  #droppedSamples = 0;
+
+  /**
+   * @param clock - Time of the limit on samples.
+   * @param address - Address of the StatsD agent.
+   * @param owner - Tags of everything that is sent.
+   */
+  constructor(clock: Clock, address: AddressParts, owner: MetricsOwner) {
+    this.#client = new StatsD({
+      host: address.ip,
+      port: address.port,
+      prefix: "ragwort.",
+      globalTags: [`host:${owner.host}`, `zone:${owner.zone}`],
+      maxBufferSize: MAX_DATAGRAM_BYTES,
+      bufferFlushInterval: FLUSH_PERIOD_MS,
+      errorHandler: () => undefined,
+    });
+    this.#timers.add(
+      setPeriodic(clock, FLUSH_PERIOD_MS, () => this.#renewBudget()),
+    );
+    this.#timers.add(
+      setPeriodic(clock, COUNTER_FLUSH_PERIOD_MS, () => this.#sendCounts()),
+    );
+  }
+
+  /** {@inheritDoc SampleSink.sample} */
+  sample(name: MeasureName, value: number, labels: SeriesLabels): void {
+    if (this.#samplesLeft === 0) {
+      this.#droppedSamples++;
+      return;
+    }
+    this.#samplesLeft--;
+    this.#client.histogram(STATSD_NAMES[name], value, this.#tagsOf(labels));
+  }
+
+  /** {@inheritDoc SampleSink.countEnd} */
+  countEnd(outcome: OutcomeKind, labels: SeriesLabels): void {
+    this.#pendingOf(labels).outcomes[outcome]++;
+  }
+
+  /** {@inheritDoc SampleSink.countPreemptions} */
+  countPreemptions(count: number, labels: SeriesLabels): void {
+    this.#pendingOf(labels).preemptions += count;
+  }
+
+  /** {@inheritDoc SampleSink.count} */
+  count(name: CounterName, by: number): void {
+    this.#client.increment(name, by);
+  }
+
+  /** Sends what is buffered and closes the socket. */
+  dispose(): void {
+    this.#timers.dispose();
+    this.#sendCounts();
+    this.#client.close();
+  }
+
+  #pendingOf(labels: SeriesLabels): PendingCounts {
+    let pending = this.#pending.get(labels);
+    if (!pending) {
+      pending = { outcomes: noOutcomes(), preemptions: 0 };
+      this.#pending.set(labels, pending);
+    }
+    return pending;
+  }
+
+  #sendCounts(): void {
+    const sent = this.#pending;
+    this.#pending = new Map();
+    for (const [labels, { outcomes, preemptions }] of sent) {
+      const tags = this.#tagsOf(labels);
+      for (const kind of OUTCOME_KINDS) {
+        if (outcomes[kind] === 0) continue;
+        const outcomeTags = [...tags, `outcome:${kind}`];
+        this.#client.increment("requests", outcomes[kind], outcomeTags);
+      }
+      if (preemptions > 0) {
+        this.#client.increment("preemptions", preemptions, tags);
+      }
+    }
+  }
+
+  #renewBudget(): void {
+    this.#samplesLeft = MAX_SAMPLES_PER_FLUSH;
+    if (this.#droppedSamples === 0) return;
+    this.#client.increment("samples_dropped", this.#droppedSamples);
+    this.#droppedSamples = 0;
+  }
+
+  #tagsOf(labels: SeriesLabels): string[] {
+    let tags = this.#tags.get(labels);
+    if (!tags) {
+      tags = [
+        `service:${labels.service}`,
+        `workspace:${labels.workspace}`,
+        `class:${labels.className}`,
+      ];
+      this.#tags.set(labels, tags);
+    }
+    return tags;
+  }
+}
