Explain requests and publish figures at the operator port

Cause: an operator could not see why a request waited or was refused, and the port gave no figures. Callers get the id as x-request-id. The port gives /figures, /metrics and /explain/ID, on loopback unless the settings say otherwise. Before: jest stayed open for 60 s after the new test, since killed stand-ins kept their timers; after: it ends with its last test.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -15,6 +15,13 @@
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
+import { DecisionLog } from "../../features/explain/common/decision_log.ts";
+import { ExplainedDispatcher } from "../../features/explain/common/explained_dispatcher.ts";
+import {
+  type Calls,
+  ExplainedCalls,
+  ExplainedGenerations,
+} from "../../features/explain/common/explained_services.ts";
 import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
@@ -57,7 +64,9 @@
 export class DaemonCore implements Disposable {
   readonly configuration: Configuration;
   readonly generations: GenerationService;
-  readonly calls: CallService;
+  readonly calls: Calls;
+  /** What was decided about the newest requests. */
+  readonly decisions: DecisionLog;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
   #isDraining = false;
@@ -74,23 +83,27 @@
       new ConfigurationWatcher({ clock, store, logger, table }),
     );
     const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
-    const dispatcher = new LocalDispatcher({
+    const localDispatcher = new LocalDispatcher({
       ...options,
       clock,
       endpoints,
       configuration: table,
     });
-    this.generations = new GenerationRelayService({
+    this.decisions = new DecisionLog(clock);
+    const dispatcher = new ExplainedDispatcher(localDispatcher, this.decisions);
+    const generations = new GenerationRelayService({
       ...platform,
       ...options,
       configuration: table,
       dispatcher,
     });
-    this.calls = new CallService({
+    this.generations = new ExplainedGenerations(generations, this.decisions);
+    const calls = new CallService({
       ...platform,
       dispatcher,
       ledger: new StoreClaimLedger({ ...platform, ...options }),
     });
+    this.calls = new ExplainedCalls(calls, this.decisions);
   }
 
   /** Whether new requests are taken. */
--- a/src/daemon/node/call_routes.ts
+++ b/src/daemon/node/call_routes.ts
@@ -5,7 +5,7 @@
 import type { CallRequest } from "../../features/calls/common/call_service.ts";
 import type { KnownWorkspace } from "../../features/configuration/common/configuration.ts";
 import type { IdempotencyKey } from "../../features/ledger/common/claim_ledger.ts";
-import { asId } from "../../base/common/ids.ts";
+import { asId, type RequestId } from "../../base/common/ids.ts";
 import type {
   AppResponse,
   HeaderLine,
@@ -69,7 +69,7 @@
 }
 
 function toCallRequest(
-  { core, createRequestId }: FrontServices,
+  { core }: FrontServices,
   workspace: KnownWorkspace,
   request: FastifyRequest,
   signal: AbortSignal,
@@ -99,7 +99,7 @@
     );
   }
   return Right({
-    requestId: createRequestId(),
+    requestId: asId<RequestId>(request.id),
     workspace: workspace.id,
     route,
     class: known,
--- a/src/daemon/node/caller_front.ts
+++ b/src/daemon/node/caller_front.ts
@@ -29,7 +29,9 @@
     routerOptions: { maxParamLength: MAX_PATH_PARAMETER_CHARACTERS },
     http: { maxHeaderSize: limits.maxHeaderBytes },
     exposeHeadRoutes: false,
+    genReqId: () => services.createRequestId(),
   });
+  addRequestIds(server);
   server.server.maxHeadersCount = limits.maxHeaderCount;
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
@@ -46,6 +48,17 @@
   return server;
 }
 
+/**
+ * Every answer names its request, by which an operator can have it explained.
+ * The header is set on the raw reply, since streams write to it directly.
+ */
+function addRequestIds(server: FastifyInstance): void {
+  server.addHook("onRequest", (request, reply, done) => {
+    reply.raw.setHeader("x-request-id", request.id);
+    done();
+  });
+}
+
 /** A host that is not ready refuses, and tells the balancer by `/readyz`. */
 function addReadiness(server: FastifyInstance, { core }: FrontServices): void {
   server.get("/healthz", () => ({ status: "alive" }));
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -95,6 +95,7 @@
       host,
       zone,
       operatorKey: secrets.operatorKey,
+      figures: () => this.#metrics.toFigures(),
       requestDrain: () => void this.drainAndStop(),
     });
   }
--- a/src/daemon/node/generation_routes.ts
+++ b/src/daemon/node/generation_routes.ts
@@ -2,7 +2,7 @@
 
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import type { Clock } from "../../base/common/clock.ts";
-import type { RequestId } from "../../base/common/ids.ts";
+import { asId, type RequestId } from "../../base/common/ids.ts";
 import { type Either, Left, Right, rightOf } from "../../base/common/result.ts";
 import type { KnownWorkspace } from "../../features/configuration/common/configuration.ts";
 import type {
@@ -101,7 +101,7 @@
 }
 
 function toGenerationRequest(
-  { core, createRequestId }: FrontServices,
+  { core }: FrontServices,
   workspace: KnownWorkspace,
   completion: CompletionRequest,
   request: FastifyRequest,
@@ -121,7 +121,7 @@
     );
   }
   return Right({
-    requestId: createRequestId(),
+    requestId: asId<RequestId>(request.id),
     workspace: workspace.id,
     service: service.id,
     className: known.name,
@@ -144,7 +144,7 @@
 ): void {
   const { core, clock } = services;
   identifyCaller(request, core.configuration)
-    .chain((workspace) => toResumeRequest(services, workspace, request))
+    .chain((workspace) => toResumeRequest(workspace, request))
     .caseOf({
       Left: (failure) => sendProblem(reply, failure),
       Right: (resume) => {
@@ -157,7 +157,6 @@
 }
 
 function toResumeRequest(
-  { createRequestId }: FrontServices,
   workspace: KnownWorkspace,
   request: FastifyRequest<{ Params: GenerationParams }>,
 ): Either<Failure, ResumeRequest> {
@@ -172,7 +171,7 @@
     );
   }
   return Right({
-    requestId: createRequestId(),
+    requestId: asId<RequestId>(request.id),
     workspace: workspace.id,
     id: request.params.id,
     fromOffset,
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -2,15 +2,35 @@
 
 import { createHash, timingSafeEqual } from "node:crypto";
 import fastify, { type FastifyInstance } from "fastify";
+import { asId, type RequestId } from "../../base/common/ids.ts";
+import type {
+  DaemonFigures,
+  SeriesFigures,
+} from "../../platform/metrics/common/figures.ts";
+import { formatPrometheus } from "../../platform/metrics/node/prometheus_text.ts";
 import type { DaemonCore } from "../common/daemon_core.ts";
 import { refuse, sendProblem } from "./problem_reply.ts";
 
+const PROMETHEUS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+interface ExplainParams {
+  readonly id: string;
+}
+
+interface FigureQuery {
+  readonly service?: string;
+  readonly workspace?: string;
+  readonly class?: string;
+}
+
 /** What the operator port works with. */
 export interface OperatorServices {
   readonly core: DaemonCore;
   readonly host: string;
   readonly zone: string;
   readonly operatorKey: string;
+  /** @returns Everything that was measured so far. */
+  figures(): DaemonFigures;
   /** Asks the daemon to drain and stop. */
   requestDrain(): void;
 }
@@ -47,6 +67,14 @@
       isDeleted: document === undefined,
     })),
   }));
+  addFigureRoutes(server, services);
+  server.get<{ Params: ExplainParams }>("/explain/:id", (request, reply) => {
+    const { id } = request.params;
+    const decisions = core.decisions.find(asId<RequestId>(id));
+    if (decisions) return { host, requestId: id, decisions };
+    sendProblem(reply, refuse("not-found", "no decision is kept for this id"));
+    return reply;
+  });
   server.post("/drain", () => {
     services.requestDrain();
     return { isDraining: true };
@@ -54,6 +82,27 @@
   return server;
 }
 
+function addFigureRoutes(
+  server: FastifyInstance,
+  services: OperatorServices,
+): void {
+  server.get<{ Querystring: FigureQuery }>("/figures", (request) => {
+    const figures = services.figures();
+    const series = figures.series.filter((one) => isWanted(one, request.query));
+    return { ...figures, series };
+  });
+  server.get("/metrics", async (_request, reply) => {
+    const text = await formatPrometheus(services.figures());
+    return reply.type(PROMETHEUS_CONTENT_TYPE).send(text);
+  });
+}
+
+function isWanted(series: SeriesFigures, query: FigureQuery): boolean {
+  return (query.service ?? series.service) === series.service &&
+    (query.workspace ?? series.workspace) === series.workspace &&
+    (query.class ?? series.className) === series.className;
+}
+
 /** Compares hashes, so that neither content nor length shows in the time. */
 function isSameSecret(left: string, right: string): boolean {
   const digest = (text: string): Buffer =>
--- /dev/null
+++ b/src/features/explain/common/explained_dispatcher.ts
@@ -0,0 +1,91 @@
+/** A dispatcher whose decisions are recorded. */
+
+import type { RequestId } from "../../../base/common/ids.ts";
+import type { Eventually } from "../../../base/common/result.ts";
+import type {
+  Dispatcher,
+  Grant,
+  GrantEnd,
+  GrantId,
+  GrantRequest,
+  Refusal,
+} from "../../dispatch/common/dispatcher.ts";
+import type { DecisionLog } from "./decision_log.ts";
+
+interface GrantHolder {
+  readonly requestId: RequestId;
+  readonly endpoint: string;
+}
+
+/** Passes everything on and records what was asked and answered. */
+export class ExplainedDispatcher implements Dispatcher {
+  readonly #inner: Dispatcher;
+  readonly #log: DecisionLog;
+  readonly #holders = new Map<GrantId, GrantHolder>();
+
+  /**
+   * @param inner - The dispatcher that decides.
+   * @param log - Receives the decisions.
+   */
+  constructor(inner: Dispatcher, log: DecisionLog) {
+    this.#inner = inner;
+    this.#log = log;
+  }
+
+  /** {@inheritDoc Dispatcher.acquire} */
+  async acquire(
+    request: GrantRequest,
+    signal: AbortSignal,
+  ): Eventually<Refusal, Grant> {
+    const { requestId } = request;
+    this.#log.add(requestId, {
+      kind: "asked",
+      service: request.service,
+      workspace: request.workspace,
+      className: request.className,
+      sizeBytes: request.sizeBytes,
+      maxTokens: request.maxTokens,
+      excludedEndpoints: [...request.excludedEndpoints],
+    });
+    const granted = await this.#inner.acquire(request, signal);
+    granted.caseOf({
+      Left: ({ reason, detail }) =>
+        this.#log.add(requestId, { kind: "refused", reason, detail }),
+      Right: (grant) => this.#recordGrant(requestId, grant),
+    });
+    return granted;
+  }
+
+  /** {@inheritDoc Dispatcher.reportProgress} */
+  reportProgress(id: GrantId, generatedTokens: number): void {
+    this.#inner.reportProgress(id, generatedTokens);
+  }
+
+  /** {@inheritDoc Dispatcher.release} */
+  release(id: GrantId, end: GrantEnd, generatedTokens: number): void {
+    const holder = this.#holders.get(id);
+    if (holder) {
+      this.#holders.delete(id);
+      const { requestId, endpoint } = holder;
+      this.#log.add(requestId, {
+        kind: "released",
+        endpoint,
+        end,
+        generatedTokens,
+      });
+    }
+    this.#inner.release(id, end, generatedTokens);
+  }
+
+  #recordGrant(requestId: RequestId, grant: Grant): void {
+    const { id, endpoint, priority, waitMs } = grant;
+    this.#holders.set(id, { requestId, endpoint: endpoint.id });
+    this.#log.add(requestId, {
+      kind: "granted",
+      endpoint: endpoint.id,
+      address: endpoint.address,
+      priority,
+      waitMs,
+    });
+  }
+}
--- a/src/platform/settings/common/daemon_settings.ts
+++ b/src/platform/settings/common/daemon_settings.ts
@@ -1,7 +1,7 @@
 /** Settings of one daemon. */
 
 import { z } from "zod";
-import type { HostId, ZoneName } from "../../../base/common/ids.ts";
+import type { Address, HostId, ZoneName } from "../../../base/common/ids.ts";
 import { addressSchema, nameSchema } from "./schema_parts.ts";
 
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
@@ -9,6 +9,7 @@
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_REQUEST_READ_MS = 15_000;
 const DEFAULT_RESUME_WINDOW_MS = 30_000;
+const DEFAULT_OPERATOR_ADDRESS = "127.0.0.1:9642" as Address;
 const DEFAULT_DRAIN_MS = 600_000;
 const MAX_BODY_LIMIT_BYTES = 67_108_864;
 
@@ -35,7 +36,8 @@
   listen: z.strictObject({
     callers: addressSchema.describe("Address for callers"),
     peers: addressSchema.describe("Address for the other daemons"),
-    operators: addressSchema.describe("Address of the operator port"),
+    operators: addressSchema.default(DEFAULT_OPERATOR_ADDRESS)
+      .describe("Address of the operator port"),
   }),
   store: z.strictObject({
     addresses: z.array(addressSchema).min(1)
--- a/standins/demo/demo_deployment.ts
+++ b/standins/demo/demo_deployment.ts
@@ -19,6 +19,7 @@
 import { createEngineServer } from "../engine/engine_server.ts";
 import { KvStore } from "../store/kv_store.ts";
 import { createStoreServer } from "../store/store_server.ts";
+import { ProcessClock } from "../world/process_clock.ts";
 
 /** API key of the demo's workspace. */
 export const DEMO_API_KEY = "demo-key-of-the-franchise-office";
@@ -51,6 +52,7 @@
   readonly daemons: Daemon[] = [];
   storeAddress = asId<Address>("");
   appAddress = asId<Address>("");
+  readonly #engineClock = new ProcessClock(this.clock);
   readonly #servers: Server[] = [];
 
   /** Starts the stand-ins, then the daemons. */
@@ -109,6 +111,7 @@
   /** Stops everything. */
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.abort()));
+    this.#engineClock.kill();
     for (const server of this.#servers) {
       server.closeAllConnections();
       server.close();
@@ -116,7 +119,7 @@
   }
 
   async #startEngine(id: string, zone: string): Promise<void> {
-    const model = new EngineModel(this.clock, { baseStepMs: 8 });
+    const model = new EngineModel(this.#engineClock, { baseStepMs: 8 });
     const address = await this.#listen(createEngineServer(model));
     this.engines.push({ id, zone, model, address });
   }
--- /dev/null
+++ b/standins/demo/operators_test.ts
@@ -0,0 +1,117 @@
+import { request } from "undici";
+import { asId, type TeamName } from "../../src/base/common/ids.ts";
+import { rightOf } from "../../src/base/common/result.ts";
+import { writeChange } from "../../src/features/configuration/common/configuration_writer.ts";
+import { enableLogLevels } from "../../src/platform/log/node/debug_logger.ts";
+import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+import { book, emptyStream, streamChat } from "./demo_caller.ts";
+import {
+  DEMO_API_KEY,
+  DEMO_OPERATOR_KEY,
+  DemoDeployment,
+} from "./demo_deployment.ts";
+
+const SECRET_TEXT = "asha-has-a-secret";
+
+describe("what operators see of a deployment", () => {
+  const deployment = new DemoDeployment();
+  const logLines: string[] = [];
+
+  async function ask(path: string, key = DEMO_OPERATOR_KEY) {
+    const response = await request(
+      `http://${deployment.daemons[0]!.operatorAddress}${path}`,
+      { headers: { authorization: `Bearer ${key}` } },
+    );
+    return { status: response.statusCode, text: await response.body.text() };
+  }
+
+  beforeAll(async () => {
+    enableLogLevels(["info", "warn", "error"]);
+    jest.spyOn(process.stderr, "write").mockImplementation((line) => {
+      logLines.push(String(line));
+      return true;
+    });
+    await deployment.start();
+    const store = new EtcdStoreClient([deployment.storeAddress]);
+    const written = await writeChange(store, {
+      team: asId<TeamName>("taranga"),
+      text: deployment.teamDocument(),
+      expectedRevision: 0,
+      changeId: "c1",
+    });
+    store.dispose();
+    expect(rightOf(written)).toBeGreaterThan(0);
+    await deployment.waitUntilReady();
+  });
+
+  afterAll(async () => {
+    await deployment.stop();
+    jest.restoreAllMocks();
+    enableLogLevels([]);
+  });
+
+  it("the operator port asks for its key", async () => {
+    for (const path of ["/status", "/figures", "/metrics", "/explain/x"]) {
+      expect((await ask(path, "wrong")).status).toBe(401);
+    }
+    expect((await ask("/explain/x")).status).toBe(404);
+  });
+
+  it("a request is explained by the id that its caller got", async () => {
+    const { callerAddress } = deployment.daemons[0]!;
+    const response = await request(
+      `http://${callerAddress}/v1/chat/completions`,
+      {
+        method: "POST",
+        headers: {
+          "authorization": `Bearer ${DEMO_API_KEY}`,
+          "content-type": "application/json",
+        },
+        body: JSON.stringify({
+          model: "timetable-1",
+          messages: [{ role: "user", content: `${SECRET_TEXT} #tokens=3` }],
+        }),
+      },
+    );
+    await response.body.text();
+    const id = String(response.headers["x-request-id"]);
+    const { text } = await ask(`/explain/${id}`);
+    const { decisions } = JSON.parse(text) as {
+      readonly decisions: readonly { readonly kind: string }[];
+    };
+    expect(decisions.map(({ kind }) => kind))
+      .toEqual(["asked", "granted", "started", "released", "ended"]);
+    expect(text).not.toContain(SECRET_TEXT);
+  });
+
+  it("figures count streams and calls by class, as JSON and as text", async () => {
+    const { callerAddress } = deployment.daemons[0]!;
+    await streamChat(callerAddress, "x #tokens=9", "lookup", emptyStream());
+    await book(callerAddress, "key-9", SECRET_TEXT);
+    const { text } = await ask("/figures?class=lookup");
+    const { series } = JSON.parse(text) as {
+      readonly series: readonly { readonly outcomes: object }[];
+    };
+    expect(series.map(({ outcomes }) => outcomes))
+      .toEqual(Array(2).fill(expect.objectContaining({ completed: 1 })));
+    const scrape = await ask("/metrics");
+    expect(scrape.text).toMatch(
+      /ragwort_output_tokens_sum\{.*class="lookup".*\} 9\n/,
+    );
+  });
+
+  it("log lines are JSON objects without bodies and secrets", () => {
+    expect(logLines.length).toBeGreaterThan(3);
+    for (const line of logLines) {
+      expect(JSON.parse(line)).toMatchObject({
+        time: expect.stringMatching(/^\d{4}-.*Z$/),
+        level: expect.stringMatching(/^(info|warn|error)$/),
+        event: expect.stringMatching(/^[a-z-]+$/),
+      });
+    }
+    const all = logLines.join("");
+    for (const secret of [SECRET_TEXT, DEMO_API_KEY, DEMO_OPERATOR_KEY]) {
+      expect(all).not.toContain(secret);
+    }
+  });
+});
--- a/standins/world/process_clock.ts
+++ b/standins/world/process_clock.ts
@@ -13,6 +13,7 @@
  */
 export class ProcessClock implements Clock {
   readonly #clock: Clock;
+  readonly #timers = new Set<Disposable>();
   #held: (() => void)[] = [];
   #isFrozen = false;
   #isKilled = false;
@@ -45,11 +46,14 @@
       if (!isCancelled && !this.#isKilled) callback();
     };
     const timer = this.#clock.setTimer(delayMs, () => {
+      this.#timers.delete(timer);
       if (this.#isFrozen) this.#held.push(runUnlessCancelled);
       else runUnlessCancelled();
     });
+    this.#timers.add(timer);
     return toDisposable(() => {
       isCancelled = true;
+      this.#timers.delete(timer);
       timer.dispose();
     });
   }
@@ -71,5 +75,7 @@
   kill(): void {
     this.#isKilled = true;
     this.#held = [];
+    for (const timer of this.#timers) timer.dispose();
+    this.#timers.clear();
   }
 }
