Give the command line its operators' commands

Cause: operators had config get/apply, status and check only, in one module. Now one module a command: config get, set, apply, diff and history by path; status, top, histogram, explain, drain, check of both kinds of file, report, hints, help with examples and exit codes, completion for bash and zsh. config set replaces the characters of a plain value, so that comments and layout stay; before, writing the document again changed the padding of lists. Conclusion: history shows the newest change and what is in force only, since the store keeps one value a key.

--- /dev/null
+++ b/src/cli/common/explanation.ts
@@ -0,0 +1,66 @@
+/** The decisions about a request, in sentences. */
+
+import { assertNever } from "../../base/common/errors.ts";
+import type { TimedDecision } from "../../features/explain/common/decision_log.ts";
+
+/** What a daemon knows of a request. */
+export interface Explanation {
+  readonly host: string;
+  readonly requestId: string;
+  readonly decisions: readonly TimedDecision[];
+}
+
+/**
+ * @param explanation - What a daemon knows of a request.
+ * @returns One line a decision, each with the time since the first one.
+ */
+export function formatExplanation(
+  { host, requestId, decisions }: Explanation,
+): string[] {
+  const startMs = decisions[0]?.atMs ?? 0;
+  const startTime = new Date(startMs).toISOString();
+  const lines = decisions.map((decision) => {
+    const sinceMs = Math.round(decision.atMs - startMs);
+    return `${`+${sinceMs} ms`.padStart(12)}  ${describe(decision)}`;
+  });
+  return [`request ${requestId} at ${host}, from ${startTime}`, ...lines];
+}
+
+function describe(decision: TimedDecision): string {
+  switch (decision.kind) {
+    case "asked":
+      return describeAsk(decision);
+    case "granted":
+      return `granted ${decision.endpoint} (${decision.address}) ` +
+        `at priority ${decision.priority} after ${
+          Math.round(decision.waitMs)
+        } ms in the queue`;
+    case "refused":
+      return `refused: ${decision.reason}: ${decision.detail}`;
+    case "released":
+      return `${decision.endpoint} given back: ${decision.end}, ` +
+        `${decision.generatedTokens} tokens generated`;
+    case "started":
+      return `the endpoint started generation ${decision.generation}`;
+    case "resumed":
+      return `the caller resumed ${decision.generation} ` +
+        `at token ${decision.fromOffset}`;
+    case "caller-gone":
+      return "the caller went away";
+    case "ended":
+      return `ended as ${decision.outcome}: ${decision.detail}, ` +
+        `${decision.deliveredTokens} tokens delivered`;
+    default:
+      return assertNever(decision);
+  }
+}
+
+function describeAsk(decision: TimedDecision & { kind: "asked" }): string {
+  const { service, workspace, className, excludedEndpoints } = decision;
+  const without = excludedEndpoints.length === 0
+    ? ""
+    : `, without ${excludedEndpoints.join(", ")} that failed it before`;
+  return `${workspace} asked for ${service} as ${className} ` +
+    `(${decision.sizeBytes} bytes, at most ${decision.maxTokens} tokens)` +
+    without;
+}
--- a/src/cli/node/cli_context.ts
+++ b/src/cli/node/cli_context.ts
@@ -22,6 +22,10 @@
   readonly daemons: readonly Address[];
   readonly operatorKey: string;
   readonly isJson: boolean;
+  /** Whether results may hold colours; false when left out. */
+  readonly isColoured?: boolean;
+  /** Shows how far a long command is; nowhere when left out. */
+  showProgress?(text: string): void;
   createChangeId(): string;
   /** Writes one line of result. */
   print(line: string): void;
@@ -29,6 +33,34 @@
   printError(line: string): void;
 }
 
+/** After this time a command says what it is waiting for. */
+const PROGRESS_AFTER_MS = 2_000;
+
+/**
+ * Says what a command waits for when the wait is long.
+ *
+ * @param context - Where to say it.
+ * @param label - What is waited for.
+ * @param work - The work.
+ * @returns The result of the work.
+ */
+export async function withProgress<T>(
+  context: CliContext,
+  label: string,
+  work: Promise<T>,
+): Promise<T> {
+  let tookMs = 0;
+  const timer = setInterval(() => {
+    tookMs += PROGRESS_AFTER_MS;
+    context.showProgress?.(`${label} (${tookMs / 1_000} s)`);
+  }, PROGRESS_AFTER_MS);
+  try {
+    return await work;
+  } finally {
+    clearInterval(timer);
+  }
+}
+
 /**
  * Prints a result in the form that was asked for.
  *
--- /dev/null
+++ b/src/cli/node/command_line.ts
@@ -0,0 +1,84 @@
+/** All commands of `ragwort`. */
+
+import { type CAC, cac } from "cac";
+import { messageOf } from "../../base/common/errors.ts";
+import { addCheckCommand } from "./commands/check.ts";
+import { addCompletionCommand } from "./commands/completion.ts";
+import { addConfigCommand } from "./commands/config.ts";
+import { addDrainCommand } from "./commands/drain.ts";
+import { addExplainCommand } from "./commands/explain.ts";
+import { addHintCommands } from "./commands/hints.ts";
+import { addHistogramCommand } from "./commands/histogram.ts";
+import { addReportCommand } from "./commands/report.ts";
+import { addStatusCommand } from "./commands/status.ts";
+import { addTopCommand } from "./commands/top.ts";
+import { Shell, type ShellHost } from "./shell.ts";
+
+const EXIT_CODE_HELP = `  0  done
+  1  the answer is no: nothing of that name, or it failed
+  2  the command line or a document is wrong
+  3  somebody else changed the document first
+  4  the store or a daemon could not be reached`;
+
+const ENVIRONMENT_HELP = `  RAGWORT_STORE         addresses of the store
+  RAGWORT_DAEMONS       operator ports of the daemons
+  RAGWORT_OPERATOR_KEY  key of the operator ports
+  NO_COLOR              no colours, also on a terminal`;
+
+/**
+ * Runs a command line.
+ *
+ * @param argv - Arguments as of a process: two words, then those of the user.
+ * @param host - The process around it.
+ */
+export async function runCommandLine(
+  argv: readonly string[],
+  host: ShellHost,
+): Promise<void> {
+  const shell = new Shell(host);
+  try {
+    const cli = createCli(shell);
+    cli.parse([...argv], { run: false });
+    if (cli.options["help"]) return;
+    if (cli.matchedCommand) {
+      await cli.runMatchedCommand();
+      return;
+    }
+    const [name] = cli.args;
+    if (name === "help" || name === undefined) printHelp(cli, cli.args[1]);
+    if (name !== "help") {
+      shell.fail(`${name ?? "no command"}: choose a command of ragwort help`);
+    }
+  } catch (thrown) {
+    shell.fail(`${messageOf(thrown)}; see: ragwort help`);
+  }
+}
+
+function createCli(shell: Shell): CAC {
+  const cli = cac("ragwort");
+  cli.option("--json", "Print one JSON object a line");
+  cli.option("--store <addresses>", "Addresses of the platform's store");
+  cli.option("--daemons <addresses>", "Operator ports of the daemons");
+  addConfigCommand(cli, shell);
+  addStatusCommand(cli, shell);
+  addTopCommand(cli, shell);
+  addHistogramCommand(cli, shell);
+  addExplainCommand(cli, shell);
+  addDrainCommand(cli, shell);
+  addCheckCommand(cli, shell);
+  addReportCommand(cli, shell);
+  addHintCommands(cli, shell);
+  addCompletionCommand(cli, shell);
+  cli.help((sections) => [
+    ...sections,
+    { title: "Environment", body: ENVIRONMENT_HELP },
+    { title: "Exit codes", body: EXIT_CODE_HELP },
+  ]);
+  return cli;
+}
+
+function printHelp(cli: CAC, name: string | undefined): void {
+  const command = cli.commands.find((one) => one.name === name);
+  if (command) command.outputHelp();
+  else cli.outputHelp();
+}
--- /dev/null
+++ b/src/cli/node/commands/check.ts
@@ -0,0 +1,94 @@
+/** `ragwort check`. */
+
+import type { CAC } from "cac";
+import { parse } from "yaml";
+import { attempt } from "../../../base/common/result.ts";
+import { parseTeamDocument } from "../../../features/configuration/common/configuration_watcher.ts";
+import {
+  formatMistakes,
+  parseCheckedYaml,
+} from "../../../platform/settings/common/checked_yaml.ts";
+import {
+  type DaemonSettings,
+  daemonSettingsSchema,
+} from "../../../platform/settings/common/daemon_settings.ts";
+import {
+  type CliContext,
+  EXIT_CODES,
+  type ExitCode,
+  printResult,
+} from "../cli_context.ts";
+import { type GlobalOptions, type Shell, withFile } from "../shell.ts";
+
+/** What a file holds. */
+type FileKind = "team" | "daemon";
+
+interface CheckOptions extends GlobalOptions {
+  readonly as?: string;
+}
+
+/**
+ * Adds the command.
+ *
+ * @param cli - The command line.
+ * @param shell - Runs it.
+ */
+export function addCheckCommand(cli: CAC, shell: Shell): void {
+  cli.command(
+    "check <file>",
+    "Check a team's document or a daemon's settings without using it",
+  )
+    .option("--as <kind>", "team or daemon; found out when left out")
+    .example("ragwort check taranga.yaml")
+    .example("ragwort check /etc/ragwortd.yaml --as daemon")
+    .action((file: string, options: CheckOptions) =>
+      shell.run(options, (context) =>
+        withFile(
+          context,
+          file,
+          (text) => checkFile(context, { file, text, kind: options.as }),
+        ))
+    );
+}
+
+function checkFile(
+  context: CliContext,
+  { file, text, kind = kindOf(text) }: {
+    readonly file: string;
+    readonly text: string;
+    readonly kind: string | undefined;
+  },
+): ExitCode {
+  if (kind !== "team" && kind !== "daemon") {
+    context.printError("--as must be team or daemon");
+    return EXIT_CODES.badInput;
+  }
+  const checked = kind === "daemon"
+    ? parseCheckedYaml<DaemonSettings>(text, daemonSettingsSchema)
+      .map(() => undefined)
+    : parseTeamDocument(text).map(() => undefined);
+  return checked.caseOf<ExitCode>({
+    Left: (mistakes) => {
+      if (context.isJson) {
+        context.print(JSON.stringify({ file, kind, isValid: false, mistakes }));
+      }
+      context.printError(formatMistakes(file, mistakes));
+      return EXIT_CODES.badInput;
+    },
+    Right: () => {
+      const result = { file, kind, isValid: true };
+      printResult(context, result, `${file}: valid as ${kind}`);
+      return EXIT_CODES.ok;
+    },
+  });
+}
+
+/** Only a daemon's settings say where it listens. */
+function kindOf(text: string): FileKind {
+  return attempt((): FileKind => {
+    const value: unknown = parse(text);
+    const isDaemon = typeof value === "object" && value !== null &&
+      ("listen" in value || "secrets" in value);
+    return isDaemon ? "daemon" : "team";
+  }, () => undefined).orDefault("team");
+}
--- /dev/null
+++ b/src/cli/node/commands/completion.ts
@@ -0,0 +1,54 @@
+/** `ragwort completion`. */
+
+import type { CAC } from "cac";
+import {
+  type CommandWords,
+  createCompletion,
+  SHELLS,
+} from "../../common/completion.ts";
+import { EXIT_CODES, printResult } from "../cli_context.ts";
+import type { GlobalOptions, Shell } from "../shell.ts";
+import { CONFIG_ACTIONS } from "./config.ts";
+
+const ACTIONS: Readonly<Record<string, readonly string[]>> = {
+  config: CONFIG_ACTIONS,
+  completion: SHELLS,
+};
+
+/**
+ * Adds the command.
+ *
+ * @param cli - The command line.
+ * @param shell - Runs it.
+ */
+export function addCompletionCommand(cli: CAC, shell: Shell): void {
+  cli.command("completion <shell>", "Print a completion script: bash or zsh")
+    .example("ragwort completion bash > /etc/bash_completion.d/ragwort")
+    .example(`eval "$(ragwort completion zsh)"`)
+    .action((name: string, options: GlobalOptions) =>
+      shell.run(options, (context) => {
+        const known = SHELLS.find((one) => one === name);
+        if (!known) {
+          context.printError(`the shell must be ${SHELLS.join(" or ")}`);
+          return EXIT_CODES.badInput;
+        }
+        const script = createCompletion(known, wordsOf(cli));
+        printResult(context, { shell: known, script }, script);
+        return EXIT_CODES.ok;
+      })
+    );
+}
+
+function wordsOf(cli: CAC): CommandWords[] {
+  const globalOptions = optionNames(cli.globalCommand.options);
+  return cli.commands.map(({ name, description, options }) => ({
+    name,
+    description,
+    actions: ACTIONS[name] ?? [],
+    options: [...optionNames(options), ...globalOptions],
+  }));
+}
+
+function optionNames(options: readonly { readonly rawName: string }[]) {
+  return options.flatMap(({ rawName }) => rawName.match(/--[a-z-]+/g) ?? []);
+}
--- /dev/null
+++ b/src/cli/node/commands/config_parts.ts
@@ -0,0 +1,196 @@
+/** Reading and editing a team's document: `ragwort config`. */
+
+import { parse } from "yaml";
+import { asId, type TeamName } from "../../../base/common/ids.ts";
+import {
+  type Eventually,
+  Left,
+  leftOf,
+  Right,
+  rightOf,
+} from "../../../base/common/result.ts";
+import { TEAM_KEY_PREFIX } from "../../../features/configuration/common/configuration.ts";
+import {
+  documentText,
+  writeChange,
+} from "../../../features/configuration/common/configuration_writer.ts";
+import { diffDocuments, formatDifference } from "../../common/document_diff.ts";
+import { getInDocument, setInDocument } from "../../common/document_edit.ts";
+import {
+  type CliContext,
+  EXIT_CODES,
+  type ExitCode,
+  printResult,
+  withProgress,
+} from "../cli_context.ts";
+import { printChangeFailure } from "../config_commands.ts";
+import { askAllDaemons, reportSilentDaemons } from "../operator_client.ts";
+import type { DaemonStatus } from "../status_command.ts";
+
+const CHANGE_ID_PATTERN = /^# change: (.*)$/m;
+
+interface StoredDocument {
+  readonly revision: number;
+  readonly text: string;
+  readonly changeId: string | undefined;
+}
+
+interface DocumentPath {
+  readonly team: TeamName;
+  /** Parts of the path within the team's document. */
+  readonly parts: readonly string[];
+}
+
+/** Prints a team's document or a part of it. */
+export async function getConfig(
+  context: CliContext,
+  pathText: string,
+): Promise<ExitCode> {
+  const { team, parts } = parsePath(pathText);
+  const read = await readExisting(context, team);
+  return read.caseOf<ExitCode>({
+    Left: (exitCode) => exitCode,
+    Right: ({ revision, text }) =>
+      getInDocument(text, parts).caseOf<ExitCode>({
+        Left: (detail) => fail(context, `team ${team}: ${detail}`),
+        Right: (part) => {
+          const { text, value } = part;
+          printResult(context, { team, revision, value, text }, text.trimEnd());
+          return EXIT_CODES.ok;
+        },
+      }),
+  });
+}
+
+/** Changes one value of a team's document; its comments stay. */
+export async function setConfig(
+  context: CliContext,
+  pathText: string,
+  valueText: string,
+): Promise<ExitCode> {
+  const { team, parts } = parsePath(pathText);
+  if (parts.length === 0) {
+    context.printError(
+      "say which value, as in: ragwort config set TEAM/PATH 5",
+    );
+    return EXIT_CODES.badInput;
+  }
+  const read = await readExisting(context, team);
+  const stored = rightOf(read);
+  if (!stored) return leftOf(read) ?? EXIT_CODES.failed;
+  const edited = setInDocument(stored.text, parts, valueText);
+  const text = rightOf(edited);
+  if (text === undefined) {
+    context.printError(`${pathText}: ${leftOf(edited)}`);
+    return EXIT_CODES.badInput;
+  }
+  const written = await withProgress(
+    context,
+    "writing to the store",
+    writeChange(context.store, {
+      team,
+      text,
+      expectedRevision: stored.revision,
+      changeId: context.createChangeId(),
+    }),
+  );
+  return written.caseOf<ExitCode>({
+    Left: (failure) => printChangeFailure(context, failure, `team ${team}`),
+    Right: (revision) => {
+      const changed = `team ${team} is at revision ${revision}`;
+      printResult(context, { team, revision }, changed);
+      return EXIT_CODES.ok;
+    },
+  });
+}
+
+/** Prints how a file differs from a team's document in the store. */
+export async function diffConfig(
+  context: CliContext,
+  team: TeamName,
+  fileText: string,
+): Promise<ExitCode> {
+  const read = await readExisting(context, team);
+  return read.caseOf<ExitCode>({
+    Left: (exitCode) => exitCode,
+    Right: ({ revision, text }) => {
+      const differences = diffDocuments(parse(text), parse(fileText));
+      const lines = differences.map(formatDifference);
+      printResult(
+        context,
+        { team, revision, differences },
+        lines.length === 0 ? "no difference" : lines.join("\n"),
+      );
+      return EXIT_CODES.ok;
+    },
+  });
+}
+
+/**
+ * Prints the last change of a team's document and which revision each daemon
+ * has in force. The store keeps one value a key, so older changes are not
+ * listed.
+ */
+export async function showHistory(
+  context: CliContext,
+  team: TeamName,
+): Promise<ExitCode> {
+  const read = await readExisting(context, team);
+  const stored = rightOf(read);
+  if (!stored) return leftOf(read) ?? EXIT_CODES.failed;
+  const { revision, changeId } = stored;
+  const change = `revision ${revision}, change ${changeId ?? "without an id"}`;
+  printResult(context, { team, revision, changeId }, change);
+  if (context.daemons.length === 0) return EXIT_CODES.ok;
+  const answers = await askAllDaemons<DaemonStatus>(context, "/status");
+  for (const { result } of answers) {
+    result.ifRight(({ host, teams }) => {
+      const inForce = teams.find((one) => one.team === team)?.revision;
+      printResult(
+        context,
+        { host, revision: inForce, isNewest: inForce === revision },
+        `${host} has revision ${inForce ?? "none"} in force`,
+      );
+    });
+  }
+  const areAllReached = reportSilentDaemons(context, answers);
+  return areAllReached ? EXIT_CODES.ok : EXIT_CODES.unreachable;
+}
+
+async function readExisting(
+  context: CliContext,
+  team: TeamName,
+): Eventually<ExitCode, StoredDocument> {
+  const read = await withProgress(
+    context,
+    "reading from the store",
+    context.store.get(TEAM_KEY_PREFIX + team),
+  );
+  const failure = leftOf(read);
+  if (failure) {
+    context.printError(
+      `the store gave no answer (${failure.detail}); try again, or name ` +
+        "another of its addresses with --store",
+    );
+    return Left(EXIT_CODES.unreachable);
+  }
+  const entry = rightOf(read);
+  if (!entry) {
+    const advice = `make one with: ragwort config apply ${team} FILE`;
+    return Left(fail(context, `team ${team} has no document; ${advice}`));
+  }
+  const { value, revision } = entry;
+  const text = documentText(value);
+  const mark = value.slice(0, value.length - text.length);
+  return Right({ revision, text, changeId: CHANGE_ID_PATTERN.exec(mark)?.[1] });
+}
+
+function parsePath(text: string): DocumentPath {
+  const [team = "", ...parts] = text.split("/").filter((part) => part !== "");
+  return { team: asId<TeamName>(team), parts };
+}
+
+function fail(context: CliContext, message: string): ExitCode {
+  context.printError(message);
+  return EXIT_CODES.failed;
+}
--- /dev/null
+++ b/src/cli/node/commands/drain.ts
@@ -0,0 +1,88 @@
+/** `ragwort drain`. */
+
+import { setTimeout as delay } from "node:timers/promises";
+import type { CAC } from "cac";
+import type { Address } from "../../../base/common/ids.ts";
+import { leftOf, rightOf } from "../../../base/common/result.ts";
+import {
+  type CliContext,
+  EXIT_CODES,
+  type ExitCode,
+  printResult,
+} from "../cli_context.ts";
+import {
+  askAllDaemons,
+  callOperatorPort,
+  reportSilentDaemons,
+} from "../operator_client.ts";
+import type { GlobalOptions, Shell } from "../shell.ts";
+import type { DaemonStatus } from "../status_command.ts";
+
+const POLL_MS = 500;
+const PROGRESS_PERIOD_MS = 2_000;
+
+interface DrainOptions extends GlobalOptions {
+  readonly wait?: boolean;
+}
+
+/**
+ * Adds the command.
+ *
+ * @param cli - The command line.
+ * @param shell - Runs it.
+ */
+export function addDrainCommand(cli: CAC, shell: Shell): void {
+  cli.command(
+    "drain <host>",
+    "Let a host end what it runs, take nothing new, and stop",
+  )
+    .option("--no-wait", "End as soon as the host has agreed")
+    .example("ragwort drain bogota-1")
+    .action((host: string, options: DrainOptions) =>
+      shell.run(options, (context) => drainHost(context, host, options))
+    );
+}
+
+async function drainHost(
+  context: CliContext,
+  host: string,
+  options: DrainOptions,
+): Promise<ExitCode> {
+  const answers = await askAllDaemons<DaemonStatus>(context, "/status");
+  const found = answers.find(({ result }) => rightOf(result)?.host === host);
+  if (!found) {
+    const areAllReached = reportSilentDaemons(context, answers);
+    if (!areAllReached) return EXIT_CODES.unreachable;
+    context.printError(`no daemon is called ${host}; see: ragwort status`);
+    return EXIT_CODES.failed;
+  }
+  const { address } = found;
+  const asked = await callOperatorPort(context, "POST", address, "/drain");
+  const failure = leftOf(asked);
+  if (failure) {
+    context.printError(`${host} did not agree to drain: ${failure.detail}`);
+    return EXIT_CODES.unreachable;
+  }
+  if (options.wait !== false) await waitUntilGone(context, host, address);
+  const state = options.wait === false ? "drains" : "has stopped";
+  printResult(context, { host, state }, `${host} ${state}`);
+  return EXIT_CODES.ok;
+}
+
+/** The operator port closes when the daemon has stopped. */
+async function waitUntilGone(
+  context: CliContext,
+  host: string,
+  address: Address,
+): Promise<void> {
+  for (let waitedMs = 0;; waitedMs += POLL_MS) {
+    const status = rightOf(
+      await callOperatorPort<DaemonStatus>(context, "GET", address, "/status"),
+    );
+    if (!status) return;
+    if (waitedMs > 0 && waitedMs % PROGRESS_PERIOD_MS === 0) {
+      context.showProgress?.(`${host}: ${status.active} requests still run`);
+    }
+    await delay(POLL_MS);
+  }
+}
--- /dev/null
+++ b/src/cli/node/commands/top.ts
@@ -0,0 +1,173 @@
+/** `ragwort top`. */
+
+import { setTimeout as delay } from "node:timers/promises";
+import type { CAC } from "cac";
+import {
+  type FigureRow,
+  type Grouping,
+  GROUPINGS,
+  toFigureRows,
+} from "../../common/figure_rows.ts";
+import {
+  createPaint,
+  formatBar,
+  formatNumber,
+  formatTable,
+} from "../../common/text_table.ts";
+import { type CliContext, EXIT_CODES, type ExitCode } from "../cli_context.ts";
+import { collectFigures } from "../figures.ts";
+import type { GlobalOptions, Shell } from "../shell.ts";
+
+const CLEAR_SCREEN = "\u001b[H\u001b[2J";
+const DEFAULT_PERIOD_SECONDS = 2;
+const MS_PER_SECOND = 1_000;
+const BAR_WIDTH = 20;
+const MAX_ROWS = 30;
+const HEADS = [
+  "req/s",
+  "requests",
+  "not-run",
+  "interrupted",
+  "unknown",
+  "queue p99",
+  "first p50",
+  "first p99",
+  "gap p99",
+  "stall p99",
+  "preempted",
+];
+
+interface TopOptions extends GlobalOptions {
+  readonly by?: string;
+  readonly every?: number;
+  readonly once?: boolean;
+}
+
+/** Counts of the last look, for the rates. */
+interface LastLook {
+  readonly atMs: number;
+  readonly requests: ReadonlyMap<string, number>;
+}
+
+/**
+ * Adds the command.
+ *
+ * @param cli - The command line.
+ * @param shell - Runs it.
+ */
+export function addTopCommand(cli: CAC, shell: Shell): void {
+  cli.command("top", "Show a live table of all daemons together (times in ms)")
+    .option("--by <group>", `Rows: ${GROUPINGS.join(", ")}`, {
+      default: "class",
+    })
+    .option("--every <seconds>", "Time between two looks", {
+      default: DEFAULT_PERIOD_SECONDS,
+    })
+    .option("--once", "Print the table once and end")
+    .example("ragwort top --by workspace")
+    .example("ragwort top --once --json")
+    .action((options: TopOptions) =>
+      shell.run(options, (context) => runTop(context, shell, options))
+    );
+}
+
+async function runTop(
+  context: CliContext,
+  shell: Shell,
+  options: TopOptions,
+): Promise<ExitCode> {
+  const grouping = GROUPINGS.find((name) => name === options.by);
+  const periodMs = Number(options.every) * MS_PER_SECOND;
+  if (!grouping || !(periodMs > 0)) {
+    context.printError(
+      `--by must be one of ${GROUPINGS.join(", ")}, and --every above 0`,
+    );
+    return EXIT_CODES.badInput;
+  }
+  const isLive = shell.isTerminal && !options.once && !context.isJson;
+  let last = await look(context, shell, { grouping, isLive });
+  while (isLive && last.exitCode === EXIT_CODES.ok) {
+    await delay(periodMs);
+    last = await look(context, shell, { grouping, isLive, last });
+  }
+  return last.exitCode;
+}
+
+async function look(
+  context: CliContext,
+  shell: Shell,
+  { grouping, isLive, last }: {
+    readonly grouping: Grouping;
+    readonly isLive: boolean;
+    readonly last?: LastLook;
+  },
+): Promise<LastLook & { readonly exitCode: ExitCode }> {
+  const { daemons, areComplete } = await collectFigures(context);
+  const rows = toFigureRows(daemons, grouping);
+  const atMs = Date.now();
+  if (context.isJson) {
+    for (const row of rows) context.print(JSON.stringify(row));
+  } else {
+    if (isLive) shell.write(CLEAR_SCREEN);
+    const lines = formatRows(context, grouping, rows, rateSince(last, atMs));
+    for (const line of lines) context.print(line);
+  }
+  const mayGoOn = areComplete || (isLive && daemons.length > 0);
+  return {
+    atMs,
+    requests: new Map(rows.map(({ group, requests }) => [group, requests])),
+    exitCode: mayGoOn ? EXIT_CODES.ok : EXIT_CODES.unreachable,
+  };
+}
+
+function rateSince(
+  last: LastLook | undefined,
+  nowMs: number,
+): (row: FigureRow) => string {
+  if (!last) return () => "";
+  const seconds = (nowMs - last.atMs) / MS_PER_SECOND;
+  return ({ group, requests }) => {
+    const added = requests - (last.requests.get(group) ?? 0);
+    return formatNumber(Math.max(0, added) / seconds);
+  };
+}
+
+function formatRows(
+  context: CliContext,
+  grouping: Grouping,
+  rows: readonly FigureRow[],
+  rateOf: (row: FigureRow) => string,
+): string[] {
+  const paint = createPaint(context.isColoured === true);
+  const shown = rows.slice(0, MAX_ROWS);
+  const most = Math.max(1, ...shown.map(({ requests }) => requests));
+  const [heads = "", ...lines] = formatTable([
+    [grouping, ...HEADS],
+    ...shown.map((row) => toCells(row, rateOf(row))),
+  ]);
+  return [
+    paint("bold", heads),
+    ...lines.map((line, index) => {
+      const bar = formatBar((shown[index]?.requests ?? 0) / most, BAR_WIDTH);
+      return `${line}  ${paint("cyan", bar)}`;
+    }),
+  ];
+}
+
+function toCells(row: FigureRow, rate: string): string[] {
+  const { outcomes, measures } = row;
+  return [
+    row.group,
+    rate,
+    String(row.requests),
+    String(outcomes["not-run"]),
+    String(outcomes.interrupted),
+    String(outcomes.unknown),
+    formatNumber(measures.queueWaitMs.p99),
+    formatNumber(measures.firstTokenMs.p50),
+    formatNumber(measures.firstTokenMs.p99),
+    formatNumber(measures.tokenGapMs.p99),
+    formatNumber(measures.stallMs.p99),
+    String(row.preemptions),
+  ];
+}
--- a/src/cli/node/config_commands.ts
+++ b/src/cli/node/config_commands.ts
@@ -1,13 +1,11 @@
-/** `ragwort config` and `ragwort check`. */
+/** Writing a team's document: `ragwort config apply`. */
 
 import type { TeamName } from "../../base/common/ids.ts";
-import { leftOf, rightOf } from "../../base/common/result.ts";
+import { rightOf } from "../../base/common/result.ts";
 import { assertNever } from "../../base/common/errors.ts";
 import { TEAM_KEY_PREFIX } from "../../features/configuration/common/configuration.ts";
-import { parseTeamDocument } from "../../features/configuration/common/configuration_watcher.ts";
 import {
   type ChangeFailure,
-  documentText,
   writeChange,
 } from "../../features/configuration/common/configuration_writer.ts";
 import { formatMistakes } from "../../platform/settings/common/checked_yaml.ts";
@@ -18,31 +16,6 @@
   printResult,
 } from "./cli_context.ts";
 
-/** Prints a team's document. */
-export async function getConfig(
-  context: CliContext,
-  team: TeamName,
-): Promise<ExitCode> {
-  const read = await context.store.get(TEAM_KEY_PREFIX + team);
-  const failure = leftOf(read);
-  if (failure) {
-    context.printError(
-      `the store gave no answer (${failure.detail}); try again`,
-    );
-    return EXIT_CODES.unreachable;
-  }
-  const entry = rightOf(read);
-  if (!entry) {
-    context.printError(
-      `team ${team} has no document; make one with: ragwort config apply`,
-    );
-    return EXIT_CODES.failed;
-  }
-  const text = documentText(entry.value);
-  printResult(context, { team, revision: entry.revision, text }, text);
-  return EXIT_CODES.ok;
-}
-
 /** What `config apply` is asked for. */
 export interface ApplyOptions {
   readonly team: TeamName;
@@ -79,23 +52,15 @@
   });
 }
 
-/** Checks a team's document without writing it. */
-export function checkDocument(
-  context: CliContext,
-  text: string,
-  source: string,
-): ExitCode {
-  return parseTeamDocument(text).caseOf<ExitCode>({
-    Left: (mistakes) =>
-      printChangeFailure(context, { kind: "mistakes", mistakes }, source),
-    Right: () => {
-      printResult(context, { source, isValid: true }, `${source}: valid`);
-      return EXIT_CODES.ok;
-    },
-  });
-}
-
-function printChangeFailure(
+/**
+ * Prints why a change was not accepted and what to do.
+ *
+ * @param context - Where to print.
+ * @param failure - Why it was not accepted.
+ * @param source - Name of the document.
+ * @returns The exit code.
+ */
+export function printChangeFailure(
   context: CliContext,
   failure: ChangeFailure,
   source: string,
--- /dev/null
+++ b/src/cli/node/operator_client.ts
@@ -0,0 +1,116 @@
+/** Client of the daemons' operator ports. */
+
+import { request } from "undici";
+import { messageOf } from "../../base/common/errors.ts";
+import type { Address } from "../../base/common/ids.ts";
+import {
+  type Either,
+  type Eventually,
+  Left,
+  Right,
+} from "../../base/common/result.ts";
+import type { CliContext } from "./cli_context.ts";
+
+const TIMEOUT_MS = 3_000;
+const HTTP_OK = 200;
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_NOT_FOUND = 404;
+
+/** Why an operator port gave no result. */
+export interface OperatorFailure {
+  readonly kind: "unreachable" | "unauthorized" | "not-found" | "refused";
+  readonly detail: string;
+}
+
+/** What one daemon answered. */
+export interface OperatorAnswer<T> {
+  readonly address: Address;
+  readonly result: Either<OperatorFailure, T>;
+}
+
+/**
+ * Calls an operator port.
+ *
+ * @param context - Holds the operator key.
+ * @param method - HTTP method.
+ * @param address - The operator port.
+ * @param path - Path of the call.
+ * @returns The answer's JSON, or why there is none.
+ */
+export async function callOperatorPort<T>(
+  context: CliContext,
+  method: "GET" | "POST",
+  address: Address,
+  path: string,
+): Eventually<OperatorFailure, T> {
+  try {
+    const response = await request(`http://${address}${path}`, {
+      method,
+      headers: { authorization: `Bearer ${context.operatorKey}` },
+      headersTimeout: TIMEOUT_MS,
+      bodyTimeout: TIMEOUT_MS,
+    });
+    const body = await response.body.json();
+    if (response.statusCode === HTTP_OK) return Right(body as T);
+    return Left(toFailure(response.statusCode));
+  } catch (thrown) {
+    return Left({ kind: "unreachable", detail: messageOf(thrown) });
+  }
+}
+
+function toFailure(status: number): OperatorFailure {
+  const detail = `status ${status}`;
+  switch (status) {
+    case HTTP_UNAUTHORIZED:
+      return {
+        kind: "unauthorized",
+        detail: "the operator key is wrong; set RAGWORT_OPERATOR_KEY",
+      };
+    case HTTP_NOT_FOUND:
+      return { kind: "not-found", detail };
+    default:
+      return { kind: "refused", detail };
+  }
+}
+
+/**
+ * Reads the same path of every daemon, side by side.
+ *
+ * @param context - Holds the daemons and the operator key.
+ * @param path - Path of the call.
+ */
+export async function askAllDaemons<T>(
+  context: CliContext,
+  path: string,
+): Promise<OperatorAnswer<T>[]> {
+  return await Promise.all(context.daemons.map(async (address) => ({
+    address,
+    result: await callOperatorPort<T>(context, "GET", address, path),
+  })));
+}
+
+/**
+ * Prints which daemons gave no answer.
+ *
+ * @param context - Where to print.
+ * @param answers - Answers of all daemons.
+ * @returns Whether all of them answered; not when there are none.
+ */
+export function reportSilentDaemons<T>(
+  context: CliContext,
+  answers: readonly OperatorAnswer<T>[],
+): boolean {
+  if (answers.length === 0) {
+    context.printError(
+      "no daemon is known; name their operator ports with " +
+        "--daemons 10.0.0.1:9642,10.0.0.2:9642 or in RAGWORT_DAEMONS",
+    );
+    return false;
+  }
+  for (const { address, result } of answers) {
+    result.ifLeft(({ detail }) =>
+      context.printError(`${address} gave no answer: ${detail}`)
+    );
+  }
+  return answers.every(({ result }) => result.isRight());
+}
--- /dev/null
+++ b/src/cli/node/shell.ts
@@ -0,0 +1,151 @@
+/** What the command line stands on: the process, or a test in its place. */
+
+import { readFileSync, writeFileSync } from "node:fs";
+import { messageOf } from "../../base/common/errors.ts";
+import type { Address } from "../../base/common/ids.ts";
+import { attempt, type Either } from "../../base/common/result.ts";
+import type { StoreClient } from "../../platform/store/common/store_client.ts";
+import {
+  type CliContext,
+  EXIT_CODES,
+  type ExitCode,
+  parseAddresses,
+} from "./cli_context.ts";
+
+const DEFAULT_STORE = "127.0.0.1:2379";
+
+/** Options of every command. */
+export interface GlobalOptions {
+  readonly json?: boolean;
+  readonly store?: string;
+  readonly daemons?: string;
+}
+
+/** The process around the command line. */
+export interface ShellHost {
+  readonly env: Readonly<Record<string, string | undefined>>;
+  /** Whether results go to a terminal. */
+  readonly isTerminal: boolean;
+  /** Whether remarks go to a terminal. */
+  readonly isErrorTerminal: boolean;
+  createStore(addresses: readonly Address[]): StoreClient;
+  createChangeId(): string;
+  write(text: string): void;
+  writeError(text: string): void;
+  setExitCode(code: ExitCode): void;
+}
+
+/** Runs commands with their context and sets the exit code. */
+export class Shell {
+  readonly #host: ShellHost;
+
+  /** @param host - The process around the command line. */
+  constructor(host: ShellHost) {
+    this.#host = host;
+  }
+
+  /** Whether results go to a terminal. */
+  get isTerminal(): boolean {
+    return this.#host.isTerminal;
+  }
+
+  /** Writes text as it is, such as codes for the terminal. */
+  write(text: string): void {
+    this.#host.write(text);
+  }
+
+  /**
+   * Runs a command.
+   *
+   * @param options - Options of every command.
+   * @param command - The command.
+   */
+  async run(
+    options: GlobalOptions,
+    command: (context: CliContext) => Promise<ExitCode> | ExitCode,
+  ): Promise<void> {
+    const { env } = this.#host;
+    const storeText = options.store ?? env["RAGWORT_STORE"] ?? DEFAULT_STORE;
+    const store = this.#host.createStore(parseAddresses(storeText));
+    const daemonsText = options.daemons ?? env["RAGWORT_DAEMONS"] ?? "";
+    const context: CliContext = {
+      store,
+      daemons: parseAddresses(daemonsText),
+      operatorKey: env["RAGWORT_OPERATOR_KEY"] ?? "",
+      isJson: options.json === true,
+      isColoured: this.#host.isTerminal && env["NO_COLOR"] === undefined,
+      createChangeId: () => this.#host.createChangeId(),
+      print: (line) => this.#host.write(`${line}\n`),
+      printError: (line) => this.#host.writeError(`${line}\n`),
+      showProgress: (text) => this.#showProgress(text),
+    };
+    this.#host.setExitCode(await command(context));
+    store.dispose();
+  }
+
+  /** Prints what was wrong with the command line itself. */
+  fail(message: string): void {
+    this.#host.writeError(`${message}\n`);
+    this.#host.setExitCode(EXIT_CODES.badInput);
+  }
+
+  #showProgress(text: string): void {
+    if (this.#host.isErrorTerminal) this.#host.writeError(`${text}…\n`);
+  }
+}
+
+/**
+ * Runs a command on the text of a file.
+ *
+ * @param context - Where a failure is printed.
+ * @param path - The file.
+ * @param run - The command.
+ */
+export async function withFile(
+  context: CliContext,
+  path: string,
+  run: (text: string) => Promise<ExitCode> | ExitCode,
+): Promise<ExitCode> {
+  const read: Either<string, string> = attempt(
+    () => readFileSync(path, "utf8"),
+    messageOf,
+  );
+  return await read.caseOf<Promise<ExitCode> | ExitCode>({
+    Left: (message) => {
+      context.printError(`the file cannot be read: ${message}`);
+      return EXIT_CODES.badInput;
+    },
+    Right: run,
+  });
+}
+
+/**
+ * @param context - Where a failure is printed.
+ * @param path - The file; it is replaced.
+ * @param text - What is written.
+ */
+export function writeResultFile(
+  context: CliContext,
+  path: string,
+  text: string,
+): ExitCode {
+  return attempt(() => writeFileSync(path, text), messageOf).caseOf<ExitCode>({
+    Left: (message) => {
+      context.printError(`the file cannot be written: ${message}`);
+      return EXIT_CODES.badInput;
+    },
+    Right: () => {
+      printWritten(context, path, text);
+      return EXIT_CODES.ok;
+    },
+  });
+}
+
+function printWritten(context: CliContext, path: string, text: string): void {
+  const sizeBytes = Buffer.byteLength(text);
+  context.print(
+    context.isJson
+      ? JSON.stringify({ path, sizeBytes })
+      : `${path}: ${sizeBytes} bytes`,
+  );
+}
