--- a/src/cli/node/command_line.ts
+++ b/src/cli/node/command_line.ts
@@ -9,6 +9,7 @@
 import { addExplainCommand } from "./commands/explain.ts";
 import { addHintCommands } from "./commands/hints.ts";
 import { addHistogramCommand } from "./commands/histogram.ts";
+import { addOrdersCommand } from "./commands/orders.ts";
 import { addReportCommand } from "./commands/report.ts";
 import { addStatusCommand } from "./commands/status.ts";
 import { addTopCommand } from "./commands/top.ts";
@@ -65,6 +66,7 @@
   addHistogramCommand(cli, shell);
   addExplainCommand(cli, shell);
   addDrainCommand(cli, shell);
+  addOrdersCommand(cli, shell);
   addCheckCommand(cli, shell);
   addReportCommand(cli, shell);
   addHintCommands(cli, shell);
--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -26,6 +26,7 @@
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
+import { OrderService } from "../../features/orders/common/order_service.ts";
 import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
@@ -67,6 +68,7 @@
   readonly calls: Calls;
   /** What was decided about the newest requests. */
   readonly decisions: DecisionLog;
+  readonly orders: OrderService;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
   #isDraining = false;
@@ -89,6 +91,14 @@
       endpoints,
       configuration: table,
     });
+    this.orders = this.#owned.add(
+      new OrderService({
+        ...platform,
+        ...options,
+        configuration: table,
+        endpoints,
+      }),
+    );
     this.decisions = new DecisionLog(clock);
     const dispatcher = new ExplainedDispatcher(localDispatcher, this.decisions);
     const generations = new GenerationRelayService({
@@ -124,6 +134,7 @@
   /** Starts to follow the configuration. */
   start(): void {
     this.#watcher.start();
+    this.orders.start();
   }
 
   /** Takes no new requests from now on. */
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -75,6 +75,12 @@
     sendProblem(reply, refuse("not-found", "no decision is kept for this id"));
     return reply;
   });
+  server.get("/orders", () => ({
+    host,
+    zone,
+    isHolder: core.orders.isHolder,
+    rollouts: core.orders.statuses(),
+  }));
   server.post("/drain", () => {
     services.requestDrain();
     return { isDraining: true };
