--- a/src/cli/node/cli_context.ts
+++ b/src/cli/node/cli_context.ts
@@ -1,8 +1,13 @@
 /** What the commands of the command line share. */
 
+import { type Clock, setPeriodic } from "../../base/common/clock.ts";
 import { type Address, asId } from "../../base/common/ids.ts";
+import { SystemClock } from "../../base/node/system_clock.ts";
 import type { StoreClient } from "../../platform/store/common/store_client.ts";
 
+/** The clock on which commands wait. */
+export const CLI_CLOCK: Clock = new SystemClock();
+
 /** Exit codes of `ragwort`, documented in docs/OPERATING.md. */
 export const EXIT_CODES = {
   ok: 0,
@@ -35,6 +40,7 @@
 
 /** After this time a command says what it is waiting for. */
 const PROGRESS_AFTER_MS = 2_000;
+const MS_PER_SECOND = 1_000;
 
 /**
  * Says what a command waits for when the wait is long.
@@ -50,14 +56,14 @@
   work: Promise<T>,
 ): Promise<T> {
   let tookMs = 0;
-  const timer = setInterval(() => {
+  const timer = setPeriodic(CLI_CLOCK, PROGRESS_AFTER_MS, () => {
     tookMs += PROGRESS_AFTER_MS;
-    context.showProgress?.(`${label} (${tookMs / 1_000} s)`);
-  }, PROGRESS_AFTER_MS);
+    context.showProgress?.(`${label} (${tookMs / MS_PER_SECOND} s)`);
+  });
   try {
     return await work;
   } finally {
-    clearInterval(timer);
+    timer.dispose();
   }
 }
 
--- a/src/cli/node/commands/drain.ts
+++ b/src/cli/node/commands/drain.ts
@@ -1,10 +1,11 @@
 /** `ragwort drain`. */
 
-import { setTimeout as delay } from "node:timers/promises";
 import type { CAC } from "cac";
+import { sleep } from "../../../base/common/clock.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import { leftOf, rightOf } from "../../../base/common/result.ts";
 import {
+  CLI_CLOCK,
   type CliContext,
   EXIT_CODES,
   type ExitCode,
@@ -83,6 +84,6 @@
     if (waitedMs > 0 && waitedMs % PROGRESS_PERIOD_MS === 0) {
       context.showProgress?.(`${host}: ${status.active} requests still run`);
     }
-    await delay(POLL_MS);
+    await sleep(CLI_CLOCK, POLL_MS);
   }
 }
--- a/src/cli/node/commands/top.ts
+++ b/src/cli/node/commands/top.ts
@@ -1,7 +1,7 @@
 /** `ragwort top`. */
 
-import { setTimeout as delay } from "node:timers/promises";
 import type { CAC } from "cac";
+import { sleep } from "../../../base/common/clock.ts";
 import {
   type FigureRow,
   type Grouping,
@@ -14,7 +14,12 @@
   formatNumber,
   formatTable,
 } from "../../common/text_table.ts";
-import { type CliContext, EXIT_CODES, type ExitCode } from "../cli_context.ts";
+import {
+  CLI_CLOCK,
+  type CliContext,
+  EXIT_CODES,
+  type ExitCode,
+} from "../cli_context.ts";
 import { collectFigures } from "../figures.ts";
 import type { GlobalOptions, Shell } from "../shell.ts";
 
@@ -87,7 +92,7 @@
   const isLive = shell.isTerminal && !options.once && !context.isJson;
   let last = await look(context, shell, { grouping, isLive });
   while (isLive && last.exitCode === EXIT_CODES.ok) {
-    await delay(periodMs);
+    await sleep(CLI_CLOCK, periodMs);
     last = await look(context, shell, { grouping, isLive, last });
   }
   return last.exitCode;
@@ -104,7 +109,7 @@
 ): Promise<LastLook & { readonly exitCode: ExitCode }> {
   const { daemons, areComplete } = await collectFigures(context);
   const rows = toFigureRows(daemons, grouping);
-  const atMs = Date.now();
+  const atMs = CLI_CLOCK.monotonicMs();
   if (context.isJson) {
     for (const row of rows) context.print(JSON.stringify(row));
   } else {
