Count preemptions for each service from load reports

Cause: no code could record the preemptions of one request, since engines report a sum. The engine client now tells of each load report that it reads. Conclusion: the figures fill as soon as a dispatcher reads load reports.

--- /dev/null
+++ b/src/base/common/bounded_map_test.ts
@@ -0,0 +1,17 @@
+import { BoundedMap } from "./bounded_map.ts";
+
+describe("a bounded map", () => {
+  it("forgets the entry that was set the longest ago", () => {
+    const map = new BoundedMap<string, number>(2);
+    map.set("a", 1);
+    map.set("b", 2);
+    map.set("a", 3);
+    map.set("c", 4);
+    expect(["a", "b", "c"].map((key) => map.get(key))).toEqual([
+      3,
+      undefined,
+      4,
+    ]);
+    expect(map.size).toBe(2);
+  });
+});
--- a/src/cli/node/commands/histogram.ts
+++ b/src/cli/node/commands/histogram.ts
@@ -3,6 +3,7 @@
 import type { CAC } from "cac";
 import {
   mergeSeries,
+  OTHER_WORKSPACES,
   requestCountOf,
 } from "../../../platform/metrics/common/figures.ts";
 import {
@@ -59,9 +60,8 @@
     context.printError(`--measure must be one of ${MEASURE_NAMES.join(", ")}`);
     return EXIT_CODES.badInput;
   }
-  const field = name.includes("/") || name.startsWith("(")
-    ? "workspace"
-    : "class";
+  const isWorkspace = name.includes("/") || name === OTHER_WORKSPACES;
+  const field = isWorkspace ? "workspace" : "class";
   const query = `?${field}=${encodeURIComponent(name)}`;
   const { daemons, areComplete } = await collectFigures(context, query);
   const merged = mergeSeries(daemons.flatMap(({ series }) => series));
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -8,6 +8,7 @@
 import { type Address, asId, type RequestId } from "../../base/common/ids.ts";
 import { DisposableStore } from "../../base/common/lifecycle.ts";
 import { SystemClock } from "../../base/node/system_clock.ts";
+import { findServiceOf } from "../../features/configuration/common/configuration.ts";
 import {
   HmacSigner,
   type SigningKey,
@@ -17,6 +18,7 @@
 import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
 import { StaticMembership } from "../../platform/membership/common/membership.ts";
 import { HistogramMetrics } from "../../platform/metrics/common/histogram_metrics.ts";
+import { PreemptionMeter } from "../../platform/metrics/common/preemption_meter.ts";
 import {
   NO_SAMPLE_SINK,
   type SampleSink,
@@ -63,6 +65,7 @@
     this.#metrics = this.#owned.add(
       new HistogramMetrics(clock, { host, zone }, this.#createSampleSink()),
     );
+    const engines = this.#owned.add(new HttpEngineClient());
     this.#core = this.#owned.add(
       new DaemonCore({
         clock,
@@ -70,7 +73,7 @@
         logger: this.#logger,
         metrics: this.#metrics,
         store: this.#owned.add(new EtcdStoreClient(settings.store.addresses)),
-        engines: this.#owned.add(new HttpEngineClient()),
+        engines,
         apps: this.#owned.add(new HttpAppClient()),
         links: this.#owned.add(new SoloPeerLinks()),
         membership: new StaticMembership({
@@ -85,6 +88,15 @@
         fingerprint,
       }, { host, zone, resumeWindowMs: limits.resumeWindowMs }),
     );
+    const meter = new PreemptionMeter(
+      this.#metrics,
+      ({ address }) => findServiceOf(this.#core.configuration, address),
+    );
+    this.#owned.add(
+      engines.onDidReadLoad(({ endpoint, report }) =>
+        meter.record(endpoint, report)
+      ),
+    );
     this.#callers = createCallerFront({
       clock,
       core: this.#core,
--- a/src/features/configuration/common/configuration.ts
+++ b/src/features/configuration/common/configuration.ts
@@ -2,6 +2,7 @@
 
 import type { Event } from "../../../base/common/event.ts";
 import type {
+  Address,
   EndpointId,
   ServiceId,
   TeamName,
@@ -124,3 +125,22 @@
 ): ServiceConfig["endpoints"][number] | undefined {
   return service.config.endpoints.find((endpoint) => endpoint.id === id);
 }
+
+/**
+ * @param configuration - The configuration in force.
+ * @param address - Address of an endpoint.
+ * @returns The service that has the endpoint, if there is one.
+ */
+export function findServiceOf(
+  configuration: Configuration,
+  address: Address,
+): ServiceId | undefined {
+  for (const { team, document } of configuration.revisions()) {
+    const services = Object.entries(document?.services ?? {});
+    const found = services.find(([, { endpoints }]) =>
+      endpoints.some((endpoint) => endpoint.address === address)
+    );
+    if (found) return serviceIdOf(team, found[0]);
+  }
+  return undefined;
+}
--- a/src/features/explain/common/decision_log.ts
+++ b/src/features/explain/common/decision_log.ts
@@ -1,5 +1,6 @@
 /** Bounded record of what was decided about each request of this daemon. */
 
+import { BoundedMap } from "../../../base/common/bounded_map.ts";
 import type { Clock } from "../../../base/common/clock.ts";
 import type { RequestId } from "../../../base/common/ids.ts";
 import type { OutcomeKind } from "../../../platform/metrics/common/metrics.ts";
@@ -57,7 +58,9 @@
 /** Keeps the decisions of the newest requests. */
 export class DecisionLog {
   readonly #clock: Clock;
-  readonly #decisions = new Map<RequestId, TimedDecision[]>();
+  readonly #decisions = new BoundedMap<RequestId, TimedDecision[]>(
+    MAX_REQUESTS,
+  );
 
   /** @param clock - Time of the decisions. */
   constructor(clock: Clock) {
@@ -73,7 +76,6 @@
     let decisions = this.#decisions.get(requestId);
     if (!decisions) {
       decisions = [];
-      this.#dropOldest();
       this.#decisions.set(requestId, decisions);
     }
     const isFull = decisions.length >= MAX_DECISIONS_PER_REQUEST;
@@ -85,10 +87,4 @@
   find(requestId: RequestId): readonly TimedDecision[] | undefined {
     return this.#decisions.get(requestId);
   }
-
-  #dropOldest(): void {
-    if (this.#decisions.size < MAX_REQUESTS) return;
-    const [oldest] = this.#decisions.keys();
-    if (oldest !== undefined) this.#decisions.delete(oldest);
-  }
 }
--- a/src/platform/endpoints/node/http_engine_client.ts
+++ b/src/platform/endpoints/node/http_engine_client.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from "undici";
 import type { z } from "zod";
 import { messageOf } from "../../../base/common/errors.ts";
+import { Emitter } from "../../../base/common/event.ts";
 import type { GenerationId } from "../../../base/common/ids.ts";
 import { type Eventually, Left, Right } from "../../../base/common/result.ts";
 import type {
@@ -42,6 +43,12 @@
   readonly body?: unknown;
 }
 
+/** A load report with the endpoint that it is about. */
+export interface EndpointLoad {
+  readonly endpoint: Endpoint;
+  readonly report: LoadReport;
+}
+
 /** Talks to engines; each stream has a connection of its own. */
 export class HttpEngineClient implements EngineClient {
   readonly #agent = new Agent({
@@ -49,6 +56,11 @@
     pipelining: 1,
   });
 
+  readonly #didReadLoad = new Emitter<EndpointLoad>();
+
+  /** Fires with each load report that was read. */
+  readonly onDidReadLoad = this.#didReadLoad.event;
+
   /** {@inheritDoc EngineClient.start} */
   start(
     endpoint: Endpoint,
@@ -92,13 +104,16 @@
   }
 
   /** {@inheritDoc EngineClient.readLoad} */
-  readLoad(endpoint: Endpoint): Eventually<EngineFailure, LoadReport> {
-    return this.#call(endpoint, {
+  async readLoad(endpoint: Endpoint): Eventually<EngineFailure, LoadReport> {
+    const read = await this.#call(endpoint, {
       step: "engine.load",
       method: "GET",
       path: "/load",
       schema: loadReportSchema,
     });
+    return read.ifRight((report) =>
+      this.#didReadLoad.fire({ endpoint, report })
+    );
   }
 
   /** {@inheritDoc EngineClient.readCacheEvents} */
--- a/src/platform/metrics/common/figures.ts
+++ b/src/platform/metrics/common/figures.ts
@@ -15,6 +15,9 @@
 /** Workspace name of all that are not kept apart. */
 export const OTHER_WORKSPACES = "(other)";
 
+/** Class name of what is known for a whole service only. */
+export const ANY_CLASS = "(any)";
+
 /** Figures of one service, workspace and class. */
 export interface SeriesFigures {
   readonly service: string;
--- a/src/platform/metrics/common/histogram_metrics.ts
+++ b/src/platform/metrics/common/histogram_metrics.ts
@@ -3,7 +3,7 @@
 import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
 import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
 import type { Disposable } from "../../../base/common/lifecycle.ts";
-import { type DaemonFigures, OTHER_WORKSPACES } from "./figures.ts";
+import { ANY_CLASS, type DaemonFigures, OTHER_WORKSPACES } from "./figures.ts";
 import type {
   CounterName,
   MetricLabels,
@@ -75,6 +75,11 @@
     return this.#seriesIn(services, labels, workspace);
   }
 
+  /** {@inheritDoc Metrics.countPreemptions} */
+  countPreemptions(service: ServiceId, by: number): void {
+    this.#rest({ service, className: ANY_CLASS }).recordPreemptions(by);
+  }
+
   /** {@inheritDoc Metrics.count} */
   count(name: CounterName, by = 1): void {
     this.#counters[name] = (this.#counters[name] ?? 0) + by;
--- a/src/platform/metrics/common/metrics.ts
+++ b/src/platform/metrics/common/metrics.ts
@@ -30,8 +30,6 @@
   recordTokenGap(gapMs: number): void;
   /** @param stallMs - Time without a token beyond the stall limit. */
   recordStall(stallMs: number): void;
-  /** @param count - How often the endpoint preempted the request. */
-  recordPreemptions(count: number): void;
   /**
    * @param outcome - How the request ended.
    * @param outputTokens - Tokens delivered to the caller.
@@ -43,7 +41,6 @@
 export type CounterName =
   | "frames_dropped"
   | "streams_resumed"
-  | "preemptions"
   | "config_applied"
   | "peer_links_closed";
 
@@ -51,6 +48,13 @@
 export interface Metrics {
   /** @returns The recorder for one request. */
   forRequest(labels: MetricLabels): RequestRecorder;
+  /**
+   * Engines report preemptions as a sum, without workspace and class.
+   *
+   * @param service - Service of the engine.
+   * @param by - Preemptions since the last report.
+   */
+  countPreemptions(service: ServiceId, by: number): void;
   /** @param by - How much to add. */
   count(name: CounterName, by?: number): void;
 }
@@ -60,12 +64,12 @@
   recordFirstToken: () => undefined,
   recordTokenGap: () => undefined,
   recordStall: () => undefined,
-  recordPreemptions: () => undefined,
   recordEnd: () => undefined,
 };
 
 /** Measures nothing. */
 export const NO_METRICS: Metrics = {
   forRequest: () => NO_RECORDER,
+  countPreemptions: () => undefined,
   count: () => undefined,
 };
--- /dev/null
+++ b/src/platform/metrics/common/preemption_meter.ts
@@ -0,0 +1,44 @@
+/** Counts preemptions from the load reports of engines. */
+
+import { BoundedMap } from "../../../base/common/bounded_map.ts";
+import type { Address, ServiceId } from "../../../base/common/ids.ts";
+import type {
+  Endpoint,
+  LoadReport,
+} from "../../endpoints/common/engine_client.ts";
+import type { Metrics } from "./metrics.ts";
+
+const MAX_ENDPOINTS = 4_096;
+
+/** Engines report a sum since their start; this counts what was added. */
+export class PreemptionMeter {
+  readonly #metrics: Metrics;
+  readonly #serviceOf: (endpoint: Endpoint) => ServiceId | undefined;
+  readonly #lastByAddress = new BoundedMap<Address, number>(MAX_ENDPOINTS);
+
+  /**
+   * @param metrics - Where preemptions are counted.
+   * @param serviceOf - Finds the service of an engine.
+   */
+  constructor(
+    metrics: Metrics,
+    serviceOf: (endpoint: Endpoint) => ServiceId | undefined,
+  ) {
+    this.#metrics = metrics;
+    this.#serviceOf = serviceOf;
+  }
+
+  /**
+   * @param endpoint - The engine.
+   * @param report - What it reported; the first one only sets the start.
+   */
+  record(endpoint: Endpoint, { preemptions }: LoadReport): void {
+    const last = this.#lastByAddress.get(endpoint.address);
+    this.#lastByAddress.set(endpoint.address, preemptions);
+    if (last === undefined || preemptions === last) return;
+    // An engine that was started again counts from 0.
+    const added = preemptions > last ? preemptions - last : preemptions;
+    const service = this.#serviceOf(endpoint);
+    if (added > 0 && service) this.#metrics.countPreemptions(service, added);
+  }
+}
--- a/src/platform/metrics/common/request_series.ts
+++ b/src/platform/metrics/common/request_series.ts
@@ -67,7 +67,7 @@
     this.#recordAndSample("stallMs", stallMs);
   }
 
-  /** {@inheritDoc RequestRecorder.recordPreemptions} */
+  /** @param count - How often an endpoint preempted a request. */
   recordPreemptions(count: number): void {
     this.#cells.preemptions += count;
     this.#sink.countPreemptions(count, this.#labels);
