List the kept revisions in config history, and shorten the commands' heads

Cause: history showed the newest change only; replaced revisions are kept under config/history/TEAM/REVISION. Each command repeated the same comment and signature, which one type now carries. Conclusion: a team without kept revisions sees its newest one.

--- a/src/cli/node/commands/check.ts
+++ b/src/cli/node/commands/check.ts
@@ -1,6 +1,5 @@
 /** `ragwort check`. */
 
-import type { CAC } from "cac";
 import { parse } from "yaml";
 import { attempt } from "../../../base/common/result.ts";
 import { parseTeamDocument } from "../../../features/configuration/common/configuration_watcher.ts";
@@ -18,7 +17,7 @@
   type ExitCode,
   printResult,
 } from "../cli_context.ts";
-import { type GlobalOptions, type Shell, withFile } from "../shell.ts";
+import { type AddCommand, type GlobalOptions, withFile } from "../shell.ts";
 
 /** What a file holds. */
 type FileKind = "team" | "daemon";
@@ -27,13 +26,8 @@
   readonly as?: string;
 }
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addCheckCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addCheckCommand: AddCommand = (cli, shell) => {
   cli.command(
     "check <file>",
     "Check a team's document or a daemon's settings without using it",
@@ -49,7 +43,7 @@
           (text) => checkFile(context, { file, text, kind: options.as }),
         ))
     );
-}
+};
 
 function checkFile(
   context: CliContext,
--- a/src/cli/node/commands/completion.ts
+++ b/src/cli/node/commands/completion.ts
@@ -7,7 +7,7 @@
   SHELLS,
 } from "../../common/completion.ts";
 import { EXIT_CODES, printResult } from "../cli_context.ts";
-import type { GlobalOptions, Shell } from "../shell.ts";
+import type { AddCommand, GlobalOptions } from "../shell.ts";
 import { CONFIG_ACTIONS } from "./config.ts";
 
 const ACTIONS: Readonly<Record<string, readonly string[]>> = {
@@ -15,13 +15,8 @@
   completion: SHELLS,
 };
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addCompletionCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addCompletionCommand: AddCommand = (cli, shell) => {
   cli.command("completion <shell>", "Print a completion script: bash or zsh")
     .example("ragwort completion bash > /etc/bash_completion.d/ragwort")
     .example(`eval "$(ragwort completion zsh)"`)
@@ -37,7 +32,7 @@
         return EXIT_CODES.ok;
       })
     );
-}
+};
 
 function wordsOf(cli: CAC): CommandWords[] {
   const globalOptions = optionNames(cli.globalCommand.options);
--- a/src/cli/node/commands/config.ts
+++ b/src/cli/node/commands/config.ts
@@ -1,10 +1,9 @@
 /** `ragwort config`. */
 
-import type { CAC } from "cac";
 import { asId, type TeamName } from "../../../base/common/ids.ts";
 import { type CliContext, EXIT_CODES, type ExitCode } from "../cli_context.ts";
 import { applyConfig } from "../config_commands.ts";
-import { type GlobalOptions, type Shell, withFile } from "../shell.ts";
+import { type AddCommand, type GlobalOptions, withFile } from "../shell.ts";
 import {
   diffConfig,
   getConfig,
@@ -25,13 +24,8 @@
   readonly from?: number;
 }
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addConfigCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addConfigCommand: AddCommand = (cli, shell) => {
   cli.command("config <action> [...words]", "Read or change a team's document")
     .usage(USAGE)
     .option("--from <revision>", "Revision that the document was made from")
@@ -49,7 +43,7 @@
         (context) => runConfig(context, action, words, options),
       )
     );
-}
+};
 
 async function runConfig(
   context: CliContext,
--- a/src/cli/node/commands/config_parts.ts
+++ b/src/cli/node/commands/config_parts.ts
@@ -27,7 +27,10 @@
 import { askAllDaemons, reportSilentDaemons } from "../operator_client.ts";
 import type { DaemonStatus } from "../status_command.ts";
 
-const CHANGE_ID_PATTERN = /^# change: (.*)$/m;
+/** Where the store keeps replaced revisions, one key each. */
+const HISTORY_KEY_PREFIX = "config/history/";
+const MARK_PATTERN = /^# (change|deleted): (.*)\n/;
+const DELETION = "deleted";
 
 interface StoredDocument {
   readonly revision: number;
@@ -127,9 +130,8 @@
 }
 
 /**
- * Prints the last change of a team's document and which revision each daemon
- * has in force. The store keeps one value a key, so older changes are not
- * listed.
+ * Prints the revisions of a team's document, the newest first, and which one
+ * each daemon has in force.
  */
 export async function showHistory(
   context: CliContext,
@@ -138,9 +140,28 @@
   const read = await readExisting(context, team);
   const stored = rightOf(read);
   if (!stored) return leftOf(read) ?? EXIT_CODES.failed;
-  const { revision, changeId } = stored;
-  const change = `revision ${revision}, change ${changeId ?? "without an id"}`;
-  printResult(context, { team, revision, changeId }, change);
+  const replaced = await context.store.list(`${HISTORY_KEY_PREFIX}${team}/`);
+  const failure = leftOf(replaced);
+  if (failure) {
+    context.printError(`the history cannot be read: ${failure.detail}`);
+    return EXIT_CODES.unreachable;
+  }
+  const older = (rightOf(replaced)?.entries ?? []).map(({ key, value }) => ({
+    revision: Number(key.slice(key.lastIndexOf("/") + 1)),
+    changeId: readMark(value)?.changeId,
+  })).sort((left, right) => right.revision - left.revision);
+  for (const { revision, changeId } of [stored, ...older]) {
+    const line = `revision ${revision}, change ${changeId ?? "without an id"}`;
+    printResult(context, { team, revision, changeId }, line);
+  }
+  return await showInForce(context, team, stored.revision);
+}
+
+async function showInForce(
+  context: CliContext,
+  team: TeamName,
+  revision: number,
+): Promise<ExitCode> {
   if (context.daemons.length === 0) return EXIT_CODES.ok;
   const answers = await askAllDaemons<DaemonStatus>(context, "/status");
   for (const { result } of answers) {
@@ -175,14 +196,23 @@
     return Left(EXIT_CODES.unreachable);
   }
   const entry = rightOf(read);
-  if (!entry) {
+  const mark = entry && readMark(entry.value);
+  if (!entry || mark?.kind === DELETION) {
     const advice = `make one with: ragwort config apply ${team} FILE`;
     return Left(fail(context, `team ${team} has no document; ${advice}`));
   }
   const { value, revision } = entry;
   const text = documentText(value);
-  const mark = value.slice(0, value.length - text.length);
-  return Right({ revision, text, changeId: CHANGE_ID_PATTERN.exec(mark)?.[1] });
+  return Right({ revision, text, changeId: mark?.changeId });
+}
+
+/** Reads the first line of a stored value, which names its change. */
+function readMark(
+  value: string,
+): { readonly kind: string; readonly changeId: string } | undefined {
+  const [, kind, changeId] = MARK_PATTERN.exec(value) ?? [];
+  if (kind === undefined || changeId === undefined) return undefined;
+  return { kind, changeId };
 }
 
 function parsePath(text: string): DocumentPath {
--- a/src/cli/node/commands/drain.ts
+++ b/src/cli/node/commands/drain.ts
@@ -1,6 +1,5 @@
 /** `ragwort drain`. */
 
-import type { CAC } from "cac";
 import { sleep } from "../../../base/common/clock.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import { leftOf, rightOf } from "../../../base/common/result.ts";
@@ -16,7 +15,7 @@
   callOperatorPort,
   reportSilentDaemons,
 } from "../operator_client.ts";
-import type { GlobalOptions, Shell } from "../shell.ts";
+import type { AddCommand, GlobalOptions } from "../shell.ts";
 import type { DaemonStatus } from "../status_command.ts";
 
 const POLL_MS = 500;
@@ -26,13 +25,8 @@
   readonly wait?: boolean;
 }
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addDrainCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addDrainCommand: AddCommand = (cli, shell) => {
   cli.command(
     "drain <host>",
     "Let a host end what it runs, take nothing new, and stop",
@@ -42,7 +36,7 @@
     .action((host: string, options: DrainOptions) =>
       shell.run(options, (context) => drainHost(context, host, options))
     );
-}
+};
 
 async function drainHost(
   context: CliContext,
--- a/src/cli/node/commands/explain.ts
+++ b/src/cli/node/commands/explain.ts
@@ -1,6 +1,5 @@
 /** `ragwort explain`. */
 
-import type { CAC } from "cac";
 import { rightOf } from "../../../base/common/result.ts";
 import {
   type Explanation,
@@ -14,15 +13,10 @@
   withProgress,
 } from "../cli_context.ts";
 import { askAllDaemons, reportSilentDaemons } from "../operator_client.ts";
-import type { GlobalOptions, Shell } from "../shell.ts";
+import type { AddCommand, GlobalOptions } from "../shell.ts";
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addExplainCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addExplainCommand: AddCommand = (cli, shell) => {
   cli.command(
     "explain <request-id>",
     "Say why a request waited, went where it went, or was refused",
@@ -31,7 +25,7 @@
     .action((id: string, options: GlobalOptions) =>
       shell.run(options, (context) => explainRequest(context, id))
     );
-}
+};
 
 async function explainRequest(
   context: CliContext,
--- a/src/cli/node/commands/hints.ts
+++ b/src/cli/node/commands/hints.ts
@@ -1,16 +1,10 @@
 /** `ragwort demo` and `ragwort bench`: where these programs are found. */
 
-import type { CAC } from "cac";
 import { EXIT_CODES, printResult } from "../cli_context.ts";
-import type { GlobalOptions, Shell } from "../shell.ts";
+import type { AddCommand, GlobalOptions } from "../shell.ts";
 
-/**
- * Adds the commands.
- *
- * @param cli - The command line.
- * @param shell - Runs them.
- */
-export function addHintCommands(cli: CAC, shell: Shell): void {
+/** Adds the commands. */
+export const addHintCommands: AddCommand = (cli, shell) => {
   const addHint = (name: string, summary: string, line: string): void => {
     cli.command(name, summary).action((options: GlobalOptions) =>
       shell.run(options, (context) => {
@@ -21,4 +15,4 @@
   };
   addHint("demo", "Say how to see the whole path on loopback", "npm run demo");
   addHint("bench", "Say how to measure", "npm run bench -- metrics --json");
-}
+};
--- a/src/cli/node/commands/histogram.ts
+++ b/src/cli/node/commands/histogram.ts
@@ -1,6 +1,5 @@
 /** `ragwort histogram`. */
 
-import type { CAC } from "cac";
 import {
   mergeSeries,
   OTHER_WORKSPACES,
@@ -19,7 +18,7 @@
 } from "../../common/text_table.ts";
 import { type CliContext, EXIT_CODES, type ExitCode } from "../cli_context.ts";
 import { collectFigures } from "../figures.ts";
-import type { GlobalOptions, Shell } from "../shell.ts";
+import type { AddCommand, GlobalOptions } from "../shell.ts";
 
 const BAR_WIDTH = 40;
 const LABEL_WIDTH = 12;
@@ -28,13 +27,8 @@
   readonly measure?: string;
 }
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addHistogramCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addHistogramCommand: AddCommand = (cli, shell) => {
   cli.command(
     "histogram <name>",
     "Show the histograms of a workspace (TEAM/WORKSPACE) or of a class",
@@ -48,7 +42,7 @@
         (context) => showHistograms(context, name, options.measure),
       )
     );
-}
+};
 
 async function showHistograms(
   context: CliContext,
--- a/src/cli/node/commands/report.ts
+++ b/src/cli/node/commands/report.ts
@@ -3,7 +3,6 @@
 import { readFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import { basename, dirname, join } from "node:path";
-import type { CAC } from "cac";
 import { messageOf } from "../../../base/common/errors.ts";
 import {
   attempt,
@@ -20,8 +19,8 @@
 import { type CliContext, EXIT_CODES, type ExitCode } from "../cli_context.ts";
 import { collectFigures } from "../figures.ts";
 import {
+  type AddCommand,
   type GlobalOptions,
-  type Shell,
   withFile,
   writeResultFile,
 } from "../shell.ts";
@@ -33,13 +32,8 @@
   readonly out?: string;
 }
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addReportCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addReportCommand: AddCommand = (cli, shell) => {
   cli.command(
     "report [file]",
     "Write one HTML page of a bench's JSON rows, or of the live figures",
@@ -56,7 +50,7 @@
           : reportRows(context, file, out);
       })
     );
-}
+};
 
 async function reportRows(
   context: CliContext,
--- a/src/cli/node/commands/top.ts
+++ b/src/cli/node/commands/top.ts
@@ -1,6 +1,5 @@
 /** `ragwort top`. */
 
-import type { CAC } from "cac";
 import { sleep } from "../../../base/common/clock.ts";
 import {
   type FigureRow,
@@ -21,7 +20,7 @@
   type ExitCode,
 } from "../cli_context.ts";
 import { collectFigures } from "../figures.ts";
-import type { GlobalOptions, Shell } from "../shell.ts";
+import type { AddCommand, GlobalOptions, Shell } from "../shell.ts";
 
 const CLEAR_SCREEN = "\u001b[H\u001b[2J";
 const DEFAULT_PERIOD_SECONDS = 2;
@@ -54,13 +53,8 @@
   readonly requests: ReadonlyMap<string, number>;
 }
 
-/**
- * Adds the command.
- *
- * @param cli - The command line.
- * @param shell - Runs it.
- */
-export function addTopCommand(cli: CAC, shell: Shell): void {
+/** Adds the command. */
+export const addTopCommand: AddCommand = (cli, shell) => {
   cli.command("top", "Show a live table of all daemons together (times in ms)")
     .option("--by <group>", `Rows: ${GROUPINGS.join(", ")}`, {
       default: "class",
@@ -74,7 +68,7 @@
     .action((options: TopOptions) =>
       shell.run(options, (context) => runTop(context, shell, options))
     );
-}
+};
 
 async function runTop(
   context: CliContext,
--- a/src/cli/node/shell.ts
+++ b/src/cli/node/shell.ts
@@ -1,6 +1,7 @@
 /** What the command line stands on: the process, or a test in its place. */
 
 import { readFileSync, writeFileSync } from "node:fs";
+import type { CAC } from "cac";
 import { messageOf } from "../../base/common/errors.ts";
 import type { Address } from "../../base/common/ids.ts";
 import { attempt, type Either } from "../../base/common/result.ts";
@@ -149,3 +150,11 @@
       : `${path}: ${sizeBytes} bytes`,
   );
 }
+
+/**
+ * Adds commands to the command line.
+ *
+ * @param cli - The command line.
+ * @param shell - Runs the commands.
+ */
+export type AddCommand = (cli: CAC, shell: Shell) => void;
--- a/standins/demo/command_line_test.ts
+++ b/standins/demo/command_line_test.ts
@@ -56,8 +56,18 @@
     expect((await run("config get taranga")).out).toMatch(/^# terms\n/);
     expect((await run(`config diff taranga ${teamFile}`)).out)
       .toBe("~ classes/lookup/priority: 6 -> 7\n");
-    expect((await run("config history taranga")).out)
-      .toContain("change change-config set taranga/classes/lookup/priority 6");
+    deployment.store.put({
+      key: "config/history/taranga/0000000000000001",
+      value: "# change: older\nclasses: {}\n",
+      expectedRevision: 0,
+    });
+    const history = (await run("config history taranga")).out.split("\n");
+    expect(history[0])
+      .toContain("change-config set taranga/classes/lookup/priority 6");
+    expect(history[1]).toBe("revision 1, change older");
+    expect(history).toContainEqual(
+      expect.stringMatching(/^lalitpur-1 has revision \d+ in force$/),
+    );
   });
 
   it("refuses what is wrong, and says where", async () => {
