Keep the logger from reading formats in its own lines

Cause: the debug library takes %o and %% in a line for formats; a new test saw the detail 'a %o %s %% {b}' written as 'a undefined %s % {b}'. The line is now an argument of a fixed format.

--- a/src/platform/log/node/debug_logger.ts
+++ b/src/platform/log/node/debug_logger.ts
@@ -5,6 +5,8 @@
 import type { LogFields, Logger, LogLevel } from "../common/logger.ts";
 
 const NAMESPACE = "ragwort";
+/** The line is an argument, so that no `%` in it is taken for a format. */
+const FORMAT = "%s";
 
 /** Writes each line under the namespace `ragwort:<level>`. */
 export class DebugLogger implements Logger {
@@ -32,24 +34,19 @@
     if (!writer.enabled) return;
     const time = new Date(this.#clock.nowMs()).toISOString();
     const line = { time, level, host: this.#host, event, ...fields };
-    writer(JSON.stringify(line));
+    writer(FORMAT, JSON.stringify(line));
   }
 }
 
 function createWriter(level: LogLevel): debug.Debugger {
   const writer = debug(`${NAMESPACE}:${level}`);
-  // The line is JSON already; the library's prefix and colours are left out.
-  writer.log = (...parts: unknown[]) => {
-    process.stderr.write(`${extractJson(parts)}\n`);
+  // The library puts its prefix into the format; the line follows as it is.
+  writer.log = (_format: unknown, line: unknown) => {
+    process.stderr.write(`${String(line)}\n`);
   };
   return writer;
 }
 
-function extractJson(parts: readonly unknown[]): string {
-  const text = String(parts[0]);
-  return text.slice(text.indexOf("{"), text.lastIndexOf("}") + 1);
-}
-
 /**
  * Switches levels on.
  *
