--- a/src/features/configuration/common/team_document.ts
+++ b/src/features/configuration/common/team_document.ts
@@ -66,7 +66,7 @@
 });
 
 const generationRouteSchema = z.strictObject({
-  kind: z.literal("generation"),
+  kind: z.literal("generation").describe("A route to a model"),
   model: z.string().min(1).max(200).describe("Model name that callers send"),
   service: nameSchema.describe("Service of kind engine"),
   classes: z.array(nameSchema).min(1)
@@ -76,7 +76,7 @@
 });
 
 const callRouteSchema = z.strictObject({
-  kind: z.literal("call"),
+  kind: z.literal("call").describe("A route to an app service"),
   prefix: z.string().regex(
     /^\/[A-Za-z0-9._~/-]+$/,
     "must start with / and be a plain path",
--- a/src/platform/settings/common/daemon_settings.ts
+++ b/src/platform/settings/common/daemon_settings.ts
@@ -38,27 +38,29 @@
     peers: addressSchema.describe("Address for the other daemons"),
     operators: addressSchema.default(DEFAULT_OPERATOR_ADDRESS)
       .describe("Address of the operator port"),
-  }),
+  }).describe("Where this daemon listens"),
   store: z.strictObject({
     addresses: z.array(addressSchema).min(1)
       .describe("Addresses of the platform's key-value service"),
-  }),
+  }).describe("The platform's key-value service"),
   hostList: z.strictObject({
     address: addressSchema.describe("Address of the platform's host list"),
-  }).optional(),
+  }).optional().describe("The platform's list of live and leaving hosts"),
   peers: z.array(z.strictObject({
-    host: nameSchema.transform((text) => text as HostId),
-    zone: nameSchema.transform((text) => text as ZoneName),
-    address: addressSchema,
+    host: nameSchema.transform((text) => text as HostId)
+      .describe("Name of the other host"),
+    zone: nameSchema.transform((text) => text as ZoneName)
+      .describe("Its availability zone"),
+    address: addressSchema.describe("Its address for daemons"),
   })).default([]).describe("Daemons that are known from the start"),
   secrets: z.strictObject({
     signingKeys: z.array(z.strictObject({
       id: nameSchema.describe("Id of the key, kept in each generation id"),
-      source: secretSourceSchema,
+      source: secretSourceSchema.describe("Where the key is read from"),
     })).min(1).describe("Keys that sign generation ids; the first one signs"),
     peer: secretSourceSchema.describe("Secret that the daemons share"),
     operator: secretSourceSchema.describe("Key of the operator port"),
-  }),
+  }).describe("Where secrets are read from"),
   limits: z.strictObject({
     maxBodyBytes: bytes.default(DEFAULT_MAX_BODY_BYTES)
       .describe("Largest body of a request"),
@@ -73,15 +75,15 @@
       .describe("How long a generation goes on without its caller"),
     drainMs: durationMs.default(DEFAULT_DRAIN_MS)
       .describe("How long streams may run on after a stop was asked for"),
-  }).prefault({}),
+  }).prefault({}).describe("Limits on requests and times"),
   metrics: z.strictObject({
     statsd: addressSchema.optional().describe("Address of the StatsD agent"),
-  }).prefault({}),
+  }).prefault({}).describe("Where measurements are sent"),
   log: z.strictObject({
     levels: z.array(z.enum(["info", "warn", "error"]))
       .default(["info", "warn", "error"])
       .describe("Levels that are written"),
-  }).prefault({}),
+  }).prefault({}).describe("Logs on standard error"),
 });
 
 /** Settings of one daemon. */
