Let operators drain endpoints and release quarantined requests

Cause: daemons are getting calls by which endpoints leave and quarantined requests are released, and the command line had no word for them. ragwort endpoint and ragwort quarantine ask the daemons one after the other until one has done it. The routes of the quarantine stand when the daemon passes one to the operator port. Conclusion: against real daemons they are not run yet.

--- a/src/cli/node/commands/completion.ts
+++ b/src/cli/node/commands/completion.ts
@@ -9,9 +9,13 @@
 import { EXIT_CODES, printResult } from "../cli_context.ts";
 import type { AddCommand, GlobalOptions } from "../shell.ts";
 import { CONFIG_ACTIONS } from "./config.ts";
+import { ENDPOINT_ACTIONS } from "./endpoint.ts";
+import { QUARANTINE_ACTIONS } from "./quarantine.ts";
 
 const ACTIONS: Readonly<Record<string, readonly string[]>> = {
   config: CONFIG_ACTIONS,
+  endpoint: ENDPOINT_ACTIONS,
+  quarantine: QUARANTINE_ACTIONS,
   completion: SHELLS,
 };
 
--- /dev/null
+++ b/src/cli/node/commands/endpoint.ts
@@ -0,0 +1,57 @@
+/** `ragwort endpoint`. */
+
+import {
+  type CliContext,
+  EXIT_CODES,
+  type ExitCode,
+  printResult,
+} from "../cli_context.ts";
+import { askFirstDaemon, reportRefusal } from "../operator_client.ts";
+import type { AddCommand, GlobalOptions } from "../shell.ts";
+
+/** What `ragwort endpoint` can do. */
+export const ENDPOINT_ACTIONS = ["drain", "return"];
+
+const PATH_PARTS = 3;
+
+/** Adds the command. */
+export const addEndpointCommand: AddCommand = (cli, shell) => {
+  cli.command(
+    "endpoint <action> <path>",
+    "Let an endpoint leave (drain) or be used again (return)",
+  )
+    .usage("endpoint drain|return TEAM/SERVICE/ENDPOINT")
+    .example("ragwort endpoint drain piel/taller-modelo/tunja-3")
+    .action((action: string, path: string, options: GlobalOptions) =>
+      shell.run(options, (context) => tellEndpoint(context, action, path))
+    );
+};
+
+async function tellEndpoint(
+  context: CliContext,
+  action: string,
+  path: string,
+): Promise<ExitCode> {
+  const parts = path.split("/").map(encodeURIComponent);
+  if (!ENDPOINT_ACTIONS.includes(action) || parts.length !== PATH_PARTS) {
+    context.printError(
+      "usage: ragwort endpoint drain|return TEAM/SERVICE/ENDPOINT",
+    );
+    return EXIT_CODES.badInput;
+  }
+  const told = await askFirstDaemon<object>(
+    context,
+    `/endpoints/${parts.join("/")}/${action}`,
+  );
+  return told.caseOf<ExitCode>({
+    Left: (failed) =>
+      reportRefusal(context, failed, `no daemon knows the endpoint ${path}`),
+    Right: (answer) => {
+      const state = action === "drain"
+        ? "gets nothing new; what it runs goes on"
+        : "is used again";
+      printResult(context, answer, `${path} ${state}`);
+      return EXIT_CODES.ok;
+    },
+  });
+}
--- a/src/cli/node/operator_client.ts
+++ b/src/cli/node/operator_client.ts
@@ -7,9 +7,11 @@
   type Either,
   type Eventually,
   Left,
+  leftOf,
   Right,
+  rightOf,
 } from "../../base/common/result.ts";
-import type { CliContext } from "./cli_context.ts";
+import { type CliContext, EXIT_CODES, type ExitCode } from "./cli_context.ts";
 
 const TIMEOUT_MS = 3_000;
 const HTTP_OK = 200;
@@ -89,6 +91,50 @@
   })));
 }
 
+/**
+ * Asks the daemons for a change, one after the other, until one has made it;
+ * the daemons tell each other.
+ *
+ * @param context - Holds the daemons and the operator key.
+ * @param path - Path of the call.
+ * @returns What the daemon answered, or the failures of all.
+ */
+export async function askFirstDaemon<T>(
+  context: CliContext,
+  path: string,
+): Promise<Either<readonly OperatorAnswer<T>[], T>> {
+  const failed: OperatorAnswer<T>[] = [];
+  for (const address of context.daemons) {
+    const result = await callOperatorPort<T>(context, "POST", address, path);
+    const value = rightOf(result);
+    if (value !== undefined) return Right(value);
+    failed.push({ address, result });
+  }
+  return Left(failed);
+}
+
+/**
+ * @param context - Where to print.
+ * @param failed - Failures of all daemons.
+ * @param missing - What to print when daemons answered that there is none.
+ * @returns The exit code.
+ */
+export function reportRefusal<T>(
+  context: CliContext,
+  failed: readonly OperatorAnswer<T>[],
+  missing: string,
+): ExitCode {
+  const isMissing = failed.some(({ result }) =>
+    leftOf(result)?.kind === "not-found"
+  );
+  if (isMissing) {
+    context.printError(missing);
+    return EXIT_CODES.failed;
+  }
+  reportSilentDaemons(context, failed);
+  return EXIT_CODES.unreachable;
+}
+
 /**
  * Prints which daemons gave no answer.
  *
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -17,12 +17,31 @@
   readonly id: string;
 }
 
+interface FingerprintParams {
+  readonly fingerprint: string;
+}
+
 interface FigureQuery {
   readonly service?: string;
   readonly workspace?: string;
   readonly class?: string;
 }
 
+/** A request that is refused because it kills endpoints. */
+export interface QuarantinedRequestInfo {
+  readonly fingerprint: string;
+  readonly workspace: string;
+  readonly untilMs: number;
+  readonly endpoints: readonly string[];
+}
+
+/** What operators may do about requests that kill endpoints. */
+export interface QuarantineAdmin {
+  list(): readonly QuarantinedRequestInfo[];
+  /** @returns Whether there was such a request. */
+  release(fingerprint: string): boolean;
+}
+
 /** What the operator port works with. */
 export interface OperatorServices {
   readonly core: DaemonCore;
@@ -31,6 +50,8 @@
   readonly operatorKey: string;
   /** @returns Everything that was measured so far. */
   figures(): DaemonFigures;
+  /** Left out by a daemon that has no quarantine. */
+  readonly quarantine?: QuarantineAdmin;
   /** Asks the daemon to drain and stop. */
   requestDrain(): void;
 }
@@ -68,6 +89,9 @@
     })),
   }));
   addFigureRoutes(server, services);
+  if (services.quarantine) {
+    addQuarantineRoutes(server, host, services.quarantine);
+  }
   server.get<{ Params: ExplainParams }>("/explain/:id", (request, reply) => {
     const { id } = request.params;
     const decisions = core.decisions.find(asId<RequestId>(id));
@@ -103,6 +127,23 @@
   });
 }
 
+function addQuarantineRoutes(
+  server: FastifyInstance,
+  host: string,
+  quarantine: QuarantineAdmin,
+): void {
+  server.get("/quarantine", () => ({ host, requests: quarantine.list() }));
+  server.post<{ Params: FingerprintParams }>(
+    "/quarantine/:fingerprint/release",
+    (request, reply) => {
+      const { fingerprint } = request.params;
+      if (quarantine.release(fingerprint)) return { host, fingerprint };
+      sendProblem(reply, refuse("not-found", "this request is not refused"));
+      return reply;
+    },
+  );
+}
+
 function isWanted(series: SeriesFigures, query: FigureQuery): boolean {
   return (query.service ?? series.service) === series.service &&
     (query.workspace ?? series.workspace) === series.workspace &&
--- a/standins/demo/command_line_test.ts
+++ b/standins/demo/command_line_test.ts
@@ -1,6 +1,8 @@
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import fastify from "fastify";
 import { EXIT_CODES } from "../../src/cli/node/cli_context.ts";
 import { runCommandLine } from "../../src/cli/node/command_line.ts";
 import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
@@ -86,6 +88,8 @@
         "top --by colour",
         "histogram lookup --measure x",
         "completion fish",
+        "endpoint drain taranga",
+        "quarantine release",
         `report ${teamFile}`,
       ]
     ) {
@@ -141,6 +145,39 @@
     expect(readFileSync(out, "utf8")).toContain("requests by class");
   });
 
+  it("drains endpoints and releases requests at the first daemon that can", async () => {
+    const paths: string[] = [];
+    const daemon = fastify();
+    daemon.get("/quarantine", () => ({
+      requests: [{
+        fingerprint: "f00d",
+        workspace: "taranga/w",
+        untilMs: 0,
+        endpoints: ["e1", "e2"],
+      }],
+    }));
+    daemon.post("/*", (request) => {
+      paths.push(request.url);
+      return {};
+    });
+    await daemon.listen({ host: "127.0.0.1", port: 0 });
+    const { port } = daemon.server.address() as AddressInfo;
+    const env = { RAGWORT_DAEMONS: `127.0.0.1:1,127.0.0.1:${port}` };
+    expect(await run("endpoint drain taranga/llm/e1", env)).toMatchObject({
+      code: 0,
+      out: "taranga/llm/e1 gets nothing new; what it runs goes on\n",
+    });
+    expect((await run("quarantine release f00d", env)).code).toBe(0);
+    const listed = await run("quarantine list", env);
+    expect(listed.code).toBe(EXIT_CODES.unreachable);
+    expect(listed.out).toMatch(/^f00d +taranga\/w +1970-.* +e1 e2$/m);
+    await daemon.close();
+    expect(paths).toEqual([
+      "/endpoints/taranga/llm/e1/drain",
+      "/quarantine/f00d/release",
+    ]);
+  });
+
   it("prints help and completion, without colours", async () => {
     const info = jest.spyOn(console, "info").mockImplementation();
     await run("help config");
