Say of an open request what it waits for, and refuse values that are no YAML

Cause: explain of a waiting request ended without a word about its state, and config set took a broken value as far as it could be read.

--- a/src/cli/common/document_edit.ts
+++ b/src/cli/common/document_edit.ts
@@ -18,8 +18,11 @@
 ): Either<string, string> {
   return attempt(() => {
     const document = parseDocument(text);
+    const value = parseDocument(valueText);
+    const [mistake] = value.errors;
+    if (mistake) throw mistake;
     const replaced = replaceScalar(text, document.getIn(path, true), valueText);
-    document.setIn(path, parseDocument(valueText).contents);
+    document.setIn(path, value.contents);
     const isSame = replaced !== undefined &&
       diffDocuments(parse(replaced), document.toJS()).length === 0;
     return isSame ? replaced : document.toString({ lineWidth: 0 });
--- a/src/cli/common/document_edit_test.ts
+++ b/src/cli/common/document_edit_test.ts
@@ -26,6 +26,10 @@
     expect(rightOf(added)).toContain("new: { priority: 1 }");
   });
 
+  it("refuses a value that is no YAML", () => {
+    expect(leftOf(setInDocument(TEXT, ["classes", "new"], "[1"))).toBeDefined();
+  });
+
   it("refuses a path through a plain value", () => {
     const path = ["classes", "caption", "priority", "x"];
     expect(leftOf(setInDocument(TEXT, path, "1"))).toBeDefined();
--- a/src/cli/common/explanation.ts
+++ b/src/cli/common/explanation.ts
@@ -23,7 +23,29 @@
     const sinceMs = Math.round(decision.atMs - startMs);
     return `${`+${sinceMs} ms`.padStart(12)}  ${describe(decision)}`;
   });
-  return [`request ${requestId} at ${host}, from ${startTime}`, ...lines];
+  const head = `request ${requestId} at ${host}, from ${startTime}`;
+  return [head, ...lines, ...describeOpen(decisions.at(-1))];
+}
+
+/** What a request that has not ended is waiting for. */
+function describeOpen(last: TimedDecision | undefined): string[] {
+  switch (last?.kind) {
+    case "asked":
+      return ["it waits for an endpoint now"];
+    case "granted":
+      return ["it waits for the endpoint's answer now"];
+    case "started":
+    case "resumed":
+      return ["it is being streamed now"];
+    case "refused":
+    case "released":
+    case "caller-gone":
+    case "ended":
+    case undefined:
+      return [];
+    default:
+      return assertNever(last);
+  }
 }
 
 function describe(decision: TimedDecision): string {
