--- a/src/cli/node/cli_context.ts
+++ b/src/cli/node/cli_context.ts
@@ -1,8 +1,13 @@
 /** What the commands of the command line share. */
 
+import { type Clock, setPeriodic } from "../../base/common/clock.ts";
 import { type Address, asId } from "../../base/common/ids.ts";
+import { SystemClock } from "../../base/node/system_clock.ts";
 import type { StoreClient } from "../../platform/store/common/store_client.ts";
 
+/** The clock on which commands wait. */
+export const CLI_CLOCK: Clock = new SystemClock();
+
 /** Exit codes of `ragwort`, documented in docs/OPERATING.md. */
 export const EXIT_CODES = {
   ok: 0,
@@ -22,6 +27,10 @@
   readonly daemons: readonly Address[];
   readonly operatorKey: string;
   readonly isJson: boolean;
+  /** Whether results may hold colours; false when left out. */
+  readonly isColoured?: boolean;
+  /** Shows how far a long command is; nowhere when left out. */
+  showProgress?(text: string): void;
   createChangeId(): string;
   /** Writes one line of result. */
   print(line: string): void;
@@ -29,6 +38,35 @@
   printError(line: string): void;
 }
 
+/** After this time a command says what it is waiting for. */
+const PROGRESS_AFTER_MS = 2_000;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Says what a command waits for when the wait is long.
+ *
+ * @param context - Where to say it.
+ * @param label - What is waited for.
+ * @param work - The work.
+ * @returns The result of the work.
+ */
+export async function withProgress<T>(
+  context: CliContext,
+  label: string,
+  work: Promise<T>,
+): Promise<T> {
+  let tookMs = 0;
+  const timer = setPeriodic(CLI_CLOCK, PROGRESS_AFTER_MS, () => {
+    tookMs += PROGRESS_AFTER_MS;
+    context.showProgress?.(`${label} (${tookMs / MS_PER_SECOND} s)`);
+  });
+  try {
+    return await work;
+  } finally {
+    timer.dispose();
+  }
+}
+
 /**
  * Prints a result in the form that was asked for.
  *
--- a/src/cli/node/orders_command.ts
+++ b/src/cli/node/orders_command.ts
@@ -12,7 +12,7 @@
   type ExitCode,
   printResult,
 } from "./cli_context.ts";
-import { callOperatorPort } from "./status_command.ts";
+import { askAllDaemons } from "./operator_client.ts";
 
 /** What a daemon says of the orders of its zone. */
 export interface OrdersAnswer {
@@ -24,13 +24,9 @@
 
 /** Prints the rollouts of every zone, as its holder of the lease sees them. */
 export async function showOrders(context: CliContext): Promise<ExitCode> {
-  const answers = await Promise.all(
-    context.daemons.map((address) =>
-      callOperatorPort<OrdersAnswer>(context, "GET", address, "/orders")
-    ),
-  );
-  const holders = answers.flatMap((answer) => {
-    const value = rightOf(answer);
+  const answers = await askAllDaemons<OrdersAnswer>(context, "/orders");
+  const holders = answers.flatMap(({ result }) => {
+    const value = rightOf(result);
     return value?.isHolder ? [value] : [];
   });
   for (const holder of holders) {
--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -16,6 +16,13 @@
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { PeerDispatcher } from "../../features/dispatch/common/peer_dispatcher.ts";
+import { DecisionLog } from "../../features/explain/common/decision_log.ts";
+import { ExplainedDispatcher } from "../../features/explain/common/explained_dispatcher.ts";
+import {
+  type Calls,
+  ExplainedCalls,
+  ExplainedGenerations,
+} from "../../features/explain/common/explained_services.ts";
 import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
 import { GenerationFollowers } from "../../features/generations/common/generation_followers.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
@@ -64,7 +71,9 @@
 export class DaemonCore implements Disposable {
   readonly configuration: Configuration;
   readonly generations: GenerationService;
-  readonly calls: CallService;
+  readonly calls: Calls;
+  /** What was decided about the newest requests. */
+  readonly decisions: DecisionLog;
   readonly orders: OrderService;
   /** Requests that kill endpoints; operators may list and release them. */
   readonly quarantine: Quarantine;
@@ -89,7 +98,7 @@
     const random = new SeededRandom(seed);
     const retries = new RetryBudget({ clock, random });
     const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
-    const dispatcher = this.#owned.add(
+    const peerDispatcher = this.#owned.add(
       new PeerDispatcher({
         ...platform,
         ...options,
@@ -109,7 +118,9 @@
       new Quarantine({ ...platform, ...options, endpoints }),
     );
     this.quarantine = quarantine;
-    this.generations = new GenerationRelayService({
+    this.decisions = new DecisionLog(clock);
+    const dispatcher = new ExplainedDispatcher(peerDispatcher, this.decisions);
+    const generations = new GenerationRelayService({
       ...platform,
       ...options,
       configuration: table,
@@ -126,7 +137,8 @@
       followers: this.#owned.add(new GenerationFollowers(platform.links)),
       silenceLimits: new SilenceLimits(clock),
     });
-    this.calls = new CallService({
+    this.generations = new ExplainedGenerations(generations, this.decisions);
+    const calls = new CallService({
       ...platform,
       dispatcher,
       retries,
@@ -134,6 +146,7 @@
         new ShardedClaimLedger(platform, { host: options.host }),
       ),
     });
+    this.calls = new ExplainedCalls(calls, this.decisions);
   }
 
   /** Whether new requests are taken. */
--- a/src/daemon/node/call_routes.ts
+++ b/src/daemon/node/call_routes.ts
@@ -5,7 +5,7 @@
 import type { CallRequest } from "../../features/calls/common/call_service.ts";
 import type { KnownWorkspace } from "../../features/configuration/common/configuration.ts";
 import type { IdempotencyKey } from "../../features/ledger/common/claim_ledger.ts";
-import { asId } from "../../base/common/ids.ts";
+import { asId, type RequestId } from "../../base/common/ids.ts";
 import type {
   AppResponse,
   HeaderLine,
@@ -17,7 +17,7 @@
   type FrontServices,
   headerValue,
 } from "./generation_routes.ts";
-import { refuse, sendProblem } from "./problem_reply.ts";
+import { refuse, REQUEST_ID_HEADER, sendProblem } from "./problem_reply.ts";
 
 const MAX_KEY_CHARACTERS = 255;
 
@@ -72,7 +72,7 @@
 }
 
 function toCallRequest(
-  { core, createRequestId }: FrontServices,
+  { core }: FrontServices,
   workspace: KnownWorkspace,
   request: FastifyRequest,
   signal: AbortSignal,
@@ -102,7 +102,7 @@
     );
   }
   return Right({
-    requestId: createRequestId(),
+    requestId: asId<RequestId>(request.id),
     workspace: workspace.id,
     route,
     class: known,
@@ -126,6 +126,10 @@
   if (!isBodyless) {
     headers.push("Content-Length", String(response.body.byteLength));
   }
+  const isNamed = response.headers.some(({ name }) =>
+    name.toLowerCase() === REQUEST_ID_HEADER
+  );
+  if (!isNamed) headers.push(REQUEST_ID_HEADER, reply.request.id);
   raw.sendDate = false;
   raw.writeHead(response.status, headers);
   raw.end(isBodyless ? undefined : response.body);
--- a/src/daemon/node/caller_front.ts
+++ b/src/daemon/node/caller_front.ts
@@ -11,7 +11,7 @@
   type FrontServices,
 } from "./generation_routes.ts";
 import { MalformedRequestHandler } from "./malformed_request.ts";
-import { refuse, sendProblem } from "./problem_reply.ts";
+import { refuse, REQUEST_ID_HEADER, sendProblem } from "./problem_reply.ts";
 
 const MAX_PATH_PARAMETER_CHARACTERS = 1_024;
 const HTTP_SERVICE_UNAVAILABLE = 503;
@@ -40,11 +40,13 @@
     routerOptions: { maxParamLength: MAX_PATH_PARAMETER_CHARACTERS },
     ...toServerOptions(limits, tls),
     exposeHeadRoutes: false,
+    genReqId: () => services.createRequestId(),
     clientErrorHandler: (error, socket) => malformed.answer(error, socket),
     frameworkErrors: (error, _request, reply) => {
       sendProblem(reply, refuse("bad-request", error.message));
     },
   });
+  addRequestIds(server);
   for (const method of METHODS_WITH_OPTIONAL_BODY) {
     server.addHttpMethod(method, { hasBody: true, overrideExisting: true });
   }
@@ -100,6 +102,17 @@
   });
 }
 
+/**
+ * Every answer names its request, by which an operator can have it explained.
+ * Answers that are written past the framework set the header by themselves.
+ */
+function addRequestIds(server: FastifyInstance): void {
+  server.addHook("onRequest", (request, reply, done) => {
+    void reply.header(REQUEST_ID_HEADER, request.id);
+    done();
+  });
+}
+
 /** A host that is not ready refuses, and tells the balancer by `/readyz`. */
 function addReadiness(server: FastifyInstance, { core }: FrontServices): void {
   server.get("/healthz", () => ({ status: "alive" }));
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -9,6 +9,7 @@
 import { DisposableStore } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import { SystemClock } from "../../base/node/system_clock.ts";
+import { findServiceOf } from "../../features/configuration/common/configuration.ts";
 import {
   HmacSigner,
   type SigningKey,
@@ -17,11 +18,13 @@
 import { HttpEngineClient } from "../../platform/endpoints/node/http_engine_client.ts";
 import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
 import { GossipMembership } from "../../platform/membership/common/gossip_membership.ts";
+import { HistogramMetrics } from "../../platform/metrics/common/histogram_metrics.ts";
+import { PreemptionMeter } from "../../platform/metrics/common/preemption_meter.ts";
 import {
-  type Metrics,
-  NO_METRICS,
-} from "../../platform/metrics/common/metrics.ts";
-import { StatsdMetrics } from "../../platform/metrics/node/statsd_metrics.ts";
+  NO_SAMPLE_SINK,
+  type SampleSink,
+} from "../../platform/metrics/common/sample_sink.ts";
+import { StatsdSink } from "../../platform/metrics/node/statsd_sink.ts";
 import { WsPeerLinks } from "../../platform/peers/node/ws_peer_links.ts";
 import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
 import { splitAddress } from "../../platform/settings/common/schema_parts.ts";
@@ -51,6 +54,7 @@
   readonly #logger: DebugLogger;
   readonly #links: WsPeerLinks;
   readonly #membership: GossipMembership;
+  readonly #metrics: HistogramMetrics;
   readonly #core: DaemonCore;
   readonly #callers: FastifyInstance;
   readonly #operators: FastifyInstance;
@@ -67,8 +71,12 @@
     this.#settings = settings;
     this.#peerAddress = settings.listen.peers;
     this.#logger = new DebugLogger(clock, host);
+    this.#metrics = this.#owned.add(
+      new HistogramMetrics(clock, { host, zone }, this.#createSampleSink()),
+    );
+    const engines = this.#owned.add(new HttpEngineClient());
     const logger = this.#logger;
-    const metrics = this.#createMetrics();
+    const metrics = this.#metrics;
     const self = { host, zone, incarnation: clock.nowMs() };
     const links = this.#owned.add(
       new WsPeerLinks({
@@ -93,7 +101,7 @@
         logger,
         metrics,
         store: this.#owned.add(new EtcdStoreClient(settings.store.addresses)),
-        engines: this.#owned.add(new HttpEngineClient()),
+        engines,
         apps: this.#owned.add(new HttpAppClient()),
         links,
         membership,
@@ -102,6 +110,15 @@
         fingerprint,
       }, { host, zone, resumeWindowMs: limits.resumeWindowMs }),
     );
+    const meter = new PreemptionMeter(
+      this.#metrics,
+      ({ address }) => findServiceOf(this.#core.configuration, address),
+    );
+    this.#owned.add(
+      engines.onDidReadLoad(({ endpoint, report }) =>
+        meter.record(endpoint, report)
+      ),
+    );
     this.#callers = createCallerFront(
       {
         clock,
@@ -116,6 +133,8 @@
       host,
       zone,
       operatorKey: secrets.operatorKey,
+      quarantine: this.#core.quarantine,
+      figures: () => this.#metrics.toFigures(),
       requestDrain: () => void this.drainAndStop(),
     });
   }
@@ -180,11 +199,12 @@
     return this.#owned.add(loaded.unsafeCoerce());
   }
 
-  #createMetrics(): Metrics {
-    const { statsd } = this.#settings.metrics;
-    if (statsd === undefined) return NO_METRICS;
-    const { ip, port } = splitAddress(statsd);
-    return this.#owned.add(new StatsdMetrics(ip, port));
+  #createSampleSink(): SampleSink {
+    const { host, zone, metrics: { statsd } } = this.#settings;
+    if (statsd === undefined) return NO_SAMPLE_SINK;
+    return this.#owned.add(
+      new StatsdSink(this.#clock, splitAddress(statsd), { host, zone }),
+    );
   }
 
   async #listen(): Promise<void> {
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -2,15 +2,56 @@
 
 import { createHash, timingSafeEqual } from "node:crypto";
 import fastify, { type FastifyInstance } from "fastify";
+import { asId, type RequestId } from "../../base/common/ids.ts";
+import type {
+  DaemonFigures,
+  SeriesFigures,
+} from "../../platform/metrics/common/figures.ts";
+import { formatPrometheus } from "../../platform/metrics/node/prometheus_text.ts";
 import type { DaemonCore } from "../common/daemon_core.ts";
 import { refuse, sendProblem } from "./problem_reply.ts";
 
+const PROMETHEUS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+interface ExplainParams {
+  readonly id: string;
+}
+
+interface FingerprintParams {
+  readonly fingerprint: string;
+}
+
+interface FigureQuery {
+  readonly service?: string;
+  readonly workspace?: string;
+  readonly class?: string;
+}
+
+/** A request that is refused because it kills endpoints. */
+export interface QuarantinedRequestInfo {
+  readonly fingerprint: string;
+  readonly workspace: string;
+  readonly untilMs: number;
+  readonly endpoints: readonly string[];
+}
+
+/** What operators may do about requests that kill endpoints. */
+export interface QuarantineAdmin {
+  list(): readonly QuarantinedRequestInfo[];
+  /** @returns Whether there was such a request. */
+  release(fingerprint: string): boolean;
+}
+
 /** What the operator port works with. */
 export interface OperatorServices {
   readonly core: DaemonCore;
   readonly host: string;
   readonly zone: string;
   readonly operatorKey: string;
+  /** @returns Everything that was measured so far. */
+  figures(): DaemonFigures;
+  /** Left out by a daemon that has no quarantine. */
+  readonly quarantine?: QuarantineAdmin;
   /** Asks the daemon to drain and stop. */
   requestDrain(): void;
 }
@@ -47,6 +88,17 @@
       isDeleted: document === undefined,
     })),
   }));
+  addFigureRoutes(server, services);
+  if (services.quarantine) {
+    addQuarantineRoutes(server, host, services.quarantine);
+  }
+  server.get<{ Params: ExplainParams }>("/explain/:id", (request, reply) => {
+    const { id } = request.params;
+    const decisions = core.decisions.find(asId<RequestId>(id));
+    if (decisions) return { host, requestId: id, decisions };
+    sendProblem(reply, refuse("not-found", "no decision is kept for this id"));
+    return reply;
+  });
   server.get("/orders", () => ({
     host,
     zone,
@@ -60,6 +112,44 @@
   return server;
 }
 
+function addFigureRoutes(
+  server: FastifyInstance,
+  services: OperatorServices,
+): void {
+  server.get<{ Querystring: FigureQuery }>("/figures", (request) => {
+    const figures = services.figures();
+    const series = figures.series.filter((one) => isWanted(one, request.query));
+    return { ...figures, series };
+  });
+  server.get("/metrics", async (_request, reply) => {
+    const text = await formatPrometheus(services.figures());
+    return reply.type(PROMETHEUS_CONTENT_TYPE).send(text);
+  });
+}
+
+function addQuarantineRoutes(
+  server: FastifyInstance,
+  host: string,
+  quarantine: QuarantineAdmin,
+): void {
+  server.get("/quarantine", () => ({ host, requests: quarantine.list() }));
+  server.post<{ Params: FingerprintParams }>(
+    "/quarantine/:fingerprint/release",
+    (request, reply) => {
+      const { fingerprint } = request.params;
+      if (quarantine.release(fingerprint)) return { host, fingerprint };
+      sendProblem(reply, refuse("not-found", "this request is not refused"));
+      return reply;
+    },
+  );
+}
+
+function isWanted(series: SeriesFigures, query: FigureQuery): boolean {
+  return (query.service ?? series.service) === series.service &&
+    (query.workspace ?? series.workspace) === series.workspace &&
+    (query.class ?? series.className) === series.className;
+}
+
 /** Compares hashes, so that neither content nor length shows in the time. */
 function isSameSecret(left: string, right: string): boolean {
   const digest = (text: string): Buffer =>
--- a/src/daemon/node/problem_reply.ts
+++ b/src/daemon/node/problem_reply.ts
@@ -8,6 +8,9 @@
 } from "../../platform/outcomes/common/failure.ts";
 import { withClientError } from "../common/openai_format.ts";
 
+/** Header that names the request to its caller. */
+export const REQUEST_ID_HEADER = "x-request-id";
+
 const MS_PER_SECOND = 1_000;
 
 /**
--- a/src/daemon/node/sse_caller.ts
+++ b/src/daemon/node/sse_caller.ts
@@ -15,7 +15,7 @@
   type CompletionKind,
   formatStreamProblem,
 } from "../common/openai_format.ts";
-import { sendProblem } from "./problem_reply.ts";
+import { REQUEST_ID_HEADER, sendProblem } from "./problem_reply.ts";
 
 const HTTP_OK = 200;
 
@@ -63,6 +63,7 @@
     this.#reply.hijack();
     const { raw } = this.#reply;
     raw.writeHead(HTTP_OK, {
+      [REQUEST_ID_HEADER]: this.#reply.request.id,
       "content-type": "text/event-stream",
       "cache-control": "no-store",
       "x-ragwort-generation": id,
--- a/src/platform/metrics/common/metrics.ts
+++ b/src/platform/metrics/common/metrics.ts
@@ -2,8 +2,16 @@
 
 import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
 
+/** All ends of a request. */
+export const OUTCOME_KINDS = [
+  "completed",
+  "not-run",
+  "interrupted",
+  "unknown",
+] as const;
+
 /** How a request ended for its caller. */
-export type OutcomeKind = "completed" | "not-run" | "interrupted" | "unknown";
+export type OutcomeKind = (typeof OUTCOME_KINDS)[number];
 
 /** Whose request is measured. */
 export interface MetricLabels {
@@ -33,7 +41,6 @@
 export type CounterName =
   | "frames_dropped"
   | "streams_resumed"
-  | "preemptions"
   | "config_applied"
   | "peer_links_closed";
 
@@ -41,6 +48,13 @@
 export interface Metrics {
   /** @returns The recorder for one request. */
   forRequest(labels: MetricLabels): RequestRecorder;
+  /**
+   * Engines report preemptions as a sum, without workspace and class.
+   *
+   * @param service - Service of the engine.
+   * @param by - Preemptions since the last report.
+   */
+  countPreemptions(service: ServiceId, by: number): void;
   /** @param by - How much to add. */
   count(name: CounterName, by?: number): void;
 }
@@ -56,5 +70,6 @@
 /** Measures nothing. */
 export const NO_METRICS: Metrics = {
   forRequest: () => NO_RECORDER,
+  countPreemptions: () => undefined,
   count: () => undefined,
 };
--- a/src/platform/settings/common/daemon_settings.ts
+++ b/src/platform/settings/common/daemon_settings.ts
@@ -1,7 +1,7 @@
 /** Settings of one daemon. */
 
 import { z } from "zod";
-import type { HostId, ZoneName } from "../../../base/common/ids.ts";
+import type { Address, HostId, ZoneName } from "../../../base/common/ids.ts";
 import { addressSchema, nameSchema } from "./schema_parts.ts";
 
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
@@ -9,6 +9,7 @@
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_REQUEST_READ_MS = 15_000;
 const DEFAULT_RESUME_WINDOW_MS = 30_000;
+const DEFAULT_OPERATOR_ADDRESS = "127.0.0.1:9642" as Address;
 const DEFAULT_DRAIN_MS = 600_000;
 const MAX_BODY_LIMIT_BYTES = 67_108_864;
 
@@ -50,28 +51,31 @@
   listen: z.strictObject({
     callers: addressSchema.describe("Address for callers"),
     peers: addressSchema.describe("Address for the other daemons"),
-    operators: addressSchema.describe("Address of the operator port"),
-  }),
+    operators: addressSchema.default(DEFAULT_OPERATOR_ADDRESS)
+      .describe("Address of the operator port"),
+  }).describe("Where this daemon listens"),
   store: z.strictObject({
     addresses: z.array(addressSchema).min(1)
       .describe("Addresses of the platform's key-value service"),
-  }),
+  }).describe("The platform's key-value service"),
   hostList: z.strictObject({
     address: addressSchema.describe("Address of the platform's host list"),
-  }).optional(),
+  }).optional().describe("The platform's list of live and leaving hosts"),
   peers: z.array(z.strictObject({
-    host: nameSchema.transform((text) => text as HostId),
-    zone: nameSchema.transform((text) => text as ZoneName),
-    address: addressSchema,
+    host: nameSchema.transform((text) => text as HostId)
+      .describe("Name of the other host"),
+    zone: nameSchema.transform((text) => text as ZoneName)
+      .describe("Its availability zone"),
+    address: addressSchema.describe("Its address for daemons"),
   })).default([]).describe("Daemons that are known from the start"),
   secrets: z.strictObject({
     signingKeys: z.array(z.strictObject({
       id: nameSchema.describe("Id of the key, kept in each generation id"),
-      source: secretSourceSchema,
+      source: secretSourceSchema.describe("Where the key is read from"),
     })).min(1).describe("Keys that sign generation ids; the first one signs"),
     peer: secretSourceSchema.describe("Secret that the daemons share"),
     operator: secretSourceSchema.describe("Key of the operator port"),
-  }),
+  }).describe("Where secrets are read from"),
   tls: tlsSchema.prefault({})
     .describe("Certificates; a listener without one uses no TLS"),
   limits: z.strictObject({
@@ -88,15 +92,15 @@
       .describe("How long a generation goes on without its caller"),
     drainMs: durationMs.default(DEFAULT_DRAIN_MS)
       .describe("How long streams may run on after a stop was asked for"),
-  }).prefault({}),
+  }).prefault({}).describe("Limits on requests and times"),
   metrics: z.strictObject({
     statsd: addressSchema.optional().describe("Address of the StatsD agent"),
-  }).prefault({}),
+  }).prefault({}).describe("Where measurements are sent"),
   log: z.strictObject({
     levels: z.array(z.enum(["info", "warn", "error"]))
       .default(["info", "warn", "error"])
       .describe("Levels that are written"),
-  }).prefault({}),
+  }).prefault({}).describe("Logs on standard error"),
 });
 
 /** Settings of one daemon. */
