Answer nothing uncertain from an old state of a shard

Cause: the property test now also asks that a key under which nothing ran is not left unknown. It failed after 648 schedules: a writer that did not know a claim yet answered its end from an old state, and the end was lost; and again after 1,574: the end of a claim whose write was still on its way changed nothing, so that the write took effect later. Ends that change nothing are now checked against the store, and the end of an absent claim is recorded. All tries of one claim share a nonce.

--- a/src/features/ledger/common/claim_operation.ts
+++ b/src/features/ledger/common/claim_operation.ts
@@ -125,6 +125,10 @@
   };
 }
 
+/**
+ * The end of a claim that is not there is recorded as well: its write may be
+ * on its way, and fails once the state has changed.
+ */
 function decideEnd(
   end: EndOperation,
   current: ClaimRecord | undefined,
@@ -134,7 +138,7 @@
   const mayWrite = current === undefined ||
     (current.nonce === end.nonce
       ? current.state.kind === "running" || current.state.kind === "unknown"
-      : current.state.kind === "free" && end.state.kind !== "free");
+      : current.state.kind === "free");
   if (!mayWrite) return { result };
   return { result, record: toRecord(end, end.state, nowMs) };
 }
--- a/src/features/ledger/common/shard_writer.ts
+++ b/src/features/ledger/common/shard_writer.ts
@@ -183,7 +183,7 @@
     }
     const results = batch.map(({ operation }) => draft.apply(operation));
     if (!draft.isChanged && !this.#mustWrite(reader)) {
-      if (results.some(isInProgress) && !this.#isFresh()) {
+      if (!this.#areCertain(batch, results)) {
         this.#loadedMs = -Infinity;
         return Right("again");
       }
@@ -215,9 +215,20 @@
     return this.#unsettledRevision === head.revision;
   }
 
-  #isFresh(): boolean {
+  /**
+   * Without a write nothing proves that the known state is the newest one. An
+   * old state may lack the claim that is ended, or the end that a repeat waits
+   * for; what else is answered never changes.
+   */
+  #areCertain(
+    batch: readonly PendingOperation[],
+    results: readonly OperationResult[],
+  ): boolean {
     const ageMs = this.#services.clock.monotonicMs() - this.#loadedMs;
-    return ageMs < FRESH_STATE_MS;
+    return results.every(({ kind }, index) => {
+      if (kind === "in-progress") return ageMs < FRESH_STATE_MS;
+      return kind !== "ended" || this.#loadedMs > batch[index]!.queuedMs;
+    });
   }
 
   #createDraft(reader: ShardReader): ShardDraft {
@@ -257,10 +268,6 @@
   return operation.kind === "claim";
 }
 
-function isInProgress(result: OperationResult): boolean {
-  return result.kind === "in-progress";
-}
-
 function estimateBytes(operation: LedgerOperation): number {
   if (operation.kind === "claim" || operation.state.kind !== "done") {
     return OPERATION_BASE_BYTES;
--- a/src/features/ledger/common/sharded_claim_ledger.ts
+++ b/src/features/ledger/common/sharded_claim_ledger.ts
@@ -97,8 +97,10 @@
   async claim(request: ClaimRequest): Eventually<LedgerFailure, ClaimResult> {
     const { clock } = this.#services;
     const untilMs = clock.monotonicMs() + REPEAT_WAIT_MS;
+    // One nonce for all tries: a try that another host commits late is ours.
+    const claim = { request, nonce: this.#services.createNonce() };
     for (;;) {
-      const result = await this.#claimOnce(request);
+      const result = await this.#claimOnce(claim);
       const isInProgress = rightOf(result)?.kind === "in-progress";
       const leftMs = untilMs - clock.monotonicMs();
       if (!isInProgress || leftMs <= 0) return result;
@@ -129,8 +131,9 @@
   }
 
   async #claimOnce(
-    request: ClaimRequest,
+    claim: HeldClaim,
   ): Eventually<LedgerFailure, ClaimResult> {
+    const { request } = claim;
     const key = this.#keyOf(request);
     const fingerprint = shorten(request.fingerprint);
     const run = this.#runs.get(key);
@@ -142,7 +145,6 @@
       didChange: new Emitter(),
       end: undefined,
     });
-    const claim = { request, nonce: this.#services.createNonce() };
     const submitted = await this.#router.submit({
       kind: "claim",
       ...this.#targetOf(claim),
--- a/standins/ledger/ledger_world.ts
+++ b/standins/ledger/ledger_world.ts
@@ -83,6 +83,8 @@
   readonly #ran = new Map<string, string>();
   readonly #keys = new Set<string>();
   #nonces = 0;
+  /** A restarted host may have held a claim that nobody can end. */
+  #wasRestarted = false;
 
   /**
    * @param hasher - The hash of all hosts.
@@ -107,6 +109,7 @@
         this.#hosts[action.host]!.clock.thaw();
         break;
       case "restart":
+        this.#wasRestarted = true;
         this.#restart(action.host);
         break;
       case "cut-store":
@@ -178,6 +181,8 @@
       this.violations.push(`${key}: no result after all was mended`);
     } else if (result.kind === "held" && hasRun) {
       this.violations.push(`${key}: would run again`);
+    } else if (result.kind === "unknown" && !hasRun && !this.#wasRestarted) {
+      this.violations.push(`${key}: is unknown, but nothing ran`);
     } else if (result.kind === "in-progress") {
       this.violations.push(`${key}: never ends`);
     } else if (result.kind === "done") {
