--- a/src/features/ledger/common/ledger_messages.ts
+++ b/src/features/ledger/common/ledger_messages.ts
@@ -12,6 +12,8 @@
   /** Unique, so that a late answer cannot reach another question. */
   readonly id: string;
   readonly shard: number;
+  /** Wall-clock time of the sender; an old question is not served. */
+  readonly sentMs: number;
   readonly operation: LedgerOperation;
 }
 
@@ -94,6 +96,7 @@
     kind: z.literal("submit"),
     id: z.string().min(1),
     shard: z.number().int().nonnegative(),
+    sentMs: z.number(),
     operation: operationSchema,
   }),
   z.object({ kind: z.literal("accepted"), id: z.string().min(1) }),
--- a/src/features/ledger/common/shard_router.ts
+++ b/src/features/ledger/common/shard_router.ts
@@ -151,7 +151,13 @@
     operation: LedgerOperation,
   ): Promise<Reply | undefined> {
     const id = this.#services.createNonce();
-    const message: SubmitMessage = { kind: "submit", id, shard, operation };
+    const message: SubmitMessage = {
+      kind: "submit",
+      id,
+      shard,
+      sentMs: this.#services.clock.nowMs(),
+      operation,
+    };
     if (this.#channel.send(to, message) !== "queued") return undefined;
     const question = new Question(this.#services.clock);
     this.#questions.set(id, question);
@@ -181,11 +187,17 @@
 
   async #serve(
     from: HostId,
-    { id, shard, operation }: SubmitMessage,
+    { id, shard, sentMs, operation }: SubmitMessage,
   ): Promise<void> {
     if (shard !== this.#shardOf(operation.key)) return;
+    // After a pause of this host the sender has turned elsewhere.
+    const ageMs = this.#services.clock.nowMs() - sentMs;
+    if (ageMs > ACCEPT_LIMIT_MS) return;
     this.#channel.send(from, { kind: "accepted", id });
-    const done = await this.#localWriter(shard).submit(operation);
+    const done = await this.#localWriter(shard).submit(
+      operation,
+      REPLY_LIMIT_MS,
+    );
     this.#channel.send(
       from,
       done.caseOf<LedgerMessage>({
--- a/src/features/ledger/common/shard_writer.ts
+++ b/src/features/ledger/common/shard_writer.ts
@@ -42,8 +42,7 @@
 const OPERATION_BASE_BYTES = 256;
 /** Most operations that wait; more are refused. */
 const MAX_QUEUED_OPERATIONS = 20_000;
-/** After this time an operation is refused and no longer committed. */
-const OPERATION_LIMIT_MS = 8_000;
+const DEFAULT_LIMIT_MS = 8_000;
 const MAX_REFUSED_TRIES = 3;
 const RETRY_WAIT_MS = 50;
 /** Longest time that an end waits for a claim. */
@@ -54,6 +53,7 @@
 interface PendingOperation {
   readonly operation: LedgerOperation;
   readonly queuedMs: number;
+  readonly limitMs: number;
   settle(result: Either<LedgerFault, OperationResult>): void;
 }
 
@@ -89,18 +89,20 @@
    * Submits an operation for the next batch.
    *
    * @param operation - The operation.
+   * @param limitMs - Time after which it is refused and no longer committed.
    * @returns Its result once it stands in the store. After a failure it may
    * stand there all the same, but will not be committed later.
    */
   submit(
     operation: LedgerOperation,
+    limitMs = DEFAULT_LIMIT_MS,
   ): Eventually<LedgerFault, OperationResult> {
     if (this.#isDisposed || this.#queue.length >= MAX_QUEUED_OPERATIONS) {
       return Promise.resolve(Left(fault("too many operations wait")));
     }
     const queuedMs = this.#services.clock.monotonicMs();
     return new Promise((settle) => {
-      this.#queue.push({ operation, queuedMs, settle });
+      this.#queue.push({ operation, queuedMs, limitMs, settle });
       this.#schedule();
     });
   }
@@ -217,8 +219,8 @@
 
   /**
    * Without a write nothing proves that the known state is the newest one. An
-   * old state may lack the claim that is ended, or the end that a repeat waits
-   * for; what else is answered never changes.
+   * old state may lack the claim that is ended, or the true end of a run that
+   * is in progress or unknown; what else is answered never changes.
    */
   #areCertain(
     batch: readonly PendingOperation[],
@@ -226,7 +228,8 @@
   ): boolean {
     const ageMs = this.#services.clock.monotonicMs() - this.#loadedMs;
     return results.every(({ kind }, index) => {
-      if (kind === "in-progress") return ageMs < FRESH_STATE_MS;
+      const mayChange = kind === "in-progress" || kind === "unknown";
+      if (mayChange) return ageMs < FRESH_STATE_MS;
       return kind !== "ended" || this.#loadedMs > batch[index]!.queuedMs;
     });
   }
@@ -250,8 +253,8 @@
   /** A host that was paused does not commit what its asker has given up. */
   #dropLate(batch: readonly PendingOperation[]): readonly PendingOperation[] {
     const nowMs = this.#services.clock.monotonicMs();
-    const isLate = ({ queuedMs }: PendingOperation): boolean =>
-      nowMs - queuedMs > OPERATION_LIMIT_MS;
+    const isLate = ({ queuedMs, limitMs }: PendingOperation): boolean =>
+      nowMs - queuedMs > limitMs;
     settleAll(batch.filter(isLate), Left(fault("the store was too slow")));
     return batch.filter((pending) => !isLate(pending));
   }
--- a/src/features/ledger/common/sharded_claim_ledger.ts
+++ b/src/features/ledger/common/sharded_claim_ledger.ts
@@ -59,8 +59,8 @@
 /** How long a repeat waits for the run that came first. */
 const REPEAT_WAIT_MS = 5_000;
 const REPEAT_POLL_MS = 200;
-/** How long an end is tried again while the store does not take it. */
-const END_LIMIT_MS = 120_000;
+/** Tries, not a time: a host that was paused has not tried in the meantime. */
+const MAX_END_TRIES = 240;
 const END_RETRY_MS = 500;
 
 /** A claim of this host that the store does not have the end of. */
@@ -159,14 +159,12 @@
   }
 
   async #recordEnd(end: EndOperation): Eventually<LedgerFault, void> {
-    const { clock } = this.#services;
-    const untilMs = clock.monotonicMs() + END_LIMIT_MS;
-    for (;;) {
+    for (let tries = 1;; tries++) {
       const submitted = await this.#router.submit(end);
       const failure = leftOf(submitted) ?? fullFault(rightOf(submitted));
       if (!failure) return Right(undefined);
-      if (clock.monotonicMs() >= untilMs) return Left(failure);
-      await sleep(clock, END_RETRY_MS);
+      if (tries >= MAX_END_TRIES) return Left(failure);
+      await sleep(this.#services.clock, END_RETRY_MS);
     }
   }
 
