--- a/scenarios/calls/plain_call_test.ts
+++ b/scenarios/calls/plain_call_test.ts
@@ -160,6 +160,30 @@
     }
   });
 
+  it("with a key are answered again without a second run", async () => {
+    const book = (key: string, body: string): Promise<string> =>
+      send(requestOf("POST /app/book", [
+        `Idempotency-Key: ${key}`,
+        `Content-Length: ${body.length}`,
+      ], body));
+    edge.app.answer = () =>
+      "HTTP/1.1 201 Created\r\nX-Seat: 7\r\nContent-Length: 2\r\n\r\nok";
+    const first = await book("k1", "trial");
+    expect(first).toMatch(/^HTTP\/1.1 201 [^]*X-Seat: 7[^]*\r\n\r\nok$/);
+    const again = await book("k1", "trial");
+    expect(again).toMatch(/^HTTP\/1.1 201 [^]*X-Seat: 7[^]*\r\n\r\nok$/);
+    expect(await book("k1", "other")).toMatch(
+      /^HTTP\/1.1 422 [^]*"outcome":"not-run"/,
+    );
+    edge.app.answer = () =>
+      `HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n${"x".repeat(9_000)}`;
+    expect(await book("k2", "large")).toMatch(/^HTTP\/1.1 200 /);
+    expect(await book("k2", "large")).toMatch(
+      /^HTTP\/1.1 410 [^]*"outcome":"interrupted"/,
+    );
+    expect(edge.app.connections.length).toBe(2);
+  });
+
   it("are not run when nobody listens", async () => {
     edge.app.close();
     const answer = await send(requestOf("POST /app/p", ["Content-Length: 0"]));
--- a/src/platform/endpoints/node/http_app_client.ts
+++ b/src/platform/endpoints/node/http_app_client.ts
@@ -71,5 +71,7 @@
     headers: call.headers.flatMap(({ name, value }) => [name, value]),
     body: call.body.byteLength > 0 ? call.body : null,
     idempotent: call.isIdempotent,
+    // The service is told that its connection ends with this call.
+    reset: !call.isIdempotent,
   };
 }
