Make the time that keys are known a setting, and forget no run that goes on

With a shorter time, a route's limit can be longer than it: a running record now counts from its longest end. The test of expiry ends its claims first, since a running one is no longer to be dropped, and a new one holds that.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -51,6 +51,8 @@
   readonly host: HostId;
   readonly zone: ZoneName;
   readonly resumeWindowMs: number;
+  /** How long idempotency keys are known; the same at all hosts. */
+  readonly keyKeepMs?: number;
 }
 
 /** The features of one daemon. */
@@ -90,7 +92,10 @@
       ...platform,
       dispatcher,
       ledger: this.#owned.add(
-        new ShardedClaimLedger(platform, { host: options.host }),
+        new ShardedClaimLedger(platform, {
+          host: options.host,
+          ...(options.keyKeepMs ? { keepMs: options.keyKeepMs } : {}),
+        }),
       ),
     });
   }
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -79,7 +79,12 @@
         signer: new HmacSigner(secrets.signingKeys),
         createNonce: () => randomBytes(NONCE_BYTES).toString("base64url"),
         fingerprint,
-      }, { host, zone, resumeWindowMs: limits.resumeWindowMs }),
+      }, {
+        host,
+        zone,
+        resumeWindowMs: limits.resumeWindowMs,
+        keyKeepMs: limits.keyKeepMs,
+      }),
     );
     this.#callers = createCallerFront(
       {
--- a/src/features/ledger/common/shard_draft.ts
+++ b/src/features/ledger/common/shard_draft.ts
@@ -87,8 +87,8 @@
    */
   seal(key: string): void {
     let newestMs = 0;
-    for (const { atMs } of this.#records.values()) {
-      newestMs = Math.max(newestMs, atMs);
+    for (const record of this.#records.values()) {
+      newestMs = Math.max(newestMs, settledMsOf(record));
     }
     this.#segments = [...this.#segments, { key, newestMs }];
     this.#records.clear();
@@ -115,8 +115,8 @@
     return record && this.#isLive(record) ? record : undefined;
   }
 
-  #isLive({ atMs }: ClaimRecord): boolean {
-    return atMs + this.#limits.keepMs > this.#context.nowMs;
+  #isLive(record: ClaimRecord): boolean {
+    return settledMsOf(record) + this.#limits.keepMs > this.#context.nowMs;
   }
 
   #keepIfLive(record: ClaimRecord): void {
@@ -145,6 +145,11 @@
   }
 }
 
+/** A run that goes on is not forgotten, however long its route lets it last. */
+function settledMsOf({ atMs, state }: ClaimRecord): number {
+  return state.kind === "running" ? Math.max(atMs, state.untilMs) : atMs;
+}
+
 const sizes = new WeakMap<ClaimRecord, number>();
 
 function sizeOf(record: ClaimRecord): number {
--- a/src/features/ledger/common/shard_draft_test.ts
+++ b/src/features/ledger/common/shard_draft_test.ts
@@ -82,14 +82,26 @@
   it("drops expired records and segments", () => {
     const first = draftOf(EMPTY_HEAD, 0);
     first.apply(claimOf("a"));
+    first.apply(endOf("a", DONE));
     first.seal("segment");
     first.apply(claimOf("b"));
+    first.apply(endOf("b", DONE));
     const second = draftOf(committed(first), LIMITS.keepMs);
     expect(second.expired.map(({ key }) => key)).toEqual(["segment"]);
     expect(second.records.size).toBe(0);
     expect(second.apply(claimOf("b", "other")).kind).toBe("held");
   });
 
+  it("does not forget a run that may still go on", () => {
+    const first = draftOf(EMPTY_HEAD, 0);
+    first.apply({ ...claimOf("a"), maxRunMs: 2 * LIMITS.keepMs });
+    first.seal("segment");
+    first.apply({ ...claimOf("b"), maxRunMs: 2 * LIMITS.keepMs });
+    const second = draftOf(committed(first), 2 * LIMITS.keepMs);
+    expect(second.expired).toEqual([]);
+    expect(second.apply(claimOf("b", "other")).kind).toBe("in-progress");
+  });
+
   it("refuses new keys when it is full, but still takes ends", () => {
     const draft = draftOf(EMPTY_HEAD, 0);
     draft.seal("one");
--- a/src/platform/settings/common/daemon_settings.ts
+++ b/src/platform/settings/common/daemon_settings.ts
@@ -10,6 +10,8 @@
 const DEFAULT_REQUEST_READ_MS = 15_000;
 const DEFAULT_RESUME_WINDOW_MS = 30_000;
 const DEFAULT_DRAIN_MS = 600_000;
+const DEFAULT_KEY_KEEP_MS = 3_600_000;
+const MIN_KEY_KEEP_MS = 300_000;
 const MAX_BODY_LIMIT_BYTES = 67_108_864;
 
 /** Where a secret is read from; it never stands in the settings themselves. */
@@ -86,6 +88,8 @@
       .describe("Time within which a request must have arrived whole"),
     resumeWindowMs: durationMs.default(DEFAULT_RESUME_WINDOW_MS)
       .describe("How long a generation goes on without its caller"),
+    keyKeepMs: durationMs.min(MIN_KEY_KEEP_MS).default(DEFAULT_KEY_KEEP_MS)
+      .describe("How long idempotency keys are known; the same at all hosts"),
     drainMs: durationMs.default(DEFAULT_DRAIN_MS)
       .describe("How long streams may run on after a stop was asked for"),
   }).prefault({}),
