--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -65,6 +65,8 @@
   readonly host: HostId;
   readonly zone: ZoneName;
   readonly resumeWindowMs: number;
+  /** How long idempotency keys are known; the same at all hosts. */
+  readonly keyKeepMs?: number;
 }
 
 /** The features of one daemon. */
@@ -143,7 +145,10 @@
       dispatcher,
       retries,
       ledger: this.#owned.add(
-        new ShardedClaimLedger(platform, { host: options.host }),
+        new ShardedClaimLedger(platform, {
+          host: options.host,
+          ...(options.keyKeepMs ? { keepMs: options.keyKeepMs } : {}),
+        }),
       ),
     });
     this.calls = new ExplainedCalls(calls, this.decisions);
--- a/src/features/ledger/common/shard_writer.ts
+++ b/src/features/ledger/common/shard_writer.ts
@@ -42,8 +42,7 @@
 const OPERATION_BASE_BYTES = 256;
 /** Most operations that wait; more are refused. */
 const MAX_QUEUED_OPERATIONS = 20_000;
-/** After this time an operation is refused and no longer committed. */
-const OPERATION_LIMIT_MS = 8_000;
+const DEFAULT_LIMIT_MS = 8_000;
 const MAX_REFUSED_TRIES = 3;
 const RETRY_WAIT_MS = 50;
 /** Longest time that an end waits for a claim. */
@@ -54,6 +53,7 @@
 interface PendingOperation {
   readonly operation: LedgerOperation;
   readonly queuedMs: number;
+  readonly limitMs: number;
   settle(result: Either<LedgerFault, OperationResult>): void;
 }
 
@@ -73,8 +73,6 @@
   #isDisposed = false;
   #lastStartMs = -Infinity;
   #loadedMs = -Infinity;
-  /** Revision at which a write of ours may still take effect. */
-  #unsettledRevision: number | undefined;
 
   /**
    * @param services - What the writer works with.
@@ -89,18 +87,20 @@
    * Submits an operation for the next batch.
    *
    * @param operation - The operation.
+   * @param limitMs - Time after which it is refused and no longer committed.
    * @returns Its result once it stands in the store. After a failure it may
    * stand there all the same, but will not be committed later.
    */
   submit(
     operation: LedgerOperation,
+    limitMs = DEFAULT_LIMIT_MS,
   ): Eventually<LedgerFault, OperationResult> {
     if (this.#isDisposed || this.#queue.length >= MAX_QUEUED_OPERATIONS) {
       return Promise.resolve(Left(fault("too many operations wait")));
     }
     const queuedMs = this.#services.clock.monotonicMs();
     return new Promise((settle) => {
-      this.#queue.push({ operation, queuedMs, settle });
+      this.#queue.push({ operation, queuedMs, limitMs, settle });
       this.#schedule();
     });
   }
@@ -182,20 +182,18 @@
       draft.seal(key);
     }
     const results = batch.map(({ operation }) => draft.apply(operation));
-    if (!draft.isChanged && !this.#mustWrite(reader)) {
-      if (results.some(isInProgress) && !this.#isFresh()) {
+    if (!draft.isChanged) {
+      if (!this.#areCertain(batch, results)) {
         this.#loadedMs = -Infinity;
         return Right("again");
       }
       return this.#settle(batch, results);
     }
-    this.#unsettledRevision = reader.head.revision;
     const written = await this.#services.log.commit(
       draft,
       reader.head.revision,
     );
     if (written.isLeft()) return written.map(() => "again");
-    this.#unsettledRevision = undefined;
     this.#loadedMs = this.#services.clock.monotonicMs();
     if (rightOf(written) === "conflict") return Right("again");
     return this.#settle(batch, results);
@@ -210,14 +208,21 @@
     return loaded;
   }
 
-  /** A write that may still take effect is overtaken by another one. */
-  #mustWrite({ head }: ShardReader): boolean {
-    return this.#unsettledRevision === head.revision;
-  }
-
-  #isFresh(): boolean {
+  /**
+   * Without a write nothing proves that the known state is the newest one. An
+   * old state may lack the claim that is ended, or the true end of a run that
+   * is in progress or unknown; what else is answered never changes.
+   */
+  #areCertain(
+    batch: readonly PendingOperation[],
+    results: readonly OperationResult[],
+  ): boolean {
     const ageMs = this.#services.clock.monotonicMs() - this.#loadedMs;
-    return ageMs < FRESH_STATE_MS;
+    return results.every(({ kind }, index) => {
+      const mayChange = kind === "in-progress" || kind === "unknown";
+      if (mayChange) return ageMs < FRESH_STATE_MS;
+      return kind !== "ended" || this.#loadedMs > batch[index]!.queuedMs;
+    });
   }
 
   #createDraft(reader: ShardReader): ShardDraft {
@@ -239,8 +244,8 @@
   /** A host that was paused does not commit what its asker has given up. */
   #dropLate(batch: readonly PendingOperation[]): readonly PendingOperation[] {
     const nowMs = this.#services.clock.monotonicMs();
-    const isLate = ({ queuedMs }: PendingOperation): boolean =>
-      nowMs - queuedMs > OPERATION_LIMIT_MS;
+    const isLate = ({ queuedMs, limitMs }: PendingOperation): boolean =>
+      nowMs - queuedMs > limitMs;
     settleAll(batch.filter(isLate), Left(fault("the store was too slow")));
     return batch.filter((pending) => !isLate(pending));
   }
@@ -257,10 +262,6 @@
   return operation.kind === "claim";
 }
 
-function isInProgress(result: OperationResult): boolean {
-  return result.kind === "in-progress";
-}
-
 function estimateBytes(operation: LedgerOperation): number {
   if (operation.kind === "claim" || operation.state.kind !== "done") {
     return OPERATION_BASE_BYTES;
--- a/src/features/ledger/common/sharded_claim_ledger.ts
+++ b/src/features/ledger/common/sharded_claim_ledger.ts
@@ -59,8 +59,8 @@
 /** How long a repeat waits for the run that came first. */
 const REPEAT_WAIT_MS = 5_000;
 const REPEAT_POLL_MS = 200;
-/** How long an end is tried again while the store does not take it. */
-const END_LIMIT_MS = 120_000;
+/** Tries, not a time: a host that was paused has not tried in the meantime. */
+const MAX_END_TRIES = 240;
 const END_RETRY_MS = 500;
 
 /** A claim of this host that the store does not have the end of. */
@@ -97,8 +97,10 @@
   async claim(request: ClaimRequest): Eventually<LedgerFailure, ClaimResult> {
     const { clock } = this.#services;
     const untilMs = clock.monotonicMs() + REPEAT_WAIT_MS;
+    // One nonce for all tries: a try that another host commits late is ours.
+    const claim = { request, nonce: this.#services.createNonce() };
     for (;;) {
-      const result = await this.#claimOnce(request);
+      const result = await this.#claimOnce(claim);
       const isInProgress = rightOf(result)?.kind === "in-progress";
       const leftMs = untilMs - clock.monotonicMs();
       if (!isInProgress || leftMs <= 0) return result;
@@ -129,8 +131,9 @@
   }
 
   async #claimOnce(
-    request: ClaimRequest,
+    claim: HeldClaim,
   ): Eventually<LedgerFailure, ClaimResult> {
+    const { request } = claim;
     const key = this.#keyOf(request);
     const fingerprint = shorten(request.fingerprint);
     const run = this.#runs.get(key);
@@ -142,7 +145,6 @@
       didChange: new Emitter(),
       end: undefined,
     });
-    const claim = { request, nonce: this.#services.createNonce() };
     const submitted = await this.#router.submit({
       kind: "claim",
       ...this.#targetOf(claim),
@@ -157,14 +159,12 @@
   }
 
   async #recordEnd(end: EndOperation): Eventually<LedgerFault, void> {
-    const { clock } = this.#services;
-    const untilMs = clock.monotonicMs() + END_LIMIT_MS;
-    for (;;) {
+    for (let tries = 1;; tries++) {
       const submitted = await this.#router.submit(end);
       const failure = leftOf(submitted) ?? fullFault(rightOf(submitted));
       if (!failure) return Right(undefined);
-      if (clock.monotonicMs() >= untilMs) return Left(failure);
-      await sleep(clock, END_RETRY_MS);
+      if (tries >= MAX_END_TRIES) return Left(failure);
+      await sleep(this.#services.clock, END_RETRY_MS);
     }
   }
 
