--- a/src/platform/peers/node/peer_link.ts
+++ b/src/platform/peers/node/peer_link.ts
@@ -188,6 +188,7 @@
   }
 
   #acceptHello(hello: Hello): void {
+    this.#peer = hello;
     if (hello.host === this.#hello.host) {
       this.close("the other side has this host's name");
       return;
@@ -197,7 +198,6 @@
       this.close(`${hello.host} answered in place of ${expected}`);
       return;
     }
-    this.#peer = hello;
     this.#channels = new Set([KEEPALIVE_CHANNEL, ...hello.channels]);
     this.#state = "proving";
     if (this.role === "acceptor") this.#sendHello();
--- a/src/platform/peers/node/ws_peer_links.ts
+++ b/src/platform/peers/node/ws_peer_links.ts
@@ -314,7 +314,8 @@
     const isCurrent = host !== undefined && this.#links.get(host) === link;
     if (isCurrent) this.#links.delete(host);
     if (this.#owned.isDisposed) return;
-    if (isCurrent || (wasUnproved && link.peer)) {
+    const isForeign = wasUnproved && (link.peer || link.role === "acceptor");
+    if (isCurrent || isForeign) {
       this.#options.logger.log("warn", "peer-link-closed", {
         peer: host,
         step: isCurrent ? "peers.link" : "peers.handshake",
--- /dev/null
+++ b/src/platform/peers/node/ws_peer_links_test.ts
@@ -0,0 +1,127 @@
+import { WebSocket } from "ws";
+import { SystemClock } from "../../../base/node/system_clock.ts";
+import { type Address, asId } from "../../../base/common/ids.ts";
+import { Left, Right } from "../../../base/common/result.ts";
+import type { LogFields, Logger } from "../../log/common/logger.ts";
+import type { PeerChannelSpec } from "../common/peer_links.ts";
+import { encodeFrame, MAX_FRAME_BYTES } from "../common/peer_frame.ts";
+import { WsPeerLinks } from "./ws_peer_links.ts";
+
+const SECRET = "secret of the peers";
+const clock = new SystemClock();
+const opened: WsPeerLinks[] = [];
+const texts: PeerChannelSpec<string> = {
+  name: "texts.v1",
+  decode: (body) => typeof body === "string" ? Right(body) : Left("no text"),
+};
+
+class ReasonLogger implements Logger {
+  readonly reasons: unknown[] = [];
+  log(_level: string, _event: string, fields: LogFields = {}): void {
+    this.reasons.push(fields["reason"]);
+  }
+}
+
+async function open(host: string, secret = SECRET, incarnation = 1) {
+  const logger = new ReasonLogger();
+  const links = new WsPeerLinks({
+    clock,
+    logger,
+    self: { host: asId(host), zone: asId("zone-1"), incarnation },
+    secret,
+    seed: 1,
+  });
+  opened.push(links);
+  const channel = links.openChannel(texts);
+  const received: string[] = [];
+  channel.onDidReceive(({ from, body }) => received.push(`${from}:${body}`));
+  const address = await links.listen(asId<Address>("127.0.0.1:0"));
+  const peer = {
+    host: asId<never>(host),
+    zone: asId<never>("zone-1"),
+    address,
+  };
+  return { links, channel, received, peer, logger };
+}
+
+async function until(isTrue: () => boolean): Promise<void> {
+  for (let turn = 0; turn < 1_000 && !isTrue(); turn++) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  expect(isTrue()).toBe(true);
+}
+
+afterEach(() => opened.splice(0).forEach((links) => links.dispose()));
+
+describe("links over WebSockets", () => {
+  it("carry messages both ways over one link of a pair", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    a.links.setPeers([b.peer]);
+    b.links.setPeers([a.peer]);
+    await until(() =>
+      a.links.connectedHosts().length + b.links.connectedHosts().length === 2
+    );
+    expect(a.channel.send(b.peer.host, "one")).toBe("queued");
+    b.channel.broadcast("two");
+    await until(() => a.received.length + b.received.length === 2);
+    expect([a.received, b.received]).toEqual([["b:two"], ["a:one"]]);
+    expect(a.links.traffic().channels.get("texts.v1")?.messagesSent).toBe(1);
+  });
+
+  it("are refused to a host with another secret", async () => {
+    const [a, b] = [await open("a"), await open("b", "another secret")];
+    a.links.setPeers([b.peer]);
+    await until(() => a.logger.reasons.length + b.logger.reasons.length >= 2);
+    expect([...a.logger.reasons, ...b.logger.reasons]).toContain(
+      "the peer secret is another one",
+    );
+    expect(a.links.connectedHosts()).toEqual([]);
+  });
+
+  it("go to the host that was meant only", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    a.links.setPeers([{ ...b.peer, host: asId("c") }]);
+    await until(() => a.logger.reasons.length > 0);
+    expect(a.logger.reasons[0]).toBe("b answered in place of c");
+  });
+
+  it.each([
+    ["malformed", Buffer.from([0xc1])],
+    ["of an unknown kind", Buffer.from(encodeFrame("other", 1))],
+    ["oversized", Buffer.alloc(MAX_FRAME_BYTES + 1)],
+  ])("close on a frame that is %s before the proof", async (_kind, frame) => {
+    const a = await open("a");
+    const socket = new WebSocket(`ws://${a.peer.address}/peers`);
+    let isClosed = false;
+    socket.on("open", () => socket.send(frame));
+    socket.on("error", () => undefined);
+    socket.on("close", () => isClosed = true);
+    await until(() => isClosed);
+    expect(a.links.connectedHosts()).toEqual([]);
+    expect(a.logger.reasons).toHaveLength(1);
+    expect(a.received).toEqual([]);
+  });
+
+  it("close on a malformed message and come up again", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    a.links.setPeers([b.peer]);
+    await until(() => b.links.connectedHosts().length === 1);
+    a.channel.broadcast(7 as never);
+    await until(() => b.logger.reasons.length > 0);
+    expect(b.logger.reasons[0]).toBe("malformed texts.v1 message: no text");
+    expect(b.received).toEqual([]);
+    await until(() => b.links.connectedHosts().length === 1);
+  });
+
+  it("follow a host that returns at its address", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    a.links.setPeers([b.peer]);
+    await until(() => a.links.connectedHosts().length === 1);
+    const again = await open("b", SECRET, 2);
+    again.links.setPeers([a.peer]);
+    await until(() => again.links.connectedHosts().length === 1);
+    again.channel.broadcast("back");
+    await until(() => a.received.length === 1);
+    expect(a.links.connectedHosts()).toEqual(["b"]);
+  });
+});
