Distribute the configuration between daemons

Cause: every daemon watched the store itself, so store calls grew with the fleet and a daemon started while the store was down had no configuration.

--- a/src/cli/node/config_commands.ts
+++ b/src/cli/node/config_commands.ts
@@ -4,10 +4,11 @@
 import { leftOf, rightOf } from "../../base/common/result.ts";
 import { assertNever } from "../../base/common/errors.ts";
 import { TEAM_KEY_PREFIX } from "../../features/configuration/common/configuration.ts";
-import { parseTeamDocument } from "../../features/configuration/common/configuration_watcher.ts";
+import { parseTeamDocument } from "../../features/configuration/common/team_document_parser.ts";
 import {
   type ChangeFailure,
   documentText,
+  isDeletionMark,
   writeChange,
 } from "../../features/configuration/common/configuration_writer.ts";
 import { formatMistakes } from "../../platform/settings/common/checked_yaml.ts";
@@ -32,7 +33,7 @@
     return EXIT_CODES.unreachable;
   }
   const entry = rightOf(read);
-  if (!entry) {
+  if (!entry || isDeletionMark(entry.value)) {
     context.printError(
       `team ${team} has no document; make one with: ragwort config apply`,
     );
--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -6,12 +6,15 @@
 import type { Clock } from "../../base/common/clock.ts";
 import type { Hasher } from "../../base/common/hasher.ts";
 import type { HostId, ZoneName } from "../../base/common/ids.ts";
+import type { SeededRandom } from "../../base/common/random.ts";
 import {
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import { CallService } from "../../features/calls/common/call_service.ts";
 import type { Configuration } from "../../features/configuration/common/configuration.ts";
+import { ConfigurationExchange } from "../../features/configuration/common/configuration_exchange.ts";
+import { ConfigurationReplica } from "../../features/configuration/common/configuration_replica.ts";
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
@@ -32,6 +35,7 @@
 export interface DaemonPlatform {
   readonly clock: Clock;
   readonly hasher: Hasher;
+  readonly random: SeededRandom;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly store: StoreClient;
@@ -68,13 +72,15 @@
    * @param options - Limits and names.
    */
   constructor(platform: DaemonPlatform, options: DaemonCoreOptions) {
-    const { clock, store, logger } = platform;
+    const { clock } = platform;
     this.#membership = platform.membership;
     const table = new ConfigurationTable();
     this.configuration = table;
+    const replica = new ConfigurationReplica({ ...platform, table });
     this.#watcher = this.#owned.add(
-      new ConfigurationWatcher({ clock, store, logger, table }),
+      new ConfigurationWatcher({ ...platform, replica }),
     );
+    this.#owned.add(new ConfigurationExchange({ ...platform, replica }));
     const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
     const dispatcher = new LocalDispatcher({
       ...options,
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -89,6 +89,7 @@
       new DaemonCore({
         clock,
         hasher,
+        random,
         logger,
         metrics,
         store: this.#owned.add(new EtcdStoreClient(settings.store.addresses)),
--- /dev/null
+++ b/src/features/configuration/common/configuration_replica.ts
@@ -0,0 +1,119 @@
+/** The teams' documents as text, as they are passed on between daemons. */
+
+import { Emitter } from "../../../base/common/event.ts";
+import type { Hasher } from "../../../base/common/hasher.ts";
+import type { TeamName } from "../../../base/common/ids.ts";
+import type { Logger } from "../../../platform/log/common/logger.ts";
+import { formatMistakes } from "../../../platform/settings/common/checked_yaml.ts";
+import { TEAM_KEY_PREFIX } from "./configuration.ts";
+import type { ConfigurationTable } from "./configuration_table.ts";
+import { parseTeamDocument } from "./team_document_parser.ts";
+
+/** One team's document as text. */
+export interface TeamText {
+  readonly team: TeamName;
+  readonly revision: number;
+  /** YAML text; `undefined` when the document has been deleted. */
+  readonly text: string | undefined;
+}
+
+/** A team with its revision. */
+export interface TeamHead {
+  readonly team: TeamName;
+  readonly revision: number;
+}
+
+/** What the replica works with. */
+export interface ConfigurationReplicaServices {
+  readonly hasher: Hasher;
+  readonly logger: Logger;
+  readonly table: ConfigurationTable;
+}
+
+/** Newest text of each team; valid ones are put in force in the table. */
+export class ConfigurationReplica {
+  readonly #services: ConfigurationReplicaServices;
+  readonly #texts = new Map<TeamName, TeamText>();
+  readonly #didChange = new Emitter<TeamText>();
+  #digest = 0;
+
+  /** Fires after a newer text was taken. */
+  readonly onDidChange = this.#didChange.event;
+
+  /** @param services - Where texts are put in force. */
+  constructor(services: ConfigurationReplicaServices) {
+    this.#services = services;
+  }
+
+  /** Equal at two daemons that hold the same revisions. */
+  get digest(): number {
+    return this.#digest;
+  }
+
+  /** Whether the configuration has been heard from the store or a peer. */
+  get isReady(): boolean {
+    return this.#services.table.isReady;
+  }
+
+  /** Says that the store, or a peer that is ready, has been heard. */
+  markReady(): void {
+    this.#services.table.markReady();
+  }
+
+  /** Teams with their revisions, deleted ones included. */
+  heads(): readonly TeamHead[] {
+    return [...this.#texts.values()];
+  }
+
+  /** @returns The text that is held for a team. */
+  get(team: TeamName): TeamText | undefined {
+    return this.#texts.get(team);
+  }
+
+  /** @returns Whether a revision is newer than what is held. */
+  lacks({ team, revision }: TeamHead): boolean {
+    return revision > (this.#texts.get(team)?.revision ?? 0);
+  }
+
+  /**
+   * Takes a text when it is newer than the one that is held; an older one is
+   * never taken.
+   *
+   * @returns Whether it was newer.
+   */
+  offer(offered: TeamText): boolean {
+    if (!this.lacks(offered)) return false;
+    const known = this.#texts.get(offered.team);
+    if (known) this.#toggleDigest(known);
+    this.#texts.set(offered.team, offered);
+    this.#toggleDigest(offered);
+    this.#putInForce(offered);
+    this.#didChange.fire(offered);
+    return true;
+  }
+
+  #toggleDigest({ team, revision }: TeamHead): void {
+    const hash = this.#services.hasher.hash32(`${team}|${revision}`);
+    this.#digest = (this.#digest ^ hash) >>> 0;
+  }
+
+  /** A text that this version cannot read is kept and passed on all the same. */
+  #putInForce({ team, revision, text }: TeamText): void {
+    const { table, logger } = this.#services;
+    if (text === undefined) {
+      table.apply({ team, revision, document: undefined });
+      logger.log("info", "config-deleted", { team, revision });
+      return;
+    }
+    parseTeamDocument(text).caseOf({
+      Left: (mistakes) => {
+        const detail = formatMistakes(TEAM_KEY_PREFIX + team, mistakes);
+        logger.log("error", "config-document-refused", { detail });
+      },
+      Right: (document) => {
+        table.apply({ team, revision, document });
+        logger.log("info", "config-in-force", { team, revision });
+      },
+    });
+  }
+}
--- a/src/features/configuration/common/configuration_watcher.ts
+++ b/src/features/configuration/common/configuration_watcher.ts
@@ -1,42 +1,56 @@
-/** Follows the teams' documents in the store. */
+/** Follows the teams' documents in the store, when this daemon is a relay. */
 
 import { type Clock } from "../../../base/common/clock.ts";
+import { type Hasher, rendezvousOrder } from "../../../base/common/hasher.ts";
 import { asId, type TeamName } from "../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
   NO_DISPOSABLE,
 } from "../../../base/common/lifecycle.ts";
-import { type Either, Left, Right } from "../../../base/common/result.ts";
+import type { SeededRandom } from "../../../base/common/random.ts";
 import type { Logger } from "../../../platform/log/common/logger.ts";
-import {
-  type DocumentMistake,
-  formatMistakes,
-  parseCheckedYaml,
-} from "../../../platform/settings/common/checked_yaml.ts";
+import type { Membership } from "../../../platform/membership/common/membership.ts";
 import type {
   StoreChange,
   StoreClient,
+  StoreListing,
 } from "../../../platform/store/common/store_client.ts";
-import { TEAM_KEY_PREFIX, type TeamRevision } from "./configuration.ts";
-import type { ConfigurationTable } from "./configuration_table.ts";
-import { type TeamDocument, teamDocumentSchema } from "./team_document.ts";
+import { TEAM_KEY_PREFIX } from "./configuration.ts";
+import type { ConfigurationReplica } from "./configuration_replica.ts";
+import { isDeletionMark } from "./configuration_writer.ts";
+
+/** Daemons of each zone that watch the store. */
+export const RELAYS_PER_ZONE = 2;
 
-const RETRY_DELAY_MS = 1_000;
+const FIRST_RETRY_MS = 500;
+const MAX_RETRY_MS = 4_000;
+/** A watch that has gone silent unnoticed is replaced after this time. */
+const WATCH_RENEWAL_MS = 10_000;
 
 /** What the watcher works with. */
 export interface ConfigurationWatcherServices {
   readonly clock: Clock;
+  readonly hasher: Hasher;
+  readonly random: SeededRandom;
   readonly store: StoreClient;
   readonly logger: Logger;
-  readonly table: ConfigurationTable;
+  readonly membership: Membership;
+  readonly replica: ConfigurationReplica;
 }
 
-/** Lists and watches the store, again and again, until disposed. */
+/**
+ * Lists the store at the start, whoever this daemon is; then two daemons of
+ * each zone watch it and pass on what they hear.
+ */
 export class ConfigurationWatcher implements Disposable {
   readonly #services: ConfigurationWatcherServices;
   readonly #owned = new DisposableStore();
-  #current: Disposable = NO_DISPOSABLE;
+  #watch: Disposable = NO_DISPOSABLE;
+  #timer: Disposable = NO_DISPOSABLE;
+  #state: "idle" | "listing" | "waiting" | "watching" = "idle";
+  #retryMs = FIRST_RETRY_MS;
+  #seenRevision = 0;
 
   /** @param services - Where documents come from and go to. */
   constructor(services: ConfigurationWatcherServices) {
@@ -45,17 +59,44 @@
 
   /** Starts to follow the store. */
   start(): void {
-    void this.#listThenWatch();
+    const { membership } = this.#services;
+    this.#owned.add(membership.onDidChangeMembers(() => this.#followRole()));
+    void this.#list();
   }
 
   /** Stops following. */
   dispose(): void {
     this.#owned.dispose();
-    this.#current.dispose();
+    this.#stopWatch();
+  }
+
+  /** Whether this daemon is one of the relays of its zone. */
+  get isRelay(): boolean {
+    const { membership, hasher } = this.#services;
+    const { host, zone } = membership.self;
+    const owners = membership.ownersOfZone(zone).map((owner) => owner.host);
+    const key = `config-relay/${zone}`;
+    return owners.length === 0 ||
+      rendezvousOrder(hasher, key, owners).slice(0, RELAYS_PER_ZONE)
+        .includes(host);
   }
 
-  async #listThenWatch(): Promise<void> {
-    const { store, table, logger } = this.#services;
+  #followRole(): void {
+    if (this.#isNeeded) {
+      if (this.#state === "idle") void this.#list();
+    } else if (this.#state === "watching" || this.#state === "waiting") {
+      this.#stopWatch();
+    }
+  }
+
+  /** A daemon that has heard nothing yet asks the store itself. */
+  get #isNeeded(): boolean {
+    return this.isRelay || !this.#services.replica.isReady;
+  }
+
+  async #list(): Promise<void> {
+    const { store, logger } = this.#services;
+    this.#state = "listing";
     const listing = await store.list(TEAM_KEY_PREFIX);
     if (this.#owned.isDisposed) return;
     listing.caseOf({
@@ -63,73 +104,101 @@
         logger.log("warn", "config-list-failed", { detail: failure.detail });
         this.#retryLater();
       },
-      Right: ({ entries, revision }) => {
-        for (const entry of entries) this.#applyChange({ kind: "put", entry });
-        table.markReady();
-        this.#watch(revision);
-      },
+      Right: (found) => this.#applyListing(found),
     });
   }
 
-  #watch(afterRevision: number): void {
-    const { store, logger } = this.#services;
-    this.#current = store.watch(TEAM_KEY_PREFIX, afterRevision, {
-      onChanges: (changes) =>
-        changes.forEach((change) => this.#applyChange(change)),
+  #applyListing(listing: StoreListing): void {
+    const { replica } = this.#services;
+    for (const entry of listing.entries) this.#apply({ kind: "put", entry });
+    this.#applyMissing(listing);
+    replica.markReady();
+    this.#retryMs = FIRST_RETRY_MS;
+    this.#seenRevision = listing.revision;
+    if (this.isRelay) this.#openWatch();
+    else this.#state = "idle";
+  }
+
+  /**
+   * A key that is missing has been deleted at a revision that is not known, but
+   * not after that of the listing. A listing older than what is in force comes
+   * from a store that has fallen behind, and deletes nothing.
+   */
+  #applyMissing({ entries, revision }: StoreListing): void {
+    const { replica, logger } = this.#services;
+    const listed = new Set(entries.map(({ key }) => teamOfKey(key)));
+    for (const head of replica.heads()) {
+      const { team } = head;
+      const isKnownDeleted = replica.get(team)?.text === undefined;
+      if (listed.has(team) || isKnownDeleted) continue;
+      if (revision <= head.revision) {
+        logger.log("warn", "config-store-behind", { team, revision });
+      } else {
+        replica.offer({ team, revision, text: undefined });
+      }
+    }
+  }
+
+  #openWatch(): void {
+    const { store, logger, clock } = this.#services;
+    const previous = this.#watch;
+    this.#state = "watching";
+    const watch = store.watch(TEAM_KEY_PREFIX, this.#seenRevision, {
+      onChanges: (changes) => changes.forEach((change) => this.#apply(change)),
       onEnded: (reason) => {
+        if (this.#watch !== watch) return;
         logger.log("warn", "config-watch-ended", { reason });
         this.#retryLater();
       },
     });
+    this.#watch = watch;
+    previous.dispose();
+    this.#timer.dispose();
+    this.#timer = clock.setTimer(WATCH_RENEWAL_MS, () => this.#openWatch());
+  }
+
+  #stopWatch(): void {
+    this.#watch.dispose();
+    this.#watch = NO_DISPOSABLE;
+    this.#timer.dispose();
+    this.#state = "idle";
   }
 
   #retryLater(): void {
+    const { clock, random } = this.#services;
+    this.#stopWatch();
     if (this.#owned.isDisposed) return;
-    const { clock } = this.#services;
-    this.#current = clock.setTimer(
-      RETRY_DELAY_MS,
-      () => void this.#listThenWatch(),
-    );
+    this.#state = "waiting";
+    const delayMs = this.#retryMs * (0.5 + random.float() / 2);
+    this.#retryMs = Math.min(2 * this.#retryMs, MAX_RETRY_MS);
+    this.#timer = clock.setTimer(delayMs, () => {
+      if (this.#isNeeded) void this.#list();
+      else this.#state = "idle";
+    });
   }
 
-  #applyChange(change: StoreChange): void {
-    const { table, logger } = this.#services;
-    const revision = toTeamRevision(change);
-    revision.caseOf({
-      Left: (detail) =>
-        logger.log("error", "config-document-refused", { detail }),
-      Right: (value) => {
-        if (!table.apply(value)) return;
-        logger.log("info", "config-in-force", {
-          team: value.team,
-          revision: value.revision,
-        });
-      },
-    });
+  #apply(change: StoreChange): void {
+    const { replica, logger } = this.#services;
+    const document = toTeamText(change);
+    this.#seenRevision = Math.max(this.#seenRevision, document.revision);
+    replica.offer(document);
+    const held = replica.get(document.team)?.revision ?? 0;
+    if (held <= document.revision) return;
+    const { team, revision } = document;
+    logger.log("warn", "config-store-behind", { team, revision, held });
   }
 }
 
-/**
- * Parses a team's document.
- *
- * @param text - YAML text.
- * @returns The document, or all its mistakes.
- */
-export function parseTeamDocument(
-  text: string,
-): Either<readonly DocumentMistake[], TeamDocument> {
-  return parseCheckedYaml<TeamDocument>(text, teamDocumentSchema);
+function teamOfKey(key: string): TeamName {
+  return asId<TeamName>(key.slice(TEAM_KEY_PREFIX.length));
 }
 
-function toTeamRevision(change: StoreChange): Either<string, TeamRevision> {
-  const key = change.kind === "put" ? change.entry.key : change.key;
-  const team = asId<TeamName>(key.slice(TEAM_KEY_PREFIX.length));
+function toTeamText(change: StoreChange) {
   if (change.kind === "delete") {
-    return Right({ team, revision: change.revision, document: undefined });
+    const { key, revision } = change;
+    return { team: teamOfKey(key), revision, text: undefined };
   }
-  const { value, revision } = change.entry;
-  return parseTeamDocument(value).caseOf<Either<string, TeamRevision>>({
-    Left: (mistakes) => Left(formatMistakes(key, mistakes)),
-    Right: (document) => Right({ team, revision, document }),
-  });
+  const { key, value, revision } = change.entry;
+  const text = isDeletionMark(value) ? undefined : value;
+  return { team: teamOfKey(key), revision, text };
 }
--- /dev/null
+++ b/src/features/configuration/common/team_document_parser.ts
@@ -0,0 +1,20 @@
+/** Reads a team's document. */
+
+import type { Either } from "../../../base/common/result.ts";
+import {
+  type DocumentMistake,
+  parseCheckedYaml,
+} from "../../../platform/settings/common/checked_yaml.ts";
+import { type TeamDocument, teamDocumentSchema } from "./team_document.ts";
+
+/**
+ * Parses a team's document.
+ *
+ * @param text - YAML text.
+ * @returns The document, or all its mistakes.
+ */
+export function parseTeamDocument(
+  text: string,
+): Either<readonly DocumentMistake[], TeamDocument> {
+  return parseCheckedYaml<TeamDocument>(text, teamDocumentSchema);
+}
--- a/standins/world/world_host.ts
+++ b/standins/world/world_host.ts
@@ -62,13 +62,15 @@
     this.links = world.network.join(host, this.clock);
     const startedMs = world.clock.nowMs();
     const { clock, logger, links } = this;
+    const random = new SeededRandom(hasher.hash32(host) + startedMs);
     this.membership = new GossipMembership(
-      { clock, hasher, random: new SeededRandom(startedMs), logger, links },
+      { clock, hasher, random, logger, links },
       { host, zone, incarnation: startedMs },
     );
     this.core = new DaemonCore({
       clock: this.clock,
       hasher,
+      random,
       logger: this.logger,
       metrics: NO_METRICS,
       store: this.store,
