Tell every daemon of endpoints that leave or return

Cause: the directory kept its marks to one daemon, and nobody read the host list or the engines' reclaim notices. Marks now go to all daemons at once and the later one counts; reclaim notices, the host list and operators set them.

--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -19,17 +19,22 @@
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { LocalDispatcher } from "../../features/dispatch/common/local_dispatcher.ts";
 import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
+import type { EndpointDirectory } from "../../features/endpoints/common/endpoint_directory.ts";
+import { EndpointMarkSpreader } from "../../features/endpoints/common/endpoint_mark_spreader.ts";
+import { ReclaimWatcher } from "../../features/endpoints/common/reclaim_watcher.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
 import { StoreClaimLedger } from "../../features/ledger/common/store_claim_ledger.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
+import type { HostListClient } from "../../platform/hosts/common/host_list.ts";
 import type { Logger } from "../../platform/log/common/logger.ts";
 import type { Membership } from "../../platform/membership/common/membership.ts";
 import type { Metrics } from "../../platform/metrics/common/metrics.ts";
 import type { PeerLinks } from "../../platform/peers/common/peer_links.ts";
 import type { StoreClient } from "../../platform/store/common/store_client.ts";
+import { HostListFollower } from "./host_list_follower.ts";
 
 /** What a daemon stands on. */
 export interface DaemonPlatform {
@@ -43,6 +48,8 @@
   readonly apps: AppClient;
   readonly links: PeerLinks;
   readonly membership: Membership;
+  /** The platform's host list, when there is one. */
+  readonly hostList: HostListClient | undefined;
   readonly signer: Signer;
   /** @returns A text that no two calls return, on any host. */
   createNonce(): string;
@@ -60,10 +67,13 @@
 /** The features of one daemon. */
 export class DaemonCore implements Disposable {
   readonly configuration: Configuration;
+  readonly endpoints: EndpointDirectory;
   readonly generations: GenerationService;
   readonly calls: CallService;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
+  readonly #reclaims: ReclaimWatcher;
+  readonly #hostList: HostListFollower;
   readonly #membership: Membership;
   #isDraining = false;
 
@@ -81,7 +91,17 @@
       new ConfigurationWatcher({ ...platform, replica }),
     );
     this.#owned.add(new ConfigurationExchange({ ...platform, replica }));
-    const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
+    const endpoints = this.#owned.add(
+      new ConfiguredEndpoints(table, () => clock.nowMs()),
+    );
+    this.endpoints = endpoints;
+    this.#owned.add(new EndpointMarkSpreader({ ...platform, endpoints }));
+    this.#reclaims = this.#owned.add(
+      new ReclaimWatcher({ ...platform, endpoints, configuration: table }),
+    );
+    this.#hostList = this.#owned.add(
+      new HostListFollower({ ...platform, endpoints }),
+    );
     const dispatcher = new LocalDispatcher({
       ...options,
       clock,
@@ -119,6 +139,8 @@
   /** Starts to follow the configuration. */
   start(): void {
     this.#watcher.start();
+    this.#reclaims.start();
+    this.#hostList.start();
   }
 
   /** Takes no new requests from now on. */
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -15,6 +15,7 @@
 } from "../../features/generations/node/hmac_signer.ts";
 import { HttpAppClient } from "../../platform/endpoints/node/http_app_client.ts";
 import { HttpEngineClient } from "../../platform/endpoints/node/http_engine_client.ts";
+import { HttpHostListClient } from "../../platform/hosts/node/http_host_list_client.ts";
 import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
 import { GossipMembership } from "../../platform/membership/common/gossip_membership.ts";
 import {
@@ -97,6 +98,8 @@
         apps: this.#owned.add(new HttpAppClient()),
         links,
         membership,
+        hostList: settings.hostList &&
+          new HttpHostListClient(settings.hostList.address),
         signer: new HmacSigner(secrets.signingKeys),
         createNonce: () => randomBytes(NONCE_BYTES).toString("base64url"),
         fingerprint,
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -2,6 +2,13 @@
 
 import { createHash, timingSafeEqual } from "node:crypto";
 import fastify, { type FastifyInstance } from "fastify";
+import {
+  asId,
+  type EndpointId,
+  type ServiceId,
+  type TeamName,
+} from "../../base/common/ids.ts";
+import { serviceIdOf } from "../../features/configuration/common/configuration.ts";
 import type { DaemonCore } from "../common/daemon_core.ts";
 import { refuse, sendProblem } from "./problem_reply.ts";
 
@@ -51,9 +58,40 @@
     services.requestDrain();
     return { isDraining: true };
   });
+  addEndpointRoutes(server, core);
   return server;
 }
 
+/** The operator's word that an endpoint leaves or is used again. */
+function addEndpointRoutes(server: FastifyInstance, core: DaemonCore): void {
+  const path = "/endpoints/:team/:service/:endpoint";
+  server.post<EndpointPath>(`${path}/drain`, ({ params }) => {
+    const [service, endpoint] = endpointOf(params);
+    core.endpoints.markLeaving(service, endpoint, "operator");
+    return { service, endpoint, isLeaving: true };
+  });
+  server.post<EndpointPath>(`${path}/return`, ({ params }) => {
+    const [service, endpoint] = endpointOf(params);
+    core.endpoints.markReturned(service, endpoint, "operator");
+    return { service, endpoint, isLeaving: false };
+  });
+}
+
+interface EndpointPath {
+  Params: {
+    readonly team: string;
+    readonly service: string;
+    readonly endpoint: string;
+  };
+}
+
+function endpointOf(
+  { team, service, endpoint }: EndpointPath["Params"],
+): [ServiceId, EndpointId] {
+  const id = serviceIdOf(asId<TeamName>(team), service);
+  return [id, asId<EndpointId>(endpoint)];
+}
+
 /** Compares hashes, so that neither content nor length shows in the time. */
 function isSameSecret(left: string, right: string): boolean {
   const digest = (text: string): Buffer =>
--- a/src/features/endpoints/common/endpoint_directory.ts
+++ b/src/features/endpoints/common/endpoint_directory.ts
@@ -29,4 +29,12 @@
    * @param reason - Who said so, for the log.
    */
   markLeaving(service: ServiceId, endpoint: EndpointId, reason: string): void;
+  /**
+   * Takes note that an endpoint is used again.
+   *
+   * @param service - Its service.
+   * @param endpoint - The endpoint.
+   * @param reason - Who said so, for the log.
+   */
+  markReturned(service: ServiceId, endpoint: EndpointId, reason: string): void;
 }
--- a/src/platform/membership/common/gossip_membership.ts
+++ b/src/platform/membership/common/gossip_membership.ts
@@ -23,7 +23,12 @@
   type RecordStatus,
 } from "./member_record.ts";
 import { MemberTable } from "./member_table.ts";
-import type { Member, Membership, MemberState } from "./membership.ts";
+import type {
+  ListedMember,
+  Member,
+  Membership,
+  MemberState,
+} from "./membership.ts";
 import {
   MEMBERSHIP_CHANNEL,
   type MembershipMessage,
@@ -49,11 +54,6 @@
   readonly links: PeerLinks;
 }
 
-/** A host as the platform's host list has it. */
-export interface ListedHost extends PeerAddress {
-  readonly isLeaving: boolean;
-}
-
 type Heartbeat = Extract<MembershipMessage, { kind: "heartbeat" }>;
 
 /** Members as this daemon knows them. */
@@ -71,7 +71,7 @@
   readonly #listedLeaving = new Map<HostId, number>();
   #own: MemberRecord;
   #seeds: readonly PeerAddress[] = [];
-  #listed: readonly ListedHost[] = [];
+  #listed: readonly ListedMember[] = [];
   #cached: readonly Member[] | undefined;
   #ticks = 0;
   #lastTickMs = 0;
@@ -143,7 +143,7 @@
     this.#updatePeers();
   }
 
-  /** Tells the others that this daemon takes no new work. */
+  /** {@inheritDoc Membership.announceLeaving} */
   announceLeaving(): void {
     this.#announce("leaving");
   }
@@ -153,8 +153,8 @@
     this.#announce("gone");
   }
 
-  /** Takes the platform's list of entry hosts, which lags behind. */
-  applyHostList(hosts: readonly ListedHost[]): void {
+  /** {@inheritDoc Membership.applyHostList} */
+  applyHostList(hosts: readonly ListedMember[]): void {
     const nowMs = this.#services.clock.monotonicMs();
     const before = new Set(this.#listed.map(({ host }) => host));
     this.#listed = hosts;
--- a/src/platform/membership/common/membership.ts
+++ b/src/platform/membership/common/membership.ts
@@ -26,6 +26,13 @@
   ownersOfZone(zone: ZoneName): readonly Member[];
   /** Tells the others that this daemon takes no new work. */
   announceLeaving(): void;
+  /** Takes the entry hosts of the platform's list, which lags behind. */
+  applyHostList(hosts: readonly ListedMember[]): void;
+}
+
+/** An entry host as the platform's host list has it. */
+export interface ListedMember extends PeerAddress {
+  readonly isLeaving: boolean;
 }
 
 /** A membership of fixed hosts, for one daemon alone and for tests. */
@@ -63,4 +70,9 @@
   announceLeaving(): void {
     // There is nobody to tell.
   }
+
+  /** {@inheritDoc Membership.applyHostList} */
+  applyHostList(): void {
+    // The hosts are fixed.
+  }
 }
--- a/standins/world/world.ts
+++ b/standins/world/world.ts
@@ -13,6 +13,7 @@
 import { BookingApp } from "../app/booking_app.ts";
 import { EngineModel } from "../engine/engine_model.ts";
 import type { EngineOptions } from "../engine/engine_options.ts";
+import { HostListModel } from "../hosts/host_list_model.ts";
 import { InProcessNetwork } from "../peers/in_process_links.ts";
 import { KvStore } from "../store/kv_store.ts";
 import { WorldHost } from "./world_host.ts";
@@ -54,6 +55,7 @@
   readonly clock = new ManualClock();
   readonly store = new KvStore(this.clock);
   readonly network = new InProcessNetwork();
+  readonly hostList = new HostListModel(this.clock);
   readonly engines = new Map<string, EngineModel>();
   readonly apps = new Map<string, BookingApp>();
   readonly enginesByAddress = new Map<Address, EngineModel>();
--- a/standins/world/world_host.ts
+++ b/standins/world/world_host.ts
@@ -78,6 +78,7 @@
       apps: new InProcessAppClient(this.clock, world.appsByAddress),
       links: this.links,
       membership: this.membership,
+      hostList: world.hostList,
       signer: new HmacSigner([SIGNING_KEY]),
       createNonce: () => `${host}-${startedMs}-${this.#nonces++}`,
       fingerprint: (parts) => {
