--- a/scenarios/runner/faults.ts
+++ b/scenarios/runner/faults.ts
@@ -53,6 +53,17 @@
       return;
     case "store-compact":
       return world.store.compact();
+    case "store-snapshot":
+      return world.store.takeSnapshot();
+    case "store-fail-over":
+      return world.store.failOver();
+    case "cut-zone":
+      return setZoneCut(world, step.zone, true);
+    case "heal-zone":
+      return setZoneCut(world, step.zone, false);
+    case "list-endpoint":
+      world.hostList.lagMs = step.delayMs;
+      return world.listEndpoint(step.endpoint, step.state);
     case "app-down":
       world.app(step.app).faults.isDown = true;
       return;
@@ -86,3 +97,19 @@
   world.network.heal();
   for (const host of world.hosts.values()) host.engines.cutAddresses.clear();
 }
+
+/** Cuts a zone off from the other zones and from the store, or heals that. */
+function setZoneCut(world: World, zone: string, isCut: boolean): void {
+  const hosts = [...world.hosts.values()];
+  const inside = hosts.filter((host) => host.zone === zone);
+  const outside = hosts.filter((host) => host.zone !== zone);
+  if (!isCut) world.network.heal();
+  for (const near of inside) {
+    near.store.isCut = isCut;
+    if (!isCut) continue;
+    for (const far of outside) {
+      world.network.cut(near.host, far.host);
+      world.network.cut(far.host, near.host);
+    }
+  }
+}
--- a/scenarios/runner/scenario_runner.ts
+++ b/scenarios/runner/scenario_runner.ts
@@ -1,7 +1,11 @@
 /** Runs a scenario on the manual clock and collects what did not hold. */
 
 import { assertNever } from "../../src/base/common/errors.ts";
-import { asId, type RequestId } from "../../src/base/common/ids.ts";
+import {
+  asId,
+  type EndpointId,
+  type RequestId,
+} from "../../src/base/common/ids.ts";
 import type { CallRequest } from "../../src/features/calls/common/call_service.ts";
 import {
   serviceIdOf,
@@ -13,6 +17,7 @@
 import { applyFault } from "./faults.ts";
 import type {
   CallStep,
+  EndpointStep,
   ExpectStep,
   FaultStep,
   GenerateStep,
@@ -76,6 +81,13 @@
       case "fault":
         this.#fault(step);
         break;
+      case "configure":
+        this.#world.setClassLimit(step.class, step.maxWaitMs);
+        break;
+      case "drain-endpoint":
+      case "return-endpoint":
+        this.#tellOfEndpoint(step);
+        break;
       case "expect":
         this.#expect(step, number);
         break;
@@ -161,6 +173,18 @@
     });
   }
 
+  #tellOfEndpoint(step: EndpointStep): void {
+    const { endpoints } = this.#world.host(step.host).core;
+    const { service, id } = this.#world.endpoint(step.endpoint);
+    const serviceId = serviceIdOf(TEAM, service);
+    const endpointId = asId<EndpointId>(id);
+    if (step.do === "drain-endpoint") {
+      endpoints.markLeaving(serviceId, endpointId, "operator");
+    } else {
+      endpoints.markReturned(serviceId, endpointId, "operator");
+    }
+  }
+
   #fault(step: FaultStep): void {
     applyFault(this.#world, step);
     if (step.fault !== "crash-host" && step.fault !== "restart-host") return;
@@ -201,9 +225,20 @@
       const { core } = this.#world.host(step.host);
       this.#same(number, `${step.host} active`, core.activeCount, step.active);
       this.#same(number, `${step.host} isReady`, core.isReady, step.isReady);
+      this.#expectView(step, step.host, number);
     }
   }
 
+  #expectView(step: ExpectStep, name: string, number: number): void {
+    const { core, membership } = this.#world.host(name);
+    const { length } = membership.members();
+    this.#same(number, `${name} members`, length, step.members);
+    if (step.class === undefined) return;
+    const known = core.configuration.findClass(TEAM, [step.class], undefined);
+    const { maxWaitMs } = known?.config ?? {};
+    this.#same(number, `${name} maxWaitMs`, maxWaitMs, step.maxWaitMs);
+  }
+
   #expectRequest(step: ExpectStep, request: string, number: number): void {
     const record = this.#calls.get(request) ?? this.#generation(request);
     this.#same(number, `${request} outcome`, record.outcome, step.outcome);
--- a/scenarios/runner/scenario_schema.ts
+++ b/scenarios/runner/scenario_schema.ts
@@ -111,6 +111,8 @@
     "store-slow",
     "store-lose-answers",
     "store-compact",
+    "store-snapshot",
+    "store-fail-over",
   ]),
   delayMs: durationMs.default(0),
   count: count.default(1),
@@ -124,6 +126,20 @@
   count: count.default(1),
 });
 
+const zoneFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.enum(["cut-zone", "heal-zone"]),
+  zone: name,
+});
+
+const listFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.literal("list-endpoint"),
+  endpoint: name,
+  state: z.enum(["live", "leaving"]),
+  delayMs: durationMs.default(0),
+});
+
 const cutFault = z.strictObject({
   do: z.literal("fault"),
   fault: z.enum(["cut-hosts", "cut-engine"]),
@@ -141,10 +157,26 @@
   hostFault,
   storeFault,
   appFault,
+  zoneFault,
+  listFault,
   cutFault,
   healFault,
 ]);
 
+/** Writes the team's document with another limit for a class. */
+const configureSchema = z.strictObject({
+  do: z.literal("configure"),
+  class: name,
+  maxWaitMs: durationMs,
+});
+
+/** Gives an operator's word on an endpoint. */
+const endpointSchema = z.strictObject({
+  do: z.enum(["drain-endpoint", "return-endpoint"]),
+  host: name,
+  endpoint: name,
+});
+
 /** Says what must have been seen by now. */
 const expectSchema = z.strictObject({
   do: z.literal("expect"),
@@ -164,6 +196,11 @@
   host: name.optional(),
   active: count.optional(),
   isReady: z.boolean().optional(),
+  /** Number of members that the host sees. */
+  members: count.optional(),
+  /** Limit of the class `class` that is in force at the host. */
+  maxWaitMs: durationMs.optional(),
+  class: name.optional(),
 });
 
 /** Schema of one step. */
@@ -173,6 +210,8 @@
   callSchema,
   waitSchema,
   faultSchema,
+  configureSchema,
+  endpointSchema,
   expectSchema,
 ]);
 
@@ -199,3 +238,5 @@
 export type FaultStep = z.infer<typeof faultSchema>;
 /** A step that checks. */
 export type ExpectStep = z.infer<typeof expectSchema>;
+/** A step that gives an operator's word on an endpoint. */
+export type EndpointStep = z.infer<typeof endpointSchema>;
--- a/standins/store/kv_store.ts
+++ b/standins/store/kv_store.ts
@@ -36,6 +36,11 @@
   readonly onChange: (change: StoreChange) => void;
 }
 
+interface StoreSnapshot {
+  readonly entries: ReadonlyMap<string, StoreEntry>;
+  readonly revision: number;
+}
+
 interface Lease {
   readonly ttlMs: number;
   readonly keys: Set<string>;
@@ -55,7 +60,8 @@
     maxReadsPerSecond: Infinity,
   };
   readonly #clock: Clock;
-  readonly #entries = new Map<string, StoreEntry>();
+  #entries = new Map<string, StoreEntry>();
+  #snapshot: StoreSnapshot | undefined;
   readonly #changes: StoreChange[] = [];
   readonly #watchers = new Set<Watcher>();
   readonly #leases = new Map<LeaseId, Lease>();
@@ -173,6 +179,23 @@
     this.#oldestChange = this.#revision + 1;
   }
 
+  /** Remembers the present state as what a lagging replica holds. */
+  takeSnapshot(): void {
+    this.#snapshot = {
+      entries: new Map(this.#entries),
+      revision: this.#revision,
+    };
+  }
+
+  /** The lagging replica takes over: what came after its state is lost. */
+  failOver(): void {
+    if (!this.#snapshot) return;
+    this.#entries = new Map(this.#snapshot.entries);
+    this.#revision = this.#snapshot.revision;
+    this.#changes.length = 0;
+    this.#oldestChange = this.#revision + 1;
+  }
+
   /** @returns The id of a new lease. */
   grantLease(ttlMs: number): LeaseId {
     const id = String(this.#leaseSequence++) as LeaseId;
--- a/standins/world/world.ts
+++ b/standins/world/world.ts
@@ -64,6 +64,7 @@
   readonly endpoints: WorldEndpoint[] = [];
   readonly options: WorldOptions;
   readonly #hasher: Hasher;
+  readonly #classLimitsMs = new Map<string, number>();
 
   private constructor(options: WorldOptions, hasher: Hasher) {
     this.options = options;
@@ -95,6 +96,32 @@
     return findOrThrow(this.apps, name, "app");
   }
 
+  /** @returns An endpoint by its id. */
+  endpoint(id: string): WorldEndpoint {
+    const byId = new Map(this.endpoints.map((known) => [known.id, known]));
+    return findOrThrow(byId, id, "endpoint");
+  }
+
+  /** Writes the team's document with another limit for a class. */
+  setClassLimit(name: string, maxWaitMs: number): void {
+    this.#classLimitsMs.set(name, maxWaitMs);
+    this.writeTeamDocument();
+  }
+
+  /** Puts an endpoint on the host list. */
+  listEndpoint(id: string, state: "live" | "leaving"): void {
+    const { service, zone, address } = this.endpoint(id);
+    const team = `${WORLD_TEAM}/${service}`;
+    const labels = {
+      role: "endpoint",
+      service: team,
+      endpoint: id,
+      zone,
+      state,
+    };
+    this.hostList.set(id, { targets: [address], labels });
+  }
+
   /** Kills a host's process. */
   crashHost(name: string): void {
     this.host(name).kill();
@@ -197,7 +224,12 @@
             .map(({ id, address, zone }) => ({ id, address, zone })),
         }]),
       ),
-      classes,
+      classes: Object.fromEntries(
+        Object.entries(classes).map(([name, config]) => {
+          const maxWaitMs = this.#classLimitsMs.get(name);
+          return [name, maxWaitMs ? { ...config, maxWaitMs } : config];
+        }),
+      ),
       routes: Object.entries(services).map(([service, { kind }]) =>
         kind === "engine"
           ? { kind: "generation", model: service, service, classes: classNames }
