--- /dev/null
+++ b/bench/hosts/control_part.ts
@@ -0,0 +1,90 @@
+/** What a daemon runs for its peers, without callers and endpoints. */
+
+import type { Hasher } from "../../src/base/common/hasher.ts";
+import { type Address, asId } from "../../src/base/common/ids.ts";
+import { DisposableStore } from "../../src/base/common/lifecycle.ts";
+import { SeededRandom } from "../../src/base/common/random.ts";
+import { SystemClock } from "../../src/base/node/system_clock.ts";
+import { ConfigurationExchange } from "../../src/features/configuration/common/configuration_exchange.ts";
+import { ConfigurationReplica } from "../../src/features/configuration/common/configuration_replica.ts";
+import { ConfigurationTable } from "../../src/features/configuration/common/configuration_table.ts";
+import { ConfigurationWatcher } from "../../src/features/configuration/common/configuration_watcher.ts";
+import { ConfiguredEndpoints } from "../../src/features/endpoints/common/configured_endpoints.ts";
+import { EndpointMarkSpreader } from "../../src/features/endpoints/common/endpoint_mark_spreader.ts";
+import { SILENT_LOGGER } from "../../src/platform/log/common/logger.ts";
+import { GossipMembership } from "../../src/platform/membership/common/gossip_membership.ts";
+import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
+import { WsPeerLinks } from "../../src/platform/peers/node/ws_peer_links.ts";
+import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+
+/** Name and zone of a daemon. */
+export interface ControlPartName {
+  readonly host: string;
+  readonly zone: string;
+}
+
+/** Links, membership and configuration of one daemon. */
+export class ControlPart {
+  readonly name: ControlPartName;
+  readonly table = new ConfigurationTable();
+  readonly membership: GossipMembership;
+  readonly links: WsPeerLinks;
+  readonly #owned = new DisposableStore();
+  readonly #watcher: ConfigurationWatcher;
+
+  /**
+   * @param name - Its name and zone.
+   * @param hasher - Hash that all daemons use.
+   * @param store - Address of the store.
+   */
+  constructor(name: ControlPartName, hasher: Hasher, store: Address) {
+    this.name = name;
+    const clock = new SystemClock();
+    const logger = SILENT_LOGGER;
+    const seed = hasher.hash32(name.host);
+    const random = new SeededRandom(seed);
+    const self = {
+      host: asId<PeerAddress["host"]>(name.host),
+      zone: asId<PeerAddress["zone"]>(name.zone),
+      incarnation: clock.nowMs(),
+    };
+    const links = new WsPeerLinks({
+      ...{ clock, logger, self, seed },
+      secret: "secret of the measurement",
+    });
+    this.links = this.#owned.add(links);
+    this.membership = this.#owned.add(
+      new GossipMembership({ clock, hasher, random, logger, links }, self),
+    );
+    const shared = { clock, hasher, random, logger, links };
+    const { table, membership } = this;
+    const replica = new ConfigurationReplica({ hasher, logger, table });
+    this.#watcher = this.#owned.add(
+      new ConfigurationWatcher({
+        ...shared,
+        membership,
+        replica,
+        store: this.#owned.add(new EtcdStoreClient([store])),
+      }),
+    );
+    this.#owned.add(new ConfigurationExchange({ ...shared, replica }));
+    const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
+    this.#owned.add(new EndpointMarkSpreader({ links, logger, endpoints }));
+  }
+
+  /** @returns Where the others find it. */
+  async listen(): Promise<Address> {
+    return await this.links.listen(asId<Address>("127.0.0.1:0"));
+  }
+
+  /** Joins the others. */
+  join(address: Address, seeds: readonly PeerAddress[]): void {
+    this.membership.start(address, seeds);
+    this.#watcher.start();
+  }
+
+  /** Stops at once, as a crash would. */
+  dispose(): void {
+    this.#owned.dispose();
+  }
+}
--- /dev/null
+++ b/bench/hosts/worker_messages.ts
@@ -0,0 +1,47 @@
+/** Messages between the measurement and its worker processes. */
+
+import type { Address } from "../../src/base/common/ids.ts";
+import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
+import type { ControlPartName } from "./control_part.ts";
+
+/** What a worker is told. */
+export type WorkerCommand =
+  | {
+    readonly kind: "start";
+    readonly names: readonly ControlPartName[];
+    readonly store: Address;
+  }
+  | { readonly kind: "join"; readonly seeds: readonly PeerAddress[] }
+  | { readonly kind: "sample" }
+  | { readonly kind: "kill"; readonly host: string };
+
+/** Counters of a worker's daemons. */
+export interface WorkerSample {
+  readonly kind: "sample";
+  readonly atMs: number;
+  readonly cpuMs: number;
+  readonly rssMb: number;
+  readonly daemons: number;
+  readonly links: number;
+  readonly messages: number;
+  readonly bytes: number;
+  /** Smallest number of members that a daemon sees. */
+  readonly fewestMembers: number;
+}
+
+/** What a worker tells. */
+export type WorkerReport =
+  | { readonly kind: "listening"; readonly peers: readonly PeerAddress[] }
+  | WorkerSample
+  | {
+    readonly kind: "in-force";
+    readonly host: string;
+    readonly revision: number;
+    readonly atMs: number;
+  }
+  | {
+    readonly kind: "removed";
+    readonly by: string;
+    readonly host: string;
+    readonly atMs: number;
+  };
