--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -53,6 +53,36 @@
   return toDisposable(() => timer.dispose());
 }
 
+/**
+ * Runs a callback again and again, at the same points of the wall clock on all
+ * machines.
+ *
+ * @param clock - The clock to run on.
+ * @param periodMs - The period in milliseconds.
+ * @param phaseMs - Offset of the points from the multiples of the period.
+ * @param callback - The work of one round.
+ * @returns Disposing it stops the rounds.
+ */
+export function setAligned(
+  clock: Clock,
+  periodMs: number,
+  phaseMs: number,
+  callback: () => void,
+): Disposable {
+  let timer: Disposable;
+  const schedule = (): void => {
+    // A timer may fire a little early; half a period keeps it from firing twice.
+    const earliestMs = clock.nowMs() + periodMs / 2 - phaseMs;
+    const dueMs = Math.ceil(earliestMs / periodMs) * periodMs + phaseMs;
+    timer = clock.setTimer(dueMs - clock.nowMs(), () => {
+      schedule();
+      callback();
+    });
+  };
+  schedule();
+  return toDisposable(() => timer.dispose());
+}
+
 interface ManualTimer {
   readonly dueMs: number;
   readonly sequence: number;
--- a/src/platform/membership/common/gossip_membership.ts
+++ b/src/platform/membership/common/gossip_membership.ts
@@ -1,6 +1,6 @@
 /** Membership by heartbeats and rumours; no daemon decides for the others. */
 
-import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
+import { type Clock, setAligned } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { Hasher } from "../../../base/common/hasher.ts";
 import type { Address, HostId, ZoneName } from "../../../base/common/ids.ts";
@@ -38,6 +38,12 @@
 
 const TICK_MS = 500;
 const TICKS_PER_HEARTBEAT = 2;
+/**
+ * Heartbeats are sent in a few phases of the wall clock's second. A daemon then
+ * wakes up a few times a second for all of them, not once for each.
+ */
+const PHASES = 4;
+const PHASE_MS = 250;
 const PAUSED_AFTER_MS = 1_000;
 const PROBED_HOSTS = 3;
 const SYNC_PERIOD_MS = 3_000;
@@ -63,6 +69,7 @@
   readonly #didChange = new Emitter<void>();
   readonly #channel: PeerChannel<MembershipMessage>;
   readonly #table: MemberTable;
+  readonly #phaseMs: number;
   readonly #liveness = new LivenessTracker();
   readonly #zoneHeardMs = new Map<ZoneName, number>();
   readonly #avoidedUntilMs = new Map<HostId, number>();
@@ -73,7 +80,6 @@
   #seeds: readonly PeerAddress[] = [];
   #listed: readonly ListedMember[] = [];
   #cached: readonly Member[] | undefined;
-  #ticks = 0;
   #lastTickMs = 0;
   #lastSyncMs = -Infinity;
   #arePeersStale = true;
@@ -95,6 +101,7 @@
   ) {
     this.#services = services;
     this.#table = new MemberTable(services.hasher);
+    this.#phaseMs = PHASE_MS * (services.hasher.hash32(self.host) % PHASES);
     this.#own = { ...self, address: NO_ADDRESS, version: 0, status: "alive" };
     this.#table.merge(this.#own, 0);
     const { links } = services;
@@ -139,7 +146,9 @@
     this.#isStarted = true;
     this.#replaceOwn({ address, version: this.#own.version + 1 });
     this.#lastTickMs = clock.monotonicMs();
-    this.#owned.add(setPeriodic(clock, TICK_MS, () => this.#tick()));
+    this.#owned.add(
+      setAligned(clock, TICK_MS, this.#phaseMs, () => this.#tick()),
+    );
     this.#updatePeers();
   }
 
@@ -224,14 +233,18 @@
     else this.#judgeZone(nowMs);
     this.#table.purge(nowMs);
     this.#publishChange();
-    this.#ticks++;
-    if (this.#ticks % TICKS_PER_HEARTBEAT !== 0) return;
+    if (!this.#isHeartbeatDue()) return;
     this.#channel.broadcast(this.#heartbeat());
     this.#news.endRound();
     this.#avoidSilentPartners(nowMs);
     if (this.#arePeersStale) this.#updatePeers();
   }
 
+  #isHeartbeatDue(): boolean {
+    const sincePhaseMs = this.#services.clock.nowMs() - this.#phaseMs;
+    return Math.round(sincePhaseMs / TICK_MS) % TICKS_PER_HEARTBEAT === 0;
+  }
+
   /** Only members of a zone judge its members: they all hear each other. */
   #judgeZone(nowMs: number): void {
     for (const record of [...this.#table.presentIn(this.#own.zone)]) {
--- a/src/platform/peers/node/ws_peer_links.ts
+++ b/src/platform/peers/node/ws_peer_links.ts
@@ -40,11 +40,11 @@
 import { DialSchedule } from "./peer_dialer.ts";
 
 const PATH = "/peers";
-const TICK_MS = 250;
-const KEEPALIVE_AFTER_MS = 1_000;
+const TICK_MS = 500;
+const KEEPALIVE_AFTER_MS = 1_200;
 const SILENCE_LIMIT_MS = 3_000;
 /** A longer pause between two ticks means that this process did not run. */
-const PAUSED_AFTER_MS = 1_000;
+const PAUSED_AFTER_MS = 1_500;
 const MAX_UNPROVED_LINKS = 512;
 const KEEPALIVE_FRAME = encodeFrame(KEEPALIVE_CHANNEL, null);
 
