Wait for a configuration in force, and drain endpoints by command

At the deadline of a drain the rest of the streams are closed, so that their callers resume elsewhere.

--- a/src/cli/node/config_commands.ts
+++ b/src/cli/node/config_commands.ts
@@ -11,6 +11,7 @@
   isDeletionMark,
   writeChange,
 } from "../../features/configuration/common/configuration_writer.ts";
+import type { StoreEntry } from "../../platform/store/common/store_client.ts";
 import { formatMistakes } from "../../platform/settings/common/checked_yaml.ts";
 import {
   type CliContext,
@@ -51,6 +52,8 @@
   readonly source: string;
   /** Revision that the document was made from; the newest when left out. */
   readonly expectedRevision?: number;
+  /** Called with the accepted revision; its exit code is that of the command. */
+  onAccepted?(revision: number): Promise<ExitCode>;
 }
 
 /** Replaces a team's document. */
@@ -58,7 +61,7 @@
   context: CliContext,
   options: ApplyOptions,
 ): Promise<ExitCode> {
-  const { team, text, source } = options;
+  const { team, text } = options;
   const expectedRevision = options.expectedRevision ??
     rightOf(await context.store.get(TEAM_KEY_PREFIX + team))?.revision ?? 0;
   const written = await writeChange(context.store, {
@@ -67,15 +70,15 @@
     expectedRevision,
     changeId: context.createChangeId(),
   });
-  return written.caseOf<ExitCode>({
-    Left: (failure) => printChangeFailure(context, failure, source),
+  return await written.caseOf<ExitCode | Promise<ExitCode>>({
+    Left: (failure) => printChangeFailure(context, failure, options),
     Right: (revision) => {
       printResult(
         context,
         { team, revision },
         `team ${team} is at revision ${revision}`,
       );
-      return EXIT_CODES.ok;
+      return options.onAccepted?.(revision) ?? EXIT_CODES.ok;
     },
   });
 }
@@ -88,7 +91,10 @@
 ): ExitCode {
   return parseTeamDocument(text).caseOf<ExitCode>({
     Left: (mistakes) =>
-      printChangeFailure(context, { kind: "mistakes", mistakes }, source),
+      printChangeFailure(context, { kind: "mistakes", mistakes }, {
+        source,
+        text,
+      }),
     Right: () => {
       printResult(context, { source, isValid: true }, `${source}: valid`);
       return EXIT_CODES.ok;
@@ -99,18 +105,14 @@
 function printChangeFailure(
   context: CliContext,
   failure: ChangeFailure,
-  source: string,
+  { source, text }: Pick<ApplyOptions, "source" | "text">,
 ): ExitCode {
   switch (failure.kind) {
     case "mistakes":
       context.printError(formatMistakes(source, failure.mistakes));
       return EXIT_CODES.badInput;
     case "conflict":
-      context.printError(
-        `somebody else changed the document to revision ${
-          failure.current?.revision ?? 0
-        }; compare with \`ragwort config get\` and apply again`,
-      );
+      printConflict(context, failure.current, { source, text });
       return EXIT_CODES.conflict;
     case "store":
       context.printError(
@@ -122,3 +124,20 @@
       return assertNever(failure);
   }
 }
+
+/** Shows both sides, so that the operator can join them. */
+function printConflict(
+  context: CliContext,
+  current: StoreEntry | undefined,
+  { source, text }: Pick<ApplyOptions, "source" | "text">,
+): void {
+  const revision = current?.revision ?? 0;
+  context.printError(
+    `somebody else changed the document to revision ${revision}; join the two ` +
+      `and apply again with --from ${revision}`,
+  );
+  context.printError(`--- revision ${revision} in the store`);
+  context.printError(current ? documentText(current.value) : "(no document)");
+  context.printError(`+++ ${source}`);
+  context.printError(text);
+}
--- a/src/cli/node/main.ts
+++ b/src/cli/node/main.ts
@@ -6,6 +6,7 @@
 import { cac } from "cac";
 import { messageOf } from "../../base/common/errors.ts";
 import { asId, type TeamName } from "../../base/common/ids.ts";
+import { SystemClock } from "../../base/node/system_clock.ts";
 import { EtcdStoreClient } from "../../platform/store/node/etcd_store_client.ts";
 import {
   type CliContext,
@@ -13,6 +14,8 @@
   type ExitCode,
   parseAddresses,
 } from "./cli_context.ts";
+import { DEFAULT_WAIT_MS, waitUntilInForce } from "./config_wait.ts";
+import { tellOfEndpoint } from "./endpoint_command.ts";
 import { applyConfig, checkDocument, getConfig } from "./config_commands.ts";
 import { showStatus } from "./status_command.ts";
 
@@ -24,6 +27,7 @@
 
 interface ConfigOptions extends GlobalOptions {
   readonly from?: string;
+  readonly wait?: boolean;
 }
 
 async function withContext(
@@ -65,6 +69,7 @@
         ...(options.from === undefined
           ? {}
           : { expectedRevision: Number(options.from) }),
+        ...(options.wait ? { onAccepted: waitFor(context, name) } : {}),
       });
     }
     context.printError("usage: ragwort config get TEAM | apply TEAM FILE");
@@ -72,6 +77,15 @@
   });
 }
 
+function waitFor(context: CliContext, team: TeamName) {
+  return (revision: number): Promise<ExitCode> =>
+    waitUntilInForce(context, new SystemClock(), {
+      team,
+      revision,
+      waitMs: DEFAULT_WAIT_MS,
+    });
+}
+
 const cli = cac("ragwort");
 cli.option("--json", "Print one JSON object a line");
 cli.option(
@@ -87,6 +101,7 @@
   "Read or change a team's document: get, apply",
 )
   .option("--from <revision>", "Revision that the document was made from")
+  .option("--wait", "Wait until every daemon has the change in force")
   .action(runConfig);
 cli.command("check <file>", "Check a team's document without writing it")
   .action((file: string, options: GlobalOptions) =>
@@ -95,6 +110,18 @@
       (context) => checkDocument(context, readFileSync(file, "utf8"), file),
     )
   );
+for (const word of ["drain", "return"] as const) {
+  const description = word === "drain"
+    ? "Give an endpoint (TEAM/SERVICE/ENDPOINT) no new work"
+    : "Use a drained endpoint again";
+  cli.command(`${word}-endpoint <endpoint>`, description)
+    .action((endpoint: string, options: GlobalOptions) =>
+      withContext(
+        options,
+        (context) => tellOfEndpoint(context, word, endpoint),
+      )
+    );
+}
 cli.command("status", "Show every daemon")
   .action((options: GlobalOptions) => withContext(options, showStatus));
 cli.help();
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -202,6 +202,10 @@
     }
     this.#logger.log("info", "drain-ended", { active: this.#core.activeCount });
     this.#membership.announceGone();
+    // Callers whose streams are cut here go on at another host by their ids.
+    if (this.#core.activeCount > 0) {
+      this.#callers.server.closeAllConnections();
+    }
     await this.#close();
   }
 
--- a/src/platform/membership/common/gossip_membership.ts
+++ b/src/platform/membership/common/gossip_membership.ts
@@ -42,8 +42,8 @@
  * Heartbeats are sent in a few phases of the wall clock's second. A daemon then
  * wakes up a few times a second for all of them, not once for each.
  */
-const PHASES = 4;
-const PHASE_MS = 250;
+const PHASES = 2;
+const PHASE_MS = 500;
 const PAUSED_AFTER_MS = 1_000;
 const PROBED_HOSTS = 3;
 const SYNC_PERIOD_MS = 3_000;
--- a/standins/demo/demo.ts
+++ b/standins/demo/demo.ts
@@ -2,6 +2,13 @@
 
 import { sleep } from "../../src/base/common/clock.ts";
 import { asId, type TeamName } from "../../src/base/common/ids.ts";
+import type { CliContext } from "../../src/cli/node/cli_context.ts";
+import {
+  DEFAULT_WAIT_MS,
+  waitUntilInForce,
+} from "../../src/cli/node/config_wait.ts";
+import { tellOfEndpoint } from "../../src/cli/node/endpoint_command.ts";
+import type { StoreClient } from "../../src/platform/store/common/store_client.ts";
 import { applyConfig } from "../../src/cli/node/config_commands.ts";
 import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
 import { tokenText } from "../engine/engine_options.ts";
@@ -16,6 +23,7 @@
 
 const TEAM = asId<TeamName>("taranga");
 const MID_STREAM_MS = 400;
+const ENDPOINT_QUIET_MS = 2_000;
 
 /** Prints one line. */
 export type Print = (line: string) => void;
@@ -50,6 +58,7 @@
     await this.#streamTimetable();
     await this.#checkRota();
     await this.#bookTwice();
+    await this.#drainEndpoint();
     await this.#killHostInMidStream();
     await this.#killEndpointInMidStream();
     await this.#drainInMidStream();
@@ -63,22 +72,66 @@
   async #applyConfiguration(): Promise<void> {
     const deployment = this.#deployment;
     const store = new EtcdStoreClient([deployment.storeAddress]);
-    const exitCode = await applyConfig({
+    const context = this.#cliContext(store);
+    const exitCode = await applyConfig(context, {
+      team: TEAM,
+      text: deployment.teamDocument(),
+      source: "demo.yaml",
+      onAccepted: (revision) =>
+        waitUntilInForce(context, deployment.clock, {
+          team: TEAM,
+          revision,
+          waitMs: DEFAULT_WAIT_MS,
+        }),
+    });
+    store.dispose();
+    const isReady = await deployment.waitUntilReady();
+    this.#check(
+      "a configuration comes into force on every host",
+      exitCode === 0 && isReady,
+      `${deployment.daemons.length} daemons ready`,
+    );
+  }
+
+  #cliContext(store: StoreClient): CliContext {
+    const { daemons } = this.#deployment;
+    return {
       store,
-      daemons: [],
+      daemons: daemons.map((daemon) => daemon.operatorAddress),
       operatorKey: DEMO_OPERATOR_KEY,
       isJson: false,
       createChangeId: () => "demo-change",
       print: (line) => this.#print(`     ${line}`),
       printError: (line) => this.#print(`     ${line}`),
-    }, { team: TEAM, text: deployment.teamDocument(), source: "demo.yaml" });
-    store.dispose();
-    const isReady = await deployment.waitUntilReady();
+    };
+  }
+
+  async #drainEndpoint(): Promise<void> {
+    const { clock, engines, storeAddress } = this.#deployment;
+    const store = new EtcdStoreClient([storeAddress]);
+    const context = this.#cliContext(store);
+    const engine = engines[0]!;
+    const name = `${TEAM}/timetable-llm/${engine.id}`;
+    await tellOfEndpoint(context, "drain", name);
+    await sleep(clock, ENDPOINT_QUIET_MS);
+    const before = engine.model.counts.started;
+    for (const index of [0, 1, 2, 0, 1, 2]) {
+      const received = emptyStream();
+      await streamChat(
+        this.#address(index),
+        "rota check #tokens=3",
+        "lookup",
+        received,
+      );
+    }
+    const started = engine.model.counts.started - before;
     this.#check(
-      "a configuration comes into force on every host",
-      exitCode === 0 && isReady,
-      `${deployment.daemons.length} daemons ready`,
+      "an endpoint that leaves gets nothing new from any host",
+      started === 0,
+      `${started} of 6 requests reached it`,
     );
+    await tellOfEndpoint(context, "return", name);
+    store.dispose();
   }
 
   async #streamTimetable(): Promise<void> {
