--- a/src/platform/membership/common/gossip_membership.ts
+++ b/src/platform/membership/common/gossip_membership.ts
@@ -417,8 +417,10 @@
     if (!isNewer(rumour, this.#own)) return;
     const { logger } = this.#services;
     logger.log("warn", "member-rumour-refuted", { status: rumour.status });
+    // A start of this host that is said to be later had the clock ahead of now.
+    const isOfOtherStart = rumour.incarnation > this.#own.incarnation;
     this.#replaceOwn({
-      incarnation: rumour.incarnation,
+      incarnation: rumour.incarnation + (isOfOtherStart ? 1 : 0),
       version: rumour.version + 1,
     });
     this.#channel.broadcast(this.#heartbeat());
--- a/standins/demo/demo_deployment.ts
+++ b/standins/demo/demo_deployment.ts
@@ -52,6 +52,12 @@
   storeAddress = asId<Address>("");
   appAddress = asId<Address>("");
   readonly #servers: Server[] = [];
+  readonly #drainMs: number | undefined;
+
+  /** @param drainMs - Limit of a drain, when it is not the usual one. */
+  constructor(drainMs?: number) {
+    this.#drainMs = drainMs;
+  }
 
   /** Starts the stand-ins, then the daemons. */
   async start(): Promise<void> {
@@ -131,6 +137,7 @@
         operators: "127.0.0.1:0",
       },
       store: { addresses: [this.storeAddress] },
+      limits: this.#drainMs === undefined ? {} : { drainMs: this.#drainMs },
       peers: this.daemons.map((daemon, index) => ({
         ...HOSTS[index]!,
         address: daemon.peerAddress,
