--- a/scenarios/dispatch/peer_dispatcher_test.ts
+++ b/scenarios/dispatch/peer_dispatcher_test.ts
@@ -58,6 +58,10 @@
     // Nobody else is told.
   }
 
+  applyHostList(): void {
+    // The members are fixed.
+  }
+
   remove(host: HostId): void {
     this.#members = this.#members.filter((member) => member.host !== host);
     this.changed.fire();
--- a/scenarios/runner/scenario_runner.ts
+++ b/scenarios/runner/scenario_runner.ts
@@ -1,7 +1,11 @@
 /** Runs a scenario on the manual clock and collects what did not hold. */
 
 import { assertNever } from "../../src/base/common/errors.ts";
-import { asId, type RequestId } from "../../src/base/common/ids.ts";
+import {
+  asId,
+  type EndpointId,
+  type RequestId,
+} from "../../src/base/common/ids.ts";
 import {
   serviceIdOf,
   workspaceIdOf,
@@ -15,6 +19,7 @@
   CallStep,
   CancelStep,
   DesireStep,
+  EndpointStep,
   ExpectStep,
   FaultStep,
   GenerateStep,
@@ -89,6 +94,13 @@
       case "fault":
         this.#fault(step);
         break;
+      case "configure":
+        this.#world.setClassLimit(step.class, step.maxWaitMs);
+        break;
+      case "drain-endpoint":
+      case "return-endpoint":
+        this.#tellOfEndpoint(step);
+        break;
       case "expect":
         this.#expect(step, number);
         break;
@@ -184,6 +196,18 @@
     this.#world.writeTeamDocument();
   }
 
+  #tellOfEndpoint(step: EndpointStep): void {
+    const { endpoints } = this.#world.host(step.host).core;
+    const { service, id } = this.#world.endpoint(step.endpoint);
+    const serviceId = serviceIdOf(TEAM, service);
+    const endpointId = asId<EndpointId>(id);
+    if (step.do === "drain-endpoint") {
+      endpoints.markLeaving(serviceId, endpointId, "operator");
+    } else {
+      endpoints.markReturned(serviceId, endpointId, "operator");
+    }
+  }
+
   #fault(step: FaultStep): void {
     applyFault(this.#world, step);
     if (step.fault !== "crash-host" && step.fault !== "restart-host") return;
@@ -219,6 +243,7 @@
         isHolder,
         step.isOrderHolder,
       );
+      this.#expectView(step, step.host, number);
     }
   }
 
@@ -236,6 +261,16 @@
     this.#same(number, `${id} stale orders`, staleOrders, step.staleOrders);
   }
 
+  #expectView(step: ExpectStep, name: string, number: number): void {
+    const { core, membership } = this.#world.host(name);
+    const { length } = membership.members();
+    this.#same(number, `${name} members`, length, step.members);
+    if (step.class === undefined) return;
+    const known = core.configuration.findClass(TEAM, [step.class], undefined);
+    const { maxWaitMs } = known?.config ?? {};
+    this.#same(number, `${name} maxWaitMs`, maxWaitMs, step.maxWaitMs);
+  }
+
   #expectRequest(step: ExpectStep, request: string, number: number): void {
     const record = this.#calls.get(request) ?? this.#generation(request);
     this.#same(number, `${request} outcome`, record.outcome, step.outcome);
--- a/scenarios/runner/scenario_schema.ts
+++ b/scenarios/runner/scenario_schema.ts
@@ -136,6 +136,8 @@
     "store-lose-answers",
     "store-compact",
     "store-limit-writes",
+    "store-snapshot",
+    "store-fail-over",
   ]),
   delayMs: durationMs.default(0),
   count: count.default(1),
@@ -149,6 +151,20 @@
   count: count.default(1),
 });
 
+const zoneFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.enum(["cut-zone", "heal-zone"]),
+  zone: name,
+});
+
+const listFault = z.strictObject({
+  do: z.literal("fault"),
+  fault: z.literal("list-endpoint"),
+  endpoint: name,
+  state: z.enum(["live", "leaving"]),
+  delayMs: durationMs.default(0),
+});
+
 const cutFault = z.strictObject({
   do: z.literal("fault"),
   fault: z.enum(["cut-hosts", "cut-engine"]),
@@ -166,10 +182,26 @@
   hostFault,
   storeFault,
   appFault,
+  zoneFault,
+  listFault,
   cutFault,
   healFault,
 ]);
 
+/** Writes the team's document with another limit for a class. */
+const configureSchema = z.strictObject({
+  do: z.literal("configure"),
+  class: name,
+  maxWaitMs: durationMs,
+});
+
+/** Gives an operator's word on an endpoint. */
+const endpointSchema = z.strictObject({
+  do: z.enum(["drain-endpoint", "return-endpoint"]),
+  host: name,
+  endpoint: name,
+});
+
 /** Says what must have been seen by now. */
 const expectSchema = z.strictObject({
   do: z.literal("expect"),
@@ -192,6 +224,11 @@
   active: count.optional(),
   isReady: z.boolean().optional(),
   isOrderHolder: z.boolean().optional(),
+  /** Number of members that the host sees. */
+  members: count.optional(),
+  /** Limit of the class `class` that is in force at the host. */
+  maxWaitMs: durationMs.optional(),
+  class: name.optional(),
 });
 
 /** Schema of one step. */
@@ -204,6 +241,8 @@
   waitSchema,
   desireSchema,
   faultSchema,
+  configureSchema,
+  endpointSchema,
   expectSchema,
 ]);
 
@@ -236,3 +275,5 @@
 export type FaultStep = z.infer<typeof faultSchema>;
 /** A step that checks. */
 export type ExpectStep = z.infer<typeof expectSchema>;
+/** A step that gives an operator's word on an endpoint. */
+export type EndpointStep = z.infer<typeof endpointSchema>;
--- a/src/cli/node/commands/check.ts
+++ b/src/cli/node/commands/check.ts
@@ -2,7 +2,7 @@
 
 import { parse } from "yaml";
 import { attempt } from "../../../base/common/result.ts";
-import { parseTeamDocument } from "../../../features/configuration/common/configuration_watcher.ts";
+import { parseTeamDocument } from "../../../features/configuration/common/team_document_parser.ts";
 import {
   formatMistakes,
   parseCheckedYaml,
--- a/src/cli/node/commands/config.ts
+++ b/src/cli/node/commands/config.ts
@@ -2,7 +2,9 @@
 
 import { asId, type TeamName } from "../../../base/common/ids.ts";
 import { type CliContext, EXIT_CODES, type ExitCode } from "../cli_context.ts";
+import { SystemClock } from "../../../base/node/system_clock.ts";
 import { applyConfig } from "../config_commands.ts";
+import { DEFAULT_WAIT_MS, waitUntilInForce } from "../config_wait.ts";
 import { type AddCommand, type GlobalOptions, withFile } from "../shell.ts";
 import {
   diffConfig,
@@ -16,12 +18,13 @@
 
 const USAGE = `config get TEAM[/PATH]
   $ ragwort config set TEAM/PATH VALUE
-  $ ragwort config apply TEAM FILE [--from REVISION]
+  $ ragwort config apply TEAM FILE [--from REVISION] [--wait]
   $ ragwort config diff TEAM FILE
   $ ragwort config history TEAM`;
 
 interface ConfigOptions extends GlobalOptions {
   readonly from?: number;
+  readonly wait?: boolean;
 }
 
 /** Adds the command. */
@@ -29,6 +32,7 @@
   cli.command("config <action> [...words]", "Read or change a team's document")
     .usage(USAGE)
     .option("--from <revision>", "Revision that the document was made from")
+    .option("--wait", "Wait until every daemon has the change in force")
     .example("ragwort config get taranga/classes")
     .example("ragwort config set taranga/classes/lookup/priority 8")
     .example("ragwort config diff taranga taranga.yaml")
@@ -71,6 +75,7 @@
           ...(options.from === undefined
             ? {}
             : { expectedRevision: Number(options.from) }),
+          ...(options.wait ? { onAccepted: waitFor(context, team) } : {}),
         }));
     case "diff":
       return await withFile(
@@ -83,6 +88,15 @@
   }
 }
 
+function waitFor(context: CliContext, team: TeamName) {
+  return (revision: number): Promise<ExitCode> =>
+    waitUntilInForce(context, new SystemClock(), {
+      team,
+      revision,
+      waitMs: DEFAULT_WAIT_MS,
+    });
+}
+
 function printUsage(context: CliContext): ExitCode {
   context.printError(`usage:\n  $ ragwort ${USAGE}`);
   return EXIT_CODES.badInput;
--- a/src/cli/node/commands/config_parts.ts
+++ b/src/cli/node/commands/config_parts.ts
@@ -98,7 +98,8 @@
     }),
   );
   return written.caseOf<ExitCode>({
-    Left: (failure) => printChangeFailure(context, failure, `team ${team}`),
+    Left: (failure) =>
+      printChangeFailure(context, failure, { source: `team ${team}`, text }),
     Right: (revision) => {
       const changed = `team ${team} is at revision ${revision}`;
       printResult(context, { team, revision }, changed);
--- a/src/cli/node/commands/endpoint.ts
+++ b/src/cli/node/commands/endpoint.ts
@@ -27,7 +27,14 @@
     );
 };
 
-async function tellEndpoint(
+/**
+ * Gives an operator's word to one daemon, which tells the others.
+ *
+ * @param context - Holds the operator ports.
+ * @param action - `drain` or `return`.
+ * @param path - The endpoint as `team/service/endpoint`.
+ */
+export async function tellEndpoint(
   context: CliContext,
   action: string,
   path: string,
--- a/src/cli/node/config_commands.ts
+++ b/src/cli/node/config_commands.ts
@@ -6,8 +6,10 @@
 import { TEAM_KEY_PREFIX } from "../../features/configuration/common/configuration.ts";
 import {
   type ChangeFailure,
+  documentText,
   writeChange,
 } from "../../features/configuration/common/configuration_writer.ts";
+import type { StoreEntry } from "../../platform/store/common/store_client.ts";
 import { formatMistakes } from "../../platform/settings/common/checked_yaml.ts";
 import {
   type CliContext,
@@ -23,6 +25,8 @@
   readonly source: string;
   /** Revision that the document was made from; the newest when left out. */
   readonly expectedRevision?: number;
+  /** Called with the accepted revision; its exit code is that of the command. */
+  onAccepted?(revision: number): Promise<ExitCode>;
 }
 
 /** Replaces a team's document. */
@@ -30,7 +34,7 @@
   context: CliContext,
   options: ApplyOptions,
 ): Promise<ExitCode> {
-  const { team, text, source } = options;
+  const { team, text } = options;
   const expectedRevision = options.expectedRevision ??
     rightOf(await context.store.get(TEAM_KEY_PREFIX + team))?.revision ?? 0;
   const written = await writeChange(context.store, {
@@ -39,15 +43,15 @@
     expectedRevision,
     changeId: context.createChangeId(),
   });
-  return written.caseOf<ExitCode>({
-    Left: (failure) => printChangeFailure(context, failure, source),
+  return await written.caseOf<ExitCode | Promise<ExitCode>>({
+    Left: (failure) => printChangeFailure(context, failure, options),
     Right: (revision) => {
       printResult(
         context,
         { team, revision },
         `team ${team} is at revision ${revision}`,
       );
-      return EXIT_CODES.ok;
+      return options.onAccepted?.(revision) ?? EXIT_CODES.ok;
     },
   });
 }
@@ -57,24 +61,20 @@
  *
  * @param context - Where to print.
  * @param failure - Why it was not accepted.
- * @param source - Name of the document.
+ * @param document - Name and text of the refused document.
  * @returns The exit code.
  */
 export function printChangeFailure(
   context: CliContext,
   failure: ChangeFailure,
-  source: string,
+  { source, text }: Pick<ApplyOptions, "source" | "text">,
 ): ExitCode {
   switch (failure.kind) {
     case "mistakes":
       context.printError(formatMistakes(source, failure.mistakes));
       return EXIT_CODES.badInput;
     case "conflict":
-      context.printError(
-        `somebody else changed the document to revision ${
-          failure.current?.revision ?? 0
-        }; compare with \`ragwort config get\` and apply again`,
-      );
+      printConflict(context, failure.current, { source, text });
       return EXIT_CODES.conflict;
     case "store":
       context.printError(
@@ -86,3 +86,20 @@
       return assertNever(failure);
   }
 }
+
+/** Shows both sides, so that the operator can join them. */
+function printConflict(
+  context: CliContext,
+  current: StoreEntry | undefined,
+  { source, text }: Pick<ApplyOptions, "source" | "text">,
+): void {
+  const revision = current?.revision ?? 0;
+  context.printError(
+    `somebody else changed the document to revision ${revision}; join the two ` +
+      `and apply again with --from ${revision}`,
+  );
+  context.printError(`--- revision ${revision} in the store`);
+  context.printError(current ? documentText(current.value) : "(no document)");
+  context.printError(`+++ ${source}`);
+  context.printError(text);
+}
--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -13,6 +13,8 @@
 import { SeededRandom } from "../../base/common/random.ts";
 import { CallService } from "../../features/calls/common/call_service.ts";
 import type { Configuration } from "../../features/configuration/common/configuration.ts";
+import { ConfigurationExchange } from "../../features/configuration/common/configuration_exchange.ts";
+import { ConfigurationReplica } from "../../features/configuration/common/configuration_replica.ts";
 import { ConfigurationTable } from "../../features/configuration/common/configuration_table.ts";
 import { ConfigurationWatcher } from "../../features/configuration/common/configuration_watcher.ts";
 import { PeerDispatcher } from "../../features/dispatch/common/peer_dispatcher.ts";
@@ -25,6 +27,9 @@
 } from "../../features/explain/common/explained_services.ts";
 import { ConfiguredEndpoints } from "../../features/endpoints/common/configured_endpoints.ts";
 import { GenerationFollowers } from "../../features/generations/common/generation_followers.ts";
+import type { EndpointDirectory } from "../../features/endpoints/common/endpoint_directory.ts";
+import { EndpointMarkSpreader } from "../../features/endpoints/common/endpoint_mark_spreader.ts";
+import { ReclaimWatcher } from "../../features/endpoints/common/reclaim_watcher.ts";
 import type { Signer } from "../../features/generations/common/generation_id.ts";
 import { GenerationRelayService } from "../../features/generations/common/generation_relay_service.ts";
 import type { GenerationService } from "../../features/generations/common/generation_service.ts";
@@ -36,16 +41,19 @@
 import { ShardedClaimLedger } from "../../features/ledger/common/sharded_claim_ledger.ts";
 import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
 import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
+import type { HostListClient } from "../../platform/hosts/common/host_list.ts";
 import type { Logger } from "../../platform/log/common/logger.ts";
 import type { Membership } from "../../platform/membership/common/membership.ts";
 import type { Metrics } from "../../platform/metrics/common/metrics.ts";
 import type { PeerLinks } from "../../platform/peers/common/peer_links.ts";
 import type { StoreClient } from "../../platform/store/common/store_client.ts";
+import { HostListFollower } from "./host_list_follower.ts";
 
 /** What a daemon stands on. */
 export interface DaemonPlatform {
   readonly clock: Clock;
   readonly hasher: Hasher;
+  readonly random: SeededRandom;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly store: StoreClient;
@@ -53,6 +61,8 @@
   readonly apps: AppClient;
   readonly links: PeerLinks;
   readonly membership: Membership;
+  /** The platform's host list, when there is one. */
+  readonly hostList: HostListClient | undefined;
   readonly signer: Signer;
   /** @returns A text that no two calls return, on any host. */
   createNonce(): string;
@@ -72,6 +82,7 @@
 /** The features of one daemon. */
 export class DaemonCore implements Disposable {
   readonly configuration: Configuration;
+  readonly endpoints: EndpointDirectory;
   readonly generations: GenerationService;
   readonly calls: Calls;
   /** What was decided about the newest requests. */
@@ -81,6 +92,8 @@
   readonly quarantine: Quarantine;
   readonly #owned = new DisposableStore();
   readonly #watcher: ConfigurationWatcher;
+  readonly #reclaims: ReclaimWatcher;
+  readonly #hostList: HostListFollower;
   readonly #membership: Membership;
   #isDraining = false;
 
@@ -89,17 +102,29 @@
    * @param options - Limits and names.
    */
   constructor(platform: DaemonPlatform, options: DaemonCoreOptions) {
-    const { clock, store, logger } = platform;
+    const { clock } = platform;
     this.#membership = platform.membership;
     const table = new ConfigurationTable();
     this.configuration = table;
+    const replica = new ConfigurationReplica({ ...platform, table });
     this.#watcher = this.#owned.add(
-      new ConfigurationWatcher({ clock, store, logger, table }),
+      new ConfigurationWatcher({ ...platform, replica }),
+    );
+    this.#owned.add(new ConfigurationExchange({ ...platform, replica }));
+    const endpoints = this.#owned.add(
+      new ConfiguredEndpoints(table, () => clock.nowMs()),
+    );
+    this.endpoints = endpoints;
+    this.#owned.add(new EndpointMarkSpreader({ ...platform, endpoints }));
+    this.#reclaims = this.#owned.add(
+      new ReclaimWatcher({ ...platform, endpoints, configuration: table }),
+    );
+    this.#hostList = this.#owned.add(
+      new HostListFollower({ ...platform, endpoints }),
     );
     const seed = platform.hasher.hash32(`${options.host}|${clock.nowMs()}`);
     const random = new SeededRandom(seed);
     const retries = new RetryBudget({ clock, random });
-    const endpoints = this.#owned.add(new ConfiguredEndpoints(table));
     const peerDispatcher = this.#owned.add(
       new PeerDispatcher({
         ...platform,
@@ -173,6 +198,8 @@
   start(): void {
     this.#watcher.start();
     this.orders.start();
+    this.#reclaims.start();
+    this.#hostList.start();
   }
 
   /** Takes no new requests from now on. */
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -16,6 +16,7 @@
 } from "../../features/generations/node/hmac_signer.ts";
 import { HttpAppClient } from "../../platform/endpoints/node/http_app_client.ts";
 import { HttpEngineClient } from "../../platform/endpoints/node/http_engine_client.ts";
+import { HttpHostListClient } from "../../platform/hosts/node/http_host_list_client.ts";
 import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
 import { GossipMembership } from "../../platform/membership/common/gossip_membership.ts";
 import { HistogramMetrics } from "../../platform/metrics/common/histogram_metrics.ts";
@@ -98,6 +99,7 @@
       new DaemonCore({
         clock,
         hasher,
+        random,
         logger,
         metrics,
         store: this.#owned.add(new EtcdStoreClient(settings.store.addresses)),
@@ -105,6 +107,8 @@
         apps: this.#owned.add(new HttpAppClient()),
         links,
         membership,
+        hostList: settings.hostList &&
+          new HttpHostListClient(settings.hostList.address),
         signer: new HmacSigner(secrets.signingKeys),
         createNonce: () => randomBytes(NONCE_BYTES).toString("base64url"),
         fingerprint,
@@ -240,6 +244,10 @@
     }
     this.#logger.log("info", "drain-ended", { active: this.#core.activeCount });
     this.#membership.announceGone();
+    // Callers whose streams are cut here go on at another host by their ids.
+    if (this.#core.activeCount > 0) {
+      this.#callers.server.closeAllConnections();
+    }
     await this.#close();
   }
 
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -2,7 +2,14 @@
 
 import { createHash, timingSafeEqual } from "node:crypto";
 import fastify, { type FastifyInstance } from "fastify";
-import { asId, type RequestId } from "../../base/common/ids.ts";
+import {
+  asId,
+  type EndpointId,
+  type RequestId,
+  type ServiceId,
+  type TeamName,
+} from "../../base/common/ids.ts";
+import { serviceIdOf } from "../../features/configuration/common/configuration.ts";
 import type {
   DaemonFigures,
   SeriesFigures,
@@ -109,6 +116,7 @@
     services.requestDrain();
     return { isDraining: true };
   });
+  addEndpointRoutes(server, core);
   return server;
 }
 
@@ -150,6 +158,36 @@
     (query.class ?? series.className) === series.className;
 }
 
+/** The operator's word that an endpoint leaves or is used again. */
+function addEndpointRoutes(server: FastifyInstance, core: DaemonCore): void {
+  const path = "/endpoints/:team/:service/:endpoint";
+  server.post<EndpointPath>(`${path}/drain`, ({ params }) => {
+    const [service, endpoint] = endpointOf(params);
+    core.endpoints.markLeaving(service, endpoint, "operator");
+    return { service, endpoint, isLeaving: true };
+  });
+  server.post<EndpointPath>(`${path}/return`, ({ params }) => {
+    const [service, endpoint] = endpointOf(params);
+    core.endpoints.markReturned(service, endpoint, "operator");
+    return { service, endpoint, isLeaving: false };
+  });
+}
+
+interface EndpointPath {
+  Params: {
+    readonly team: string;
+    readonly service: string;
+    readonly endpoint: string;
+  };
+}
+
+function endpointOf(
+  { team, service, endpoint }: EndpointPath["Params"],
+): [ServiceId, EndpointId] {
+  const id = serviceIdOf(asId<TeamName>(team), service);
+  return [id, asId<EndpointId>(endpoint)];
+}
+
 /** Compares hashes, so that neither content nor length shows in the time. */
 function isSameSecret(left: string, right: string): boolean {
   const digest = (text: string): Buffer =>
--- a/src/features/endpoints/common/endpoint_directory.ts
+++ b/src/features/endpoints/common/endpoint_directory.ts
@@ -30,7 +30,7 @@
    */
   markLeaving(service: ServiceId, endpoint: EndpointId, reason: string): void;
   /**
-   * Takes note that an endpoint may get work again.
+   * Takes note that an endpoint is used again.
    *
    * @param service - Its service.
    * @param endpoint - The endpoint.
--- a/src/platform/membership/common/gossip_membership.ts
+++ b/src/platform/membership/common/gossip_membership.ts
@@ -1,6 +1,6 @@
 /** Membership by heartbeats and rumours; no daemon decides for the others. */
 
-import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
+import { type Clock, setAligned } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { Hasher } from "../../../base/common/hasher.ts";
 import type { Address, HostId, ZoneName } from "../../../base/common/ids.ts";
@@ -23,7 +23,12 @@
   type RecordStatus,
 } from "./member_record.ts";
 import { MemberTable } from "./member_table.ts";
-import type { Member, Membership, MemberState } from "./membership.ts";
+import type {
+  ListedMember,
+  Member,
+  Membership,
+  MemberState,
+} from "./membership.ts";
 import {
   MEMBERSHIP_CHANNEL,
   type MembershipMessage,
@@ -33,6 +38,12 @@
 
 const TICK_MS = 500;
 const TICKS_PER_HEARTBEAT = 2;
+/**
+ * Heartbeats are sent in a few phases of the wall clock's second. A daemon then
+ * wakes up a few times a second for all of them, not once for each.
+ */
+const PHASES = 2;
+const PHASE_MS = 500;
 const PAUSED_AFTER_MS = 1_000;
 const PROBED_HOSTS = 3;
 const SYNC_PERIOD_MS = 3_000;
@@ -49,11 +60,6 @@
   readonly links: PeerLinks;
 }
 
-/** A host as the platform's host list has it. */
-export interface ListedHost extends PeerAddress {
-  readonly isLeaving: boolean;
-}
-
 type Heartbeat = Extract<MembershipMessage, { kind: "heartbeat" }>;
 
 /** Members as this daemon knows them. */
@@ -63,6 +69,7 @@
   readonly #didChange = new Emitter<void>();
   readonly #channel: PeerChannel<MembershipMessage>;
   readonly #table: MemberTable;
+  readonly #phaseMs: number;
   readonly #liveness = new LivenessTracker();
   readonly #zoneHeardMs = new Map<ZoneName, number>();
   readonly #avoidedUntilMs = new Map<HostId, number>();
@@ -71,9 +78,8 @@
   readonly #listedLeaving = new Map<HostId, number>();
   #own: MemberRecord;
   #seeds: readonly PeerAddress[] = [];
-  #listed: readonly ListedHost[] = [];
+  #listed: readonly ListedMember[] = [];
   #cached: readonly Member[] | undefined;
-  #ticks = 0;
   #lastTickMs = 0;
   #lastSyncMs = -Infinity;
   #arePeersStale = true;
@@ -95,6 +101,7 @@
   ) {
     this.#services = services;
     this.#table = new MemberTable(services.hasher);
+    this.#phaseMs = PHASE_MS * (services.hasher.hash32(self.host) % PHASES);
     this.#own = { ...self, address: NO_ADDRESS, version: 0, status: "alive" };
     this.#table.merge(this.#own, 0);
     const { links } = services;
@@ -139,11 +146,13 @@
     this.#isStarted = true;
     this.#replaceOwn({ address, version: this.#own.version + 1 });
     this.#lastTickMs = clock.monotonicMs();
-    this.#owned.add(setPeriodic(clock, TICK_MS, () => this.#tick()));
+    this.#owned.add(
+      setAligned(clock, TICK_MS, this.#phaseMs, () => this.#tick()),
+    );
     this.#updatePeers();
   }
 
-  /** Tells the others that this daemon takes no new work. */
+  /** {@inheritDoc Membership.announceLeaving} */
   announceLeaving(): void {
     this.#announce("leaving");
   }
@@ -153,8 +162,8 @@
     this.#announce("gone");
   }
 
-  /** Takes the platform's list of entry hosts, which lags behind. */
-  applyHostList(hosts: readonly ListedHost[]): void {
+  /** {@inheritDoc Membership.applyHostList} */
+  applyHostList(hosts: readonly ListedMember[]): void {
     const nowMs = this.#services.clock.monotonicMs();
     const before = new Set(this.#listed.map(({ host }) => host));
     this.#listed = hosts;
@@ -224,14 +233,18 @@
     else this.#judgeZone(nowMs);
     this.#table.purge(nowMs);
     this.#publishChange();
-    this.#ticks++;
-    if (this.#ticks % TICKS_PER_HEARTBEAT !== 0) return;
+    if (!this.#isHeartbeatDue()) return;
     this.#channel.broadcast(this.#heartbeat());
     this.#news.endRound();
     this.#avoidSilentPartners(nowMs);
     if (this.#arePeersStale) this.#updatePeers();
   }
 
+  #isHeartbeatDue(): boolean {
+    const sincePhaseMs = this.#services.clock.nowMs() - this.#phaseMs;
+    return Math.round(sincePhaseMs / TICK_MS) % TICKS_PER_HEARTBEAT === 0;
+  }
+
   /** Only members of a zone judge its members: they all hear each other. */
   #judgeZone(nowMs: number): void {
     for (const record of [...this.#table.presentIn(this.#own.zone)]) {
@@ -404,8 +417,10 @@
     if (!isNewer(rumour, this.#own)) return;
     const { logger } = this.#services;
     logger.log("warn", "member-rumour-refuted", { status: rumour.status });
+    // A start of this host that is said to be later had the clock ahead of now.
+    const isOfOtherStart = rumour.incarnation > this.#own.incarnation;
     this.#replaceOwn({
-      incarnation: rumour.incarnation,
+      incarnation: rumour.incarnation + (isOfOtherStart ? 1 : 0),
       version: rumour.version + 1,
     });
     this.#channel.broadcast(this.#heartbeat());
--- a/standins/world/world.ts
+++ b/standins/world/world.ts
@@ -14,6 +14,7 @@
 import { BookingApp } from "../app/booking_app.ts";
 import { EngineModel } from "../engine/engine_model.ts";
 import type { EngineOptions } from "../engine/engine_options.ts";
+import { HostListModel } from "../hosts/host_list_model.ts";
 import { InProcessNetwork } from "../peers/in_process_links.ts";
 import { KvStore } from "../store/kv_store.ts";
 import { WorldHost } from "./world_host.ts";
@@ -57,6 +58,7 @@
   readonly clock = new ManualClock();
   readonly store = new KvStore(this.clock);
   readonly network = new InProcessNetwork();
+  readonly hostList = new HostListModel(this.clock);
   readonly engines = new Map<string, EngineModel>();
   readonly apps = new Map<string, BookingApp>();
   readonly enginesByAddress = new Map<Address, EngineModel>();
@@ -67,6 +69,7 @@
   readonly desired = new Map<string, DesiredState>();
   readonly options: WorldOptions;
   readonly #hasher: Hasher;
+  readonly #classLimitsMs = new Map<string, number>();
 
   private constructor(options: WorldOptions, hasher: Hasher) {
     this.options = options;
@@ -98,6 +101,32 @@
     return findOrThrow(this.apps, name, "app");
   }
 
+  /** @returns An endpoint by its id. */
+  endpoint(id: string): WorldEndpoint {
+    const byId = new Map(this.endpoints.map((known) => [known.id, known]));
+    return findOrThrow(byId, id, "endpoint");
+  }
+
+  /** Writes the team's document with another limit for a class. */
+  setClassLimit(name: string, maxWaitMs: number): void {
+    this.#classLimitsMs.set(name, maxWaitMs);
+    this.writeTeamDocument();
+  }
+
+  /** Puts an endpoint on the host list. */
+  listEndpoint(id: string, state: "live" | "leaving"): void {
+    const { service, zone, address } = this.endpoint(id);
+    const team = `${WORLD_TEAM}/${service}`;
+    const labels = {
+      role: "endpoint",
+      service: team,
+      endpoint: id,
+      zone,
+      state,
+    };
+    this.hostList.set(id, { targets: [address], labels });
+  }
+
   /** Kills a host's process. */
   crashHost(name: string): void {
     this.host(name).kill();
@@ -208,7 +237,12 @@
             .map(({ id, address, zone }) => ({ id, address, zone })),
         }]),
       ),
-      classes,
+      classes: Object.fromEntries(
+        Object.entries(classes).map(([name, config]) => {
+          const maxWaitMs = this.#classLimitsMs.get(name);
+          return [name, maxWaitMs ? { ...config, maxWaitMs } : config];
+        }),
+      ),
       routes: Object.entries(services).map(([service, config]) =>
         config.kind === "engine"
           ? { kind: "generation", model: service, service, classes: classNames }
