--- a/src/features/generations/common/connection_set.ts
+++ b/src/features/generations/common/connection_set.ts
@@ -53,6 +53,11 @@
     return this.#open.length;
   }
 
+  /** @returns Whether a connection is open that was opened later. */
+  hasNewerThan({ number }: Connection): boolean {
+    return this.#open.some((other) => other.number > number);
+  }
+
   /**
    * Opens one more connection.
    *
--- a/src/features/generations/common/stream_relay.ts
+++ b/src/features/generations/common/stream_relay.ts
@@ -66,6 +66,8 @@
 const MAX_RECONNECT_WAIT_ATTEMPT = 5;
 /** Time without any connection after which a generation counts as lost. */
 const RECONNECT_WINDOW_MS = 4_000;
+/** The same while a silent connection is left. */
+const SILENT_RECONNECT_WINDOW_MS = 15_000;
 /** The same while the request may still be run elsewhere. */
 const RESTARTABLE_RECONNECT_WINDOW_MS = 500;
 /** A port without a process for so long means that the engine has died. */
@@ -252,7 +254,7 @@
     endpoint: EndpointState,
     detail: string,
   ): void {
-    if (this.#connections.size > 0) return;
+    if (this.#connections.hasNewerThan(connection)) return;
     const { clock, retries } = this.#services;
     const nowMs = clock.monotonicMs();
     const wasStable = connection.isAccepted &&
@@ -273,6 +275,7 @@
 
   #reconnectWindowMs(endpoint: EndpointState): number {
     if (endpoint === "dead") return DOWN_WINDOW_MS;
+    if (this.#connections.size > 0) return SILENT_RECONNECT_WINDOW_MS;
     return this.#listener.mayRestart()
       ? RESTARTABLE_RECONNECT_WINDOW_MS
       : RECONNECT_WINDOW_MS;
--- a/src/features/generations/common/stream_relay_test.ts
+++ b/src/features/generations/common/stream_relay_test.ts
@@ -165,6 +165,23 @@
     expect(connections[1]!.fromOffset).toBe(31);
   });
 
+  it("gives a dead endpoint up whose connection never breaks", () => {
+    const fixture = createRelay();
+    sendSteadily(fixture, 30);
+    const { clock, connections, ends } = fixture;
+    for (let next = 1; ends.length === 0 && next < 1_000;) {
+      clock.advance(10);
+      if (connections.length <= next) continue;
+      connections[next++]!.listener.onClosed({
+        kind: "not-run",
+        reason: "down",
+        detail: "",
+      });
+    }
+    expect(ends).toMatchObject([{ kind: "lost", endpoint: "dead" }]);
+    expect(clock.monotonicMs()).toBeLessThan(2_000);
+  });
+
   it.each(
     [
       [false, "unreachable", 4_000],
--- a/standins/engine/engine_model.ts
+++ b/standins/engine/engine_model.ts
@@ -44,6 +44,8 @@
     started: 0,
     crashes: 0,
   };
+  /** Prompts of all generations that were started, crashes included. */
+  readonly startedPrompts = new Map<GenerationId, string>();
   readonly #clock: Clock;
   readonly #sequences = new Map<GenerationId, Sequence>();
   #queue: Sequence[] = [];
@@ -106,6 +108,7 @@
     const length = this.options.lengthOf(request);
     const sequence = new Sequence(request, length, this.#arrivals++);
     this.counts.started++;
+    this.startedPrompts.set(request.id, request.prompt);
     this.#sequences.set(request.id, sequence);
     sequence.attach(reader, 0);
     this.#enqueue(sequence);
