Measure outcomes over real sockets under a fault every 200 ms

Cause: the promises were proved in-process only; no figure stood for requests over sockets while engines, apps, links and hosts fail.

The bench sends 20,000 requests of 100 callers to three daemons and compares what callers were told with what engines and apps ran. Poison requests join the random schedules and the pairs of faults.

The daemons had no links to each other, and nothing held a lease that could lapse.

--- /dev/null
+++ b/bench/benches/outcomes.ts
@@ -0,0 +1,144 @@
+/** Requests over real sockets under a fault every 200 ms. */
+
+import { SeededRandom } from "../../src/base/common/random.ts";
+import type { Bench, BenchOptions } from "../bench.ts";
+import {
+  BenchCallers,
+  type ReceivedCall,
+  type ReceivedGeneration,
+} from "../outcomes/bench_callers.ts";
+import { FaultInjector } from "../outcomes/fault_injector.ts";
+import { LoopbackDeployment } from "../outcomes/loopback_deployment.ts";
+import { OutcomeTally } from "../outcomes/outcome_tally.ts";
+
+const DEFAULT_REQUESTS = 20_000;
+const CONCURRENT_CALLERS = 100;
+const MIN_TOKENS = 5;
+const MAX_TOKENS = 60;
+const NOTE_EVERY = 2_000;
+const RESUME_PERCENTILE = 0.99;
+
+/** What a caller sends. */
+type BenchRequest =
+  | {
+    readonly kind: "stream" | "whole";
+    readonly prompt: string;
+    readonly tokens: number;
+  }
+  | {
+    readonly kind: "call";
+    readonly body: string;
+    readonly key: string | undefined;
+  };
+
+interface Results {
+  readonly generations: (readonly [ReceivedGeneration, number])[];
+  readonly calls: ReceivedCall[];
+}
+
+/** The bench. */
+export const bench: Bench = {
+  description: "outcomes of requests under a fault every 200 ms",
+  run: runOutcomes,
+};
+
+async function runOutcomes(options: BenchOptions): Promise<object> {
+  const requestCount = Number(options.args[0] ?? DEFAULT_REQUESTS);
+  const random = new SeededRandom(options.seed);
+  const deployment = new LoopbackDeployment();
+  await deployment.start();
+  const faults = new FaultInjector(
+    deployment,
+    new SeededRandom(options.seed + 1),
+  );
+  const resumesMs: number[] = [];
+  const callers = createCallers(deployment, faults, random, resumesMs);
+  const results: Results = { generations: [], calls: [] };
+  const startedMs = deployment.clock.monotonicMs();
+  let sent = 0;
+  const runCaller = async (): Promise<void> => {
+    while (sent < requestCount) {
+      if (sent % NOTE_EVERY === 0) options.printNote(`${sent} requests sent`);
+      await sendRequest(callers, createRequest(sent++, random), results);
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENT_CALLERS }, runCaller));
+  const durationMs = deployment.clock.monotonicMs() - startedMs;
+  faults.dispose();
+  const tally = new OutcomeTally(
+    deployment.engines.map(({ model }) => model),
+    deployment.apps.map(({ model }) => model),
+  );
+  for (const [received, tokens] of results.generations) {
+    tally.addGeneration(received, tokens);
+  }
+  for (const received of results.calls) tally.addCall(received);
+  await callers.close();
+  await faults.settle();
+  await deployment.stop();
+  return {
+    ...tally.figures(),
+    resumes: resumesMs.length,
+    resumeP50Ms: percentile(resumesMs, 0.5),
+    resumeP99Ms: percentile(resumesMs, RESUME_PERCENTILE),
+    faults: Object.fromEntries(faults.counts),
+    durationMs: Math.round(durationMs),
+  };
+}
+
+function createCallers(
+  deployment: LoopbackDeployment,
+  faults: FaultInjector,
+  random: SeededRandom,
+  resumesMs: number[],
+): BenchCallers {
+  const { clock } = deployment;
+  return new BenchCallers({
+    clock,
+    pickDaemon: () => random.pick(deployment.daemons).callerAddress,
+    onToken: (id, previousMs) => {
+      const silencedMs = faults.silencedMs.get(id);
+      if (silencedMs === undefined || previousMs > silencedMs) return;
+      faults.silencedMs.delete(id);
+      resumesMs.push(clock.monotonicMs() - silencedMs);
+    },
+    onResumed: (resumeMs) => resumesMs.push(resumeMs),
+  });
+}
+
+/** Seven of ten are streams; the rest are whole answers and calls. */
+function createRequest(number: number, random: SeededRandom): BenchRequest {
+  const kind = random.int(0, 9);
+  if (kind >= 8) {
+    const body = `booking ${number}`;
+    return {
+      kind: "call",
+      body,
+      key: kind === 8 ? `key ${number}` : undefined,
+    };
+  }
+  const tokens = random.int(MIN_TOKENS, MAX_TOKENS);
+  const prompt = `timetable ${number} #tokens=${tokens}`;
+  return { kind: kind === 7 ? "whole" : "stream", prompt, tokens };
+}
+
+async function sendRequest(
+  callers: BenchCallers,
+  request: BenchRequest,
+  results: Results,
+): Promise<void> {
+  if (request.kind === "call") {
+    results.calls.push(await callers.call(request.body, request.key));
+    return;
+  }
+  const { kind, prompt, tokens } = request;
+  const received = kind === "stream"
+    ? await callers.generate(prompt)
+    : await callers.generateWhole(prompt);
+  results.generations.push([received, tokens]);
+}
+
+function percentile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return Math.round(sorted[Math.floor((sorted.length - 1) * share)] ?? 0);
+}
--- /dev/null
+++ b/bench/outcomes/loopback_deployment.ts
@@ -0,0 +1,190 @@
+/** Daemons and stand-ins on loopback ports, with faults. */
+
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { sleep } from "../../src/base/common/clock.ts";
+import {
+  type Address,
+  asId,
+  type HostId,
+  type ZoneName,
+} from "../../src/base/common/ids.ts";
+import { SystemClock } from "../../src/base/node/system_clock.ts";
+import { hashApiKey } from "../../src/daemon/node/caller_identity.ts";
+import { Daemon } from "../../src/daemon/node/daemon.ts";
+import { TEAM_KEY_PREFIX } from "../../src/features/configuration/common/configuration.ts";
+import { daemonSettingsSchema } from "../../src/platform/settings/common/daemon_settings.ts";
+import { createAppServer } from "../../standins/app/app_server.ts";
+import { BookingApp } from "../../standins/app/booking_app.ts";
+import { EngineModel } from "../../standins/engine/engine_model.ts";
+import { createEngineServer } from "../../standins/engine/engine_server.ts";
+import { KvStore } from "../../standins/store/kv_store.ts";
+import { createStoreServer } from "../../standins/store/store_server.ts";
+
+/** API key of the bench's workspace. */
+export const BENCH_API_KEY = "bench-key-of-the-only-workspace";
+
+const ZONE = "lalitpur-hall";
+const ENGINE_COUNT = 4;
+const APP_COUNT = 2;
+const HOST_COUNT = 3;
+const ENGINE_STEP_MS = 4;
+const KEEP_ENDED_MS = 5_000;
+const RESUME_WINDOW_MS = 2_000;
+const READY_POLL_MS = 10;
+
+/** A stand-in behind a port that can be closed and opened again. */
+class LoopbackServer {
+  address = asId<Address>("");
+  readonly #create: () => Server;
+  #server: Server | undefined;
+
+  constructor(create: () => Server) {
+    this.#create = create;
+  }
+
+  /** Opens the port; the same one each time. */
+  async open(): Promise<void> {
+    const server = this.#create();
+    this.#server = server;
+    const port = Number(this.address.split(":")[1] ?? 0);
+    await new Promise<void>((resolve) =>
+      server.listen(port, "127.0.0.1", resolve)
+    );
+    const address = server.address() as AddressInfo;
+    this.address = asId<Address>(`127.0.0.1:${address.port}`);
+  }
+
+  /** Breaks all connections and closes the port. */
+  async close(): Promise<void> {
+    const server = this.#server;
+    this.#server = undefined;
+    server?.closeAllConnections();
+    await new Promise((resolve) => server ? server.close(resolve) : resolve(0));
+  }
+}
+
+/** A stand-in with its port. */
+interface Served<T> {
+  readonly model: T;
+  readonly server: LoopbackServer;
+}
+
+/** The deployment that the bench disturbs. */
+export class LoopbackDeployment {
+  readonly clock = new SystemClock();
+  readonly store = new KvStore(this.clock);
+  readonly engines: Served<EngineModel>[] = [];
+  readonly apps: Served<BookingApp>[] = [];
+  /** Daemons that the platform's balancer sends callers to. */
+  readonly daemons: Daemon[] = [];
+  readonly #storeServer = new LoopbackServer(
+    () => createStoreServer(this.clock, this.store),
+  );
+  readonly #restarting = new Set<Served<unknown>>();
+  readonly #engineStepMs: number;
+  #hosts = 0;
+
+  /** @param options - Differences from the bench's deployment. */
+  constructor(options: { readonly engineStepMs?: number } = {}) {
+    this.#engineStepMs = options.engineStepMs ?? ENGINE_STEP_MS;
+  }
+
+  /** Starts everything and waits until the daemons are ready. */
+  async start(): Promise<void> {
+    await this.#storeServer.open();
+    for (let count = 0; count < ENGINE_COUNT; count++) {
+      const model = new EngineModel(this.clock, {
+        baseStepMs: this.#engineStepMs,
+        keepEndedMs: KEEP_ENDED_MS,
+      });
+      const server = new LoopbackServer(() => createEngineServer(model));
+      await server.open();
+      this.engines.push({ model, server });
+    }
+    for (let count = 0; count < APP_COUNT; count++) {
+      const model = new BookingApp(this.clock);
+      const server = new LoopbackServer(() => createAppServer(model));
+      await server.open();
+      this.apps.push({ model, server });
+    }
+    this.#writeDocument();
+    for (let count = 0; count < HOST_COUNT; count++) await this.startDaemon();
+  }
+
+  /** Starts one more daemon and gives it to the balancer when it is ready. */
+  async startDaemon(): Promise<void> {
+    const settings = daemonSettingsSchema.parse({
+      host: asId<HostId>(`host-${this.#hosts++}`),
+      zone: asId<ZoneName>(ZONE),
+      listen: {
+        callers: "127.0.0.1:0",
+        peers: "127.0.0.1:0",
+        operators: "127.0.0.1:0",
+      },
+      store: { addresses: [this.#storeServer.address] },
+      limits: { resumeWindowMs: RESUME_WINDOW_MS },
+      secrets: {
+        signingKeys: [{ id: "k1", source: { env: "UNUSED" } }],
+        peer: { env: "UNUSED" },
+        operator: { env: "UNUSED" },
+      },
+    });
+    const daemon = await Daemon.start(settings, {
+      signingKeys: [{ id: "k1", secret: "bench-signing-secret-0123" }],
+      operatorKey: "bench-operator-key-0123456789",
+    });
+    while (!daemon.isReady) await sleep(this.clock, READY_POLL_MS);
+    this.daemons.push(daemon);
+  }
+
+  /** Kills a stand-in's process and starts it anew after a while. */
+  async crash(
+    served: Served<EngineModel> | Served<BookingApp>,
+    downMs: number,
+  ): Promise<void> {
+    if (this.#restarting.has(served)) return;
+    this.#restarting.add(served);
+    if (served.model instanceof EngineModel) served.model.crash();
+    await served.server.close();
+    await sleep(this.clock, downMs);
+    if (served.model instanceof EngineModel) served.model.restart();
+    await served.server.open();
+    this.#restarting.delete(served);
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.abort()));
+    const servers = [...this.engines, ...this.apps].map(({ server }) => server);
+    await Promise.all(
+      [...servers, this.#storeServer].map((server) => server.close()),
+    );
+  }
+
+  #writeDocument(): void {
+    const toEndpoints = (kind: string, served: readonly Served<unknown>[]) =>
+      served.map(({ server: { address } }, index) => ({
+        id: `${kind}-${index}`,
+        address,
+        zone: ZONE,
+      }));
+    const document = {
+      workspaces: { office: { apiKeyHashes: [hashApiKey(BENCH_API_KEY)] } },
+      services: {
+        llm: { kind: "engine", endpoints: toEndpoints("engine", this.engines) },
+        app: { kind: "app", endpoints: toEndpoints("app", this.apps) },
+      },
+      classes: { normal: { priority: 3, maxWaitMs: 10_000 } },
+      routes: [
+        { kind: "generation", model: "m", service: "llm", classes: ["normal"] },
+        { kind: "call", prefix: "/app", service: "app", classes: ["normal"] },
+      ],
+    };
+    this.store.put({
+      key: `${TEAM_KEY_PREFIX}team`,
+      value: JSON.stringify(document),
+      expectedRevision: 0,
+    });
+  }
+}
--- /dev/null
+++ b/bench/outcomes/outcome_tally.ts
@@ -0,0 +1,115 @@
+/** Compares what callers were told with what endpoints did. */
+
+import type { BookingApp } from "../../standins/app/booking_app.ts";
+import type { EngineModel } from "../../standins/engine/engine_model.ts";
+import { tokenText } from "../../standins/engine/engine_options.ts";
+import type {
+  CallerOutcome,
+  ReceivedCall,
+  ReceivedGeneration,
+} from "./bench_callers.ts";
+
+/** Result of the bench. */
+export interface OutcomeFigures {
+  readonly requests: number;
+  /** Completed, but not whole. */
+  readonly lost: number;
+  /** Tokens delivered twice, or calls run twice. */
+  readonly doubled: number;
+  /** Answers that belong to another request or to two generations. */
+  readonly crossed: number;
+  /** Requests that ran though `not-run` was said. */
+  readonly falseNotRun: number;
+  readonly completedShare: number;
+  readonly notRunShare: number;
+  readonly unknownShare: number;
+  readonly interruptedShare: number;
+  /** Connections that broke before an answer began. */
+  readonly noAnswerShare: number;
+}
+
+/** Counts violations and outcomes. */
+export class OutcomeTally {
+  readonly #apps: readonly BookingApp[];
+  readonly #promptsById = new Map<string, string>();
+  readonly #startedPrompts = new Set<string>();
+  readonly #outcomes = new Map<CallerOutcome, number>();
+  #requests = 0;
+  #lost = 0;
+  #doubled = 0;
+  #crossed = 0;
+  #falseNotRun = 0;
+
+  /**
+   * @param engines - What ran the generations.
+   * @param apps - What ran the calls.
+   */
+  constructor(
+    engines: readonly EngineModel[],
+    apps: readonly BookingApp[],
+  ) {
+    this.#apps = apps;
+    for (const { startedPrompts } of engines) {
+      for (const [id, prompt] of startedPrompts) {
+        this.#promptsById.set(id, prompt);
+        this.#startedPrompts.add(prompt);
+      }
+    }
+  }
+
+  /** Checks a generation of a known length. */
+  addGeneration(received: ReceivedGeneration, lengthTokens: number): void {
+    const { tokens, prompt, outcome } = received;
+    this.#addOutcome(outcome);
+    const id = tokens[0]?.id;
+    const isOwn = tokens.every((token) =>
+      token.id === id && token.text === tokenText(token.id, token.offset) &&
+      this.#promptsById.get(token.id) === prompt
+    );
+    if (!isOwn) this.#crossed++;
+    const offsets = new Set(tokens.map(({ offset }) => offset));
+    if (offsets.size !== tokens.length) this.#doubled++;
+    const isInOrder = tokens.every(({ offset }, index) => offset === index);
+    const isShort = outcome === "completed" && tokens.length !== lengthTokens;
+    if (!isInOrder || isShort) this.#lost++;
+    if (outcome === "not-run" && this.#startedPrompts.has(prompt)) {
+      this.#falseNotRun++;
+    }
+  }
+
+  /** Checks a plain call. */
+  addCall({ body, outcome, booked }: ReceivedCall): void {
+    this.#addOutcome(outcome);
+    const runs = this.#apps.reduce((sum, app) => sum + app.runsOf(body), 0);
+    if (runs > 1) this.#doubled++;
+    if (outcome === "completed" && runs === 0) this.#lost++;
+    if (outcome === "completed" && booked !== body) this.#crossed++;
+    if (outcome === "not-run" && runs > 0) this.#falseNotRun++;
+  }
+
+  /** The figures of all that was added. */
+  figures(): OutcomeFigures {
+    return {
+      requests: this.#requests,
+      lost: this.#lost,
+      doubled: this.#doubled,
+      crossed: this.#crossed,
+      falseNotRun: this.#falseNotRun,
+      completedShare: this.#shareOf("completed"),
+      notRunShare: this.#shareOf("not-run"),
+      unknownShare: this.#shareOf("unknown"),
+      interruptedShare: this.#shareOf("interrupted"),
+      noAnswerShare: this.#shareOf("no-answer"),
+    };
+  }
+
+  #addOutcome(outcome: CallerOutcome): void {
+    this.#requests++;
+    this.#outcomes.set(outcome, (this.#outcomes.get(outcome) ?? 0) + 1);
+  }
+
+  #shareOf(outcome: CallerOutcome): number {
+    const share = (this.#outcomes.get(outcome) ?? 0) / this.#requests;
+    return Number(share.toFixed(4));
+  }
+}
--- a/scenarios/outcomes/model_steps.ts
+++ b/scenarios/outcomes/model_steps.ts
@@ -11,6 +11,8 @@
     readonly workspace: string;
     readonly tokens: number;
     readonly delivery: "stream" | "whole";
+    /** Crashes its engine; all of one workspace are the same request. */
+    readonly isPoison: boolean;
   }
   | {
     readonly kind: "call";
@@ -113,6 +115,7 @@
       workspace,
       tokens: fc.integer({ min: 1, max: 40 }),
       delivery: fc.constantFrom("stream" as const, "whole" as const),
+      isPoison: fc.constantFrom(...Array<boolean>(9).fill(false), true),
     }),
   },
   {
--- a/src/daemon/node/caller_front.ts
+++ b/src/daemon/node/caller_front.ts
@@ -46,6 +46,9 @@
   return server;
 }
 
+/** Paths of generations that run or have run. */
+const GENERATIONS_PATH = "/v1/generations/";
+
 /** A host that is not ready refuses, and tells the balancer by `/readyz`. */
 function addReadiness(server: FastifyInstance, { core }: FrontServices): void {
   server.get("/healthz", () => ({ status: "alive" }));
@@ -65,6 +68,10 @@
         core.isDraining ? "draining" : "not-ready",
         "this host takes no requests now; send it again",
       ),
+      // A generation that is resumed has been run.
+      ...(request.url.startsWith(GENERATIONS_PATH)
+        ? { outcome: "interrupted" as const }
+        : {}),
       isRetryable: true,
       retryAfterMs: NOT_READY_RETRY_MS,
     });
--- a/standins/store/kv_store.ts
+++ b/standins/store/kv_store.ts
@@ -202,6 +202,11 @@
     for (const key of lease.keys) if (this.#entries.has(key)) this.#remove(key);
   }
 
+  /** All leases end, though their holders believe that they still hold them. */
+  lapseLeases(): void {
+    for (const id of [...this.#leases.keys()]) this.revokeLease(id);
+  }
+
   #bindToLease({ key, leaseId }: StorePut): void {
     for (const lease of this.#leases.values()) lease.keys.delete(key);
     if (leaseId !== undefined) this.#leases.get(leaseId)?.keys.add(key);
