Let a reclaimed engine come back, and count only waits against the wait limit

Cause: an engine that refused work as leaving was marked in the directory, and nothing took the mark back when it restarted. A whole answer whose engine died late was refused a second endpoint, since the time that it had run counted as waiting. Refusals of a leaving engine used up the retry budget.

The refusal is now noted for a minute, only so that the engine's end accuses nobody; it costs no budget. The deadline of each attempt is what is left of the wait. Timers of the quarantine end with their runs.

--- a/bench/outcomes/loopback_deployment.ts
+++ b/bench/outcomes/loopback_deployment.ts
@@ -29,8 +29,10 @@
 const APP_COUNT = 2;
 const HOST_COUNT = 3;
 const ENGINE_STEP_MS = 4;
-const KEEP_ENDED_MS = 5_000;
+const KEEP_ENDED_MS = 2_000;
 const RESUME_WINDOW_MS = 2_000;
+/** Kept generations and resume windows end within this time. */
+const LAST_TIMER_MS = 2_500;
 const READY_POLL_MS = 10;
 
 /** A stand-in behind a port that can be closed and opened again. */
@@ -153,13 +155,14 @@
     this.#restarting.delete(served);
   }
 
-  /** Stops everything. */
+  /** Stops everything, and waits until no timer is left. */
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.abort()));
     const servers = [...this.engines, ...this.apps].map(({ server }) => server);
     await Promise.all(
       [...servers, this.#storeServer].map((server) => server.close()),
     );
+    await sleep(this.clock, LAST_TIMER_MS);
   }
 
   #writeDocument(): void {
--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -101,7 +101,6 @@
       configuration: table,
       dispatcher,
       retries,
-      endpoints,
       quarantine,
       admission: new IsolatedAdmission({
         clock,
--- a/src/features/generations/common/relay_services.ts
+++ b/src/features/generations/common/relay_services.ts
@@ -7,7 +7,6 @@
 import type { Metrics } from "../../../platform/metrics/common/metrics.ts";
 import type { Configuration } from "../../configuration/common/configuration.ts";
 import type { Dispatcher } from "../../dispatch/common/dispatcher.ts";
-import type { EndpointDirectory } from "../../endpoints/common/endpoint_directory.ts";
 import type { IsolatedAdmission } from "../../quarantine/common/isolated_admission.ts";
 import type { Quarantine } from "../../quarantine/common/quarantine.ts";
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
@@ -26,7 +25,6 @@
   readonly logger: Logger;
   readonly signer: Signer;
   readonly retries: RetryBudget;
-  readonly endpoints: EndpointDirectory;
   readonly admission: IsolatedAdmission;
   readonly quarantine: Quarantine;
   readonly followers: GenerationFollowers;
--- a/src/features/generations/common/started_generation.ts
+++ b/src/features/generations/common/started_generation.ts
@@ -60,10 +60,11 @@
   readonly #abort = new AbortController();
   readonly #excluded: EndpointId[] = [];
   readonly #window = new ResumeWindow();
-  readonly #deadlineMs: number | undefined;
   readonly #identity: RequestIdentity;
   #run: Run | undefined;
   #attempts = 0;
+  /** Time spent waiting for endpoints, in all attempts. */
+  #waitedMs = 0;
   #whole: Token[] = [];
   #deliveredTokens = 0;
   /** Whether the caller has the id, so that it can resume. */
@@ -105,9 +106,6 @@
         request.prompt,
       ]),
     };
-    this.#deadlineMs = request.maxWaitMs === undefined
-      ? undefined
-      : services.clock.nowMs() + request.maxWaitMs;
   }
 
   /** Asks for a grant and starts the generation with it. */
@@ -123,7 +121,7 @@
     const granted = await this.#services.admission.acquire(
       {
         ...this.#request,
-        deadlineMs: this.#deadlineMs,
+        deadlineMs: this.#deadlineMs(),
         excludedEndpoints: this.#excluded,
       },
       this.#identity.fingerprint,
@@ -174,6 +172,14 @@
     if (this.#isCallerGone && this.#run && !this.#isEnded) this.#startWindow();
   }
 
+  /** The time that attempts ran does not count as a wait. */
+  #deadlineMs(): number | undefined {
+    const { maxWaitMs } = this.#request;
+    if (maxWaitMs === undefined) return undefined;
+    const leftMs = Math.max(0, maxWaitMs - this.#waitedMs);
+    return this.#services.clock.nowMs() + leftMs;
+  }
+
   #startWindow(): void {
     const { clock, resumeWindowMs } = this.#services;
     this.#window.start(clock, resumeWindowMs, () => this.#cancelAbandoned());
@@ -186,6 +192,7 @@
       dispatcher.release(grant.id, "not-run", 0);
       return;
     }
+    this.#waitedMs += grant.waitMs;
     this.#times.recordQueueWait(grant.waitMs);
     const id = this.#createId(grant);
     const relay = new StreamRelay(this.#services, grant.endpoint, id, 0, {
@@ -291,10 +298,11 @@
     const endpoint = this.#endRun("not-run");
     if (end.isLeaving && endpoint) {
       const { service } = this.#request;
-      this.#services.endpoints.markLeaving(service, endpoint.id, "engine");
+      this.#services.quarantine.noteLeaving({ service, endpoint: endpoint.id });
     }
     this.#restartOrFail(
       this.#createFailure("endpoint-refused", end.detail, endpoint?.address),
+      end.isLeaving,
     );
   }
 
@@ -322,10 +330,10 @@
   }
 
   /** A restart is allowed only while the caller has nothing of this run. */
-  #restartOrFail(failure: Failure): void {
-    const { clock, retries } = this.#services;
+  #restartOrFail(failure: Failure, isLeaving = false): void {
+    const { clock } = this.#services;
     const retryWaitMs = this.#mayRestart()
-      ? retries.tryRetry(this.#request.service, this.#attempts)
+      ? this.#retryWaitMs(isLeaving)
       : undefined;
     if (retryWaitMs === undefined) {
       this.#fail(failure);
@@ -335,6 +343,14 @@
     this.#retryTimer = clock.setTimer(retryWaitMs, () => void this.begin());
   }
 
+  /** An endpoint that leaves in order does not use up the budget. */
+  #retryWaitMs(isLeaving: boolean): number | undefined {
+    const { retries } = this.#services;
+    return isLeaving
+      ? retries.jitteredWaitMs(this.#attempts)
+      : retries.tryRetry(this.#request.service, this.#attempts);
+  }
+
   #mayRestart(): boolean {
     return !this.#isAnnounced && !this.#isCallerGone &&
       this.#attempts < MAX_ATTEMPTS;
--- a/src/features/quarantine/common/quarantine.ts
+++ b/src/features/quarantine/common/quarantine.ts
@@ -69,9 +69,13 @@
 const ISOLATION_MS = 5_000;
 /** Runs that died count as co-runners of each other for this time. */
 const CO_RUNNER_MS = 10_000;
+/** An endpoint that has refused work as leaving is gone after this time. */
+const LEAVING_MS = 60_000;
 
 interface Run extends RequestIdentity, RunPlace {
   readonly claim: EndpointClaim | undefined;
+  /** When its endpoint died, on the monotonic clock. */
+  diedMs: number | undefined;
 }
 
 /** Suspects and quarantined requests, shared between the daemons. */
@@ -81,6 +85,7 @@
   readonly #table: SuspectTable;
   readonly #channel: PeerChannel<QuarantineMessage>;
   readonly #runs = new Map<string, Set<Run>>();
+  readonly #leavingUntilMs = new Map<string, number>();
   readonly #owned = new DisposableStore();
 
   /** @param services - What the quarantine works with. */
@@ -137,26 +142,44 @@
     claim: EndpointClaim | undefined,
   ): WatchedRun {
     const { workspace, fingerprint } = request;
-    const run: Run = { workspace, fingerprint, ...place, claim };
-    const key = endpointKey(place);
-    const runs = this.#runs.get(key) ?? new Set();
-    this.#runs.set(key, runs.add(run));
-    let hasToken = false;
+    const run: Run = {
+      workspace,
+      fingerprint,
+      ...place,
+      claim,
+      diedMs: undefined,
+    };
+    this.#addRun(run);
+    let isolation: Disposable | undefined;
     let isEnded = false;
     return {
       recordToken: () => {
-        if (hasToken || !claim) return;
-        hasToken = true;
-        this.#services.clock.setTimer(ISOLATION_MS, () => claim.dispose());
+        if (isolation || !claim) return;
+        isolation = this.#services.clock.setTimer(
+          ISOLATION_MS,
+          () => claim.dispose(),
+        );
       },
       end: (end) => {
         if (isEnded) return;
         isEnded = true;
+        isolation?.dispose();
         this.#endRun(run, end);
       },
     };
   }
 
+  /**
+   * Takes note that an endpoint refuses work because it is leaving, so that its
+   * end accuses nobody.
+   *
+   * @param place - The endpoint.
+   */
+  noteLeaving(place: RunPlace): void {
+    const untilMs = this.#services.clock.monotonicMs() + LEAVING_MS;
+    this.#leavingUntilMs.set(endpointKey(place), untilMs);
+  }
+
   /** @returns Requests that are refused now, for operators. */
   list(): readonly QuarantinedRequest[] {
     return this.#table.listQuarantined();
@@ -188,10 +211,7 @@
         break;
       case "endpoint-died":
         this.#accuse(run);
-        this.#services.clock.setTimer(
-          CO_RUNNER_MS,
-          () => this.#forgetRun(run),
-        );
+        run.diedMs = this.#services.clock.monotonicMs();
         break;
       case "other":
         this.#forgetRun(run);
@@ -204,10 +224,8 @@
 
   /** A death that was announced accuses nobody. */
   #accuse(run: Run): void {
-    const { clock, endpoints } = this.#services;
-    const known = endpoints.endpointsOf(run.service)
-      .find(({ id }) => id === run.endpoint);
-    if (!known || known.isLeaving) return;
+    if (this.#isLeaving(run)) return;
+    const { clock } = this.#services;
     this.#spread(
       this.#table.recordDeath(run.workspace, run.fingerprint, {
         endpoint: endpointKey(run),
@@ -217,14 +235,40 @@
     );
   }
 
+  /** An endpoint that is no longer configured has left as well. */
+  #isLeaving(place: RunPlace): boolean {
+    const { clock, endpoints } = this.#services;
+    const known = endpoints.endpointsOf(place.service)
+      .find(({ id }) => id === place.endpoint);
+    const untilMs = this.#leavingUntilMs.get(endpointKey(place)) ?? 0;
+    return !known || known.isLeaving || untilMs > clock.monotonicMs();
+  }
+
   #otherWorkspaces(run: Run): WorkspaceId[] {
+    const oldestMs = this.#services.clock.monotonicMs() - CO_RUNNER_MS;
     const workspaces = new Set<WorkspaceId>();
-    for (const { workspace } of this.#runs.get(endpointKey(run)) ?? []) {
-      if (workspace !== run.workspace) workspaces.add(workspace);
+    for (
+      const { workspace, diedMs } of this.#runs.get(endpointKey(run)) ?? []
+    ) {
+      const isRecent = diedMs === undefined || diedMs >= oldestMs;
+      if (isRecent && workspace !== run.workspace) workspaces.add(workspace);
     }
     return [...workspaces].slice(0, MAX_OTHER_WORKSPACES);
   }
 
+  /** Runs that died stay for a while, as co-runners of the others there. */
+  #addRun(run: Run): void {
+    const key = endpointKey(run);
+    const runs = this.#runs.get(key) ?? new Set();
+    const oldestMs = this.#services.clock.monotonicMs() - CO_RUNNER_MS;
+    for (const other of runs) {
+      if (other.diedMs !== undefined && other.diedMs < oldestMs) {
+        runs.delete(other);
+      }
+    }
+    this.#runs.set(key, runs.add(run));
+  }
+
   #forgetRun(run: Run): void {
     const key = endpointKey(run);
     const runs = this.#runs.get(key);
