--- a/src/features/generations/node/hmac_signer_test.ts
+++ b/src/features/generations/node/hmac_signer_test.ts
@@ -25,6 +25,21 @@
     expect(decodeGenerationId(id, rotated)).toEqual(NAME);
   });
 
+  it("are known to hosts one step ahead or behind in a rotation", () => {
+    const steps = [
+      [OLD_KEY],
+      [OLD_KEY, NEW_KEY],
+      [NEW_KEY, OLD_KEY],
+      [NEW_KEY],
+    ].map((keys) => new HmacSigner(keys));
+    for (const [index, signer] of steps.entries()) {
+      const id = encodeGenerationId(NAME, signer);
+      for (const other of steps.slice(Math.max(0, index - 1), index + 2)) {
+        expect(decodeGenerationId(id, other)).toEqual(NAME);
+      }
+    }
+  });
+
   it("are refused when changed in any character or signed by a dropped key", () => {
     const signer = new HmacSigner([OLD_KEY]);
     const id = encodeGenerationId(NAME, signer);
