Weigh cached prefixes and crowding more

Cause: longer prompts in a step lengthen the gaps of all that run, and full batches lengthen every step; both weighed little against free memory.

Without effect or harmful: 0.5 ms between long prompts for each prompt token raised the gap p99 to 75 ms, since prompts went to endpoints without their prefix; it is taken out.

--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -64,7 +64,6 @@
   #failures = 0;
   #ejections = 0;
   #ejectedUntilMs = -Infinity;
-  #nextPrefillMs = -Infinity;
   readonly #rule: MarginRule;
 
   /**
@@ -197,16 +196,6 @@
     this.#slowStartMs = this.#ejectedUntilMs;
   }
 
-  /** @returns Whether a long prompt may be sent to the endpoint. */
-  mayPrefill(nowMs: number): boolean {
-    return nowMs >= this.#nextPrefillMs;
-  }
-
-  /** Keeps further long prompts away for a time. */
-  holdPrefills(durationMs: number, nowMs: number): void {
-    this.#nextPrefillMs = nowMs + durationMs;
-  }
-
   #startShare(nowMs: number): number {
     const progress = (nowMs - this.#slowStartMs) / SLOW_START_MS;
     if (progress >= 1) return 1;
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -418,7 +418,7 @@
 
   #grant(taken: Waiting, { state, baseTokens }: Placed, nowMs: number): void {
     const { request, forecast, workTokens } = taken;
-    const { policy, listener } = this.#options;
+    const { listener } = this.#options;
     this.#waiting.delete(request.id);
     this.#running.set(request.id, {
       request,
@@ -426,7 +426,6 @@
       chargedTokens: workTokens,
     });
     state.ledger.add(request.id, forecast, baseTokens);
-    state.holdPrefills(baseTokens * policy.prefillSpacingMsPerToken, nowMs);
     this.#index.expect(state.slot, request.blocks);
     this.#limits.onStart(request.workspace, workTokens, nowMs);
     // A grant without a wait says nothing of how fast a queue drains.
--- a/src/features/dispatch/common/group_policy.ts
+++ b/src/features/dispatch/common/group_policy.ts
@@ -16,8 +16,6 @@
   readonly lookAhead: number;
   /** Most grants on one endpoint before its own limit is known. */
   readonly slotLimit: number;
-  /** Least time between long prompts on one endpoint, per prompt token. */
-  readonly prefillSpacingMsPerToken: number;
   readonly maxQueued: number;
   readonly maxQueuedBytes: number;
   /** Part of the patience that the forecast wait may take. */
@@ -36,11 +34,10 @@
 
 const STALL_POLICY: GroupPolicy = {
   margin: STALL_MARGIN,
-  affinityWeight: 1,
-  crowdingTokens: 50,
+  affinityWeight: 4,
+  crowdingTokens: 400,
   lookAhead: 4,
   slotLimit: 256,
-  prefillSpacingMsPerToken: 0,
   maxQueued: 4_000,
   maxQueuedBytes: 256 * 1_024 * 1_024,
   patienceShare: 1.1,
@@ -58,8 +55,8 @@
     case "token-latency":
       return {
         ...STALL_POLICY,
-        crowdingTokens: 400,
-        prefillSpacingMsPerToken: 0.5,
+        affinityWeight: 8,
+        crowdingTokens: 1_000,
       };
   }
 }
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -12,9 +12,6 @@
 } from "./memory_profile.ts";
 import { MAX_GROUP_ENDPOINTS, type PrefixIndex } from "./prefix_index.ts";
 
-/** Prompts up to this length do not hold up a decode step noticeably. */
-const LONG_PREFILL_TOKENS = 400;
-
 /**
  * Expected length from which the whole margin is kept; a shorter answer ends
  * before the far forecast matters.
@@ -96,9 +93,6 @@
       );
       // An empty endpoint takes any request, or the largest would never run.
       if (headroom < 0 && state.ledger.size > 0) continue;
-      if (baseTokens > LONG_PREFILL_TOKENS && !state.mayPrefill(nowMs)) {
-        continue;
-      }
       const score = headroom + this.#policy.affinityWeight * cachedTokens -
         this.#policy.crowdingTokens * state.ledger.size;
       if (score <= bestScore) continue;
