Try only endpoints that gained room, and take foreign use off once

Cause: after each release all waiting heads were tried on all endpoints again. The part of a daemon that dispatches alone was reduced once more by the memory that the others hold, so that it could admit nothing on a busy endpoint. With more workspaces than histograms, each end of a request replaced a histogram.

--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -40,6 +40,16 @@
   readonly onQuiet: number;
 }
 
+/** What a request may use of an endpoint. */
+export interface Allowance {
+  /** Part of the endpoint that the dispatcher may use. */
+  readonly share: number;
+  /** Part of that memory that the request's class may use. */
+  readonly memoryShare: number;
+  /** Part of the margin that is kept free. */
+  readonly marginShare: number;
+}
+
 interface HeldSnapshot {
   readonly atMs: number;
   readonly heldTokens: number;
@@ -118,28 +128,35 @@
    * Memory that stays free at the future peak when a request is added.
    *
    * @param added - Profile of the request.
+   * @param allowance - What the request may use.
    * @param nowMs - The present.
-   * @param share - Part of the endpoint that this dispatcher may use.
-   * @param marginShare - Part of the margin that is kept free.
    * @returns Free memory in tokens; negative when it does not fit.
    */
   headroomWith(
     added: MemoryProfile,
+    allowance: Allowance,
     nowMs: number,
-    share: number,
-    marginShare: number,
   ): number {
+    const { share, memoryShare, marginShare } = allowance;
+    const usable = this.usableTokens(nowMs, share) * memoryShare;
     const deviations = this.#deviations * marginShare;
-    const usable = this.usableTokens(nowMs, share);
     return usable - this.ledger.peakWith(added, deviations, usable);
   }
 
-  /** @returns Memory that grants may use, in tokens. */
+  /**
+   * @param nowMs - The present.
+   * @param share - Part of the endpoint that this dispatcher may use.
+   * @returns Memory that its grants may use, in tokens.
+   */
   usableTokens(nowMs: number, share: number): number {
     const known = this.#isReportFresh(nowMs)
       ? this.#capacityTokens
       : this.#capacityTokens * CAPACITY_SHARE_WITHOUT_REPORT;
-    return known * share * this.#startShare(nowMs) - this.#foreignTokens;
+    // What others hold lies within their part, so it is not taken off twice.
+    return Math.min(
+      known * share * this.#startShare(nowMs),
+      known - this.#foreignTokens,
+    );
   }
 
   /**
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -87,6 +87,8 @@
   #states: EndpointState[] = [];
   /** Grows whenever an endpoint may have gained room. */
   #roomCounter = 0;
+  /** Endpoints that may have gained room when the counter last grew. */
+  #roomier: readonly EndpointState[] = [];
   #share = 1;
   #reducedUntilMs = -Infinity;
 
@@ -143,14 +145,14 @@
     }
     this.#states = kept;
     this.#refuseWithoutEndpoint();
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
   /** Sets the part of each endpoint that this dispatcher may use. */
   setShare(share: number, nowMs: number): void {
     this.#share = share;
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
@@ -171,7 +173,7 @@
       forecast,
       expectedTokens,
       profile,
-      noRoomAt: -1,
+      noRoomAt: -Infinity,
       workspace: request.workspace,
       className: request.className,
       priority: request.priority,
@@ -216,7 +218,7 @@
     this.#running.delete(id);
     const { request, state, chargedTokens } = running;
     state.ledger.remove(id);
-    this.#roomCounter++;
+    this.#noteRoom(this.#states.includes(state) ? [state] : []);
     const usedTokens = end === "not-run"
       ? 0
       : request.promptTokens + generatedTokens;
@@ -263,7 +265,7 @@
   /** All holders of grants have told theirs. */
   endTakeover(nowMs: number): void {
     this.#reducedUntilMs = -Infinity;
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
@@ -295,7 +297,7 @@
       this.#refuseWithoutEndpoint();
     }
     // Progress, reports and time itself may have made room since.
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
@@ -391,16 +393,19 @@
       const { request, expectedTokens, profile } = waiting;
       if (!this.#limits.mayRun(request.workspace, request.limit)) return "skip";
       if (waiting.noRoomAt === this.#roomCounter) return "wait";
+      // A request that had no room just before needs to try the rest only.
+      const isRetry = waiting.noRoomAt === this.#roomCounter - 1;
+      const states = isRetry ? this.#roomier : this.#states;
       const found = this.#placement.place(
         request,
         expectedTokens,
         profile,
-        this.#states,
+        states,
         share,
         this.#memoryShareOf(request),
         nowMs,
       );
-      if (found === "no-room") {
+      if (found === "no-room" || (isRetry && found === "no-endpoint")) {
         waiting.noRoomAt = this.#roomCounter;
         return "wait";
       }
@@ -416,6 +421,11 @@
     }
   }
 
+  #noteRoom(states: readonly EndpointState[]): void {
+    this.#roomCounter++;
+    this.#roomier = states;
+  }
+
   #grant(taken: Waiting, { state, baseTokens }: Placed, nowMs: number): void {
     const { request, forecast, workTokens } = taken;
     const { listener } = this.#options;
--- a/src/features/dispatch/common/length_knowledge.ts
+++ b/src/features/dispatch/common/length_knowledge.ts
@@ -11,6 +11,8 @@
 const MAX_CLASSES = 32;
 const MAX_WORKSPACE_HISTOGRAMS = 64;
 const MIN_WORKSPACE_SAMPLES = 40;
+/** Part of a workspace's samples that is left when its turn comes. */
+const AGEING = 0.9;
 /** Number of samples that the prior counts as. */
 const PRIOR_SAMPLES = 2;
 const PRIOR_SHORTEST_TOKENS = 16;
@@ -56,6 +58,7 @@
   observe(subject: LengthSubject, generatedTokens: number): void {
     this.#classHistogram(subject.className).add(generatedTokens);
     const lengths = this.#workspaceLengths(keyOf(subject));
+    if (!lengths) return;
     lengths.histogram.add(generatedTokens);
     lengths.samples++;
   }
@@ -71,27 +74,25 @@
     return histogram;
   }
 
-  #workspaceLengths(key: string): WorkspaceLengths {
+  /** Lengths of a workspace, unless busier ones take all the places. */
+  #workspaceLengths(key: string): WorkspaceLengths | undefined {
     const known = this.#workspaces.get(key);
     if (known) return known;
-    if (this.#workspaces.size >= MAX_WORKSPACE_HISTOGRAMS) this.#dropRarest();
+    const isFull = this.#workspaces.size >= MAX_WORKSPACE_HISTOGRAMS;
+    if (isFull && !this.#dropQuiet()) return undefined;
     const lengths = { histogram: new LengthHistogram(), samples: 0 };
     this.#workspaces.set(key, lengths);
     return lengths;
   }
 
-  /** Makes room; halved counts let a quiet workspace fall behind. */
-  #dropRarest(): void {
-    let rarest: string | undefined;
-    let fewest = Infinity;
-    for (const [key, lengths] of this.#workspaces) {
-      if (lengths.samples < fewest) {
-        rarest = key;
-        fewest = lengths.samples;
-      }
-      lengths.samples /= 2;
-    }
-    if (rarest !== undefined) this.#workspaces.delete(rarest);
+  /** Ages one workspace, in turn, and drops it when it has become quiet. */
+  #dropQuiet(): boolean {
+    const [key, lengths] = this.#workspaces.entries().next().value!;
+    this.#workspaces.delete(key);
+    lengths.samples *= AGEING;
+    if (lengths.samples < 1) return true;
+    this.#workspaces.set(key, lengths);
+    return false;
   }
 }
 
--- a/src/features/dispatch/common/memory_profile.ts
+++ b/src/features/dispatch/common/memory_profile.ts
@@ -24,8 +24,8 @@
 
 /** Mean and variance of memory at each horizon, in whole tokens. */
 export interface MemoryProfile {
-  readonly meanTokens: Float64Array;
-  readonly varianceTokens: Float64Array;
+  readonly meanTokens: number[];
+  readonly varianceTokens: number[];
 }
 
 /** Forecasts the memory of one request. */
@@ -50,8 +50,8 @@
 /** @returns A profile of zeros. */
 export function createProfile(): MemoryProfile {
   return {
-    meanTokens: new Float64Array(HORIZON_COUNT),
-    varianceTokens: new Float64Array(HORIZON_COUNT),
+    meanTokens: new Array<number>(HORIZON_COUNT).fill(0),
+    varianceTokens: new Array<number>(HORIZON_COUNT).fill(0),
   };
 }
 
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -1,7 +1,7 @@
 /** Chooses the endpoint of a request. */
 
 import { BLOCK_TOKENS } from "../../../platform/endpoints/common/prompt_blocks.ts";
-import type { EndpointState } from "./endpoint_state.ts";
+import type { Allowance, EndpointState } from "./endpoint_state.ts";
 import type { GroupPolicy } from "./group_policy.ts";
 import type { GroupRequest } from "./group_requests.ts";
 import {
@@ -64,10 +64,11 @@
     nowMs: number,
   ): Placed | Unplaced {
     this.#index.countHeld(request.blocks, this.#heldBlocks);
-    const marginShare = Math.min(
-      1,
-      expectedTokens / FULL_MARGIN_TOKENS,
-    );
+    const allowance: Allowance = {
+      share,
+      memoryShare,
+      marginShare: Math.min(1, expectedTokens / FULL_MARGIN_TOKENS),
+    };
     let isAnyUsable = false;
     let best: Placed | undefined;
     let bestScore = -Infinity;
@@ -85,12 +86,7 @@
         request.promptTokens,
         baseTokens,
       );
-      const headroom = state.headroomWith(
-        profile,
-        nowMs,
-        share * memoryShare,
-        marginShare,
-      );
+      const headroom = state.headroomWith(profile, allowance, nowMs);
       // An empty endpoint takes any request, or the largest would never run.
       if (headroom < 0 && state.ledger.size > 0) continue;
       const score = headroom + this.#policy.affinityWeight * cachedTokens -
