Leave slots of the batch to higher classes

Cause: with twice the memory the batch is full before the memory is, and long answers took all of its slots, so that short ones waited.

--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -46,6 +46,8 @@
   readonly share: number;
   /** Part of that memory that the request's class may use. */
   readonly memoryShare: number;
+  /** Part of the slots that the request's class may use. */
+  readonly slotShare: number;
   /** Part of the margin that is kept free. */
   readonly marginShare: number;
 }
@@ -119,8 +121,9 @@
   }
 
   /** @returns Whether another grant is within the number of slots. */
-  hasSlot(nowMs: number, share: number): boolean {
-    const limit = this.#slotLimit * share * this.#startShare(nowMs);
+  hasSlot({ share, slotShare }: Allowance, nowMs: number): boolean {
+    const part = share * slotShare * this.#startShare(nowMs);
+    const limit = this.#slotLimit * part;
     return this.ledger.size < Math.max(1, limit);
   }
 
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -402,7 +402,7 @@
         profile,
         states,
         share,
-        this.#memoryShareOf(request),
+        this.#queue.partOfClassesAbove(request.priority),
         nowMs,
       );
       if (found === "no-room" || (isRetry && found === "no-endpoint")) {
@@ -471,12 +471,6 @@
     }
   }
 
-  /** Lower classes leave room, so that higher ones find some at once. */
-  #memoryShareOf({ priority }: GroupRequest): number {
-    const higher = this.#queue.partOfClassesAbove(priority);
-    return 1 - this.#options.policy.reservedShare * higher;
-  }
-
   #currentShare(nowMs: number): number {
     const isReduced = nowMs < this.#reducedUntilMs;
     return isReduced ? this.#share * TAKEOVER_SHARE : this.#share;
--- a/src/features/dispatch/common/group_policy.ts
+++ b/src/features/dispatch/common/group_policy.ts
@@ -22,6 +22,8 @@
   readonly patienceShare: number;
   /** Part of the memory that is kept free for higher classes. */
   readonly reservedShare: number;
+  /** Part of the batch that is kept free for higher classes. */
+  readonly reservedSlotShare: number;
 }
 
 const STALL_MARGIN: MarginRule = {
@@ -42,6 +44,7 @@
   maxQueuedBytes: 256 * 1_024 * 1_024,
   patienceShare: 1.1,
   reservedShare: 0.06,
+  reservedSlotShare: 0.12,
 };
 
 /**
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -50,7 +50,7 @@
    * @param full - Profile of its memory when nothing is shared.
    * @param states - Endpoints of the group.
    * @param share - Part of each endpoint that may be used.
-   * @param memoryShare - Part of its memory that the class may use.
+   * @param higherPart - Part of the other classes that come before.
    * @param nowMs - The present.
    * @returns The best endpoint with room, or why there is none.
    */
@@ -60,13 +60,14 @@
     full: MemoryProfile,
     states: readonly EndpointState[],
     share: number,
-    memoryShare: number,
+    higherPart: number,
     nowMs: number,
   ): Placed | Unplaced {
     this.#index.countHeld(request.blocks, this.#heldBlocks);
     const allowance: Allowance = {
       share,
-      memoryShare,
+      memoryShare: 1 - this.#policy.reservedShare * higherPart,
+      slotShare: 1 - this.#policy.reservedSlotShare * higherPart,
       marginShare: Math.min(1, expectedTokens / FULL_MARGIN_TOKENS),
     };
     let isAnyUsable = false;
@@ -75,7 +76,7 @@
     for (const state of states) {
       if (!isUsable(state, request, nowMs)) continue;
       isAnyUsable = true;
-      if (!state.hasSlot(nowMs, share)) continue;
+      if (!state.hasSlot(allowance, nowMs)) continue;
       const cachedTokens = Math.min(
         request.promptTokens - 1,
         this.#heldBlocks[state.slot]! * BLOCK_TOKENS,
