Learn lengths from running answers as well

Cause: only answers that had ended were counted, so that short ones weighed too much after lengths had grown, and cancelled ones not at all. The histogram now counts which answers reached and which ended in each bucket (Kaplan-Meier).

--- a/bench/dispatch/core_policy.ts
+++ b/bench/dispatch/core_policy.ts
@@ -194,6 +194,10 @@
     };
   }
 
+  advance(): void {
+    // There is nothing to learn.
+  }
+
   observe(): void {
     // There is nothing to learn.
   }
@@ -214,6 +218,10 @@
     };
   }
 
+  advance(): void {
+    // What is reserved does not depend on progress.
+  }
+
   observe(subject: LengthSubject, generatedTokens: number): void {
     this.#known.observe(subject, generatedTokens);
   }
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -71,6 +71,8 @@
   readonly request: GroupRequest;
   readonly state: EndpointState;
   readonly chargedTokens: number;
+  /** Length of the answer that the model of lengths knows of. */
+  countedTokens: number;
 }
 
 /** Admits, places and orders the requests of one group. */
@@ -204,7 +206,12 @@
   /** Takes note of how far a generation has come. */
   progress(id: GrantId, generatedTokens: number): void {
     const running = this.#running.get(id);
-    running?.state.ledger.progress(id, generatedTokens);
+    if (!running) return;
+    const { request, state, countedTokens } = running;
+    state.ledger.progress(id, generatedTokens);
+    if (generatedTokens <= countedTokens) return;
+    running.countedTokens = generatedTokens;
+    this.#options.lengths.advance(request, countedTokens, generatedTokens);
   }
 
   /** Takes a grant back; an unknown one changes nothing. */
@@ -277,7 +284,12 @@
     this.abandon(request.id);
     const forecast = this.#options.lengths.forecast(request);
     const chargedTokens = request.promptTokens + forecast.expectedTokens;
-    this.#running.set(request.id, { request, state, chargedTokens });
+    this.#running.set(request.id, {
+      request,
+      state,
+      chargedTokens,
+      countedTokens: generatedTokens,
+    });
     this.#limits.onStart(request.workspace, chargedTokens, nowMs);
     state.ledger.add(
       request.id,
@@ -434,6 +446,7 @@
       request,
       state,
       chargedTokens: workTokens,
+      countedTokens: 0,
     });
     state.ledger.add(request.id, forecast, baseTokens);
     this.#index.expect(state.slot, request.blocks);
@@ -448,12 +461,12 @@
   }
 
   #learnFromEnd(
-    { request, state }: Running,
+    { request, state, countedTokens }: Running,
     { end, generatedTokens }: GrantRelease,
     nowMs: number,
   ): void {
     if (end === "completed") {
-      this.#options.lengths.observe(request, generatedTokens);
+      this.#options.lengths.observe(request, generatedTokens, countedTokens);
       this.#retries.onSuccess();
       state.onSuccess();
     } else if (end !== "cancelled" && state.onFailure()) {
--- a/src/features/dispatch/common/length_knowledge.ts
+++ b/src/features/dispatch/common/length_knowledge.ts
@@ -31,8 +31,26 @@
 export interface LengthModel {
   /** @returns The forecast of a new request. */
   forecast(subject: LengthSubject): MemoryForecast;
-  /** Learns the length of an answer that came to its end. */
-  observe(subject: LengthSubject, generatedTokens: number): void;
+  /**
+   * Learns that an answer goes on.
+   *
+   * @param subject - Its request.
+   * @param fromTokens - Length that was told before.
+   * @param toTokens - Its length now.
+   */
+  advance(subject: LengthSubject, fromTokens: number, toTokens: number): void;
+  /**
+   * Learns the length of an answer that came to its end.
+   *
+   * @param subject - Its request.
+   * @param generatedTokens - Its length.
+   * @param countedTokens - Length that was told before.
+   */
+  observe(
+    subject: LengthSubject,
+    generatedTokens: number,
+    countedTokens?: number,
+  ): void;
 }
 
 interface WorkspaceLengths {
@@ -54,12 +72,24 @@
     return new HistogramForecast(histogram, subject.maxTokens);
   }
 
+  /** {@inheritDoc LengthModel.advance} */
+  advance(subject: LengthSubject, fromTokens: number, toTokens: number): void {
+    this.#classHistogram(subject.className).advance(fromTokens, toTokens);
+    const lengths = this.#workspaces.get(keyOf(subject));
+    lengths?.histogram.advance(fromTokens, toTokens);
+  }
+
   /** {@inheritDoc LengthModel.observe} */
-  observe(subject: LengthSubject, generatedTokens: number): void {
-    this.#classHistogram(subject.className).add(generatedTokens);
+  observe(
+    subject: LengthSubject,
+    generatedTokens: number,
+    countedTokens = 0,
+  ): void {
+    const ofClass = this.#classHistogram(subject.className);
+    ofClass.add(generatedTokens, countedTokens);
     const lengths = this.#workspaceLengths(keyOf(subject));
     if (!lengths) return;
-    lengths.histogram.add(generatedTokens);
+    lengths.histogram.add(generatedTokens, countedTokens);
     lengths.samples++;
   }
 
