--- a/bench/outcomes/loopback_deployment.ts
+++ b/bench/outcomes/loopback_deployment.ts
@@ -134,6 +134,7 @@
     });
     const daemon = await Daemon.start(settings, {
       signingKeys: [{ id: "k1", secret: "bench-signing-secret-0123" }],
+      peerSecret: "peer secret of the bench",
       operatorKey: "bench-operator-key-0123456789",
     });
     while (!daemon.isReady) await sleep(this.clock, READY_POLL_MS);
--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -41,6 +41,18 @@
   readonly onQuiet: number;
 }
 
+/** What a request may use of an endpoint. */
+export interface Allowance {
+  /** Part of the endpoint that the dispatcher may use. */
+  readonly share: number;
+  /** Part of that memory that the request's class may use. */
+  readonly memoryShare: number;
+  /** Part of the slots that the request's class may use. */
+  readonly slotShare: number;
+  /** Part of the margin that is kept free. */
+  readonly marginShare: number;
+}
+
 interface HeldSnapshot {
   readonly atMs: number;
   readonly heldTokens: number;
@@ -66,7 +78,6 @@
   #ejections = 0;
   #failedPolls = 0;
   #ejectedUntilMs = -Infinity;
-  #nextPrefillMs = -Infinity;
   readonly #rule: MarginRule;
 
   /**
@@ -112,8 +123,9 @@
   }
 
   /** @returns Whether another grant is within the number of slots. */
-  hasSlot(nowMs: number, share: number): boolean {
-    const limit = this.#slotLimit * share * this.#startShare(nowMs);
+  hasSlot({ share, slotShare }: Allowance, nowMs: number): boolean {
+    const part = share * slotShare * this.#startShare(nowMs);
+    const limit = this.#slotLimit * part;
     return this.ledger.size < Math.max(1, limit);
   }
 
@@ -121,28 +133,35 @@
    * Memory that stays free at the future peak when a request is added.
    *
    * @param added - Profile of the request.
+   * @param allowance - What the request may use.
    * @param nowMs - The present.
-   * @param share - Part of the endpoint that this dispatcher may use.
-   * @param marginShare - Part of the margin that is kept free.
    * @returns Free memory in tokens; negative when it does not fit.
    */
   headroomWith(
     added: MemoryProfile,
+    allowance: Allowance,
     nowMs: number,
-    share: number,
-    marginShare: number,
   ): number {
+    const { share, memoryShare, marginShare } = allowance;
+    const usable = this.usableTokens(nowMs, share) * memoryShare;
     const deviations = this.#deviations * marginShare;
-    const usable = this.usableTokens(nowMs, share);
     return usable - this.ledger.peakWith(added, deviations, usable);
   }
 
-  /** @returns Memory that grants may use, in tokens. */
+  /**
+   * @param nowMs - The present.
+   * @param share - Part of the endpoint that this dispatcher may use.
+   * @returns Memory that its grants may use, in tokens.
+   */
   usableTokens(nowMs: number, share: number): number {
     const known = this.#isReportFresh(nowMs)
       ? this.#capacityTokens
       : this.#capacityTokens * CAPACITY_SHARE_WITHOUT_REPORT;
-    return known * share * this.#startShare(nowMs) - this.#foreignTokens;
+    // What others hold lies within their part, so it is not taken off twice.
+    return Math.min(
+      known * share * this.#startShare(nowMs),
+      known - this.#foreignTokens,
+    );
   }
 
   /**
@@ -210,16 +229,6 @@
     this.#slowStartMs = this.#ejectedUntilMs;
   }
 
-  /** @returns Whether a long prompt may be sent to the endpoint. */
-  mayPrefill(nowMs: number): boolean {
-    return nowMs >= this.#nextPrefillMs;
-  }
-
-  /** Keeps further long prompts away for a time. */
-  holdPrefills(durationMs: number, nowMs: number): void {
-    this.#nextPrefillMs = nowMs + durationMs;
-  }
-
   #startShare(nowMs: number): number {
     const progress = (nowMs - this.#slowStartMs) / SLOW_START_MS;
     if (progress >= 1) return 1;
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -70,6 +70,8 @@
   readonly request: GroupRequest;
   readonly state: EndpointState;
   readonly chargedTokens: number;
+  /** Length of the answer that the model of lengths knows of. */
+  countedTokens: number;
 }
 
 /** Admits, places and orders the requests of one group. */
@@ -85,6 +87,8 @@
   #states: EndpointState[] = [];
   /** Grows whenever an endpoint may have gained room. */
   #roomCounter = 0;
+  /** Endpoints that may have gained room when the counter last grew. */
+  #roomier: readonly EndpointState[] = [];
   #share = 1;
   #reducedUntilMs = -Infinity;
 
@@ -141,14 +145,14 @@
     }
     this.#states = kept;
     this.#refuseWithoutEndpoint();
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
   /** Sets the part of each endpoint that this dispatcher may use. */
   setShare(share: number, nowMs: number): void {
     this.#share = share;
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
@@ -169,7 +173,7 @@
       forecast,
       expectedTokens,
       profile,
-      noRoomAt: -1,
+      noRoomAt: -Infinity,
       workspace: request.workspace,
       className: request.className,
       priority: request.priority,
@@ -200,7 +204,12 @@
   /** Takes note of how far a generation has come. */
   progress(id: GrantId, generatedTokens: number): void {
     const running = this.#running.get(id);
-    running?.state.ledger.progress(id, generatedTokens);
+    if (!running) return;
+    const { request, state, countedTokens } = running;
+    state.ledger.progress(id, generatedTokens);
+    if (generatedTokens <= countedTokens) return;
+    running.countedTokens = generatedTokens;
+    this.#options.lengths.advance(request, countedTokens, generatedTokens);
   }
 
   /** Takes a grant back; an unknown one changes nothing. */
@@ -214,7 +223,7 @@
     this.#running.delete(id);
     const { request, state, chargedTokens } = running;
     state.ledger.remove(id);
-    this.#roomCounter++;
+    this.#noteRoom(this.#states.includes(state) ? [state] : []);
     const usedTokens = end === "not-run"
       ? 0
       : request.promptTokens + generatedTokens;
@@ -262,7 +271,7 @@
   /** All holders of grants have told theirs. */
   endTakeover(nowMs: number): void {
     this.#reducedUntilMs = -Infinity;
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
@@ -274,7 +283,12 @@
     this.abandon(request.id);
     const forecast = this.#options.lengths.forecast(request);
     const chargedTokens = request.promptTokens + forecast.expectedTokens;
-    this.#running.set(request.id, { request, state, chargedTokens });
+    this.#running.set(request.id, {
+      request,
+      state,
+      chargedTokens,
+      countedTokens: generatedTokens,
+    });
     this.#limits.onStart(request.workspace, chargedTokens, nowMs);
     state.ledger.add(
       request.id,
@@ -292,7 +306,7 @@
     }
     this.#refuseWithoutEndpoint();
     // Progress, reports and time itself may have made room since.
-    this.#roomCounter++;
+    this.#noteRoom(this.#states);
     this.#serve(nowMs);
   }
 
@@ -390,16 +404,19 @@
       const { request, expectedTokens, profile } = waiting;
       if (!this.#limits.mayRun(request.workspace, request.limit)) return "skip";
       if (waiting.noRoomAt === this.#roomCounter) return "wait";
+      // A request that had no room just before needs to try the rest only.
+      const isRetry = waiting.noRoomAt === this.#roomCounter - 1;
+      const states = isRetry ? this.#roomier : this.#states;
       const found = this.#placement.place(
         request,
         expectedTokens,
         profile,
-        this.#states,
+        states,
         share,
-        this.#memoryShareOf(request),
+        this.#queue.partOfClassesAbove(request.priority),
         nowMs,
       );
-      if (found === "no-room") {
+      if (found === "no-room" || (isRetry && found === "no-endpoint")) {
         waiting.noRoomAt = this.#roomCounter;
         return "wait";
       }
@@ -415,17 +432,22 @@
     }
   }
 
+  #noteRoom(states: readonly EndpointState[]): void {
+    this.#roomCounter++;
+    this.#roomier = states;
+  }
+
   #grant(taken: Waiting, { state, baseTokens }: Placed, nowMs: number): void {
     const { request, forecast, workTokens } = taken;
-    const { policy, listener } = this.#options;
+    const { listener } = this.#options;
     this.#waiting.delete(request.id);
     this.#running.set(request.id, {
       request,
       state,
       chargedTokens: workTokens,
+      countedTokens: 0,
     });
     state.ledger.add(request.id, forecast, baseTokens);
-    state.holdPrefills(baseTokens * policy.prefillSpacingMsPerToken, nowMs);
     this.#index.expect(state.slot, request.blocks);
     this.#limits.onStart(request.workspace, workTokens, nowMs);
     // A grant without a wait says nothing of how fast a queue drains.
@@ -438,12 +460,12 @@
   }
 
   #learnFromEnd(
-    { request, state }: Running,
+    { request, state, countedTokens }: Running,
     { end, generatedTokens }: GrantRelease,
     nowMs: number,
   ): void {
     if (end === "completed") {
-      this.#options.lengths.observe(request, generatedTokens);
+      this.#options.lengths.observe(request, generatedTokens, countedTokens);
       state.onSuccess();
     } else if (end !== "cancelled" && state.onFailure()) {
       this.#eject(state, nowMs);
@@ -460,12 +482,6 @@
     }
   }
 
-  /** Lower classes leave room, so that higher ones find some at once. */
-  #memoryShareOf({ priority }: GroupRequest): number {
-    const higher = this.#queue.partOfClassesAbove(priority);
-    return 1 - this.#options.policy.reservedShare * higher;
-  }
-
   #currentShare(nowMs: number): number {
     const isReduced = nowMs < this.#reducedUntilMs;
     return isReduced ? this.#share * TAKEOVER_SHARE : this.#share;
--- a/src/features/dispatch/common/length_knowledge.ts
+++ b/src/features/dispatch/common/length_knowledge.ts
@@ -11,6 +11,8 @@
 const MAX_CLASSES = 32;
 const MAX_WORKSPACE_HISTOGRAMS = 64;
 const MIN_WORKSPACE_SAMPLES = 40;
+/** Part of a workspace's samples that is left when its turn comes. */
+const AGEING = 0.9;
 /** Number of samples that the prior counts as. */
 const PRIOR_SAMPLES = 2;
 const PRIOR_SHORTEST_TOKENS = 16;
@@ -29,8 +31,26 @@
 export interface LengthModel {
   /** @returns The forecast of a new request. */
   forecast(subject: LengthSubject): MemoryForecast;
-  /** Learns the length of an answer that came to its end. */
-  observe(subject: LengthSubject, generatedTokens: number): void;
+  /**
+   * Learns that an answer goes on.
+   *
+   * @param subject - Its request.
+   * @param fromTokens - Length that was told before.
+   * @param toTokens - Its length now.
+   */
+  advance(subject: LengthSubject, fromTokens: number, toTokens: number): void;
+  /**
+   * Learns the length of an answer that came to its end.
+   *
+   * @param subject - Its request.
+   * @param generatedTokens - Its length.
+   * @param countedTokens - Length that was told before.
+   */
+  observe(
+    subject: LengthSubject,
+    generatedTokens: number,
+    countedTokens?: number,
+  ): void;
 }
 
 interface WorkspaceLengths {
@@ -52,11 +72,24 @@
     return new HistogramForecast(histogram, subject.maxTokens);
   }
 
+  /** {@inheritDoc LengthModel.advance} */
+  advance(subject: LengthSubject, fromTokens: number, toTokens: number): void {
+    this.#classHistogram(subject.className).advance(fromTokens, toTokens);
+    const lengths = this.#workspaces.get(keyOf(subject));
+    lengths?.histogram.advance(fromTokens, toTokens);
+  }
+
   /** {@inheritDoc LengthModel.observe} */
-  observe(subject: LengthSubject, generatedTokens: number): void {
-    this.#classHistogram(subject.className).add(generatedTokens);
+  observe(
+    subject: LengthSubject,
+    generatedTokens: number,
+    countedTokens = 0,
+  ): void {
+    const ofClass = this.#classHistogram(subject.className);
+    ofClass.add(generatedTokens, countedTokens);
     const lengths = this.#workspaceLengths(keyOf(subject));
-    lengths.histogram.add(generatedTokens);
+    if (!lengths) return;
+    lengths.histogram.add(generatedTokens, countedTokens);
     lengths.samples++;
   }
 
@@ -71,27 +104,25 @@
     return histogram;
   }
 
-  #workspaceLengths(key: string): WorkspaceLengths {
+  /** Lengths of a workspace, unless busier ones take all the places. */
+  #workspaceLengths(key: string): WorkspaceLengths | undefined {
     const known = this.#workspaces.get(key);
     if (known) return known;
-    if (this.#workspaces.size >= MAX_WORKSPACE_HISTOGRAMS) this.#dropRarest();
+    const isFull = this.#workspaces.size >= MAX_WORKSPACE_HISTOGRAMS;
+    if (isFull && !this.#dropQuiet()) return undefined;
     const lengths = { histogram: new LengthHistogram(), samples: 0 };
     this.#workspaces.set(key, lengths);
     return lengths;
   }
 
-  /** Makes room; halved counts let a quiet workspace fall behind. */
-  #dropRarest(): void {
-    let rarest: string | undefined;
-    let fewest = Infinity;
-    for (const [key, lengths] of this.#workspaces) {
-      if (lengths.samples < fewest) {
-        rarest = key;
-        fewest = lengths.samples;
-      }
-      lengths.samples /= 2;
-    }
-    if (rarest !== undefined) this.#workspaces.delete(rarest);
+  /** Ages one workspace, in turn, and drops it when it has become quiet. */
+  #dropQuiet(): boolean {
+    const [key, lengths] = this.#workspaces.entries().next().value!;
+    this.#workspaces.delete(key);
+    lengths.samples *= AGEING;
+    if (lengths.samples < 1) return true;
+    this.#workspaces.set(key, lengths);
+    return false;
   }
 }
 
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -1,7 +1,7 @@
 /** Chooses the endpoint of a request. */
 
 import { BLOCK_TOKENS } from "../../../platform/endpoints/common/prompt_blocks.ts";
-import type { EndpointState } from "./endpoint_state.ts";
+import type { Allowance, EndpointState } from "./endpoint_state.ts";
 import type { GroupPolicy } from "./group_policy.ts";
 import type { GroupRequest } from "./group_requests.ts";
 import {
@@ -12,9 +12,6 @@
 } from "./memory_profile.ts";
 import { MAX_GROUP_ENDPOINTS, type PrefixIndex } from "./prefix_index.ts";
 
-/** Prompts up to this length do not hold up a decode step noticeably. */
-const LONG_PREFILL_TOKENS = 400;
-
 /**
  * Expected length from which the whole margin is kept; a shorter answer ends
  * before the far forecast matters.
@@ -53,7 +50,7 @@
    * @param full - Profile of its memory when nothing is shared.
    * @param states - Endpoints of the group.
    * @param share - Part of each endpoint that may be used.
-   * @param memoryShare - Part of its memory that the class may use.
+   * @param higherPart - Part of the other classes that come before.
    * @param nowMs - The present.
    * @returns The best endpoint with room, or why there is none.
    */
@@ -63,21 +60,23 @@
     full: MemoryProfile,
     states: readonly EndpointState[],
     share: number,
-    memoryShare: number,
+    higherPart: number,
     nowMs: number,
   ): Placed | Unplaced {
     this.#index.countHeld(request.blocks, this.#heldBlocks);
-    const marginShare = Math.min(
-      1,
-      expectedTokens / FULL_MARGIN_TOKENS,
-    );
+    const allowance: Allowance = {
+      share,
+      memoryShare: 1 - this.#policy.reservedShare * higherPart,
+      slotShare: 1 - this.#policy.reservedSlotShare * higherPart,
+      marginShare: Math.min(1, expectedTokens / FULL_MARGIN_TOKENS),
+    };
     let isAnyUsable = false;
     let best: Placed | undefined;
     let bestScore = -Infinity;
     for (const state of states) {
       if (!isUsable(state, request, nowMs)) continue;
       isAnyUsable = true;
-      if (!state.hasSlot(nowMs, share)) continue;
+      if (!state.hasSlot(allowance, nowMs)) continue;
       const cachedTokens = Math.min(
         request.promptTokens - 1,
         this.#heldBlocks[state.slot]! * BLOCK_TOKENS,
@@ -88,17 +87,9 @@
         request.promptTokens,
         baseTokens,
       );
-      const headroom = state.headroomWith(
-        profile,
-        nowMs,
-        share * memoryShare,
-        marginShare,
-      );
+      const headroom = state.headroomWith(profile, allowance, nowMs);
       // An empty endpoint takes any request, or the largest would never run.
       if (headroom < 0 && state.ledger.size > 0) continue;
-      if (baseTokens > LONG_PREFILL_TOKENS && !state.mayPrefill(nowMs)) {
-        continue;
-      }
       const score = headroom + this.#policy.affinityWeight * cachedTokens -
         this.#policy.crowdingTokens * state.ledger.size;
       if (score <= bestScore) continue;
