Let a claim that is still asked for be held after it ran out

A host that still asks for its own claim has not been told to run it.

Ruled out: a second run, which the same property checks. The pairs of faults now ask for an end 80 s after everything is mended instead of 240 s, which is stricter and takes a third of the time.

--- a/scenarios/ledger/fault_pairs_test.ts
+++ b/scenarios/ledger/fault_pairs_test.ts
@@ -16,7 +16,7 @@
   "booking-app-lalitpur-hall-1",
 ];
 const FAULT_MS = 20_000;
-const MENDED_MS = 240_000;
+const MENDED_MS = 80_000;
 
 /** Faults by name, and what mends them; a call that fails after some ran. */
 const FAULTS: Readonly<Record<string, readonly object[]>> = {
--- a/src/features/ledger/common/claim_operation.ts
+++ b/src/features/ledger/common/claim_operation.ts
@@ -96,7 +96,8 @@
     case "done":
       return { result: { kind: "done", answer: current.state.answer } };
     case "unknown":
-      return { result: { kind: "unknown" } };
+      // Whoever still asks for its own claim has not been told to run it.
+      return isOwn ? hold(claim, context) : { result: { kind: "unknown" } };
     default:
       return assertNever(current.state);
   }
