--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -85,6 +85,7 @@
         logger,
         self,
         secret: secrets.peerSecret,
+        tls: this.#loadTls("peers"),
         seed: randomInt(MAX_SEED),
         onLinkClosed: () => metrics.count("peer_links_closed"),
       }),
@@ -135,7 +136,7 @@
         createRequestId: () => asId<RequestId>(randomUUID()),
       },
       limits,
-      this.#loadCallerTls(),
+      this.#loadTls("callers"),
     );
     this.#operators = createOperatorFront({
       core: this.#core,
@@ -197,11 +198,11 @@
   }
 
   /** Throws when the files cannot be used: the daemon must not start. */
-  #loadCallerTls(): TlsFiles | undefined {
-    const { callers } = this.#settings.tls;
-    if (!callers) return undefined;
+  #loadTls(listener: "callers" | "peers"): TlsFiles | undefined {
+    const paths = this.#settings.tls[listener];
+    if (!paths) return undefined;
     const services = { clock: this.#clock, logger: this.#logger };
-    const loaded = TlsFiles.load(services, callers);
+    const loaded = TlsFiles.load(services, paths);
     loaded.ifLeft((error) => {
       throw error;
     });
--- a/src/features/orders/common/order_service.ts
+++ b/src/features/orders/common/order_service.ts
@@ -40,6 +40,8 @@
 } from "./zone_lease.ts";
 
 const ROUND_PERIOD_MS = 1_000;
+/** A service whose engines are as desired is read less often. */
+const SETTLED_PERIOD_MS = 10_000;
 /** An order that has no answer within this time is not running any more. */
 const ORDER_TIMEOUT_MS = 3_000;
 const DOWNLOAD_PERIOD_MS = 10_000;
@@ -65,6 +67,8 @@
   /** Desired state whose recorded stop has been looked up. */
   checkedKey: string;
   status: RolloutStatus | undefined;
+  /** Monotonic time of the next look while nothing is to be changed. */
+  nextLookMs: number;
 }
 
 /** Reconciles desired and observed states, one step a round. */
@@ -161,6 +165,7 @@
 
   async #reconcile(service: OrderedService): Promise<void> {
     const rollout = this.#rolloutOf(service.id);
+    if (this.#mayWait(service, rollout)) return;
     if (!await this.#restoreStop(service, rollout)) return;
     const all = this.#services.endpoints.endpointsOf(service.id);
     const near = all.filter(({ zone }) => zone === this.#zone);
@@ -177,6 +182,7 @@
       ).length,
     });
     await this.#carryOut(service, near, step);
+    rollout.nextLookMs = this.#services.clock.monotonicMs() + SETTLED_PERIOD_MS;
     rollout.status = {
       service: service.id,
       desired: service.desired,
@@ -185,6 +191,16 @@
     };
   }
 
+  /** @returns Whether nothing is to be done until the next look. */
+  #mayWait(
+    service: OrderedService,
+    { checkedKey, planner, nextLookMs }: Rollout,
+  ): boolean {
+    return checkedKey === desiredKeyOf(service.desired) &&
+      planner.stage.kind === "settled" &&
+      this.#services.clock.monotonicMs() < nextLookMs;
+  }
+
   /** @returns Whether the store has said if the rollout was stopped. */
   async #restoreStop(
     service: OrderedService,
@@ -289,6 +305,7 @@
         planner: new RolloutPlanner(),
         checkedKey: "",
         status: undefined,
+        nextLookMs: -Infinity,
       };
       this.#rollouts.set(service, rollout);
     }
--- a/src/platform/peers/node/ws_peer_links.ts
+++ b/src/platform/peers/node/ws_peer_links.ts
@@ -9,12 +9,15 @@
   type ServerOptions,
 } from "node:https";
 import type { AddressInfo } from "node:net";
-import type { ConnectionOptions } from "node:tls";
+import type { ConnectionOptions, Server as TlsServer } from "node:tls";
 import { WebSocket, WebSocketServer } from "ws";
 import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import { type Address, asId, type HostId } from "../../../base/common/ids.ts";
-import { DisposableStore } from "../../../base/common/lifecycle.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../../base/common/random.ts";
 import type { Logger } from "../../log/common/logger.ts";
 import { splitAddress } from "../../settings/common/schema_parts.ts";
@@ -49,11 +52,13 @@
 const KEEPALIVE_FRAME = encodeFrame(KEEPALIVE_CHANNEL, null);
 
 /** Certificates of the links, when they are encrypted. */
-export interface PeerTlsOptions {
-  /** For the side that accepts. */
-  readonly server: ServerOptions;
-  /** For the side that dials. */
-  readonly client: ConnectionOptions;
+export interface PeerTls {
+  /** @returns Options of the side that accepts. */
+  serverOptions(): ServerOptions;
+  /** @returns Options of the side that dials, which must reach this host. */
+  clientOptions(host: HostId): ConnectionOptions;
+  /** Keeps a server at the newest certificates. */
+  follow(server: TlsServer): Disposable;
 }
 
 /** What the links are made from. */
@@ -65,7 +70,7 @@
   readonly secret: string;
   /** Seed of the jitter. */
   readonly seed: number;
-  readonly tls?: PeerTlsOptions | undefined;
+  readonly tls?: PeerTls | undefined;
   /** Called when a link closes, for the metrics. */
   onLinkClosed?(): void;
 }
@@ -95,7 +100,7 @@
     this.#options = options;
     this.#lastTickMs = clock.monotonicMs();
     this.#schedule = new DialSchedule(clock, new SeededRandom(seed), self.host);
-    this.#http = tls ? createHttpsServer(tls.server) : createHttpServer();
+    this.#http = tls ? this.#createTlsServer(tls) : createHttpServer();
     this.#accepting = new WebSocketServer({
       server: this.#http,
       path: PATH,
@@ -228,11 +233,17 @@
     for (const peer of due) this.#dial(peer);
   }
 
+  #createTlsServer(tls: PeerTls): HttpServer {
+    const server = createHttpsServer(tls.serverOptions());
+    this.#owned.add(tls.follow(server));
+    return server;
+  }
+
   #dial({ host, address }: PeerAddress): void {
     const { tls } = this.#options;
     const scheme = tls ? "wss" : "ws";
     const socket = new WebSocket(`${scheme}://${address}${PATH}`, {
-      ...tls?.client,
+      ...tls?.clientOptions(host),
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
     });
