--- a/src/features/orders/common/order_service.ts
+++ b/src/features/orders/common/order_service.ts
@@ -32,7 +32,7 @@
 } from "./rollout.ts";
 import { RolloutPlanner } from "./rollout_planner.ts";
 import { StopRecords } from "./stop_records.ts";
-import { TokenBucket } from "./token_bucket.ts";
+import { RateGate } from "./rate_gate.ts";
 import {
   LEASE_TTL_MS,
   ZoneLease,
@@ -78,7 +78,7 @@
   readonly #lease: ZoneLease;
   readonly #stops: StopRecords;
   readonly #rollouts = new Map<ServiceId, Rollout>();
-  #downloads: TokenBucket;
+  #downloads: RateGate;
   #fence = 0;
   #timer: Disposable = NO_DISPOSABLE;
   #isDisposed = false;
@@ -89,7 +89,7 @@
     this.#zone = services.zone;
     this.#lease = new ZoneLease(services);
     this.#stops = new StopRecords(services.store, services.zone);
-    this.#downloads = new TokenBucket(services.clock, DOWNLOAD_PERIOD_MS);
+    this.#downloads = new RateGate(services.clock, DOWNLOAD_PERIOD_MS);
   }
 
   /** Whether this daemon gives the zone's orders. */
@@ -137,7 +137,7 @@
     const { clock, logger } = this.#services;
     this.#fence = fence;
     this.#rollouts.clear();
-    this.#downloads = new TokenBucket(clock, DOWNLOAD_PERIOD_MS);
+    this.#downloads = new RateGate(clock, DOWNLOAD_PERIOD_MS);
     logger.log("info", "orders-lease-taken", { zone: this.#zone, fence });
   }
 
--- a/src/features/orders/common/token_bucket.ts
+++ b/src/features/orders/common/rate_gate.ts
@@ -1,9 +1,9 @@
-/** A bucket that lets single things through at a steady rate. */
+/** Lets single things through at a steady rate. */
 
 import type { Clock } from "../../../base/common/clock.ts";
 
 /** Allows one thing in each period, and none in the first. */
-export class TokenBucket {
+export class RateGate {
   readonly #clock: Clock;
   readonly #periodMs: number;
   #nextMs: number;
