Name the process in a mark that an engine leaves

Cause: dispatch and the reclaim watcher read the same load reports; dispatch marked the endpoint without its incarnation, and the watcher took such a mark for an operator's word about the process it saw next, the successor.

The mark now carries the incarnation, as the watcher's own does, through the one call of the directory. Conclusion: that both read each engine's load is work done twice and stays to be joined.

--- a/src/features/dispatch/common/endpoint_monitor.ts
+++ b/src/features/dispatch/common/endpoint_monitor.ts
@@ -19,8 +19,11 @@
   readonly clock: Clock;
   readonly engines: EngineClient;
   readonly group: GroupDispatcher;
-  /** @param endpoint - Said in a report that it is leaving. */
-  onLeaving(endpoint: EndpointId): void;
+  /**
+   * @param endpoint - Said in a report that it is leaving.
+   * @param incarnation - Its process, which alone leaves.
+   */
+  onLeaving(endpoint: EndpointId, incarnation: string): void;
 }
 
 /** Polls each endpoint; a slow one does not hold up the others. */
@@ -65,7 +68,7 @@
       Left: () => group.onUnreachable(endpoint.id, nowMs),
       Right: (report) => {
         group.onReport(endpoint.id, report, nowMs);
-        if (report.isLeaving) onLeaving(endpoint.id);
+        if (report.isLeaving) onLeaving(endpoint.id, report.incarnation);
       },
     });
   }
--- a/src/features/dispatch/common/peer_dispatcher.ts
+++ b/src/features/dispatch/common/peer_dispatcher.ts
@@ -258,8 +258,13 @@
       lengths: new LengthKnowledge(),
       random: this.#random,
       send: (to, message) => void this.#send(to, message),
-      onLeaving: (endpoint) =>
-        endpoints.markLeaving(group.service, endpoint, "load report"),
+      onLeaving: (endpoint, incarnation) =>
+        endpoints.markLeaving(
+          group.service,
+          endpoint,
+          "load report",
+          incarnation,
+        ),
     });
     this.#hosts.set(group.id, host);
     this.#updateOwnership(group, host);
--- a/src/features/endpoints/common/endpoint_directory.ts
+++ b/src/features/endpoints/common/endpoint_directory.ts
@@ -27,8 +27,15 @@
    * @param service - Its service.
    * @param endpoint - The endpoint.
    * @param reason - Who said so, for the log.
+   * @param incarnation - The process that leaves, when it is known; a successor
+   * is used again.
    */
-  markLeaving(service: ServiceId, endpoint: EndpointId, reason: string): void;
+  markLeaving(
+    service: ServiceId,
+    endpoint: EndpointId,
+    reason: string,
+    incarnation?: string,
+  ): void;
   /**
    * Takes note that an endpoint is used again.
    *
