--- a/bench/benches/ledger.ts
+++ b/bench/benches/ledger.ts
@@ -22,8 +22,8 @@
 import {
   type Member,
   StaticMembership,
-} from "../../src/platform/membership/common/membership.ts";
-import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+} from "../../src/services/membership/common/membership.ts";
+import { EtcdStoreClient } from "../../src/services/store/node/etcd_store_client.ts";
 import { InProcessNetwork } from "../../standins/peers/in_process_links.ts";
 import { KvStore } from "../../standins/store/kv_store.ts";
 import { createStoreServer } from "../../standins/store/store_server.ts";
--- a/bench/benches/metrics.ts
+++ b/bench/benches/metrics.ts
@@ -11,13 +11,13 @@
   type WorkspaceId,
 } from "../../src/base/common/ids.ts";
 import { SystemClock } from "../../src/base/node/system_clock.ts";
-import { HistogramMetrics } from "../../src/platform/metrics/common/histogram_metrics.ts";
-import { createHistogram } from "../../src/platform/metrics/common/measures.ts";
+import { HistogramMetrics } from "../../src/services/metrics/common/histogram_metrics.ts";
+import { createHistogram } from "../../src/services/metrics/common/measures.ts";
 import type {
   MetricLabels,
   RequestRecorder,
-} from "../../src/platform/metrics/common/metrics.ts";
-import { StatsdSink } from "../../src/platform/metrics/node/statsd_sink.ts";
+} from "../../src/services/metrics/common/metrics.ts";
+import { StatsdSink } from "../../src/services/metrics/node/statsd_sink.ts";
 import type { Bench } from "../bench.ts";
 
 const WORKSPACE_COUNT = 6_100;
--- a/bench/dispatch/bench_caller.ts
+++ b/bench/dispatch/bench_caller.ts
@@ -1,6 +1,6 @@
 /** One caller of the dispatch bench and the answer that it reads. */
 
-import type { EngineFrame } from "../../src/platform/endpoints/common/engine_client.ts";
+import type { EngineFrame } from "../../src/services/endpoints/common/engine_client.ts";
 import type { FrameReader } from "../../standins/engine/sequence.ts";
 import type { Measures } from "./measures.ts";
 import type { Arrival } from "./workload.ts";
--- a/bench/dispatch/core_policy.ts
+++ b/bench/dispatch/core_policy.ts
@@ -6,8 +6,8 @@
   CacheEventPage,
   Endpoint,
   LoadReport,
-} from "../../src/platform/endpoints/common/engine_client.ts";
-import { hashBlocks } from "../../src/platform/endpoints/common/prompt_blocks.ts";
+} from "../../src/services/endpoints/common/engine_client.ts";
+import { hashBlocks } from "../../src/services/endpoints/common/prompt_blocks.ts";
 import type {
   GrantEnd,
   GrantId,
--- a/bench/dispatch/policies.ts
+++ b/bench/dispatch/policies.ts
@@ -6,7 +6,7 @@
   CacheEventPage,
   Endpoint,
   LoadReport,
-} from "../../src/platform/endpoints/common/engine_client.ts";
+} from "../../src/services/endpoints/common/engine_client.ts";
 import type { GrantEnd } from "../../src/features/dispatch/common/dispatcher.ts";
 import type { Arrival } from "./workload.ts";
 
--- a/bench/dispatch/simulation.ts
+++ b/bench/dispatch/simulation.ts
@@ -8,7 +8,7 @@
   type GenerationId,
 } from "../../src/base/common/ids.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
-import type { Endpoint } from "../../src/platform/endpoints/common/engine_client.ts";
+import type { Endpoint } from "../../src/services/endpoints/common/engine_client.ts";
 import {
   type Favour,
   type GroupPolicy,
--- a/bench/hosts/control_part.ts
+++ b/bench/hosts/control_part.ts
@@ -11,11 +11,11 @@
 import { ConfigurationWatcher } from "../../src/features/configuration/common/configuration_watcher.ts";
 import { ConfiguredEndpoints } from "../../src/features/endpoints/common/configured_endpoints.ts";
 import { EndpointMarkSpreader } from "../../src/features/endpoints/common/endpoint_mark_spreader.ts";
-import { SILENT_LOGGER } from "../../src/platform/log/common/logger.ts";
-import { GossipMembership } from "../../src/platform/membership/common/gossip_membership.ts";
-import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
-import { WsPeerLinks } from "../../src/platform/peers/node/ws_peer_links.ts";
-import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+import { SILENT_LOGGER } from "../../src/services/log/common/logger.ts";
+import { GossipMembership } from "../../src/services/membership/common/gossip_membership.ts";
+import type { PeerAddress } from "../../src/services/peers/common/peer_links.ts";
+import { WsPeerLinks } from "../../src/services/peers/node/ws_peer_links.ts";
+import { EtcdStoreClient } from "../../src/services/store/node/etcd_store_client.ts";
 
 /** Name and zone of a daemon. */
 export interface ControlPartName {
--- a/bench/hosts/control_worker.ts
+++ b/bench/hosts/control_worker.ts
@@ -3,7 +3,7 @@
 import { createHasher } from "../../src/base/common/hasher.ts";
 import type { Address } from "../../src/base/common/ids.ts";
 import { asId } from "../../src/base/common/ids.ts";
-import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
+import type { PeerAddress } from "../../src/services/peers/common/peer_links.ts";
 import { ControlPart } from "./control_part.ts";
 import type { WorkerCommand, WorkerReport } from "./worker_messages.ts";
 
--- a/bench/hosts/worker_messages.ts
+++ b/bench/hosts/worker_messages.ts
@@ -1,7 +1,7 @@
 /** Messages between the measurement and its worker processes. */
 
 import type { Address } from "../../src/base/common/ids.ts";
-import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
+import type { PeerAddress } from "../../src/services/peers/common/peer_links.ts";
 import type { ControlPartName } from "./control_part.ts";
 
 /** What a worker is told. */
--- a/bench/outcomes/loopback_deployment.ts
+++ b/bench/outcomes/loopback_deployment.ts
@@ -13,7 +13,7 @@
 import { hashApiKey } from "../../src/daemon/node/caller_identity.ts";
 import { Daemon } from "../../src/daemon/node/daemon.ts";
 import { TEAM_KEY_PREFIX } from "../../src/features/configuration/common/configuration.ts";
-import { daemonSettingsSchema } from "../../src/platform/settings/common/daemon_settings.ts";
+import { daemonSettingsSchema } from "../../src/services/settings/common/daemon_settings.ts";
 import { createAppServer } from "../../standins/app/app_server.ts";
 import { BookingApp } from "../../standins/app/booking_app.ts";
 import { EngineModel } from "../../standins/engine/engine_model.ts";
--- a/bench/path/daemon_process.ts
+++ b/bench/path/daemon_process.ts
@@ -1,7 +1,7 @@
 /** A daemon in a process of its own: `daemon_process.ts STORE_ADDRESS`. */
 
 import { Daemon } from "../../src/daemon/node/daemon.ts";
-import { daemonSettingsSchema } from "../../src/platform/settings/common/daemon_settings.ts";
+import { daemonSettingsSchema } from "../../src/services/settings/common/daemon_settings.ts";
 import { serveParent } from "./child.ts";
 
 const LOOPBACK = "127.0.0.1:0";
--- a/bench/report/main.ts
+++ b/bench/report/main.ts
@@ -9,7 +9,7 @@
 import { join } from "node:path";
 import { pathToFileURL } from "node:url";
 import { runCommandLine } from "../../src/cli/node/command_line.ts";
-import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+import { EtcdStoreClient } from "../../src/services/store/node/etcd_store_client.ts";
 
 const CHROMIUM = "/usr/bin/chromium";
 const RENDER_LIMIT_MS = 60_000;
--- a/docs/generate/callers_page_test.ts
+++ b/docs/generate/callers_page_test.ts
@@ -6,7 +6,7 @@
   it("explains every reason of a failure", () => {
     const page = readFileSync("docs/CALLERS.md", "utf8");
     const source = readFileSync(
-      "src/platform/outcomes/common/failure.ts",
+      "src/services/outcomes/common/failure.ts",
       "utf8",
     );
     const reasons = (REASON_TYPE.exec(source)?.[1] ?? "").match(/[a-z-]{4,}/g);
--- a/docs/generate/settings_page.ts
+++ b/docs/generate/settings_page.ts
@@ -2,11 +2,11 @@
 
 import { z } from "zod";
 import { teamDocumentSchema } from "../../src/features/configuration/common/team_document.ts";
-import { daemonSettingsSchema } from "../../src/platform/settings/common/daemon_settings.ts";
+import { daemonSettingsSchema } from "../../src/services/settings/common/daemon_settings.ts";
 import {
   addressSchema,
   nameSchema,
-} from "../../src/platform/settings/common/schema_parts.ts";
+} from "../../src/services/settings/common/schema_parts.ts";
 
 type JsonSchema = z.core.JSONSchema.BaseSchema;
 
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 /** Layers from the lowest to the highest; a layer imports only itself and lower ones. */
 const LAYERS = [
   "src/base",
-  "src/platform",
+  "src/services",
   "src/features",
   "src/daemon",
   "src/cli",
--- a/scenarios/calls/edge_test.ts
+++ b/scenarios/calls/edge_test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { generate } from "selfsigned";
-import { enableLogLevels } from "../../src/platform/log/node/debug_logger.ts";
+import { enableLogLevels } from "../../src/services/log/node/debug_logger.ts";
 import {
   EDGE_API_KEY,
   EDGE_OPERATOR_KEY,
--- a/scenarios/dispatch/peer_dispatcher_test.ts
+++ b/scenarios/dispatch/peer_dispatcher_test.ts
@@ -15,7 +15,7 @@
 import type {
   Member,
   Membership,
-} from "../../src/platform/membership/common/membership.ts";
+} from "../../src/services/membership/common/membership.ts";
 import { EngineModel } from "../../standins/engine/engine_model.ts";
 import { InProcessEngineClient } from "../../standins/engine/in_process_engine_client.ts";
 import { InProcessNetwork } from "../../standins/peers/in_process_links.ts";
--- a/scenarios/runner/caller_record.ts
+++ b/scenarios/runner/caller_record.ts
@@ -6,8 +6,8 @@
   GenerationCaller,
   GenerationEnd,
 } from "../../src/features/generations/common/generation_service.ts";
-import type { AppResponse } from "../../src/platform/endpoints/common/app_client.ts";
-import type { Failure } from "../../src/platform/outcomes/common/failure.ts";
+import type { AppResponse } from "../../src/services/endpoints/common/app_client.ts";
+import type { Failure } from "../../src/services/outcomes/common/failure.ts";
 import { tokenText } from "../../standins/engine/engine_options.ts";
 
 /** A caller of a generation. */
--- a/scenarios/runner/scenario_file.ts
+++ b/scenarios/runner/scenario_file.ts
@@ -6,7 +6,7 @@
 import {
   formatMistakes,
   parseCheckedYaml,
-} from "../../src/platform/settings/common/checked_yaml.ts";
+} from "../../src/services/settings/common/checked_yaml.ts";
 import { type Scenario, scenarioSchema } from "./scenario_schema.ts";
 
 /**
--- a/src/cli/common/figure_rows.ts
+++ b/src/cli/common/figure_rows.ts
@@ -6,16 +6,16 @@
   type MergedFigures,
   requestCountOf,
   type SeriesFigures,
-} from "../../platform/metrics/common/figures.ts";
+} from "../../services/metrics/common/figures.ts";
 import {
   BUCKET_COUNT,
   type LogHistogram,
-} from "../../platform/metrics/common/log_histogram.ts";
+} from "../../services/metrics/common/log_histogram.ts";
 import {
   MEASURE_NAMES,
   type MeasureName,
-} from "../../platform/metrics/common/measures.ts";
-import type { OutcomeKind } from "../../platform/metrics/common/metrics.ts";
+} from "../../services/metrics/common/measures.ts";
+import type { OutcomeKind } from "../../services/metrics/common/metrics.ts";
 
 const BUCKETS_PER_ROW = 8;
 
--- a/src/cli/common/report_plots.ts
+++ b/src/cli/common/report_plots.ts
@@ -3,9 +3,9 @@
 import {
   type DaemonFigures,
   mergeByKey,
-} from "../../platform/metrics/common/figures.ts";
-import { MEASURE_NAMES } from "../../platform/metrics/common/measures.ts";
-import { OUTCOME_KINDS } from "../../platform/metrics/common/metrics.ts";
+} from "../../services/metrics/common/figures.ts";
+import { MEASURE_NAMES } from "../../services/metrics/common/measures.ts";
+import { OUTCOME_KINDS } from "../../services/metrics/common/metrics.ts";
 import { toFigureRows, toSteps } from "./figure_rows.ts";
 import type { ReportPage, ReportPlot } from "./report_page.ts";
 import { formatNumber } from "./text_table.ts";
--- a/src/cli/node/cli_context.ts
+++ b/src/cli/node/cli_context.ts
@@ -3,7 +3,7 @@
 import { type Clock, setPeriodic } from "../../base/common/clock.ts";
 import { type Address, asId } from "../../base/common/ids.ts";
 import { SystemClock } from "../../base/node/system_clock.ts";
-import type { StoreClient } from "../../platform/store/common/store_client.ts";
+import type { StoreClient } from "../../services/store/common/store_client.ts";
 
 /** The clock on which commands wait. */
 export const CLI_CLOCK: Clock = new SystemClock();
--- a/src/cli/node/commands/check.ts
+++ b/src/cli/node/commands/check.ts
@@ -6,11 +6,11 @@
 import {
   formatMistakes,
   parseCheckedYaml,
-} from "../../../platform/settings/common/checked_yaml.ts";
+} from "../../../services/settings/common/checked_yaml.ts";
 import {
   type DaemonSettings,
   daemonSettingsSchema,
-} from "../../../platform/settings/common/daemon_settings.ts";
+} from "../../../services/settings/common/daemon_settings.ts";
 import {
   type CliContext,
   EXIT_CODES,
--- a/src/cli/node/commands/histogram.ts
+++ b/src/cli/node/commands/histogram.ts
@@ -4,12 +4,12 @@
   mergeSeries,
   OTHER_WORKSPACES,
   requestCountOf,
-} from "../../../platform/metrics/common/figures.ts";
+} from "../../../services/metrics/common/figures.ts";
 import {
   MEASURE_NAMES,
   type MeasureName,
-} from "../../../platform/metrics/common/measures.ts";
-import type { LogHistogram } from "../../../platform/metrics/common/log_histogram.ts";
+} from "../../../services/metrics/common/measures.ts";
+import type { LogHistogram } from "../../../services/metrics/common/log_histogram.ts";
 import { summarise, toSteps } from "../../common/figure_rows.ts";
 import {
   createPaint,
--- a/src/cli/node/config_commands.ts
+++ b/src/cli/node/config_commands.ts
@@ -9,8 +9,8 @@
   documentText,
   writeChange,
 } from "../../features/configuration/common/configuration_writer.ts";
-import type { StoreEntry } from "../../platform/store/common/store_client.ts";
-import { formatMistakes } from "../../platform/settings/common/checked_yaml.ts";
+import type { StoreEntry } from "../../services/store/common/store_client.ts";
+import { formatMistakes } from "../../services/settings/common/checked_yaml.ts";
 import {
   type CliContext,
   EXIT_CODES,
--- a/src/cli/node/figures.ts
+++ b/src/cli/node/figures.ts
@@ -1,7 +1,7 @@
 /** Figures of all daemons. */
 
 import { rightOf } from "../../base/common/result.ts";
-import type { DaemonFigures } from "../../platform/metrics/common/figures.ts";
+import type { DaemonFigures } from "../../services/metrics/common/figures.ts";
 import { type CliContext, withProgress } from "./cli_context.ts";
 import { askAllDaemons, reportSilentDaemons } from "./operator_client.ts";
 
--- a/src/cli/node/main.ts
+++ b/src/cli/node/main.ts
@@ -2,7 +2,7 @@
 /** Entry of `ragwort`, the operators' command line. */
 
 import { randomUUID } from "node:crypto";
-import { EtcdStoreClient } from "../../platform/store/node/etcd_store_client.ts";
+import { EtcdStoreClient } from "../../services/store/node/etcd_store_client.ts";
 import { runCommandLine } from "./command_line.ts";
 
 await runCommandLine(process.argv, {
--- a/src/cli/node/shell.ts
+++ b/src/cli/node/shell.ts
@@ -5,7 +5,7 @@
 import { messageOf } from "../../base/common/errors.ts";
 import type { Address } from "../../base/common/ids.ts";
 import { attempt, type Either } from "../../base/common/result.ts";
-import type { StoreClient } from "../../platform/store/common/store_client.ts";
+import type { StoreClient } from "../../services/store/common/store_client.ts";
 import {
   type CliContext,
   EXIT_CODES,
--- a/src/daemon/common/daemon_core.ts
+++ b/src/daemon/common/daemon_core.ts
@@ -39,14 +39,14 @@
 import { Quarantine } from "../../features/quarantine/common/quarantine.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import { ShardedClaimLedger } from "../../features/ledger/common/sharded_claim_ledger.ts";
-import type { AppClient } from "../../platform/endpoints/common/app_client.ts";
-import type { EngineClient } from "../../platform/endpoints/common/engine_client.ts";
-import type { HostListClient } from "../../platform/hosts/common/host_list.ts";
-import type { Logger } from "../../platform/log/common/logger.ts";
-import type { Membership } from "../../platform/membership/common/membership.ts";
-import type { Metrics } from "../../platform/metrics/common/metrics.ts";
-import type { PeerLinks } from "../../platform/peers/common/peer_links.ts";
-import type { StoreClient } from "../../platform/store/common/store_client.ts";
+import type { AppClient } from "../../services/endpoints/common/app_client.ts";
+import type { EngineClient } from "../../services/endpoints/common/engine_client.ts";
+import type { HostListClient } from "../../services/hosts/common/host_list.ts";
+import type { Logger } from "../../services/log/common/logger.ts";
+import type { Membership } from "../../services/membership/common/membership.ts";
+import type { Metrics } from "../../services/metrics/common/metrics.ts";
+import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
+import type { StoreClient } from "../../services/store/common/store_client.ts";
 import { HostListFollower } from "./host_list_follower.ts";
 
 /** What a daemon stands on. */
--- a/src/daemon/common/host_list_follower.ts
+++ b/src/daemon/common/host_list_follower.ts
@@ -10,9 +10,9 @@
 import type {
   HostListClient,
   ListedHostEntry,
-} from "../../platform/hosts/common/host_list.ts";
-import type { Logger } from "../../platform/log/common/logger.ts";
-import type { Membership } from "../../platform/membership/common/membership.ts";
+} from "../../services/hosts/common/host_list.ts";
+import type { Logger } from "../../services/log/common/logger.ts";
+import type { Membership } from "../../services/membership/common/membership.ts";
 
 const READ_PERIOD_MS = 1_000;
 const READERS_PER_ZONE = 2;
--- a/src/daemon/common/openai_format.ts
+++ b/src/daemon/common/openai_format.ts
@@ -4,8 +4,8 @@
 import type { GenerationId } from "../../base/common/ids.ts";
 import { type Either, Left, Right } from "../../base/common/result.ts";
 import type { Token } from "../../features/generations/common/frame_sequencer.ts";
-import type { FinishReason } from "../../platform/endpoints/common/engine_client.ts";
-import { type ProblemBody } from "../../platform/outcomes/common/failure.ts";
+import type { FinishReason } from "../../services/endpoints/common/engine_client.ts";
+import { type ProblemBody } from "../../services/outcomes/common/failure.ts";
 
 const MS_PER_SECOND = 1_000;
 const MAX_MESSAGES = 10_000;
--- a/src/daemon/node/call_routes.ts
+++ b/src/daemon/node/call_routes.ts
@@ -9,8 +9,8 @@
 import type {
   AppResponse,
   HeaderLine,
-} from "../../platform/endpoints/common/app_client.ts";
-import type { Failure } from "../../platform/outcomes/common/failure.ts";
+} from "../../services/endpoints/common/app_client.ts";
+import type { Failure } from "../../services/outcomes/common/failure.ts";
 import { identifyCaller } from "./caller_identity.ts";
 import {
   bodyBytes,
--- a/src/daemon/node/caller_front.ts
+++ b/src/daemon/node/caller_front.ts
@@ -3,8 +3,8 @@
 import type { Server } from "node:http";
 import type { Server as TlsServer } from "node:tls";
 import fastify, { type FastifyInstance } from "fastify";
-import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
-import type { TlsFiles } from "../../platform/tls/node/tls_files.ts";
+import type { DaemonSettings } from "../../services/settings/common/daemon_settings.ts";
+import type { TlsFiles } from "../../services/tls/node/tls_files.ts";
 import { addCallRoutes } from "./call_routes.ts";
 import {
   addGenerationRoutes,
--- a/src/daemon/node/caller_identity.ts
+++ b/src/daemon/node/caller_identity.ts
@@ -7,7 +7,7 @@
   Configuration,
   KnownWorkspace,
 } from "../../features/configuration/common/configuration.ts";
-import type { Failure } from "../../platform/outcomes/common/failure.ts";
+import type { Failure } from "../../services/outcomes/common/failure.ts";
 import { refuse } from "./problem_reply.ts";
 
 /**
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -14,23 +14,23 @@
   HmacSigner,
   type SigningKey,
 } from "../../features/generations/node/hmac_signer.ts";
-import { HttpAppClient } from "../../platform/endpoints/node/http_app_client.ts";
-import { HttpEngineClient } from "../../platform/endpoints/node/http_engine_client.ts";
-import { HttpHostListClient } from "../../platform/hosts/node/http_host_list_client.ts";
-import { DebugLogger } from "../../platform/log/node/debug_logger.ts";
-import { GossipMembership } from "../../platform/membership/common/gossip_membership.ts";
-import { HistogramMetrics } from "../../platform/metrics/common/histogram_metrics.ts";
-import { PreemptionMeter } from "../../platform/metrics/common/preemption_meter.ts";
+import { HttpAppClient } from "../../services/endpoints/node/http_app_client.ts";
+import { HttpEngineClient } from "../../services/endpoints/node/http_engine_client.ts";
+import { HttpHostListClient } from "../../services/hosts/node/http_host_list_client.ts";
+import { DebugLogger } from "../../services/log/node/debug_logger.ts";
+import { GossipMembership } from "../../services/membership/common/gossip_membership.ts";
+import { HistogramMetrics } from "../../services/metrics/common/histogram_metrics.ts";
+import { PreemptionMeter } from "../../services/metrics/common/preemption_meter.ts";
 import {
   NO_SAMPLE_SINK,
   type SampleSink,
-} from "../../platform/metrics/common/sample_sink.ts";
-import { StatsdSink } from "../../platform/metrics/node/statsd_sink.ts";
-import { WsPeerLinks } from "../../platform/peers/node/ws_peer_links.ts";
-import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
-import { splitAddress } from "../../platform/settings/common/schema_parts.ts";
-import { TlsFiles } from "../../platform/tls/node/tls_files.ts";
-import { EtcdStoreClient } from "../../platform/store/node/etcd_store_client.ts";
+} from "../../services/metrics/common/sample_sink.ts";
+import { StatsdSink } from "../../services/metrics/node/statsd_sink.ts";
+import { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
+import type { DaemonSettings } from "../../services/settings/common/daemon_settings.ts";
+import { splitAddress } from "../../services/settings/common/schema_parts.ts";
+import { TlsFiles } from "../../services/tls/node/tls_files.ts";
+import { EtcdStoreClient } from "../../services/store/node/etcd_store_client.ts";
 import { DaemonCore } from "../common/daemon_core.ts";
 import { createCallerFront } from "./caller_front.ts";
 import { createOperatorFront } from "./operator_front.ts";
--- a/src/daemon/node/generation_routes.ts
+++ b/src/daemon/node/generation_routes.ts
@@ -9,7 +9,7 @@
   GenerationRequest,
   ResumeRequest,
 } from "../../features/generations/common/generation_service.ts";
-import type { Failure } from "../../platform/outcomes/common/failure.ts";
+import type { Failure } from "../../services/outcomes/common/failure.ts";
 import type { DaemonCore } from "../common/daemon_core.ts";
 import {
   type CompletionKind,
--- a/src/daemon/node/main.ts
+++ b/src/daemon/node/main.ts
@@ -6,12 +6,12 @@
 import { messageOf } from "../../base/common/errors.ts";
 import { type Either, Right } from "../../base/common/result.ts";
 import type { SigningKey } from "../../features/generations/node/hmac_signer.ts";
-import { enableLogLevels } from "../../platform/log/node/debug_logger.ts";
-import type { DaemonSettings } from "../../platform/settings/common/daemon_settings.ts";
+import { enableLogLevels } from "../../services/log/node/debug_logger.ts";
+import type { DaemonSettings } from "../../services/settings/common/daemon_settings.ts";
 import {
   readSecret,
   readSettings,
-} from "../../platform/settings/node/settings_file.ts";
+} from "../../services/settings/node/settings_file.ts";
 import { Daemon, type DaemonSecrets } from "./daemon.ts";
 
 const EXIT_BAD_SETTINGS = 2;
--- a/src/daemon/node/malformed_request.ts
+++ b/src/daemon/node/malformed_request.ts
@@ -2,7 +2,7 @@
 
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { toProblemBody } from "../../platform/outcomes/common/failure.ts";
+import { toProblemBody } from "../../services/outcomes/common/failure.ts";
 import { withClientError } from "../common/openai_format.ts";
 import { refuse } from "./problem_reply.ts";
 
--- a/src/daemon/node/operator_front.ts
+++ b/src/daemon/node/operator_front.ts
@@ -13,8 +13,8 @@
 import type {
   DaemonFigures,
   SeriesFigures,
-} from "../../platform/metrics/common/figures.ts";
-import { formatPrometheus } from "../../platform/metrics/node/prometheus_text.ts";
+} from "../../services/metrics/common/figures.ts";
+import { formatPrometheus } from "../../services/metrics/node/prometheus_text.ts";
 import type { DaemonCore } from "../common/daemon_core.ts";
 import { refuse, sendProblem } from "./problem_reply.ts";
 
--- a/src/daemon/node/problem_reply.ts
+++ b/src/daemon/node/problem_reply.ts
@@ -5,7 +5,7 @@
   type Failure,
   statusOf,
   toProblemBody,
-} from "../../platform/outcomes/common/failure.ts";
+} from "../../services/outcomes/common/failure.ts";
 import { withClientError } from "../common/openai_format.ts";
 
 /** Header that names the request to its caller. */
--- a/src/daemon/node/sse_caller.ts
+++ b/src/daemon/node/sse_caller.ts
@@ -9,7 +9,7 @@
   GenerationEnd,
   GenerationHandle,
 } from "../../features/generations/common/generation_service.ts";
-import { toProblemBody } from "../../platform/outcomes/common/failure.ts";
+import { toProblemBody } from "../../services/outcomes/common/failure.ts";
 import {
   ChunkWriter,
   type CompletionKind,
--- a/src/features/calls/common/call_service.ts
+++ b/src/features/calls/common/call_service.ts
@@ -15,9 +15,9 @@
   AppFailure,
   AppRequest,
   AppResponse,
-} from "../../../platform/endpoints/common/app_client.ts";
-import type { Metrics } from "../../../platform/metrics/common/metrics.ts";
-import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+} from "../../../services/endpoints/common/app_client.ts";
+import type { Metrics } from "../../../services/metrics/common/metrics.ts";
+import type { Failure } from "../../../services/outcomes/common/failure.ts";
 import type {
   KnownClass,
   ResolvedRoute,
--- a/src/features/configuration/common/configuration_claims.ts
+++ b/src/features/configuration/common/configuration_claims.ts
@@ -1,7 +1,7 @@
 /** What only one team may claim: API keys and prefixes of paths. */
 
 import type { TeamName } from "../../../base/common/ids.ts";
-import type { DocumentMistake } from "../../../platform/settings/common/checked_yaml.ts";
+import type { DocumentMistake } from "../../../services/settings/common/checked_yaml.ts";
 import type { TeamDocument } from "./team_document.ts";
 
 /** A team with its valid document. */
--- a/src/features/configuration/common/configuration_exchange.ts
+++ b/src/features/configuration/common/configuration_exchange.ts
@@ -10,7 +10,7 @@
 import type {
   PeerChannel,
   PeerLinks,
-} from "../../../platform/peers/common/peer_links.ts";
+} from "../../../services/peers/common/peer_links.ts";
 import {
   CONFIGURATION_CHANNEL,
   type ConfigurationMessage,
--- a/src/features/configuration/common/configuration_history.ts
+++ b/src/features/configuration/common/configuration_history.ts
@@ -6,7 +6,7 @@
   StoreClient,
   StoreEntry,
   StoreFailure,
-} from "../../../platform/store/common/store_client.ts";
+} from "../../../services/store/common/store_client.ts";
 
 const HISTORY_KEY_PREFIX = "config/history/";
 const REVISION_DIGITS = 16;
--- a/src/features/configuration/common/configuration_messages.ts
+++ b/src/features/configuration/common/configuration_messages.ts
@@ -3,8 +3,8 @@
 import { z } from "zod";
 import type { TeamName } from "../../../base/common/ids.ts";
 import { Left, Right } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../platform/peers/common/peer_links.ts";
-import { nameSchema } from "../../../platform/settings/common/schema_parts.ts";
+import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
+import { nameSchema } from "../../../services/settings/common/schema_parts.ts";
 
 /** Most characters of a document in one message. */
 export const PART_CHARACTERS = 32_768;
--- a/src/features/configuration/common/configuration_replica.ts
+++ b/src/features/configuration/common/configuration_replica.ts
@@ -3,8 +3,8 @@
 import { Emitter } from "../../../base/common/event.ts";
 import type { Hasher } from "../../../base/common/hasher.ts";
 import type { TeamName } from "../../../base/common/ids.ts";
-import type { Logger } from "../../../platform/log/common/logger.ts";
-import { formatMistakes } from "../../../platform/settings/common/checked_yaml.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import { formatMistakes } from "../../../services/settings/common/checked_yaml.ts";
 import { TEAM_KEY_PREFIX } from "./configuration.ts";
 import type { ConfigurationTable } from "./configuration_table.ts";
 import { parseTeamDocument } from "./team_document_parser.ts";
--- a/src/features/configuration/common/configuration_watcher.ts
+++ b/src/features/configuration/common/configuration_watcher.ts
@@ -9,13 +9,13 @@
   NO_DISPOSABLE,
 } from "../../../base/common/lifecycle.ts";
 import type { SeededRandom } from "../../../base/common/random.ts";
-import type { Logger } from "../../../platform/log/common/logger.ts";
-import type { Membership } from "../../../platform/membership/common/membership.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import type { Membership } from "../../../services/membership/common/membership.ts";
 import type {
   StoreChange,
   StoreClient,
   StoreListing,
-} from "../../../platform/store/common/store_client.ts";
+} from "../../../services/store/common/store_client.ts";
 import { TEAM_KEY_PREFIX } from "./configuration.ts";
 import type { ConfigurationReplica } from "./configuration_replica.ts";
 import { isDeletionMark } from "./configuration_writer.ts";
--- a/src/features/configuration/common/configuration_writer.ts
+++ b/src/features/configuration/common/configuration_writer.ts
@@ -8,12 +8,12 @@
   Right,
   rightOf,
 } from "../../../base/common/result.ts";
-import type { DocumentMistake } from "../../../platform/settings/common/checked_yaml.ts";
+import type { DocumentMistake } from "../../../services/settings/common/checked_yaml.ts";
 import type {
   StoreClient,
   StoreEntry,
   StoreFailure,
-} from "../../../platform/store/common/store_client.ts";
+} from "../../../services/store/common/store_client.ts";
 import { TEAM_KEY_PREFIX } from "./configuration.ts";
 import {
   findForeignClaims,
--- a/src/features/configuration/common/team_document.ts
+++ b/src/features/configuration/common/team_document.ts
@@ -4,7 +4,7 @@
 import {
   addressSchema,
   nameSchema,
-} from "../../../platform/settings/common/schema_parts.ts";
+} from "../../../services/settings/common/schema_parts.ts";
 
 const API_KEY_HASH_PATTERN = /^[0-9a-f]{64}$/;
 const MAX_TOKENS_LIMIT = 1_000_000;
--- a/src/features/configuration/common/team_document_parser.ts
+++ b/src/features/configuration/common/team_document_parser.ts
@@ -4,7 +4,7 @@
 import {
   type DocumentMistake,
   parseCheckedYaml,
-} from "../../../platform/settings/common/checked_yaml.ts";
+} from "../../../services/settings/common/checked_yaml.ts";
 import { type TeamDocument, teamDocumentSchema } from "./team_document.ts";
 
 /**
--- a/src/features/dispatch/common/dispatch_groups.ts
+++ b/src/features/dispatch/common/dispatch_groups.ts
@@ -9,7 +9,7 @@
   type ServiceId,
   type ZoneName,
 } from "../../../base/common/ids.ts";
-import type { Membership } from "../../../platform/membership/common/membership.ts";
+import type { Membership } from "../../../services/membership/common/membership.ts";
 import type {
   EndpointDirectory,
   KnownEndpoint,
--- a/src/features/dispatch/common/dispatch_messages.ts
+++ b/src/features/dispatch/common/dispatch_messages.ts
@@ -10,7 +10,7 @@
   type WorkspaceId,
 } from "../../../base/common/ids.ts";
 import { Left, Right } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../platform/peers/common/peer_links.ts";
+import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
 import type { GroupId } from "./dispatch_groups.ts";
 import type { GrantId } from "./dispatcher.ts";
 
--- a/src/features/dispatch/common/dispatcher.ts
+++ b/src/features/dispatch/common/dispatcher.ts
@@ -8,7 +8,7 @@
   WorkspaceId,
 } from "../../../base/common/ids.ts";
 import type { Eventually } from "../../../base/common/result.ts";
-import type { Endpoint } from "../../../platform/endpoints/common/engine_client.ts";
+import type { Endpoint } from "../../../services/endpoints/common/engine_client.ts";
 
 /** Id of a grant, unique over all daemons. */
 export type GrantId = Brand<string, "GrantId">;
--- a/src/features/dispatch/common/endpoint_monitor.ts
+++ b/src/features/dispatch/common/endpoint_monitor.ts
@@ -9,7 +9,7 @@
 import type {
   Endpoint,
   EngineClient,
-} from "../../../platform/endpoints/common/engine_client.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
 import type { GroupDispatcher } from "./group_dispatcher.ts";
 
 const POLL_PERIOD_MS = 500;
--- a/src/features/dispatch/common/endpoint_state.ts
+++ b/src/features/dispatch/common/endpoint_state.ts
@@ -3,7 +3,7 @@
 import type {
   Endpoint,
   LoadReport,
-} from "../../../platform/endpoints/common/engine_client.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
 import { MemoryLedger } from "./memory_ledger.ts";
 import type { MemoryProfile } from "./memory_profile.ts";
 
--- a/src/features/dispatch/common/group_dispatcher.ts
+++ b/src/features/dispatch/common/group_dispatcher.ts
@@ -8,7 +8,7 @@
   CacheEventPage,
   Endpoint,
   LoadReport,
-} from "../../../platform/endpoints/common/engine_client.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
 import type { GrantId, RefusalReason } from "./dispatcher.ts";
 import { EndpointState } from "./endpoint_state.ts";
 import { FairQueue, type OfferResult, type QueueItem } from "./fair_queue.ts";
--- a/src/features/dispatch/common/group_dispatcher_test.ts
+++ b/src/features/dispatch/common/group_dispatcher_test.ts
@@ -6,7 +6,7 @@
   type WorkspaceId,
 } from "../../../base/common/ids.ts";
 import { SeededRandom } from "../../../base/common/random.ts";
-import type { LoadReport } from "../../../platform/endpoints/common/engine_client.ts";
+import type { LoadReport } from "../../../services/endpoints/common/engine_client.ts";
 import type { GrantEnd, GrantId, Refusal } from "./dispatcher.ts";
 import { GroupDispatcher } from "./group_dispatcher.ts";
 import { policyFor } from "./group_policy.ts";
--- a/src/features/dispatch/common/group_requests.ts
+++ b/src/features/dispatch/common/group_requests.ts
@@ -1,7 +1,7 @@
 /** Messages between a group's dispatcher and those who ask it. */
 
 import type { EndpointId } from "../../../base/common/ids.ts";
-import type { Endpoint } from "../../../platform/endpoints/common/engine_client.ts";
+import type { Endpoint } from "../../../services/endpoints/common/engine_client.ts";
 import type { GrantEnd, GrantId, Refusal } from "./dispatcher.ts";
 import type { LengthSubject } from "./length_knowledge.ts";
 import type { WorkspaceLimit } from "./workspace_limits.ts";
--- a/src/features/dispatch/common/peer_dispatcher.ts
+++ b/src/features/dispatch/common/peer_dispatcher.ts
@@ -18,13 +18,13 @@
   Left,
   leftOf,
 } from "../../../base/common/result.ts";
-import type { EngineClient } from "../../../platform/endpoints/common/engine_client.ts";
-import { hashBlocks } from "../../../platform/endpoints/common/prompt_blocks.ts";
-import type { Membership } from "../../../platform/membership/common/membership.ts";
+import type { EngineClient } from "../../../services/endpoints/common/engine_client.ts";
+import { hashBlocks } from "../../../services/endpoints/common/prompt_blocks.ts";
+import type { Membership } from "../../../services/membership/common/membership.ts";
 import type {
   PeerChannel,
   PeerLinks,
-} from "../../../platform/peers/common/peer_links.ts";
+} from "../../../services/peers/common/peer_links.ts";
 import {
   type Configuration,
   serviceIdOf,
--- a/src/features/dispatch/common/placement.ts
+++ b/src/features/dispatch/common/placement.ts
@@ -1,6 +1,6 @@
 /** Chooses the endpoint of a request. */
 
-import { BLOCK_TOKENS } from "../../../platform/endpoints/common/prompt_blocks.ts";
+import { BLOCK_TOKENS } from "../../../services/endpoints/common/prompt_blocks.ts";
 import type { Allowance, EndpointState } from "./endpoint_state.ts";
 import type { GroupPolicy } from "./group_policy.ts";
 import type { GroupRequest } from "./group_requests.ts";
--- a/src/features/dispatch/common/prefix_index.ts
+++ b/src/features/dispatch/common/prefix_index.ts
@@ -1,6 +1,6 @@
 /** Which endpoints hold which prompt prefixes, from late cache events. */
 
-import type { CacheEventPage } from "../../../platform/endpoints/common/engine_client.ts";
+import type { CacheEventPage } from "../../../services/endpoints/common/engine_client.ts";
 
 /** Most endpoints of a group; each has one bit of an entry. */
 export const MAX_GROUP_ENDPOINTS = 24;
--- a/src/features/dispatch/common/refusal_failure.ts
+++ b/src/features/dispatch/common/refusal_failure.ts
@@ -1,6 +1,6 @@
 /** Turns a refusal of the dispatcher into what the caller is told. */
 
-import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+import type { Failure } from "../../../services/outcomes/common/failure.ts";
 import type { Refusal } from "./dispatcher.ts";
 
 /**
--- a/src/features/endpoints/common/endpoint_directory.ts
+++ b/src/features/endpoints/common/endpoint_directory.ts
@@ -6,7 +6,7 @@
   ServiceId,
   ZoneName,
 } from "../../../base/common/ids.ts";
-import type { Endpoint } from "../../../platform/endpoints/common/engine_client.ts";
+import type { Endpoint } from "../../../services/endpoints/common/engine_client.ts";
 
 /** An endpoint with what is known of it. */
 export interface KnownEndpoint extends Endpoint {
--- a/src/features/endpoints/common/endpoint_mark.ts
+++ b/src/features/endpoints/common/endpoint_mark.ts
@@ -3,7 +3,7 @@
 import { z } from "zod";
 import type { EndpointId, ServiceId } from "../../../base/common/ids.ts";
 import { Left, Right } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../platform/peers/common/peer_links.ts";
+import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
 
 const MAX_NAME_CHARACTERS = 200;
 const MAX_MARKS = 1_024;
--- a/src/features/endpoints/common/endpoint_mark_spreader.ts
+++ b/src/features/endpoints/common/endpoint_mark_spreader.ts
@@ -4,8 +4,8 @@
   type Disposable,
   DisposableStore,
 } from "../../../base/common/lifecycle.ts";
-import type { Logger } from "../../../platform/log/common/logger.ts";
-import type { PeerLinks } from "../../../platform/peers/common/peer_links.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import type { PeerLinks } from "../../../services/peers/common/peer_links.ts";
 import type { ConfiguredEndpoints } from "./configured_endpoints.ts";
 import { ENDPOINT_MARK_CHANNEL } from "./endpoint_mark.ts";
 
--- a/src/features/endpoints/common/reclaim_watcher.ts
+++ b/src/features/endpoints/common/reclaim_watcher.ts
@@ -11,8 +11,8 @@
 import type {
   EngineClient,
   LoadReport,
-} from "../../../platform/endpoints/common/engine_client.ts";
-import type { Membership } from "../../../platform/membership/common/membership.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
+import type { Membership } from "../../../services/membership/common/membership.ts";
 import type { Configuration } from "../../configuration/common/configuration.ts";
 import { serviceIdOf } from "../../configuration/common/configuration.ts";
 import type { ConfiguredEndpoints } from "./configured_endpoints.ts";
--- a/src/features/explain/common/decision_log.ts
+++ b/src/features/explain/common/decision_log.ts
@@ -3,7 +3,7 @@
 import { BoundedMap } from "../../../base/common/bounded_map.ts";
 import type { Clock } from "../../../base/common/clock.ts";
 import type { RequestId } from "../../../base/common/ids.ts";
-import type { OutcomeKind } from "../../../platform/metrics/common/metrics.ts";
+import type { OutcomeKind } from "../../../services/metrics/common/metrics.ts";
 import type { GrantEnd } from "../../dispatch/common/dispatcher.ts";
 
 const MAX_REQUESTS = 4_096;
--- a/src/features/explain/common/explained_services.ts
+++ b/src/features/explain/common/explained_services.ts
@@ -2,9 +2,9 @@
 
 import type { WorkspaceId } from "../../../base/common/ids.ts";
 import type { Eventually } from "../../../base/common/result.ts";
-import type { AppResponse } from "../../../platform/endpoints/common/app_client.ts";
-import type { CancelResult } from "../../../platform/endpoints/common/engine_client.ts";
-import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+import type { AppResponse } from "../../../services/endpoints/common/app_client.ts";
+import type { CancelResult } from "../../../services/endpoints/common/engine_client.ts";
+import type { Failure } from "../../../services/outcomes/common/failure.ts";
 import type {
   CallRequest,
   CallService,
--- a/src/features/generations/common/connection_set.ts
+++ b/src/features/generations/common/connection_set.ts
@@ -6,7 +6,7 @@
   EngineStream,
   EngineStreamListener,
   StreamClose,
-} from "../../../platform/endpoints/common/engine_client.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
 
 /** How a connection is opened. */
 export type ConnectionOpening = (
--- a/src/features/generations/common/frame_sequencer.ts
+++ b/src/features/generations/common/frame_sequencer.ts
@@ -3,7 +3,7 @@
 import type {
   EngineFrame,
   FinishReason,
-} from "../../../platform/endpoints/common/engine_client.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
 
 /** A token with its place in the generation. */
 export interface Token {
--- a/src/features/generations/common/frame_sequencer_test.ts
+++ b/src/features/generations/common/frame_sequencer_test.ts
@@ -1,5 +1,5 @@
 import fc from "fast-check";
-import type { EngineFrame } from "../../../platform/endpoints/common/engine_client.ts";
+import type { EngineFrame } from "../../../services/endpoints/common/engine_client.ts";
 import { FrameSequencer } from "./frame_sequencer.ts";
 
 function token(offset: number, generation = "g"): EngineFrame {
--- a/src/features/generations/common/generation_followers.ts
+++ b/src/features/generations/common/generation_followers.ts
@@ -18,7 +18,7 @@
   PeerChannel,
   PeerChannelSpec,
   PeerLinks,
-} from "../../../platform/peers/common/peer_links.ts";
+} from "../../../services/peers/common/peer_links.ts";
 
 /** What a daemon tells the others about a generation. */
 export interface FollowerNotice {
--- a/src/features/generations/common/generation_relay_service.ts
+++ b/src/features/generations/common/generation_relay_service.ts
@@ -16,8 +16,8 @@
 import type {
   CancelResult,
   Endpoint,
-} from "../../../platform/endpoints/common/engine_client.ts";
-import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
+import type { Failure } from "../../../services/outcomes/common/failure.ts";
 import { findEndpoint } from "../../configuration/common/configuration.ts";
 import { decodeGenerationId } from "./generation_id.ts";
 import type {
--- a/src/features/generations/common/generation_service.ts
+++ b/src/features/generations/common/generation_service.ts
@@ -10,8 +10,8 @@
 import type {
   CancelResult,
   FinishReason,
-} from "../../../platform/endpoints/common/engine_client.ts";
-import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
+import type { Failure } from "../../../services/outcomes/common/failure.ts";
 import type { Token } from "./frame_sequencer.ts";
 
 /** A generation as its caller asked for it. */
--- a/src/features/generations/common/relay_services.ts
+++ b/src/features/generations/common/relay_services.ts
@@ -2,9 +2,9 @@
 
 import type { Clock } from "../../../base/common/clock.ts";
 import type { HostId } from "../../../base/common/ids.ts";
-import type { EngineClient } from "../../../platform/endpoints/common/engine_client.ts";
-import type { Logger } from "../../../platform/log/common/logger.ts";
-import type { Metrics } from "../../../platform/metrics/common/metrics.ts";
+import type { EngineClient } from "../../../services/endpoints/common/engine_client.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import type { Metrics } from "../../../services/metrics/common/metrics.ts";
 import type { Configuration } from "../../configuration/common/configuration.ts";
 import type { Dispatcher } from "../../dispatch/common/dispatcher.ts";
 import type { IsolatedAdmission } from "../../quarantine/common/isolated_admission.ts";
--- a/src/features/generations/common/resumed_generation.ts
+++ b/src/features/generations/common/resumed_generation.ts
@@ -3,8 +3,8 @@
 import { assertNever } from "../../../base/common/errors.ts";
 import type { GenerationId } from "../../../base/common/ids.ts";
 import type { Disposable } from "../../../base/common/lifecycle.ts";
-import type { Endpoint } from "../../../platform/endpoints/common/engine_client.ts";
-import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+import type { Endpoint } from "../../../services/endpoints/common/engine_client.ts";
+import type { Failure } from "../../../services/outcomes/common/failure.ts";
 import type { Token } from "./frame_sequencer.ts";
 import { type Follower, ResumeWindow } from "./generation_followers.ts";
 import type {
--- a/src/features/generations/common/started_generation.ts
+++ b/src/features/generations/common/started_generation.ts
@@ -6,8 +6,8 @@
   type Disposable,
   NO_DISPOSABLE,
 } from "../../../base/common/lifecycle.ts";
-import type { Endpoint } from "../../../platform/endpoints/common/engine_client.ts";
-import type { Failure } from "../../../platform/outcomes/common/failure.ts";
+import type { Endpoint } from "../../../services/endpoints/common/engine_client.ts";
+import type { Failure } from "../../../services/outcomes/common/failure.ts";
 import type { Grant, GrantEnd } from "../../dispatch/common/dispatcher.ts";
 import { toRefusalFailure } from "../../dispatch/common/refusal_failure.ts";
 import type { IsolatedGrant } from "../../quarantine/common/isolated_admission.ts";
--- a/src/features/generations/common/stream_relay.ts
+++ b/src/features/generations/common/stream_relay.ts
@@ -16,7 +16,7 @@
   EngineStreamListener,
   FinishReason,
   StreamClose,
-} from "../../../platform/endpoints/common/engine_client.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
 import {
   type Connection,
   type ConnectionOpening,
--- a/src/features/generations/common/stream_relay_test.ts
+++ b/src/features/generations/common/stream_relay_test.ts
@@ -4,8 +4,8 @@
 import type {
   EngineFrame,
   EngineStreamListener,
-} from "../../../platform/endpoints/common/engine_client.ts";
-import { NO_METRICS } from "../../../platform/metrics/common/metrics.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
+import { NO_METRICS } from "../../../services/metrics/common/metrics.ts";
 import { RetryBudget } from "../../retries/common/retry_budget.ts";
 import type { Token } from "./frame_sequencer.ts";
 import type { RelayServices } from "./relay_services.ts";
--- a/src/features/generations/common/token_times.ts
+++ b/src/features/generations/common/token_times.ts
@@ -4,7 +4,7 @@
 import type {
   OutcomeKind,
   RequestRecorder,
-} from "../../../platform/metrics/common/metrics.ts";
+} from "../../../services/metrics/common/metrics.ts";
 
 /** A gap between tokens above this counts as a stall. */
 const STALL_LIMIT_MS = 500;
--- a/src/features/ledger/common/claim_ledger.ts
+++ b/src/features/ledger/common/claim_ledger.ts
@@ -3,7 +3,7 @@
 import type { Brand } from "../../../base/common/brand.ts";
 import type { WorkspaceId } from "../../../base/common/ids.ts";
 import type { Eventually } from "../../../base/common/result.ts";
-import type { AppResponse } from "../../../platform/endpoints/common/app_client.ts";
+import type { AppResponse } from "../../../services/endpoints/common/app_client.ts";
 
 /** Value of a caller's `Idempotency-Key` header. */
 export type IdempotencyKey = Brand<string, "IdempotencyKey">;
--- a/src/features/ledger/common/claim_record.ts
+++ b/src/features/ledger/common/claim_record.ts
@@ -4,7 +4,7 @@
 import type {
   AppResponse,
   HeaderLine,
-} from "../../../platform/endpoints/common/app_client.ts";
+} from "../../../services/endpoints/common/app_client.ts";
 import type { ClaimEnd } from "./claim_ledger.ts";
 
 /** Largest answer that is kept, headers and encoded body together. */
--- a/src/features/ledger/common/ledger_messages.ts
+++ b/src/features/ledger/common/ledger_messages.ts
@@ -2,7 +2,7 @@
 
 import { z } from "zod";
 import { type Either, Left, Right } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../platform/peers/common/peer_links.ts";
+import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
 import type { LedgerOperation, OperationResult } from "./claim_operation.ts";
 import type { LedgerFault } from "./claim_ledger.ts";
 
--- a/src/features/ledger/common/shard_log.ts
+++ b/src/features/ledger/common/shard_log.ts
@@ -12,7 +12,7 @@
   StoreClient,
   StoreEntry,
   StoreFailure,
-} from "../../../platform/store/common/store_client.ts";
+} from "../../../services/store/common/store_client.ts";
 import {
   decodeHead,
   EMPTY_HEAD,
--- a/src/features/ledger/common/shard_router.ts
+++ b/src/features/ledger/common/shard_router.ts
@@ -14,13 +14,13 @@
   Left,
   Right,
 } from "../../../base/common/result.ts";
-import type { Membership } from "../../../platform/membership/common/membership.ts";
+import type { Membership } from "../../../services/membership/common/membership.ts";
 import type {
   PeerChannel,
   PeerLinks,
   PeerMessage,
-} from "../../../platform/peers/common/peer_links.ts";
-import type { StoreClient } from "../../../platform/store/common/store_client.ts";
+} from "../../../services/peers/common/peer_links.ts";
+import type { StoreClient } from "../../../services/store/common/store_client.ts";
 import type { LedgerOperation, OperationResult } from "./claim_operation.ts";
 import type { LedgerFault } from "./claim_ledger.ts";
 import type { ClaimRecord } from "./claim_record.ts";
--- a/src/features/ledger/common/shard_writer.ts
+++ b/src/features/ledger/common/shard_writer.ts
@@ -14,7 +14,7 @@
   Right,
   rightOf,
 } from "../../../base/common/result.ts";
-import type { StoreFailure } from "../../../platform/store/common/store_client.ts";
+import type { StoreFailure } from "../../../services/store/common/store_client.ts";
 import type { ClaimRecord } from "./claim_record.ts";
 import type { LedgerOperation, OperationResult } from "./claim_operation.ts";
 import type { LedgerFault } from "./claim_ledger.ts";
--- a/src/features/orders/common/order_service.ts
+++ b/src/features/orders/common/order_service.ts
@@ -15,8 +15,8 @@
   Endpoint,
   EngineClient,
   EngineOrder,
-} from "../../../platform/endpoints/common/engine_client.ts";
-import type { Logger } from "../../../platform/log/common/logger.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
 import type { Configuration } from "../../configuration/common/configuration.ts";
 import { serviceIdOf } from "../../configuration/common/configuration.ts";
 import type {
--- a/src/features/orders/common/order_service_test.ts
+++ b/src/features/orders/common/order_service_test.ts
@@ -6,12 +6,12 @@
 } from "../../../base/common/ids.ts";
 import { NO_DISPOSABLE } from "../../../base/common/lifecycle.ts";
 import { Left, Right } from "../../../base/common/result.ts";
-import type { EngineClient } from "../../../platform/endpoints/common/engine_client.ts";
-import { SILENT_LOGGER } from "../../../platform/log/common/logger.ts";
+import type { EngineClient } from "../../../services/endpoints/common/engine_client.ts";
+import { SILENT_LOGGER } from "../../../services/log/common/logger.ts";
 import type {
   LeaseId,
   StoreClient,
-} from "../../../platform/store/common/store_client.ts";
+} from "../../../services/store/common/store_client.ts";
 import { ConfigurationTable } from "../../configuration/common/configuration_table.ts";
 import { ConfiguredEndpoints } from "../../endpoints/common/configured_endpoints.ts";
 import { OrderService } from "./order_service.ts";
--- a/src/features/orders/common/rollout.ts
+++ b/src/features/orders/common/rollout.ts
@@ -5,7 +5,7 @@
   EngineOrder,
   EngineState,
   LoadReport,
-} from "../../../platform/endpoints/common/engine_client.ts";
+} from "../../../services/endpoints/common/engine_client.ts";
 
 /** What every engine of a service is to have loaded. */
 export interface DesiredState {
--- a/src/features/orders/common/rollout_planner.ts
+++ b/src/features/orders/common/rollout_planner.ts
@@ -4,7 +4,7 @@
  */
 
 import type { EndpointId } from "../../../base/common/ids.ts";
-import type { LoadReport } from "../../../platform/endpoints/common/engine_client.ts";
+import type { LoadReport } from "../../../services/endpoints/common/engine_client.ts";
 import {
   desiredKeyOf,
   type DesiredState,
--- a/src/features/orders/common/rollout_planner_test.ts
+++ b/src/features/orders/common/rollout_planner_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { asId, type EndpointId } from "../../../base/common/ids.ts";
-import type { EngineState } from "../../../platform/endpoints/common/engine_client.ts";
+import type { EngineState } from "../../../services/endpoints/common/engine_client.ts";
 import type { DesiredState, ObservedEndpoint, RolloutStep } from "./rollout.ts";
 import { RolloutPlanner } from "./rollout_planner.ts";
 
--- a/src/features/orders/common/stop_records.ts
+++ b/src/features/orders/common/stop_records.ts
@@ -14,7 +14,7 @@
 import type {
   StoreClient,
   StoreFailure,
-} from "../../../platform/store/common/store_client.ts";
+} from "../../../services/store/common/store_client.ts";
 import { desiredKeyOf, type DesiredState } from "./rollout.ts";
 
 /** A recorded stop. */
--- a/src/features/orders/common/zone_lease.ts
+++ b/src/features/orders/common/zone_lease.ts
@@ -13,7 +13,7 @@
 import type {
   LeaseId,
   StoreClient,
-} from "../../../platform/store/common/store_client.ts";
+} from "../../../services/store/common/store_client.ts";
 
 /** Time to live of the lease. */
 export const LEASE_TTL_MS = 15_000;
--- a/src/features/quarantine/common/quarantine.ts
+++ b/src/features/quarantine/common/quarantine.ts
@@ -19,7 +19,7 @@
 import type {
   PeerChannel,
   PeerLinks,
-} from "../../../platform/peers/common/peer_links.ts";
+} from "../../../services/peers/common/peer_links.ts";
 import type { EndpointDirectory } from "../../endpoints/common/endpoint_directory.ts";
 import { type EndpointClaim, EndpointClaims } from "./endpoint_claims.ts";
 import {
--- a/src/features/quarantine/common/quarantine_messages.ts
+++ b/src/features/quarantine/common/quarantine_messages.ts
@@ -4,7 +4,7 @@
 import { messageOf } from "../../../base/common/errors.ts";
 import { asId, type WorkspaceId } from "../../../base/common/ids.ts";
 import { attempt } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../platform/peers/common/peer_links.ts";
+import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
 import { MAX_DEATHS } from "./suspect_table.ts";
 
 const MAX_NAME_CHARACTERS = 500;
--- a/standins/app/booking_app.ts
+++ b/standins/app/booking_app.ts
@@ -4,7 +4,7 @@
 import type {
   AppRequest,
   AppResponse,
-} from "../../src/platform/endpoints/common/app_client.ts";
+} from "../../src/services/endpoints/common/app_client.ts";
 
 /** Faults that can be changed at any time. */
 export interface AppFaults {
--- a/standins/app/in_process_app_client.ts
+++ b/standins/app/in_process_app_client.ts
@@ -8,8 +8,8 @@
   AppFailure,
   AppRequest,
   AppResponse,
-} from "../../src/platform/endpoints/common/app_client.ts";
-import type { Endpoint } from "../../src/platform/endpoints/common/engine_client.ts";
+} from "../../src/services/endpoints/common/app_client.ts";
+import type { Endpoint } from "../../src/services/endpoints/common/engine_client.ts";
 import type { BookingApp } from "./booking_app.ts";
 
 const LINK_DELAY_MS = 1;
--- a/standins/demo/command_line_test.ts
+++ b/standins/demo/command_line_test.ts
@@ -5,7 +5,7 @@
 import fastify from "fastify";
 import { EXIT_CODES } from "../../src/cli/node/cli_context.ts";
 import { runCommandLine } from "../../src/cli/node/command_line.ts";
-import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+import { EtcdStoreClient } from "../../src/services/store/node/etcd_store_client.ts";
 import { book, emptyStream, streamChat } from "./demo_caller.ts";
 import { DEMO_OPERATOR_KEY, DemoDeployment } from "./demo_deployment.ts";
 
--- a/standins/demo/demo.ts
+++ b/standins/demo/demo.ts
@@ -8,9 +8,9 @@
   waitUntilInForce,
 } from "../../src/cli/node/config_wait.ts";
 import { tellEndpoint } from "../../src/cli/node/commands/endpoint.ts";
-import type { StoreClient } from "../../src/platform/store/common/store_client.ts";
+import type { StoreClient } from "../../src/services/store/common/store_client.ts";
 import { applyConfig } from "../../src/cli/node/config_commands.ts";
-import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+import { EtcdStoreClient } from "../../src/services/store/node/etcd_store_client.ts";
 import { tokenText } from "../engine/engine_options.ts";
 import {
   book,
--- a/standins/demo/operators_test.ts
+++ b/standins/demo/operators_test.ts
@@ -2,8 +2,8 @@
 import { asId, type TeamName } from "../../src/base/common/ids.ts";
 import { rightOf } from "../../src/base/common/result.ts";
 import { writeChange } from "../../src/features/configuration/common/configuration_writer.ts";
-import { enableLogLevels } from "../../src/platform/log/node/debug_logger.ts";
-import { EtcdStoreClient } from "../../src/platform/store/node/etcd_store_client.ts";
+import { enableLogLevels } from "../../src/services/log/node/debug_logger.ts";
+import { EtcdStoreClient } from "../../src/services/store/node/etcd_store_client.ts";
 import { book, emptyStream, streamChat } from "./demo_caller.ts";
 import {
   DEMO_API_KEY,
--- a/standins/edge/edge_deployment.ts
+++ b/standins/edge/edge_deployment.ts
@@ -7,7 +7,7 @@
 import { SystemClock } from "../../src/base/node/system_clock.ts";
 import { hashApiKey } from "../../src/daemon/node/caller_identity.ts";
 import { Daemon } from "../../src/daemon/node/daemon.ts";
-import { daemonSettingsSchema } from "../../src/platform/settings/common/daemon_settings.ts";
+import { daemonSettingsSchema } from "../../src/services/settings/common/daemon_settings.ts";
 import { KvStore } from "../store/kv_store.ts";
 import { createStoreServer } from "../store/store_server.ts";
 import { RecordingApp } from "./recording_app.ts";
--- a/standins/edge/peer_tls_test.ts
+++ b/standins/edge/peer_tls_test.ts
@@ -10,9 +10,9 @@
   type ZoneName,
 } from "../../src/base/common/ids.ts";
 import { SystemClock } from "../../src/base/node/system_clock.ts";
-import { SILENT_LOGGER } from "../../src/platform/log/common/logger.ts";
-import { WsPeerLinks } from "../../src/platform/peers/node/ws_peer_links.ts";
-import { TlsFiles } from "../../src/platform/tls/node/tls_files.ts";
+import { SILENT_LOGGER } from "../../src/services/log/common/logger.ts";
+import { WsPeerLinks } from "../../src/services/peers/node/ws_peer_links.ts";
+import { TlsFiles } from "../../src/services/tls/node/tls_files.ts";
 
 const clock = new SystemClock();
 const folder = mkdtempSync(join(tmpdir(), "ragwort-peer-tls-"));
--- a/standins/engine/engine_model.ts
+++ b/standins/engine/engine_model.ts
@@ -14,13 +14,13 @@
   EngineState,
   FencedOrder,
   LoadReport,
-} from "../../src/platform/endpoints/common/engine_client.ts";
+} from "../../src/services/endpoints/common/engine_client.ts";
 import {
   DEFAULT_ENGINE_OPTIONS,
   type EngineOptions,
 } from "./engine_options.ts";
 import { applyOrder, INITIAL_ENGINE_STATE } from "./engine_orders.ts";
-import { BLOCK_TOKENS } from "../../src/platform/endpoints/common/prompt_blocks.ts";
+import { BLOCK_TOKENS } from "../../src/services/endpoints/common/prompt_blocks.ts";
 import { PrefixCache } from "./prefix_cache.ts";
 import { type FrameReader, Sequence } from "./sequence.ts";
 
--- a/standins/engine/engine_options.ts
+++ b/standins/engine/engine_options.ts
@@ -1,7 +1,7 @@
 /** Options and faults of the stand-in engine. */
 
 import { shortHash } from "../text_hash.ts";
-import type { EngineRequest } from "../../src/platform/endpoints/common/engine_client.ts";
+import type { EngineRequest } from "../../src/services/endpoints/common/engine_client.ts";
 
 /** How an engine behaves. */
 export interface EngineOptions {
--- a/standins/engine/engine_orders.ts
+++ b/standins/engine/engine_orders.ts
@@ -4,7 +4,7 @@
 import type {
   EngineState,
   FencedOrder,
-} from "../../src/platform/endpoints/common/engine_client.ts";
+} from "../../src/services/endpoints/common/engine_client.ts";
 
 /** State of an engine that has got no order. */
 export const INITIAL_ENGINE_STATE: EngineState = {
--- a/standins/engine/engine_server.ts
+++ b/standins/engine/engine_server.ts
@@ -11,7 +11,7 @@
   EngineFrame,
   EngineRequest,
   FencedOrder,
-} from "../../src/platform/endpoints/common/engine_client.ts";
+} from "../../src/services/endpoints/common/engine_client.ts";
 import type { EngineModel } from "./engine_model.ts";
 import type { FrameReader } from "./sequence.ts";
 
--- a/standins/engine/in_process_engine_client.ts
+++ b/standins/engine/in_process_engine_client.ts
@@ -16,7 +16,7 @@
   EngineStreamListener,
   FencedOrder,
   LoadReport,
-} from "../../src/platform/endpoints/common/engine_client.ts";
+} from "../../src/services/endpoints/common/engine_client.ts";
 import type { EngineModel } from "./engine_model.ts";
 
 const LINK_DELAY_MS = 1;
--- a/standins/engine/prefix_cache.ts
+++ b/standins/engine/prefix_cache.ts
@@ -1,6 +1,6 @@
 /** Prefix cache of the stand-in engine: blocks of prompts, least recent out. */
 
-import type { CacheEvent } from "../../src/platform/endpoints/common/engine_client.ts";
+import type { CacheEvent } from "../../src/services/endpoints/common/engine_client.ts";
 
 /** Bounded set of blocks. */
 export class PrefixCache {
--- a/standins/engine/sequence.ts
+++ b/standins/engine/sequence.ts
@@ -4,8 +4,8 @@
   EngineFrame,
   EngineRequest,
   FinishReason,
-} from "../../src/platform/endpoints/common/engine_client.ts";
-import { hashBlocks } from "../../src/platform/endpoints/common/prompt_blocks.ts";
+} from "../../src/services/endpoints/common/engine_client.ts";
+import { hashBlocks } from "../../src/services/endpoints/common/prompt_blocks.ts";
 import { countPromptTokens, POISON_MARK, tokenText } from "./engine_options.ts";
 
 /** Reads the frames of one generation over one connection. */
--- a/standins/hosts/host_list_model.ts
+++ b/standins/hosts/host_list_model.ts
@@ -7,8 +7,8 @@
   HostListClient,
   HostListFailure,
   ListedHostEntry,
-} from "../../src/platform/hosts/common/host_list.ts";
-import { parseHostList } from "../../src/platform/hosts/common/host_list_format.ts";
+} from "../../src/services/hosts/common/host_list.ts";
+import { parseHostList } from "../../src/services/hosts/common/host_list_format.ts";
 
 /** One group of the list, as it is served. */
 export interface HostListGroup {
--- a/standins/ledger/late_store_client.ts
+++ b/standins/ledger/late_store_client.ts
@@ -6,7 +6,7 @@
   StoreFailure,
   StorePut,
   StoreWriteResult,
-} from "../../src/platform/store/common/store_client.ts";
+} from "../../src/services/store/common/store_client.ts";
 import { InProcessStoreClient } from "../store/in_process_store_client.ts";
 import type { KvStore } from "../store/kv_store.ts";
 
--- a/standins/ledger/ledger_world.ts
+++ b/standins/ledger/ledger_world.ts
@@ -22,7 +22,7 @@
 import {
   type Member,
   StaticMembership,
-} from "../../src/platform/membership/common/membership.ts";
+} from "../../src/services/membership/common/membership.ts";
 import { InProcessNetwork } from "../peers/in_process_links.ts";
 import { KvStore } from "../store/kv_store.ts";
 import { ProcessClock } from "../world/process_clock.ts";
--- a/standins/peers/in_process_links.ts
+++ b/standins/peers/in_process_links.ts
@@ -12,7 +12,7 @@
   PeerMessage,
   PeerTraffic,
   SendResult,
-} from "../../src/platform/peers/common/peer_links.ts";
+} from "../../src/services/peers/common/peer_links.ts";
 
 const LINK_DELAY_MS = 1;
 
--- a/standins/peers/membership_test.ts
+++ b/standins/peers/membership_test.ts
@@ -5,8 +5,8 @@
 import { createHasher, type Hasher } from "../../src/base/common/hasher.ts";
 import { asId } from "../../src/base/common/ids.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
-import { SILENT_LOGGER } from "../../src/platform/log/common/logger.ts";
-import { GossipMembership } from "../../src/platform/membership/common/gossip_membership.ts";
+import { SILENT_LOGGER } from "../../src/services/log/common/logger.ts";
+import { GossipMembership } from "../../src/services/membership/common/gossip_membership.ts";
 
 let hasher: Hasher;
 
--- a/standins/store/in_process_store_client.ts
+++ b/standins/store/in_process_store_client.ts
@@ -19,7 +19,7 @@
   StorePut,
   StoreWriteResult,
   WatchListener,
-} from "../../src/platform/store/common/store_client.ts";
+} from "../../src/services/store/common/store_client.ts";
 import type { CallKind, KvStore } from "./kv_store.ts";
 
 const LINK_DELAY_MS = 1;
--- a/standins/store/kv_store.ts
+++ b/standins/store/kv_store.ts
@@ -11,8 +11,8 @@
   StoreListing,
   StorePut,
   StoreWriteResult,
-} from "../../src/platform/store/common/store_client.ts";
-import { MAX_STORE_VALUE_BYTES } from "../../src/platform/store/common/store_client.ts";
+} from "../../src/services/store/common/store_client.ts";
+import { MAX_STORE_VALUE_BYTES } from "../../src/services/store/common/store_client.ts";
 
 const RATE_WINDOW_MS = 1_000;
 const DEFAULT_KEPT_CHANGES = 10_000;
--- a/standins/store/store_server.ts
+++ b/standins/store/store_server.ts
@@ -11,7 +11,7 @@
   LeaseId,
   StoreChange,
   StoreEntry,
-} from "../../src/platform/store/common/store_client.ts";
+} from "../../src/services/store/common/store_client.ts";
 import type { KvStore } from "./kv_store.ts";
 
 const MS_PER_SECOND = 1_000;
--- a/standins/world/world_host.ts
+++ b/standins/world/world_host.ts
@@ -11,10 +11,10 @@
 import { SeededRandom } from "../../src/base/common/random.ts";
 import { DaemonCore } from "../../src/daemon/common/daemon_core.ts";
 import { HmacSigner } from "../../src/features/generations/node/hmac_signer.ts";
-import { MemoryLogger } from "../../src/platform/log/common/logger.ts";
-import { GossipMembership } from "../../src/platform/membership/common/gossip_membership.ts";
-import { NO_METRICS } from "../../src/platform/metrics/common/metrics.ts";
-import type { PeerAddress } from "../../src/platform/peers/common/peer_links.ts";
+import { MemoryLogger } from "../../src/services/log/common/logger.ts";
+import { GossipMembership } from "../../src/services/membership/common/gossip_membership.ts";
+import { NO_METRICS } from "../../src/services/metrics/common/metrics.ts";
+import type { PeerAddress } from "../../src/services/peers/common/peer_links.ts";
 import { InProcessAppClient } from "../app/in_process_app_client.ts";
 import { InProcessEngineClient } from "../engine/in_process_engine_client.ts";
 import type { InProcessPeerLinks } from "../peers/in_process_links.ts";
