--- /dev/null
+++ b/src/daemon/common/gateway_knowledge.ts
@@ -0,0 +1,114 @@
+/** Turns what the mirror holds into configuration, endpoints and peers. */
+
+import type { EndpointId, HostId } from "../../base/common/ids.ts";
+import type { Either } from "../../base/common/result.ts";
+import type { EndpointAnnouncement } from "../../features/gateway/common/discovered_endpoint.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import type { GatewayConfiguration } from "../../features/gateway/common/gateway_configuration.ts";
+import type { ConfigurationState } from "../../features/gateway/common/gateway_state.ts";
+import {
+  decodeHostEntry,
+  HOST_PREFIX,
+} from "../../services/hosts/common/host_entry.ts";
+import type { Logger } from "../../services/log/common/logger.ts";
+import type {
+  MirrorChange,
+  StoreMirror,
+} from "../../services/mirror/common/store_mirror.ts";
+import type { PeerAddress } from "../../services/peers/common/peer_links.ts";
+
+/** Where documents are in the store, and how they are read. */
+export interface StoreDecoder {
+  /** Key of the operator's configuration. */
+  readonly configurationKey: string;
+  /** Prefix of the endpoints' entries. */
+  readonly endpointPrefix: string;
+  decodeConfiguration(bytes: Uint8Array): Either<string, GatewayConfiguration>;
+  decodeAnnouncement(
+    id: string,
+    bytes: Uint8Array,
+  ): Either<string, EndpointAnnouncement>;
+}
+
+/** Hears which hosts are listed. */
+export interface PeerListener {
+  onHostListed(peer: PeerAddress): void;
+  onHostUnlisted(host: HostId): void;
+}
+
+/** What the knowledge is made from. */
+export interface GatewayKnowledgeServices {
+  readonly logger: Logger;
+  readonly mirror: StoreMirror;
+  readonly state: ConfigurationState;
+  readonly registry: EndpointRegistry;
+  readonly peers: PeerListener;
+  readonly decoder: StoreDecoder;
+}
+
+/** Hands changes of the store's contents to those who use them. */
+export class GatewayKnowledge {
+  readonly #services: GatewayKnowledgeServices;
+
+  /** @param services - What the knowledge is made from. */
+  constructor(services: GatewayKnowledgeServices) {
+    this.#services = services;
+  }
+
+  /** Takes in changes of the mirror. */
+  apply(changes: readonly MirrorChange[]): void {
+    const { configurationKey, endpointPrefix } = this.#services.decoder;
+    for (const change of changes) {
+      const { key } = change;
+      if (key === configurationKey) this.#applyConfiguration(change);
+      else if (key.startsWith(endpointPrefix)) {
+        this.#applyEndpoint(key.slice(endpointPrefix.length), change);
+      } else if (key.startsWith(HOST_PREFIX)) this.#applyHost(change);
+    }
+  }
+
+  #applyConfiguration({ item }: MirrorChange): void {
+    if (!item) return;
+    const { decoder, logger, state } = this.#services;
+    const { revision } = item;
+    decoder.decodeConfiguration(item.value).caseOf({
+      Left: (detail) =>
+        logger.log("error", "configuration-unreadable", { revision, detail }),
+      Right: (configuration) => state.apply(configuration, revision),
+    });
+  }
+
+  #applyEndpoint(id: string, { item }: MirrorChange): void {
+    const { decoder, logger, mirror, registry } = this.#services;
+    const endpoint = id as EndpointId;
+    if (!item) {
+      registry.withdraw(endpoint, mirror.sinceTroubleMs);
+      return;
+    }
+    const { revision } = item;
+    decoder.decodeAnnouncement(id, item.value).caseOf({
+      Left: (detail) => {
+        logger.log("warn", "announcement-unreadable", {
+          endpoint,
+          revision,
+          detail,
+        });
+        registry.leave(endpoint, "unreadable");
+      },
+      Right: (announcement) => registry.announce(announcement),
+    });
+  }
+
+  #applyHost({ key, item }: MirrorChange): void {
+    const { logger, peers } = this.#services;
+    if (!item) {
+      peers.onHostUnlisted(key.slice(HOST_PREFIX.length) as HostId);
+      return;
+    }
+    decodeHostEntry(item.value).caseOf({
+      Left: (detail) =>
+        logger.log("warn", "host-entry-unreadable", { key, detail }),
+      Right: (entry) => peers.onHostListed(entry),
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/node/gateway_daemon.ts
@@ -0,0 +1,439 @@
+/**
+ * Composition of a daemon that passes requests on to discovered endpoints. The
+ * adapter of a platform brings the store, the codec and the decoders.
+ */
+
+import { createServer, type Server } from "node:http";
+import { type Clock, setPeriodic, sleep } from "../../base/common/clock.ts";
+import { messageOf } from "../../base/common/errors.ts";
+import { createHasher, type Hasher } from "../../base/common/hasher.ts";
+import type { Address, HostId, ZoneName } from "../../base/common/ids.ts";
+import { DisposableStore, toDisposable } from "../../base/common/lifecycle.ts";
+import { SeededRandom } from "../../base/common/random.ts";
+import {
+  GatewayKnowledge,
+  type StoreDecoder,
+} from "../common/gateway_knowledge.ts";
+import { GatewayPeers } from "./gateway_peers.ts";
+import { EndpointChooser } from "../../features/gateway/common/endpoint_choice.ts";
+import { EndpointProbe } from "../../features/gateway/common/endpoint_probe.ts";
+import { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import type { EngineControl } from "../../features/gateway/common/engine_control.ts";
+import { Gateway } from "../../features/gateway/common/gateway.ts";
+import type { GatewayCodec } from "../../features/gateway/common/gateway_codec.ts";
+import { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
+import { ConfigurationState } from "../../features/gateway/common/gateway_state.ts";
+import { LoadBoard } from "../../features/gateway/common/load_board.ts";
+import { LoadExchange } from "../../features/gateway/common/load_exchange.ts";
+import { ReportPoller } from "../../features/gateway/common/report_poller.ts";
+import { RunMover } from "../../features/gateway/common/run_mover.ts";
+import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
+import {
+  encodeHostEntry,
+  HOST_PREFIX,
+} from "../../services/hosts/common/host_entry.ts";
+import { HostLease } from "../../services/hosts/common/host_lease.ts";
+import { CallerListener } from "../../services/http/node/caller_listener.ts";
+import type { JsonClient } from "../../services/http/node/json_client.ts";
+import { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
+import type { Logger } from "../../services/log/common/logger.ts";
+import { MirrorExchange } from "../../services/mirror/common/mirror_exchange.ts";
+import type {
+  LeaseStore,
+  RevisionedStore,
+} from "../../services/mirror/common/revisioned_store.ts";
+import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
+import { StoreWatcher } from "../../services/mirror/common/store_watcher.ts";
+import type { PeerAddress } from "../../services/peers/common/peer_links.ts";
+import { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
+import { splitAddress } from "../../services/settings/common/schema_parts.ts";
+
+const TICK_MS = 100;
+/** Part of the revocation delay that is left for a request on its way. */
+const KEY_TRUST_SHARE = 0.88;
+/** Part of the fleet's retries that daemons claim; counts of hosts may differ. */
+const RETRY_SHARE = 0.6;
+/** Part of the memory that bodies of requests may fill. */
+const BODY_MEMORY_SHARE = 0.15;
+/** Time for balancers to stop sending new connections after readiness ends. */
+const ROTATION_DELAY_MS = 2_600;
+/** Part of the grace that is left for closing after the last answer. */
+const STOP_RESERVE_MS = 400;
+const BYTES_PER_MB = 1_048_576;
+
+/** Settings that may change while the daemon runs. */
+export interface GatewayTuning {
+  /** Time within which a configuration has to be in force. */
+  readonly configurationDelayMs: number;
+  /** Time within which a revoked key has to be refused. */
+  readonly revocationDelayMs: number;
+  readonly stopGraceMs: number;
+  readonly memoryMb: number;
+  readonly retries: { readonly share: number; readonly extra: number };
+  readonly seedAddresses: readonly Address[];
+}
+
+/** Who a daemon is and where it listens. */
+export interface GatewayDaemonSettings extends GatewayTuning {
+  readonly host: HostId;
+  readonly zone: ZoneName;
+  readonly callersAddress: Address;
+  readonly readyAddress: Address;
+  readonly peersAddress: Address;
+  readonly metricsAddress: Address;
+}
+
+/** What the adapter of a platform brings. */
+export interface GatewayPlatform extends StoreDecoder {
+  readonly store: RevisionedStore & LeaseStore;
+  readonly codec: GatewayCodec;
+  readonly control: EngineControl;
+  /** Makes calls to peers that are not linked yet. */
+  readonly http: JsonClient;
+  /** Secret of the links between daemons. */
+  readonly peerSecret: string;
+}
+
+/** A running daemon. */
+export class GatewayDaemon {
+  readonly #settings: GatewayDaemonSettings;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #owned = new DisposableStore();
+  readonly #metrics: GatewayMetrics;
+  readonly #mirror: StoreMirror;
+  readonly #state: ConfigurationState;
+  readonly #registry: EndpointRegistry;
+  readonly #links: WsPeerLinks;
+  readonly #watcher: StoreWatcher;
+  readonly #lease: HostLease;
+  readonly #gateway: Gateway;
+  readonly #callers: CallerListener;
+  readonly #client: UndiciPassThroughClient;
+  readonly #peers: GatewayPeers;
+  readonly #knowledge: GatewayKnowledge;
+  #tuning: GatewayTuning;
+  #isStopping = false;
+  #wasReady = false;
+
+  private constructor(
+    settings: GatewayDaemonSettings,
+    platform: GatewayPlatform,
+    clock: Clock,
+    logger: Logger,
+    metrics: GatewayMetrics,
+    hasher: Hasher,
+  ) {
+    this.#settings = settings;
+    this.#tuning = settings;
+    this.#clock = clock;
+    this.#logger = logger;
+    this.#metrics = metrics;
+    const { host, zone } = settings;
+    const random = new SeededRandom(hasher.hash32(`${host}${clock.nowMs()}`));
+    this.#mirror = new StoreMirror(clock);
+    this.#state = new ConfigurationState(
+      logger,
+      () => this.#mirror.confirmationAgeMs,
+    );
+    this.#registry = new EndpointRegistry(clock, logger);
+    const incarnation = clock.nowMs();
+    this.#links = this.#owned.add(
+      new WsPeerLinks({
+        clock,
+        logger,
+        self: { host, zone, incarnation },
+        secret: platform.peerSecret,
+        seed: hasher.hash32(host),
+        introduce: () => this.#peers.introduction(),
+      }),
+    );
+    const self: PeerAddress = { host, zone, address: settings.peersAddress };
+    this.#peers = this.#owned.add(
+      new GatewayPeers({
+        clock,
+        logger,
+        hasher,
+        http: platform.http,
+        links: this.#links,
+        mirror: this.#mirror,
+        self,
+        seedAddresses: () => this.#tuning.seedAddresses,
+      }),
+    );
+    this.#knowledge = new GatewayKnowledge({
+      logger,
+      mirror: this.#mirror,
+      state: this.#state,
+      registry: this.#registry,
+      peers: this.#peers,
+      decoder: platform,
+    });
+    this.#owned.add(
+      new MirrorExchange(clock, logger, this.#links, this.#mirror),
+    );
+    this.#watcher = this.#owned.add(
+      new StoreWatcher({
+        clock,
+        logger,
+        store: platform.store,
+        mirror: this.#mirror,
+        isNeeded: () => this.#peers.isRelay(),
+      }),
+    );
+    this.#lease = this.#owned.add(
+      new HostLease(
+        clock,
+        logger,
+        platform.store,
+        `${HOST_PREFIX}${host}`,
+        encodeHostEntry(self),
+      ),
+    );
+    const board = new LoadBoard(clock);
+    this.#owned.add(new LoadExchange(clock, this.#links, board));
+    this.#client = new UndiciPassThroughClient(clock);
+    this.#gateway = new Gateway(
+      {
+        clock,
+        logger,
+        metrics,
+        codec: platform.codec,
+        client: this.#client,
+        registry: this.#registry,
+        board,
+        chooser: new EndpointChooser(
+          clock,
+          this.#registry,
+          board,
+          random,
+          zone,
+        ),
+        budget: new RetryBudget({
+          clock,
+          random,
+          limits: () => this.#retryLimits(),
+        }),
+        probe: new EndpointProbe(clock, logger, metrics, platform.control),
+        mover: new RunMover(clock, platform.control, {
+          take: () => Promise.resolve(() => undefined),
+        }),
+      },
+      this.#state,
+      () => ({
+        keyTrustMs: this.#tuning.revocationDelayMs * KEY_TRUST_SHARE,
+        unknownTrustMs: this.#tuning.configurationDelayMs / 2,
+        maxBodyBytesInUse: this.#tuning.memoryMb * BODY_MEMORY_SHARE *
+          BYTES_PER_MB,
+      }),
+      hasher,
+    );
+    this.#callers = this.#owned.add(new CallerListener(clock));
+    this.#owned.add(
+      new ReportPoller(
+        host,
+        clock,
+        hasher,
+        logger,
+        this.#links,
+        this.#registry,
+        platform.control,
+        ({ announcement }) =>
+          this.#state.current?.configuration.services
+            .get(announcement.service)?.engine !== undefined,
+      ),
+    );
+  }
+
+  /**
+   * Starts a daemon; it is ready once it knows a configuration.
+   *
+   * @param settings - Its settings.
+   * @param platform - What the adapter brings.
+   * @param clock - The clock.
+   * @param logger - The log.
+   * @param metrics - The figures.
+   * @returns The daemon, listening.
+   */
+  static async start(
+    settings: GatewayDaemonSettings,
+    platform: GatewayPlatform,
+    clock: Clock,
+    logger: Logger,
+    metrics: GatewayMetrics,
+  ): Promise<GatewayDaemon> {
+    const hasher = await createHasher();
+    const daemon = new GatewayDaemon(
+      settings,
+      platform,
+      clock,
+      logger,
+      metrics,
+      hasher,
+    );
+    await daemon.#listen();
+    return daemon;
+  }
+
+  /** Whether new callers are welcome here. */
+  get isReady(): boolean {
+    if (this.#isStopping || !this.#state.current) return false;
+    const trustMs = this.#tuning.revocationDelayMs * KEY_TRUST_SHARE;
+    return this.#mirror.confirmationAgeMs <= trustMs;
+  }
+
+  /** Takes over settings that may change while the daemon runs. */
+  tune(tuning: GatewayTuning): void {
+    this.#tuning = tuning;
+    this.#logger.log("info", "settings-reloaded", {
+      configurationDelayMs: tuning.configurationDelayMs,
+      revocationDelayMs: tuning.revocationDelayMs,
+      memoryMb: tuning.memoryMb,
+    });
+  }
+
+  /** Lets requests in progress end, then stops. */
+  async drainAndStop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const startMs = this.#clock.monotonicMs();
+    const limitMs = this.#tuning.stopGraceMs - STOP_RESERVE_MS;
+    this.#logger.log("info", "drain-started", {
+      active: this.#gateway.activeCount,
+      limitMs,
+    });
+    this.#callers.announceClose();
+    await sleep(this.#clock, ROTATION_DELAY_MS);
+    this.#callers.closeIdle();
+    while (this.#callers.activeCount > 0) {
+      if (this.#clock.monotonicMs() - startMs > limitMs) break;
+      await sleep(this.#clock, TICK_MS);
+    }
+    this.#logger.log("info", "drain-ended", {
+      active: this.#gateway.activeCount,
+      tookMs: Math.round(this.#clock.monotonicMs() - startMs),
+    });
+    await Promise.race([
+      this.#lease.withdraw(),
+      sleep(this.#clock, STOP_RESERVE_MS / 2),
+    ]);
+    this.#owned.dispose();
+  }
+
+  async #listen(): Promise<void> {
+    const { settings, clock } = {
+      settings: this.#settings,
+      clock: this.#clock,
+    };
+    this.#owned.add(
+      this.#mirror.onDidChange((changes) => this.#knowledge.apply(changes)),
+    );
+    this.#owned.add(this.#state.onDidChange(({ configuration }) => {
+      this.#callers.setLimits(configuration.limits);
+    }));
+    this.#owned.add(this.#registry.onDidLeave(({ announcement }) => {
+      this.#client.forget(announcement.address);
+    }));
+    this.#owned.add(this.#callers.onDidReceive((exchange) => {
+      this.#gateway.handle(exchange).catch((thrown: unknown) => {
+        this.#logger.log("error", "request-crashed", {
+          detail: messageOf(thrown),
+        });
+        exchange.breakOff();
+      });
+    }));
+    this.#owned.add(this.#links.onDidChangeLink(({ host, isUp, reason }) => {
+      this.#logger.log("info", isUp ? "peer-up" : "peer-down", {
+        peer: host,
+        reason,
+      });
+    }));
+    this.#owned.add(setPeriodic(clock, TICK_MS, () => this.#tick()));
+    await Promise.all([
+      this.#links.listen(settings.peersAddress),
+      this.#callers.listen(settings.callersAddress),
+      this.#serve(
+        settings.readyAddress,
+        () => Promise.resolve(this.#readiness()),
+      ),
+      this.#serve(settings.metricsAddress, () => this.#metricsPage()),
+    ]);
+    void this.#watcher.run();
+    void this.#lease.run();
+    this.#peers.askSeeds();
+  }
+
+  #readiness(): Page {
+    return { status: this.isReady ? 200 : 503, text: "" };
+  }
+
+  async #metricsPage(): Promise<Page> {
+    // Loaded at the first scrape: a restart is ready sooner without it.
+    const { formatGatewayMetrics } = await import(
+      "../../features/gateway/node/gateway_metrics_text.ts"
+    );
+    const { host, zone } = this.#settings;
+    const text = await formatGatewayMetrics({ host, zone }, this.#metrics, {
+      active_requests: this.#gateway.activeCount,
+      caller_connections: this.#callers.connectionCount,
+      endpoint_connections_opened: this.#client.openedCount,
+      endpoints: this.#registry.all.length,
+      peers: this.#links.connectedHosts().length,
+      configuration_version: this.#state.current?.configuration.version ?? 0,
+      configuration_age_seconds: this.#mirror.confirmationAgeMs / 1_000,
+      memory_bytes: process.memoryUsage().rss,
+    });
+    return { status: 200, text };
+  }
+
+  async #serve(address: Address, page: () => Promise<Page>): Promise<void> {
+    const server: Server = createServer((_request, response) => {
+      page().then(({ status, text }) => {
+        response.writeHead(status, {
+          "content-length": Buffer.byteLength(text),
+        });
+        response.end(text);
+      }, (thrown: unknown) => {
+        this.#logger.log("error", "page-failed", { detail: messageOf(thrown) });
+        response.writeHead(500).end();
+      });
+    });
+    this.#owned.add(toDisposable(() => {
+      server.close();
+      server.closeAllConnections();
+    }));
+    const { ip, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, ip, resolve);
+    });
+  }
+
+  #tick(): void {
+    this.#registry.tick();
+    const { isReady } = this;
+    if (isReady === this.#wasReady) return;
+    this.#wasReady = isReady;
+    this.#logger.log("info", isReady ? "ready" : "not-ready", {
+      sinceStartMs: Math.round(process.uptime() * 1_000),
+      confirmedAgeMs: Math.round(this.#mirror.confirmationAgeMs),
+      version: this.#state.current?.configuration.version,
+      endpoints: this.#registry.all.length,
+      stopping: this.#isStopping,
+    });
+  }
+
+  #retryLimits(): { successShare: number; minRetriesPerWindow: number } {
+    const { share, extra } = this.#tuning.retries;
+    const hosts = this.#peers.fleetSize;
+    return {
+      successShare: share * RETRY_SHARE,
+      minRetriesPerWindow: extra * RETRY_SHARE / hosts,
+    };
+  }
+}
+
+interface Page {
+  readonly status: number;
+  readonly text: string;
+}
--- /dev/null
+++ b/src/daemon/node/gateway_peers.ts
@@ -0,0 +1,141 @@
+/** The peers of a daemon: found in the store or through seeds, and dealt roles. */
+
+import { type Clock, setPeriodic } from "../../base/common/clock.ts";
+import { type Hasher, rendezvousOrder } from "../../base/common/hasher.ts";
+import type { Address, HostId } from "../../base/common/ids.ts";
+import { type Disposable } from "../../base/common/lifecycle.ts";
+import { toPeerAddress } from "../../services/hosts/common/host_entry.ts";
+import type { JsonClient } from "../../services/http/node/json_client.ts";
+import type { Logger } from "../../services/log/common/logger.ts";
+import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
+import type {
+  PeerAddress,
+  PeerLinks,
+} from "../../services/peers/common/peer_links.ts";
+import { INTRODUCTION_PATH } from "../../services/peers/node/ws_peer_links.ts";
+import type { PeerListener } from "../common/gateway_knowledge.ts";
+
+/** Daemons of a zone that ask the store; one may stop without being missed. */
+const RELAYS_PER_ZONE = 2;
+/** Age of the contents from which any daemon asks the store itself. */
+const OWN_WATCH_AGE_MS = 2_200;
+const INTRODUCTION_TIMEOUT_MS = 700;
+const INTRODUCTION_PERIOD_MS = 500;
+
+/** What the peers are made from. */
+export interface GatewayPeersServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly hasher: Hasher;
+  readonly http: JsonClient;
+  readonly links: PeerLinks;
+  readonly mirror: StoreMirror;
+  readonly self: PeerAddress;
+  readonly seedAddresses: () => readonly Address[];
+}
+
+/** Keeps links to all daemons that are known. */
+export class GatewayPeers implements PeerListener, Disposable {
+  readonly #services: GatewayPeersServices;
+  readonly #peers = new Map<HostId, PeerAddress>();
+  readonly #timer: Disposable;
+
+  /** @param services - What the peers are made from. */
+  constructor(services: GatewayPeersServices) {
+    this.#services = services;
+    this.#timer = setPeriodic(
+      services.clock,
+      INTRODUCTION_PERIOD_MS,
+      () => this.askSeeds(),
+    );
+  }
+
+  /** Daemons in the fleet, as far as is known. */
+  get fleetSize(): number {
+    const linked = this.#services.links.connectedHosts().length + 1;
+    return Math.max(linked, this.#peers.size);
+  }
+
+  /** {@inheritDoc PeerListener.onHostListed} */
+  onHostListed(peer: PeerAddress): void {
+    this.#peers.set(peer.host, peer);
+    this.#dial();
+  }
+
+  /** {@inheritDoc PeerListener.onHostUnlisted} */
+  onHostUnlisted(host: HostId): void {
+    // A lease may lapse with the store while its host lives.
+    if (this.#services.links.connectedHosts().includes(host)) return;
+    this.#peers.delete(host);
+    this.#dial();
+  }
+
+  /** Whether this daemon is one of those that ask the store for its zone. */
+  isRelay(): boolean {
+    const { hasher, links, mirror, self } = this.#services;
+    if (mirror.confirmationAgeMs > OWN_WATCH_AGE_MS) return true;
+    const near = links.connectedHosts().filter((peer) =>
+      this.#peers.get(peer)?.zone === self.zone
+    );
+    const order = rendezvousOrder(hasher, self.zone, [self.host, ...near]);
+    return order.indexOf(self.host) < RELAYS_PER_ZONE;
+  }
+
+  /** @returns Text for a daemon that starts while the store is away. */
+  introduction(): string {
+    return JSON.stringify([this.#services.self, ...this.#peers.values()]);
+  }
+
+  /** Asks the seeds for their peers, while nothing else tells of any. */
+  askSeeds(): void {
+    const { links, mirror, self, seedAddresses } = this.#services;
+    if (links.connectedHosts().length > 0) return;
+    if (mirror.confirmationAgeMs < OWN_WATCH_AGE_MS) return;
+    for (const seed of seedAddresses()) {
+      if (seed !== self.address) void this.#askSeed(seed);
+    }
+  }
+
+  /** Stops asking. */
+  dispose(): void {
+    this.#timer.dispose();
+  }
+
+  async #askSeed(seed: Address): Promise<void> {
+    const { http, logger } = this.#services;
+    const answer = await http.call(seed, {
+      method: "GET",
+      target: INTRODUCTION_PATH,
+      timeoutMs: INTRODUCTION_TIMEOUT_MS,
+    });
+    answer.caseOf({
+      Left: (detail) =>
+        logger.log("info", "seed-silent", { peer: seed, detail }),
+      Right: ({ body }) => this.#learnFrom(seed, body),
+    });
+  }
+
+  #learnFrom(seed: Address, body: unknown): void {
+    const values: readonly unknown[] = Array.isArray(body) ? body : [];
+    for (const value of values) {
+      toPeerAddress(value).caseOf({
+        Left: (detail) =>
+          this.#services.logger.log("warn", "introduction-unreadable", {
+            peer: seed,
+            detail,
+          }),
+        Right: (peer) => {
+          if (!this.#peers.has(peer.host)) this.#peers.set(peer.host, peer);
+        },
+      });
+    }
+    this.#dial();
+  }
+
+  #dial(): void {
+    const { links, self } = this.#services;
+    links.setPeers(
+      [...this.#peers.values()].filter(({ host }) => host !== self.host),
+    );
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -0,0 +1,157 @@
+/** Places requests: which endpoint, and where a copy of a generation is kept. */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type {
+  EndpointId,
+  ServiceId,
+  ZoneName,
+} from "../../../base/common/ids.ts";
+import type { RandomSource } from "../../dispatch/common/group_dispatcher.ts";
+import type {
+  EndpointRegistry,
+  RegisteredEndpoint,
+} from "./endpoint_registry.ts";
+import type { GatewayService } from "./gateway_configuration.ts";
+import type { LoadBoard } from "./load_board.ts";
+
+/**
+ * Cost of another zone for a plain call, in shares of an endpoint's slots: an own
+ * endpoint with a third of its slots more in use still answers sooner.
+ */
+const CALL_ZONE_COST = 0.34;
+/** Cost of another zone for a generation: a round trip matters little there. */
+const GENERATION_ZONE_COST = 0.05;
+/** Unread prompt tokens that cost as much as a full memory; about a second of prefill. */
+const FULL_BACKLOG_TOKENS = 14_000;
+/** Weight of a full batch: each run slows the tokens of the others. */
+const BATCH_WEIGHT = 0.5;
+/** Cost of each part of the memory that would be lacking; preemption is dear. */
+const OVERFILL_WEIGHT = 6;
+/** Weight of copies: they hold memory, but no steps of the batch. */
+const COPY_WEIGHT = 0.7;
+/** Cost of an endpoint that is kept out; used only when all are. */
+const EJECTED_COST = 100;
+/** Cost of an endpoint that has just started. */
+const COLD_COST = 0.3;
+/** Ties are broken at random, so that daemons do not all choose the same. */
+const TIE_JITTER = 0.02;
+/** Share of its memory up to which an endpoint is given copies to keep. */
+const MAX_FILL_WITH_COPIES = 0.8;
+
+/** What a request needs. */
+export interface Need {
+  readonly service: ServiceId;
+  /** Memory that it will take, in tokens; 0 for a plain call. */
+  readonly memoryTokens: number;
+  readonly excluded: ReadonlySet<EndpointId>;
+}
+
+/** Figures that decided a placement, for the log. */
+export interface Choice {
+  readonly endpoint: RegisteredEndpoint;
+  readonly cost: number;
+  readonly candidates: number;
+}
+
+/** Chooses endpoints by what is in use there. */
+export class EndpointChooser {
+  readonly #clock: Clock;
+  readonly #registry: EndpointRegistry;
+  readonly #board: LoadBoard;
+  readonly #random: RandomSource;
+  readonly #zone: ZoneName;
+
+  /**
+   * @param clock - Clock of ejections and cold starts.
+   * @param registry - The endpoints.
+   * @param board - What is in use.
+   * @param random - Breaks ties.
+   * @param zone - This daemon's availability zone.
+   */
+  constructor(
+    clock: Clock,
+    registry: EndpointRegistry,
+    board: LoadBoard,
+    random: RandomSource,
+    zone: ZoneName,
+  ) {
+    this.#clock = clock;
+    this.#registry = registry;
+    this.#board = board;
+    this.#random = random;
+    this.#zone = zone;
+  }
+
+  /** @returns The cheapest endpoint, if there is one. */
+  choose(need: Need, service: GatewayService): Choice | undefined {
+    const candidates = this.#registry.usable(need.service).filter(({ id }) =>
+      !need.excluded.has(id)
+    );
+    let best: RegisteredEndpoint | undefined;
+    let bestCost = Infinity;
+    for (const endpoint of candidates) {
+      const cost = this.#cost(endpoint, need, service);
+      if (cost >= bestCost) continue;
+      best = endpoint;
+      bestCost = cost;
+    }
+    if (!best) return undefined;
+    return { endpoint: best, cost: bestCost, candidates: candidates.length };
+  }
+
+  /**
+   * @param need - The generation's need.
+   * @param service - Its service.
+   * @param primary - Where it runs.
+   * @returns Where a copy fits without crowding out running work.
+   */
+  chooseBackup(
+    need: Need,
+    service: GatewayService,
+    primary: RegisteredEndpoint,
+  ): RegisteredEndpoint | undefined {
+    const { engine } = service;
+    if (!engine?.canBackUp) return undefined;
+    const nowMs = this.#clock.monotonicMs();
+    let best: RegisteredEndpoint | undefined;
+    let bestFill = Infinity;
+    for (const endpoint of this.#registry.usable(need.service)) {
+      if (endpoint === primary || endpoint.health.isEjected(nowMs)) continue;
+      const use = this.#board.totalUse(endpoint.id);
+      const taken = use.memoryTokens + use.copyTokens + need.memoryTokens;
+      const isNear = endpoint.announcement.zone === primary.announcement.zone;
+      const fill = taken / engine.memoryTokens;
+      if (fill > MAX_FILL_WITH_COPIES) continue;
+      const cost = fill + (isNear ? 0 : GENERATION_ZONE_COST);
+      if (cost >= bestFill) continue;
+      best = endpoint;
+      bestFill = cost;
+    }
+    return best;
+  }
+
+  #cost(
+    endpoint: RegisteredEndpoint,
+    need: Need,
+    service: GatewayService,
+  ): number {
+    const nowMs = this.#clock.monotonicMs();
+    const { announcement, health, firstSeenMs } = endpoint;
+    const isOwnZone = announcement.zone === this.#zone;
+    const use = this.#board.totalUse(endpoint.id);
+    const isCold = nowMs - firstSeenMs < announcement.coldLeftMs;
+    let cost = this.#random.float() * TIE_JITTER;
+    if (health.isEjected(nowMs)) cost += EJECTED_COST;
+    if (isCold) cost += COLD_COST;
+    const batchFill = (use.runs + 1) / announcement.slots;
+    const { engine } = service;
+    if (!engine) return cost + batchFill + (isOwnZone ? 0 : CALL_ZONE_COST);
+    const takenTokens = use.memoryTokens + use.copyTokens * COPY_WEIGHT +
+      need.memoryTokens;
+    const fill = takenTokens / engine.memoryTokens;
+    cost += fill + batchFill * BATCH_WEIGHT;
+    cost += Math.max(0, fill - 1) * OVERFILL_WEIGHT;
+    cost += use.unreadTokens / FULL_BACKLOG_TOKENS;
+    return cost + (isOwnZone ? 0 : GENERATION_ZONE_COST);
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/engine_control.ts
@@ -0,0 +1,54 @@
+/** Contract of what engines do beside answering requests. */
+
+import type { Address, RequestId } from "../../../base/common/ids.ts";
+import type { Eventually } from "../../../base/common/result.ts";
+
+/** What an engine says of itself; its figures lag by some hundred ms. */
+export interface EngineReport {
+  readonly isDraining: boolean;
+  /** Time until it goes, if it knows. */
+  readonly leavesInMs: number | undefined;
+  readonly running: number;
+  readonly queued: number;
+  readonly usedTokens: number;
+  readonly totalTokens: number;
+  /** Start of its process, if it says so. */
+  readonly bornMs: number | undefined;
+}
+
+/** A copy of a generation's memory at another engine. */
+export interface GenerationCopy {
+  /** Name under which both engines know the copy. */
+  readonly name: string;
+}
+
+/** Why a copy was not made. */
+export interface CopyFailure {
+  readonly kind: "no-such-run" | "busy" | "no-room" | "unreachable";
+  /** Copy that a stopped run can go on from at its own engine. */
+  readonly name: string | undefined;
+  readonly message: string;
+}
+
+/** Asks engines. Every call ends by itself after its time-out. */
+export interface EngineControl {
+  readReport(address: Address): Eventually<string, EngineReport>;
+  /**
+   * Copies the memory of a running generation to another engine.
+   *
+   * @param source - Where it runs.
+   * @param target - Where the copy goes.
+   * @param request - The generation.
+   * @param isFinal - Whether the run stops first, so that the copy is whole.
+   */
+  copyRun(
+    source: Address,
+    target: Address,
+    request: RequestId,
+    isFinal: boolean,
+  ): Eventually<CopyFailure, GenerationCopy>;
+  /** Frees a copy that will not be used. */
+  freeCopy(source: Address, name: string): Promise<void>;
+  /** @returns Text by which a target finds a copy. */
+  copyReference(source: Address, name: string): string;
+}
--- /dev/null
+++ b/src/features/gateway/common/gateway.ts
@@ -0,0 +1,249 @@
+/** Admits requests of callers and hands them to their forwarder. */
+
+import { type Clock } from "../../../base/common/clock.ts";
+import { type Hasher } from "../../../base/common/hasher.ts";
+import { asId, type RequestId } from "../../../base/common/ids.ts";
+import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
+import { CallForwarder } from "./call_forwarder.ts";
+import type { CallerFields } from "./gateway_codec.ts";
+import type { GatewayRoute, KeyHolder } from "./gateway_configuration.ts";
+import {
+  type AdmittedRequest,
+  type GatewayServices,
+  RequestContext,
+} from "./gateway_request.ts";
+import type {
+  ConfigurationInForce,
+  ConfigurationState,
+} from "./gateway_state.ts";
+import { pickTarget } from "./route_table.ts";
+import { StreamForwarder } from "./stream_forwarder.ts";
+
+/** Patience of a caller that does not tell it; the longest usual one. */
+const DEFAULT_PATIENCE_MS = 60_000;
+/** When a daemon without a vouched configuration may have one again. */
+const UNVOUCHED_RETRY_AFTER_MS = 500;
+/** When a service that is not configured yet may be. */
+const ABSENT_RETRY_AFTER_MS = 300;
+/** When memory for bodies may be free again. */
+const BODIES_RETRY_AFTER_MS = 300;
+const HASH_RANGE = 2 ** 32;
+
+/** Limits of one daemon. */
+export interface GatewayLimits {
+  /** Largest age of a confirmed configuration at which keys are trusted. */
+  readonly keyTrustMs: number;
+  /** Age beyond which an unknown key or route may only not be known yet. */
+  readonly unknownTrustMs: number;
+  /** Memory for bodies of requests in progress, in bytes. */
+  readonly maxBodyBytesInUse: number;
+}
+
+/** Why a request was refused before it was forwarded. */
+interface Refusal {
+  readonly status: 400 | 401 | 404 | 413 | 503;
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
+
+type Admission =
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  | {
+    readonly kind: "admitted";
+    readonly id: RequestId;
+    readonly route: GatewayRoute;
+    readonly holder: KeyHolder | undefined;
+    readonly inForce: ConfigurationInForce;
+  };
+
+/** The gateway of one daemon. */
+export class Gateway {
+  readonly #services: GatewayServices;
+  readonly #clock: Clock;
+  readonly #state: ConfigurationState;
+  readonly #limits: () => GatewayLimits;
+  readonly #hasher: Hasher;
+  #bodyBytesInUse = 0;
+  #activeCount = 0;
+
+  /**
+   * @param services - What forwarding works with.
+   * @param state - The configuration.
+   * @param limits - Limits of the present.
+   * @param hasher - Spreads requests over the targets of a route.
+   */
+  constructor(
+    services: GatewayServices,
+    state: ConfigurationState,
+    limits: () => GatewayLimits,
+    hasher: Hasher,
+  ) {
+    this.#services = services;
+    this.#clock = services.clock;
+    this.#state = state;
+    this.#limits = limits;
+    this.#hasher = hasher;
+  }
+
+  /** Requests in progress. */
+  get activeCount(): number {
+    return this.#activeCount;
+  }
+
+  /** Takes a request from its head to its end. */
+  async handle(exchange: CallerExchange): Promise<void> {
+    this.#activeCount++;
+    exchange.onDidEnd(() => this.#activeCount--);
+    const fields = this.#services.codec.readCaller(exchange.headers);
+    const admission = this.#admit(exchange, fields);
+    if (admission.kind === "refused") {
+      this.#refuse(exchange, fields, admission.refusal);
+      return;
+    }
+    const { configuration } = admission.inForce;
+    const { maxBodyBytes } = configuration.limits;
+    const read = await exchange.readBody(maxBodyBytes);
+    switch (read.kind) {
+      case "left":
+        return;
+      case "too-large":
+        this.#refuse(exchange, fields, {
+          status: 413,
+          reason: `the body is larger than ${maxBodyBytes} bytes`,
+        });
+        return;
+      case "whole":
+        this.#forward(exchange, fields, admission, read.body);
+    }
+  }
+
+  #forward(
+    exchange: CallerExchange,
+    fields: CallerFields,
+    { id, route, holder, inForce }: Admission & { kind: "admitted" },
+    body: Uint8Array | undefined,
+  ): void {
+    const { configuration } = inForce;
+    const draw = this.#hasher.hash32(id) / HASH_RANGE;
+    const target = pickTarget(route, draw);
+    const service = configuration.services.get(target);
+    if (!service) {
+      this.#refuse(exchange, fields, {
+        status: 503,
+        reason: `service ${target} is not configured`,
+        retryAfterMs: ABSENT_RETRY_AFTER_MS,
+      });
+      return;
+    }
+    const sizeBytes = body?.byteLength ?? 0;
+    const { maxBodyBytesInUse } = this.#limits();
+    if (this.#bodyBytesInUse + sizeBytes > maxBodyBytesInUse) {
+      this.#refuse(exchange, fields, {
+        status: 503,
+        reason: "the bodies of other requests fill the memory",
+        retryAfterMs: BODIES_RETRY_AFTER_MS,
+      });
+      return;
+    }
+    this.#bodyBytesInUse += sizeBytes;
+    exchange.onDidEnd(() => {
+      this.#bodyBytesInUse -= sizeBytes;
+    });
+    const patienceMs = fields.patienceMs ?? DEFAULT_PATIENCE_MS;
+    const request: AdmittedRequest = {
+      id,
+      exchange,
+      fields,
+      route,
+      service,
+      holder,
+      hasKeys: configuration.keys !== undefined,
+      body,
+      deadlineMs: exchange.receivedMs + Math.min(patienceMs, route.timeoutMs),
+    };
+    const context = new RequestContext(this.#services, request);
+    switch (route.kind.kind) {
+      case "generation":
+        new StreamForwarder(context).start();
+        return;
+      case "idempotent":
+      case "non-idempotent":
+        void new CallForwarder(context).run();
+    }
+  }
+
+  #admit(exchange: CallerExchange, fields: CallerFields): Admission {
+    const inForce = this.#state.current;
+    if (!inForce) {
+      return refused(503, "no configuration is known yet", true);
+    }
+    const { requestId } = fields;
+    if (requestId === undefined) return refused(400, "no request id");
+    if (!exchange.target.startsWith("/")) {
+      return refused(400, "the request target is not a path");
+    }
+    const limits = this.#limits();
+    const ageMs = this.#state.confirmationAgeMs;
+    const isUncertain = ageMs > limits.unknownTrustMs;
+    const route = inForce.routes.find(fields.host, exchange.target);
+    if (!route) {
+      return isUncertain
+        ? refused(503, "no route, and the configuration may be old", true)
+        : refused(404, "no route");
+    }
+    const { keys } = inForce.configuration;
+    if (!keys || route.isPublic) {
+      return {
+        kind: "admitted",
+        id: requestId,
+        route,
+        holder: undefined,
+        inForce,
+      };
+    }
+    if (ageMs > limits.keyTrustMs) {
+      return refused(503, "keys cannot be vouched for now", true);
+    }
+    const holder = fields.key === undefined ? undefined : keys.get(fields.key);
+    if (!holder) {
+      return isUncertain
+        ? refused(503, "unknown key, and the configuration may be old", true)
+        : refused(401, "unknown key");
+    }
+    return { kind: "admitted", id: requestId, route, holder, inForce };
+  }
+
+  #refuse(
+    exchange: CallerExchange,
+    fields: CallerFields,
+    { status, reason, retryAfterMs }: Refusal,
+  ): void {
+    const { logger, metrics, codec } = this.#services;
+    metrics.count("requests_refused", String(status));
+    logger.log("warn", "request-refused", {
+      request: fields.requestId ?? asId<RequestId>("-"),
+      status,
+      reason,
+      host: fields.host,
+      version: this.#state.current?.configuration.version,
+      confirmedAgeMs: Math.round(this.#state.confirmationAgeMs),
+      totalMs: Math.round(this.#clock.monotonicMs() - exchange.receivedMs),
+    });
+    const headers = codec.ownHeaders(fields.requestId);
+    if (retryAfterMs !== undefined) {
+      headers.push("retry-after", (retryAfterMs / 1_000).toFixed(2));
+    }
+    exchange.reply(status, headers, `${reason}\n`);
+  }
+}
+
+function refused(
+  status: Refusal["status"],
+  reason: string,
+  isTransient = false,
+): Admission {
+  const refusal = isTransient
+    ? { status, reason, retryAfterMs: UNVOUCHED_RETRY_AFTER_MS }
+    : { status, reason };
+  return { kind: "refused", refusal };
+}
--- /dev/null
+++ b/src/features/gateway/common/gateway_request.ts
@@ -0,0 +1,178 @@
+/** A request that the gateway has admitted, and what forwards it. */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import type { EndpointId, RequestId } from "../../../base/common/ids.ts";
+import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
+import type { PassThroughClient } from "../../../services/http/common/pass_through_client.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import type { RetryBudget } from "../../retries/common/retry_budget.ts";
+import type { EndpointChooser } from "./endpoint_choice.ts";
+import type { EndpointProbe } from "./endpoint_probe.ts";
+import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { CallerFields, GatewayCodec } from "./gateway_codec.ts";
+import type {
+  GatewayRoute,
+  GatewayService,
+  KeyHolder,
+} from "./gateway_configuration.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { LoadBoard } from "./load_board.ts";
+import type { RunMover } from "./run_mover.ts";
+
+/** What all forwarding works with. */
+export interface GatewayServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+  readonly codec: GatewayCodec;
+  readonly client: PassThroughClient;
+  readonly registry: EndpointRegistry;
+  readonly board: LoadBoard;
+  readonly chooser: EndpointChooser;
+  readonly budget: RetryBudget;
+  readonly probe: EndpointProbe;
+  readonly mover: RunMover;
+}
+
+/** A request that may be run. */
+export interface AdmittedRequest {
+  readonly id: RequestId;
+  readonly exchange: CallerExchange;
+  readonly fields: CallerFields;
+  readonly route: GatewayRoute;
+  readonly service: GatewayService;
+  readonly holder: KeyHolder | undefined;
+  readonly hasKeys: boolean;
+  readonly body: Uint8Array | undefined;
+  /** Monotonic time at which an answer is due. */
+  readonly deadlineMs: number;
+}
+
+/** How a request ended, for the log and the metrics. */
+export type RequestEnd =
+  | "served"
+  | "failed-by-endpoint"
+  | "not-run"
+  | "unknown"
+  | "interrupted"
+  | "caller-left";
+
+/** Parts that both kinds of forwarding share. */
+export class RequestContext {
+  readonly services: GatewayServices;
+  readonly request: AdmittedRequest;
+  /** Endpoints that were tried in vain. */
+  readonly excluded = new Set<EndpointId>();
+  /** Released when the request has ended. */
+  readonly owned = new DisposableStore();
+  /** Requests written to endpoints. */
+  sentCount = 0;
+  #isOver = false;
+  #firstByteMs: number | undefined;
+
+  /**
+   * @param services - What forwarding works with.
+   * @param request - The request.
+   */
+  constructor(services: GatewayServices, request: AdmittedRequest) {
+    this.services = services;
+    this.request = request;
+  }
+
+  /** Time until an answer is due, in milliseconds. */
+  get leftMs(): number {
+    return this.request.deadlineMs - this.services.clock.monotonicMs();
+  }
+
+  /** Whether the request has its end. */
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
+  /** Rank for engines: the workspace's, else the route's. */
+  get priority(): number {
+    return this.request.holder?.priority ?? this.request.route.priority;
+  }
+
+  /** Takes note of the first byte of the answer. */
+  markFirstByte(): void {
+    this.#firstByteMs ??= this.services.clock.monotonicMs();
+  }
+
+  /** Runs a callback later, unless the request ends before. */
+  setTimer(delayMs: number, callback: () => void): Disposable {
+    return this.owned.add(
+      this.services.clock.setTimer(Math.max(0, delayMs), callback),
+    );
+  }
+
+  /** Writes a log line about this request. */
+  log(
+    level: "info" | "warn",
+    event: string,
+    fields: Readonly<Record<string, string | number | boolean | undefined>>,
+  ): void {
+    this.services.logger.log(level, event, {
+      request: this.request.id,
+      ...fields,
+    });
+  }
+
+  /**
+   * Answers with a failure of the gateway's own.
+   *
+   * @param status - 503 only when the request has not run and never will.
+   * @param end - How the request ended.
+   * @param reason - Why, in a few words.
+   * @param retryAfterMs - When to come back, if that is worthwhile.
+   */
+  fail(
+    status: 502 | 503 | 504,
+    end: RequestEnd,
+    reason: string,
+    retryAfterMs?: number,
+  ): void {
+    if (this.#isOver) return;
+    const { exchange, id } = this.request;
+    if (exchange.hasStarted) exchange.breakOff();
+    else {
+      const headers = this.services.codec.ownHeaders(id);
+      if (retryAfterMs !== undefined) {
+        headers.push("retry-after", (retryAfterMs / 1_000).toFixed(2));
+      }
+      exchange.reply(status, headers, `${reason}\n`);
+    }
+    this.finish(end, status, reason);
+  }
+
+  /** Takes note of the end; releases what the request held. */
+  finish(end: RequestEnd, status: number, reason: string): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.owned.dispose();
+    const { clock, metrics } = this.services;
+    const { exchange, route, service } = this.request;
+    const nowMs = clock.monotonicMs();
+    const totalMs = nowMs - exchange.receivedMs;
+    const firstMs = this.#firstByteMs === undefined
+      ? undefined
+      : this.#firstByteMs - exchange.receivedMs;
+    metrics.recordEnd(route, service.id, end, firstMs, totalMs);
+    this.log(end === "served" ? "info" : "warn", "request-ended", {
+      end,
+      status,
+      reason,
+      route: route.name,
+      service: service.id,
+      workspace: this.request.holder?.workspace,
+      sent: this.sentCount,
+      firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
+      totalMs: Math.round(totalMs),
+      leftMs: Math.round(this.leftMs),
+    });
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/load_board.ts
@@ -0,0 +1,162 @@
+/**
+ * What is in use at each endpoint: by this daemon exactly, by the others as they
+ * last told. A placement by any daemon is known to all within milliseconds, long
+ * before an endpoint's own report shows it.
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import { Emitter } from "../../../base/common/event.ts";
+import type { EndpointId, HostId } from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  toDisposable,
+} from "../../../base/common/lifecycle.ts";
+
+/** What is in use at an endpoint. */
+export interface EndpointUse {
+  readonly runs: number;
+  /** Memory of prompts and expected answers, in tokens. */
+  readonly memoryTokens: number;
+  /** Prompts that have not given a first event yet, in tokens. */
+  readonly unreadTokens: number;
+  /** Copies kept for generations elsewhere, in tokens. */
+  readonly copyTokens: number;
+}
+
+type MutableUse = { -readonly [K in keyof EndpointUse]: number };
+
+/** One row of what a daemon tells its peers. */
+export interface UseRow extends EndpointUse {
+  readonly endpoint: EndpointId;
+}
+
+/** Rows of a silent host count for this long; links notice death sooner. */
+const PEER_ROWS_LIFETIME_MS = 8_000;
+
+interface PeerRows {
+  readonly rows: Map<EndpointId, EndpointUse>;
+  toldMs: number;
+}
+
+/** A request's part of the use of an endpoint. */
+export interface UseClaim extends Disposable {
+  /** The prompt was read; the first event has come. */
+  markRead(): void;
+}
+
+/** Counts uses. */
+export class LoadBoard {
+  readonly #clock: Clock;
+  readonly #own = new Map<EndpointId, MutableUse>();
+  readonly #peers = new Map<HostId, PeerRows>();
+  readonly #changed = new Emitter<EndpointId>();
+
+  /** Fires when this daemon's own use of an endpoint changes. */
+  readonly onDidChangeOwn = this.#changed.event;
+
+  /** @param clock - Clock of the rows' lifetime. */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /**
+   * @param endpoint - Where a request goes.
+   * @param memoryTokens - Memory that it will need.
+   * @param unreadTokens - Its prompt, as far as it has to be read.
+   * @returns The claim; disposed when the request has ended.
+   */
+  claim(
+    endpoint: EndpointId,
+    memoryTokens: number,
+    unreadTokens: number,
+  ): UseClaim {
+    let unread = unreadTokens;
+    this.#add(endpoint, 1, memoryTokens, unread, 0);
+    const markRead = (): void => {
+      if (unread === 0) return;
+      this.#add(endpoint, 0, 0, -unread, 0);
+      unread = 0;
+    };
+    const release = toDisposable(() => {
+      this.#add(endpoint, -1, -memoryTokens, -unread, 0);
+      unread = 0;
+    });
+    return { markRead, dispose: () => release.dispose() };
+  }
+
+  /** Counts a copy that an endpoint keeps for a generation elsewhere. */
+  claimCopy(endpoint: EndpointId, tokens: number): Disposable {
+    this.#add(endpoint, 0, 0, 0, tokens);
+    return toDisposable(() => this.#add(endpoint, 0, 0, 0, -tokens));
+  }
+
+  /** @returns This daemon's own rows, for its peers. */
+  ownRows(): UseRow[] {
+    return [...this.#own].map(([endpoint, use]) => ({ endpoint, ...use }));
+  }
+
+  /** @returns This daemon's own use of an endpoint. */
+  ownRow(endpoint: EndpointId): UseRow {
+    const use = this.#own.get(endpoint) ?? noUse();
+    return { endpoint, ...use };
+  }
+
+  /**
+   * Takes in rows of a peer.
+   *
+   * @param host - The peer.
+   * @param rows - Its rows; others stay as they were.
+   * @param isWhole - Whether these are all rows that it has.
+   */
+  applyPeerRows(host: HostId, rows: readonly UseRow[], isWhole: boolean): void {
+    const known = isWhole ? undefined : this.#peers.get(host);
+    const peer = known ??
+      { rows: new Map<EndpointId, EndpointUse>(), toldMs: 0 };
+    peer.toldMs = this.#clock.monotonicMs();
+    for (const { endpoint, ...use } of rows) {
+      if (use.runs === 0 && use.copyTokens === 0) peer.rows.delete(endpoint);
+      else peer.rows.set(endpoint, use);
+    }
+    this.#peers.set(host, peer);
+  }
+
+  /** @returns What all daemons use of an endpoint, as far as is known. */
+  totalUse(endpoint: EndpointId): EndpointUse {
+    const total = { ...(this.#own.get(endpoint) ?? noUse()) };
+    const oldestMs = this.#clock.monotonicMs() - PEER_ROWS_LIFETIME_MS;
+    for (const [host, { rows, toldMs }] of this.#peers) {
+      if (toldMs < oldestMs) {
+        this.#peers.delete(host);
+        continue;
+      }
+      const use = rows.get(endpoint);
+      if (use) addTo(total, use);
+    }
+    return total;
+  }
+
+  #add(
+    endpoint: EndpointId,
+    runs: number,
+    memoryTokens: number,
+    unreadTokens: number,
+    copyTokens: number,
+  ): void {
+    const use = this.#own.get(endpoint) ?? noUse();
+    addTo(use, { runs, memoryTokens, unreadTokens, copyTokens });
+    if (use.runs === 0 && use.copyTokens === 0) this.#own.delete(endpoint);
+    else this.#own.set(endpoint, use);
+    this.#changed.fire(endpoint);
+  }
+}
+
+function noUse(): MutableUse {
+  return { runs: 0, memoryTokens: 0, unreadTokens: 0, copyTokens: 0 };
+}
+
+function addTo(total: MutableUse, use: EndpointUse): void {
+  total.runs += use.runs;
+  total.memoryTokens += use.memoryTokens;
+  total.unreadTokens += use.unreadTokens;
+  total.copyTokens += use.copyTokens;
+}
--- /dev/null
+++ b/src/features/gateway/common/report_poller.ts
@@ -0,0 +1,126 @@
+/**
+ * Reads the reports of engines, each by one daemon, and tells the peers which
+ * engines are about to leave. While the store is away this is the only word.
+ */
+
+import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
+import { type Hasher, rendezvousOrder } from "../../../base/common/hasher.ts";
+import type { EndpointId, HostId } from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import { Left, Right } from "../../../base/common/result.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import type {
+  PeerChannel,
+  PeerChannelSpec,
+  PeerLinks,
+} from "../../../services/peers/common/peer_links.ts";
+import type {
+  EndpointRegistry,
+  RegisteredEndpoint,
+} from "./endpoint_registry.ts";
+import type { EngineControl } from "./engine_control.ts";
+
+/** Reports lag by some hundred ms anyway, and each read is paid for. */
+const POLL_PERIOD_MS = 500;
+
+interface LeavingMessage {
+  readonly endpoint: EndpointId;
+  readonly bornMs: number;
+}
+
+const LEAVING_CHANNEL: PeerChannelSpec<LeavingMessage> = {
+  name: "leaving.v1",
+  decode: (body) => {
+    const { endpoint, bornMs } = (body ?? {}) as Record<string, unknown>;
+    if (typeof endpoint !== "string" || typeof bornMs !== "number") {
+      return Left("no endpoint with its start");
+    }
+    return Right({ endpoint: endpoint as EndpointId, bornMs });
+  },
+};
+
+/** Polls the engines that fall to this daemon. */
+export class ReportPoller implements Disposable {
+  readonly #self: HostId;
+  readonly #hasher: Hasher;
+  readonly #logger: Logger;
+  readonly #links: PeerLinks;
+  readonly #registry: EndpointRegistry;
+  readonly #control: EngineControl;
+  readonly #isEngine: (endpoint: RegisteredEndpoint) => boolean;
+  readonly #channel: PeerChannel<LeavingMessage>;
+  readonly #owned = new DisposableStore();
+  readonly #busy = new Set<RegisteredEndpoint>();
+
+  /**
+   * @param self - This host.
+   * @param clock - Clock of the polls.
+   * @param hasher - Deals the engines out.
+   * @param logger - Where reports without an answer are told.
+   * @param links - Links to the peers.
+   * @param registry - The endpoints.
+   * @param control - Reads reports.
+   * @param isEngine - Whether an endpoint gives reports.
+   */
+  constructor(
+    self: HostId,
+    clock: Clock,
+    hasher: Hasher,
+    logger: Logger,
+    links: PeerLinks,
+    registry: EndpointRegistry,
+    control: EngineControl,
+    isEngine: (endpoint: RegisteredEndpoint) => boolean,
+  ) {
+    this.#self = self;
+    this.#hasher = hasher;
+    this.#logger = logger;
+    this.#links = links;
+    this.#registry = registry;
+    this.#control = control;
+    this.#isEngine = isEngine;
+    this.#channel = this.#owned.add(links.openChannel(LEAVING_CHANNEL));
+    this.#owned.add(this.#channel.onDidReceive(({ body }) => {
+      const known = registry.get(body.endpoint);
+      if (known?.announcement.bornMs !== body.bornMs) return;
+      registry.leave(body.endpoint, "told by a peer");
+    }));
+    this.#owned.add(setPeriodic(clock, POLL_PERIOD_MS, () => this.#poll()));
+  }
+
+  /** Stops the polls. */
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  #poll(): void {
+    const hosts = [this.#self, ...this.#links.connectedHosts()];
+    for (const endpoint of this.#registry.all) {
+      if (!endpoint.isUsable || !this.#isEngine(endpoint)) continue;
+      const [owner] = rendezvousOrder(this.#hasher, endpoint.id, hosts);
+      if (owner === this.#self) void this.#read(endpoint);
+    }
+  }
+
+  async #read(endpoint: RegisteredEndpoint): Promise<void> {
+    if (this.#busy.has(endpoint)) return;
+    this.#busy.add(endpoint);
+    const { address, bornMs, id } = endpoint.announcement;
+    const report = await this.#control.readReport(address);
+    this.#busy.delete(endpoint);
+    report.caseOf({
+      Left: (detail) =>
+        this.#logger.log("warn", "report-missing", { endpoint: id, detail }),
+      Right: (read) => {
+        const isOther = read.bornMs !== undefined && read.bornMs !== bornMs;
+        const isLeaving = read.isDraining || read.leavesInMs !== undefined;
+        if (isOther || !isLeaving || !endpoint.isUsable) return;
+        this.#registry.leave(id, "report");
+        this.#channel.broadcast({ endpoint: id, bornMs });
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/route_table.ts
@@ -0,0 +1,51 @@
+/** Finds the route of a request and the service that it goes to. */
+
+import type { ServiceId } from "../../../base/common/ids.ts";
+import type { GatewayRoute } from "./gateway_configuration.ts";
+
+/** Routes by host name, the longest prefix first. */
+export class RouteTable {
+  readonly #byHost = new Map<string, GatewayRoute[]>();
+
+  /** @param routes - All routes of a configuration. */
+  constructor(routes: readonly GatewayRoute[]) {
+    for (const route of routes) {
+      const known = this.#byHost.get(route.host.toLowerCase());
+      if (known) known.push(route);
+      else this.#byHost.set(route.host.toLowerCase(), [route]);
+    }
+    for (const list of this.#byHost.values()) {
+      list.sort((left, right) => right.prefix.length - left.prefix.length);
+    }
+  }
+
+  /**
+   * @param host - Host name of the request, with or without a port.
+   * @param target - Path with its query.
+   * @returns The route with the longest matching prefix.
+   */
+  find(host: string, target: string): GatewayRoute | undefined {
+    const name = host.replace(/:\d+$/, "").toLowerCase();
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    return this.#byHost.get(name)?.find(({ prefix }) =>
+      path.startsWith(prefix)
+    );
+  }
+}
+
+/**
+ * @param route - The route of a request.
+ * @param draw - A number in `[0, 1)`, the same for all tries of the request.
+ * @returns The service that the request goes to.
+ */
+export function pickTarget(route: GatewayRoute, draw: number): ServiceId {
+  const { targets } = route;
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let rest = draw * total;
+  for (const { service, weight } of targets) {
+    rest -= weight;
+    if (rest < 0) return service;
+  }
+  return targets[targets.length - 1]!.service;
+}
--- /dev/null
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -0,0 +1,453 @@
+/**
+ * Forwards a generation as whole events. The caller sees one stream while the
+ * run behind it may go on at another endpoint: when its endpoint leaves, dies or
+ * goes silent, from a copy of its memory, or by reading the prompt anew where
+ * the route allows that.
+ */
+
+import type { Disposable } from "../../../base/common/lifecycle.ts";
+import { setPeriodic } from "../../../base/common/clock.ts";
+import type { EndpointId } from "../../../base/common/ids.ts";
+import {
+  type HeaderList,
+  withoutHeader,
+} from "../../../services/http/common/header_list.ts";
+import type { Need } from "./endpoint_choice.ts";
+import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import type { Continuation } from "./gateway_codec.ts";
+import type { RequestContext } from "./gateway_request.ts";
+import { StreamLeg } from "./stream_leg.ts";
+
+/** Silence after which an engine that has begun to answer is probed. */
+const SILENT_STREAM_MS = 700;
+/** Silence before the first event after which an engine is probed. */
+const SILENT_START_MS = 1_500;
+/** Silence beside an engine that lives, after which the connection is given up. */
+const SILENT_CONNECTION_MS = 2_500;
+const WATCH_PERIOD_MS = 200;
+/** Tries after engines that proved not to have run the request. */
+const MAX_REFUSED_TRIES = 4;
+/** Time in which a full engine finishes some of its work. */
+const FULL_RETRY_AFTER_MS = 400;
+/** Part of the allowed output that is expected without a hint. */
+const EXPECTED_OUTPUT_SHARE = 0.5;
+
+/** Why a run has to go on elsewhere. */
+type LossReason = "broken" | "dark" | "silent" | "leaving";
+
+/** Runs one generation to its end. */
+export class StreamForwarder {
+  readonly #context: RequestContext;
+  readonly #need: Need;
+  readonly #promptTokens: number;
+  #leg: StreamLeg | undefined;
+  /** Where the copy of the current leg is kept, if it has one. */
+  #backup: RegisteredEndpoint | undefined;
+  #backupClaim: Disposable | undefined;
+  #lastEventId: string | undefined;
+  #lastEventNumber = -Infinity;
+  #lastEventMs: number;
+  #refusedTries = 0;
+  #isMoving = false;
+  #hasStarted = false;
+  /** Whether some endpoint may have run the request. */
+  #wasRun = false;
+  #isProbing = false;
+
+  /** @param context - The request. */
+  constructor(context: RequestContext) {
+    this.#context = context;
+    const { request } = context;
+    const prompt = request.fields.prompt;
+    this.#promptTokens = prompt?.promptTokens ?? 0;
+    const outputTokens = prompt?.hintedOutputTokens ??
+      (prompt?.maxOutputTokens ?? 0) * EXPECTED_OUTPUT_SHARE;
+    this.#need = {
+      service: request.service.id,
+      memoryTokens: this.#promptTokens + outputTokens,
+      excluded: context.excluded,
+    };
+    this.#lastEventMs = context.services.clock.monotonicMs();
+    this.#lastEventId = request.fields.resumeAfter;
+  }
+
+  get #isResumable(): boolean {
+    const { kind } = this.#context.request.route;
+    return kind.kind === "generation" && kind.isResumable;
+  }
+
+  /** Starts the first run. */
+  start(): void {
+    const context = this.#context;
+    const { services, request } = context;
+    context.owned.add({ dispose: () => this.#release() });
+    context.owned.add(
+      services.registry.onDidLeave((endpoint) => this.#onLeaving(endpoint)),
+    );
+    context.owned.add(
+      services.probe.onDidGoDark((endpoint) => this.#onDark(endpoint)),
+    );
+    context.owned.add(
+      setPeriodic(services.clock, WATCH_PERIOD_MS, () => this.#watch()),
+    );
+    context.setTimer(context.leftMs, () => this.#onDeadline());
+    request.exchange.onDidEnd((end) => {
+      if (end === "left") context.finish("caller-left", 0, "caller has gone");
+    });
+    request.exchange.onDidDrain(() => this.#leg?.resume());
+    this.#startFresh();
+  }
+
+  /** Runs the request from its prompt, which must not happen twice on some routes. */
+  #startFresh(): void {
+    if (this.#wasRun && !this.#isResumable) {
+      this.#giveUp("the run cannot be repeated");
+      return;
+    }
+    const { services, request } = this.#context;
+    const choice = services.chooser.choose(this.#need, request.service);
+    if (!choice) {
+      this.#giveUp("no endpoint is available");
+      return;
+    }
+    this.#context.log("info", "stream-placed", {
+      endpoint: choice.endpoint.id,
+      cost: Number(choice.cost.toFixed(2)),
+      candidates: choice.candidates,
+      memoryTokens: this.#need.memoryTokens,
+    });
+    const afterEvent = this.#lastEventId;
+    this.#startLeg(
+      choice.endpoint,
+      afterEvent === undefined ? undefined : { copy: undefined, afterEvent },
+    );
+  }
+
+  #startLeg(
+    endpoint: RegisteredEndpoint,
+    continuation: Continuation | undefined,
+  ): void {
+    const context = this.#context;
+    const { services } = context;
+    this.#chooseBackup(endpoint);
+    const unreadTokens = continuation?.copy === undefined
+      ? this.#promptTokens
+      : 0;
+    const leg: StreamLeg = new StreamLeg({
+      context,
+      endpoint,
+      backupAddress: this.#backup?.announcement.address,
+      continuation,
+      claim: services.board.claim(
+        endpoint.id,
+        this.#need.memoryTokens,
+        unreadTokens,
+      ),
+      listener: {
+        onHead: (headers) => this.#onHead(headers),
+        onData: (chunk) => this.#onData(leg, chunk),
+        onEnd: (pendingBytes) => this.#onEnd(leg, pendingBytes),
+        onRefused: (reason) => this.#onRefused(leg, reason),
+        onFailedAnswer: (status, headers, body) =>
+          this.#onFailedAnswer(leg, status, headers, body),
+        onLost: (wasSent, reason) => this.#onLost(leg, wasSent, reason),
+      },
+    });
+    this.#leg = leg;
+    this.#lastEventMs = services.clock.monotonicMs();
+    leg.send();
+  }
+
+  #chooseBackup(endpoint: RegisteredEndpoint): void {
+    const { services, request } = this.#context;
+    this.#backupClaim?.dispose();
+    this.#backupClaim = undefined;
+    this.#backup = undefined;
+    // A resumable route can read its short prompts anew instead.
+    if (this.#isResumable) return;
+    const { chooser, board } = services;
+    this.#backup = chooser.chooseBackup(this.#need, request.service, endpoint);
+    if (!this.#backup) return;
+    const { memoryTokens } = this.#need;
+    this.#backupClaim = board.claimCopy(this.#backup.id, memoryTokens);
+  }
+
+  #pendingHead: HeaderList | undefined;
+
+  #onHead(headers: HeaderList): void {
+    this.#wasRun = true;
+    // The head goes out with the first event: until then another run may begin.
+    this.#pendingHead ??= headers;
+  }
+
+  #onData(leg: StreamLeg, chunk: Uint8Array): boolean {
+    if (leg !== this.#leg) return true;
+    let isWritable = true;
+    for (const frame of leg.frames.push(chunk)) {
+      isWritable = this.#deliver(leg, frame.bytes, frame.id) && isWritable;
+    }
+    return isWritable;
+  }
+
+  #deliver(leg: StreamLeg, bytes: Uint8Array, id: string | undefined): boolean {
+    const { services, request } = this.#context;
+    const { exchange } = request;
+    const number = id === undefined ? NaN : Number(id);
+    // A run that goes on may repeat what the caller has.
+    if (number <= this.#lastEventNumber) return true;
+    if (!Number.isNaN(number)) this.#lastEventNumber = number;
+    if (id !== undefined) this.#lastEventId = id;
+    const nowMs = services.clock.monotonicMs();
+    if (this.#hasStarted) {
+      services.metrics.eventPauseMs.record(nowMs - this.#lastEventMs);
+    } else {
+      this.#hasStarted = true;
+      this.#context.markFirstByte();
+      const head = services.codec.replyHeaders(this.#pendingHead ?? []);
+      exchange.start(200, head);
+    }
+    this.#lastEventMs = nowMs;
+    const isFirstOfLeg = !leg.hasEvents;
+    leg.markEvent();
+    const isWritable = exchange.write(bytes);
+    if (isFirstOfLeg && !leg.endpoint.isUsable) this.#moveAway(leg);
+    return isWritable;
+  }
+
+  #onEnd(leg: StreamLeg, pendingBytes: number): void {
+    if (leg !== this.#leg) return;
+    if (pendingBytes > 0) {
+      this.#onLost(leg, true, "the stream ended within an event");
+      return;
+    }
+    const { services, request } = this.#context;
+    leg.note("served");
+    if (!this.#hasStarted) {
+      const head = services.codec.replyHeaders(this.#pendingHead ?? []);
+      request.exchange.start(200, head);
+    }
+    request.exchange.end();
+    services.budget.recordSuccess(request.service.id);
+    this.#context.finish("served", 200, "");
+  }
+
+  #onRefused(leg: StreamLeg, reason: string): void {
+    if (leg !== this.#leg) return;
+    leg.note("refused");
+    this.#context.log("info", "stream-refused", {
+      endpoint: leg.endpoint.id,
+      reason,
+      isContinuation: leg.isContinuation,
+    });
+    if (leg.isContinuation && leg.isFromCopy) {
+      this.#goOnWithoutCopy("the copy is not there");
+      return;
+    }
+    this.#context.excluded.add(leg.endpoint.id);
+    if (++this.#refusedTries >= MAX_REFUSED_TRIES || !this.#mayRepeat()) {
+      this.#giveUp(reason);
+      return;
+    }
+    this.#startFresh();
+  }
+
+  #onFailedAnswer(
+    leg: StreamLeg,
+    status: number,
+    headers: HeaderList,
+    body: Uint8Array,
+  ): void {
+    if (leg !== this.#leg) return;
+    leg.note("failed");
+    const { services, request } = this.#context;
+    if (this.#hasStarted) {
+      this.#goOnWithoutCopy(`status ${status}`);
+      return;
+    }
+    const passed = services.codec.replyHeaders(headers);
+    request.exchange.reply(
+      status,
+      withoutHeader(passed, "content-length"),
+      body,
+    );
+    this.#context.finish("failed-by-endpoint", status, "");
+  }
+
+  #onLost(leg: StreamLeg, wasSent: boolean, reason: string): void {
+    if (leg !== this.#leg || this.#isMoving) return;
+    leg.note("broken");
+    if (wasSent) this.#wasRun = true;
+    this.#context.log("warn", "stream-lost", {
+      endpoint: leg.endpoint.id,
+      reason,
+      lastEvent: this.#lastEventId,
+      wasSent,
+      backup: this.#backup?.id,
+    });
+    this.#context.excluded.add(leg.endpoint.id);
+    if (wasSent) {
+      this.#goOn("broken", reason);
+      return;
+    }
+    if (leg.isFromCopy) this.#goOnWithoutCopy(reason);
+    else if (++this.#refusedTries >= MAX_REFUSED_TRIES) this.#giveUp(reason);
+    else this.#startFresh();
+  }
+
+  /** Goes on from the copy, or without one. */
+  #goOn(cause: LossReason, reason: string): void {
+    const backup = this.#backup;
+    const leg = this.#leg;
+    if (backup?.isUsable && leg) {
+      leg.abort();
+      this.#continueAt(backup, this.#backupName(backup), cause);
+      return;
+    }
+    this.#goOnWithoutCopy(reason);
+  }
+
+  #backupName(backup: RegisteredEndpoint): string {
+    const { services, request } = this.#context;
+    return services.codec.backupName(backup.announcement.address, request.id);
+  }
+
+  #continueAt(
+    endpoint: RegisteredEndpoint,
+    copy: string,
+    cause: LossReason,
+  ): void {
+    this.#context.services.metrics.count("streams_continued", cause);
+    this.#context.log("info", "stream-continued", {
+      endpoint: endpoint.id,
+      cause,
+      copy,
+      lastEvent: this.#lastEventId,
+    });
+    this.#startLeg(endpoint, { copy, afterEvent: this.#lastEventId });
+  }
+
+  #goOnWithoutCopy(reason: string): void {
+    this.#leg?.abort();
+    if (!this.#isResumable || !this.#mayRepeat()) {
+      this.#giveUp(reason);
+      return;
+    }
+    this.#startFresh();
+  }
+
+  #mayRepeat(): boolean {
+    const { services, request, sentCount } = this.#context;
+    if (this.#context.leftMs <= 0) return false;
+    if (this.#wasRun && sentCount >= request.route.maxAttempts) return false;
+    const isAllowed =
+      services.budget.tryRetry(request.service.id, sentCount) !== undefined;
+    if (isAllowed) services.metrics.count("requests_sent_again");
+    return isAllowed;
+  }
+
+  #giveUp(reason: string): void {
+    if (this.#hasStarted) this.#context.fail(502, "interrupted", reason);
+    else if (this.#wasRun) this.#context.fail(502, "unknown", reason);
+    else this.#context.fail(503, "not-run", reason, FULL_RETRY_AFTER_MS);
+  }
+
+  #onDeadline(): void {
+    const reason = "no whole answer before the deadline";
+    this.#leg?.abort();
+    const end = this.#hasStarted ? "interrupted" : "unknown";
+    this.#context.fail(504, end, reason);
+  }
+
+  #onLeaving(endpoint: RegisteredEndpoint): void {
+    if (endpoint === this.#backup) {
+      this.#backupClaim?.dispose();
+      this.#backup = undefined;
+    }
+    const leg = this.#leg;
+    if (leg?.endpoint !== endpoint || !leg.hasEvents) return;
+    this.#moveAway(leg);
+  }
+
+  #moveAway(leg: StreamLeg): void {
+    if (this.#isMoving || this.#context.isOver) return;
+    const { services, request } = this.#context;
+    if (this.#backup?.isUsable) {
+      this.#goOn("leaving", "the endpoint leaves");
+      return;
+    }
+    if (!request.service.engine?.canMove) return;
+    void services.mover.move({
+      requestId: request.id,
+      source: leg.endpoint,
+      chooseTarget: (excluded) => this.#chooseTarget(excluded),
+      isWanted: () => leg === this.#leg && !this.#context.isOver,
+      onStopping: () => {
+        this.#isMoving = true;
+      },
+    }).then((end) => {
+      const wasStopped = this.#isMoving;
+      this.#isMoving = false;
+      if (this.#context.isOver || leg !== this.#leg) return;
+      if (end.kind === "moved") {
+        this.#context.log("info", "stream-moved", {
+          from: leg.endpoint.id,
+          to: end.endpoint.id,
+          tookMs: end.tookMs,
+        });
+        services.metrics.count("streams_moved");
+        leg.abort();
+        this.#continueAt(end.endpoint, end.copy, "leaving");
+        return;
+      }
+      this.#context.log("warn", "stream-not-moved", {
+        endpoint: leg.endpoint.id,
+        reason: end.reason,
+      });
+      if (wasStopped && leg.hasFailed) this.#onLost(leg, true, end.reason);
+    });
+  }
+
+  #chooseTarget(
+    excluded: ReadonlySet<EndpointId>,
+  ): RegisteredEndpoint | undefined {
+    const { services, request } = this.#context;
+    const need: Need = { ...this.#need, excluded };
+    return services.chooser.choose(need, request.service)?.endpoint;
+  }
+
+  #onDark(endpoint: RegisteredEndpoint): void {
+    if (endpoint === this.#backup) this.#backup = undefined;
+    const leg = this.#leg;
+    if (leg?.endpoint !== endpoint || this.#context.isOver) return;
+    leg.note("broken");
+    this.#wasRun = true;
+    this.#context.excluded.add(endpoint.id);
+    this.#goOn("dark", "the endpoint is dark");
+  }
+
+  /** Probes the endpoint when the stream has been silent for too long. */
+  #watch(): void {
+    const leg = this.#leg;
+    const { clock, probe } = this.#context.services;
+    if (!leg || this.#isMoving || this.#isProbing) return;
+    const silentMs = clock.monotonicMs() - this.#lastEventMs;
+    const limitMs = leg.hasEvents ? SILENT_STREAM_MS : SILENT_START_MS;
+    if (silentMs < limitMs) return;
+    this.#isProbing = true;
+    void probe.check(leg.endpoint).then((verdict) => {
+      this.#isProbing = false;
+      if (verdict === "dark" || leg !== this.#leg || this.#context.isOver) {
+        return;
+      }
+      const stillMs = clock.monotonicMs() - this.#lastEventMs;
+      if (!leg.hasEvents || stillMs < SILENT_CONNECTION_MS) return;
+      if (!this.#backup) return;
+      this.#goOn("silent", "the connection is silent");
+    });
+  }
+
+  #release(): void {
+    this.#backupClaim?.dispose();
+    this.#leg?.abort();
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/stream_leg.ts
@@ -0,0 +1,205 @@
+/** One run of a generation at one endpoint. */
+
+import type { HeaderList } from "../../../services/http/common/header_list.ts";
+import type { Transfer } from "../../../services/http/common/pass_through_client.ts";
+import type { Address } from "../../../base/common/ids.ts";
+import type { HealthSign } from "./endpoint_health.ts";
+import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import { EventFrames } from "./event_frames.ts";
+import type { Continuation } from "./gateway_codec.ts";
+import type { RequestContext } from "./gateway_request.ts";
+import type { UseClaim } from "./load_board.ts";
+
+/** Failed answers are short; more than this is cut off. */
+const MAX_FAILED_ANSWER_BYTES = 65_536;
+
+/** Hears what becomes of a leg. */
+export interface StreamLegListener {
+  onHead(headers: HeaderList): void;
+  /** @returns Whether more data is wanted now. */
+  onData(chunk: Uint8Array): boolean;
+  /** @param pendingBytes - Bytes of an event that never became whole. */
+  onEnd(pendingBytes: number): void;
+  /** The endpoint proved that it has not run the request. */
+  onRefused(reason: string): void;
+  onFailedAnswer(status: number, headers: HeaderList, body: Uint8Array): void;
+  onLost(wasSent: boolean, reason: string): void;
+}
+
+/** What a leg is made from. */
+export interface StreamLegOptions {
+  readonly context: RequestContext;
+  readonly endpoint: RegisteredEndpoint;
+  readonly backupAddress: Address | undefined;
+  readonly continuation: Continuation | undefined;
+  readonly claim: UseClaim;
+  readonly listener: StreamLegListener;
+}
+
+/** Sends the request and sorts the answer. */
+export class StreamLeg {
+  readonly #options: StreamLegOptions;
+  /** Events of this run. */
+  readonly frames = new EventFrames();
+  #transfer: Transfer | undefined;
+  #status = 0;
+  #headers: HeaderList = [];
+  #isRefusal = false;
+  #failedAnswer: Uint8Array[] = [];
+  #failedBytes = 0;
+  #hasEvents = false;
+  #hasFailed = false;
+  #isOver = false;
+
+  /** @param options - What the leg is made from. */
+  constructor(options: StreamLegOptions) {
+    this.#options = options;
+  }
+
+  /** Where the run is. */
+  get endpoint(): RegisteredEndpoint {
+    return this.#options.endpoint;
+  }
+
+  /** Whether an event of this run has come. */
+  get hasEvents(): boolean {
+    return this.#hasEvents;
+  }
+
+  /** Whether its connection broke. */
+  get hasFailed(): boolean {
+    return this.#hasFailed;
+  }
+
+  /** Whether another run came before. */
+  get isContinuation(): boolean {
+    return this.#options.continuation !== undefined;
+  }
+
+  /** Whether it goes on from a copy of the memory. */
+  get isFromCopy(): boolean {
+    return this.#options.continuation?.copy !== undefined;
+  }
+
+  /** Sends the request. */
+  send(): void {
+    const { context, endpoint, continuation, backupAddress } = this.#options;
+    const { services, request } = context;
+    const { exchange } = request;
+    const { address, id } = endpoint.announcement;
+    const headers = services.codec.outgoingHeaders(exchange.headers, {
+      endpoint: id,
+      leftMs: context.leftMs,
+      workspace: request.holder?.workspace,
+      hasKeys: request.hasKeys,
+      priority: context.priority,
+      backupAddress,
+      continuation,
+    });
+    let wasSent = false;
+    this.#transfer = services.client.send({
+      address,
+      method: exchange.method,
+      target: exchange.target,
+      headers,
+      body: request.body,
+      isReuseAllowed: true,
+    }, {
+      onSent: () => {
+        wasSent = true;
+        context.sentCount++;
+      },
+      onHead: (status, received) => this.#onHead(status, received),
+      onData: (chunk) => this.#onData(chunk),
+      onEnd: () => this.#onEnd(),
+      onFailure: ({ message }) => {
+        this.#fail(wasSent, message);
+      },
+    });
+  }
+
+  /** An event of this run has been delivered. */
+  markEvent(): void {
+    this.#hasEvents = true;
+    this.#options.claim.markRead();
+  }
+
+  /** Reads on after the caller has taken what was written. */
+  resume(): void {
+    this.#transfer?.resume();
+  }
+
+  /** Takes note of how the endpoint did. */
+  note(sign: HealthSign): void {
+    const { context, endpoint } = this.#options;
+    const { services } = context;
+    const wasEjected = endpoint.health.note(sign, services.clock.monotonicMs());
+    if (!wasEjected) return;
+    services.metrics.count("endpoints_ejected", sign);
+    const fields = { endpoint: endpoint.id, sign };
+    services.logger.log("warn", "endpoint-ejected", fields);
+  }
+
+  /** Closes the connection; the listener hears no more. */
+  abort(): void {
+    this.#isOver = true;
+    this.#transfer?.abort();
+    this.#options.claim.dispose();
+  }
+
+  #onHead(status: number, headers: HeaderList): void {
+    if (this.#isOver) return;
+    const { context, listener } = this.#options;
+    const reply = context.services.codec.readReply(status, headers);
+    this.#status = status;
+    this.#headers = headers;
+    const { requestId } = reply;
+    if (requestId !== undefined && requestId !== context.request.id) {
+      this.#transfer?.abort();
+      this.#fail(true, "an answer to another request");
+      return;
+    }
+    this.#isRefusal = reply.isNotRun;
+    if (status !== 200) return;
+    if (!reply.isSigned) {
+      this.#transfer?.abort();
+      this.#fail(true, "a success without the endpoint's signature");
+      return;
+    }
+    listener.onHead(headers);
+  }
+
+  #onData(chunk: Uint8Array): boolean {
+    if (this.#isOver) return true;
+    if (this.#status === 200) return this.#options.listener.onData(chunk);
+    if (this.#failedBytes < MAX_FAILED_ANSWER_BYTES) {
+      this.#failedAnswer.push(chunk);
+      this.#failedBytes += chunk.byteLength;
+    }
+    return true;
+  }
+
+  #onEnd(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    const { listener, claim } = this.#options;
+    claim.dispose();
+    if (this.#status === 200) listener.onEnd(this.frames.pendingBytes);
+    else if (this.#isRefusal) listener.onRefused(`status ${this.#status}`);
+    else if (this.#status === 503 || this.#status === 429) {
+      // Passing it on would promise that the request has not run.
+      listener.onLost(true, `status ${this.#status} without proof`);
+    } else {
+      const body = Buffer.concat(this.#failedAnswer);
+      listener.onFailedAnswer(this.#status, this.#headers, body);
+    }
+  }
+
+  #fail(wasSent: boolean, reason: string): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#hasFailed = true;
+    this.#options.claim.dispose();
+    this.#options.listener.onLost(wasSent, reason);
+  }
+}
--- a/src/features/retries/common/retry_budget.ts
+++ b/src/features/retries/common/retry_budget.ts
@@ -7,18 +7,28 @@
 import type { ServiceId } from "../../../base/common/ids.ts";
 import type { SeededRandom } from "../../../base/common/random.ts";
 
+/** How many retries a window allows. */
+export interface RetryLimits {
+  /** Retries as a share of the window's successes. */
+  readonly successShare: number;
+  /** Retries without any success. */
+  readonly minRetriesPerWindow: number;
+}
+
 /** What the budget works with. */
 export interface RetryBudgetServices {
   readonly clock: Clock;
   readonly random: SeededRandom;
+  /** Limits of the present; the defaults when left out. */
+  readonly limits?: () => RetryLimits;
 }
 
 const BUCKET_MS = 1_000;
 const BUCKET_COUNT = 10;
-/** Retries that a window allows, as a share of its successes. */
-const SUCCESS_SHARE = 0.2;
-/** Retries that a window allows without any success. */
-const MIN_RETRIES_PER_WINDOW = 100;
+const DEFAULT_LIMITS: RetryLimits = {
+  successShare: 0.2,
+  minRetriesPerWindow: 100,
+};
 const FIRST_WAIT_MS = 50;
 const MAX_WAIT_MS = 2_000;
 
@@ -62,7 +72,9 @@
   tryRetry(service: ServiceId, attempt: number): number | undefined {
     const bucket = this.#currentBucket(service);
     const { successes, retries } = this.#sum(service);
-    if (retries >= MIN_RETRIES_PER_WINDOW + successes * SUCCESS_SHARE) {
+    const limits = this.#services.limits?.() ?? DEFAULT_LIMITS;
+    const { minRetriesPerWindow, successShare } = limits;
+    if (retries >= minRetriesPerWindow + successes * successShare) {
       return undefined;
     }
     bucket.retries++;
--- /dev/null
+++ b/src/services/hosts/common/host_entry.ts
@@ -0,0 +1,52 @@
+/** Entries of hosts in the store: who is there and where peers reach it. */
+
+import { z } from "zod";
+import { messageOf } from "../../../base/common/errors.ts";
+import type { HostId, ZoneName } from "../../../base/common/ids.ts";
+import {
+  attempt,
+  type Either,
+  Left,
+  Right,
+} from "../../../base/common/result.ts";
+import type { PeerAddress } from "../../peers/common/peer_links.ts";
+import {
+  addressSchema,
+  nameSchema,
+} from "../../settings/common/schema_parts.ts";
+
+/** Prefix of the entries; the rest of a key is the host's name. */
+export const HOST_PREFIX = "ragwort/hosts/";
+
+const entrySchema = z.object({
+  host: nameSchema.transform((text) => text as HostId),
+  zone: nameSchema.transform((text) => text as ZoneName),
+  address: addressSchema,
+});
+
+/** @returns The value of a host's entry. */
+export function encodeHostEntry(entry: PeerAddress): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(entry));
+}
+
+/**
+ * @param bytes - Value of an entry.
+ * @returns The host, or what is wrong with the entry.
+ */
+export function decodeHostEntry(
+  bytes: Uint8Array,
+): Either<string, PeerAddress> {
+  return attempt<string, unknown>(
+    () => JSON.parse(new TextDecoder().decode(bytes)) as unknown,
+    (thrown) => messageOf(thrown),
+  ).chain(toPeerAddress);
+}
+
+/**
+ * @param value - A host's entry that was decoded already.
+ * @returns The checked entry.
+ */
+export function toPeerAddress(value: unknown): Either<string, PeerAddress> {
+  const checked = entrySchema.safeParse(value);
+  return checked.success ? Right(checked.data) : Left(checked.error.message);
+}
--- /dev/null
+++ b/src/services/http/common/caller_exchange.ts
@@ -0,0 +1,58 @@
+/** Contract for one request of a caller and its answer. */
+
+import type { Event } from "../../../base/common/event.ts";
+import type { HeaderList } from "./header_list.ts";
+
+/** What came of reading a request's body. */
+export type BodyResult =
+  | { readonly kind: "whole"; readonly body: Uint8Array | undefined }
+  | { readonly kind: "too-large" }
+  | { readonly kind: "left" };
+
+/** How the exchange with a caller ended. */
+export type ExchangeEnd = "answered" | "left";
+
+/** A request whose head was read, and the means to answer it. */
+export interface CallerExchange {
+  readonly method: string;
+  /** Path with its query, as received. */
+  readonly target: string;
+  readonly headers: HeaderList;
+  /** Monotonic time at which the head was read. */
+  readonly receivedMs: number;
+  /** Fires once: the answer was handed over whole, or the caller has gone. */
+  readonly onDidEnd: Event<ExchangeEnd>;
+  /** Whether the exchange has ended. */
+  readonly hasEnded: boolean;
+  /** Whether the head of an answer was sent. */
+  readonly hasStarted: boolean;
+
+  /** @param limitBytes - Largest body that is taken. */
+  readBody(limitBytes: number): Promise<BodyResult>;
+
+  /** Sends a complete answer. */
+  reply(status: number, headers: HeaderList, body: Uint8Array | string): void;
+
+  /** Sends the head of an answer whose body follows in pieces. */
+  start(status: number, headers: HeaderList): void;
+
+  /** @returns Whether more may be written now; else wait for `onDidDrain`. */
+  write(chunk: Uint8Array): boolean;
+
+  /** Fires when more may be written. */
+  readonly onDidDrain: Event<void>;
+
+  /** Ends an answer that is complete. */
+  end(): void;
+
+  /** Closes the connection, so that a partial answer never looks complete. */
+  breakOff(): void;
+}
+
+/** Limits of what callers may send and of how long they may idle. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
--- /dev/null
+++ b/src/services/http/common/header_list.ts
@@ -0,0 +1,73 @@
+/** Raw header lists: names and values by turns, in the order of the wire. */
+
+/** Names at even positions, their values behind them. */
+export type HeaderList = readonly string[];
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const CONNECTION_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+/**
+ * @param headers - A header list.
+ * @param name - Lower-case name.
+ * @returns The first value, or `undefined`.
+ */
+export function headerOf(
+  headers: HeaderList,
+  name: string,
+): string | undefined {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const candidate = headers[index]!;
+    if (candidate.length === name.length && candidate.toLowerCase() === name) {
+      return headers[index + 1];
+    }
+  }
+  return undefined;
+}
+
+/**
+ * @param headers - Headers as received.
+ * @param isDropped - Whether to leave out a further header, by lower-case name.
+ * @returns The headers that a proxy passes on.
+ */
+export function endToEndHeaders(
+  headers: HeaderList,
+  isDropped: (name: string) => boolean = () => false,
+): string[] {
+  const named = new Set<string>();
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]!.toLowerCase() !== "connection") continue;
+    for (const token of headers[index + 1]!.split(",")) {
+      named.add(token.trim().toLowerCase());
+    }
+  }
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index]!.toLowerCase();
+    if (CONNECTION_HEADERS.has(name) || named.has(name)) continue;
+    if (isDropped(name)) continue;
+    kept.push(headers[index]!, headers[index + 1]!);
+  }
+  return kept;
+}
+
+/**
+ * @param headers - A header list.
+ * @param dropped - Lower-case name.
+ * @returns The list without that header.
+ */
+export function withoutHeader(headers: HeaderList, dropped: string): string[] {
+  return headers.filter((_value, index) =>
+    headers[index - (index % 2)]!.toLowerCase() !== dropped
+  );
+}
--- /dev/null
+++ b/src/services/http/common/pass_through_client.ts
@@ -0,0 +1,57 @@
+/** Contract for requests that are passed on to an endpoint as they are. */
+
+import type { Address } from "../../../base/common/ids.ts";
+import type { HeaderList } from "./header_list.ts";
+
+/** A request for one endpoint. */
+export interface OutgoingRequest {
+  readonly address: Address;
+  readonly method: string;
+  /** Path with its query. */
+  readonly target: string;
+  readonly headers: HeaderList;
+  readonly body: Uint8Array | undefined;
+  /** Whether a connection that was used before may carry the request. */
+  readonly isReuseAllowed: boolean;
+}
+
+/** Why no whole answer came. */
+export interface TransferFailure {
+  /** `not-sent`: no byte of the request left this host. */
+  readonly kind: "not-sent" | "broken";
+  readonly message: string;
+}
+
+/** Receives the answer of an endpoint, in order. */
+export interface ReplySink {
+  /** The request is about to be written to a connection. */
+  onSent?(): void;
+  /** @returns Nothing; status and headers have arrived. */
+  onHead(status: number, headers: HeaderList): void;
+  /** @returns Whether more data is wanted now. */
+  onData(chunk: Uint8Array): boolean;
+  /** The answer is complete by its framing. */
+  onEnd(): void;
+  /** The answer never came or broke off. */
+  onFailure(failure: TransferFailure): void;
+}
+
+/** A request on its way. */
+export interface Transfer {
+  /** Ends the exchange and closes its connection; the sink hears no more. */
+  abort(): void;
+  /** Goes on reading after `onData` returned `false`. */
+  resume(): void;
+}
+
+/** Sends requests to endpoints. */
+export interface PassThroughClient {
+  /**
+   * @param request - The request.
+   * @param sink - Receives the answer.
+   * @returns The exchange.
+   */
+  send(request: OutgoingRequest, sink: ReplySink): Transfer;
+  /** Closes idle connections to an address, as when an endpoint has gone. */
+  forget(address: Address): void;
+}
--- /dev/null
+++ b/src/services/http/node/caller_listener.ts
@@ -0,0 +1,251 @@
+/** HTTP/1.1 listener for callers; requests are handed on without parsing them further. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { Clock } from "../../../base/common/clock.ts";
+import { Emitter } from "../../../base/common/event.ts";
+import { type Address, asId } from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  toDisposable,
+} from "../../../base/common/lifecycle.ts";
+import { splitAddress } from "../../settings/common/schema_parts.ts";
+import type {
+  BodyResult,
+  CallerExchange,
+  CallerLimits,
+  ExchangeEnd,
+} from "../common/caller_exchange.ts";
+import type { HeaderList } from "../common/header_list.ts";
+
+/** Largest head that the parser takes; the configured limit is checked after. */
+const PARSER_HEADER_BYTES = 65_536;
+/** Idle time granted beyond the limit that callers are told of. */
+const IDLE_SLACK_MS = 1_000;
+const LISTEN_BACKLOG = 1_024;
+
+/** Accepts connections of callers. */
+export class CallerListener implements Disposable {
+  readonly #clock: Clock;
+  readonly #server: Server;
+  readonly #received = new Emitter<CallerExchange>();
+  readonly #sockets = new Set<Socket>();
+  readonly #busy = new Set<Socket>();
+  #isClosing = false;
+
+  /** Fires for each request whose head was read. */
+  readonly onDidReceive = this.#received.event;
+
+  /** @param clock - Clock of the times of receipt. */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#server = createServer({
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      requestTimeout: 0,
+      keepAlive: true,
+      noDelay: true,
+    });
+    this.#server.on("request", (request, response) => {
+      this.#onRequest(request, response);
+    });
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+    this.#server.on("clientError", (_error, socket) => {
+      if (socket.writable) {
+        socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
+      } else socket.destroy();
+    });
+  }
+
+  /** Connections of callers that are open. */
+  get connectionCount(): number {
+    return this.#sockets.size;
+  }
+
+  /** Requests that have no whole answer yet. */
+  get activeCount(): number {
+    return this.#busy.size;
+  }
+
+  /**
+   * @param address - Where to listen; port 0 takes a free one.
+   * @returns The address with its port.
+   */
+  async listen(address: Address): Promise<Address> {
+    const { ip, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ port, host: ip, backlog: LISTEN_BACKLOG }, resolve);
+    });
+    const bound = this.#server.address() as AddressInfo;
+    return asId<Address>(`${ip}:${bound.port}`);
+  }
+
+  /** Applies new limits to connections and requests to come. */
+  setLimits(limits: CallerLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS;
+  }
+
+  /** From now on each answer asks the caller to close its connection. */
+  announceClose(): void {
+    this.#isClosing = true;
+  }
+
+  /** Stops accepting and closes connections that carry no request. */
+  closeIdle(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** Closes everything. */
+  dispose(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+    this.#received.dispose();
+  }
+
+  #onRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    this.#busy.add(socket);
+    const exchange = new NodeExchange(
+      request,
+      response,
+      this.#clock.monotonicMs(),
+      () => this.#isClosing,
+    );
+    exchange.onDidEnd(() => this.#busy.delete(socket));
+    this.#received.fire(exchange);
+  }
+}
+
+/** A request and its answer on node's HTTP server. */
+class NodeExchange implements CallerExchange {
+  readonly #request: IncomingMessage;
+  readonly #response: ServerResponse;
+  readonly #isClosing: () => boolean;
+  readonly #ended = new Emitter<ExchangeEnd>();
+  readonly #drained = new Emitter<void>();
+  #end: ExchangeEnd | undefined;
+  readonly receivedMs: number;
+  readonly onDidDrain = this.#drained.event;
+
+  constructor(
+    request: IncomingMessage,
+    response: ServerResponse,
+    receivedMs: number,
+    isClosing: () => boolean,
+  ) {
+    this.#request = request;
+    this.#response = response;
+    this.receivedMs = receivedMs;
+    this.#isClosing = isClosing;
+    response.on("close", () => {
+      this.#settle(response.writableFinished ? "answered" : "left");
+    });
+    response.on("drain", () => this.#drained.fire());
+    // The end of the connection is told by the response's own event.
+    request.on("error", () => undefined);
+    response.on("error", () => undefined);
+  }
+
+  get method(): string {
+    return this.#request.method ?? "GET";
+  }
+
+  get target(): string {
+    return this.#request.url ?? "/";
+  }
+
+  get headers(): HeaderList {
+    return this.#request.rawHeaders;
+  }
+
+  get hasEnded(): boolean {
+    return this.#end !== undefined;
+  }
+
+  get hasStarted(): boolean {
+    return this.#response.headersSent;
+  }
+
+  readonly onDidEnd = (listener: (end: ExchangeEnd) => void): Disposable => {
+    if (this.#end === undefined) return this.#ended.event(listener);
+    listener(this.#end);
+    return toDisposable(() => undefined);
+  };
+
+  async readBody(limitBytes: number): Promise<BodyResult> {
+    const length = Number(this.#request.headers["content-length"] ?? 0);
+    if (length > limitBytes) return { kind: "too-large" };
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    try {
+      for await (const chunk of this.#request as AsyncIterable<Buffer>) {
+        sizeBytes += chunk.length;
+        if (sizeBytes > limitBytes) return { kind: "too-large" };
+        chunks.push(chunk);
+      }
+    } catch {
+      // The only error of the request stream is that its caller has gone.
+      return { kind: "left" };
+    }
+    const hasBody = chunks.length > 0 ||
+      this.#request.headers["content-length"] !== undefined ||
+      this.#request.headers["transfer-encoding"] !== undefined;
+    return {
+      kind: "whole",
+      body: hasBody ? Buffer.concat(chunks) : undefined,
+    };
+  }
+
+  reply(status: number, headers: HeaderList, body: Uint8Array | string): void {
+    if (this.hasEnded || this.hasStarted) return;
+    const sizeBytes = typeof body === "string"
+      ? Buffer.byteLength(body)
+      : body.byteLength;
+    const length = ["content-length", String(sizeBytes)];
+    this.#writeHead(status, [...headers, ...length]);
+    this.#response.end(body);
+  }
+
+  start(status: number, headers: HeaderList): void {
+    if (this.hasEnded || this.hasStarted) return;
+    this.#writeHead(status, headers);
+    this.#response.flushHeaders();
+  }
+
+  write(chunk: Uint8Array): boolean {
+    if (this.hasEnded) return true;
+    return this.#response.write(chunk);
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  breakOff(): void {
+    this.#response.destroy();
+  }
+
+  #writeHead(status: number, headers: HeaderList): void {
+    const closing = this.#isClosing() ? ["connection", "close"] : [];
+    this.#response.sendDate = false;
+    this.#response.writeHead(status, [...headers, ...closing]);
+  }
+
+  #settle(end: ExchangeEnd): void {
+    if (this.#end !== undefined) return;
+    this.#end = end;
+    this.#ended.fire(end);
+    this.#ended.dispose();
+    this.#drained.dispose();
+  }
+}
--- a/src/services/metrics/node/prometheus_text.ts
+++ b/src/services/metrics/node/prometheus_text.ts
@@ -49,16 +49,18 @@
   },
 };
 
-interface PublishedValue {
+/** One sample with its labels. */
+export interface PublishedValue {
   readonly metricName: string;
   readonly labels: Readonly<Record<string, string | number>>;
   readonly value: number;
 }
 
-interface PublishedMetric {
+/** A metric as it is scraped. */
+export interface PublishedMetric {
   readonly name: string;
   readonly help: string;
-  readonly type: "counter" | "histogram";
+  readonly type: "counter" | "gauge" | "histogram";
   readonly values: readonly PublishedValue[];
 }
 
@@ -72,15 +74,26 @@
 export async function formatPrometheus(
   figures: DaemonFigures,
 ): Promise<string> {
-  const registry = new Registry();
   const { host, zone } = figures;
-  registry.setDefaultLabels({ host, zone });
-  const published = [
+  return await renderMetrics({ host, zone }, [
     ...MEASURE_NAMES.map((name) => publishMeasure(name, figures.series)),
     publishRequests(figures.series),
     publishPreemptions(figures.series),
     ...publishCounters(figures),
-  ];
+  ]);
+}
+
+/**
+ * @param labels - Labels of all samples.
+ * @param published - The metrics.
+ * @returns The text of a scrape.
+ */
+export async function renderMetrics(
+  labels: Readonly<Record<string, string>>,
+  published: readonly PublishedMetric[],
+): Promise<string> {
+  const registry = new Registry();
+  registry.setDefaultLabels(labels);
   for (const metric of published) registry.registerMetric(toMetric(metric));
   return await registry.metrics();
 }
@@ -117,7 +130,14 @@
   return { name, help, type: "histogram", values };
 }
 
-function toHistogramValues(
+/**
+ * @param name - Name of the metric.
+ * @param histogram - What was recorded.
+ * @param divisor - What a recorded value is divided by.
+ * @param labels - Labels of the series.
+ * @returns The samples of the histogram.
+ */
+export function toHistogramValues(
   name: string,
   histogram: LogHistogram,
   divisor: number,
--- /dev/null
+++ b/src/services/mirror/common/mirror_exchange.ts
@@ -0,0 +1,180 @@
+/** Lets mirrors of peers learn from each other: pushed hints, pulled contents. */
+
+import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
+import type { HostId } from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import { type Either, Left, Right } from "../../../base/common/result.ts";
+import { type Stamp, stampNow } from "../../../base/common/stamp.ts";
+import type { Logger } from "../../log/common/logger.ts";
+import type {
+  PeerChannel,
+  PeerChannelSpec,
+  PeerLinks,
+} from "../../peers/common/peer_links.ts";
+import type { MirrorSnapshot, StoreMirror } from "./store_mirror.ts";
+
+/** Messages between mirrors. */
+export type MirrorMessage =
+  | { readonly kind: "changed"; readonly revision: number }
+  | { readonly kind: "ask"; readonly askId: number; readonly revision: number }
+  | {
+    readonly kind: "tell";
+    readonly askId: number;
+    readonly snapshot: MirrorSnapshot;
+  };
+
+/** Channel of the mirrors. */
+export const MIRROR_CHANNEL: PeerChannelSpec<MirrorMessage> = {
+  name: "mirror.v1",
+  decode: decodeMirrorMessage,
+};
+
+const CHECK_PERIOD_MS = 250;
+/** Confirmation age from which peers are asked; twice the watch's own period. */
+const ASK_AGE_MS = 1_500;
+/** Peers asked in one round: one may be as cut off as we are. */
+const PEERS_PER_ROUND = 2;
+/** Answers that come later than this say too little to be waited for. */
+const ASK_TIMEOUT_MS = 2_000;
+
+/** Asks and answers for one mirror. */
+export class MirrorExchange implements Disposable {
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #links: PeerLinks;
+  readonly #mirror: StoreMirror;
+  readonly #channel: PeerChannel<MirrorMessage>;
+  readonly #owned = new DisposableStore();
+  readonly #asked = new Map<number, Stamp>();
+  #askCounter = 0;
+  #nextPeer = 0;
+
+  /**
+   * @param clock - Clock of the rounds.
+   * @param logger - Where first contents are told.
+   * @param links - Links to the peers.
+   * @param mirror - The mirror to keep fresh.
+   */
+  constructor(
+    clock: Clock,
+    logger: Logger,
+    links: PeerLinks,
+    mirror: StoreMirror,
+  ) {
+    this.#clock = clock;
+    this.#logger = logger;
+    this.#links = links;
+    this.#mirror = mirror;
+    this.#channel = this.#owned.add(links.openChannel(MIRROR_CHANNEL));
+    this.#owned.add(
+      this.#channel.onDidReceive(({ from, body }) =>
+        this.#onMessage(from, body)
+      ),
+    );
+    this.#owned.add(mirror.onDidChange(() => {
+      this.#channel.broadcast({ kind: "changed", revision: mirror.revision });
+    }));
+    this.#owned.add(links.onDidChangeLink(({ host, isUp }) => {
+      if (isUp && mirror.confirmationAgeMs > ASK_AGE_MS) this.#ask(host);
+    }));
+    this.#owned.add(setPeriodic(clock, CHECK_PERIOD_MS, () => this.#check()));
+  }
+
+  /** Stops the rounds. */
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  #check(): void {
+    for (const [askId, askedAt] of this.#asked) {
+      const waitedMs = this.#clock.monotonicMs() - askedAt.monotonicMs;
+      if (waitedMs > ASK_TIMEOUT_MS) this.#asked.delete(askId);
+    }
+    if (this.#mirror.confirmationAgeMs <= ASK_AGE_MS) return;
+    const peers = this.#links.connectedHosts();
+    const count = Math.min(PEERS_PER_ROUND, peers.length);
+    for (let round = 0; round < count; round++) {
+      this.#ask(peers[this.#nextPeer++ % peers.length]!);
+    }
+  }
+
+  #ask(host: HostId): void {
+    const askId = ++this.#askCounter;
+    this.#asked.set(askId, stampNow(this.#clock));
+    this.#channel.send(host, {
+      kind: "ask",
+      askId,
+      revision: this.#mirror.revision,
+    });
+  }
+
+  #onMessage(from: HostId, message: MirrorMessage): void {
+    switch (message.kind) {
+      case "changed":
+        if (message.revision > this.#mirror.revision) this.#ask(from);
+        return;
+      case "ask": {
+        if (this.#mirror.revision === 0) return;
+        const snapshot = this.#mirror.snapshotSince(message.revision);
+        const { askId } = message;
+        this.#channel.send(from, { kind: "tell", askId, snapshot });
+        return;
+      }
+      case "tell": {
+        const askedAt = this.#asked.get(message.askId);
+        if (!askedAt) return;
+        this.#asked.delete(message.askId);
+        const wasEmpty = this.#mirror.revision === 0;
+        this.#mirror.applySnapshot(message.snapshot, askedAt);
+        if (wasEmpty) {
+          this.#logger.log("info", "mirror-filled", {
+            peer: from,
+            revision: this.#mirror.revision,
+          });
+        }
+      }
+    }
+  }
+}
+
+function decodeMirrorMessage(body: unknown): Either<string, MirrorMessage> {
+  if (typeof body !== "object" || body === null) return Left("not an object");
+  const { kind, askId, revision, snapshot } = body as Record<string, unknown>;
+  switch (kind) {
+    case "changed":
+      if (!isCount(revision)) return Left("revision is not a count");
+      return Right({ kind, revision });
+    case "ask":
+      if (!isCount(askId) || !isCount(revision)) return Left("ask without id");
+      return Right({ kind, askId, revision });
+    case "tell":
+      if (!isCount(askId) || !isSnapshot(snapshot)) return Left("bad snapshot");
+      return Right({ kind, askId, snapshot });
+    default:
+      return Left("unknown kind");
+  }
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === "number" && value >= 0;
+}
+
+function isSnapshot(value: unknown): value is MirrorSnapshot {
+  if (typeof value !== "object" || value === null) return false;
+  const candidate = value as Partial<MirrorSnapshot>;
+  return isCount(candidate.revision) && isCount(candidate.ageMs) &&
+    isCount(candidate.sinceTroubleMs) && Array.isArray(candidate.keys) &&
+    candidate.keys.every((key) => typeof key === "string") &&
+    Array.isArray(candidate.items) &&
+    candidate.items.every((item: unknown) => isItem(item));
+}
+
+function isItem(value: unknown): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  const { key, revision, value: bytes } = value as Record<string, unknown>;
+  return typeof key === "string" && isCount(revision) &&
+    bytes instanceof Uint8Array;
+}
--- /dev/null
+++ b/src/services/mirror/common/store_watcher.ts
@@ -0,0 +1,122 @@
+/** Keeps a mirror at the store's newest state, over outages and lost history. */
+
+import { type Clock, sleep } from "../../../base/common/clock.ts";
+import { type Disposable } from "../../../base/common/lifecycle.ts";
+import { stampNow } from "../../../base/common/stamp.ts";
+import type { Logger } from "../../log/common/logger.ts";
+import type { RevisionedStore, StoreCallFailure } from "./revisioned_store.ts";
+import type { StoreMirror } from "./store_mirror.ts";
+
+/**
+ * How long the store may hold a watch, in milliseconds. A watch without changes
+ * confirms the contents as of its start, so this bounds the age of a mirror.
+ */
+const WATCH_WAIT_MS = 1_000;
+/** Pauses after failures; the store is back within milliseconds or seconds. */
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 600;
+const IDLE_CHECK_MS = 250;
+
+/** What a watcher works with. */
+export interface StoreWatcherServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly store: RevisionedStore;
+  readonly mirror: StoreMirror;
+  /** Whether this daemon is to ask the store itself now. */
+  readonly isNeeded: () => boolean;
+}
+
+/** Lists once, then watches; after any failure it lists anew. */
+export class StoreWatcher implements Disposable {
+  readonly #services: StoreWatcherServices;
+  #isDisposed = false;
+  #hasListed = false;
+  #failures = 0;
+
+  /** @param services - What the watcher works with. */
+  constructor(services: StoreWatcherServices) {
+    this.#services = services;
+  }
+
+  /** Whether the last call to the store succeeded. */
+  get isConnected(): boolean {
+    return this.#hasListed;
+  }
+
+  /** Runs until disposed. */
+  async run(): Promise<void> {
+    const { clock, isNeeded } = this.#services;
+    while (!this.#isDisposed) {
+      if (!isNeeded()) {
+        this.#hasListed = false;
+        await sleep(clock, IDLE_CHECK_MS);
+        continue;
+      }
+      const failure = this.#hasListed
+        ? await this.#watch()
+        : await this.#list();
+      if (failure && !this.#isDisposed) await this.#pause(failure);
+    }
+  }
+
+  /** Stops after the call in progress. */
+  dispose(): void {
+    this.#isDisposed = true;
+  }
+
+  async #list(): Promise<StoreCallFailure | undefined> {
+    const { clock, store, mirror, logger } = this.#services;
+    const askedAt = stampNow(clock);
+    const listing = await store.list("");
+    return listing.caseOf<StoreCallFailure | undefined>({
+      Left: (failure) => failure,
+      Right: ({ items, revision }) => {
+        if (this.#isDisposed) return undefined;
+        mirror.applyListing(items, revision, askedAt);
+        logger.log("info", "store-listed", {
+          revision,
+          items: items.length,
+          failures: this.#failures,
+        });
+        this.#hasListed = true;
+        this.#failures = 0;
+        return undefined;
+      },
+    });
+  }
+
+  async #watch(): Promise<StoreCallFailure | undefined> {
+    const { clock, store, mirror } = this.#services;
+    const askedAt = stampNow(clock);
+    const page = await store.watch("", mirror.revision, WATCH_WAIT_MS);
+    return page.caseOf<StoreCallFailure | undefined>({
+      Left: (failure) => failure,
+      Right: ({ changes, revision }) => {
+        if (!this.#isDisposed) mirror.applyChanges(changes, revision, askedAt);
+        return undefined;
+      },
+    });
+  }
+
+  async #pause(failure: StoreCallFailure): Promise<void> {
+    const { clock, mirror, logger } = this.#services;
+    const wasConnected = this.#hasListed;
+    this.#hasListed = false;
+    this.#failures++;
+    mirror.noteTrouble(stampNow(clock));
+    if (wasConnected || this.#failures === 1) {
+      logger.log("warn", "store-lost", {
+        step: wasConnected ? "store.watch" : "store.list",
+        reason: failure.kind,
+        detail: failure.message,
+        confirmedAgeMs: Math.round(mirror.confirmationAgeMs),
+      });
+    }
+    if (failure.kind === "compacted") return;
+    await sleep(
+      clock,
+      Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.#failures - 1)),
+    );
+  }
+}
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -2,7 +2,9 @@
 
 import {
   createServer as createHttpServer,
+  type IncomingMessage,
   type Server as HttpServer,
+  type ServerResponse,
 } from "node:http";
 import {
   createServer as createHttpsServer,
@@ -43,6 +45,8 @@
 import { DialSchedule } from "./peer_dialer.ts";
 
 const PATH = "/peers";
+/** Path of the introduction. */
+export const INTRODUCTION_PATH = "/hosts";
 const TICK_MS = 500;
 const KEEPALIVE_AFTER_MS = 1_200;
 const SILENCE_LIMIT_MS = 3_000;
@@ -71,6 +75,11 @@
   /** Seed of the jitter. */
   readonly seed: number;
   readonly tls?: PeerTls | undefined;
+  /**
+   * Text for whoever asks over HTTP who is there, such as a peer that starts
+   * while the store is away.
+   */
+  introduce?(): string;
   /** Called when a link closes, for the metrics. */
   onLinkClosed?(): void;
 }
@@ -101,6 +110,9 @@
     this.#lastTickMs = clock.monotonicMs();
     this.#schedule = new DialSchedule(clock, new SeededRandom(seed), self.host);
     this.#http = tls ? this.#createTlsServer(tls) : createHttpServer();
+    this.#http.on("request", (request: IncomingMessage, response) => {
+      this.#introduce(request, response as ServerResponse);
+    });
     this.#accepting = new WebSocketServer({
       server: this.#http,
       path: PATH,
@@ -233,6 +245,13 @@
     for (const peer of due) this.#dial(peer);
   }
 
+  #introduce(request: IncomingMessage, response: ServerResponse): void {
+    const text = this.#options.introduce?.();
+    const isKnown = text !== undefined && request.url === INTRODUCTION_PATH;
+    response.writeHead(isKnown ? 200 : 404, { connection: "close" });
+    response.end(isKnown ? text : undefined);
+  }
+
   #createTlsServer(tls: PeerTls): HttpServer {
     const server = createHttpsServer(tls.serverOptions());
     this.#owned.add(tls.follow(server));
