Go on from settled backups, move runs in one step, wait for dark engines

Change: a backup counts 700 ms after the first event; a move is one copy, after which the run is cut over and reads the few missing tokens; an engine without an answer is waited for when nothing else can go on; a failed connection ejects at once; memory in use follows the events; an unknown key is refused as unknown when the configuration is known to be new enough.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -51,6 +51,8 @@
 const TICK_MS = 100;
 /** Part of the revocation delay that is left for a request on its way. */
 const KEY_TRUST_SHARE = 0.88;
+/** Part of the configuration's delay after which it counts as possibly old. */
+const UNKNOWN_TRUST_SHARE = 0.95;
 /** Part of the fleet's retries that daemons claim; counts of hosts may differ. */
 const RETRY_SHARE = 0.6;
 /** Part of the memory that bodies of requests may fill. */
@@ -215,14 +217,12 @@
           limits: () => this.#retryLimits(),
         }),
         probe: new EndpointProbe(clock, logger, metrics, platform.control),
-        mover: new RunMover(clock, platform.control, {
-          take: () => Promise.resolve(() => undefined),
-        }),
+        mover: new RunMover(clock, platform.control),
       },
       this.#state,
       () => ({
         keyTrustMs: this.#tuning.revocationDelayMs * KEY_TRUST_SHARE,
-        unknownTrustMs: this.#tuning.configurationDelayMs / 2,
+        unknownTrustMs: this.#tuning.configurationDelayMs * UNKNOWN_TRUST_SHARE,
         maxBodyBytesInUse: this.#tuning.memoryMb * BODY_MEMORY_SHARE *
           BYTES_PER_MB,
       }),
--- a/src/daemon/node/gateway_peers.ts
+++ b/src/daemon/node/gateway_peers.ts
@@ -15,8 +15,8 @@
 import { INTRODUCTION_PATH } from "../../services/peers/node/ws_peer_links.ts";
 import type { PeerListener } from "../common/gateway_knowledge.ts";
 
-/** Daemons of a zone that ask the store; one may stop without being missed. */
-const RELAYS_PER_ZONE = 2;
+/** Daemons of a zone that ask the store; the others step in when it stops. */
+const RELAYS_PER_ZONE = 1;
 /** Age of the contents from which any daemon asks the store itself. */
 const OWN_WATCH_AGE_MS = 2_200;
 const INTRODUCTION_TIMEOUT_MS = 700;
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -12,6 +12,7 @@
   TransferFailure,
 } from "../../../services/http/common/pass_through_client.ts";
 import type { Choice } from "./endpoint_choice.ts";
+import type { HealthSign } from "./endpoint_health.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { ReplyFields } from "./gateway_codec.ts";
 import type { RequestContext } from "./gateway_request.ts";
@@ -35,6 +36,7 @@
   | { readonly kind: "streamed"; readonly isWhole: boolean }
   | { readonly kind: "not-run"; readonly reason: string }
   | { readonly kind: "unknown"; readonly reason: string }
+  | { readonly kind: "timed-out" }
   | { readonly kind: "caller-left" };
 
 interface CollectedAnswer {
@@ -87,12 +89,11 @@
             return;
           }
           break;
+        case "timed-out":
+          context.fail(504, "unknown", "no answer before the deadline");
+          return;
         case "unknown":
           lastReason = result.reason;
-          if (context.leftMs <= 0) {
-            context.fail(504, "unknown", result.reason);
-            return;
-          }
           if (!this.#isRepeatable() || !this.#mayRepeat(false)) {
             context.fail(502, "unknown", result.reason);
             return;
@@ -225,7 +226,7 @@
     exchange.onDidEnd(() => this.#stop({ kind: "caller-left" }));
     context.setTimer(context.leftMs, () => {
       this.#note("broken");
-      this.#stop({ kind: "unknown", reason: "no answer before the deadline" });
+      this.#stop({ kind: "timed-out" });
     });
     if (isSilenceLimited) {
       const limitMs = Math.max(
@@ -348,13 +349,13 @@
 
   #onFailure({ kind, message }: TransferFailure): void {
     if (this.#isOver) return;
-    this.#note("broken");
+    this.#note(kind === "not-sent" ? "unreachable" : "broken");
     if (kind === "not-sent") {
       this.#settle({ kind: "not-run", reason: message });
     } else this.#stop({ kind: "unknown", reason: message });
   }
 
-  #note(sign: "served" | "failed" | "refused" | "broken"): void {
+  #note(sign: HealthSign): void {
     const { services } = this.#context;
     const { health, id } = this.#endpoint;
     if (sign !== "served") {
--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -20,7 +20,7 @@
  */
 const CALL_ZONE_COST = 0.34;
 /** Cost of another zone for a generation: a round trip matters little there. */
-const GENERATION_ZONE_COST = 0.05;
+const GENERATION_ZONE_COST = 0.12;
 /** Unread prompt tokens that cost as much as a full memory; about a second of prefill. */
 const FULL_BACKLOG_TOKENS = 14_000;
 /** Weight of a full batch: each run slows the tokens of the others. */
@@ -36,7 +36,7 @@
 /** Ties are broken at random, so that daemons do not all choose the same. */
 const TIE_JITTER = 0.02;
 /** Share of its memory up to which an endpoint is given copies to keep. */
-const MAX_FILL_WITH_COPIES = 0.8;
+const MAX_FILL_WITH_COPIES = 0.88;
 
 /** What a request needs. */
 export interface Need {
@@ -119,7 +119,9 @@
       if (endpoint === primary || endpoint.health.isEjected(nowMs)) continue;
       const use = this.#board.totalUse(endpoint.id);
       const taken = use.memoryTokens + use.copyTokens + need.memoryTokens;
-      const isNear = endpoint.announcement.zone === primary.announcement.zone;
+      const { zone } = endpoint.announcement;
+      // Copies within a zone are faster; one in our own zone outlives its cut.
+      const isNear = zone === primary.announcement.zone || zone === this.#zone;
       const fill = taken / engine.memoryTokens;
       if (fill > MAX_FILL_WITH_COPIES) continue;
       const cost = fill + (isNear ? 0 : GENERATION_ZONE_COST);
--- a/src/features/gateway/common/endpoint_health.ts
+++ b/src/features/gateway/common/endpoint_health.ts
@@ -18,6 +18,8 @@
   | "failed"
   /** It refused; full endpoints do. */
   | "refused"
+  /** No connection could be opened. */
+  | "unreachable"
   /** Reset, silence or bytes that are no answer. */
   | "broken";
 
@@ -55,7 +57,8 @@
       if (this.failureRate < EJECT_FAILURE_RATE / 2) this.#ejections = 0;
       return false;
     }
-    const isBad = this.failureRate >= EJECT_FAILURE_RATE ||
+    const isBad = sign === "unreachable" ||
+      this.failureRate >= EJECT_FAILURE_RATE ||
       this.#brokenInARow >= EJECT_BROKEN_IN_A_ROW;
     if (!isBad || this.isEjected(nowMs)) return false;
     this.eject(nowMs);
--- a/src/features/gateway/common/gateway_configuration.ts
+++ b/src/features/gateway/common/gateway_configuration.ts
@@ -45,6 +45,8 @@
   readonly slots: number;
   /** Memory for prompts and answers, in tokens. */
   readonly memoryTokens: number;
+  /** Tokens that an event of a stream holds. */
+  readonly tokensPerEvent: number;
   /** Whether a running generation can be copied to another engine. */
   readonly canMove: boolean;
   /** Whether an engine can keep a copy of a generation elsewhere as it grows. */
--- a/src/features/gateway/common/load_board.ts
+++ b/src/features/gateway/common/load_board.ts
@@ -42,6 +42,14 @@
 export interface UseClaim extends Disposable {
   /** The prompt was read; the first event has come. */
   markRead(): void;
+  /** @param memoryTokens - Memory that the request needs by now. */
+  resize(memoryTokens: number): void;
+}
+
+/** A copy's part of the use of an endpoint. */
+export interface CopyClaim extends Disposable {
+  /** @param tokens - Size of the copy by now. */
+  resize(tokens: number): void;
 }
 
 /** Counts uses. */
@@ -71,23 +79,44 @@
     unreadTokens: number,
   ): UseClaim {
     let unread = unreadTokens;
-    this.#add(endpoint, 1, memoryTokens, unread, 0);
+    let memory = memoryTokens;
+    let isReleased = false;
+    this.#add(endpoint, 1, memory, unread, 0);
+    const resize = (tokens: number): void => {
+      if (isReleased) return;
+      this.#add(endpoint, 0, tokens - memory, 0, 0);
+      memory = tokens;
+    };
     const markRead = (): void => {
       if (unread === 0) return;
       this.#add(endpoint, 0, 0, -unread, 0);
       unread = 0;
     };
     const release = toDisposable(() => {
-      this.#add(endpoint, -1, -memoryTokens, -unread, 0);
+      isReleased = true;
+      this.#add(endpoint, -1, -memory, -unread, 0);
       unread = 0;
     });
-    return { markRead, dispose: () => release.dispose() };
+    return { markRead, resize, dispose: () => release.dispose() };
   }
 
   /** Counts a copy that an endpoint keeps for a generation elsewhere. */
-  claimCopy(endpoint: EndpointId, tokens: number): Disposable {
-    this.#add(endpoint, 0, 0, 0, tokens);
-    return toDisposable(() => this.#add(endpoint, 0, 0, 0, -tokens));
+  claimCopy(endpoint: EndpointId, tokens: number): CopyClaim {
+    let memory = tokens;
+    let isReleased = false;
+    this.#add(endpoint, 0, 0, 0, memory);
+    return {
+      resize: (changed) => {
+        if (isReleased) return;
+        this.#add(endpoint, 0, 0, 0, changed - memory);
+        memory = changed;
+      },
+      dispose: () => {
+        if (isReleased) return;
+        isReleased = true;
+        this.#add(endpoint, 0, 0, 0, -memory);
+      },
+    };
   }
 
   /** @returns This daemon's own rows, for its peers. */
--- a/src/features/gateway/common/run_mover.ts
+++ b/src/features/gateway/common/run_mover.ts
@@ -1,7 +1,7 @@
 /**
- * Moves running generations away from engines that leave. Copies of one engine
- * share its link, so they are made one after the other: each generation is
- * copied while it runs, then stopped for the short rest, and only then the next.
+ * Copies running generations away from engines that leave. A run goes on while
+ * its memory is copied; the few tokens that it makes meanwhile are read anew at
+ * the target, which takes less time than a second copy would wait for the link.
  */
 
 import type { Clock } from "../../../base/common/clock.ts";
@@ -12,15 +12,15 @@
 
 /** How a move ended. */
 export type MoveEnd =
-  /** The run has stopped; it goes on at `endpoint` from the copy. */
+  /** The run may stop; it can go on at `endpoint` from the copy. */
   | {
-    readonly kind: "moved";
+    readonly kind: "copied";
     readonly endpoint: RegisteredEndpoint;
     readonly copy: string;
     readonly tookMs: number;
   }
-  /** The run was not touched. */
-  | { readonly kind: "not-moved"; readonly reason: string };
+  /** There is no copy. */
+  | { readonly kind: "not-copied"; readonly reason: string };
 
 /** A generation that wants to move. */
 export interface MovableRun {
@@ -32,108 +32,61 @@
   ): RegisteredEndpoint | undefined;
   /** Whether the move is still wanted; the run may have ended meanwhile. */
   isWanted(): boolean;
-  /** The run is about to stop; the end of its stream is no failure. */
-  onStopping(): void;
 }
 
-/** Leave to use the link of a leaving engine, shared with the other daemons. */
-export interface MoveTurns {
-  /** @returns Called when the turn is over; the wait is bounded. */
-  take(source: EndpointId): Promise<() => void>;
-}
-
-const MAX_TARGETS = 2;
+/** Targets that are tried; a copy that waits takes most of a notice. */
+const MAX_TARGETS = 3;
 
-/** Moves runs in turn. */
+/** Copies runs. */
 export class RunMover {
   readonly #clock: Clock;
   readonly #control: EngineControl;
-  readonly #turns: MoveTurns;
-  readonly #chains = new Map<EndpointId, Promise<unknown>>();
 
   /**
    * @param clock - Measures moves.
    * @param control - Copies runs.
-   * @param turns - Order over all daemons.
    */
-  constructor(clock: Clock, control: EngineControl, turns: MoveTurns) {
+  constructor(clock: Clock, control: EngineControl) {
     this.#clock = clock;
     this.#control = control;
-    this.#turns = turns;
-  }
-
-  /** @returns How the move ended, once its turn has come. */
-  move(run: MovableRun): Promise<MoveEnd> {
-    const { id } = run.source;
-    const previous = this.#chains.get(id) ?? Promise.resolve();
-    const moved = previous.then(() => this.#moveInTurn(run));
-    this.#chains.set(id, moved);
-    void moved.then(() => {
-      if (this.#chains.get(id) === moved) this.#chains.delete(id);
-    });
-    return moved;
-  }
-
-  async #moveInTurn(run: MovableRun): Promise<MoveEnd> {
-    if (!run.isWanted()) return notMoved("no longer wanted");
-    const endTurn = await this.#turns.take(run.source.id);
-    try {
-      return await this.#copyAndStop(run);
-    } finally {
-      endTurn();
-    }
   }
 
-  async #copyAndStop(run: MovableRun): Promise<MoveEnd> {
+  /** @returns How the move ended. */
+  async move(run: MovableRun): Promise<MoveEnd> {
     const startMs = this.#clock.monotonicMs();
     const excluded = new Set<EndpointId>([run.source.id]);
+    const source = run.source.announcement.address;
     let reason = "no engine has room";
-    for (let count = 0; count < MAX_TARGETS; count++) {
-      if (!run.isWanted()) return notMoved("no longer wanted");
-      const target = run.chooseTarget(excluded);
-      if (!target) return notMoved(reason);
-      excluded.add(target.id);
-      const source = run.source.announcement.address;
-      const { address } = target.announcement;
+    for (let count = 0; count < MAX_TARGETS && run.isWanted(); count++) {
+      const endpoint = run.chooseTarget(excluded);
+      if (!endpoint) break;
+      excluded.add(endpoint.id);
+      const { address } = endpoint.announcement;
       const copied = await this.#control.copyRun(
         source,
         address,
         run.requestId,
         false,
       );
-      const failure = leftOf(copied);
-      if (failure) {
+      const copy = rightOf(copied);
+      if (!copy) {
+        const failure = leftOf(copied)!;
         reason = `${failure.kind}: ${failure.message}`;
         if (failure.kind === "no-room") continue;
-        return notMoved(reason);
+        break;
       }
-      const first = rightOf(copied)!;
       if (!run.isWanted()) {
-        await this.#control.freeCopy(source, first.name);
-        return notMoved("no longer wanted");
+        await this.#control.freeCopy(source, copy.name);
+        reason = "no longer wanted";
+        break;
       }
-      run.onStopping();
-      const stopped = await this.#control.copyRun(
-        source,
-        address,
-        run.requestId,
-        true,
-      );
-      const tookMs = Math.round(this.#clock.monotonicMs() - startMs);
-      const stopFailure = leftOf(stopped);
-      const { name, endpoint } = stopFailure
-        ? { name: stopFailure.name ?? first.name, endpoint: run.source }
-        : { name: rightOf(stopped)!.name, endpoint: target };
-      if (stopFailure?.kind === "no-such-run") {
-        return notMoved("the run ended meanwhile");
-      }
-      const copy = this.#control.copyReference(source, name);
-      return { kind: "moved", endpoint, copy, tookMs };
+      return {
+        kind: "copied",
+        endpoint,
+        copy: this.#control.copyReference(source, copy.name),
+        tookMs: Math.round(this.#clock.monotonicMs() - startMs),
+      };
     }
-    return notMoved(reason);
+    return { kind: "not-copied", reason };
   }
 }
-
-function notMoved(reason: string): MoveEnd {
-  return { kind: "not-moved", reason };
-}
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -16,6 +16,8 @@
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { Continuation } from "./gateway_codec.ts";
 import type { RequestContext } from "./gateway_request.ts";
+import type { CopyClaim } from "./load_board.ts";
+import type { MoveEnd } from "./run_mover.ts";
 import { StreamLeg } from "./stream_leg.ts";
 
 /** Silence after which an engine that has begun to answer is probed. */
@@ -31,6 +33,14 @@
 const FULL_RETRY_AFTER_MS = 400;
 /** Part of the allowed output that is expected without a hint. */
 const EXPECTED_OUTPUT_SHARE = 0.5;
+/** Part of the output still expected that counts as memory needed now. */
+const GROWTH_SHARE = 0.4;
+/** Events between two updates of the memory in use. */
+const RESIZE_EVENTS = 16;
+/** Age from which a backup holds the prompt; it is sent several times a second. */
+const BACKUP_SETTLE_MS = 700;
+/** Time for which an engine that gives no answer may come back, as after a cut. */
+const DARK_PATIENCE_MS = 8_000;
 
 /** Why a run has to go on elsewhere. */
 type LossReason = "broken" | "dark" | "silent" | "leaving";
@@ -40,15 +50,18 @@
   readonly #context: RequestContext;
   readonly #need: Need;
   readonly #promptTokens: number;
+  readonly #expectedTokens: number;
   #leg: StreamLeg | undefined;
   /** Where the copy of the current leg is kept, if it has one. */
   #backup: RegisteredEndpoint | undefined;
-  #backupClaim: Disposable | undefined;
+  #backupClaim: CopyClaim | undefined;
   #lastEventId: string | undefined;
   #lastEventNumber = -Infinity;
   #lastEventMs: number;
   #refusedTries = 0;
   #isMoving = false;
+  #eventCount = 0;
+  #darkTimer: Disposable | undefined;
   #hasStarted = false;
   /** Whether some endpoint may have run the request. */
   #wasRun = false;
@@ -60,11 +73,11 @@
     const { request } = context;
     const prompt = request.fields.prompt;
     this.#promptTokens = prompt?.promptTokens ?? 0;
-    const outputTokens = prompt?.hintedOutputTokens ??
+    this.#expectedTokens = prompt?.hintedOutputTokens ??
       (prompt?.maxOutputTokens ?? 0) * EXPECTED_OUTPUT_SHARE;
     this.#need = {
       service: request.service.id,
-      memoryTokens: this.#promptTokens + outputTokens,
+      memoryTokens: this.#promptTokens + this.#expectedTokens * GROWTH_SHARE,
       excluded: context.excluded,
     };
     this.#lastEventMs = context.services.clock.monotonicMs();
@@ -140,7 +153,7 @@
       continuation,
       claim: services.board.claim(
         endpoint.id,
-        this.#need.memoryTokens,
+        this.#memoryTokens,
         unreadTokens,
       ),
       listener: {
@@ -168,8 +181,21 @@
     const { chooser, board } = services;
     this.#backup = chooser.chooseBackup(this.#need, request.service, endpoint);
     if (!this.#backup) return;
-    const { memoryTokens } = this.#need;
-    this.#backupClaim = board.claimCopy(this.#backup.id, memoryTokens);
+    this.#backupClaim = board.claimCopy(this.#backup.id, this.#heldTokens);
+  }
+
+  /** Prompt and output so far, in tokens. */
+  get #heldTokens(): number {
+    const { engine } = this.#context.request.service;
+    return this.#promptTokens +
+      this.#eventCount * (engine?.tokensPerEvent ?? 1);
+  }
+
+  /** Memory held now and part of what is still expected, in tokens. */
+  get #memoryTokens(): number {
+    const held = this.#heldTokens;
+    const whole = this.#promptTokens + this.#expectedTokens;
+    return held + Math.max(0, whole - held) * GROWTH_SHARE;
   }
 
   #pendingHead: HeaderList | undefined;
@@ -208,7 +234,13 @@
     }
     this.#lastEventMs = nowMs;
     const isFirstOfLeg = !leg.hasEvents;
-    leg.markEvent();
+    leg.markEvent(nowMs);
+    this.#darkTimer?.dispose();
+    this.#darkTimer = undefined;
+    if (++this.#eventCount % RESIZE_EVENTS === 0) {
+      leg.resize(this.#memoryTokens);
+      this.#backupClaim?.resize(this.#heldTokens);
+    }
     const isWritable = exchange.write(bytes);
     if (isFirstOfLeg && !leg.endpoint.isUsable) this.#moveAway(leg);
     return isWritable;
@@ -274,8 +306,8 @@
   }
 
   #onLost(leg: StreamLeg, wasSent: boolean, reason: string): void {
-    if (leg !== this.#leg || this.#isMoving) return;
-    leg.note("broken");
+    if (leg !== this.#leg) return;
+    leg.note(wasSent ? "broken" : "unreachable");
     if (wasSent) this.#wasRun = true;
     this.#context.log("warn", "stream-lost", {
       endpoint: leg.endpoint.id,
@@ -296,14 +328,24 @@
 
   /** Goes on from the copy, or without one. */
   #goOn(cause: LossReason, reason: string): void {
+    if (this.#goOnFromBackup(cause)) return;
+    this.#goOnWithoutCopy(reason);
+  }
+
+  /** @returns Whether there is a backup to go on from. */
+  #goOnFromBackup(cause: LossReason): boolean {
     const backup = this.#backup;
-    const leg = this.#leg;
-    if (backup?.isUsable && leg) {
-      leg.abort();
-      this.#continueAt(backup, this.#backupName(backup), cause);
-      return;
+    if (!backup?.isUsable || !this.#leg || !this.#isBackupSettled(this.#leg)) {
+      return false;
     }
-    this.#goOnWithoutCopy(reason);
+    this.#leg.abort();
+    this.#continueAt(backup, this.#backupName(backup), cause);
+    return true;
+  }
+
+  #isBackupSettled(leg: StreamLeg): boolean {
+    const nowMs = this.#context.services.clock.monotonicMs();
+    return leg.runningMs(nowMs) >= BACKUP_SETTLE_MS;
   }
 
   #backupName(backup: RegisteredEndpoint): string {
@@ -370,41 +412,41 @@
 
   #moveAway(leg: StreamLeg): void {
     if (this.#isMoving || this.#context.isOver) return;
+    if (this.#goOnFromBackup("leaving")) return;
     const { services, request } = this.#context;
-    if (this.#backup?.isUsable) {
-      this.#goOn("leaving", "the endpoint leaves");
-      return;
-    }
     if (!request.service.engine?.canMove) return;
+    this.#isMoving = true;
     void services.mover.move({
       requestId: request.id,
       source: leg.endpoint,
       chooseTarget: (excluded) => this.#chooseTarget(excluded),
       isWanted: () => leg === this.#leg && !this.#context.isOver,
-      onStopping: () => {
-        this.#isMoving = true;
-      },
-    }).then((end) => {
-      const wasStopped = this.#isMoving;
-      this.#isMoving = false;
-      if (this.#context.isOver || leg !== this.#leg) return;
-      if (end.kind === "moved") {
+    }).then((end) => this.#onMoveEnded(leg, end));
+  }
+
+  #onMoveEnded(leg: StreamLeg, end: MoveEnd): void {
+    this.#isMoving = false;
+    const { metrics } = this.#context.services;
+    const from = leg.endpoint.id;
+    switch (end.kind) {
+      case "copied":
         this.#context.log("info", "stream-moved", {
-          from: leg.endpoint.id,
+          from,
           to: end.endpoint.id,
           tookMs: end.tookMs,
         });
-        services.metrics.count("streams_moved");
+        metrics.count("streams_moved");
         leg.abort();
         this.#continueAt(end.endpoint, end.copy, "leaving");
         return;
+      case "not-copied": {
+        const { reason } = end;
+        this.#context.log("warn", "stream-not-moved", { from, reason });
+        // By now the backup may have settled.
+        const isWanted = leg === this.#leg && !this.#context.isOver;
+        if (isWanted) this.#goOnFromBackup("leaving");
       }
-      this.#context.log("warn", "stream-not-moved", {
-        endpoint: leg.endpoint.id,
-        reason: end.reason,
-      });
-      if (wasStopped && leg.hasFailed) this.#onLost(leg, true, end.reason);
-    });
+    }
   }
 
   #chooseTarget(
@@ -419,17 +461,25 @@
     if (endpoint === this.#backup) this.#backup = undefined;
     const leg = this.#leg;
     if (leg?.endpoint !== endpoint || this.#context.isOver) return;
-    leg.note("broken");
     this.#wasRun = true;
     this.#context.excluded.add(endpoint.id);
-    this.#goOn("dark", "the endpoint is dark");
+    if (this.#goOnFromBackup("dark")) return;
+    if (this.#isResumable) {
+      this.#goOnWithoutCopy("the endpoint is dark");
+      return;
+    }
+    // It may be cut off from us and still at work; nothing else can go on.
+    this.#darkTimer ??= this.#context.setTimer(DARK_PATIENCE_MS, () => {
+      this.#leg?.abort();
+      this.#giveUp("the endpoint stayed dark");
+    });
   }
 
   /** Probes the endpoint when the stream has been silent for too long. */
   #watch(): void {
     const leg = this.#leg;
     const { clock, probe } = this.#context.services;
-    if (!leg || this.#isMoving || this.#isProbing) return;
+    if (!leg || this.#isProbing || this.#darkTimer) return;
     const silentMs = clock.monotonicMs() - this.#lastEventMs;
     const limitMs = leg.hasEvents ? SILENT_STREAM_MS : SILENT_START_MS;
     if (silentMs < limitMs) return;
--- a/src/features/gateway/common/stream_leg.ts
+++ b/src/features/gateway/common/stream_leg.ts
@@ -47,7 +47,7 @@
   #isRefusal = false;
   #failedAnswer: Uint8Array[] = [];
   #failedBytes = 0;
-  #hasEvents = false;
+  #firstEventMs: number | undefined;
   #hasFailed = false;
   #isOver = false;
 
@@ -63,7 +63,12 @@
 
   /** Whether an event of this run has come. */
   get hasEvents(): boolean {
-    return this.#hasEvents;
+    return this.#firstEventMs !== undefined;
+  }
+
+  /** @returns Time since the first event, 0 before it, in milliseconds. */
+  runningMs(nowMs: number): number {
+    return this.#firstEventMs === undefined ? 0 : nowMs - this.#firstEventMs;
   }
 
   /** Whether its connection broke. */
@@ -119,11 +124,16 @@
   }
 
   /** An event of this run has been delivered. */
-  markEvent(): void {
-    this.#hasEvents = true;
+  markEvent(nowMs: number): void {
+    this.#firstEventMs ??= nowMs;
     this.#options.claim.markRead();
   }
 
+  /** Takes note of the memory that the run needs by now. */
+  resize(memoryTokens: number): void {
+    this.#options.claim.resize(memoryTokens);
+  }
+
   /** Reads on after the caller has taken what was written. */
   resume(): void {
     this.#transfer?.resume();
--- a/src/services/mirror/common/mirror_exchange.ts
+++ b/src/services/mirror/common/mirror_exchange.ts
@@ -33,8 +33,8 @@
 };
 
 const CHECK_PERIOD_MS = 250;
-/** Confirmation age from which peers are asked; twice the watch's own period. */
-const ASK_AGE_MS = 1_500;
+/** Confirmation age from which peers are asked: a watch and a half. */
+const ASK_AGE_MS = 1_200;
 /** Peers asked in one round: one may be as cut off as we are. */
 const PEERS_PER_ROUND = 2;
 /** Answers that come later than this say too little to be waited for. */
--- a/src/services/mirror/common/store_watcher.ts
+++ b/src/services/mirror/common/store_watcher.ts
@@ -11,7 +11,7 @@
  * How long the store may hold a watch, in milliseconds. A watch without changes
  * confirms the contents as of its start, so this bounds the age of a mirror.
  */
-const WATCH_WAIT_MS = 1_000;
+const WATCH_WAIT_MS = 800;
 /** Pauses after failures; the store is back within milliseconds or seconds. */
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 600;
