Split the forwarding of generations; start none on a host that stops

Change: a draining host refuses generations that cannot be resumed, as not run and to be sent again at once. The size of a generation, its backup and the events that its caller has are classes of their own; leave for another try is one method.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -302,6 +302,7 @@
       active: this.#gateway.activeCount,
       limitMs,
     });
+    this.#gateway.beginDrain();
     this.#callers.announceClose();
     await sleep(this.#clock, ROTATION_DELAY_MS);
     this.#callers.closeIdle();
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -84,7 +84,9 @@
           return;
         case "not-run":
           lastReason = result.reason;
-          if (++refusedTries >= MAX_REFUSED_TRIES || !this.#mayRepeat(true)) {
+          if (
+            ++refusedTries >= MAX_REFUSED_TRIES || !context.mayRepeat(false)
+          ) {
             this.#refuse(result.reason);
             return;
           }
@@ -94,7 +96,7 @@
           return;
         case "unknown":
           lastReason = result.reason;
-          if (!this.#isRepeatable() || !this.#mayRepeat(false)) {
+          if (!this.#isRepeatable() || !context.mayRepeat(true)) {
             context.fail(502, "unknown", result.reason);
             return;
           }
@@ -114,25 +116,14 @@
     return this.#context.request.route.kind.kind === "idempotent";
   }
 
-  /** Whether another try is within the route's attempts and the budget. */
-  #mayRepeat(wasNotRun: boolean): boolean {
-    const { services, request, sentCount } = this.#context;
-    const attempts = request.route.maxAttempts + (wasNotRun ? 1 : 0);
-    if (sentCount === 0) return true;
-    if (sentCount >= attempts) return false;
-    const isAllowed =
-      services.budget.tryRetry(request.service.id, sentCount) !== undefined;
-    if (isAllowed) services.metrics.count("requests_sent_again");
-    return isAllowed;
-  }
-
   /** A failure that stays with the request is not worth a second try. */
   #isWorthRepeating(
     { health }: RegisteredEndpoint,
     { status }: CollectedAnswer,
   ): boolean {
     if (status < 500 || !this.#isRepeatable()) return false;
-    return health.failureRate >= GREY_FAILURE_RATE && this.#mayRepeat(false);
+    return health.failureRate >= GREY_FAILURE_RATE &&
+      this.#context.mayRepeat(true);
   }
 
   #refuse(reason: string): void {
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -29,6 +29,9 @@
 const BODIES_RETRY_AFTER_MS = 300;
 const HASH_RANGE = 2 ** 32;
 
+/** Another host takes the request as soon as it comes. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
 /** Limits of one daemon. */
 export interface GatewayLimits {
   /** Largest age of a confirmed configuration at which keys are trusted. */
@@ -64,6 +67,7 @@
   readonly #limits: () => GatewayLimits;
   readonly #hasher: Hasher;
   #bodyBytesInUse = 0;
+  #isDraining = false;
   #activeCount = 0;
 
   /**
@@ -90,6 +94,14 @@
     return this.#activeCount;
   }
 
+  /**
+   * From now on no generation begins that would be cut when this host stops:
+   * its caller finds another host at once.
+   */
+  beginDrain(): void {
+    this.#isDraining = true;
+  }
+
   /** Takes a request from its head to its end. */
   async handle(exchange: CallerExchange): Promise<void> {
     this.#activeCount++;
@@ -175,7 +187,11 @@
   #admit(exchange: CallerExchange, fields: CallerFields): Admission {
     const inForce = this.#state.current;
     if (!inForce) {
-      return refused(503, "no configuration is known yet", true);
+      return refused(
+        503,
+        "no configuration is known yet",
+        UNVOUCHED_RETRY_AFTER_MS,
+      );
     }
     const { requestId } = fields;
     if (requestId === undefined) return refused(400, "no request id");
@@ -188,10 +204,18 @@
     const route = inForce.routes.find(fields.host, exchange.target);
     if (!route) {
       return isUncertain
-        ? refused(503, "no route, and the configuration may be old", true)
+        ? refused(
+          503,
+          "no route, and the configuration may be old",
+          UNVOUCHED_RETRY_AFTER_MS,
+        )
         : refused(404, "no route");
     }
     const { keys } = inForce.configuration;
+    const { kind } = route;
+    if (this.#isDraining && kind.kind === "generation" && !kind.isResumable) {
+      return refused(503, "this host stops", STOPPING_RETRY_AFTER_MS);
+    }
     if (!keys || route.isPublic) {
       return {
         kind: "admitted",
@@ -202,12 +226,20 @@
       };
     }
     if (ageMs > limits.keyTrustMs) {
-      return refused(503, "keys cannot be vouched for now", true);
+      return refused(
+        503,
+        "keys cannot be vouched for now",
+        UNVOUCHED_RETRY_AFTER_MS,
+      );
     }
     const holder = fields.key === undefined ? undefined : keys.get(fields.key);
     if (!holder) {
       return isUncertain
-        ? refused(503, "unknown key, and the configuration may be old", true)
+        ? refused(
+          503,
+          "unknown key, and the configuration may be old",
+          UNVOUCHED_RETRY_AFTER_MS,
+        )
         : refused(401, "unknown key");
     }
     return { kind: "admitted", id: requestId, route, holder, inForce };
@@ -240,10 +272,10 @@
 function refused(
   status: Refusal["status"],
   reason: string,
-  isTransient = false,
+  retryAfterMs?: number,
 ): Admission {
-  const refusal = isTransient
-    ? { status, reason, retryAfterMs: UNVOUCHED_RETRY_AFTER_MS }
-    : { status, reason };
+  const refusal = retryAfterMs === undefined
+    ? { status, reason }
+    : { status, reason, retryAfterMs };
   return { kind: "refused", refusal };
 }
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -98,6 +98,24 @@
     return this.request.holder?.priority ?? this.request.route.priority;
   }
 
+  /**
+   * Asks for leave to send the request once more.
+   *
+   * @param wasRun - Whether some endpoint may have run it.
+   * @returns Whether that is within the route's attempts and the budget.
+   */
+  mayRepeat(wasRun: boolean): boolean {
+    if (this.sentCount === 0) return true;
+    const { route, service } = this.request;
+    // A try that was refused as not run does not count as an attempt.
+    const maxSent = route.maxAttempts + (wasRun ? 0 : 1);
+    if (this.leftMs <= 0 || this.sentCount >= maxSent) return false;
+    const { budget, metrics } = this.services;
+    if (budget.tryRetry(service.id, this.sentCount) === undefined) return false;
+    metrics.count("requests_sent_again");
+    return true;
+  }
+
   /** Takes note of the first byte of the answer. */
   markFirstByte(): void {
     this.#firstByteMs ??= this.services.clock.monotonicMs();
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -16,7 +16,9 @@
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { Continuation } from "./gateway_codec.ts";
 import type { RequestContext } from "./gateway_request.ts";
-import type { CopyClaim } from "./load_board.ts";
+import { DeliveredEvents } from "./delivered_events.ts";
+import { GenerationBackup } from "./generation_backup.ts";
+import { GenerationSize } from "./generation_size.ts";
 import type { MoveEnd } from "./run_mover.ts";
 import { StreamLeg } from "./stream_leg.ts";
 
@@ -31,14 +33,8 @@
 const MAX_REFUSED_TRIES = 4;
 /** Time in which a full engine finishes some of its work. */
 const FULL_RETRY_AFTER_MS = 400;
-/** Part of the allowed output that is expected without a hint. */
-const EXPECTED_OUTPUT_SHARE = 0.5;
-/** Part of the output still expected that counts as memory needed now. */
-const GROWTH_SHARE = 0.4;
 /** Events between two updates of the memory in use. */
 const RESIZE_EVENTS = 16;
-/** Age from which a backup holds the prompt; it is sent several times a second. */
-const BACKUP_SETTLE_MS = 700;
 /** Time for which an engine that gives no answer may come back, as after a cut. */
 const DARK_PATIENCE_MS = 8_000;
 
@@ -49,18 +45,13 @@
 export class StreamForwarder {
   readonly #context: RequestContext;
   readonly #need: Need;
-  readonly #promptTokens: number;
-  readonly #expectedTokens: number;
+  readonly #size: GenerationSize;
+  readonly #backup = new GenerationBackup();
   #leg: StreamLeg | undefined;
-  /** Where the copy of the current leg is kept, if it has one. */
-  #backup: RegisteredEndpoint | undefined;
-  #backupClaim: CopyClaim | undefined;
-  #lastEventId: string | undefined;
-  #lastEventNumber = -Infinity;
+  readonly #events: DeliveredEvents;
   #lastEventMs: number;
   #refusedTries = 0;
   #isMoving = false;
-  #eventCount = 0;
   #darkTimer: Disposable | undefined;
   #hasStarted = false;
   /** Whether some endpoint may have run the request. */
@@ -71,17 +62,14 @@
   constructor(context: RequestContext) {
     this.#context = context;
     const { request } = context;
-    const prompt = request.fields.prompt;
-    this.#promptTokens = prompt?.promptTokens ?? 0;
-    this.#expectedTokens = prompt?.hintedOutputTokens ??
-      (prompt?.maxOutputTokens ?? 0) * EXPECTED_OUTPUT_SHARE;
+    this.#size = new GenerationSize(request);
     this.#need = {
       service: request.service.id,
-      memoryTokens: this.#promptTokens + this.#expectedTokens * GROWTH_SHARE,
+      memoryTokens: this.#size.neededTokens,
       excluded: context.excluded,
     };
     this.#lastEventMs = context.services.clock.monotonicMs();
-    this.#lastEventId = request.fields.resumeAfter;
+    this.#events = new DeliveredEvents(request.fields.resumeAfter);
   }
 
   get #isResumable(): boolean {
@@ -129,7 +117,7 @@
       candidates: choice.candidates,
       memoryTokens: this.#need.memoryTokens,
     });
-    const afterEvent = this.#lastEventId;
+    const afterEvent = this.#events.lastId;
     this.#startLeg(
       choice.endpoint,
       afterEvent === undefined ? undefined : { copy: undefined, afterEvent },
@@ -144,16 +132,16 @@
     const { services } = context;
     this.#chooseBackup(endpoint);
     const unreadTokens = continuation?.copy === undefined
-      ? this.#promptTokens
+      ? this.#size.promptTokens
       : 0;
     const leg: StreamLeg = new StreamLeg({
       context,
       endpoint,
-      backupAddress: this.#backup?.announcement.address,
+      backupAddress: this.#backup.endpoint?.announcement.address,
       continuation,
       claim: services.board.claim(
         endpoint.id,
-        this.#memoryTokens,
+        this.#size.neededTokens,
         unreadTokens,
       ),
       listener: {
@@ -171,31 +159,14 @@
     leg.send();
   }
 
-  #chooseBackup(endpoint: RegisteredEndpoint): void {
+  #chooseBackup(primary: RegisteredEndpoint): void {
     const { services, request } = this.#context;
-    this.#backupClaim?.dispose();
-    this.#backupClaim = undefined;
-    this.#backup = undefined;
-    // A resumable route can read its short prompts anew instead.
-    if (this.#isResumable) return;
     const { chooser, board } = services;
-    this.#backup = chooser.chooseBackup(this.#need, request.service, endpoint);
-    if (!this.#backup) return;
-    this.#backupClaim = board.claimCopy(this.#backup.id, this.#heldTokens);
-  }
-
-  /** Prompt and output so far, in tokens. */
-  get #heldTokens(): number {
-    const { engine } = this.#context.request.service;
-    return this.#promptTokens +
-      this.#eventCount * (engine?.tokensPerEvent ?? 1);
-  }
-
-  /** Memory held now and part of what is still expected, in tokens. */
-  get #memoryTokens(): number {
-    const held = this.#heldTokens;
-    const whole = this.#promptTokens + this.#expectedTokens;
-    return held + Math.max(0, whole - held) * GROWTH_SHARE;
+    // A resumable route can read its short prompts anew instead.
+    const endpoint = this.#isResumable
+      ? undefined
+      : chooser.chooseBackup(this.#need, request.service, primary);
+    this.#backup.keepAt(endpoint, board, this.#size.heldTokens);
   }
 
   #pendingHead: HeaderList | undefined;
@@ -218,11 +189,7 @@
   #deliver(leg: StreamLeg, bytes: Uint8Array, id: string | undefined): boolean {
     const { services, request } = this.#context;
     const { exchange } = request;
-    const number = id === undefined ? NaN : Number(id);
-    // A run that goes on may repeat what the caller has.
-    if (number <= this.#lastEventNumber) return true;
-    if (!Number.isNaN(number)) this.#lastEventNumber = number;
-    if (id !== undefined) this.#lastEventId = id;
+    if (!this.#events.accept(id)) return true;
     const nowMs = services.clock.monotonicMs();
     if (this.#hasStarted) {
       services.metrics.eventPauseMs.record(nowMs - this.#lastEventMs);
@@ -237,9 +204,10 @@
     leg.markEvent(nowMs);
     this.#darkTimer?.dispose();
     this.#darkTimer = undefined;
-    if (++this.#eventCount % RESIZE_EVENTS === 0) {
-      leg.resize(this.#memoryTokens);
-      this.#backupClaim?.resize(this.#heldTokens);
+    this.#size.addEvent();
+    if (this.#size.eventCount % RESIZE_EVENTS === 0) {
+      leg.resize(this.#size.neededTokens);
+      this.#backup.resize(this.#size.heldTokens);
     }
     const isWritable = exchange.write(bytes);
     if (isFirstOfLeg && !leg.endpoint.isUsable) this.#moveAway(leg);
@@ -276,7 +244,10 @@
       return;
     }
     this.#context.excluded.add(leg.endpoint.id);
-    if (++this.#refusedTries >= MAX_REFUSED_TRIES || !this.#mayRepeat()) {
+    if (
+      ++this.#refusedTries >= MAX_REFUSED_TRIES ||
+      !this.#context.mayRepeat(this.#wasRun)
+    ) {
       this.#giveUp(reason);
       return;
     }
@@ -312,9 +283,9 @@
     this.#context.log("warn", "stream-lost", {
       endpoint: leg.endpoint.id,
       reason,
-      lastEvent: this.#lastEventId,
+      lastEvent: this.#events.lastId,
       wasSent,
-      backup: this.#backup?.id,
+      backup: this.#backup.endpoint?.id,
     });
     this.#context.excluded.add(leg.endpoint.id);
     if (wasSent) {
@@ -334,20 +305,16 @@
 
   /** @returns Whether there is a backup to go on from. */
   #goOnFromBackup(cause: LossReason): boolean {
-    const backup = this.#backup;
-    if (!backup?.isUsable || !this.#leg || !this.#isBackupSettled(this.#leg)) {
-      return false;
-    }
-    this.#leg.abort();
+    const leg = this.#leg;
+    if (!leg) return false;
+    const nowMs = this.#context.services.clock.monotonicMs();
+    const backup = this.#backup.usableAfter(leg.runningMs(nowMs));
+    if (!backup) return false;
+    leg.abort();
     this.#continueAt(backup, this.#backupName(backup), cause);
     return true;
   }
 
-  #isBackupSettled(leg: StreamLeg): boolean {
-    const nowMs = this.#context.services.clock.monotonicMs();
-    return leg.runningMs(nowMs) >= BACKUP_SETTLE_MS;
-  }
-
   #backupName(backup: RegisteredEndpoint): string {
     const { services, request } = this.#context;
     return services.codec.backupName(backup.announcement.address, request.id);
@@ -363,30 +330,20 @@
       endpoint: endpoint.id,
       cause,
       copy,
-      lastEvent: this.#lastEventId,
+      lastEvent: this.#events.lastId,
     });
-    this.#startLeg(endpoint, { copy, afterEvent: this.#lastEventId });
+    this.#startLeg(endpoint, { copy, afterEvent: this.#events.lastId });
   }
 
   #goOnWithoutCopy(reason: string): void {
     this.#leg?.abort();
-    if (!this.#isResumable || !this.#mayRepeat()) {
+    if (!this.#isResumable || !this.#context.mayRepeat(this.#wasRun)) {
       this.#giveUp(reason);
       return;
     }
     this.#startFresh();
   }
 
-  #mayRepeat(): boolean {
-    const { services, request, sentCount } = this.#context;
-    if (this.#context.leftMs <= 0) return false;
-    if (this.#wasRun && sentCount >= request.route.maxAttempts) return false;
-    const isAllowed =
-      services.budget.tryRetry(request.service.id, sentCount) !== undefined;
-    if (isAllowed) services.metrics.count("requests_sent_again");
-    return isAllowed;
-  }
-
   #giveUp(reason: string): void {
     if (this.#hasStarted) this.#context.fail(502, "interrupted", reason);
     else if (this.#wasRun) this.#context.fail(502, "unknown", reason);
@@ -401,10 +358,7 @@
   }
 
   #onLeaving(endpoint: RegisteredEndpoint): void {
-    if (endpoint === this.#backup) {
-      this.#backupClaim?.dispose();
-      this.#backup = undefined;
-    }
+    if (endpoint === this.#backup.endpoint) this.#backup.drop();
     const leg = this.#leg;
     if (leg?.endpoint !== endpoint || !leg.hasEvents) return;
     this.#moveAway(leg);
@@ -458,7 +412,7 @@
   }
 
   #onDark(endpoint: RegisteredEndpoint): void {
-    if (endpoint === this.#backup) this.#backup = undefined;
+    if (endpoint === this.#backup.endpoint) this.#backup.drop();
     const leg = this.#leg;
     if (leg?.endpoint !== endpoint || this.#context.isOver) return;
     this.#wasRun = true;
@@ -491,13 +445,12 @@
       }
       const stillMs = clock.monotonicMs() - this.#lastEventMs;
       if (!leg.hasEvents || stillMs < SILENT_CONNECTION_MS) return;
-      if (!this.#backup) return;
-      this.#goOn("silent", "the connection is silent");
+      this.#goOnFromBackup("silent");
     });
   }
 
   #release(): void {
-    this.#backupClaim?.dispose();
+    this.#backup.drop();
     this.#leg?.abort();
   }
 }
