--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -3,6 +3,7 @@
   testEnvironment: "node",
   roots: [
     "<rootDir>/src",
+    "<rootDir>/platform",
     "<rootDir>/standins",
     "<rootDir>/scenarios",
     "<rootDir>/bench",
--- /dev/null
+++ b/standins/gateway/fake_endpoints.ts
@@ -0,0 +1,106 @@
+/** Endpoints without sockets: tests see each request and script its answer. */
+
+import type { Address } from "../../src/base/common/ids.ts";
+import type {
+  OutgoingRequest,
+  PassThroughClient,
+  ReplySink,
+  Transfer,
+} from "../../src/services/http/common/pass_through_client.ts";
+import { headerOf } from "../../src/services/http/common/header_list.ts";
+
+/** A request that reached an endpoint. */
+export class FakeTransfer implements Transfer {
+  readonly request: OutgoingRequest;
+  readonly #sink: ReplySink;
+  isAborted = false;
+
+  constructor(request: OutgoingRequest, sink: ReplySink) {
+    this.request = request;
+    this.#sink = sink;
+  }
+
+  /** @returns A header of the request. */
+  header(name: string): string | undefined {
+    return headerOf(this.request.headers, name);
+  }
+
+  /** The request is written to its connection. */
+  markSent(): this {
+    this.#sink.onSent?.();
+    return this;
+  }
+
+  /** Sends the head of an answer, signed unless told otherwise. */
+  head(status: number, headers: readonly string[] = SIGNED): this {
+    if (!this.isAborted) this.#sink.onHead(status, headers);
+    return this;
+  }
+
+  data(text: string): this {
+    if (!this.isAborted) this.#sink.onData(Buffer.from(text));
+    return this;
+  }
+
+  /** Sends one event of a stream. */
+  event(id: number): this {
+    return this.data(`id: ${id}\ndata: e${id}\n\n`);
+  }
+
+  finish(): void {
+    if (!this.isAborted) this.#sink.onEnd();
+  }
+
+  /** Sends a whole answer. */
+  answer(status: number, text: string, headers?: readonly string[]): void {
+    this.head(status, headers).data(text).finish();
+  }
+
+  breakOff(message = "reset"): void {
+    if (!this.isAborted) this.#sink.onFailure({ kind: "broken", message });
+  }
+
+  refuseConnection(): void {
+    this.#sink.onFailure({ kind: "not-sent", message: "refused" });
+  }
+
+  abort(): void {
+    this.isAborted = true;
+  }
+
+  resume(): void {
+    // Data is never held back here.
+  }
+}
+
+/** Signature that endpoints put on their answers. */
+export const SIGNED = ["X-Response-Stamp", "stamp"];
+/** Proof that a request was not run. */
+export const NOT_RUN = ["X-Not-Executed", "1"];
+
+/** Collects requests in order. */
+export class FakeEndpoints implements PassThroughClient {
+  readonly transfers: FakeTransfer[] = [];
+  /** Addresses that refuse connections. */
+  readonly unreachable = new Set<Address>();
+
+  send(request: OutgoingRequest, sink: ReplySink): Transfer {
+    const transfer = new FakeTransfer(request, sink);
+    this.transfers.push(transfer);
+    queueMicrotask(() => {
+      if (transfer.isAborted) return;
+      if (this.unreachable.has(request.address)) transfer.refuseConnection();
+      else transfer.markSent();
+    });
+    return transfer;
+  }
+
+  forget(): void {
+    // There are no idle connections.
+  }
+
+  /** The newest request. */
+  get last(): FakeTransfer {
+    return this.transfers[this.transfers.length - 1]!;
+  }
+}
--- /dev/null
+++ b/standins/gateway/fake_exchange.ts
@@ -0,0 +1,117 @@
+/** A caller's request without a socket; keeps what was answered. */
+
+import { Emitter } from "../../src/base/common/event.ts";
+import type {
+  BodyResult,
+  CallerExchange,
+  ExchangeEnd,
+} from "../../src/services/http/common/caller_exchange.ts";
+import {
+  type HeaderList,
+  headerOf,
+} from "../../src/services/http/common/header_list.ts";
+
+/** What a fake request says. */
+export interface FakeRequest {
+  readonly method?: string;
+  readonly target: string;
+  readonly headers: HeaderList;
+  readonly body?: Uint8Array;
+  readonly receivedMs?: number;
+}
+
+/** Records the answer. */
+export class FakeExchange implements CallerExchange {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: HeaderList;
+  readonly receivedMs: number;
+  readonly #ended = new Emitter<ExchangeEnd>();
+  readonly #drained = new Emitter<void>();
+  readonly #body: Uint8Array | undefined;
+  #status = 0;
+  #answerHeaders: HeaderList = [];
+  #text = "";
+  #end: ExchangeEnd | "broken-off" | undefined;
+  readonly onDidEnd = this.#ended.event;
+  readonly onDidDrain = this.#drained.event;
+
+  /** @param request - What the caller sent. */
+  constructor(request: FakeRequest) {
+    this.method = request.method ?? "POST";
+    this.target = request.target;
+    this.headers = request.headers;
+    this.receivedMs = request.receivedMs ?? 0;
+    this.#body = request.body;
+  }
+
+  /** Status of the answer, 0 before it. */
+  get status(): number {
+    return this.#status;
+  }
+
+  /** Body of the answer so far. */
+  get text(): string {
+    return this.#text;
+  }
+
+  /** How the exchange ended. */
+  get outcome(): ExchangeEnd | "broken-off" | undefined {
+    return this.#end;
+  }
+
+  get hasEnded(): boolean {
+    return this.#end !== undefined;
+  }
+
+  get hasStarted(): boolean {
+    return this.#status !== 0;
+  }
+
+  /** @returns A header of the answer. */
+  answerHeader(name: string): string | undefined {
+    return headerOf(this.#answerHeaders, name);
+  }
+
+  readBody(): Promise<BodyResult> {
+    return Promise.resolve({ kind: "whole", body: this.#body });
+  }
+
+  reply(status: number, headers: HeaderList, body: Uint8Array | string): void {
+    this.start(status, headers);
+    this.#text += typeof body === "string"
+      ? body
+      : Buffer.from(body).toString();
+    this.end();
+  }
+
+  start(status: number, headers: HeaderList): void {
+    if (this.hasStarted) throw new Error("a second answer");
+    this.#status = status;
+    this.#answerHeaders = headers;
+  }
+
+  write(chunk: Uint8Array): boolean {
+    this.#text += Buffer.from(chunk).toString();
+    return true;
+  }
+
+  end(): void {
+    this.#settle("answered");
+  }
+
+  breakOff(): void {
+    this.#settle("broken-off");
+  }
+
+  /** The caller closes its connection. */
+  leave(): void {
+    this.#settle("left");
+  }
+
+  #settle(end: ExchangeEnd | "broken-off"): void {
+    if (this.#end !== undefined) return;
+    this.#end = end;
+    this.#ended.fire(end === "broken-off" ? "left" : end);
+  }
+}
--- /dev/null
+++ b/standins/gateway/gateway_test.ts
@@ -0,0 +1,197 @@
+import { settlePromises } from "../../src/base/common/clock.ts";
+import { NOT_RUN } from "./fake_endpoints.ts";
+import { APP, configuration, GatewayWorld } from "./gateway_world.ts";
+
+describe("Gateway", () => {
+  let world: GatewayWorld;
+
+  beforeEach(async () => {
+    world = await GatewayWorld.create();
+    world.announce(APP, 1);
+    world.announce(APP, 2);
+  });
+
+  describe("admission", () => {
+    it("refuses an unknown key, and says 503 when it may only be new", async () => {
+      expect((await world.send("/read/x", ["key", "?"])).status).toBe(401);
+      world.confirmationAgeMs = 2_000;
+      const uncertain = await world.send("/read/x", ["key", "?"]);
+      expect(uncertain.status).toBe(503);
+      expect(Number(uncertain.answerHeader("retry-after"))).toBeGreaterThan(0);
+    });
+
+    it("refuses an unknown route in the same two ways", async () => {
+      const unknown = ["host", "other.example"];
+      expect((await world.send("nowhere", unknown)).status).toBe(400);
+      world.state.apply(configuration(2, { routes: [] }), 2);
+      expect((await world.send("/read/x")).status).toBe(404);
+      world.confirmationAgeMs = 2_000;
+      expect((await world.send("/read/x")).status).toBe(503);
+    });
+
+    it("passes no keyed request on once nobody vouches for the keys", async () => {
+      world.confirmationAgeMs = 4_500;
+      expect((await world.send("/read/x")).status).toBe(503);
+      expect(world.endpoints.transfers).toHaveLength(0);
+      await world.send("/open/x", []);
+      expect(world.endpoints.transfers).toHaveLength(1);
+    });
+
+    it("never goes back to an older configuration", async () => {
+      world.state.apply(configuration(9, { keys: new Map() }), 9);
+      world.state.apply(configuration(8), 8);
+      expect((await world.send("/read/x")).status).toBe(401);
+    });
+
+    it("keeps the caller's key to itself and names the workspace", async () => {
+      await world.send("/read/x");
+      expect(world.endpoints.last.header("key")).toBeUndefined();
+      expect(world.endpoints.last.header("workspace")).toBe("w");
+    });
+
+    it("passes on how much time is left, not what the caller said", async () => {
+      await world.send("/read/x", ["key", "key-1", "patience", "9000"]);
+      expect(Number(world.endpoints.last.header("left"))).toBe(1_500);
+    });
+
+    it("starts no generation on a host that stops", async () => {
+      world.gateway.beginDrain();
+      const refused = await world.send("/draft/x");
+      expect(refused.status).toBe(503);
+      expect(Number(refused.answerHeader("retry-after"))).toBeLessThan(0.2);
+      await world.send("/read/x");
+      expect(world.endpoints.transfers).toHaveLength(1);
+    });
+  });
+
+  describe("plain calls", () => {
+    it("passes an answer on as it is", async () => {
+      const exchange = await world.send("/book/x");
+      world.endpoints.last.answer(409, "taken", ["x-response-stamp", "s"]);
+      await settlePromises();
+      expect(exchange.status).toBe(409);
+      expect(exchange.text).toBe("taken");
+      expect(exchange.answerHeader("x-response-stamp")).toBe("s");
+    });
+
+    it("tries another endpoint after proof that nothing ran", async () => {
+      const exchange = await world.send("/book/x");
+      const [first] = world.endpoints.transfers;
+      first!.answer(503, "", NOT_RUN);
+      await settlePromises();
+      expect(world.endpoints.transfers).toHaveLength(2);
+      expect(world.endpoints.last.request.address)
+        .not.toBe(first!.request.address);
+      world.endpoints.last.answer(200, "done");
+      await settlePromises();
+      expect(exchange.text).toBe("done");
+    });
+
+    it("refuses as not run when every endpoint refused", async () => {
+      const exchange = await world.send("/book/x");
+      world.endpoints.last.answer(503, "", NOT_RUN);
+      await settlePromises();
+      world.endpoints.last.answer(503, "", NOT_RUN);
+      await settlePromises();
+      expect(exchange.status).toBe(503);
+      expect(exchange.answerHeader("retry-after")).toBeDefined();
+    });
+
+    it("runs a booking at most once, and never calls a broken one not run", async () => {
+      const exchange = await world.send("/book/x");
+      world.endpoints.last.breakOff();
+      await settlePromises();
+      expect(world.endpoints.transfers).toHaveLength(1);
+      expect(exchange.status).toBe(502);
+    });
+
+    it("does not pass on a 503 that proves nothing", async () => {
+      const exchange = await world.send("/book/x");
+      world.endpoints.last.answer(503, "", ["x-response-stamp", "s"]);
+      await settlePromises();
+      expect(exchange.status).toBe(502);
+      expect(exchange.answerHeader("x-response-stamp")).toBeUndefined();
+    });
+
+    it("repeats a read elsewhere after a torn answer, which nobody sees", async () => {
+      const exchange = await world.send("/read/x");
+      world.endpoints.last.head(200).data("half").breakOff();
+      await settlePromises();
+      world.endpoints.last.answer(200, "whole");
+      await settlePromises();
+      expect(exchange.text).toBe("whole");
+    });
+
+    it("drops an answer that belongs to another request", async () => {
+      const exchange = await world.send("/book/x");
+      world.endpoints.last.head(200, ["x-response-stamp", "s", "id", "other"]);
+      await settlePromises();
+      expect(world.endpoints.last.isAborted).toBe(true);
+      expect(exchange.status).toBe(502);
+    });
+
+    it("takes no success without the endpoint's signature", async () => {
+      const exchange = await world.send("/book/x");
+      world.endpoints.last.answer(200, "forged", []);
+      await settlePromises();
+      expect(exchange.status).toBe(502);
+    });
+
+    it("gives up on a silent endpoint for a read, but not for a booking", async () => {
+      await world.send("/read/x");
+      await world.advance(500);
+      expect(world.endpoints.transfers).toHaveLength(2);
+      await world.send("/book/x");
+      await world.advance(500);
+      expect(world.endpoints.transfers).toHaveLength(3);
+    });
+
+    it("answers 504 at the route's time limit and ends the work", async () => {
+      const exchange = await world.send("/book/x");
+      await world.advance(1_500);
+      expect(exchange.status).toBe(504);
+      expect(world.endpoints.last.isAborted).toBe(true);
+    });
+
+    it("ends the endpoint's work when the caller leaves", async () => {
+      const exchange = await world.send("/read/x");
+      exchange.leave();
+      await settlePromises();
+      expect(world.endpoints.last.isAborted).toBe(true);
+    });
+
+    it("goes elsewhere when a connection cannot be opened, and stays away", async () => {
+      world.endpoints.unreachable.add(world.addressOf(1));
+      for (let count = 0; count < 4; count++) {
+        await world.send("/book/x");
+        world.endpoints.last.answer(200, "done");
+        await settlePromises();
+      }
+      const refused = world.endpoints.transfers.filter(({ request }) =>
+        request.address === world.addressOf(1)
+      );
+      expect(refused.length).toBeLessThanOrEqual(1);
+    });
+
+    it("refuses at once when no endpoint is known", async () => {
+      world.registry.leave(world.announce(APP, 1), "draining");
+      world.registry.leave(world.announce(APP, 2), "draining");
+      const exchange = await world.send("/book/x");
+      expect(exchange.status).toBe(503);
+      expect(exchange.answerHeader("retry-after")).toBeDefined();
+    });
+  });
+
+  it("writes one line with the cause of each request that failed", async () => {
+    await world.send("/book/x");
+    world.endpoints.last.breakOff("reset by peer");
+    await settlePromises();
+    expect(world.logger.last("request-ended")).toMatchObject({
+      request: "r1",
+      end: "unknown",
+      status: 502,
+      reason: "reset by peer",
+      sent: 1,
+    });
+  });
+});
--- /dev/null
+++ b/standins/gateway/generation_test.ts
@@ -0,0 +1,202 @@
+import { settlePromises } from "../../src/base/common/clock.ts";
+import { NOT_RUN } from "./fake_endpoints.ts";
+import {
+  configuration,
+  ENGINE,
+  engineService,
+  GatewayWorld,
+} from "./gateway_world.ts";
+
+describe("generations", () => {
+  let world: GatewayWorld;
+
+  beforeEach(async () => {
+    world = await GatewayWorld.create();
+    for (const number of [1, 2, 3]) world.announce(ENGINE, number);
+  });
+
+  /** Starts a draft that has delivered two events. */
+  async function startDraft() {
+    const exchange = await world.send("/draft/x");
+    const transfer = world.endpoints.last;
+    transfer.head(200).event(1).event(2);
+    await settlePromises();
+    const source = [...world.registry.all].find(({ announcement }) =>
+      announcement.address === transfer.request.address
+    )!;
+    return { exchange, transfer, source };
+  }
+
+  it("delivers whole events only, and no event twice", async () => {
+    const { exchange, transfer } = await startDraft();
+    transfer.data("id: 3\nda");
+    expect(exchange.text).not.toContain("id: 3");
+    transfer.data("ta: e3\n\n").event(3).event(4).finish();
+    await settlePromises();
+    expect(exchange.text).toBe(
+      [1, 2, 3, 4].map((id) => `id: ${id}\ndata: e${id}\n\n`).join(""),
+    );
+    expect(exchange.outcome).toBe("answered");
+  });
+
+  it("goes on from its backup when its engine dies", async () => {
+    const { exchange, transfer } = await startDraft();
+    await world.advance(800);
+    const backup = transfer.header("backup")!;
+    transfer.breakOff();
+    await settlePromises();
+    const next = world.endpoints.last;
+    expect(next.request.address).toBe(backup);
+    expect(next.header("copy")).toBe(`${backup}/r1`);
+    expect(next.header("continue-after")).toBe("2");
+    next.head(200).event(2).event(3).finish();
+    await settlePromises();
+    expect(exchange.text.match(/id: \d/g)).toEqual(["id: 1", "id: 2", "id: 3"]);
+  });
+
+  it("closes the old run before it goes on elsewhere", async () => {
+    const { transfer, source } = await startDraft();
+    await world.advance(800);
+    world.registry.leave(source.id, "draining");
+    await settlePromises();
+    expect(transfer.isAborted).toBe(true);
+    expect(world.endpoints.transfers).toHaveLength(2);
+  });
+
+  it("copies a young run instead of trusting a backup that may not be there", async () => {
+    const { transfer, source } = await startDraft();
+    world.registry.leave(source.id, "draining");
+    await settlePromises();
+    expect(world.control.copies).toHaveLength(1);
+    const next = world.endpoints.last;
+    expect(next).not.toBe(transfer);
+    expect(next.header("copy")).toBe(`${transfer.request.address}/h1`);
+  });
+
+  it("is never run anew when its continuation cannot be sent", async () => {
+    const { exchange, transfer } = await startDraft();
+    await world.advance(800);
+    for (const number of [1, 2, 3]) {
+      world.endpoints.unreachable.add(world.addressOf(number));
+    }
+    transfer.breakOff();
+    await settlePromises();
+    const withoutCopy = world.endpoints.transfers.slice(1).filter((sent) =>
+      sent.header("copy") === undefined
+    );
+    expect(withoutCopy).toHaveLength(0);
+    expect(exchange.outcome).toBe("broken-off");
+  });
+
+  it("moves a run at its first event when its engine leaves before", async () => {
+    const exchange = await world.send("/draft/x");
+    const transfer = world.endpoints.last;
+    const source = world.registry.all.find(({ announcement }) =>
+      announcement.address === transfer.request.address
+    )!;
+    world.registry.leave(source.id, "removed");
+    await settlePromises();
+    expect(world.control.copies).toHaveLength(0);
+    transfer.head(200).event(1);
+    await settlePromises();
+    expect(world.control.copies).toHaveLength(1);
+    world.endpoints.last.head(200).event(2).finish();
+    await settlePromises();
+    expect(exchange.outcome).toBe("answered");
+  });
+
+  it("frees a copy that came too late", async () => {
+    const { exchange, source } = await startDraft();
+    world.registry.leave(source.id, "draining");
+    exchange.leave();
+    await settlePromises();
+    expect(world.control.freed).toEqual(["h1"]);
+  });
+
+  it("waits for an engine behind a cut when nothing else can go on", async () => {
+    const small = engineService(3_800);
+    const services = new Map(configuration(2).services).set(ENGINE, small);
+    world.state.apply(configuration(2, { services }), 2);
+    const { exchange, transfer } = await startDraft();
+    expect(transfer.header("backup")).toBeUndefined();
+    world.control.silent.add(transfer.request.address);
+    await world.advance(3_000);
+    expect(exchange.hasEnded).toBe(false);
+    transfer.event(3).finish();
+    await settlePromises();
+    expect(exchange.outcome).toBe("answered");
+  });
+
+  it("gives a dark engine up after a while", async () => {
+    const small = engineService(3_800);
+    const services = new Map(configuration(2).services).set(ENGINE, small);
+    world.state.apply(configuration(2, { services }), 2);
+    const { exchange, transfer } = await startDraft();
+    world.control.silent.add(transfer.request.address);
+    await world.advance(12_000);
+    expect(exchange.outcome).toBe("broken-off");
+  });
+
+  it("leaves a silent connection to an engine that lives", async () => {
+    const { transfer } = await startDraft();
+    await world.advance(3_500);
+    expect(transfer.isAborted).toBe(true);
+    expect(world.endpoints.last.header("copy")).toBeDefined();
+  });
+
+  it("reads a short prompt anew where the route allows to resume", async () => {
+    const exchange = await world.send("/check/x");
+    world.endpoints.last.head(200).event(1).breakOff();
+    await settlePromises();
+    const next = world.endpoints.last;
+    expect(next.header("copy")).toBeUndefined();
+    expect(next.header("continue-after")).toBe("1");
+    next.head(200).event(2).finish();
+    await settlePromises();
+    expect(exchange.outcome).toBe("answered");
+  });
+
+  it("does not take a stream that ends within an event for complete", async () => {
+    const exchange = await world.send("/draft/x");
+    world.endpoints.last.head(200).event(1).data("id: 2\n").finish();
+    await settlePromises();
+    expect(exchange.outcome).toBe("broken-off");
+  });
+
+  it("says not run only if no engine may have run it", async () => {
+    const refused = await world.send("/draft/x");
+    for (let count = 0; count < 4 && !refused.hasEnded; count++) {
+      world.endpoints.last.answer(503, "", NOT_RUN);
+      await settlePromises();
+    }
+    expect(refused.status).toBe(503);
+    const broken = await world.send("/draft/x");
+    world.endpoints.last.breakOff();
+    await settlePromises();
+    expect(broken.status).toBe(502);
+  });
+
+  it("spreads prompts by the memory and the reading that wait at each engine", async () => {
+    const addresses = new Set<string>();
+    for (let count = 0; count < 3; count++) {
+      await world.send("/draft/x");
+      addresses.add(world.endpoints.last.request.address);
+    }
+    expect(addresses.size).toBe(3);
+  });
+
+  it("counts what other daemons have just placed", async () => {
+    const [first, second] = world.registry.all;
+    for (const endpoint of [first!, second!]) {
+      world.board.applyPeerRows("peer" as never, [{
+        endpoint: endpoint.id,
+        runs: 6,
+        memoryTokens: 20_000,
+        unreadTokens: 9_000,
+        copyTokens: 0,
+      }], false);
+    }
+    await world.send("/draft/x");
+    expect(world.endpoints.last.request.address).toBe(world.addressOf(3));
+  });
+});
