--- /dev/null
+++ b/src/services/http/node/undici_pass_through_client_test.ts
@@ -0,0 +1,126 @@
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import type { Address } from "../../../base/common/ids.ts";
+import { SystemClock } from "../../../base/node/system_clock.ts";
+import type { HeaderList } from "../common/header_list.ts";
+import { UndiciPassThroughClient } from "./undici_pass_through_client.ts";
+
+interface Answer {
+  readonly status: number;
+  readonly text: string;
+  readonly failure: string | undefined;
+}
+
+describe("UndiciPassThroughClient", () => {
+  let server: Server;
+  let address: Address;
+  let connections: Socket[];
+  let onRequest: (socket: Socket, text: string) => void;
+  const client = new UndiciPassThroughClient(new SystemClock());
+
+  beforeEach(async () => {
+    connections = [];
+    server = createServer((socket) => {
+      connections.push(socket);
+      socket.on("error", () => undefined);
+      socket.on("data", (data) => onRequest(socket, data.toString()));
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    address = `127.0.0.1:${port}` as Address;
+  });
+
+  afterEach(() => {
+    client.forget(address);
+    for (const socket of connections) socket.destroy();
+    server.close();
+  });
+
+  function send(headers: HeaderList = []): Promise<Answer> {
+    return new Promise((resolve) => {
+      let status = 0;
+      let text = "";
+      client.send({
+        address,
+        method: "POST",
+        target: "/x?y=1",
+        headers,
+        body: Buffer.from("body"),
+        isReuseAllowed: true,
+      }, {
+        onHead: (received) => {
+          status = received;
+        },
+        onData: (chunk) => {
+          text += Buffer.from(chunk).toString();
+          return true;
+        },
+        onEnd: () => resolve({ status, text, failure: undefined }),
+        onFailure: ({ kind }) => resolve({ status, text, failure: kind }),
+      });
+    });
+  }
+
+  it("sends method, path, headers and body as they are, and reuses connections", async () => {
+    const seen: string[] = [];
+    onRequest = (socket, text) => {
+      seen.push(text);
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    };
+    const first = await send(["X-Some-Name", "Value"]);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    await send();
+    expect(first).toEqual({ status: 200, text: "ok", failure: undefined });
+    expect(seen[0]).toContain("POST /x?y=1 HTTP/1.1");
+    expect(seen[0]).toContain("X-Some-Name: Value");
+    expect(seen[0]).toContain("\r\n\r\nbody");
+    expect(connections).toHaveLength(1);
+  });
+
+  it("tells a reset answer without length from one that ended", async () => {
+    onRequest = (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    expect((await send()).failure).toBe("broken");
+    onRequest = (socket) => {
+      socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
+    };
+    const whole = await send();
+    expect(whole).toEqual({ status: 200, text: "whole", failure: undefined });
+  });
+
+  it("takes no torn answer for complete", async () => {
+    onRequest = (socket) => {
+      socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    };
+    expect((await send()).failure).toBe("broken");
+  });
+
+  it("gives no request a second answer that came after the first", async () => {
+    onRequest = (socket) => {
+      const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+      socket.write(`${answer}ok${answer}no`);
+    };
+    expect((await send()).text).toBe("ok");
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    onRequest = (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes");
+    };
+    expect((await send()).text).toBe("yes");
+    expect(connections).toHaveLength(2);
+  });
+
+  it("knows that nothing was sent when no connection opens", async () => {
+    const closed = server;
+    await new Promise((resolve) => closed.close(resolve));
+    expect((await send()).failure).toBe("not-sent");
+    await new Promise<void>((resolve) => server.listen(0, resolve));
+  });
+});
