Frame answers without length as they came; tell peers less

Change: such answers are ended by closing, whatever came. Mirrors tell removals instead of all keys, and only a zone's relay announces changes; plain calls and the growth of generations are no news; keepalives slow down with the fleet.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -147,6 +147,7 @@
         self: { host, zone, incarnation },
         secret: platform.peerSecret,
         seed: hasher.hash32(host),
+        pace: () => this.#peers.linkPace(),
         introduce: () => this.#peers.introduction(),
       }),
     );
@@ -163,6 +164,9 @@
         seedAddresses: () => this.#tuning.seedAddresses,
       }),
     );
+    this.#owned.add(
+      new MirrorExchange(clock, logger, this.#links, this.#mirror, this.#peers),
+    );
     this.#knowledge = new GatewayKnowledge({
       logger,
       mirror: this.#mirror,
@@ -171,9 +175,6 @@
       peers: this.#peers,
       decoder: platform,
     });
-    this.#owned.add(
-      new MirrorExchange(clock, logger, this.#links, this.#mirror),
-    );
     this.#watcher = this.#owned.add(
       new StoreWatcher({
         clock,
--- a/src/daemon/node/gateway_peers.ts
+++ b/src/daemon/node/gateway_peers.ts
@@ -12,7 +12,11 @@
   PeerAddress,
   PeerLinks,
 } from "../../services/peers/common/peer_links.ts";
-import { INTRODUCTION_PATH } from "../../services/peers/node/ws_peer_links.ts";
+import {
+  INTRODUCTION_PATH,
+  type LinkPace,
+} from "../../services/peers/node/ws_peer_links.ts";
+import type { MirrorTopology } from "../../services/mirror/common/mirror_exchange.ts";
 import type { PeerListener } from "../common/gateway_knowledge.ts";
 
 /** Daemons of a zone that ask the store; the others step in when it stops. */
@@ -22,6 +26,12 @@
 const INTRODUCTION_TIMEOUT_MS = 700;
 const INTRODUCTION_PERIOD_MS = 500;
 
+/** Fleet up to which links are kept alive at the usual pace. */
+const USUAL_FLEET = 30;
+const KEEPALIVE_AFTER_MS = 1_200;
+/** Silence that closes a link, in keepalives. */
+const SILENT_KEEPALIVES = 2.5;
+
 /** What the peers are made from. */
 export interface GatewayPeersServices {
   readonly clock: Clock;
@@ -35,7 +45,7 @@
 }
 
 /** Keeps links to all daemons that are known. */
-export class GatewayPeers implements PeerListener, Disposable {
+export class GatewayPeers implements PeerListener, MirrorTopology, Disposable {
   readonly #services: GatewayPeersServices;
   readonly #peers = new Map<HostId, PeerAddress>();
   readonly #timer: Disposable;
@@ -70,15 +80,45 @@
     this.#dial();
   }
 
+  /** Pace of the links: the cost of keepalives grows with the fleet. */
+  linkPace(): LinkPace {
+    const factor = Math.max(1, this.fleetSize / USUAL_FLEET);
+    const keepaliveAfterMs = KEEPALIVE_AFTER_MS * factor;
+    return {
+      keepaliveAfterMs,
+      silenceLimitMs: keepaliveAfterMs * SILENT_KEEPALIVES,
+    };
+  }
+
   /** Whether this daemon is one of those that ask the store for its zone. */
   isRelay(): boolean {
-    const { hasher, links, mirror, self } = this.#services;
+    const { mirror, self } = this.#services;
     if (mirror.confirmationAgeMs > OWN_WATCH_AGE_MS) return true;
-    const near = links.connectedHosts().filter((peer) =>
+    return this.#relayOrder().indexOf(self.host) < RELAYS_PER_ZONE;
+  }
+
+  /** {@inheritDoc MirrorTopology.source} */
+  source(): HostId | undefined {
+    const { self } = this.#services;
+    return this.#relayOrder().find((host) => host !== self.host);
+  }
+
+  /** {@inheritDoc MirrorTopology.audience} */
+  audience(): readonly HostId[] {
+    return this.isRelay() ? this.#near() : [];
+  }
+
+  #relayOrder(): readonly HostId[] {
+    const { hasher, self } = this.#services;
+    return rendezvousOrder(hasher, self.zone, [self.host, ...this.#near()]);
+  }
+
+  /** Linked daemons of the own zone. */
+  #near(): readonly HostId[] {
+    const { links, self } = this.#services;
+    return links.connectedHosts().filter((peer) =>
       this.#peers.get(peer)?.zone === self.zone
     );
-    const order = rendezvousOrder(hasher, self.zone, [self.host, ...near]);
-    return order.indexOf(self.host) < RELAYS_PER_ZONE;
   }
 
   /** @returns Text for a daemon that starts while the store is away. */
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -5,6 +5,7 @@
 
 import {
   type HeaderList,
+  isEndedByClose,
   withoutHeader,
 } from "../../../services/http/common/header_list.ts";
 import type {
@@ -139,7 +140,12 @@
     const { services, request } = this.#context;
     const { exchange } = request;
     const passed = services.codec.replyHeaders(headers);
-    if (
+    if (isEndedByClose(exchange.method, status, headers)) {
+      // Whether it is whole is unknown, so our framing must not say that it is.
+      exchange.start(status, passed, true);
+      for (const chunk of chunks) exchange.write(chunk);
+      exchange.end();
+    } else if (
       request.exchange.method === "HEAD" || status === 204 || status === 304
     ) {
       exchange.start(status, passed);
@@ -204,7 +210,7 @@
     const { services, request } = context;
     const { exchange, route } = request;
     const { announcement } = this.#endpoint;
-    const claim = services.board.claim(announcement.id, 0, 0);
+    const claim = services.board.claimCall(announcement.id);
     context.owned.add(claim);
     const resolve = this.#resolve;
     const settle = (result: TryResult): void => {
@@ -294,7 +300,11 @@
     if (!this.#isPassable(head.status)) return true;
     this.#isStreaming = true;
     const { codec } = this.#context.services;
-    exchange.start(head.status, codec.replyHeaders(head.headers));
+    exchange.start(
+      head.status,
+      codec.replyHeaders(head.headers),
+      isEndedByClose(exchange.method, head.status, head.headers),
+    );
     exchange.onDidDrain(() => this.#transfer?.resume());
     const chunks = this.#chunks.splice(0);
     return chunks.map((collected) => this.#write(collected)).every(Boolean);
--- a/src/features/gateway/common/load_board.ts
+++ b/src/features/gateway/common/load_board.ts
@@ -31,7 +31,7 @@
 }
 
 /** Rows of a silent host count for this long; links notice death sooner. */
-const PEER_ROWS_LIFETIME_MS = 8_000;
+const PEER_ROWS_LIFETIME_MS = 12_000;
 
 interface PeerRows {
   readonly rows: Map<EndpointId, EndpointUse>;
@@ -56,6 +56,8 @@
 export class LoadBoard {
   readonly #clock: Clock;
   readonly #own = new Map<EndpointId, MutableUse>();
+  /** Plain calls, which are too short to be worth telling peers about. */
+  readonly #calls = new Map<EndpointId, number>();
   readonly #peers = new Map<HostId, PeerRows>();
   readonly #changed = new Emitter<EndpointId>();
 
@@ -84,7 +86,7 @@
     this.#add(endpoint, 1, memory, unread, 0);
     const resize = (tokens: number): void => {
       if (isReleased) return;
-      this.#add(endpoint, 0, tokens - memory, 0, 0);
+      this.#add(endpoint, 0, tokens - memory, 0, 0, false);
       memory = tokens;
     };
     const markRead = (): void => {
@@ -100,6 +102,12 @@
     return { markRead, resize, dispose: () => release.dispose() };
   }
 
+  /** @returns The claim of a plain call. */
+  claimCall(endpoint: EndpointId): Disposable {
+    this.#addCall(endpoint, 1);
+    return toDisposable(() => this.#addCall(endpoint, -1));
+  }
+
   /** Counts a copy that an endpoint keeps for a generation elsewhere. */
   claimCopy(endpoint: EndpointId, tokens: number): CopyClaim {
     let memory = tokens;
@@ -108,7 +116,7 @@
     return {
       resize: (changed) => {
         if (isReleased) return;
-        this.#add(endpoint, 0, 0, 0, changed - memory);
+        this.#add(endpoint, 0, 0, 0, changed - memory, false);
         memory = changed;
       },
       dispose: () => {
@@ -152,6 +160,7 @@
   /** @returns What all daemons use of an endpoint, as far as is known. */
   totalUse(endpoint: EndpointId): EndpointUse {
     const total = { ...(this.#own.get(endpoint) ?? noUse()) };
+    total.runs += this.#calls.get(endpoint) ?? 0;
     const oldestMs = this.#clock.monotonicMs() - PEER_ROWS_LIFETIME_MS;
     for (const [host, { rows, toldMs }] of this.#peers) {
       if (toldMs < oldestMs) {
@@ -164,18 +173,26 @@
     return total;
   }
 
+  #addCall(endpoint: EndpointId, by: number): void {
+    const count = (this.#calls.get(endpoint) ?? 0) + by;
+    if (count === 0) this.#calls.delete(endpoint);
+    else this.#calls.set(endpoint, count);
+  }
+
   #add(
     endpoint: EndpointId,
     runs: number,
     memoryTokens: number,
     unreadTokens: number,
     copyTokens: number,
+    isNews = true,
   ): void {
     const use = this.#own.get(endpoint) ?? noUse();
     addTo(use, { runs, memoryTokens, unreadTokens, copyTokens });
     if (use.runs === 0 && use.copyTokens === 0) this.#own.delete(endpoint);
     else this.#own.set(endpoint, use);
-    this.#changed.fire(endpoint);
+    // Growth is told with the next change or the next whole table.
+    if (isNews) this.#changed.fire(endpoint);
   }
 }
 
--- a/src/features/gateway/common/load_exchange.ts
+++ b/src/features/gateway/common/load_exchange.ts
@@ -29,9 +29,9 @@
 };
 
 /** Changes of a few milliseconds share a message. */
-const COALESCE_MS = 4;
+const COALESCE_MS = 5;
 /** Lost messages are made good by a whole table. */
-const WHOLE_PERIOD_MS = 2_500;
+const WHOLE_PERIOD_MS = 4_000;
 
 /** Shares one board. */
 export class LoadExchange implements Disposable {
@@ -40,6 +40,7 @@
   readonly #channel: PeerChannel<LoadMessage>;
   readonly #owned = new DisposableStore();
   readonly #changed = new Set<EndpointId>();
+  #hadRows = false;
 
   /**
    * @param clock - Clock of the messages.
@@ -60,7 +61,11 @@
       this.#channel.send(host, message);
     }));
     this.#owned.add(setPeriodic(clock, WHOLE_PERIOD_MS, () => {
-      this.#channel.broadcast({ isWhole: true, rows: board.ownRows() });
+      const rows = board.ownRows();
+      if (rows.length > 0 || this.#hadRows) {
+        this.#channel.broadcast({ isWhole: true, rows });
+      }
+      this.#hadRows = rows.length > 0;
     }));
   }
 
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -6,10 +6,10 @@
  */
 
 import type { Disposable } from "../../../base/common/lifecycle.ts";
-import { setPeriodic } from "../../../base/common/clock.ts";
 import type { EndpointId } from "../../../base/common/ids.ts";
 import {
   type HeaderList,
+  isEndedByClose,
   withoutHeader,
 } from "../../../services/http/common/header_list.ts";
 import type { Need } from "./endpoint_choice.ts";
@@ -20,15 +20,9 @@
 import { GenerationBackup } from "./generation_backup.ts";
 import { GenerationSize } from "./generation_size.ts";
 import type { MoveEnd } from "./run_mover.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import { StreamLeg } from "./stream_leg.ts";
 
-/** Silence after which an engine that has begun to answer is probed. */
-const SILENT_STREAM_MS = 700;
-/** Silence before the first event after which an engine is probed. */
-const SILENT_START_MS = 1_500;
-/** Silence beside an engine that lives, after which the connection is given up. */
-const SILENT_CONNECTION_MS = 2_500;
-const WATCH_PERIOD_MS = 200;
 /** Tries after engines that proved not to have run the request. */
 const MAX_REFUSED_TRIES = 4;
 /** Time in which a full engine finishes some of its work. */
@@ -46,17 +40,18 @@
   readonly #context: RequestContext;
   readonly #need: Need;
   readonly #size: GenerationSize;
+  readonly #silence: SilenceWatch;
   readonly #backup = new GenerationBackup();
   #leg: StreamLeg | undefined;
   readonly #events: DeliveredEvents;
-  #lastEventMs: number;
   #refusedTries = 0;
   #isMoving = false;
   #darkTimer: Disposable | undefined;
   #hasStarted = false;
+  /** Whether the caller's stream ends with its connection, as its first run's. */
+  #isEndedByClose = false;
   /** Whether some endpoint may have run the request. */
   #wasRun = false;
-  #isProbing = false;
 
   /** @param context - The request. */
   constructor(context: RequestContext) {
@@ -68,7 +63,10 @@
       memoryTokens: this.#size.neededTokens,
       excluded: context.excluded,
     };
-    this.#lastEventMs = context.services.clock.monotonicMs();
+    this.#silence = new SilenceWatch(context, {
+      leg: () => this.#darkTimer || context.isOver ? undefined : this.#leg,
+      onSilentConnection: () => void this.#goOnFromBackup("silent"),
+    });
     this.#events = new DeliveredEvents(request.fields.resumeAfter);
   }
 
@@ -88,9 +86,7 @@
     context.owned.add(
       services.probe.onDidGoDark((endpoint) => this.#onDark(endpoint)),
     );
-    context.owned.add(
-      setPeriodic(services.clock, WATCH_PERIOD_MS, () => this.#watch()),
-    );
+    context.owned.add(this.#silence);
     context.setTimer(context.leftMs, () => this.#onDeadline());
     request.exchange.onDidEnd((end) => {
       if (end === "left") context.finish("caller-left", 0, "caller has gone");
@@ -155,7 +151,7 @@
       },
     });
     this.#leg = leg;
-    this.#lastEventMs = services.clock.monotonicMs();
+    this.#silence.note(services.clock.monotonicMs());
     leg.send();
   }
 
@@ -192,14 +188,13 @@
     if (!this.#events.accept(id)) return true;
     const nowMs = services.clock.monotonicMs();
     if (this.#hasStarted) {
-      services.metrics.eventPauseMs.record(nowMs - this.#lastEventMs);
+      services.metrics.eventPauseMs.record(nowMs - this.#silence.lastEventMs);
     } else {
       this.#hasStarted = true;
       this.#context.markFirstByte();
-      const head = services.codec.replyHeaders(this.#pendingHead ?? []);
-      exchange.start(200, head);
+      this.#startAnswer();
     }
-    this.#lastEventMs = nowMs;
+    this.#silence.note(nowMs);
     const isFirstOfLeg = !leg.hasEvents;
     leg.markEvent(nowMs);
     this.#darkTimer?.dispose();
@@ -214,18 +209,28 @@
     return isWritable;
   }
 
+  #startAnswer(): void {
+    const { services, request } = this.#context;
+    const received = this.#pendingHead ?? [];
+    const { exchange } = request;
+    this.#isEndedByClose = isEndedByClose(exchange.method, 200, received);
+    const head = services.codec.replyHeaders(received);
+    exchange.start(200, head, this.#isEndedByClose);
+  }
+
   #onEnd(leg: StreamLeg, pendingBytes: number): void {
     if (leg !== this.#leg) return;
     if (pendingBytes > 0) {
       this.#onLost(leg, true, "the stream ended within an event");
       return;
     }
+    if (leg.isEndedByClose && !this.#isEndedByClose) {
+      this.#onLost(leg, true, "the stream's end proves nothing");
+      return;
+    }
     const { services, request } = this.#context;
     leg.note("served");
-    if (!this.#hasStarted) {
-      const head = services.codec.replyHeaders(this.#pendingHead ?? []);
-      request.exchange.start(200, head);
-    }
+    if (!this.#hasStarted) this.#startAnswer();
     request.exchange.end();
     services.budget.recordSuccess(request.service.id);
     this.#context.finish("served", 200, "");
@@ -429,26 +434,6 @@
     });
   }
 
-  /** Probes the endpoint when the stream has been silent for too long. */
-  #watch(): void {
-    const leg = this.#leg;
-    const { clock, probe } = this.#context.services;
-    if (!leg || this.#isProbing || this.#darkTimer) return;
-    const silentMs = clock.monotonicMs() - this.#lastEventMs;
-    const limitMs = leg.hasEvents ? SILENT_STREAM_MS : SILENT_START_MS;
-    if (silentMs < limitMs) return;
-    this.#isProbing = true;
-    void probe.check(leg.endpoint).then((verdict) => {
-      this.#isProbing = false;
-      if (verdict === "dark" || leg !== this.#leg || this.#context.isOver) {
-        return;
-      }
-      const stillMs = clock.monotonicMs() - this.#lastEventMs;
-      if (!leg.hasEvents || stillMs < SILENT_CONNECTION_MS) return;
-      this.#goOnFromBackup("silent");
-    });
-  }
-
   #release(): void {
     this.#backup.drop();
     this.#leg?.abort();
--- a/src/features/gateway/common/stream_leg.ts
+++ b/src/features/gateway/common/stream_leg.ts
@@ -1,6 +1,9 @@
 /** One run of a generation at one endpoint. */
 
-import type { HeaderList } from "../../../services/http/common/header_list.ts";
+import {
+  type HeaderList,
+  isEndedByClose,
+} from "../../../services/http/common/header_list.ts";
 import type { Transfer } from "../../../services/http/common/pass_through_client.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import type { HealthSign } from "./endpoint_health.ts";
@@ -71,6 +74,12 @@
     return this.#firstEventMs === undefined ? 0 : nowMs - this.#firstEventMs;
   }
 
+  /** Whether only the end of the connection ends the stream. */
+  get isEndedByClose(): boolean {
+    const { exchange } = this.#options.context.request;
+    return isEndedByClose(exchange.method, this.#status, this.#headers);
+  }
+
   /** Whether its connection broke. */
   get hasFailed(): boolean {
     return this.#hasFailed;
--- a/src/services/http/common/caller_exchange.ts
+++ b/src/services/http/common/caller_exchange.ts
@@ -33,8 +33,13 @@
   /** Sends a complete answer. */
   reply(status: number, headers: HeaderList, body: Uint8Array | string): void;
 
-  /** Sends the head of an answer whose body follows in pieces. */
-  start(status: number, headers: HeaderList): void;
+  /**
+   * Sends the head of an answer whose body follows in pieces.
+   *
+   * @param isEndedByClose - Whether the end of the connection is to end the
+   * answer, which claims nothing about its completeness.
+   */
+  start(status: number, headers: HeaderList, isEndedByClose?: boolean): void;
 
   /** @returns Whether more may be written now; else wait for `onDidDrain`. */
   write(chunk: Uint8Array): boolean;
--- a/src/services/http/common/header_list.ts
+++ b/src/services/http/common/header_list.ts
@@ -71,3 +71,20 @@
     headers[index - (index % 2)]!.toLowerCase() !== dropped
   );
 }
+
+/**
+ * @param method - Method of the request.
+ * @param status - Status of its answer.
+ * @param headers - Headers of the answer.
+ * @returns Whether only the end of the connection ends the answer, so that
+ * nobody can tell a short one from a whole one.
+ */
+export function isEndedByClose(
+  method: string,
+  status: number,
+  headers: HeaderList,
+): boolean {
+  if (method === "HEAD" || status === 204 || status === 304) return false;
+  return headerOf(headers, "content-length") === undefined &&
+    headerOf(headers, "transfer-encoding") === undefined;
+}
--- a/src/services/http/node/caller_listener.ts
+++ b/src/services/http/node/caller_listener.ts
@@ -216,8 +216,12 @@
     this.#response.end(body);
   }
 
-  start(status: number, headers: HeaderList): void {
+  start(status: number, headers: HeaderList, isEndedByClose = false): void {
     if (this.hasEnded || this.hasStarted) return;
+    if (isEndedByClose) {
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#response.shouldKeepAlive = false;
+    }
     this.#writeHead(status, headers);
     this.#response.flushHeaders();
   }
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import { messageOf } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
-import { type HeaderList, headerOf } from "../common/header_list.ts";
+import { isEndedByClose } from "../common/header_list.ts";
 import type {
   OutgoingRequest,
   PassThroughClient,
@@ -259,16 +259,6 @@
   }
 }
 
-function isEndedByClose(
-  method: string,
-  status: number,
-  headers: HeaderList,
-): boolean {
-  if (method === "HEAD" || status === 204 || status === 304) return false;
-  return headerOf(headers, "content-length") === undefined &&
-    headerOf(headers, "transfer-encoding") === undefined;
-}
-
 function destroy(client: Client): void {
   // The failure of requests in flight is told through their own handlers.
   client.destroy().catch(() => undefined);
--- a/src/services/mirror/common/mirror_exchange.ts
+++ b/src/services/mirror/common/mirror_exchange.ts
@@ -33,19 +33,30 @@
 };
 
 const CHECK_PERIOD_MS = 250;
-/** Confirmation age from which peers are asked: a watch and a half. */
-const ASK_AGE_MS = 1_200;
-/** Peers asked in one round: one may be as cut off as we are. */
-const PEERS_PER_ROUND = 2;
+/** Confirmation age from which the relay is asked: two watches. */
+const ASK_AGE_MS = 1_600;
+/** Confirmation age from which others are asked: the relay may be cut off too. */
+const ASK_OTHERS_AGE_MS = 2_000;
+/** Other peers asked in one round. */
+const OTHERS_PER_ROUND = 2;
 /** Answers that come later than this say too little to be waited for. */
 const ASK_TIMEOUT_MS = 2_000;
 
+/** Who learns from whom. */
+export interface MirrorTopology {
+  /** Peer that is asked first, such as the relay of the zone. */
+  source(): HostId | undefined;
+  /** Peers that are told of changes; none unless this daemon is a relay. */
+  audience(): readonly HostId[];
+}
+
 /** Asks and answers for one mirror. */
 export class MirrorExchange implements Disposable {
   readonly #clock: Clock;
   readonly #logger: Logger;
   readonly #links: PeerLinks;
   readonly #mirror: StoreMirror;
+  readonly #topology: MirrorTopology;
   readonly #channel: PeerChannel<MirrorMessage>;
   readonly #owned = new DisposableStore();
   readonly #asked = new Map<number, Stamp>();
@@ -57,17 +68,20 @@
    * @param logger - Where first contents are told.
    * @param links - Links to the peers.
    * @param mirror - The mirror to keep fresh.
+   * @param topology - Who learns from whom.
    */
   constructor(
     clock: Clock,
     logger: Logger,
     links: PeerLinks,
     mirror: StoreMirror,
+    topology: MirrorTopology,
   ) {
     this.#clock = clock;
     this.#logger = logger;
     this.#links = links;
     this.#mirror = mirror;
+    this.#topology = topology;
     this.#channel = this.#owned.add(links.openChannel(MIRROR_CHANNEL));
     this.#owned.add(
       this.#channel.onDidReceive(({ from, body }) =>
@@ -75,7 +89,10 @@
       ),
     );
     this.#owned.add(mirror.onDidChange(() => {
-      this.#channel.broadcast({ kind: "changed", revision: mirror.revision });
+      const { revision } = mirror;
+      for (const host of topology.audience()) {
+        this.#channel.send(host, { kind: "changed", revision });
+      }
     }));
     this.#owned.add(links.onDidChangeLink(({ host, isUp }) => {
       if (isUp && mirror.confirmationAgeMs > ASK_AGE_MS) this.#ask(host);
@@ -93,9 +110,13 @@
       const waitedMs = this.#clock.monotonicMs() - askedAt.monotonicMs;
       if (waitedMs > ASK_TIMEOUT_MS) this.#asked.delete(askId);
     }
-    if (this.#mirror.confirmationAgeMs <= ASK_AGE_MS) return;
+    const ageMs = this.#mirror.confirmationAgeMs;
+    if (ageMs <= ASK_AGE_MS) return;
+    const source = this.#topology.source();
+    if (source !== undefined) this.#ask(source);
+    if (source !== undefined && ageMs <= ASK_OTHERS_AGE_MS) return;
     const peers = this.#links.connectedHosts();
-    const count = Math.min(PEERS_PER_ROUND, peers.length);
+    const count = Math.min(OTHERS_PER_ROUND, peers.length);
     for (let round = 0; round < count; round++) {
       this.#ask(peers[this.#nextPeer++ % peers.length]!);
     }
@@ -165,11 +186,19 @@
 function isSnapshot(value: unknown): value is MirrorSnapshot {
   if (typeof value !== "object" || value === null) return false;
   const candidate = value as Partial<MirrorSnapshot>;
-  return isCount(candidate.revision) && isCount(candidate.ageMs) &&
-    isCount(candidate.sinceTroubleMs) && Array.isArray(candidate.keys) &&
-    candidate.keys.every((key) => typeof key === "string") &&
-    Array.isArray(candidate.items) &&
-    candidate.items.every((item: unknown) => isItem(item));
+  const { keys, items, removals } = candidate;
+  const hasKeys = keys === undefined || keys === null ||
+    (Array.isArray(keys) && keys.every((key) => typeof key === "string"));
+  return hasKeys && isCount(candidate.revision) && isCount(candidate.ageMs) &&
+    isCount(candidate.sinceTroubleMs) &&
+    Array.isArray(removals) && removals.every((one) => isRemoval(one)) &&
+    Array.isArray(items) && items.every((item: unknown) => isItem(item));
+}
+
+function isRemoval(value: unknown): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  const { key, revision } = value as Record<string, unknown>;
+  return typeof key === "string" && isCount(revision);
 }
 
 function isItem(value: unknown): boolean {
--- a/src/services/mirror/common/store_mirror.ts
+++ b/src/services/mirror/common/store_mirror.ts
@@ -14,13 +14,24 @@
   readonly item: StoreItem | undefined;
 }
 
+/** A key that was removed. */
+export interface KeyRemoval {
+  readonly key: string;
+  readonly revision: number;
+}
+
+/** Removals that are remembered; some minutes of endpoints that come and go. */
+const MAX_REMOVALS = 256;
+
 /** What one mirror tells another. */
 export interface MirrorSnapshot {
   readonly revision: number;
   /** Items newer than the revision that was asked for. */
   readonly items: readonly StoreItem[];
-  /** All keys that exist, so that removals show. */
-  readonly keys: readonly string[];
+  /** Keys removed since the revision that was asked for. */
+  readonly removals: readonly KeyRemoval[];
+  /** All keys that exist, where the removals are not known so far back. */
+  readonly keys: readonly string[] | undefined;
   /** Age of the confirmation when the snapshot was made. */
   readonly ageMs: number;
   /** Time since the store was last found disturbed. */
@@ -33,6 +44,10 @@
   readonly #items = new Map<string, StoreItem>();
   readonly #changed = new Emitter<readonly MirrorChange[]>();
   #revision = 0;
+  #removals: KeyRemoval[] = [];
+  /** Revision since which all removals are remembered. */
+  #removalsSince = Infinity;
+  #pending: MirrorChange[] = [];
   #confirmed: Stamp | undefined;
   #trouble: Stamp | undefined;
 
@@ -89,7 +104,9 @@
     askedAt: Stamp,
   ): void {
     const keys = new Set(items.map(({ key }) => key));
-    this.#replace(items, keys, revision);
+    this.#putNewer(items);
+    this.#removeOthers(keys, revision);
+    this.#advance(revision);
     this.#confirm(askedAt);
   }
 
@@ -99,23 +116,15 @@
     revision: number,
     askedAt: Stamp,
   ): void {
-    const applied: MirrorChange[] = [];
     for (const change of changes) {
-      const known = this.#items.get(change.key);
-      if (known && known.revision >= change.revision) continue;
-      if (change.kind === "removed") {
-        if (!this.#items.delete(change.key)) continue;
-        applied.push({ key: change.key, item: undefined });
-      } else {
+      if (change.kind === "removed") this.#remove(change);
+      else {
         const { key, value, revision: changedAt } = change;
-        const item: StoreItem = { key, value, revision: changedAt };
-        this.#items.set(key, item);
-        applied.push({ key, item });
+        this.#putNewer([{ key, value, revision: changedAt }]);
       }
     }
-    this.#revision = Math.max(this.#revision, revision);
+    this.#advance(revision);
     this.#confirm(askedAt);
-    if (applied.length > 0) this.#changed.fire(applied);
   }
 
   /**
@@ -123,11 +132,15 @@
    * @returns What it lacks.
    */
   snapshotSince(sinceRevision: number): MirrorSnapshot {
+    const isNewer = ({ revision }: { readonly revision: number }): boolean =>
+      revision > sinceRevision;
     const items = [...this.#items.values()];
+    const isLogComplete = sinceRevision >= this.#removalsSince;
     return {
       revision: this.#revision,
-      items: items.filter(({ revision }) => revision > sinceRevision),
-      keys: items.map(({ key }) => key),
+      items: items.filter(isNewer),
+      removals: isLogComplete ? this.#removals.filter(isNewer) : [],
+      keys: isLogComplete ? undefined : items.map(({ key }) => key),
       ageMs: this.confirmationAgeMs,
       sinceTroubleMs: this.sinceTroubleMs,
     };
@@ -145,11 +158,12 @@
         this.#trouble = trouble;
       }
     }
-    this.#replace(
-      snapshot.items,
-      new Set(snapshot.keys),
-      snapshot.revision,
-    );
+    this.#putNewer(snapshot.items);
+    for (const removal of snapshot.removals) this.#remove(removal);
+    if (snapshot.keys) {
+      this.#removeOthers(new Set(snapshot.keys), snapshot.revision);
+    }
+    this.#advance(snapshot.revision);
     if (Number.isFinite(snapshot.ageMs)) {
       this.#confirm(stampBefore(askedAt, snapshot.ageMs));
     }
@@ -159,24 +173,44 @@
     if (ageMs(this.#clock, at) < this.confirmationAgeMs) this.#confirmed = at;
   }
 
-  #replace(
-    items: readonly StoreItem[],
-    keys: ReadonlySet<string>,
-    revision: number,
-  ): void {
-    const applied: MirrorChange[] = [];
+  #putNewer(items: readonly StoreItem[]): void {
     for (const item of items) {
       const known = this.#items.get(item.key);
       if (known && known.revision >= item.revision) continue;
       this.#items.set(item.key, item);
-      applied.push({ key: item.key, item });
+      this.#pending.push({ key: item.key, item });
+    }
+  }
+
+  #remove(removal: KeyRemoval): void {
+    const { key, revision } = removal;
+    const known = this.#items.get(key);
+    if (known && known.revision >= revision) return;
+    this.#removals.push(removal);
+    if (this.#removals.length > MAX_REMOVALS) {
+      this.#removalsSince = this.#removals.shift()!.revision;
     }
+    if (this.#items.delete(key)) this.#pending.push({ key, item: undefined });
+  }
+
+  /** Removes what a complete set of keys does not name. */
+  #removeOthers(keys: ReadonlySet<string>, revision: number): void {
     for (const [key, item] of this.#items) {
       if (keys.has(key) || item.revision > revision) continue;
       this.#items.delete(key);
-      applied.push({ key, item: undefined });
+      this.#pending.push({ key, item: undefined });
     }
+    // Keys that came and went in between are not known.
+    this.#removals = [];
+    this.#removalsSince = Math.max(this.#revision, revision);
+  }
+
+  /** Takes over a revision and tells what has changed up to it. */
+  #advance(revision: number): void {
     this.#revision = Math.max(this.#revision, revision);
-    if (applied.length > 0) this.#changed.fire(applied);
+    const changes = this.#pending;
+    if (changes.length === 0) return;
+    this.#pending = [];
+    this.#changed.fire(changes);
   }
 }
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -48,8 +48,10 @@
 /** Path of the introduction. */
 export const INTRODUCTION_PATH = "/hosts";
 const TICK_MS = 500;
-const KEEPALIVE_AFTER_MS = 1_200;
-const SILENCE_LIMIT_MS = 3_000;
+const DEFAULT_PACE: LinkPace = {
+  keepaliveAfterMs: 1_200,
+  silenceLimitMs: 3_000,
+};
 /** A longer pause between two ticks means that this process did not run. */
 const PAUSED_AFTER_MS = 1_500;
 const MAX_UNPROVED_LINKS = 512;
@@ -65,6 +67,14 @@
   follow(server: TlsServer): Disposable;
 }
 
+/** How often links show that they live. */
+export interface LinkPace {
+  /** Pause in sending after which a keepalive follows. */
+  readonly keepaliveAfterMs: number;
+  /** Silence of the other side after which a link is closed. */
+  readonly silenceLimitMs: number;
+}
+
 /** What the links are made from. */
 export interface WsPeerLinksOptions {
   readonly clock: Clock;
@@ -75,6 +85,8 @@
   /** Seed of the jitter. */
   readonly seed: number;
   readonly tls?: PeerTls | undefined;
+  /** Pace of the present; slower links suit large fleets. */
+  pace?(): LinkPace;
   /**
    * Text for whoever asks over HTTP who is there, such as a peer that starts
    * while the store is away.
@@ -225,11 +237,12 @@
     const nowMs = this.#options.clock.monotonicMs();
     const wasPaused = nowMs - this.#lastTickMs > PAUSED_AFTER_MS;
     this.#lastTickMs = nowMs;
+    const pace = this.#options.pace?.() ?? DEFAULT_PACE;
     for (const link of [...this.#links.values()]) {
       // After a pause of this process, unread frames may still wait here.
-      if (!wasPaused && nowMs - link.lastReceivedMs > SILENCE_LIMIT_MS) {
+      if (!wasPaused && nowMs - link.lastReceivedMs > pace.silenceLimitMs) {
         link.close("the other side went silent");
-      } else if (nowMs - link.lastSentMs >= KEEPALIVE_AFTER_MS) {
+      } else if (nowMs - link.lastSentMs >= pace.keepaliveAfterMs) {
         this.#sendBytes(link, KEEPALIVE_CHANNEL, KEEPALIVE_FRAME);
       }
     }
--- a/standins/gateway/fake_exchange.ts
+++ b/standins/gateway/fake_exchange.ts
@@ -32,6 +32,7 @@
   #status = 0;
   #answerHeaders: HeaderList = [];
   #text = "";
+  #isEndedByClose = false;
   #end: ExchangeEnd | "broken-off" | undefined;
   readonly onDidEnd = this.#ended.event;
   readonly onDidDrain = this.#drained.event;
@@ -60,6 +61,11 @@
     return this.#end;
   }
 
+  /** Whether the answer claims nothing about its completeness. */
+  get isEndedByClose(): boolean {
+    return this.#isEndedByClose;
+  }
+
   get hasEnded(): boolean {
     return this.#end !== undefined;
   }
@@ -85,8 +91,9 @@
     this.end();
   }
 
-  start(status: number, headers: HeaderList): void {
+  start(status: number, headers: HeaderList, isEndedByClose = false): void {
     if (this.hasStarted) throw new Error("a second answer");
+    this.#isEndedByClose = isEndedByClose;
     this.#status = status;
     this.#answerHeaders = headers;
   }
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -137,6 +137,18 @@
       expect(exchange.status).toBe(502);
     });
 
+    it("claims no completeness for an answer that had no length", async () => {
+      const exchange = await world.send("/book/x");
+      world.endpoints.last.answer(200, "maybe short");
+      await settlePromises();
+      expect(exchange.isEndedByClose).toBe(true);
+      const framed = await world.send("/book/x");
+      const headers = ["x-response-stamp", "s", "content-length", "5"];
+      world.endpoints.last.answer(200, "whole", headers);
+      await settlePromises();
+      expect(framed.isEndedByClose).toBe(false);
+    });
+
     it("gives up on a silent endpoint for a read, but not for a booking", async () => {
       await world.send("/read/x");
       await world.advance(500);
