Add a fault soak over real processes; deliver no continuation with a gap

soak/ starts the built daemons, disturbs store, paths, processes, endpoints and keys from one seed, and checks the promises while it runs.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -19,13 +19,24 @@
 );
 
 /** Programs outside the daemon are never imported by it. */
-const outsideZones = ["standins", "scenarios", "bench"].map((from) => ({
-  target: "./src",
-  from: `./${from}`,
-}));
+const outsideZones = ["platform", "soak", "standins", "scenarios", "bench"].map(
+  (from) => ({
+    target: "./src",
+    from: `./${from}`,
+  }),
+);
 
 export default tseslint.config(
-  { ignores: ["dist/**", "node_modules/**", "coverage/**"] },
+  {
+    ignores: [
+      "dist/**",
+      "target/**",
+      "journal/**",
+      "soak-logs/**",
+      "node_modules/**",
+      "coverage/**",
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     files: ["**/*.ts"],
--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,110 @@
+/** Callers of the soak; each sends one request after the other. */
+
+import { Agent, request as sendRequest } from "node:http";
+import type { SeededRandom } from "../src/base/common/random.ts";
+import type { DaemonProcess } from "./daemon_process.ts";
+import type { CallerEnd, Promises, SentRequest } from "./promises.ts";
+import { KEYS } from "./soak_world.ts";
+
+const KINDS = ["book", "read", "draft"] as const;
+const PATHS = { book: "/book/x", read: "/read/x", draft: "/stream/x" };
+/** A caller gives up after this time. */
+const PATIENCE_MS = 8_000;
+const PAUSE_MS = 25;
+
+/** Sends requests until it is told to stop. */
+export class Callers {
+  readonly #random: SeededRandom;
+  readonly #daemons: readonly DaemonProcess[];
+  readonly #promises: Promises;
+  // Connections stay open until their process is gone.
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 200 });
+  #isStopping = false;
+  #count = 0;
+
+  /**
+   * @param random - Chooses daemons, kinds and keys.
+   * @param daemons - Where requests go.
+   * @param promises - Hears of each request and its end.
+   */
+  constructor(
+    random: SeededRandom,
+    daemons: readonly DaemonProcess[],
+    promises: Promises,
+  ) {
+    this.#random = random;
+    this.#daemons = daemons;
+    this.#promises = promises;
+  }
+
+  /** @returns When a number of callers have all stopped. */
+  async run(callerCount: number): Promise<void> {
+    const callers = Array.from({ length: callerCount }, () => this.#call());
+    await Promise.all(callers);
+    this.#agent.destroy();
+  }
+
+  /** Lets each caller end its request. */
+  stop(): void {
+    this.#isStopping = true;
+  }
+
+  async #call(): Promise<void> {
+    while (!this.#isStopping) {
+      const daemon = this.#pick(this.#daemons);
+      const kind = this.#pick(KINDS);
+      const key = this.#pick([...KEYS.keys()]);
+      const id = `q-${++this.#count}`;
+      const sentMs = Date.now();
+      const sent: SentRequest = { id, kind, key, sentMs, end: undefined };
+      this.#promises.noteSent(sent);
+      sent.end = await this.#send(daemon, sent);
+      await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+    }
+  }
+
+  #send(
+    daemon: DaemonProcess,
+    { id, kind, key }: SentRequest,
+  ): Promise<CallerEnd> {
+    const { ip, port } = daemon.place;
+    return new Promise((resolve) => {
+      let text = "";
+      const request = sendRequest({
+        host: ip,
+        port,
+        path: PATHS[kind],
+        method: "POST",
+        agent: this.#agent,
+        headers: {
+          "Host": "app.example",
+          "X-Request-Id": id,
+          "X-Deadline-Ms": String(PATIENCE_MS),
+          "X-Token-Count": "300,400",
+          "Authorization": `Bearer ${key}`,
+        },
+      }, (response) => {
+        response.on("data", (chunk) => text += String(chunk));
+        response.on("error", () => resolve({ kind: "cut", text }));
+        response.on("close", () => {
+          if (!response.complete) resolve({ kind: "cut", text });
+        });
+        response.on("end", () => {
+          const status = response.statusCode ?? 0;
+          resolve(
+            response.complete
+              ? { kind: "answered", status, text }
+              : { kind: "cut", text },
+          );
+        });
+      });
+      request.on("error", () => resolve({ kind: "cut", text }));
+      request.setTimeout(PATIENCE_MS, () => request.destroy());
+      request.end(kind === "draft" ? "" : id);
+    });
+  }
+
+  #pick<T>(choices: readonly T[]): T {
+    return choices[Math.floor(this.#random.float() * choices.length)]!;
+  }
+}
--- /dev/null
+++ b/soak/promises.ts
@@ -0,0 +1,146 @@
+/** The promises that the soak checks, from what callers and endpoints see. */
+
+/** What a caller was told. */
+export type CallerEnd =
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    readonly text: string;
+  }
+  /** The connection ended without a whole answer. */
+  | { readonly kind: "cut"; readonly text: string };
+
+/** A request that a caller sent. */
+export interface SentRequest {
+  readonly id: string;
+  readonly kind: "book" | "read" | "draft";
+  readonly key: string;
+  readonly sentMs: number;
+  end: CallerEnd | undefined;
+}
+
+/** A run that an endpoint began. */
+export interface SeenRun {
+  readonly id: string;
+  readonly endpoint: string;
+  readonly atMs: number;
+  /** Whether it goes on from the memory of another run. */
+  readonly isContinuation: boolean;
+  readonly body: string;
+  readonly workspace: string | undefined;
+}
+
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+
+/** Collects requests and runs, and says which promise was broken. */
+export class Promises {
+  readonly #sent = new Map<string, SentRequest>();
+  readonly #runs = new Map<string, SeenRun[]>();
+  readonly #revokedMs = new Map<string, number>();
+  readonly #workspaces: ReadonlyMap<string, string>;
+  readonly #revocationMs: number;
+  readonly #eventCount: number;
+
+  /**
+   * @param workspaces - Workspace of each key.
+   * @param revocationMs - Time within which a revoked key has to be refused.
+   * @param eventCount - Events of a whole draft.
+   */
+  constructor(
+    workspaces: ReadonlyMap<string, string>,
+    revocationMs: number,
+    eventCount: number,
+  ) {
+    this.#workspaces = workspaces;
+    this.#revocationMs = revocationMs;
+    this.#eventCount = eventCount;
+  }
+
+  /** Requests sent so far. */
+  get sentCount(): number {
+    return this.#sent.size;
+  }
+
+  /** @returns How many requests were served whole. */
+  servedCount(): number {
+    return [...this.#sent.values()].filter(({ end }) =>
+      end?.kind === "answered" && end.status === 200
+    ).length;
+  }
+
+  noteSent(request: SentRequest): void {
+    this.#sent.set(request.id, request);
+  }
+
+  noteRun(run: SeenRun): void {
+    const runs = this.#runs.get(run.id) ?? [];
+    this.#runs.set(run.id, runs);
+    runs.push(run);
+  }
+
+  noteRevoked(key: string, atMs: number): void {
+    this.#revokedMs.set(key, atMs);
+  }
+
+  noteRestored(key: string): void {
+    this.#revokedMs.delete(key);
+  }
+
+  /** @returns Every promise that is broken by now, one line each. */
+  broken(): string[] {
+    const lines = [...this.#runs.keys()].filter((id) => !this.#sent.has(id))
+      .map((id) => `unasked: ${id} was run, and no caller sent it`);
+    for (const request of this.#sent.values()) {
+      const runs = this.#runs.get(request.id) ?? [];
+      const mistake = this.#mistakeOf(request, runs);
+      if (mistake) lines.push(`${mistake} (${request.kind} ${request.id})`);
+    }
+    return lines;
+  }
+
+  #mistakeOf(
+    request: SentRequest,
+    runs: readonly SeenRun[],
+  ): string | undefined {
+    const { end, kind, id, key, sentMs } = request;
+    const fresh = runs.filter(({ isContinuation }) => !isContinuation);
+    if (kind !== "read" && fresh.length > 1) {
+      return `twice: begun at ${fresh.map(({ endpoint }) => endpoint).join()}`;
+    }
+    const workspace = this.#workspaces.get(key);
+    if (runs.some((run) => run.workspace !== workspace)) {
+      return "unasked: run for another workspace";
+    }
+    if (runs.some((run) => kind !== "draft" && run.body !== id)) {
+      return "unasked: run with another body";
+    }
+    if (end?.kind !== "answered") return undefined;
+    const isRefused = NOT_RUN_STATUSES.has(end.status);
+    if (isRefused && kind !== "read" && runs.length > 0) {
+      return `refused with ${end.status}, and was run`;
+    }
+    if (end.status !== 200) return undefined;
+    if (kind === "draft") return this.#mistakeInDraft(end.text);
+    return end.text.endsWith(`:${id}`)
+      ? undefined
+      : `mixed: got ${JSON.stringify(end.text)} at ${sentMs}`;
+  }
+
+  #mistakeInDraft(text: string): string | undefined {
+    const ids = [...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+    const isWhole = ids.length === this.#eventCount &&
+      ids.every((id, index) => id === index + 1);
+    return isWhole ? undefined : `order: events ${ids.join()}`;
+  }
+
+  /** @returns Runs of keys that had been taken away long enough before. */
+  revokedRuns(): string[] {
+    return [...this.#sent.values()].flatMap(({ id, key, sentMs }) => {
+      const revokedMs = this.#revokedMs.get(key);
+      const isLate = revokedMs !== undefined &&
+        sentMs > revokedMs + this.#revocationMs;
+      const hasRun = (this.#runs.get(id)?.length ?? 0) > 0;
+      return isLate && hasRun ? [`revoked: ${id} ran with key ${key}`] : [];
+    });
+  }
+}
--- a/src/features/gateway/common/delivered_events.ts
+++ b/src/features/gateway/common/delivered_events.ts
@@ -1,13 +1,25 @@
 /** Which events of a stream its caller has. */
 
+/** What an event is to its caller. */
+export type EventVerdict =
+  | "next"
+  /** The caller has it; a run that goes on may repeat events. */
+  | "repeated"
+  /** Events before it are missing. */
+  | "gap";
+
 /** Keeps the order of events over the runs behind one stream. */
 export class DeliveredEvents {
   #lastId: string | undefined;
-  #lastNumber = -Infinity;
+  #lastNumber: number;
+  /** Whether the ids of all events so far were consecutive. */
+  #isDense = true;
 
   /** @param resumeAfter - Event that the caller had before, if any. */
   constructor(resumeAfter: string | undefined) {
     this.#lastId = resumeAfter;
+    const number = Number(resumeAfter ?? NaN);
+    this.#lastNumber = Number.isNaN(number) ? -Infinity : number;
   }
 
   /** Id of the last event, from which another run goes on. */
@@ -17,13 +29,19 @@
 
   /**
    * @param id - Id of the next event; ids are increasing numbers.
-   * @returns Whether to deliver it; a run that goes on may repeat events.
+   * @param isFirstOfRun - Whether it is the first event of a run.
+   * @returns What the event is; only a next one is to be delivered.
    */
-  accept(id: string | undefined): boolean {
+  check(id: string | undefined, isFirstOfRun: boolean): EventVerdict {
     const number = id === undefined ? NaN : Number(id);
-    if (number <= this.#lastNumber) return false;
-    if (!Number.isNaN(number)) this.#lastNumber = number;
-    if (id !== undefined) this.#lastId = id;
-    return true;
+    if (Number.isNaN(number)) return "next";
+    if (number <= this.#lastNumber) return "repeated";
+    const isConsecutive = number === this.#lastNumber + 1 ||
+      this.#lastNumber === -Infinity;
+    if (!isConsecutive && isFirstOfRun && this.#isDense) return "gap";
+    if (!isConsecutive) this.#isDense = false;
+    this.#lastNumber = number;
+    this.#lastId = id;
+    return "next";
   }
 }
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -177,6 +177,7 @@
     if (leg !== this.#leg) return true;
     let isWritable = true;
     for (const frame of leg.frames.push(chunk)) {
+      if (leg !== this.#leg || this.#context.isOver) break;
       isWritable = this.#deliver(leg, frame.bytes, frame.id) && isWritable;
     }
     return isWritable;
@@ -185,7 +186,12 @@
   #deliver(leg: StreamLeg, bytes: Uint8Array, id: string | undefined): boolean {
     const { services, request } = this.#context;
     const { exchange } = request;
-    if (!this.#events.accept(id)) return true;
+    const verdict = this.#events.check(id, !leg.hasEvents);
+    if (verdict === "repeated") return true;
+    if (verdict === "gap") {
+      this.#onLost(leg, true, "events are missing");
+      return true;
+    }
     const nowMs = services.clock.monotonicMs();
     if (this.#hasStarted) {
       services.metrics.eventPauseMs.record(nowMs - this.#silence.lastEventMs);
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -156,6 +156,17 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("does not deliver a continuation that lacks events", async () => {
+    const { exchange, transfer } = await startDraft();
+    await world.advance(800);
+    transfer.breakOff();
+    await settlePromises();
+    world.endpoints.last.head(200).event(4).finish();
+    await settlePromises();
+    expect(exchange.text).not.toContain("id: 4");
+    expect(exchange.outcome).toBe("broken-off");
+  });
+
   it("does not take a stream that ends within an event for complete", async () => {
     const exchange = await world.send("/draft/x");
     world.endpoints.last.head(200).event(1).data("id: 2\n").finish();
