Stay away from endpoints that leave a call unanswered

Change: silence for three objectives ejects an endpoint that has answered nothing else lately and closes its idle connections; a call that was never sent by its deadline is refused as not run.

--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -67,6 +67,7 @@
         return;
       }
       const { endpoint } = choice;
+      const sentBefore = context.sentCount;
       const result = await this.#tryOnce(endpoint);
       context.excluded.add(endpoint.id);
       switch (result.kind) {
@@ -93,7 +94,9 @@
           }
           break;
         case "timed-out":
-          context.fail(504, "unknown", "no answer before the deadline");
+          if (this.#wasRun || context.sentCount > sentBefore) {
+            context.fail(504, "unknown", "no answer before the deadline");
+          } else this.#refuse("no connection before the deadline");
           return;
         case "unknown":
           lastReason = result.reason;
@@ -221,17 +224,12 @@
     };
     this.#settle = settle;
     exchange.onDidEnd(() => this.#stop({ kind: "caller-left" }));
-    context.setTimer(context.leftMs, () => {
-      this.#note("broken");
-      this.#stop({ kind: "timed-out" });
-    });
-    if (isSilenceLimited) {
-      const limitMs = Math.max(
-        MIN_SILENT_MS,
-        SILENT_OBJECTIVES * route.objectiveMs,
-      );
-      context.setTimer(limitMs, () => this.#onSilent());
-    }
+    context.setTimer(context.leftMs, () => this.#stop({ kind: "timed-out" }));
+    const limitMs = Math.max(
+      MIN_SILENT_MS,
+      SILENT_OBJECTIVES * route.objectiveMs,
+    );
+    context.setTimer(limitMs, () => this.#onSilent(isSilenceLimited));
     const headers = services.codec.outgoingHeaders(exchange.headers, {
       endpoint: announcement.id,
       leftMs: context.leftMs,
@@ -261,9 +259,13 @@
 
   #settle: (result: TryResult) => void = () => undefined;
 
-  #onSilent(): void {
+  #onSilent(isGivenUp: boolean): void {
     if (this.#isOver || this.#head) return;
-    this.#note("broken");
+    this.#note("silent");
+    // Connections that were open before may carry nothing any more.
+    const { address } = this.#endpoint.announcement;
+    this.#context.services.client.forget(address);
+    if (!isGivenUp) return;
     this.#stop({ kind: "unknown", reason: "the endpoint is silent" });
   }
 
--- a/src/features/gateway/common/endpoint_health.ts
+++ b/src/features/gateway/common/endpoint_health.ts
@@ -8,6 +8,8 @@
 const EJECT_FAILURE_RATE = 0.4;
 /** Failures of transport in a row that eject without a rate. */
 const EJECT_BROKEN_IN_A_ROW = 3;
+/** Time without any answer after which silence ejects: some usual answers. */
+const SILENCE_EVIDENCE_MS = 300;
 const FIRST_EJECTION_MS = 1_000;
 const MAX_EJECTION_MS = 6_000;
 
@@ -20,14 +22,17 @@
   | "refused"
   /** No connection could be opened. */
   | "unreachable"
-  /** Reset, silence or bytes that are no answer. */
-  | "broken";
+  /** Reset, or bytes that are no answer. */
+  | "broken"
+  /** No sign of an answer for much longer than usual. */
+  | "silent";
 
 /** Counts outcomes and keeps an endpoint out for a while. */
 export class EndpointHealth {
   readonly #window: boolean[] = [];
   #brokenInARow = 0;
   #ejections = 0;
+  #lastServedMs = -Infinity;
   #ejectedUntilMs = -Infinity;
 
   /** Share of failures among the last outcomes. */
@@ -54,10 +59,13 @@
     if (this.#window.length > WINDOW_SIZE) this.#window.shift();
     this.#brokenInARow = sign === "broken" ? this.#brokenInARow + 1 : 0;
     if (!isFailure) {
+      this.#lastServedMs = nowMs;
       if (this.failureRate < EJECT_FAILURE_RATE / 2) this.#ejections = 0;
       return false;
     }
+    const hasOtherAnswers = nowMs - this.#lastServedMs < SILENCE_EVIDENCE_MS;
     const isBad = sign === "unreachable" ||
+      (sign === "silent" && !hasOtherAnswers) ||
       this.failureRate >= EJECT_FAILURE_RATE ||
       this.#brokenInARow >= EJECT_BROKEN_IN_A_ROW;
     if (!isBad || this.isEjected(nowMs)) return false;
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -25,7 +25,7 @@
 
 /** Defaults: round trips are a few ms; most servers close idle ones after 5 s. */
 export const DEFAULT_CONNECTION_LIMITS: ConnectionLimits = {
-  connectTimeoutMs: 400,
+  connectTimeoutMs: 300,
   idleLimitMs: 4_000,
   maxIdlePerAddress: 16,
 };
--- a/standins/gateway/fake_endpoints.ts
+++ b/standins/gateway/fake_endpoints.ts
@@ -88,15 +88,20 @@
     const transfer = new FakeTransfer(request, sink);
     this.transfers.push(transfer);
     queueMicrotask(() => {
-      if (transfer.isAborted) return;
+      if (transfer.isAborted || this.unanswering.has(request.address)) return;
       if (this.unreachable.has(request.address)) transfer.refuseConnection();
       else transfer.markSent();
     });
     return transfer;
   }
 
-  forget(): void {
-    // There are no idle connections.
+  /** Addresses whose idle connections were closed. */
+  readonly forgotten: Address[] = [];
+  /** Addresses that take no connection and refuse none. */
+  readonly unanswering = new Set<Address>();
+
+  forget(address: Address): void {
+    this.forgotten.push(address);
   }
 
   /** The newest request. */
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -158,6 +158,28 @@
       expect(world.endpoints.transfers).toHaveLength(3);
     });
 
+    it("stays away from an endpoint that leaves a booking unanswered", async () => {
+      await world.send("/book/x");
+      const silent = world.endpoints.last.request.address;
+      await world.advance(500);
+      expect(world.endpoints.forgotten).toContain(silent);
+      for (let count = 0; count < 4; count++) {
+        await world.send("/book/x");
+        expect(world.endpoints.last.request.address).not.toBe(silent);
+        world.endpoints.last.answer(200, "done");
+        await settlePromises();
+      }
+    });
+
+    it("says not run when no connection opened before the deadline", async () => {
+      for (const number of [1, 2]) {
+        world.endpoints.unanswering.add(world.addressOf(number));
+      }
+      const exchange = await world.send("/book/x");
+      await world.advance(1_600);
+      expect(exchange.status).toBe(503);
+    });
+
     it("answers 504 at the route's time limit and ends the work", async () => {
       const exchange = await world.send("/book/x");
       await world.advance(1_500);
