--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -262,9 +262,6 @@
   #onSilent(isGivenUp: boolean): void {
     if (this.#isOver || this.#head) return;
     this.#note("silent");
-    // Connections that were open before may carry nothing any more.
-    const { address } = this.#endpoint.announcement;
-    this.#context.services.client.forget(address);
     if (!isGivenUp) return;
     this.#stop({ kind: "unknown", reason: "the endpoint is silent" });
   }
@@ -371,6 +368,8 @@
     }
     if (!health.note(sign, services.clock.monotonicMs())) return;
     services.metrics.count("endpoints_ejected", sign);
+    // Connections that were open before may carry nothing any more.
+    services.client.forget(this.#endpoint.announcement.address);
     services.logger.log("warn", "endpoint-ejected", { endpoint: id, sign });
   }
 }
--- a/src/features/gateway/common/endpoint_health.ts
+++ b/src/features/gateway/common/endpoint_health.ts
@@ -8,8 +8,8 @@
 const EJECT_FAILURE_RATE = 0.4;
 /** Failures of transport in a row that eject without a rate. */
 const EJECT_BROKEN_IN_A_ROW = 3;
-/** Time without any answer after which silence ejects: some usual answers. */
-const SILENCE_EVIDENCE_MS = 300;
+/** Silent requests without an answer in between that eject; one may be a slow request. */
+const EJECT_SILENT_IN_A_ROW = 2;
 const FIRST_EJECTION_MS = 1_000;
 const MAX_EJECTION_MS = 6_000;
 
@@ -32,7 +32,7 @@
   readonly #window: boolean[] = [];
   #brokenInARow = 0;
   #ejections = 0;
-  #lastServedMs = -Infinity;
+  #silentInARow = 0;
   #ejectedUntilMs = -Infinity;
 
   /** Share of failures among the last outcomes. */
@@ -58,14 +58,14 @@
     this.#window.push(isFailure);
     if (this.#window.length > WINDOW_SIZE) this.#window.shift();
     this.#brokenInARow = sign === "broken" ? this.#brokenInARow + 1 : 0;
+    if (sign === "silent") this.#silentInARow++;
+    else if (sign !== "unreachable") this.#silentInARow = 0;
     if (!isFailure) {
-      this.#lastServedMs = nowMs;
       if (this.failureRate < EJECT_FAILURE_RATE / 2) this.#ejections = 0;
       return false;
     }
-    const hasOtherAnswers = nowMs - this.#lastServedMs < SILENCE_EVIDENCE_MS;
     const isBad = sign === "unreachable" ||
-      (sign === "silent" && !hasOtherAnswers) ||
+      this.#silentInARow >= EJECT_SILENT_IN_A_ROW ||
       this.failureRate >= EJECT_FAILURE_RATE ||
       this.#brokenInARow >= EJECT_BROKEN_IN_A_ROW;
     if (!isBad || this.isEjected(nowMs)) return false;
@@ -83,5 +83,6 @@
     this.#ejectedUntilMs = nowMs + durationMs;
     this.#window.length = 0;
     this.#brokenInARow = 0;
+    this.#silentInARow = 0;
   }
 }
