--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -19,8 +19,11 @@
  * endpoint with a third of its slots more in use still answers sooner.
  */
 const CALL_ZONE_COST = 0.34;
-/** Cost of another zone for a generation: a round trip matters little there. */
-const GENERATION_ZONE_COST = 0.12;
+/**
+ * Cost of another zone for a generation: a round trip matters little, but a cut
+ * ends what crosses it, and copies between zones take twice as long.
+ */
+const GENERATION_ZONE_COST = 0.2;
 /** Unread prompt tokens that cost as much as a full memory; about a second of prefill. */
 const FULL_BACKLOG_TOKENS = 14_000;
 /** Weight of a full batch: each run slows the tokens of the others. */
