--- a/soak/fault_proxy.ts
+++ b/soak/fault_proxy.ts
@@ -1,6 +1,7 @@
 /** Loopback proxy that stands between a client and a server and disturbs both. */
 
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
+import { listenOnLoopback } from "../platform/standins/loopback.ts";
 import type { Address } from "../src/base/common/ids.ts";
 import { splitAddress } from "../src/services/settings/common/schema_parts.ts";
 
@@ -33,12 +34,8 @@
   }
 
   /** @returns The address of the proxy, once it listens. */
-  async listen(): Promise<Address> {
-    await new Promise<void>((resolve) => {
-      this.#server.listen(0, "127.0.0.1", resolve);
-    });
-    const { port } = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${port}` as Address;
+  listen(): Promise<Address> {
+    return listenOnLoopback(this.#server);
   }
 
   /** Changes what happens from now on. */
--- a/src/features/gateway/common/load_board.ts
+++ b/src/features/gateway/common/load_board.ts
@@ -185,14 +185,14 @@
     memoryTokens: number,
     unreadTokens: number,
     copyTokens: number,
-    isNews = true,
+    isTold = true,
   ): void {
     const use = this.#own.get(endpoint) ?? noUse();
     addTo(use, { runs, memoryTokens, unreadTokens, copyTokens });
     if (use.runs === 0 && use.copyTokens === 0) this.#own.delete(endpoint);
     else this.#own.set(endpoint, use);
     // Growth is told with the next change or the next whole table.
-    if (isNews) this.#changed.fire(endpoint);
+    if (isTold) this.#changed.fire(endpoint);
   }
 }
 
