Read the gateway as a newcomer: order fields, name the configuration's state

No behaviour changes: the end of a try is a method, fields stand at the top, and soaks that run beside each other have addresses of their own.

--- a/soak/soak_world.ts
+++ b/soak/soak_world.ts
@@ -26,6 +26,8 @@
 
 const ZONES = ["zone-a", "zone-b"];
 const PORTS_PER_DAEMON = 10;
+/** Soaks that run beside each other differ in the thousands of their ports. */
+const PORTS_PER_BLOCK = 1_000;
 
 /** An endpoint behind its proxy. */
 export interface SoakEndpoint {
@@ -74,14 +76,16 @@
       await this.addEndpoint(service);
     }
     const seeds = [0, 1, 2].filter((index) => index < daemonCount)
-      .map((index) => `${ipOf(index)}:${this.#portOf(index) + 2}` as Address);
+      .map((index) =>
+        `${this.#ipOf(index)}:${this.#portOf(index) + 2}` as Address
+      );
     for (let index = 0; index < daemonCount; index++) {
       const proxy = new FaultProxy(storeAddress);
       this.storeProxies.push(proxy);
       const daemon = new DaemonProcess(
         {
           name: `host-${index}`,
-          ip: ipOf(index),
+          ip: this.#ipOf(index),
           zone: ZONES[index % ZONES.length]!,
           port: this.#portOf(index),
           storeAddress: await proxy.listen(),
@@ -160,6 +164,11 @@
     return this.#ports + index * PORTS_PER_DAEMON;
   }
 
+  /** Each daemon has a loopback address of its own, as a host would. */
+  #ipOf(index: number): string {
+    return `127.0.${Math.floor(this.#ports / PORTS_PER_BLOCK)}.${index + 1}`;
+  }
+
   async #startReplica(
     name: string,
   ): Promise<{ replica: ReplicaServer; proxy: FaultProxy }> {
@@ -202,11 +211,6 @@
 const endpointAddresses = new WeakMap<FaultProxy, Address>();
 const bornTimes = new WeakMap<ReplicaServer, number>();
 
-/** Each daemon has a loopback address of its own, as a host would. */
-function ipOf(index: number): string {
-  return `127.0.1.${index + 1}`;
-}
-
 function bornOf(replica: ReplicaServer): number {
   const bornMs = bornTimes.get(replica) ?? Date.now();
   bornTimes.set(replica, bornMs);
--- a/src/daemon/common/gateway_knowledge.ts
+++ b/src/daemon/common/gateway_knowledge.ts
@@ -5,7 +5,7 @@
 import type { EndpointAnnouncement } from "../../features/gateway/common/discovered_endpoint.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
 import type { GatewayConfiguration } from "../../features/gateway/common/gateway_configuration.ts";
-import type { ConfigurationState } from "../../features/gateway/common/gateway_state.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import {
   decodeHostEntry,
   HOST_PREFIX,
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -22,7 +22,7 @@
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { GatewayCodec } from "../../features/gateway/common/gateway_codec.ts";
 import { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
-import { ConfigurationState } from "../../features/gateway/common/gateway_state.ts";
+import { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import { LoadBoard } from "../../features/gateway/common/load_board.ts";
 import { LoadExchange } from "../../features/gateway/common/load_exchange.ts";
 import { ReportPoller } from "../../features/gateway/common/report_poller.ts";
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -3,6 +3,10 @@
  * that a torn answer can be replaced by another try and never looks complete.
  */
 
+import {
+  type Disposable,
+  NO_DISPOSABLE,
+} from "../../../base/common/lifecycle.ts";
 import {
   type HeaderList,
   isEndedByClose,
@@ -49,6 +53,8 @@
 /** Runs one call to its end. */
 export class CallForwarder {
   readonly #context: RequestContext;
+  /** Whether some try may have run the call. */
+  #wasRun = false;
 
   /** @param context - The request. */
   constructor(context: RequestContext) {
@@ -136,9 +142,6 @@
     else context.fail(503, "not-run", reason, REFUSED_RETRY_AFTER_MS);
   }
 
-  /** Whether some try may have run the call. */
-  #wasRun = false;
-
   #passOn({ status, headers, chunks }: CollectedAnswer): void {
     const { services, request } = this.#context;
     const { exchange } = request;
@@ -189,6 +192,7 @@
   readonly #endpoint: RegisteredEndpoint;
   readonly #resolve: (result: TryResult) => void;
   readonly #chunks: Uint8Array[] = [];
+  #claim: Disposable = NO_DISPOSABLE;
   #transfer: Transfer | undefined;
   #head:
     | { readonly status: number; readonly headers: HeaderList }
@@ -213,16 +217,7 @@
     const { services, request } = context;
     const { exchange, route } = request;
     const { announcement } = this.#endpoint;
-    const claim = services.board.claimCall(announcement.id);
-    context.owned.add(claim);
-    const resolve = this.#resolve;
-    const settle = (result: TryResult): void => {
-      if (this.#isOver) return;
-      this.#isOver = true;
-      claim.dispose();
-      resolve(result);
-    };
-    this.#settle = settle;
+    this.#claim = context.owned.add(services.board.claimCall(announcement.id));
     exchange.onDidEnd(() => this.#stop({ kind: "caller-left" }));
     context.setTimer(context.leftMs, () => this.#stop({ kind: "timed-out" }));
     const limitMs = Math.max(
@@ -257,7 +252,12 @@
     });
   }
 
-  #settle: (result: TryResult) => void = () => undefined;
+  #settle(result: TryResult): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#claim.dispose();
+    this.#resolve(result);
+  }
 
   #onSilent(isGivenUp: boolean): void {
     if (this.#isOver || this.#head) return;
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -15,7 +15,7 @@
 import type {
   ConfigurationInForce,
   ConfigurationState,
-} from "./gateway_state.ts";
+} from "./configuration_state.ts";
 import { pickTarget } from "./route_table.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -43,6 +43,8 @@
   readonly #silence: SilenceWatch;
   readonly #backup = new GenerationBackup();
   #leg: StreamLeg | undefined;
+  /** Head of the first run's answer, until the first event sends it. */
+  #pendingHead: HeaderList | undefined;
   readonly #events: DeliveredEvents;
   #refusedTries = 0;
   #isMoving = false;
@@ -165,8 +167,6 @@
     this.#backup.keepAt(endpoint, board, this.#size.heldTokens);
   }
 
-  #pendingHead: HeaderList | undefined;
-
   #onHead(headers: HeaderList): void {
     this.#wasRun = true;
     // The head goes out with the first event: until then another run may begin.
--- a/standins/gateway/gateway_world.ts
+++ b/standins/gateway/gateway_world.ts
@@ -28,7 +28,7 @@
   GatewayService,
 } from "../../src/features/gateway/common/gateway_configuration.ts";
 import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
-import { ConfigurationState } from "../../src/features/gateway/common/gateway_state.ts";
+import { ConfigurationState } from "../../src/features/gateway/common/configuration_state.ts";
 import { LoadBoard } from "../../src/features/gateway/common/load_board.ts";
 import { RunMover } from "../../src/features/gateway/common/run_mover.ts";
 import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
