Begin nothing at the very end of a stop; close connections that never sent

The server's own closing of idle connections spares those that have not sent a request.

Change: such connections are closed too, again and again while the host stops, and in the last 1.5 s every request is refused as not run. The tests of the listener and of the gateway failed before.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -59,6 +59,8 @@
 const BODY_MEMORY_SHARE = 0.15;
 /** Time for balancers to stop sending new connections after readiness ends. */
 const ROTATION_DELAY_MS = 2_600;
+/** Time before the end in which nothing begins; calls take up to a second. */
+const LAST_CALL_MS = 1_500;
 /** Part of the grace that is left for closing after the last answer. */
 const STOP_RESERVE_MS = 400;
 const BYTES_PER_MB = 1_048_576;
@@ -306,10 +308,14 @@
     this.#gateway.beginDrain();
     this.#callers.announceClose();
     await sleep(this.#clock, ROTATION_DELAY_MS);
+    // Streams whose head went out before leave their connections open.
     this.#callers.closeIdle();
     while (this.#callers.activeCount > 0) {
-      if (this.#clock.monotonicMs() - startMs > limitMs) break;
+      const tookMs = this.#clock.monotonicMs() - startMs;
+      if (tookMs > limitMs) break;
+      if (tookMs > limitMs - LAST_CALL_MS) this.#gateway.stopAdmitting();
       await sleep(this.#clock, TICK_MS);
+      this.#callers.closeIdle();
     }
     this.#logger.log("info", "drain-ended", {
       active: this.#gateway.activeCount,
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -68,6 +68,7 @@
   readonly #hasher: Hasher;
   #bodyBytesInUse = 0;
   #isDraining = false;
+  #isClosed = false;
   #activeCount = 0;
 
   /**
@@ -102,6 +103,11 @@
     this.#isDraining = true;
   }
 
+  /** From now on nothing begins: it could not end before this host stops. */
+  stopAdmitting(): void {
+    this.#isClosed = true;
+  }
+
   /** Takes a request from its head to its end. */
   async handle(exchange: CallerExchange): Promise<void> {
     this.#activeCount++;
@@ -185,6 +191,9 @@
   }
 
   #admit(exchange: CallerExchange, fields: CallerFields): Admission {
+    if (this.#isClosed) {
+      return refused(503, "this host stops", STOPPING_RETRY_AFTER_MS);
+    }
     const inForce = this.#state.current;
     if (!inForce) {
       return refused(
--- a/src/services/http/node/caller_listener.ts
+++ b/src/services/http/node/caller_listener.ts
@@ -35,7 +35,8 @@
   readonly #server: Server;
   readonly #received = new Emitter<CallerExchange>();
   readonly #sockets = new Set<Socket>();
-  readonly #busy = new Set<Socket>();
+  /** Requests without a whole answer, by connection. */
+  readonly #busy = new Map<Socket, number>();
   #isClosing = false;
 
   /** Fires for each request whose head was read. */
@@ -99,10 +100,16 @@
     this.#isClosing = true;
   }
 
-  /** Stops accepting and closes connections that carry no request. */
+  /**
+   * Stops accepting and closes connections that carry no request. Called again,
+   * it closes those that have become idle since.
+   */
   closeIdle(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    if (this.#server.listening) this.#server.close();
+    // The server itself spares connections that have never sent a request.
+    for (const socket of this.#sockets) {
+      if (!this.#busy.has(socket)) socket.end();
+    }
   }
 
   /** Closes everything. */
@@ -114,14 +121,18 @@
 
   #onRequest(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
-    this.#busy.add(socket);
+    this.#busy.set(socket, (this.#busy.get(socket) ?? 0) + 1);
     const exchange = new NodeExchange(
       request,
       response,
       this.#clock.monotonicMs(),
       () => this.#isClosing,
     );
-    exchange.onDidEnd(() => this.#busy.delete(socket));
+    exchange.onDidEnd(() => {
+      const left = (this.#busy.get(socket) ?? 1) - 1;
+      if (left > 0) this.#busy.set(socket, left);
+      else this.#busy.delete(socket);
+    });
     this.#received.fire(exchange);
   }
 }
--- /dev/null
+++ b/src/services/http/node/caller_listener_test.ts
@@ -0,0 +1,109 @@
+import { connect, type Socket } from "node:net";
+import type { Address } from "../../../base/common/ids.ts";
+import { SystemClock } from "../../../base/node/system_clock.ts";
+import { splitAddress } from "../../settings/common/schema_parts.ts";
+import type { CallerExchange } from "../common/caller_exchange.ts";
+import { CallerListener } from "./caller_listener.ts";
+
+const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+describe("CallerListener", () => {
+  let listener: CallerListener;
+  let socket: Socket;
+  let received: string;
+  let exchanges: CallerExchange[];
+
+  beforeEach(async () => {
+    listener = new CallerListener(new SystemClock());
+    exchanges = [];
+    listener.onDidReceive((exchange) => exchanges.push(exchange));
+    const address = await listener.listen("127.0.0.1:0" as Address);
+    const { ip, port } = splitAddress(address);
+    socket = connect({ host: ip, port });
+    received = "";
+    socket.on("data", (data) => received += data.toString());
+    socket.on("error", () => undefined);
+  });
+
+  afterEach(() => {
+    socket.destroy();
+    listener.dispose();
+  });
+
+  async function until(isDone: () => boolean): Promise<void> {
+    for (let turn = 0; turn < 500 && !isDone(); turn++) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    expect(isDone()).toBe(true);
+  }
+
+  it("closes a connection whose stream began before the stop, once it has ended", async () => {
+    let isClosed = false;
+    socket.on("close", () => isClosed = true);
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    const [exchange] = exchanges;
+    exchange!.start(200, []);
+    listener.announceClose();
+    listener.closeIdle();
+    exchange!.write(Buffer.from("event"));
+    expect(listener.activeCount).toBe(1);
+    exchange!.end();
+    await until(() => received.endsWith("0\r\n\r\n"));
+    await until(() => listener.activeCount === 0);
+    listener.closeIdle();
+    await until(() => isClosed);
+  });
+
+  it("closes a connection that has sent nothing yet", async () => {
+    let isClosed = false;
+    socket.on("close", () => isClosed = true);
+    await until(() => listener.connectionCount === 1);
+    listener.closeIdle();
+    await until(() => isClosed);
+  });
+
+  it("asks to close with each answer after the stop was announced", async () => {
+    listener.announceClose();
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.reply(200, [], "done");
+    await until(() => received.includes("done"));
+    expect(received.toLowerCase()).toContain("connection: close");
+  });
+
+  it("ends an answer without length by closing, and claims no length", async () => {
+    let hasEnded = false;
+    socket.on("end", () => hasEnded = true);
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.start(200, [], true);
+    exchanges[0]!.write(Buffer.from("maybe"));
+    exchanges[0]!.end();
+    await until(() => hasEnded);
+    expect(received.toLowerCase()).not.toContain("transfer-encoding");
+    expect(received.toLowerCase()).not.toContain("content-length");
+    expect(received.endsWith("maybe")).toBe(true);
+  });
+
+  it("resets a partial answer that is broken off", async () => {
+    let isClosed = false;
+    socket.on("close", () => isClosed = true);
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.start(200, []);
+    exchanges[0]!.write(Buffer.from("part"));
+    exchanges[0]!.breakOff();
+    await until(() => isClosed);
+    expect(received.endsWith("0\r\n\r\n")).toBe(false);
+  });
+
+  it("answers 400 to what is no request, such as two lengths", async () => {
+    socket.write(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n" +
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    );
+    await until(() => received.startsWith("HTTP/1.1 400"));
+    expect(exchanges).toHaveLength(0);
+  });
+});
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -64,6 +64,13 @@
     });
   });
 
+  it("begins nothing at the very end of a stop", async () => {
+    world.gateway.stopAdmitting();
+    const refused = await world.send("/book/x");
+    expect(refused.status).toBe(503);
+    expect(world.endpoints.transfers).toHaveLength(0);
+  });
+
   describe("plain calls", () => {
     it("passes an answer on as it is", async () => {
       const exchange = await world.send("/book/x");
