Drop two accessors that nothing reads

Cause: the one-step move no longer asks whether a run's connection failed, and nobody asks the watcher whether it is connected. No behaviour changes; types, lint of both folders and 66 tests of gateway and mirror pass.

--- a/src/features/gateway/common/stream_leg.ts
+++ b/src/features/gateway/common/stream_leg.ts
@@ -51,7 +51,6 @@
   #failedAnswer: Uint8Array[] = [];
   #failedBytes = 0;
   #firstEventMs: number | undefined;
-  #hasFailed = false;
   #isOver = false;
 
   /** @param options - What the leg is made from. */
@@ -80,11 +79,6 @@
     return isEndedByClose(exchange.method, this.#status, this.#headers);
   }
 
-  /** Whether its connection broke. */
-  get hasFailed(): boolean {
-    return this.#hasFailed;
-  }
-
   /** Whether another run came before. */
   get isContinuation(): boolean {
     return this.#options.continuation !== undefined;
@@ -217,7 +211,6 @@
   #fail(wasSent: boolean, reason: string): void {
     if (this.#isOver) return;
     this.#isOver = true;
-    this.#hasFailed = true;
     this.#options.claim.dispose();
     this.#options.listener.onLost(wasSent, reason);
   }
--- a/src/services/mirror/common/store_watcher.ts
+++ b/src/services/mirror/common/store_watcher.ts
@@ -39,11 +39,6 @@
     this.#services = services;
   }
 
-  /** Whether the last call to the store succeeded. */
-  get isConnected(): boolean {
-    return this.#hasListed;
-  }
-
   /** Runs until disposed. */
   async run(): Promise<void> {
     const { clock, isNeeded } = this.#services;
