--- /dev/null
+++ b/scenarios/outcomes/outcome_schedules_1_test.ts
@@ -0,0 +1,3 @@
+import { describeSchedules } from "./outcome_schedules.ts";
+
+describeSchedules([1, 2, 3, 4, 5]);
