--- a/scenarios/runner/scenario_schema.ts
+++ b/scenarios/runner/scenario_schema.ts
@@ -1,6 +1,6 @@
 /** The test language: what a scenario file may say. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 const name = z.string().min(1);
 const durationMs = z.number().int().nonnegative();
--- a/src/daemon/common/openai_format.ts
+++ b/src/daemon/common/openai_format.ts
@@ -1,6 +1,6 @@
 /** Requests and answers in the form that OpenAI clients use. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { GenerationId } from "../../base/common/ids.ts";
 import { type Either, Left, Right } from "../../base/common/result.ts";
 import type { Token } from "../../features/generations/common/frame_sequencer.ts";
--- a/src/features/configuration/common/configuration_messages.ts
+++ b/src/features/configuration/common/configuration_messages.ts
@@ -1,6 +1,6 @@
 /** Messages between daemons about the configuration. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { TeamName } from "../../../base/common/ids.ts";
 import { Left, Right } from "../../../base/common/result.ts";
 import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
--- a/src/features/configuration/common/team_document.ts
+++ b/src/features/configuration/common/team_document.ts
@@ -1,6 +1,6 @@
 /** The document in which a team sets its workspaces, services and routes. */
 
-import { z } from "zod";
+import * as z from "zod";
 import {
   addressSchema,
   nameSchema,
--- a/src/features/dispatch/common/dispatch_messages.ts
+++ b/src/features/dispatch/common/dispatch_messages.ts
@@ -1,6 +1,6 @@
 /** Messages of the channel `dispatch.v1` between daemons. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Brand } from "../../../base/common/brand.ts";
 import {
   type Address,
--- a/src/features/endpoints/common/endpoint_mark.ts
+++ b/src/features/endpoints/common/endpoint_mark.ts
@@ -1,6 +1,6 @@
 /** What daemons tell each other about endpoints that leave or return. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { EndpointId, ServiceId } from "../../../base/common/ids.ts";
 import { Left, Right } from "../../../base/common/result.ts";
 import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
--- a/src/features/generations/common/generation_followers.ts
+++ b/src/features/generations/common/generation_followers.ts
@@ -3,7 +3,7 @@
  * that it left must learn that the generation is still wanted.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Clock } from "../../../base/common/clock.ts";
 import { asId, type GenerationId } from "../../../base/common/ids.ts";
 import {
--- a/src/features/ledger/common/ledger_messages.ts
+++ b/src/features/ledger/common/ledger_messages.ts
@@ -1,6 +1,6 @@
 /** Messages between a host and the writer of a shard. */
 
-import { z } from "zod";
+import * as z from "zod";
 import { type Either, Left, Right } from "../../../base/common/result.ts";
 import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
 import type { LedgerOperation, OperationResult } from "./claim_operation.ts";
--- a/src/features/quarantine/common/quarantine_messages.ts
+++ b/src/features/quarantine/common/quarantine_messages.ts
@@ -1,6 +1,6 @@
 /** What daemons tell each other about requests that may kill endpoints. */
 
-import { z } from "zod";
+import * as z from "zod";
 import { messageOf } from "../../../base/common/errors.ts";
 import { asId, type WorkspaceId } from "../../../base/common/ids.ts";
 import { attempt } from "../../../base/common/result.ts";
--- a/src/services/endpoints/node/engine_messages.ts
+++ b/src/services/endpoints/node/engine_messages.ts
@@ -1,6 +1,6 @@
 /** Checked JSON messages of a model engine. */
 
-import { z } from "zod";
+import * as z from "zod";
 import {
   attempt,
   type Either,
--- a/src/services/endpoints/node/http_engine_client.ts
+++ b/src/services/endpoints/node/http_engine_client.ts
@@ -1,7 +1,7 @@
 /** Engine client over HTTP with server-sent events. */
 
 import { Agent, request } from "undici";
-import type { z } from "zod";
+import type * as z from "zod";
 import { messageOf } from "../../../base/common/errors.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { GenerationId } from "../../../base/common/ids.ts";
--- a/src/services/hosts/common/host_entry.ts
+++ b/src/services/hosts/common/host_entry.ts
@@ -1,6 +1,6 @@
 /** Entries of hosts in the store: who is there and where peers reach it. */
 
-import { z } from "zod";
+import * as z from "zod";
 import { messageOf } from "../../../base/common/errors.ts";
 import type { HostId, ZoneName } from "../../../base/common/ids.ts";
 import {
--- a/src/services/hosts/common/host_list_format.ts
+++ b/src/services/hosts/common/host_list_format.ts
@@ -1,6 +1,6 @@
 /** The list's form: JSON of Prometheus' HTTP service discovery. */
 
-import { z } from "zod";
+import * as z from "zod";
 import {
   asId,
   type EndpointId,
--- a/src/services/membership/common/member_record.ts
+++ b/src/services/membership/common/member_record.ts
@@ -1,6 +1,6 @@
 /** What daemons tell each other about a daemon, and which of two records counts. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { HostId, ZoneName } from "../../../base/common/ids.ts";
 import { type Either, Left, Right } from "../../../base/common/result.ts";
 import type { PeerAddress } from "../../peers/common/peer_links.ts";
--- a/src/services/peers/common/peer_hello.ts
+++ b/src/services/peers/common/peer_hello.ts
@@ -1,6 +1,6 @@
 /** The handshake of a link: who is there, and the proof of the shared secret. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { HostId, ZoneName } from "../../../base/common/ids.ts";
 import { type Either, Left, Right } from "../../../base/common/result.ts";
 import { nameSchema } from "../../settings/common/schema_parts.ts";
--- a/src/services/settings/common/checked_yaml.ts
+++ b/src/services/settings/common/checked_yaml.ts
@@ -2,7 +2,7 @@
 
 import { LineCounter, parseDocument } from "yaml";
 import type { Document } from "yaml";
-import type { z } from "zod";
+import type * as z from "zod";
 import { type Either, Left, Right } from "../../../base/common/result.ts";
 
 /** One mistake in a document. */
--- a/src/services/settings/common/daemon_settings.ts
+++ b/src/services/settings/common/daemon_settings.ts
@@ -1,6 +1,6 @@
 /** Settings of one daemon. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Address, HostId, ZoneName } from "../../../base/common/ids.ts";
 import { addressSchema, nameSchema } from "./schema_parts.ts";
 
--- a/src/services/settings/common/schema_parts.ts
+++ b/src/services/settings/common/schema_parts.ts
@@ -1,6 +1,6 @@
 /** Parts that several schemas share. */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { Address } from "../../../base/common/ids.ts";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9_.-]{0,62}$/;
