Link large fleets through hubs instead of a full mesh

Three hubs a zone, those with the most processor and network, now pass rows and leaving engines on; other daemons report to one of them. Rows are numbered at their origin, so that none circulates. Fleets of up to three hosts a zone stay a full mesh. Leases of hosts last 24 s instead of 9 s, which saves two thirds of the renewals. Both kinds of forwarding now note an endpoint's health in one place, which also closes idle connections.

Tests: fleet_load_test.ts, which failed first for daemons that became leaves after their links were up.

--- a/src/daemon/common/gateway_knowledge.ts
+++ b/src/daemon/common/gateway_knowledge.ts
@@ -15,7 +15,7 @@
   MirrorChange,
   StoreMirror,
 } from "../../services/mirror/common/store_mirror.ts";
-import type { PeerAddress } from "../../services/peers/common/peer_links.ts";
+import type { FleetHost } from "../../services/peers/common/link_planner.ts";
 
 /** Where documents are in the store, and how they are read. */
 export interface StoreDecoder {
@@ -32,7 +32,7 @@
 
 /** Hears which hosts are listed. */
 export interface PeerListener {
-  onHostListed(peer: PeerAddress): void;
+  onHostListed(peer: FleetHost): void;
   onHostUnlisted(host: HostId): void;
 }
 
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -3,12 +3,11 @@
  * adapter of a platform brings the store, the codec and the decoders.
  */
 
-import { createServer, type Server } from "node:http";
 import { type Clock, setPeriodic, sleep } from "../../base/common/clock.ts";
 import { messageOf } from "../../base/common/errors.ts";
 import { createHasher, type Hasher } from "../../base/common/hasher.ts";
 import type { Address, HostId, ZoneName } from "../../base/common/ids.ts";
-import { DisposableStore, toDisposable } from "../../base/common/lifecycle.ts";
+import { DisposableStore } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import {
   GatewayKnowledge,
@@ -35,6 +34,7 @@
 import { HostLease } from "../../services/hosts/common/host_lease.ts";
 import { CallerListener } from "../../services/http/node/caller_listener.ts";
 import type { JsonClient } from "../../services/http/node/json_client.ts";
+import { type Page, PageServer } from "../../services/http/node/page_server.ts";
 import { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import { MirrorExchange } from "../../services/mirror/common/mirror_exchange.ts";
@@ -44,9 +44,8 @@
 } from "../../services/mirror/common/revisioned_store.ts";
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import { StoreWatcher } from "../../services/mirror/common/store_watcher.ts";
-import type { PeerAddress } from "../../services/peers/common/peer_links.ts";
+import type { FleetHost } from "../../services/peers/common/link_planner.ts";
 import { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
-import { splitAddress } from "../../services/settings/common/schema_parts.ts";
 
 const TICK_MS = 100;
 /** Part of the revocation delay that is left for a request on its way. */
@@ -85,6 +84,8 @@
   readonly readyAddress: Address;
   readonly peersAddress: Address;
   readonly metricsAddress: Address;
+  /** Part in relaying news that the host can bear; greater ones go first. */
+  readonly relayCapacity: number;
 }
 
 /** What the adapter of a platform brings. */
@@ -149,11 +150,15 @@
         self: { host, zone, incarnation },
         secret: platform.peerSecret,
         seed: hasher.hash32(host),
-        pace: () => this.#peers.linkPace(),
         introduce: () => this.#peers.introduction(),
       }),
     );
-    const self: PeerAddress = { host, zone, address: settings.peersAddress };
+    const self: FleetHost = {
+      host,
+      zone,
+      address: settings.peersAddress,
+      capacity: settings.relayCapacity,
+    };
     this.#peers = this.#owned.add(
       new GatewayPeers({
         clock,
@@ -196,7 +201,9 @@
       ),
     );
     const board = new LoadBoard(clock);
-    this.#owned.add(new LoadExchange(clock, this.#links, board));
+    this.#owned.add(
+      new LoadExchange(host, clock, this.#links, this.#peers, board),
+    );
     this.#client = new UndiciPassThroughClient(clock);
     this.#gateway = new Gateway(
       {
@@ -239,6 +246,7 @@
         hasher,
         logger,
         this.#links,
+        this.#peers,
         this.#registry,
         platform.control,
         ({ announcement }) =>
@@ -394,27 +402,8 @@
     return { status: 200, text };
   }
 
-  async #serve(address: Address, page: () => Promise<Page>): Promise<void> {
-    const server: Server = createServer((_request, response) => {
-      page().then(({ status, text }) => {
-        response.writeHead(status, {
-          "content-length": Buffer.byteLength(text),
-        });
-        response.end(text);
-      }, (thrown: unknown) => {
-        this.#logger.log("error", "page-failed", { detail: messageOf(thrown) });
-        response.writeHead(500).end();
-      });
-    });
-    this.#owned.add(toDisposable(() => {
-      server.close();
-      server.closeAllConnections();
-    }));
-    const { ip, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, ip, resolve);
-    });
+  #serve(address: Address, page: () => Promise<Page>): Promise<void> {
+    return this.#owned.add(new PageServer(this.#logger, page)).listen(address);
   }
 
   #tick(): void {
@@ -440,8 +429,3 @@
     };
   }
 }
-
-interface Page {
-  readonly status: number;
-  readonly text: string;
-}
--- a/src/daemon/node/gateway_peers.ts
+++ b/src/daemon/node/gateway_peers.ts
@@ -2,20 +2,24 @@
 
 import { type Clock, setPeriodic } from "../../base/common/clock.ts";
 import { type Hasher, rendezvousOrder } from "../../base/common/hasher.ts";
+import { Emitter } from "../../base/common/event.ts";
 import type { Address, HostId } from "../../base/common/ids.ts";
-import { type Disposable } from "../../base/common/lifecycle.ts";
-import { toPeerAddress } from "../../services/hosts/common/host_entry.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../base/common/lifecycle.ts";
+import { toFleetHost } from "../../services/hosts/common/host_entry.ts";
 import type { JsonClient } from "../../services/http/node/json_client.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
-import type {
-  PeerAddress,
-  PeerLinks,
-} from "../../services/peers/common/peer_links.ts";
 import {
-  INTRODUCTION_PATH,
-  type LinkPace,
-} from "../../services/peers/node/ws_peer_links.ts";
+  type FleetHost,
+  type LinkPlan,
+  LinkPlanner,
+} from "../../services/peers/common/link_planner.ts";
+import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
+import { INTRODUCTION_PATH } from "../../services/peers/node/ws_peer_links.ts";
 import type { MirrorTopology } from "../../services/mirror/common/mirror_exchange.ts";
 import type { PeerListener } from "../common/gateway_knowledge.ts";
 
@@ -26,11 +30,8 @@
 const INTRODUCTION_TIMEOUT_MS = 700;
 const INTRODUCTION_PERIOD_MS = 500;
 
-/** Fleet up to which links are kept alive at the usual pace. */
-const USUAL_FLEET = 30;
-const KEEPALIVE_AFTER_MS = 1_200;
-/** Silence that closes a link, in keepalives. */
-const SILENT_KEEPALIVES = 2.5;
+/** How often links are planned anew: dead hubs are replaced after 1.5 s. */
+const PLAN_PERIOD_MS = 500;
 
 /** What the peers are made from. */
 export interface GatewayPeersServices {
@@ -40,61 +41,85 @@
   readonly http: JsonClient;
   readonly links: PeerLinks;
   readonly mirror: StoreMirror;
-  readonly self: PeerAddress;
+  readonly self: FleetHost;
   readonly seedAddresses: () => readonly Address[];
 }
 
-/** Keeps links to all daemons that are known. */
-export class GatewayPeers implements PeerListener, MirrorTopology, Disposable {
+/** Keeps the links that the daemons have planned among them. */
+export class GatewayPeers
+  implements PeerListener, MirrorTopology, PeerOverlay, Disposable {
   readonly #services: GatewayPeersServices;
-  readonly #peers = new Map<HostId, PeerAddress>();
-  readonly #timer: Disposable;
+  readonly #planner: LinkPlanner;
+  readonly #owned = new DisposableStore();
+  readonly #didChangeHome = this.#owned.add(new Emitter<void>());
+  #plan: LinkPlan;
+  #targets = "";
+  #home: HostId | undefined;
+
+  /** {@inheritDoc PeerOverlay.onDidChangeHome} */
+  readonly onDidChangeHome = this.#didChangeHome.event;
 
   /** @param services - What the peers are made from. */
   constructor(services: GatewayPeersServices) {
+    const { clock, hasher, links, self } = services;
     this.#services = services;
-    this.#timer = setPeriodic(
-      services.clock,
-      INTRODUCTION_PERIOD_MS,
-      () => this.askSeeds(),
+    this.#planner = new LinkPlanner(clock, hasher, self);
+    this.#plan = this.#planner.plan(() => false);
+    this.#owned.add(
+      setPeriodic(clock, INTRODUCTION_PERIOD_MS, () => this.askSeeds()),
     );
+    this.#owned.add(setPeriodic(clock, PLAN_PERIOD_MS, () => this.#replan()));
+    this.#owned.add(links.onDidChangeLink(() => this.#replan()));
   }
 
   /** Daemons in the fleet, as far as is known. */
   get fleetSize(): number {
-    const linked = this.#services.links.connectedHosts().length + 1;
-    return Math.max(linked, this.#peers.size);
+    return this.#planner.hosts.size;
+  }
+
+  /** {@inheritDoc PeerOverlay.isHub} */
+  get isHub(): boolean {
+    return this.#plan.isHub;
+  }
+
+  /** {@inheritDoc PeerOverlay.home} */
+  home(): HostId | undefined {
+    return this.#home;
+  }
+
+  /** {@inheritDoc PeerOverlay.linkedHubs} */
+  linkedHubs(): readonly HostId[] {
+    const { links } = this.#services;
+    return links.connectedHosts().filter((host) => this.#plan.hubs.has(host));
+  }
+
+  /** {@inheritDoc PeerOverlay.linkedLeaves} */
+  linkedLeaves(): readonly HostId[] {
+    if (!this.#plan.isHub) return [];
+    const { links } = this.#services;
+    return links.connectedHosts().filter((host) => !this.#plan.hubs.has(host));
   }
 
   /** {@inheritDoc PeerListener.onHostListed} */
-  onHostListed(peer: PeerAddress): void {
-    this.#peers.set(peer.host, peer);
-    this.#dial();
+  onHostListed(host: FleetHost): void {
+    this.#planner.add(host);
+    this.#replan();
   }
 
   /** {@inheritDoc PeerListener.onHostUnlisted} */
   onHostUnlisted(host: HostId): void {
     // A lease may lapse with the store while its host lives.
     if (this.#services.links.connectedHosts().includes(host)) return;
-    this.#peers.delete(host);
-    this.#dial();
-  }
-
-  /** Pace of the links: the cost of keepalives grows with the fleet. */
-  linkPace(): LinkPace {
-    const factor = Math.max(1, this.fleetSize / USUAL_FLEET);
-    const keepaliveAfterMs = KEEPALIVE_AFTER_MS * factor;
-    return {
-      keepaliveAfterMs,
-      silenceLimitMs: keepaliveAfterMs * SILENT_KEEPALIVES,
-    };
+    this.#planner.remove(host);
+    this.#replan();
   }
 
   /** Whether this daemon is one of those that ask the store for its zone. */
   isRelay(): boolean {
     const { mirror, self } = this.#services;
     if (mirror.confirmationAgeMs > OWN_WATCH_AGE_MS) return true;
-    return this.#relayOrder().indexOf(self.host) < RELAYS_PER_ZONE;
+    const order = this.#relayOrder();
+    return order.slice(0, RELAYS_PER_ZONE).includes(self.host);
   }
 
   /** {@inheritDoc MirrorTopology.source} */
@@ -108,22 +133,25 @@
     return this.isRelay() ? this.#near() : [];
   }
 
+  /** Hubs of the zone that are there, in the order in which they relay. */
   #relayOrder(): readonly HostId[] {
     const { hasher, self } = this.#services;
-    return rendezvousOrder(hasher, self.zone, [self.host, ...this.#near()]);
+    const hubs = this.#linkedZoneHubs();
+    if (this.#plan.isHub) hubs.push(self.host);
+    return rendezvousOrder(hasher, self.zone, hubs);
   }
 
   /** Linked daemons of the own zone. */
   #near(): readonly HostId[] {
     const { links, self } = this.#services;
     return links.connectedHosts().filter((peer) =>
-      this.#peers.get(peer)?.zone === self.zone
+      this.#planner.hosts.get(peer)?.zone === self.zone
     );
   }
 
   /** @returns Text for a daemon that starts while the store is away. */
   introduction(): string {
-    return JSON.stringify([this.#services.self, ...this.#peers.values()]);
+    return JSON.stringify([...this.#planner.hosts.values()]);
   }
 
   /** Asks the seeds for their peers, while nothing else tells of any. */
@@ -138,7 +166,7 @@
 
   /** Stops asking. */
   dispose(): void {
-    this.#timer.dispose();
+    this.#owned.dispose();
   }
 
   async #askSeed(seed: Address): Promise<void> {
@@ -158,24 +186,42 @@
   #learnFrom(seed: Address, body: unknown): void {
     const values: readonly unknown[] = Array.isArray(body) ? body : [];
     for (const value of values) {
-      toPeerAddress(value).caseOf({
+      toFleetHost(value).caseOf({
         Left: (detail) =>
           this.#services.logger.log("warn", "introduction-unreadable", {
             peer: seed,
             detail,
           }),
         Right: (peer) => {
-          if (!this.#peers.has(peer.host)) this.#peers.set(peer.host, peer);
+          if (!this.#planner.hosts.has(peer.host)) this.#planner.add(peer);
         },
       });
     }
-    this.#dial();
-  }
-
-  #dial(): void {
-    const { links, self } = this.#services;
-    links.setPeers(
-      [...this.#peers.values()].filter(({ host }) => host !== self.host),
-    );
+    this.#replan();
+  }
+
+  #replan(): void {
+    const { hasher, links, logger, self } = this.#services;
+    const linked = new Set(links.connectedHosts());
+    this.#plan = this.#planner.plan((host) => linked.has(host));
+    const targets = this.#plan.targets.map(({ host, address }) =>
+      `${host} ${address}`
+    ).join();
+    if (targets !== this.#targets) {
+      this.#targets = targets;
+      links.setPeers(this.#plan.targets);
+    }
+    const home = this.#plan.isHub
+      ? undefined
+      : rendezvousOrder(hasher, self.host, this.#linkedZoneHubs())[0];
+    if (home === this.#home) return;
+    this.#home = home;
+    logger.log("info", "home-hub-changed", { peer: home, hub: this.isHub });
+    this.#didChangeHome.fire();
+  }
+
+  #linkedZoneHubs(): HostId[] {
+    const linked = this.#services.links.connectedHosts();
+    return this.#plan.zoneHubs.filter((hub) => linked.includes(hub));
   }
 }
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -356,7 +356,6 @@
   }
 
   #note(sign: HealthSign): void {
-    const { services } = this.#context;
     const { health, id } = this.#endpoint;
     if (sign !== "served") {
       this.#context.log("info", "call-try-failed", {
@@ -366,10 +365,6 @@
         failureRate: Number(health.failureRate.toFixed(2)),
       });
     }
-    if (!health.note(sign, services.clock.monotonicMs())) return;
-    services.metrics.count("endpoints_ejected", sign);
-    // Connections that were open before may carry nothing any more.
-    services.client.forget(this.#endpoint.announcement.address);
-    services.logger.log("warn", "endpoint-ejected", { endpoint: id, sign });
+    this.#context.noteHealth(this.#endpoint, sign);
   }
 }
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -12,7 +12,11 @@
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
 import type { EndpointChooser } from "./endpoint_choice.ts";
 import type { EndpointProbe } from "./endpoint_probe.ts";
-import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { HealthSign } from "./endpoint_health.ts";
+import type {
+  EndpointRegistry,
+  RegisteredEndpoint,
+} from "./endpoint_registry.ts";
 import type { CallerFields, GatewayCodec } from "./gateway_codec.ts";
 import type {
   GatewayRoute,
@@ -116,6 +120,19 @@
     return true;
   }
 
+  /** Takes note of how an endpoint did with this request. */
+  noteHealth(
+    { announcement, health, id }: RegisteredEndpoint,
+    sign: HealthSign,
+  ): void {
+    const { client, clock, logger, metrics } = this.services;
+    if (!health.note(sign, clock.monotonicMs())) return;
+    metrics.count("endpoints_ejected", sign);
+    // Connections that were open before may carry nothing any more.
+    client.forget(announcement.address);
+    logger.log("warn", "endpoint-ejected", { endpoint: id, sign });
+  }
+
   /** Takes note of the first byte of the answer. */
   markFirstByte(): void {
     this.#firstByteMs ??= this.services.clock.monotonicMs();
--- a/src/features/gateway/common/load_board.ts
+++ b/src/features/gateway/common/load_board.ts
@@ -35,6 +35,7 @@
 
 interface PeerRows {
   readonly rows: Map<EndpointId, EndpointUse>;
+  revision: number;
   toldMs: number;
 }
 
@@ -138,41 +139,67 @@
     return { endpoint, ...use };
   }
 
+  /** @returns Rows of the peers that have told lately, by host. */
+  peerRows(): {
+    host: HostId;
+    revision: number;
+    rows: readonly UseRow[];
+  }[] {
+    this.#forgetSilentPeers();
+    return [...this.#peers].map(([host, { revision, rows }]) => ({
+      host,
+      revision,
+      rows: [...rows].map(([endpoint, use]) => ({ endpoint, ...use })),
+    }));
+  }
+
   /**
    * Takes in rows of a peer.
    *
    * @param host - The peer.
+   * @param revision - Number of the rows, which grows.
    * @param rows - Its rows; others stay as they were.
    * @param isWhole - Whether these are all rows that it has.
+   * @returns Whether they are newer than what was known.
    */
-  applyPeerRows(host: HostId, rows: readonly UseRow[], isWhole: boolean): void {
-    const known = isWhole ? undefined : this.#peers.get(host);
-    const peer = known ??
-      { rows: new Map<EndpointId, EndpointUse>(), toldMs: 0 };
-    peer.toldMs = this.#clock.monotonicMs();
+  applyPeerRows(
+    host: HostId,
+    revision: number,
+    rows: readonly UseRow[],
+    isWhole: boolean,
+  ): boolean {
+    const known = this.#peers.get(host);
+    if (known && revision <= known.revision) return false;
+    const kept = isWhole ? undefined : known?.rows;
+    const next = kept ?? new Map<EndpointId, EndpointUse>();
     for (const { endpoint, ...use } of rows) {
-      if (use.runs === 0 && use.copyTokens === 0) peer.rows.delete(endpoint);
-      else peer.rows.set(endpoint, use);
+      if (use.runs === 0 && use.copyTokens === 0) next.delete(endpoint);
+      else next.set(endpoint, use);
     }
-    this.#peers.set(host, peer);
+    const toldMs = this.#clock.monotonicMs();
+    this.#peers.set(host, { rows: next, revision, toldMs });
+    return true;
   }
 
   /** @returns What all daemons use of an endpoint, as far as is known. */
   totalUse(endpoint: EndpointId): EndpointUse {
     const total = { ...(this.#own.get(endpoint) ?? noUse()) };
     total.runs += this.#calls.get(endpoint) ?? 0;
-    const oldestMs = this.#clock.monotonicMs() - PEER_ROWS_LIFETIME_MS;
-    for (const [host, { rows, toldMs }] of this.#peers) {
-      if (toldMs < oldestMs) {
-        this.#peers.delete(host);
-        continue;
-      }
+    this.#forgetSilentPeers();
+    for (const { rows } of this.#peers.values()) {
       const use = rows.get(endpoint);
       if (use) addTo(total, use);
     }
     return total;
   }
 
+  #forgetSilentPeers(): void {
+    const oldestMs = this.#clock.monotonicMs() - PEER_ROWS_LIFETIME_MS;
+    for (const [host, { toldMs }] of this.#peers) {
+      if (toldMs < oldestMs) this.#peers.delete(host);
+    }
+  }
+
   #addCall(endpoint: EndpointId, by: number): void {
     const count = (this.#calls.get(endpoint) ?? 0) + by;
     if (count === 0) this.#calls.delete(endpoint);
--- a/src/features/gateway/common/report_poller.ts
+++ b/src/features/gateway/common/report_poller.ts
@@ -17,6 +17,7 @@
   PeerChannelSpec,
   PeerLinks,
 } from "../../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
@@ -47,7 +48,7 @@
   readonly #self: HostId;
   readonly #hasher: Hasher;
   readonly #logger: Logger;
-  readonly #links: PeerLinks;
+  readonly #overlay: PeerOverlay;
   readonly #registry: EndpointRegistry;
   readonly #control: EngineControl;
   readonly #isEngine: (endpoint: RegisteredEndpoint) => boolean;
@@ -61,6 +62,7 @@
    * @param hasher - Deals the engines out.
    * @param logger - Where reports without an answer are told.
    * @param links - Links to the peers.
+   * @param overlay - Hubs, which share the engines among them.
    * @param registry - The endpoints.
    * @param control - Reads reports.
    * @param isEngine - Whether an endpoint gives reports.
@@ -71,6 +73,7 @@
     hasher: Hasher,
     logger: Logger,
     links: PeerLinks,
+    overlay: PeerOverlay,
     registry: EndpointRegistry,
     control: EngineControl,
     isEngine: (endpoint: RegisteredEndpoint) => boolean,
@@ -78,15 +81,16 @@
     this.#self = self;
     this.#hasher = hasher;
     this.#logger = logger;
-    this.#links = links;
+    this.#overlay = overlay;
     this.#registry = registry;
     this.#control = control;
     this.#isEngine = isEngine;
     this.#channel = this.#owned.add(links.openChannel(LEAVING_CHANNEL));
     this.#owned.add(this.#channel.onDidReceive(({ body }) => {
       const known = registry.get(body.endpoint);
-      if (known?.announcement.bornMs !== body.bornMs) return;
+      if (known?.announcement.bornMs !== body.bornMs || !known.isUsable) return;
       registry.leave(body.endpoint, "told by a peer");
+      this.#channel.multicast(overlay.linkedLeaves(), body);
     }));
     this.#owned.add(setPeriodic(clock, POLL_PERIOD_MS, () => this.#poll()));
   }
@@ -97,7 +101,8 @@
   }
 
   #poll(): void {
-    const hosts = [this.#self, ...this.#links.connectedHosts()];
+    if (!this.#overlay.isHub) return;
+    const hosts = [this.#self, ...this.#overlay.linkedHubs()];
     for (const endpoint of this.#registry.all) {
       if (!endpoint.isUsable || !this.#isEngine(endpoint)) continue;
       const [owner] = rendezvousOrder(this.#hasher, endpoint.id, hosts);
--- a/src/features/gateway/common/stream_leg.ts
+++ b/src/features/gateway/common/stream_leg.ts
@@ -144,13 +144,7 @@
 
   /** Takes note of how the endpoint did. */
   note(sign: HealthSign): void {
-    const { context, endpoint } = this.#options;
-    const { services } = context;
-    const wasEjected = endpoint.health.note(sign, services.clock.monotonicMs());
-    if (!wasEjected) return;
-    services.metrics.count("endpoints_ejected", sign);
-    const fields = { endpoint: endpoint.id, sign };
-    services.logger.log("warn", "endpoint-ejected", fields);
+    this.#options.context.noteHealth(this.endpoint, sign);
   }
 
   /** Closes the connection; the listener hears no more. */
--- a/src/services/hosts/common/host_entry.ts
+++ b/src/services/hosts/common/host_entry.ts
@@ -9,7 +9,7 @@
   Left,
   Right,
 } from "../../../base/common/result.ts";
-import type { PeerAddress } from "../../peers/common/peer_links.ts";
+import type { FleetHost } from "../../peers/common/link_planner.ts";
 import {
   addressSchema,
   nameSchema,
@@ -22,10 +22,11 @@
   host: nameSchema.transform((text) => text as HostId),
   zone: nameSchema.transform((text) => text as ZoneName),
   address: addressSchema,
+  capacity: z.number().nonnegative(),
 });
 
 /** @returns The value of a host's entry. */
-export function encodeHostEntry(entry: PeerAddress): Uint8Array {
+export function encodeHostEntry(entry: FleetHost): Uint8Array {
   return new TextEncoder().encode(JSON.stringify(entry));
 }
 
@@ -35,18 +36,18 @@
  */
 export function decodeHostEntry(
   bytes: Uint8Array,
-): Either<string, PeerAddress> {
+): Either<string, FleetHost> {
   return attempt<string, unknown>(
     () => JSON.parse(new TextDecoder().decode(bytes)) as unknown,
     (thrown) => messageOf(thrown),
-  ).chain(toPeerAddress);
+  ).chain(toFleetHost);
 }
 
 /**
  * @param value - A host's entry that was decoded already.
  * @returns The checked entry.
  */
-export function toPeerAddress(value: unknown): Either<string, PeerAddress> {
+export function toFleetHost(value: unknown): Either<string, FleetHost> {
   const checked = entrySchema.safeParse(value);
   return checked.success ? Right(checked.data) : Left(checked.error.message);
 }
--- a/src/services/hosts/common/host_lease.ts
+++ b/src/services/hosts/common/host_lease.ts
@@ -9,8 +9,11 @@
   StoreCallFailure,
 } from "../../mirror/common/revisioned_store.ts";
 
-/** Lifetime of an entry after its host has died; peers notice sooner by links. */
-const LEASE_TTL_MS = 9_000;
+/**
+ * Lifetime of an entry after its host has died. Links notice death in seconds,
+ * and a lease of this length outlives most outages of the store.
+ */
+const LEASE_TTL_MS = 24_000;
 /** Two renewals may be lost before the entry goes. */
 const RENEWALS_PER_TTL = 3;
 const RETRY_PAUSE_MS = 400;
--- a/src/services/http/node/json_client.ts
+++ b/src/services/http/node/json_client.ts
@@ -12,6 +12,8 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** Unused connections are closed before most servers do so. */
 const IDLE_LIMIT_MS = 4_000;
+/** Addresses that are not called for so long are gone; peers are polled each 0.5 s. */
+const POOL_LIFETIME_MS = 30_000;
 
 /** A call. */
 export interface JsonCall {
@@ -31,7 +33,7 @@
 /** Calls any address; a call without an answer may have been carried out. */
 export class JsonClient implements Disposable {
   readonly #clock: Clock;
-  readonly #pools = new Map<Address, Pool>();
+  readonly #pools = new Map<Address, { pool: Pool; usedMs: number }>();
 
   /** @param clock - Clock of the time-outs. */
   constructor(clock: Clock) {
@@ -68,10 +70,10 @@
 
   /** Closes the connections to an address. */
   forget(address: Address): void {
-    const pool = this.#pools.get(address);
+    const known = this.#pools.get(address);
     this.#pools.delete(address);
     // Calls in progress end with an error of their own.
-    pool?.destroy().catch(() => undefined);
+    known?.pool.destroy().catch(() => undefined);
   }
 
   /** Closes all connections. */
@@ -80,8 +82,13 @@
   }
 
   #poolOf(address: Address): Pool {
+    const usedMs = this.#clock.monotonicMs();
     const known = this.#pools.get(address);
-    if (known) return known;
+    if (known) {
+      known.usedMs = usedMs;
+      return known.pool;
+    }
+    this.#forgetUnused();
     const pool = new Pool(`http://${address}`, {
       connections: CONNECTIONS_PER_ADDRESS,
       connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -89,9 +96,16 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.#pools.set(address, pool);
+    this.#pools.set(address, { pool, usedMs });
     return pool;
   }
+
+  #forgetUnused(): void {
+    const oldestMs = this.#clock.monotonicMs() - POOL_LIFETIME_MS;
+    for (const [address, { usedMs }] of this.#pools) {
+      if (usedMs < oldestMs) this.forget(address);
+    }
+  }
 }
 
 function parseJson(text: string): unknown {
--- /dev/null
+++ b/src/services/http/node/page_server.ts
@@ -0,0 +1,51 @@
+/** Small pages, such as readiness and metrics, on an address of their own. */
+
+import { createServer, type Server } from "node:http";
+import { messageOf } from "../../../base/common/errors.ts";
+import type { Address } from "../../../base/common/ids.ts";
+import type { Disposable } from "../../../base/common/lifecycle.ts";
+import type { Logger } from "../../log/common/logger.ts";
+import { splitAddress } from "../../settings/common/schema_parts.ts";
+
+/** An answer in plain text. */
+export interface Page {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Answers every request to an address with the same page. */
+export class PageServer implements Disposable {
+  readonly #server: Server;
+
+  /**
+   * @param logger - Where failures of the page are told.
+   * @param page - Makes the page for each request.
+   */
+  constructor(logger: Logger, page: () => Promise<Page>) {
+    this.#server = createServer((_request, response) => {
+      page().then(({ status, text }) => {
+        const length = Buffer.byteLength(text);
+        response.writeHead(status, { "content-length": length });
+        response.end(text);
+      }, (thrown: unknown) => {
+        logger.log("error", "page-failed", { detail: messageOf(thrown) });
+        response.writeHead(500).end();
+      });
+    });
+  }
+
+  /** Starts to answer. */
+  async listen(address: Address): Promise<void> {
+    const { ip, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, ip, resolve);
+    });
+  }
+
+  /** Closes the address and all connections. */
+  dispose(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- a/src/services/peers/common/peer_links.ts
+++ b/src/services/peers/common/peer_links.ts
@@ -12,6 +12,12 @@
   readonly address: Address;
 }
 
+/** A peer that a link is kept to. */
+export interface PeerTarget extends PeerAddress {
+  /** Whether the other side does not dial, so that this one need not wait. */
+  readonly isOneSided?: boolean;
+}
+
 /**
  * A kind of messages. Each feature owns its channels; the decoder checks every
  * message, so that a foreign or malformed one never reaches the feature.
@@ -40,6 +46,8 @@
   readonly onDidReceive: Event<PeerMessage<T>>;
   /** Sends to one host. */
   send(to: HostId, body: T): SendResult;
+  /** Sends to some hosts; encodes the message once. */
+  multicast(to: readonly HostId[], body: T): void;
   /** Sends to every host with a link that is up; encodes the message once. */
   broadcast(body: T): void;
 }
@@ -72,7 +80,7 @@
   /** Hosts with a link that is up. */
   connectedHosts(): readonly HostId[];
   /** Replaces the hosts that links are kept to. */
-  setPeers(peers: readonly PeerAddress[]): void;
+  setPeers(peers: readonly PeerTarget[]): void;
   /** Opens a channel; each name once. */
   openChannel<T>(spec: PeerChannelSpec<T>): PeerChannel<T>;
   /** Counters of the traffic. */
--- /dev/null
+++ b/src/services/peers/common/peer_overlay.ts
@@ -0,0 +1,18 @@
+/** Contract for who passes news on when not every pair of daemons is linked. */
+
+import type { Event } from "../../../base/common/event.ts";
+import type { HostId } from "../../../base/common/ids.ts";
+
+/** Where a daemon stands among the links. */
+export interface PeerOverlay {
+  /** Fires when the daemon reports to another hub, or to none. */
+  readonly onDidChangeHome: Event<void>;
+  /** Whether this daemon passes news on to others. */
+  readonly isHub: boolean;
+  /** Hub that this daemon reports to; none while it is a hub or has no link. */
+  home(): HostId | undefined;
+  /** Linked hubs. */
+  linkedHubs(): readonly HostId[];
+  /** Linked daemons that are no hubs. */
+  linkedLeaves(): readonly HostId[];
+}
--- a/src/services/peers/node/peer_dialer.ts
+++ b/src/services/peers/node/peer_dialer.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type { HostId } from "../../../base/common/ids.ts";
 import type { SeededRandom } from "../../../base/common/random.ts";
-import type { PeerAddress } from "../common/peer_links.ts";
+import type { PeerAddress, PeerTarget } from "../common/peer_links.ts";
 
 const FIRST_PAUSE_MS = 250;
 const MAX_PAUSE_MS = 8_000;
@@ -35,7 +35,7 @@
   }
 
   /** Replaces the peers; one with a new address is dialled anew. */
-  setPeers(peers: readonly PeerAddress[]): void {
+  setPeers(peers: readonly PeerTarget[]): void {
     const wanted = new Set(peers.map(({ host }) => host));
     for (const host of this.#states.keys()) {
       if (!wanted.has(host)) this.#states.delete(host);
@@ -47,7 +47,7 @@
       this.#states.set(peer.host, {
         peer,
         pauseMs: FIRST_PAUSE_MS,
-        dueMs: this.#clock.monotonicMs() + this.#firstDelayMs(peer.host),
+        dueMs: this.#clock.monotonicMs() + this.#firstDelayMs(peer),
       });
     }
   }
@@ -83,7 +83,7 @@
     return due;
   }
 
-  #firstDelayMs(host: HostId): number {
-    return host < this.#self ? GREATER_NAME_DELAY_MS : 0;
+  #firstDelayMs({ host, isOneSided }: PeerTarget): number {
+    return host < this.#self && !isOneSided ? GREATER_NAME_DELAY_MS : 0;
   }
 }
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -37,6 +37,7 @@
   PeerLinkChange,
   PeerLinks,
   PeerMessage,
+  PeerTarget,
   PeerTraffic,
   SendResult,
 } from "../common/peer_links.ts";
@@ -48,10 +49,10 @@
 /** Path of the introduction. */
 export const INTRODUCTION_PATH = "/hosts";
 const TICK_MS = 500;
-const DEFAULT_PACE: LinkPace = {
-  keepaliveAfterMs: 1_200,
-  silenceLimitMs: 3_000,
-};
+/** Pause in sending after which a keepalive follows. */
+const KEEPALIVE_AFTER_MS = 1_200;
+/** Silence of the other side after which a link is closed. */
+const SILENCE_LIMIT_MS = 3_000;
 /** A longer pause between two ticks means that this process did not run. */
 const PAUSED_AFTER_MS = 1_500;
 const MAX_UNPROVED_LINKS = 512;
@@ -67,14 +68,6 @@
   follow(server: TlsServer): Disposable;
 }
 
-/** How often links show that they live. */
-export interface LinkPace {
-  /** Pause in sending after which a keepalive follows. */
-  readonly keepaliveAfterMs: number;
-  /** Silence of the other side after which a link is closed. */
-  readonly silenceLimitMs: number;
-}
-
 /** What the links are made from. */
 export interface WsPeerLinksOptions {
   readonly clock: Clock;
@@ -85,8 +78,6 @@
   /** Seed of the jitter. */
   readonly seed: number;
   readonly tls?: PeerTls | undefined;
-  /** Pace of the present; slower links suit large fleets. */
-  pace?(): LinkPace;
   /**
    * Text for whoever asks over HTTP who is there, such as a peer that starts
    * while the store is away.
@@ -158,7 +149,7 @@
   }
 
   /** {@inheritDoc PeerLinks.setPeers} */
-  setPeers(peers: readonly PeerAddress[]): void {
+  setPeers(peers: readonly PeerTarget[]): void {
     this.#schedule.setPeers(peers);
     this.#dialDue();
   }
@@ -184,7 +175,9 @@
     return {
       onDidReceive: received.event,
       send: (to, body) => this.#send(to, spec.name, encode(body)),
-      broadcast: (body) => this.#broadcast(spec.name, encode(body)),
+      multicast: (to, body) => this.#multicast(to, spec.name, encode(body)),
+      broadcast: (body) =>
+        this.#multicast(this.connectedHosts(), spec.name, encode(body)),
       dispose: () => {
         this.#receivers.delete(spec.name);
         received.dispose();
@@ -215,10 +208,11 @@
     return this.#sendBytes(link, channel, encodeFrame(channel, body));
   }
 
-  #broadcast(channel: string, body: unknown): void {
+  #multicast(to: readonly HostId[], channel: string, body: unknown): void {
     const bytes = encodeFrame(channel, body);
-    for (const link of this.#links.values()) {
-      this.#sendBytes(link, channel, bytes);
+    for (const host of to) {
+      const link = this.#links.get(host);
+      if (link) this.#sendBytes(link, channel, bytes);
     }
   }
 
@@ -237,12 +231,11 @@
     const nowMs = this.#options.clock.monotonicMs();
     const wasPaused = nowMs - this.#lastTickMs > PAUSED_AFTER_MS;
     this.#lastTickMs = nowMs;
-    const pace = this.#options.pace?.() ?? DEFAULT_PACE;
     for (const link of [...this.#links.values()]) {
       // After a pause of this process, unread frames may still wait here.
-      if (!wasPaused && nowMs - link.lastReceivedMs > pace.silenceLimitMs) {
+      if (!wasPaused && nowMs - link.lastReceivedMs > SILENCE_LIMIT_MS) {
         link.close("the other side went silent");
-      } else if (nowMs - link.lastSentMs >= pace.keepaliveAfterMs) {
+      } else if (nowMs - link.lastSentMs >= KEEPALIVE_AFTER_MS) {
         this.#sendBytes(link, KEEPALIVE_CHANNEL, KEEPALIVE_FRAME);
       }
     }
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -199,7 +199,7 @@
   it("counts what other daemons have just placed", async () => {
     const [first, second] = world.registry.all;
     for (const endpoint of [first!, second!]) {
-      world.board.applyPeerRows("peer" as never, [{
+      world.board.applyPeerRows("peer" as never, 1, [{
         endpoint: endpoint.id,
         runs: 6,
         memoryTokens: 20_000,
--- /dev/null
+++ b/standins/peers/fleet_load_test.ts
@@ -0,0 +1,197 @@
+import { ManualClock } from "../../src/base/common/clock.ts";
+import { createHasher, type Hasher } from "../../src/base/common/hasher.ts";
+import type {
+  Address,
+  EndpointId,
+  HostId,
+  ZoneName,
+} from "../../src/base/common/ids.ts";
+import { GatewayPeers } from "../../src/daemon/node/gateway_peers.ts";
+import { LoadBoard } from "../../src/features/gateway/common/load_board.ts";
+import { LoadExchange } from "../../src/features/gateway/common/load_exchange.ts";
+import { JsonClient } from "../../src/services/http/node/json_client.ts";
+import { SILENT_LOGGER } from "../../src/services/log/common/logger.ts";
+import { StoreMirror } from "../../src/services/mirror/common/store_mirror.ts";
+import type { FleetHost } from "../../src/services/peers/common/link_planner.ts";
+import {
+  InProcessNetwork,
+  type InProcessPeerLinks,
+} from "./in_process_links.ts";
+
+const ENDPOINT = "engine-1" as EndpointId;
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+
+/** Daemons that only place requests and tell each other. */
+class Fleet {
+  readonly clock = new ManualClock();
+  readonly network = new InProcessNetwork();
+  readonly members = new Map<HostId, Member>();
+  readonly #hasher: Hasher;
+
+  constructor(hasher: Hasher, hostsPerZone: number) {
+    this.#hasher = hasher;
+    const hosts = ZONES.flatMap((zone) =>
+      Array.from({ length: hostsPerZone }, (_, index): FleetHost => ({
+        host: `${zone}-host-${index}` as HostId,
+        zone: zone as ZoneName,
+        address: `127.0.0.1:${1_000 + index}` as Address,
+        // The last ones are too small to relay.
+        capacity: index < hostsPerZone - 2 ? 1 : 0.3,
+      }))
+    );
+    for (const host of hosts) this.#start(host);
+    for (const member of this.members.values()) {
+      for (const host of hosts) member.peers.onHostListed(host);
+    }
+  }
+
+  async pass(durationMs: number): Promise<void> {
+    await this.clock.advanceSettled(durationMs);
+  }
+
+  get linkCount(): number {
+    const ends = [...this.members.values()].map(({ links }) =>
+      links.connectedHosts().length
+    );
+    return ends.reduce((sum, count) => sum + count, 0) / 2;
+  }
+
+  /** Members that do not see a number of runs at the endpoint. */
+  unaware(runs: number): HostId[] {
+    return [...this.members].filter(([, { board }]) =>
+      board.totalUse(ENDPOINT).runs !== runs
+    ).map(([host]) => host);
+  }
+
+  kill(host: HostId): void {
+    const member = this.members.get(host)!;
+    member.exchange.dispose();
+    member.peers.dispose();
+    this.members.delete(host);
+    this.network.leave(host);
+  }
+
+  #start(self: FleetHost): void {
+    const { clock } = this;
+    const links = this.network.join(self.host, clock);
+    const peers = new GatewayPeers({
+      clock,
+      logger: SILENT_LOGGER,
+      hasher: this.#hasher,
+      http: new JsonClient(clock),
+      links,
+      mirror: new StoreMirror(clock),
+      self,
+      seedAddresses: () => [],
+    });
+    const board = new LoadBoard(clock);
+    const exchange = new LoadExchange(self.host, clock, links, peers, board);
+    this.members.set(self.host, { links, peers, board, exchange });
+  }
+}
+
+interface Member {
+  readonly links: InProcessPeerLinks;
+  readonly peers: GatewayPeers;
+  readonly board: LoadBoard;
+  readonly exchange: LoadExchange;
+}
+
+describe("load of endpoints in a fleet", () => {
+  let hasher: Hasher;
+
+  beforeAll(async () => {
+    hasher = await createHasher();
+  });
+
+  async function startFleet(hostsPerZone: number): Promise<Fleet> {
+    const fleet = new Fleet(hasher, hostsPerZone);
+    await fleet.pass(3_000);
+    return fleet;
+  }
+
+  function hubsOf(fleet: Fleet): HostId[] {
+    return [...fleet.members].filter(([, { peers }]) => peers.isHub)
+      .map(([host]) => host);
+  }
+
+  it("links all pairs of a small fleet", async () => {
+    const fleet = await startFleet(3);
+    expect(hubsOf(fleet)).toHaveLength(9);
+    expect(fleet.linkCount).toBe(36);
+  });
+
+  it("links a large fleet through three hubs of each zone", async () => {
+    const fleet = await startFleet(30);
+    const hubs = hubsOf(fleet);
+    expect(hubs).toHaveLength(9);
+    expect(hubs.filter((hub) => /-2[89]$/.test(hub))).toEqual([]);
+    expect(fleet.linkCount).toBe(36 + 3 * 27 * 3);
+    const before = sentBy(fleet);
+    await fleet.pass(8_000);
+    // Idle: two reports of each of 81 daemons, and what hubs make of them.
+    expect(sentBy(fleet) - before).toBeLessThan(2 * 81 * 3 + 9 * 27 * 2 * 10);
+  });
+
+  it.each([3, 12])(
+    "shows a placement to all daemons within 100 ms, %d hosts a zone",
+    async (hostsPerZone) => {
+      const fleet = await startFleet(hostsPerZone);
+      const placing = fleet.members.get("zone-a-host-2" as HostId)!;
+      const claim = placing.board.claim(ENDPOINT, 3_000, 3_000);
+      await fleet.pass(100);
+      expect(fleet.unaware(1)).toEqual([]);
+      claim.dispose();
+      await fleet.pass(100);
+      expect(fleet.unaware(0)).toEqual([]);
+    },
+  );
+
+  it("goes on through other hubs when two of a zone die", async () => {
+    const fleet = await startFleet(12);
+    const dying = hubsOf(fleet).filter((hub) => hub.startsWith("zone-b"))
+      .slice(0, 2);
+    const placing =
+      [...fleet.members].find(([host, { peers }]) =>
+        host.startsWith("zone-b") && !peers.isHub
+      )![1];
+    placing.board.claim(ENDPOINT, 3_000, 3_000);
+    await fleet.pass(100);
+    for (const hub of dying) fleet.kill(hub);
+    await fleet.pass(600);
+    placing.board.claim(ENDPOINT, 3_000, 3_000);
+    await fleet.pass(100);
+    expect(fleet.unaware(2)).toEqual([]);
+    await fleet.pass(3_000);
+    expect(hubsOf(fleet)).toHaveLength(9);
+  });
+
+  it("settles when hubs and others disagree on who is a hub", async () => {
+    const fleet = await startFleet(12);
+    const [first, second] = hubsOf(fleet).filter((hub) =>
+      hub.startsWith("zone-c")
+    );
+    const cutOff = [...fleet.members.keys()].filter((host) =>
+      host.startsWith("zone-c") && host !== first && host !== second
+    ).slice(0, 4);
+    for (const host of cutOff) {
+      fleet.network.cut(host, first!);
+      fleet.network.cut(host, second!);
+    }
+    await fleet.pass(4_000);
+    const placing = fleet.members.get(cutOff[0]!)!;
+    placing.board.claim(ENDPOINT, 3_000, 3_000);
+    await fleet.pass(150);
+    expect(fleet.unaware(1)).toEqual([]);
+    const before = sentBy(fleet);
+    await fleet.pass(1_000);
+    expect(sentBy(fleet) - before).toBeLessThan(2_000);
+  });
+});
+
+function sentBy(fleet: Fleet): number {
+  return [...fleet.members.values()].reduce(
+    (sum, { links }) => sum + links.traffic().messagesSent,
+    0,
+  );
+}
--- a/standins/peers/in_process_links.ts
+++ b/standins/peers/in_process_links.ts
@@ -117,6 +117,9 @@
     return {
       onDidReceive: received.event,
       send,
+      multicast: (hosts, body) => {
+        for (const to of hosts) send(to, body);
+      },
       broadcast: (body) => {
         for (const to of this.#connected) send(to, body);
       },
