Let generations wait in the gateway until an engine has room

Cause: on full fleets each request went at once to the cheapest engine and waited or was preempted there, though another engine got room earlier; and backups filled engines to 0.88, so that new prompts waited for them. Generations now wait in a queue of the daemon for an engine with room for the prompt and 0.7 of the expected answer; those that can still begin in time go first; after half of the caller's time they are rejected as not run. Backups leave room for two more prompts. Engines that take no connection no longer count as refusals: in a cut zone requests gave up after four of them.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -24,6 +24,7 @@
 import { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import { LoadBoard } from "../../features/gateway/common/load_board.ts";
 import { LoadExchange } from "../../features/gateway/common/load_exchange.ts";
+import { PlacementQueue } from "../../features/gateway/common/placement_queue.ts";
 import { ReportPoller } from "../../features/gateway/common/report_poller.ts";
 import { RunMover } from "../../features/gateway/common/run_mover.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
@@ -112,6 +113,7 @@
   readonly #links: WsPeerLinks;
   readonly #watcher: StoreWatcher;
   readonly #lease: HostLease;
+  readonly #queue: PlacementQueue;
   readonly #gateway: Gateway;
   readonly #callers: CallerListener;
   readonly #client: UndiciPassThroughClient;
@@ -205,6 +207,14 @@
       new LoadExchange(host, clock, this.#links, this.#peers, board),
     );
     this.#client = new UndiciPassThroughClient(clock);
+    const chooser = new EndpointChooser(
+      clock,
+      this.#registry,
+      board,
+      random,
+      zone,
+    );
+    this.#queue = this.#owned.add(new PlacementQueue(clock, chooser));
     this.#gateway = new Gateway(
       {
         clock,
@@ -214,13 +224,8 @@
         client: this.#client,
         registry: this.#registry,
         board,
-        chooser: new EndpointChooser(
-          clock,
-          this.#registry,
-          board,
-          random,
-          zone,
-        ),
+        chooser,
+        queue: this.#queue,
         budget: new RetryBudget({
           clock,
           random,
@@ -391,6 +396,7 @@
     const { host, zone } = this.#settings;
     const text = await formatGatewayMetrics({ host, zone }, this.#metrics, {
       active_requests: this.#gateway.activeCount,
+      waiting_generations: this.#queue.length,
       caller_connections: this.#callers.connectionCount,
       endpoint_connections_opened: this.#client.openedCount,
       endpoints: this.#registry.all.length,
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -92,8 +92,10 @@
           return;
         case "not-run":
           lastReason = result.reason;
+          // An endpoint that takes no connection says nothing about the others.
+          if (context.sentCount > sentBefore) refusedTries++;
           if (
-            ++refusedTries >= MAX_REFUSED_TRIES || !context.mayRepeat(false)
+            refusedTries >= MAX_REFUSED_TRIES || !context.mayRepeat(false)
           ) {
             this.#refuse(result.reason);
             return;
--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -26,6 +26,8 @@
 const GENERATION_ZONE_COST = 0.2;
 /** Unread prompt tokens that cost as much as a full memory; about a second of prefill. */
 const FULL_BACKLOG_TOKENS = 14_000;
+/** Unread prompt tokens at which an endpoint is full for now; half an objective of prefill. */
+const MAX_BACKLOG_TOKENS = 12_000;
 /** Weight of a full batch: each run slows the tokens of the others. */
 const BATCH_WEIGHT = 0.5;
 /** Cost of each part of the memory that would be lacking; preemption is dear. */
@@ -38,8 +40,12 @@
 const COLD_COST = 0.3;
 /** Ties are broken at random, so that daemons do not all choose the same. */
 const TIE_JITTER = 0.02;
-/** Share of its memory up to which an endpoint is given copies to keep. */
-const MAX_FILL_WITH_COPIES = 0.88;
+/**
+ * Prompts for which an endpoint that keeps copies has room left. A copy cannot
+ * yield: on a full fleet new prompts would wait for the generations that are
+ * backed up there, which costs callers more than a crash that is rare.
+ */
+const PROMPTS_LEFT_ROOM = 2;
 
 /** What a request needs. */
 export interface Need {
@@ -56,6 +62,14 @@
   readonly candidates: number;
 }
 
+/** Where a generation fits now. */
+export type RoomChoice =
+  | { readonly kind: "chosen"; readonly choice: Choice }
+  /** There are endpoints, and all are full. */
+  | { readonly kind: "full" }
+  /** There is no endpoint. */
+  | { readonly kind: "none" };
+
 /** Chooses endpoints by what is in use there. */
 export class EndpointChooser {
   readonly #clock: Clock;
@@ -87,9 +101,47 @@
 
   /** @returns The cheapest endpoint, if there is one. */
   choose(need: Need, service: GatewayService): Choice | undefined {
-    const candidates = this.#registry.usable(need.service).filter(({ id }) =>
+    return this.#cheapest(this.#candidates(need), need, service);
+  }
+
+  /** @returns The cheapest endpoint at which nothing has to yield. */
+  chooseWithRoom(need: Need, service: GatewayService): RoomChoice {
+    const candidates = this.#candidates(need);
+    if (candidates.length === 0) return { kind: "none" };
+    const nowMs = this.#clock.monotonicMs();
+    const roomy = candidates.filter((endpoint) =>
+      this.#hasRoom(endpoint, need, service) &&
+      !endpoint.health.isEjected(nowMs)
+    );
+    const choice = this.#cheapest(roomy, need, service);
+    return choice ? { kind: "chosen", choice } : { kind: "full" };
+  }
+
+  #candidates(need: Need): readonly RegisteredEndpoint[] {
+    return this.#registry.usable(need.service).filter(({ id }) =>
       !need.excluded.has(id)
     );
+  }
+
+  #hasRoom(
+    { announcement, id }: RegisteredEndpoint,
+    need: Need,
+    { engine }: GatewayService,
+  ): boolean {
+    if (!engine) return true;
+    const use = this.#board.totalUse(id);
+    if (use.runs === 0) return true;
+    const taken = use.memoryTokens + use.copyTokens;
+    return use.runs < announcement.slots &&
+      use.unreadTokens <= MAX_BACKLOG_TOKENS &&
+      taken + need.memoryTokens <= engine.memoryTokens;
+  }
+
+  #cheapest(
+    candidates: readonly RegisteredEndpoint[],
+    need: Need,
+    service: GatewayService,
+  ): Choice | undefined {
     let best: RegisteredEndpoint | undefined;
     let bestCost = Infinity;
     for (const endpoint of candidates) {
@@ -125,9 +177,10 @@
       const { zone } = endpoint.announcement;
       // Copies within a zone are faster; one in our own zone outlives its cut.
       const isNear = zone === primary.announcement.zone || zone === this.#zone;
-      const fill = taken / engine.memoryTokens;
-      if (fill > MAX_FILL_WITH_COPIES) continue;
-      const cost = fill + (isNear ? 0 : GENERATION_ZONE_COST);
+      const leftTokens = engine.memoryTokens - taken;
+      if (leftTokens < need.memoryTokens * PROMPTS_LEFT_ROOM) continue;
+      const cost = taken / engine.memoryTokens +
+        (isNear ? 0 : GENERATION_ZONE_COST);
       if (cost >= bestFill) continue;
       best = endpoint;
       bestFill = cost;
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -10,7 +10,7 @@
 import type { PassThroughClient } from "../../../services/http/common/pass_through_client.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
-import type { EndpointChooser } from "./endpoint_choice.ts";
+import type { Choice, EndpointChooser, Need } from "./endpoint_choice.ts";
 import type { EndpointProbe } from "./endpoint_probe.ts";
 import type { HealthSign } from "./endpoint_health.ts";
 import type {
@@ -25,6 +25,7 @@
 } from "./gateway_configuration.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { LoadBoard } from "./load_board.ts";
+import type { GenerationPlacer } from "./placement_queue.ts";
 import type { RunMover } from "./run_mover.ts";
 
 /** What all forwarding works with. */
@@ -38,6 +39,8 @@
   readonly board: LoadBoard;
   readonly chooser: EndpointChooser;
   readonly budget: RetryBudget;
+  /** Generations without a place. */
+  readonly queue: GenerationPlacer;
   readonly probe: EndpointProbe;
   readonly mover: RunMover;
 }
@@ -65,6 +68,9 @@
   | "interrupted"
   | "caller-left";
 
+/** Part of its time that a generation may wait; it needs the rest to run. */
+const MAX_WAIT_SHARE = 0.5;
+
 /** Parts that both kinds of forwarding share. */
 export class RequestContext {
   readonly services: GatewayServices;
@@ -120,6 +126,43 @@
     return true;
   }
 
+  /**
+   * Waits until an endpoint has room for a generation.
+   *
+   * @param need - What it needs.
+   * @param onPlaced - Called with the endpoint to use now.
+   * @param onHopeless - Called with the reason when none will have room in time.
+   */
+  awaitPlace(
+    need: Need,
+    onPlaced: (choice: Choice) => void,
+    onHopeless: (reason: string) => void,
+  ): void {
+    const { clock, queue } = this.services;
+    const { deadlineMs, exchange, route, service } = this.request;
+    const sinceMs = clock.monotonicMs();
+    this.owned.add(queue.add({
+      need,
+      service,
+      priority: this.priority,
+      sinceMs,
+      objectiveDueMs: exchange.receivedMs + route.objectiveMs,
+      lastStartMs: sinceMs + (deadlineMs - sinceMs) * MAX_WAIT_SHARE,
+      onPlaced: (choice) => {
+        this.log("info", "stream-placed", {
+          endpoint: choice.endpoint.id,
+          cost: Number(choice.cost.toFixed(2)),
+          candidates: choice.candidates,
+          memoryTokens: need.memoryTokens,
+          waitedMs: Math.round(clock.monotonicMs() - sinceMs),
+          waiting: queue.length,
+        });
+        onPlaced(choice);
+      },
+      onHopeless,
+    }));
+  }
+
   /** Takes note of how an endpoint did with this request. */
   noteHealth(
     { announcement, health, id }: RegisteredEndpoint,
--- a/src/features/gateway/common/generation_size.ts
+++ b/src/features/gateway/common/generation_size.ts
@@ -5,7 +5,7 @@
 /** Part of the allowed output that is expected without a hint. */
 const EXPECTED_OUTPUT_SHARE = 0.5;
 /** Part of the output still expected that counts as memory needed now. */
-const GROWTH_SHARE = 0.4;
+const GROWTH_SHARE = 0.7;
 
 /** Grows with the events of a generation. */
 export class GenerationSize {
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -12,7 +12,7 @@
   isEndedByClose,
   withoutHeader,
 } from "../../../services/http/common/header_list.ts";
-import type { Need } from "./endpoint_choice.ts";
+import type { Choice, Need } from "./endpoint_choice.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { Continuation } from "./gateway_codec.ts";
 import type { RequestContext } from "./gateway_request.ts";
@@ -103,18 +103,14 @@
       this.#giveUp("the run cannot be repeated");
       return;
     }
-    const { services, request } = this.#context;
-    const choice = services.chooser.choose(this.#need, request.service);
-    if (!choice) {
-      this.#giveUp("no endpoint is available");
-      return;
-    }
-    this.#context.log("info", "stream-placed", {
-      endpoint: choice.endpoint.id,
-      cost: Number(choice.cost.toFixed(2)),
-      candidates: choice.candidates,
-      memoryTokens: this.#need.memoryTokens,
-    });
+    this.#context.awaitPlace(
+      this.#need,
+      (choice) => this.#onPlaced(choice),
+      (reason) => this.#giveUp(reason),
+    );
+  }
+
+  #onPlaced(choice: Choice): void {
     const afterEvent = this.#events.lastId;
     this.#startLeg(
       choice.endpoint,
@@ -303,8 +299,8 @@
       this.#goOn("broken", reason);
       return;
     }
+    // An endpoint that takes no connection says nothing about the others.
     if (leg.isFromCopy) this.#goOnWithoutCopy(reason);
-    else if (++this.#refusedTries >= MAX_REFUSED_TRIES) this.#giveUp(reason);
     else this.#startFresh();
   }
 
@@ -358,7 +354,11 @@
   #giveUp(reason: string): void {
     if (this.#hasStarted) this.#context.fail(502, "interrupted", reason);
     else if (this.#wasRun) this.#context.fail(502, "unknown", reason);
-    else this.#context.fail(503, "not-run", reason, FULL_RETRY_AFTER_MS);
+    else {
+      const { recentWaitMs } = this.#context.services.queue;
+      const retryAfterMs = Math.max(FULL_RETRY_AFTER_MS, recentWaitMs);
+      this.#context.fail(503, "not-run", reason, retryAfterMs);
+    }
   }
 
   #onDeadline(): void {
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -238,4 +238,17 @@
       sent: 1,
     });
   });
+
+  it("goes past any number of endpoints that take no connection", async () => {
+    for (let number = 4; number <= 7; number++) world.announce(APP, number);
+    for (const { announcement } of world.registry.all) {
+      world.endpoints.unreachable.add(announcement.address);
+    }
+    world.endpoints.unreachable.delete(world.addressOf(7));
+    const exchange = await world.send("/book/x");
+    await settlePromises();
+    world.endpoints.last.answer(200, "done");
+    await settlePromises();
+    expect(exchange.status).toBe(200);
+  });
 });
--- a/standins/gateway/gateway_world.ts
+++ b/standins/gateway/gateway_world.ts
@@ -30,7 +30,12 @@
 import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
 import { ConfigurationState } from "../../src/features/gateway/common/configuration_state.ts";
 import { LoadBoard } from "../../src/features/gateway/common/load_board.ts";
+import {
+  type GenerationPlacer,
+  PlacementQueue,
+} from "../../src/features/gateway/common/placement_queue.ts";
 import { RunMover } from "../../src/features/gateway/common/run_mover.ts";
+import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
 import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
 import type {
   LogFields,
@@ -146,6 +151,17 @@
     prefix: "/check/",
     kind: { kind: "generation", isResumable: true },
   },
+  {
+    ...BASE_ROUTE,
+    ...GENERATION,
+    name: "short",
+    prefix: "/short/",
+    kind: { kind: "generation", isResumable: false },
+    timeoutMs: 6_000,
+    objectiveMs: 1_500,
+    priority: 2,
+    maxAttempts: 1,
+  },
   { ...BASE_ROUTE, name: "open", prefix: "/open/", isPublic: true },
 ];
 
@@ -189,6 +205,13 @@
   };
 }
 
+/** Parts of a world that a test brings itself. */
+export interface GatewayWorldOptions {
+  /** Endpoints of another kind than the scripted ones. */
+  readonly client?: PassThroughClient;
+  readonly createPlacer?: (chooser: EndpointChooser) => GenerationPlacer;
+}
+
 /** A gateway with its surroundings. */
 export class GatewayWorld {
   readonly clock = new ManualClock();
@@ -206,7 +229,10 @@
   readonly gateway: Gateway;
   #requests = 0;
 
-  private constructor(hasher: Awaited<ReturnType<typeof createHasher>>) {
+  private constructor(
+    hasher: Awaited<ReturnType<typeof createHasher>>,
+    { client, createPlacer }: GatewayWorldOptions,
+  ) {
     const { clock, logger, metrics, registry, board, control } = this;
     const random = new SeededRandom(1);
     const chooser = new EndpointChooser(clock, registry, board, random, ZONE);
@@ -216,10 +242,11 @@
         logger,
         metrics,
         codec: new PlainCodec(),
-        client: this.endpoints,
+        client: client ?? this.endpoints,
         registry,
         board,
         chooser,
+        queue: createPlacer?.(chooser) ?? new PlacementQueue(clock, chooser),
         budget: new RetryBudget({ clock, random }),
         probe: new EndpointProbe(clock, logger, metrics, control),
         mover: new RunMover(clock, control),
@@ -235,8 +262,10 @@
   }
 
   /** @returns A world with a configuration in force. */
-  static async create(): Promise<GatewayWorld> {
-    const world = new GatewayWorld(await createHasher());
+  static async create(
+    options: GatewayWorldOptions = {},
+  ): Promise<GatewayWorld> {
+    const world = new GatewayWorld(await createHasher(), options);
     world.state.apply(configuration(1), 1);
     return world;
   }
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -210,4 +210,17 @@
     await world.send("/draft/x");
     expect(world.endpoints.last.request.address).toBe(world.addressOf(3));
   });
+
+  it("goes past any number of engines that take no connection", async () => {
+    for (let number = 4; number <= 9; number++) world.announce(ENGINE, number);
+    for (let number = 1; number <= 8; number++) {
+      world.endpoints.unreachable.add(world.addressOf(number));
+    }
+    const exchange = await world.send("/draft/x");
+    await settlePromises();
+    expect(world.endpoints.last.request.address).toBe(world.addressOf(9));
+    world.endpoints.last.head(200).event(1).finish();
+    await settlePromises();
+    expect(exchange.status).toBe(200);
+  });
 });
