--- a/src/features/gateway/common/placement_queue.ts
+++ b/src/features/gateway/common/placement_queue.ts
@@ -5,8 +5,8 @@
  * waits at one engine cannot use the room that another one gets.
  *
  * Those that can still begin within their objective go first, the most urgent
- * and then the oldest of them; late ones follow when none of these waits. A
- * request is rejected as soon as it could not end before its deadline.
+ * and then the oldest of them; late ones follow when none of these fits. A
+ * request whose last time to begin has passed is rejected as not run.
  */
 
 import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
--- a/src/features/gateway/common/run_mover.ts
+++ b/src/features/gateway/common/run_mover.ts
@@ -4,7 +4,7 @@
  * the target, which takes less time than a second copy would wait for the link.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
+import { type Clock, sleep } from "../../../base/common/clock.ts";
 import type { EndpointId, RequestId } from "../../../base/common/ids.ts";
 import { leftOf, rightOf } from "../../../base/common/result.ts";
 import type { EngineControl } from "./engine_control.ts";
@@ -20,7 +20,12 @@
     readonly tookMs: number;
   }
   /** There is no copy. */
-  | { readonly kind: "not-copied"; readonly reason: string };
+  | {
+    readonly kind: "not-copied";
+    readonly reason: string;
+    /** Whether engines were there, but full. */
+    readonly isRoomLacking: boolean;
+  };
 
 /** A generation that wants to move. */
 export interface MovableRun {
@@ -34,8 +39,12 @@
   isWanted(): boolean;
 }
 
-/** Targets that are tried; a copy that waits takes most of a notice. */
+/** Targets that are tried in one round. */
 const MAX_TARGETS = 3;
+/** Pause between rounds: on a full fleet some generation ends each 40 ms. */
+const ROUND_PAUSE_MS = 120;
+/** Engines give notice of 1.5 to 2.1 s; later rounds would find none. */
+const MOVE_PATIENCE_MS = 2_500;
 
 /** Copies runs. */
 export class RunMover {
@@ -54,10 +63,22 @@
   /** @returns How the move ended. */
   async move(run: MovableRun): Promise<MoveEnd> {
     const startMs = this.#clock.monotonicMs();
+    for (;;) {
+      const end = await this.#tryTargets(run, startMs);
+      const tookMs = this.#clock.monotonicMs() - startMs;
+      const isFinal = end.kind === "copied" || !end.isRoomLacking ||
+        tookMs > MOVE_PATIENCE_MS;
+      if (isFinal) return end;
+      await sleep(this.#clock, ROUND_PAUSE_MS);
+    }
+  }
+
+  async #tryTargets(run: MovableRun, startMs: number): Promise<MoveEnd> {
     const excluded = new Set<EndpointId>([run.source.id]);
     const source = run.source.announcement.address;
     let reason = "no engine has room";
-    for (let count = 0; count < MAX_TARGETS && run.isWanted(); count++) {
+    for (let count = 0; count < MAX_TARGETS; count++) {
+      if (!run.isWanted()) return notCopied("no longer wanted");
       const endpoint = run.chooseTarget(excluded);
       if (!endpoint) break;
       excluded.add(endpoint.id);
@@ -73,12 +94,11 @@
         const failure = leftOf(copied)!;
         reason = `${failure.kind}: ${failure.message}`;
         if (failure.kind === "no-room") continue;
-        break;
+        return notCopied(reason);
       }
       if (!run.isWanted()) {
         await this.#control.freeCopy(source, copy.name);
-        reason = "no longer wanted";
-        break;
+        return notCopied("no longer wanted");
       }
       return {
         kind: "copied",
@@ -87,6 +107,10 @@
         tookMs: Math.round(this.#clock.monotonicMs() - startMs),
       };
     }
-    return { kind: "not-copied", reason };
+    return { kind: "not-copied", reason, isRoomLacking: true };
   }
 }
+
+function notCopied(reason: string): MoveEnd {
+  return { kind: "not-copied", reason, isRoomLacking: false };
+}
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -105,6 +105,42 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("tries again for a move as long as engines have no room", async () => {
+    const { exchange, source } = await startDraft();
+    world.control.copyFailure = {
+      kind: "no-room",
+      name: undefined,
+      message: "full",
+    };
+    world.registry.leave(source.id, "draining");
+    await world.advance(500);
+    expect(world.control.copies).toHaveLength(0);
+    world.control.copyFailure = undefined;
+    await world.advance(200);
+    expect(world.control.copies).toHaveLength(1);
+    world.endpoints.last.head(200).event(3).finish();
+    await settlePromises();
+    expect(exchange.outcome).toBe("answered");
+  });
+
+  it("gives an engine that has just started one prompt at a time", async () => {
+    const cold = world.addressOf(4);
+    for (const { id } of world.registry.all) {
+      world.board.claim(id, 32_000, 0);
+    }
+    world.announce(ENGINE, 4, 1, 3_000);
+    for (let count = 0; count < 4; count++) await world.send("/draft/x");
+    const sentToCold = () =>
+      world.endpoints.transfers.filter(({ request }) =>
+        request.address === cold
+      );
+    expect(sentToCold()).toHaveLength(1);
+    sentToCold()[0]!.head(200).event(1);
+    for (let count = 0; count < 4; count++) await world.send("/draft/x");
+    await world.advance(50);
+    expect(sentToCold()).toHaveLength(2);
+  });
+
   it("frees a copy that came too late", async () => {
     const { exchange, source } = await startDraft();
     world.registry.leave(source.id, "draining");
