Give engines that have just started one prompt at a time

Change: a cold engine counts as full while it reads a prompt or has a quarter of its slots in use, and costs as much as a full one.

--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -36,8 +36,10 @@
 const COPY_WEIGHT = 0.7;
 /** Cost of an endpoint that is kept out; used only when all are. */
 const EJECTED_COST = 100;
-/** Cost of an endpoint that has just started. */
-const COLD_COST = 0.3;
+/** Cost of an endpoint that has just started: it is several times slower than a busy one. */
+const COLD_COST = 1;
+/** Part of its slots that an engine gets while it is cold, and one prompt at a time. */
+const COLD_SLOT_SHARE = 0.25;
 /** Ties are broken at random, so that daemons do not all choose the same. */
 const TIE_JITTER = 0.02;
 /**
@@ -123,14 +125,24 @@
     );
   }
 
+  #isCold({ announcement, firstSeenMs }: RegisteredEndpoint): boolean {
+    const ageMs = this.#clock.monotonicMs() - firstSeenMs;
+    return ageMs < announcement.coldLeftMs;
+  }
+
   #hasRoom(
-    { announcement, id }: RegisteredEndpoint,
+    endpoint: RegisteredEndpoint,
     need: Need,
     { engine }: GatewayService,
   ): boolean {
+    const { announcement, id } = endpoint;
     if (!engine) return true;
     const use = this.#board.totalUse(id);
     if (use.runs === 0) return true;
+    if (this.#isCold(endpoint)) {
+      const maxRuns = announcement.slots * COLD_SLOT_SHARE;
+      if (use.unreadTokens > 0 || use.runs >= maxRuns) return false;
+    }
     const taken = use.memoryTokens + use.copyTokens;
     return use.runs < announcement.slots &&
       use.unreadTokens <= MAX_BACKLOG_TOKENS &&
@@ -194,13 +206,12 @@
     service: GatewayService,
   ): number {
     const nowMs = this.#clock.monotonicMs();
-    const { announcement, health, firstSeenMs } = endpoint;
+    const { announcement, health } = endpoint;
     const isOwnZone = announcement.zone === this.#zone;
     const use = this.#board.totalUse(endpoint.id);
-    const isCold = nowMs - firstSeenMs < announcement.coldLeftMs;
     let cost = this.#random.float() * TIE_JITTER;
     if (health.isEjected(nowMs)) cost += EJECTED_COST;
-    if (isCold) cost += COLD_COST;
+    if (this.#isCold(endpoint)) cost += COLD_COST;
     const batchFill = (use.runs + 1) / announcement.slots;
     const { engine } = service;
     if (!engine) return cost + batchFill + (isOwnZone ? 0 : CALL_ZONE_COST);
--- a/standins/gateway/gateway_world.ts
+++ b/standins/gateway/gateway_world.ts
@@ -271,7 +271,12 @@
   }
 
   /** Announces an endpoint; its address ends with its number. */
-  announce(service: ServiceId, number: number, bornMs = 1): EndpointId {
+  announce(
+    service: ServiceId,
+    number: number,
+    bornMs = 1,
+    coldLeftMs = 0,
+  ): EndpointId {
     const id = `${service}-${number}` as EndpointId;
     this.registry.announce({
       id,
@@ -281,7 +286,7 @@
       slots: service === APP ? 6 : 24,
       bornMs,
       isDraining: false,
-      coldLeftMs: 0,
+      coldLeftMs,
     });
     return id;
   }
