Send each change of the load once

Cause: a due batch of rows was given the daemon's own rows, which scheduled the batch anew, so that an empty message followed each change to every hub. Before: 16 messages to 8 peers for one placement; after: 8 (the new test, which failed first). Rows, revisions and their order are unchanged.

--- a/src/features/gateway/common/load_exchange.ts
+++ b/src/features/gateway/common/load_exchange.ts
@@ -139,14 +139,7 @@
   }
 
   #flushUp(): void {
-    if (this.#changed.size > 0) {
-      const rows = [...this.#changed].map((id) => this.#board.ownRow(id));
-      this.#changed.clear();
-      const group = this.#ownGroup(rows, false);
-      this.#up.add(group);
-      if (this.#reporters.size > 0) this.#down.add(group);
-    }
-    const groups = this.#up.take();
+    const groups = [...this.#up.take(), ...this.#takeOwnChanges()];
     const home = this.#overlay.home();
     if (home === undefined) {
       const hubs = this.#overlay.linkedHubs();
@@ -154,6 +147,16 @@
     } else this.#channel.send(home, { isReport: true, groups });
   }
 
+  /** @returns Own rows that have changed, which reporters are told of as well. */
+  #takeOwnChanges(): readonly RowGroup[] {
+    if (this.#changed.size === 0) return [];
+    const rows = [...this.#changed].map((id) => this.#board.ownRow(id));
+    this.#changed.clear();
+    const group = this.#ownGroup(rows, false);
+    if (this.#reporters.size > 0) this.#down.add(group);
+    return [group];
+  }
+
   #flushDown(): void {
     const groups = this.#down.take();
     const reporters = [...this.#reporters.keys()];
--- a/standins/peers/fleet_load_test.ts
+++ b/standins/peers/fleet_load_test.ts
@@ -147,6 +147,15 @@
     },
   );
 
+  it("tells each peer of a placement once", async () => {
+    const fleet = await startFleet(3);
+    const placing = fleet.members.get("zone-a-host-2" as HostId)!;
+    const before = placing.links.traffic().messagesSent;
+    placing.board.claim(ENDPOINT, 3_000, 3_000);
+    await fleet.pass(500);
+    expect(placing.links.traffic().messagesSent - before).toBe(8);
+  });
+
   it("goes on through other hubs when two of a zone die", async () => {
     const fleet = await startFleet(12);
     const dying = hubsOf(fleet).filter((hub) => hub.startsWith("zone-b"))
