Plan links once for a whole listing of hosts

Cause: each host of a listing was planned for by itself; with the first few known, a daemon took itself for a hub and dialled hosts that are none, a handshake each at every start, and those links stayed. Changes of one batch now reach the peers together, the newest entry of each host counting.

--- a/src/daemon/common/gateway_knowledge.ts
+++ b/src/daemon/common/gateway_knowledge.ts
@@ -1,7 +1,7 @@
 /** Turns what the mirror holds into configuration, endpoints and peers. */
 
 import type { EndpointId, HostId } from "../../base/common/ids.ts";
-import type { Either } from "../../base/common/result.ts";
+import { type Either, rightOf } from "../../base/common/result.ts";
 import type { EndpointAnnouncement } from "../../features/gateway/common/discovered_endpoint.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
 import type { GatewayConfiguration } from "../../features/gateway/common/gateway_configuration.ts";
@@ -11,6 +11,7 @@
   HOST_PREFIX,
 } from "../../services/hosts/common/host_entry.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
+import type { StoreItem } from "../../services/mirror/common/revisioned_store.ts";
 import type {
   MirrorChange,
   StoreMirror,
@@ -32,8 +33,8 @@
 
 /** Hears which hosts are listed. */
 export interface PeerListener {
-  onHostListed(peer: FleetHost): void;
-  onHostUnlisted(host: HostId): void;
+  /** @param hosts - Newest entries of hosts; `undefined` for removed ones. */
+  onHostsChanged(hosts: ReadonlyMap<HostId, FleetHost | undefined>): void;
 }
 
 /** What the knowledge is made from. */
@@ -57,14 +58,22 @@
 
   /** Takes in changes of the mirror. */
   apply(changes: readonly MirrorChange[]): void {
-    const { configurationKey, endpointPrefix } = this.#services.decoder;
+    const { decoder, peers } = this.#services;
+    const { configurationKey, endpointPrefix } = decoder;
+    const hosts = new Map<HostId, FleetHost | undefined>();
     for (const change of changes) {
       const { key } = change;
       if (key === configurationKey) this.#applyConfiguration(change);
       else if (key.startsWith(endpointPrefix)) {
         this.#applyEndpoint(key.slice(endpointPrefix.length), change);
-      } else if (key.startsWith(HOST_PREFIX)) this.#applyHost(change);
+      } else if (key.startsWith(HOST_PREFIX)) {
+        const host = key.slice(HOST_PREFIX.length) as HostId;
+        const entry = change.item && this.#readHost(key, change.item);
+        // An entry that cannot be read changes nothing.
+        if (entry || !change.item) hosts.set(host, entry);
+      }
     }
+    if (hosts.size > 0) peers.onHostsChanged(hosts);
   }
 
   #applyConfiguration({ item }: MirrorChange): void {
@@ -99,16 +108,14 @@
     });
   }
 
-  #applyHost({ key, item }: MirrorChange): void {
-    const { logger, peers } = this.#services;
-    if (!item) {
-      peers.onHostUnlisted(key.slice(HOST_PREFIX.length) as HostId);
-      return;
-    }
-    decodeHostEntry(item.value).caseOf({
-      Left: (detail) =>
-        logger.log("warn", "host-entry-unreadable", { key, detail }),
-      Right: (entry) => peers.onHostListed(entry),
-    });
+  #readHost(key: string, { value }: StoreItem): FleetHost | undefined {
+    const decoded = decodeHostEntry(value);
+    decoded.ifLeft((detail) =>
+      this.#services.logger.log("warn", "host-entry-unreadable", {
+        key,
+        detail,
+      })
+    );
+    return rightOf(decoded);
   }
 }
--- a/src/daemon/node/gateway_peers.ts
+++ b/src/daemon/node/gateway_peers.ts
@@ -100,17 +100,15 @@
     return links.connectedHosts().filter((host) => !this.#plan.hubs.has(host));
   }
 
-  /** {@inheritDoc PeerListener.onHostListed} */
-  onHostListed(host: FleetHost): void {
-    this.#planner.add(host);
-    this.#replan();
-  }
-
-  /** {@inheritDoc PeerListener.onHostUnlisted} */
-  onHostUnlisted(host: HostId): void {
-    // A lease may lapse with the store while its host lives.
-    if (this.#services.links.connectedHosts().includes(host)) return;
-    this.#planner.remove(host);
+  /** {@inheritDoc PeerListener.onHostsChanged} */
+  onHostsChanged(hosts: ReadonlyMap<HostId, FleetHost | undefined>): void {
+    const linked = this.#services.links.connectedHosts();
+    for (const [name, host] of hosts) {
+      if (host) this.#planner.add(host);
+      // A lease may lapse with the store while its host lives.
+      else if (!linked.includes(name)) this.#planner.remove(name);
+    }
+    // Once for all: plans made from part of a listing would dial wrong hubs.
     this.#replan();
   }
 
--- a/standins/peers/fleet_load_test.ts
+++ b/standins/peers/fleet_load_test.ts
@@ -26,6 +26,8 @@
   readonly clock = new ManualClock();
   readonly network = new InProcessNetwork();
   readonly members = new Map<HostId, Member>();
+  /** Hosts that some daemon has asked for a link to, by that daemon. */
+  readonly asked = new Map<HostId, Set<HostId>>();
   readonly #hasher: Hasher;
 
   constructor(hasher: Hasher, hostsPerZone: number) {
@@ -40,8 +42,9 @@
       }))
     );
     for (const host of hosts) this.#start(host);
-    for (const member of this.members.values()) {
-      for (const host of hosts) member.peers.onHostListed(host);
+    const listing = new Map(hosts.map((host) => [host.host, host]));
+    for (const { peers } of this.members.values()) {
+      peers.onHostsChanged(listing);
     }
   }
 
@@ -74,6 +77,13 @@
   #start(self: FleetHost): void {
     const { clock } = this;
     const links = this.network.join(self.host, clock);
+    const asked = new Set<HostId>();
+    this.asked.set(self.host, asked);
+    const setPeers = links.setPeers.bind(links);
+    links.setPeers = (peers) => {
+      for (const { host } of peers) asked.add(host);
+      setPeers(peers);
+    };
     const peers = new GatewayPeers({
       clock,
       logger: SILENT_LOGGER,
@@ -127,6 +137,10 @@
     expect(hubs).toHaveLength(9);
     expect(hubs.filter((hub) => /-2[89]$/.test(hub))).toEqual([]);
     expect(fleet.linkCount).toBe(36 + 3 * 27 * 3);
+    const isHub = new Set(hubs);
+    for (const asked of fleet.asked.values()) {
+      expect([...asked].filter((host) => !isHub.has(host))).toEqual([]);
+    }
     const before = sentBy(fleet);
     await fleet.pass(8_000);
     // Idle: two reports of each of 81 daemons, and what hubs make of them.
