Share what both kinds of forwarding wrote twice; drop what nobody reads

Calls and generations sent their requests in two near copies: one method of RequestContext now builds the headers, sends and counts. Three servers listened in three copies of one promise: listenAt. Which answers have no body was said twice: hasNoBody. The chooser looked up the use of each endpoint twice a placement, each time over all peers: once now. Never read or never varied, and removed: the load of replies, four figures of engine reports, final copies and the names that failed ones carried, the event for new endpoints, and the choice not to reuse connections. Behaviour is unchanged, but that a report with unreadable figures nobody reads is a report now.

--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -8,6 +8,7 @@
   NO_DISPOSABLE,
 } from "../../../base/common/lifecycle.ts";
 import {
+  hasNoBody,
   type HeaderList,
   isEndedByClose,
   withoutHeader,
@@ -153,9 +154,7 @@
       exchange.start(status, passed, true);
       for (const chunk of chunks) exchange.write(chunk);
       exchange.end();
-    } else if (
-      request.exchange.method === "HEAD" || status === 204 || status === 304
-    ) {
+    } else if (hasNoBody(exchange.method, status)) {
       exchange.start(status, passed);
       exchange.end();
     } else {
@@ -227,26 +226,7 @@
       SILENT_OBJECTIVES * route.objectiveMs,
     );
     context.setTimer(limitMs, () => this.#onSilent(isSilenceLimited));
-    const headers = services.codec.outgoingHeaders(exchange.headers, {
-      endpoint: announcement.id,
-      leftMs: context.leftMs,
-      workspace: request.holder?.workspace,
-      hasKeys: request.hasKeys,
-      priority: undefined,
-      backupAddress: undefined,
-      continuation: undefined,
-    });
-    this.#transfer = services.client.send({
-      address: announcement.address,
-      method: exchange.method,
-      target: exchange.target,
-      headers,
-      body: request.body,
-      isReuseAllowed: true,
-    }, {
-      onSent: () => {
-        context.sentCount++;
-      },
+    this.#transfer = context.send(this.#endpoint, {}, {
       onHead: (status, received) => this.#onHead(status, received),
       onData: (chunk) => this.#onData(chunk),
       onEnd: () => this.#onEnd(),
--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -12,7 +12,7 @@
   RegisteredEndpoint,
 } from "./endpoint_registry.ts";
 import type { GatewayService } from "./gateway_configuration.ts";
-import type { LoadBoard } from "./load_board.ts";
+import type { EndpointUse, LoadBoard } from "./load_board.ts";
 
 /**
  * Cost of another zone for a plain call, in shares of an endpoint's slots: an own
@@ -72,6 +72,11 @@
   /** There is no endpoint. */
   | { readonly kind: "none" };
 
+interface Candidate {
+  readonly endpoint: RegisteredEndpoint;
+  readonly use: EndpointUse;
+}
+
 /** Chooses endpoints by what is in use there. */
 export class EndpointChooser {
   readonly #clock: Clock;
@@ -111,18 +116,21 @@
     const candidates = this.#candidates(need);
     if (candidates.length === 0) return { kind: "none" };
     const nowMs = this.#clock.monotonicMs();
-    const roomy = candidates.filter((endpoint) =>
-      this.#hasRoom(endpoint, need, service) &&
-      !endpoint.health.isEjected(nowMs)
+    const roomy = candidates.filter((candidate) =>
+      this.#hasRoom(candidate, need, service) &&
+      !candidate.endpoint.health.isEjected(nowMs)
     );
     const choice = this.#cheapest(roomy, need, service);
     return choice ? { kind: "chosen", choice } : { kind: "full" };
   }
 
-  #candidates(need: Need): readonly RegisteredEndpoint[] {
+  #candidates(need: Need): readonly Candidate[] {
     return this.#registry.usable(need.service).filter(({ id }) =>
       !need.excluded.has(id)
-    );
+    ).map((endpoint) => ({
+      endpoint,
+      use: this.#board.totalUse(endpoint.id),
+    }));
   }
 
   #isCold({ announcement, firstSeenMs }: RegisteredEndpoint): boolean {
@@ -131,14 +139,12 @@
   }
 
   #hasRoom(
-    endpoint: RegisteredEndpoint,
+    { endpoint, use }: Candidate,
     need: Need,
     { engine }: GatewayService,
   ): boolean {
-    const { announcement, id } = endpoint;
-    if (!engine) return true;
-    const use = this.#board.totalUse(id);
-    if (use.runs === 0) return true;
+    const { announcement } = endpoint;
+    if (!engine || use.runs === 0) return true;
     if (this.#isCold(endpoint)) {
       const maxRuns = announcement.slots * COLD_SLOT_SHARE;
       if (use.unreadTokens > 0 || use.runs >= maxRuns) return false;
@@ -150,16 +156,16 @@
   }
 
   #cheapest(
-    candidates: readonly RegisteredEndpoint[],
+    candidates: readonly Candidate[],
     need: Need,
     service: GatewayService,
   ): Choice | undefined {
     let best: RegisteredEndpoint | undefined;
     let bestCost = Infinity;
-    for (const endpoint of candidates) {
-      const cost = this.#cost(endpoint, need, service);
+    for (const candidate of candidates) {
+      const cost = this.#cost(candidate, need, service);
       if (cost >= bestCost) continue;
-      best = endpoint;
+      best = candidate.endpoint;
       bestCost = cost;
     }
     if (!best) return undefined;
@@ -201,14 +207,13 @@
   }
 
   #cost(
-    endpoint: RegisteredEndpoint,
+    { endpoint, use }: Candidate,
     need: Need,
     service: GatewayService,
   ): number {
     const nowMs = this.#clock.monotonicMs();
     const { announcement, health } = endpoint;
     const isOwnZone = announcement.zone === this.#zone;
-    const use = this.#board.totalUse(endpoint.id);
     let cost = this.#random.float() * TIE_JITTER;
     if (health.isEjected(nowMs)) cost += EJECTED_COST;
     if (this.#isCold(endpoint)) cost += COLD_COST;
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -57,12 +57,9 @@
   readonly #logger: Logger;
   readonly #endpoints = new Map<EndpointId, RegisteredEndpoint>();
   readonly #left = new Emitter<RegisteredEndpoint>();
-  readonly #appeared = new Emitter<RegisteredEndpoint>();
 
   /** Fires when an endpoint is known to leave or to have gone. */
   readonly onDidLeave = this.#left.event;
-  /** Fires when an endpoint has appeared, also under the id of an earlier one. */
-  readonly onDidAppear = this.#appeared.event;
 
   /**
    * @param clock - Clock of the windows.
@@ -92,35 +89,20 @@
 
   /** Takes in an announcement. */
   announce(announcement: EndpointAnnouncement): void {
-    const nowMs = this.#clock.monotonicMs();
-    const known = this.#endpoints.get(announcement.id);
-    const isSame = known !== undefined &&
-      known.announcement.bornMs === announcement.bornMs &&
-      known.announcement.address === announcement.address &&
-      known.announcement.service === announcement.service;
-    if (known && !isSame) this.#retire(known, "restarted");
-    let endpoint = known;
-    if (!known || !isSame) {
-      endpoint = new RegisteredEndpoint(announcement, nowMs);
-      this.#endpoints.set(announcement.id, endpoint);
-      this.#logger.log("info", "endpoint-up", {
-        endpoint: announcement.id,
-        service: announcement.service,
-        address: announcement.address,
-        zone: announcement.zone,
-        bornMs: announcement.bornMs,
-      });
-      this.#appeared.fire(endpoint);
+    const { id } = announcement;
+    let endpoint = this.#endpoints.get(id);
+    if (endpoint && !isSameStart(endpoint.announcement, announcement)) {
+      this.#retire(endpoint, "restarted");
+      endpoint = undefined;
     }
-    if (announcement.isDraining) this.leave(announcement.id, "draining");
-    else if (endpoint!.phase.kind === "lapsed") {
-      endpoint!.phase = { kind: "ready" };
-    } else if (
-      endpoint!.phase.kind === "leaving" && endpoint!.phase.reason === "removed"
-    ) {
+    endpoint ??= this.#add(announcement);
+    const { phase } = endpoint;
+    if (announcement.isDraining) this.leave(id, "draining");
+    else if (phase.kind === "lapsed") endpoint.phase = { kind: "ready" };
+    else if (phase.kind === "leaving" && phase.reason === "removed") {
       // A lapsed announcement was written again by a server that lives.
-      endpoint!.phase = { kind: "ready" };
-      this.#logger.log("info", "endpoint-back", { endpoint: announcement.id });
+      endpoint.phase = { kind: "ready" };
+      this.#logger.log("info", "endpoint-back", { endpoint: id });
     }
   }
 
@@ -178,6 +160,21 @@
     }
   }
 
+  #add(announcement: EndpointAnnouncement): RegisteredEndpoint {
+    const { address, bornMs, id, service, zone } = announcement;
+    const nowMs = this.#clock.monotonicMs();
+    const endpoint = new RegisteredEndpoint(announcement, nowMs);
+    this.#endpoints.set(id, endpoint);
+    this.#logger.log("info", "endpoint-up", {
+      endpoint: id,
+      service,
+      address,
+      zone,
+      bornMs,
+    });
+    return endpoint;
+  }
+
   #retire(endpoint: RegisteredEndpoint, reason: string): void {
     const wasUsable = endpoint.isUsable;
     endpoint.phase = { kind: "gone" };
@@ -191,3 +188,12 @@
     if (wasUsable) this.#left.fire(endpoint);
   }
 }
+
+/** Whether two announcements are of one start of one endpoint. */
+function isSameStart(
+  left: EndpointAnnouncement,
+  right: EndpointAnnouncement,
+): boolean {
+  return left.bornMs === right.bornMs && left.address === right.address &&
+    left.service === right.service;
+}
--- a/src/features/gateway/common/engine_control.ts
+++ b/src/features/gateway/common/engine_control.ts
@@ -8,10 +8,6 @@
   readonly isDraining: boolean;
   /** Time until it goes, if it knows. */
   readonly leavesInMs: number | undefined;
-  readonly running: number;
-  readonly queued: number;
-  readonly usedTokens: number;
-  readonly totalTokens: number;
   /** Start of its process, if it says so. */
   readonly bornMs: number | undefined;
 }
@@ -25,8 +21,6 @@
 /** Why a copy was not made. */
 export interface CopyFailure {
   readonly kind: "no-such-run" | "busy" | "no-room" | "unreachable";
-  /** Copy that a stopped run can go on from at its own engine. */
-  readonly name: string | undefined;
   readonly message: string;
 }
 
@@ -34,18 +28,16 @@
 export interface EngineControl {
   readReport(address: Address): Eventually<string, EngineReport>;
   /**
-   * Copies the memory of a running generation to another engine.
+   * Copies the memory of a generation to another engine while it runs on.
    *
    * @param source - Where it runs.
    * @param target - Where the copy goes.
    * @param request - The generation.
-   * @param isFinal - Whether the run stops first, so that the copy is whole.
    */
   copyRun(
     source: Address,
     target: Address,
     request: RequestId,
-    isFinal: boolean,
   ): Eventually<CopyFailure, GenerationCopy>;
   /** Frees a copy that will not be used. */
   freeCopy(source: Address, name: string): Promise<void>;
--- a/src/features/gateway/common/gateway_codec.ts
+++ b/src/features/gateway/common/gateway_codec.ts
@@ -39,24 +39,21 @@
   readonly afterEvent: string | undefined;
 }
 
+/** What the gateway adds to a generation; plain calls leave it out. */
+export interface GenerationFields {
+  /** Rank for the engine; 0 is the most urgent. */
+  readonly priority?: number;
+  /** Where the engine is to keep a copy of the generation's memory. */
+  readonly backupAddress?: Address | undefined;
+  readonly continuation?: Continuation | undefined;
+}
+
 /** What the gateway adds to a request. */
-export interface OutgoingFields {
+export interface OutgoingFields extends GenerationFields {
   readonly endpoint: EndpointId;
   readonly leftMs: number;
   readonly workspace: WorkspaceId | undefined;
   readonly hasKeys: boolean;
-  /** Rank for the engine; 0 is the most urgent. */
-  readonly priority: number | undefined;
-  /** Where the engine is to keep a copy of the generation's memory. */
-  readonly backupAddress: Address | undefined;
-  readonly continuation: Continuation | undefined;
-}
-
-/** Load that an endpoint tells with an answer. */
-export interface ReplyLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
 }
 
 /** What an endpoint's answer says beside its content. */
@@ -67,7 +64,6 @@
   readonly requestId: string | undefined;
   /** Whether the answer carries the endpoint's signature. */
   readonly isSigned: boolean;
-  readonly load: ReplyLoad | undefined;
 }
 
 /** Translates headers. */
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -7,7 +7,11 @@
 } from "../../../base/common/lifecycle.ts";
 import type { EndpointId, RequestId } from "../../../base/common/ids.ts";
 import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
-import type { PassThroughClient } from "../../../services/http/common/pass_through_client.ts";
+import type {
+  PassThroughClient,
+  ReplySink,
+  Transfer,
+} from "../../../services/http/common/pass_through_client.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
 import type { Choice, EndpointChooser, Need } from "./endpoint_choice.ts";
@@ -17,7 +21,11 @@
   EndpointRegistry,
   RegisteredEndpoint,
 } from "./endpoint_registry.ts";
-import type { CallerFields, GatewayCodec } from "./gateway_codec.ts";
+import type {
+  CallerFields,
+  GatewayCodec,
+  GenerationFields,
+} from "./gateway_codec.ts";
 import type {
   GatewayRoute,
   GatewayService,
@@ -163,6 +171,38 @@
     }));
   }
 
+  /**
+   * Sends the request to an endpoint and counts it once it is written.
+   *
+   * @param endpoint - Where it goes.
+   * @param fields - What generations add.
+   * @param sink - Receives the answer.
+   */
+  send(
+    { announcement, id }: RegisteredEndpoint,
+    fields: GenerationFields,
+    sink: ReplySink,
+  ): Transfer {
+    const { client, codec } = this.services;
+    const { body, exchange, hasKeys, holder } = this.request;
+    const { method, target } = exchange;
+    const headers = codec.outgoingHeaders(exchange.headers, {
+      ...fields,
+      endpoint: id,
+      leftMs: this.leftMs,
+      workspace: holder?.workspace,
+      hasKeys,
+    });
+    const { address } = announcement;
+    return client.send({ address, method, target, headers, body }, {
+      ...sink,
+      onSent: () => {
+        this.sentCount++;
+        sink.onSent?.();
+      },
+    });
+  }
+
   /** Takes note of how an endpoint did with this request. */
   noteHealth(
     { announcement, health, id }: RegisteredEndpoint,
--- a/src/features/gateway/common/run_mover.ts
+++ b/src/features/gateway/common/run_mover.ts
@@ -87,7 +87,6 @@
         source,
         address,
         run.requestId,
-        false,
       );
       const copy = rightOf(copied);
       if (!copy) {
--- a/src/features/gateway/common/stream_leg.ts
+++ b/src/features/gateway/common/stream_leg.ts
@@ -92,30 +92,15 @@
   /** Sends the request. */
   send(): void {
     const { context, endpoint, continuation, backupAddress } = this.#options;
-    const { services, request } = context;
-    const { exchange } = request;
-    const { address, id } = endpoint.announcement;
-    const headers = services.codec.outgoingHeaders(exchange.headers, {
-      endpoint: id,
-      leftMs: context.leftMs,
-      workspace: request.holder?.workspace,
-      hasKeys: request.hasKeys,
-      priority: context.priority,
+    const { priority } = context;
+    let wasSent = false;
+    this.#transfer = context.send(endpoint, {
+      priority,
       backupAddress,
       continuation,
-    });
-    let wasSent = false;
-    this.#transfer = services.client.send({
-      address,
-      method: exchange.method,
-      target: exchange.target,
-      headers,
-      body: request.body,
-      isReuseAllowed: true,
     }, {
       onSent: () => {
         wasSent = true;
-        context.sentCount++;
       },
       onHead: (status, received) => this.#onHead(status, received),
       onData: (chunk) => this.#onData(chunk),
--- a/src/services/http/common/header_list.ts
+++ b/src/services/http/common/header_list.ts
@@ -72,6 +72,15 @@
   );
 }
 
+/**
+ * @param method - Method of the request.
+ * @param status - Status of its answer.
+ * @returns Whether the answer has no body, whatever its headers say.
+ */
+export function hasNoBody(method: string, status: number): boolean {
+  return method === "HEAD" || status === 204 || status === 304;
+}
+
 /**
  * @param method - Method of the request.
  * @param status - Status of its answer.
@@ -84,7 +93,7 @@
   status: number,
   headers: HeaderList,
 ): boolean {
-  if (method === "HEAD" || status === 204 || status === 304) return false;
+  if (hasNoBody(method, status)) return false;
   return headerOf(headers, "content-length") === undefined &&
     headerOf(headers, "transfer-encoding") === undefined;
 }
--- a/src/services/http/common/pass_through_client.ts
+++ b/src/services/http/common/pass_through_client.ts
@@ -11,8 +11,6 @@
   readonly target: string;
   readonly headers: HeaderList;
   readonly body: Uint8Array | undefined;
-  /** Whether a connection that was used before may carry the request. */
-  readonly isReuseAllowed: boolean;
 }
 
 /** Why no whole answer came. */
--- a/src/services/http/node/caller_listener.ts
+++ b/src/services/http/node/caller_listener.ts
@@ -6,15 +6,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { Clock } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
-import { type Address, asId } from "../../../base/common/ids.ts";
+import type { Address } from "../../../base/common/ids.ts";
 import {
   type Disposable,
-  toDisposable,
+  NO_DISPOSABLE,
 } from "../../../base/common/lifecycle.ts";
-import { splitAddress } from "../../settings/common/schema_parts.ts";
 import type {
   BodyResult,
   CallerExchange,
@@ -22,6 +21,7 @@
   ExchangeEnd,
 } from "../common/caller_exchange.ts";
 import type { HeaderList } from "../common/header_list.ts";
+import { listenAt } from "./listen.ts";
 
 /** Largest head that the parser takes; the configured limit is checked after. */
 const PARSER_HEADER_BYTES = 65_536;
@@ -79,14 +79,8 @@
    * @param address - Where to listen; port 0 takes a free one.
    * @returns The address with its port.
    */
-  async listen(address: Address): Promise<Address> {
-    const { ip, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ port, host: ip, backlog: LISTEN_BACKLOG }, resolve);
-    });
-    const bound = this.#server.address() as AddressInfo;
-    return asId<Address>(`${ip}:${bound.port}`);
+  listen(address: Address): Promise<Address> {
+    return listenAt(this.#server, address, { backlog: LISTEN_BACKLOG });
   }
 
   /** Applies new limits to connections and requests to come. */
@@ -190,7 +184,7 @@
   readonly onDidEnd = (listener: (end: ExchangeEnd) => void): Disposable => {
     if (this.#end === undefined) return this.#ended.event(listener);
     listener(this.#end);
-    return toDisposable(() => undefined);
+    return NO_DISPOSABLE;
   };
 
   async readBody(limitBytes: number): Promise<BodyResult> {
--- a/src/services/http/node/page_server.ts
+++ b/src/services/http/node/page_server.ts
@@ -5,7 +5,7 @@
 import type { Address } from "../../../base/common/ids.ts";
 import type { Disposable } from "../../../base/common/lifecycle.ts";
 import type { Logger } from "../../log/common/logger.ts";
-import { splitAddress } from "../../settings/common/schema_parts.ts";
+import { listenAt } from "./listen.ts";
 
 /** An answer in plain text. */
 export interface Page {
@@ -36,11 +36,7 @@
 
   /** Starts to answer. */
   async listen(address: Address): Promise<void> {
-    const { ip, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, ip, resolve);
-    });
+    await listenAt(this.#server, address);
   }
 
   /** Closes the address and all connections. */
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -68,7 +68,7 @@
 
   /** {@inheritDoc PassThroughClient.send} */
   send(request: OutgoingRequest, sink: ReplySink): Transfer {
-    const connection = this.#take(request);
+    const connection = this.#take(request.address);
     const exchange = new Exchange(connection, request, sink, () => {
       this.#giveBack(connection);
     });
@@ -82,17 +82,19 @@
     this.#idle.delete(address);
   }
 
-  #take(request: OutgoingRequest): Connection {
-    const idle = this.#idle.get(request.address) ?? [];
+  #take(address: Address): Connection {
+    const idle = this.#idle.get(address) ?? [];
     const nowMs = this.#clock.monotonicMs();
-    while (request.isReuseAllowed) {
-      const connection = idle.pop();
-      if (!connection) break;
+    for (
+      let connection = idle.pop();
+      connection;
+      connection = idle.pop()
+    ) {
       const isFresh = nowMs - connection.idleSinceMs < this.#limits.idleLimitMs;
       if (isFresh && connection.isOpen) return connection;
       destroy(connection.client);
     }
-    return this.#open(request.address);
+    return this.#open(address);
   }
 
   #open(address: Address): Connection {
--- a/src/services/http/node/undici_pass_through_client_test.ts
+++ b/src/services/http/node/undici_pass_through_client_test.ts
@@ -52,7 +52,6 @@
         target: "/x?y=1",
         headers,
         body: Buffer.from("body"),
-        isReuseAllowed: true,
       }, {
         onHead: (received) => {
           status = received;
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -10,19 +10,18 @@
   createServer as createHttpsServer,
   type ServerOptions,
 } from "node:https";
-import type { AddressInfo } from "node:net";
 import type { ConnectionOptions, Server as TlsServer } from "node:tls";
 import { WebSocket, WebSocketServer } from "ws";
 import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
-import { type Address, asId, type HostId } from "../../../base/common/ids.ts";
+import type { Address, HostId } from "../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
 } from "../../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../../base/common/random.ts";
 import type { Logger } from "../../log/common/logger.ts";
-import { splitAddress } from "../../settings/common/schema_parts.ts";
+import { listenAt } from "../../http/node/listen.ts";
 import {
   encodeFrame,
   KEEPALIVE_CHANNEL,
@@ -133,14 +132,8 @@
    * @param address - Where to listen; port 0 takes a free one.
    * @returns The address with its port.
    */
-  async listen(address: Address): Promise<Address> {
-    const { ip, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#http.once("error", reject);
-      this.#http.listen(port, ip, resolve);
-    });
-    const bound = this.#http.address() as AddressInfo;
-    return asId<Address>(address.replace(/:\d+$/, `:${bound.port}`));
+  listen(address: Address): Promise<Address> {
+    return listenAt(this.#http, address);
   }
 
   /** {@inheritDoc PeerLinks.connectedHosts} */
--- a/standins/gateway/gateway_world.ts
+++ b/standins/gateway/gateway_world.ts
@@ -64,10 +64,6 @@
     return Promise.resolve(Right({
       isDraining: false,
       leavesInMs: undefined,
-      running: 0,
-      queued: 0,
-      usedTokens: 0,
-      totalTokens: 1,
       bornMs: undefined,
     }));
   }
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -107,11 +107,7 @@
 
   it("tries again for a move as long as engines have no room", async () => {
     const { exchange, source } = await startDraft();
-    world.control.copyFailure = {
-      kind: "no-room",
-      name: undefined,
-      message: "full",
-    };
+    world.control.copyFailure = { kind: "no-room", message: "full" };
     world.registry.leave(source.id, "draining");
     await world.advance(500);
     expect(world.control.copies).toHaveLength(0);
--- a/standins/gateway/plain_codec.ts
+++ b/standins/gateway/plain_codec.ts
@@ -50,7 +50,6 @@
       isNotRun: headerOf(headers, "x-not-executed") !== undefined,
       requestId: headerOf(headers, "id"),
       isSigned: headerOf(headers, "x-response-stamp") !== undefined,
-      load: undefined,
     };
   }
 
