--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,6 +1,7 @@
 /** Callers of the soak; each sends one request after the other. */
 
 import { Agent, request as sendRequest } from "node:http";
+import { setTimeout as wait } from "node:timers/promises";
 import type { SeededRandom } from "../src/base/common/random.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
 import type { CallerEnd, Promises, SentRequest } from "./promises.ts";
@@ -59,7 +60,7 @@
       const sent: SentRequest = { id, kind, key, sentMs, end: undefined };
       this.#promises.noteSent(sent);
       sent.end = await this.#send(daemon, sent);
-      await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+      await wait(PAUSE_MS);
     }
   }
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,5 +1,6 @@
 /** Faults of the soak, drawn from one seed; they come in series and overlap. */
 
+import { setTimeout as wait } from "node:timers/promises";
 import type { SeededRandom } from "../src/base/common/random.ts";
 import type { StoreFault } from "../platform/standins/metadata_store_server.ts";
 import type { ProxyFault } from "./fault_proxy.ts";
@@ -78,11 +79,12 @@
     const kind = this.#pick(
       ["silent", "busy", "reset", "lapse", "compact"] as const,
     );
+    const setFault = (fault: StoreFault): void => {
+      server.fault = fault;
+    };
     if (kind === "compact") server.store.compact();
     else if (kind === "lapse") server.store.lapseLeases();
-    else {this.#during(() =>
-        server.fault = kind as StoreFault, () =>
-        server.fault = "none");}
+    else this.#during(() => setFault(kind), () => setFault("none"));
     return `store ${kind}`;
   }
 
@@ -108,10 +110,9 @@
       { kind: "reset" },
       { kind: "cut" },
     ]);
+    const setFault = (next: ProxyFault): void => proxy.setFault(next);
     if (fault.kind === "cut") proxy.resetAll();
-    else {this.#during(() =>
-        proxy.setFault(fault), () =>
-        proxy.setFault({ kind: "none" }));}
+    else this.#during(() => setFault(fault), () => setFault({ kind: "none" }));
     return JSON.stringify(fault);
   }
 
@@ -143,7 +144,7 @@
       void world.crashEndpoint(endpoint);
       return `crash ${name}`;
     }
-    void world.retireEndpoint(endpoint, 1_500 + this.#random.float() * 1_000);
+    world.retireEndpoint(endpoint, 1_500 + this.#random.float() * 1_000);
     void world.addEndpoint(service);
     return `retire ${name}`;
   }
@@ -167,7 +168,3 @@
     return choices[Math.floor(this.#random.float() * choices.length)]!;
   }
 }
-
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -2,6 +2,7 @@
 
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { setTimeout as wait } from "node:timers/promises";
 import { SeededRandom } from "../src/base/common/random.ts";
 import { Callers } from "./callers.ts";
 import { Faults } from "./faults.ts";
@@ -78,7 +79,3 @@
       daemonCount,
   };
 }
-
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/soak/soak_world.ts
+++ b/soak/soak_world.ts
@@ -1,6 +1,7 @@
 /** Store, endpoints and daemons of a soak, all on loopback. */
 
 import { mkdir, rm } from "node:fs/promises";
+import { setTimeout as wait } from "node:timers/promises";
 import { SystemClock } from "../src/base/node/system_clock.ts";
 import type { Address } from "../src/base/common/ids.ts";
 import { MetadataStoreServer } from "../platform/standins/metadata_store_server.ts";
@@ -25,6 +26,8 @@
 ]);
 
 const ZONES = ["zone-a", "zone-b"];
+/** Killed processes are gone after a few ms. */
+const EXIT_CHECK_MS = 20;
 const PORTS_PER_DAEMON = 10;
 /** Soaks that run beside each other differ in the thousands of their ports. */
 const PORTS_PER_BLOCK = 1_000;
@@ -35,6 +38,10 @@
   readonly name: string;
   replica: ReplicaServer;
   proxy: FaultProxy;
+  /** Address of the proxy. */
+  address: Address;
+  /** Wall-clock start of the replica. */
+  bornMs: number;
 }
 
 /** What a soak is made from. */
@@ -107,7 +114,7 @@
       daemon.kill();
     }
     while (this.daemons.some(({ isAlive }) => isAlive)) {
-      await new Promise((resolve) => setTimeout(resolve, 20));
+      await wait(EXIT_CHECK_MS);
     }
     for (const { replica, proxy } of this.endpoints) {
       proxy.close();
@@ -122,16 +129,13 @@
     const name = `${service}-${++this.#born}`;
     const endpoint = { service, name, ...await this.#startReplica(name) };
     this.endpoints.push(endpoint);
-    await this.#announce(endpoint, "ready");
+    this.#announce(endpoint, "ready");
   }
 
   /** An endpoint says that it leaves, goes on for a while, and ends. */
-  async retireEndpoint(
-    endpoint: SoakEndpoint,
-    lingerMs: number,
-  ): Promise<void> {
+  retireEndpoint(endpoint: SoakEndpoint, lingerMs: number): void {
     this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
-    await this.#announce(endpoint, "draining");
+    this.#announce(endpoint, "draining");
     setTimeout(() => {
       this.storeServer.store.remove(`${ENDPOINT_PREFIX}${endpoint.name}`);
       endpoint.proxy.close();
@@ -144,7 +148,7 @@
     endpoint.proxy.close();
     endpoint.replica.dispose();
     Object.assign(endpoint, await this.#startReplica(endpoint.name));
-    await this.#announce(endpoint, "ready");
+    this.#announce(endpoint, "ready");
   }
 
   /** Writes the next version, without the keys that are revoked now. */
@@ -171,7 +175,7 @@
 
   async #startReplica(
     name: string,
-  ): Promise<{ replica: ReplicaServer; proxy: FaultProxy }> {
+  ): Promise<Omit<SoakEndpoint, "service" | "name">> {
     const { promises } = this.#options;
     const replica = new ReplicaServer(name);
     replica.eventCount = DRAFT_EVENTS;
@@ -185,38 +189,26 @@
         workspace: headers["x-tenant"]?.toString(),
       });
     const proxy = new FaultProxy(await replica.listen());
-    return { replica, proxy };
+    const address = await proxy.listen();
+    return { replica, proxy, address, bornMs: Date.now() };
   }
 
-  async #announce(
-    endpoint: SoakEndpoint,
-    state: "ready" | "draining",
-  ): Promise<void> {
-    const { service, name, proxy } = endpoint;
-    if (state === "ready") endpointAddresses.set(proxy, await proxy.listen());
+  #announce(endpoint: SoakEndpoint, state: "ready" | "draining"): void {
+    const { service, name, address, bornMs } = endpoint;
     const entry = {
       service,
-      "address": endpointAddresses.get(proxy),
+      address,
       "zone": ZONES[0],
       "slots": 8,
       state,
       "cold-left-ms": 0,
-      "born": bornOf(endpoint.replica),
+      "born": bornMs,
     };
     const key = `${ENDPOINT_PREFIX}${name}`;
     this.storeServer.store.put(key, JSON.stringify(entry));
   }
 }
 
-const endpointAddresses = new WeakMap<FaultProxy, Address>();
-const bornTimes = new WeakMap<ReplicaServer, number>();
-
-function bornOf(replica: ReplicaServer): number {
-  const bornMs = bornTimes.get(replica) ?? Date.now();
-  bornTimes.set(replica, bornMs);
-  return bornMs;
-}
-
 function configurationOf(version: number, tenants: unknown): unknown {
   const route = {
     "host": "app.example",
