--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -85,7 +85,7 @@
   readonly readyAddress: Address;
   readonly peersAddress: Address;
   readonly metricsAddress: Address;
-  /** Part in relaying news that the host can bear; greater ones go first. */
+  /** Processor and network of the host; greater ones become hubs first. */
   readonly relayCapacity: number;
 }
 
--- a/src/services/peers/common/peer_overlay.ts
+++ b/src/services/peers/common/peer_overlay.ts
@@ -1,4 +1,4 @@
-/** Contract for who passes news on when not every pair of daemons is linked. */
+/** Contract for who relays updates when not every pair of daemons is linked. */
 
 import type { Event } from "../../../base/common/event.ts";
 import type { HostId } from "../../../base/common/ids.ts";
@@ -7,7 +7,7 @@
 export interface PeerOverlay {
   /** Fires when the daemon reports to another hub, or to none. */
   readonly onDidChangeHome: Event<void>;
-  /** Whether this daemon passes news on to others. */
+  /** Whether this daemon relays updates to others. */
   readonly isHub: boolean;
   /** Hub that this daemon reports to; none while it is a hub or has no link. */
   home(): HostId | undefined;
