End a leaving run only once its next endpoint has accepted it

Cause: the gateway closed the run of a leaving engine and then asked the backup to go on. Where the backup had no copy or no room it answered 503 and the draft was lost, though its engine would have worked on for a second or two.

Change: a continuation of a living run is a handover (handover.ts). The old run goes on, and its events are delivered, until the next endpoint begins to answer; a refusal leaves it as it is, and it is copied elsewhere or ends where it is. After 250 ms what was sent counts as accepted, so that two runs are never at work for 400 ms. A dark engine ends a generation only if the request was written to it. GenerationAnswer and GenerationBackup take what made the forwarder too long.

--- a/src/features/gateway/common/generation_backup.ts
+++ b/src/features/gateway/common/generation_backup.ts
@@ -1,42 +1,56 @@
 /** The copy of a generation's memory that another engine keeps as it grows. */
 
+import type { Need } from "./endpoint_choice.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { CopyClaim, LoadBoard } from "./load_board.ts";
+import type { RequestContext } from "./gateway_request.ts";
+import type { GenerationSize } from "./generation_size.ts";
+import type { CopyClaim } from "./load_board.ts";
 
 /** Age of a run from which its backup holds the prompt; it is sent several times a second. */
 const SETTLE_MS = 700;
 
 /** Where a backup is, and whether it can be used. */
 export class GenerationBackup {
+  readonly #context: RequestContext;
+  readonly #need: Need;
+  readonly #size: GenerationSize;
   #endpoint: RegisteredEndpoint | undefined;
   #claim: CopyClaim | undefined;
 
+  /**
+   * @param context - The request.
+   * @param need - What the generation needs.
+   * @param size - Its size as it grows.
+   */
+  constructor(context: RequestContext, need: Need, size: GenerationSize) {
+    this.#context = context;
+    this.#need = need;
+    this.#size = size;
+  }
+
   /** The engine that keeps the copy. */
   get endpoint(): RegisteredEndpoint | undefined {
     return this.#endpoint;
   }
 
   /**
-   * Replaces the backup.
+   * Chooses the engine that is to keep the copy of a new run, if any has room.
    *
-   * @param endpoint - The engine that is to keep the copy, if any.
-   * @param board - Counts the memory of the copy.
-   * @param tokens - Size of the copy.
+   * @param primary - Where the run is.
    */
-  keepAt(
-    endpoint: RegisteredEndpoint | undefined,
-    board: LoadBoard,
-    tokens: number,
-  ): void {
+  chooseFor(primary: RegisteredEndpoint): void {
     this.drop();
+    const { request, services } = this.#context;
+    const { board, chooser } = services;
+    const endpoint = chooser.chooseBackup(this.#need, request.service, primary);
     if (!endpoint) return;
     this.#endpoint = endpoint;
-    this.#claim = board.claimCopy(endpoint.id, tokens);
+    this.#claim = board.claimCopy(endpoint.id, this.#size.heldTokens);
   }
 
-  /** @param tokens - Size of the copy by now. */
-  resize(tokens: number): void {
-    this.#claim?.resize(tokens);
+  /** Takes note of the size of the copy by now. */
+  resize(): void {
+    this.#claim?.resize(this.#size.heldTokens);
   }
 
   /**
@@ -48,6 +62,12 @@
     return isSettled && this.#endpoint?.isUsable ? this.#endpoint : undefined;
   }
 
+  /** @returns Text by which a backup engine finds the copy that it keeps. */
+  nameAt(backup: RegisteredEndpoint): string {
+    const { request, services } = this.#context;
+    return services.codec.backupName(backup.announcement.address, request.id);
+  }
+
   /** There is no backup any more. */
   drop(): void {
     this.#claim?.dispose();
