Pass large bodies on while they arrive

Cause: every body was read whole before its request was sent, so that memory grew with the callers' uploads and an upload of a megabyte waited for its own end. The reader also destroyed the caller's connection when a body without a length proved too large, so that the caller never saw the 413.

Change: bodies of calls beyond 256 KB are passed on as fast as the endpoint takes them (incoming_body.ts, request_body.ts). Such a request is sent once: it is not repeated once its body was taken, and an upload in progress is not taken for a silent endpoint. Generations keep their prompts whole, since they may go on elsewhere. A connection on which a body was not sent whole, because the endpoint answered early, is not used again. A caller that has its answer has a second to end a body that nobody reads.

--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -13,6 +13,7 @@
   isEndedByClose,
   withoutHeader,
 } from "../../../services/http/common/header_list.ts";
+import { isStreamed } from "../../../services/http/common/request_body.ts";
 import type {
   Transfer,
   TransferFailure,
@@ -109,6 +110,10 @@
           return;
         case "unknown":
           lastReason = result.reason;
+          if (this.#isBodyTooLarge()) {
+            context.fail(413, "unknown", result.reason);
+            return;
+          }
           if (!this.#isRepeatable() || !context.mayRepeat(true)) {
             context.fail(502, "unknown", result.reason);
             return;
@@ -125,6 +130,11 @@
     return services.chooser.choose(need, service);
   }
 
+  #isBodyTooLarge(): boolean {
+    const { body } = this.#context.request;
+    return isStreamed(body) && body.isTooLarge;
+  }
+
   #isRepeatable(): boolean {
     return this.#context.request.route.kind.kind === "idempotent";
   }
@@ -225,7 +235,10 @@
       MIN_SILENT_MS,
       SILENT_OBJECTIVES * route.objectiveMs,
     );
-    context.setTimer(limitMs, () => this.#onSilent(isSilenceLimited));
+    // While a body arrives, silence is the caller's.
+    if (!context.isBodyStreamed) {
+      context.setTimer(limitMs, () => this.#onSilent(isSilenceLimited));
+    }
     this.#transfer = context.send(this.#endpoint, {}, {
       onHead: (status, received) => this.#onHead(status, received),
       onData: (chunk) => this.#onData(chunk),
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -4,6 +4,7 @@
 import { type Hasher } from "../../../base/common/hasher.ts";
 import { asId, type RequestId } from "../../../base/common/ids.ts";
 import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
+import type { RequestBody } from "../../../services/http/common/request_body.ts";
 import { CallForwarder } from "./call_forwarder.ts";
 import type { CallerFields } from "./gateway_codec.ts";
 import type { GatewayRoute, KeyHolder } from "./gateway_configuration.ts";
@@ -28,6 +29,8 @@
 /** When memory for bodies may be free again. */
 const BODIES_RETRY_AFTER_MS = 300;
 const HASH_RANGE = 2 ** 32;
+/** Larger bodies of calls are passed on while they arrive, and never sent again. */
+const MAX_COLLECTED_BYTES = 262_144;
 
 /** Another host takes the request as soon as it comes. */
 const STOPPING_RETRY_AFTER_MS = 50;
@@ -49,6 +52,13 @@
   readonly retryAfterMs?: number;
 }
 
+/** A body as far as it was read before the request is forwarded. */
+interface ReadBody {
+  readonly body: RequestBody;
+  /** Memory that it takes. */
+  readonly heldBytes: number;
+}
+
 type Admission =
   | { readonly kind: "refused"; readonly refusal: Refusal }
   | {
@@ -120,7 +130,12 @@
     }
     const { configuration } = admission.inForce;
     const { maxBodyBytes } = configuration.limits;
-    const read = await exchange.readBody(maxBodyBytes);
+    const isGeneration = admission.route.kind.kind === "generation";
+    const read = await exchange.readBody({
+      maxBytes: maxBodyBytes,
+      // A generation may have to go on elsewhere, with its prompt.
+      collectedBytes: isGeneration ? maxBodyBytes : MAX_COLLECTED_BYTES,
+    });
     switch (read.kind) {
       case "left":
         return;
@@ -131,7 +146,16 @@
         });
         return;
       case "whole":
-        this.#forward(exchange, fields, admission, read.body);
+        this.#forward(exchange, fields, admission, {
+          body: read.body,
+          heldBytes: read.body?.byteLength ?? 0,
+        });
+        return;
+      case "streamed":
+        this.#forward(exchange, fields, admission, {
+          body: read.body,
+          heldBytes: read.collectedBytes,
+        });
     }
   }
 
@@ -139,7 +163,7 @@
     exchange: CallerExchange,
     fields: CallerFields,
     { id, route, holder, inForce }: Admission & { kind: "admitted" },
-    body: Uint8Array | undefined,
+    { body, heldBytes }: ReadBody,
   ): void {
     const { configuration } = inForce;
     const draw = this.#hasher.hash32(id) / HASH_RANGE;
@@ -153,9 +177,8 @@
       });
       return;
     }
-    const sizeBytes = body?.byteLength ?? 0;
     const { maxBodyBytesInUse } = this.#limits();
-    if (this.#bodyBytesInUse + sizeBytes > maxBodyBytesInUse) {
+    if (this.#bodyBytesInUse + heldBytes > maxBodyBytesInUse) {
       this.#refuse(exchange, fields, {
         status: 503,
         reason: "the bodies of other requests fill the memory",
@@ -163,9 +186,9 @@
       });
       return;
     }
-    this.#bodyBytesInUse += sizeBytes;
+    this.#bodyBytesInUse += heldBytes;
     exchange.onDidEnd(() => {
-      this.#bodyBytesInUse -= sizeBytes;
+      this.#bodyBytesInUse -= heldBytes;
     });
     const patienceMs = fields.patienceMs ?? DEFAULT_PATIENCE_MS;
     const request: AdmittedRequest = {
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -7,6 +7,10 @@
 } from "../../../base/common/lifecycle.ts";
 import type { EndpointId, RequestId } from "../../../base/common/ids.ts";
 import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
+import {
+  isStreamed,
+  type RequestBody,
+} from "../../../services/http/common/request_body.ts";
 import type {
   PassThroughClient,
   ReplySink,
@@ -62,7 +66,7 @@
   readonly service: GatewayService;
   readonly holder: KeyHolder | undefined;
   readonly hasKeys: boolean;
-  readonly body: Uint8Array | undefined;
+  readonly body: RequestBody;
   /** Monotonic time at which an answer is due. */
   readonly deadlineMs: number;
 }
@@ -106,6 +110,11 @@
     return this.request.deadlineMs - this.services.clock.monotonicMs();
   }
 
+  /** Whether the body is passed on while it arrives, and so only once. */
+  get isBodyStreamed(): boolean {
+    return isStreamed(this.request.body);
+  }
+
   /** Whether the request has its end. */
   get isOver(): boolean {
     return this.#isOver;
@@ -124,7 +133,8 @@
    */
   mayRepeat(wasRun: boolean): boolean {
     if (this.sentCount === 0) return true;
-    const { route, service } = this.request;
+    const { body, route, service } = this.request;
+    if (isStreamed(body) && body.isTaken) return false;
     // A try that was refused as not run does not count as an attempt.
     const maxSent = route.maxAttempts + (wasRun ? 0 : 1);
     if (this.leftMs <= 0 || this.sentCount >= maxSent) return false;
@@ -249,7 +259,7 @@
    * @param retryAfterMs - When to come back, if that is worthwhile.
    */
   fail(
-    status: 502 | 503 | 504,
+    status: 413 | 502 | 503 | 504,
     end: RequestEnd,
     reason: string,
     retryAfterMs?: number,
--- a/src/services/http/common/caller_exchange.ts
+++ b/src/services/http/common/caller_exchange.ts
@@ -2,13 +2,27 @@
 
 import type { Event } from "../../../base/common/event.ts";
 import type { HeaderList } from "./header_list.ts";
+import type { StreamedBody } from "./request_body.ts";
 
 /** What came of reading a request's body. */
 export type BodyResult =
   | { readonly kind: "whole"; readonly body: Uint8Array | undefined }
+  /** Larger than what is collected; its rest is still to come. */
+  | {
+    readonly kind: "streamed";
+    readonly body: StreamedBody;
+    readonly collectedBytes: number;
+  }
   | { readonly kind: "too-large" }
   | { readonly kind: "left" };
 
+/** How much of a body is taken. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** A larger body is passed on while it arrives. */
+  readonly collectedBytes: number;
+}
+
 /** How the exchange with a caller ended. */
 export type ExchangeEnd = "answered" | "left";
 
@@ -27,8 +41,8 @@
   /** Whether the head of an answer was sent. */
   readonly hasStarted: boolean;
 
-  /** @param limitBytes - Largest body that is taken. */
-  readBody(limitBytes: number): Promise<BodyResult>;
+  /** @param limits - How much is taken, and how much of it at once. */
+  readBody(limits: BodyLimits): Promise<BodyResult>;
 
   /** Sends a complete answer. */
   reply(status: number, headers: HeaderList, body: Uint8Array | string): void;
--- a/src/services/http/common/pass_through_client.ts
+++ b/src/services/http/common/pass_through_client.ts
@@ -2,6 +2,7 @@
 
 import type { Address } from "../../../base/common/ids.ts";
 import type { HeaderList } from "./header_list.ts";
+import type { RequestBody } from "./request_body.ts";
 
 /** A request for one endpoint. */
 export interface OutgoingRequest {
@@ -10,7 +11,7 @@
   /** Path with its query. */
   readonly target: string;
   readonly headers: HeaderList;
-  readonly body: Uint8Array | undefined;
+  readonly body: RequestBody;
 }
 
 /** Why no whole answer came. */
--- a/src/services/http/node/caller_listener.ts
+++ b/src/services/http/node/caller_listener.ts
@@ -15,12 +15,14 @@
   NO_DISPOSABLE,
 } from "../../../base/common/lifecycle.ts";
 import type {
+  BodyLimits,
   BodyResult,
   CallerExchange,
   CallerLimits,
   ExchangeEnd,
 } from "../common/caller_exchange.ts";
 import type { HeaderList } from "../common/header_list.ts";
+import { readIncomingBody } from "./incoming_body.ts";
 import { listenAt } from "./listen.ts";
 
 /** Largest head that the parser takes; the configured limit is checked after. */
@@ -28,6 +30,8 @@
 /** Idle time granted beyond the limit that callers are told of. */
 const IDLE_SLACK_MS = 1_000;
 const LISTEN_BACKLOG = 1_024;
+/** Time for a caller that has its answer to end a body that nobody reads. */
+const UNREAD_BODY_MS = 1_000;
 
 /** Accepts connections of callers. */
 export class CallerListener implements Disposable {
@@ -155,6 +159,7 @@
     response.on("close", () => {
       this.#settle(response.writableFinished ? "answered" : "left");
     });
+    response.on("finish", () => this.#skipUnreadBody());
     response.on("drain", () => this.#drained.fire());
     // The end of the connection is told by the response's own event.
     request.on("error", () => undefined);
@@ -187,28 +192,8 @@
     return NO_DISPOSABLE;
   };
 
-  async readBody(limitBytes: number): Promise<BodyResult> {
-    const length = Number(this.#request.headers["content-length"] ?? 0);
-    if (length > limitBytes) return { kind: "too-large" };
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    try {
-      for await (const chunk of this.#request as AsyncIterable<Buffer>) {
-        sizeBytes += chunk.length;
-        if (sizeBytes > limitBytes) return { kind: "too-large" };
-        chunks.push(chunk);
-      }
-    } catch {
-      // The only error of the request stream is that its caller has gone.
-      return { kind: "left" };
-    }
-    const hasBody = chunks.length > 0 ||
-      this.#request.headers["content-length"] !== undefined ||
-      this.#request.headers["transfer-encoding"] !== undefined;
-    return {
-      kind: "whole",
-      body: hasBody ? Buffer.concat(chunks) : undefined,
-    };
+  readBody(limits: BodyLimits): Promise<BodyResult> {
+    return readIncomingBody(this.#request, limits);
   }
 
   reply(status: number, headers: HeaderList, body: Uint8Array | string): void {
@@ -250,6 +235,17 @@
     this.#response.writeHead(status, [...headers, ...closing]);
   }
 
+  /** Closing at once would reset the connection, and with it the answer. */
+  #skipUnreadBody(): void {
+    const request = this.#request;
+    if (request.complete) return;
+    request.resume();
+    const timer = setTimeout(() => {
+      if (!request.complete) request.destroy();
+    }, UNREAD_BODY_MS);
+    request.once("close", () => clearTimeout(timer));
+  }
+
   #settle(end: ExchangeEnd): void {
     if (this.#end !== undefined) return;
     this.#end = end;
--- a/src/services/http/node/caller_listener_test.ts
+++ b/src/services/http/node/caller_listener_test.ts
@@ -98,6 +98,49 @@
     expect(received.endsWith("0\r\n\r\n")).toBe(false);
   });
 
+  it("takes the body of a large request only as fast as it is passed on", async () => {
+    const sizeBytes = 8_000_000;
+    socket.write(
+      `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${sizeBytes}\r\n\r\n`,
+    );
+    socket.write(Buffer.alloc(sizeBytes, "x"));
+    await until(() => exchanges.length === 1);
+    const read = await exchanges[0]!.readBody({
+      maxBytes: sizeBytes,
+      collectedBytes: 100_000,
+    });
+    if (read.kind !== "streamed") throw new Error(read.kind);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    expect(socket.writableLength).toBeGreaterThan(0);
+    let passedBytes = 0;
+    for await (const chunk of read.body.chunks()) passedBytes += chunk.length;
+    expect(passedBytes).toBe(sizeBytes);
+    exchanges[0]!.reply(200, [], "whole");
+    await until(() => received.endsWith("whole"));
+  });
+
+  it("answers a caller whose body is too large, in the middle of it", async () => {
+    socket.write("POST / HTTP/1.1\r\nHost: a\r\n");
+    socket.write("Transfer-Encoding: chunked\r\n\r\n");
+    socket.write(`1000\r\n${"x".repeat(4_096)}\r\n`);
+    await until(() => exchanges.length === 1);
+    const limits = { maxBytes: 2_000, collectedBytes: 1_000 };
+    const read = await exchanges[0]!.readBody(limits);
+    expect(read.kind).toBe("too-large");
+    exchanges[0]!.reply(413, [], "too large");
+    await until(() => received.endsWith("too large"));
+  });
+
+  it("closes a connection whose caller never ends a body that nobody reads", async () => {
+    let isClosed = false;
+    socket.on("close", () => isClosed = true);
+    socket.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n");
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.reply(503, [], "busy");
+    await until(() => received.endsWith("busy"));
+    await until(() => isClosed);
+  });
+
   it("answers 400 to what is no request, such as two lengths", async () => {
     socket.write(
       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n" +
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -1,11 +1,13 @@
 /** Pass-through requests over undici, one request at a time on a connection. */
 
 import { connect as connectSocket, type Socket } from "node:net";
+import { Readable } from "node:stream";
 import { Client, type Dispatcher } from "undici";
 import type { Clock } from "../../../base/common/clock.ts";
 import { messageOf } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import { isEndedByClose } from "../common/header_list.ts";
+import { isStreamed, type StreamedBody } from "../common/request_body.ts";
 import type {
   OutgoingRequest,
   PassThroughClient,
@@ -190,12 +192,16 @@
   }
 
   start(): void {
-    const { method, target, headers, body } = this.#request;
+    const { method, target, body } = this.#request;
+    const headers = [...this.#request.headers];
+    if (isStreamed(body) && body.sizeBytes !== undefined) {
+      headers.push("content-length", String(body.sizeBytes));
+    }
     const options: Dispatcher.DispatchOptions = {
       method: method as Dispatcher.HttpMethod,
       path: target,
-      headers: headers as string[],
-      body: body ?? null,
+      headers,
+      body: isStreamed(body) ? streamOf(body) : body ?? null,
     };
     try {
       this.#connection.client.dispatch(options, {
@@ -261,6 +267,11 @@
   }
 }
 
+/** @returns A stream that begins to read only when it is read. */
+function streamOf(body: StreamedBody): Readable {
+  return Readable.from(body.chunks(), { objectMode: false });
+}
+
 function destroy(client: Client): void {
   // The failure of requests in flight is told through their own handlers.
   client.destroy().catch(() => undefined);
--- a/src/services/http/node/undici_pass_through_client_test.ts
+++ b/src/services/http/node/undici_pass_through_client_test.ts
@@ -7,6 +7,7 @@
 import type { Address } from "../../../base/common/ids.ts";
 import { SystemClock } from "../../../base/node/system_clock.ts";
 import type { HeaderList } from "../common/header_list.ts";
+import type { RequestBody, StreamedBody } from "../common/request_body.ts";
 import { UndiciPassThroughClient } from "./undici_pass_through_client.ts";
 
 interface Answer {
@@ -42,7 +43,10 @@
     server.close();
   });
 
-  function send(headers: HeaderList = []): Promise<Answer> {
+  function send(
+    headers: HeaderList = [],
+    body: RequestBody = Buffer.from("body"),
+  ): Promise<Answer> {
     return new Promise((resolve) => {
       let status = 0;
       let text = "";
@@ -51,7 +55,7 @@
         method: "POST",
         target: "/x?y=1",
         headers,
-        body: Buffer.from("body"),
+        body,
       }, {
         onHead: (received) => {
           status = received;
@@ -82,6 +86,53 @@
     expect(connections).toHaveLength(1);
   });
 
+  /** A body of two parts, the second of which waits. */
+  function streamedBody(second: Promise<string>): StreamedBody {
+    return {
+      sizeBytes: 6,
+      isTaken: false,
+      isTooLarge: false,
+      async *chunks() {
+        yield Buffer.from("one");
+        yield Buffer.from(await second);
+      },
+    };
+  }
+
+  it("passes a body on while it arrives, with its length", async () => {
+    let seen = "";
+    let resolveSecond: (text: string) => void = () => undefined;
+    const second = new Promise<string>((resolve) => resolveSecond = resolve);
+    onRequest = (socket, text) => {
+      seen += text;
+      if (seen.endsWith("one")) resolveSecond("two");
+      if (!seen.endsWith("two")) return;
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    };
+    expect((await send([], streamedBody(second))).text).toBe("ok");
+    expect(seen.toLowerCase()).toContain("content-length: 6\r\n");
+    expect(seen.endsWith("\r\n\r\nonetwo")).toBe(true);
+  });
+
+  it("uses no connection again on which a body was not sent whole", async () => {
+    onRequest = (socket) => {
+      socket.write("HTTP/1.1 403 No\r\nContent-Length: 2\r\n\r\nno");
+    };
+    const never = new Promise<string>(() => undefined);
+    const early = await send([], streamedBody(never));
+    expect(early).toEqual({ status: 403, text: "no", failure: undefined });
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect((await send()).status).toBe(403);
+    expect(connections).toHaveLength(2);
+  });
+
+  it("tells a body that breaks off from one that could not be sent", async () => {
+    onRequest = () => undefined;
+    const failing = Promise.reject<string>(new Error("the caller has gone"));
+    failing.catch(() => undefined);
+    expect((await send([], streamedBody(failing))).failure).toBe("broken");
+  });
+
   it("tells a reset answer without length from one that ended", async () => {
     onRequest = (socket) => {
       socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
--- a/standins/gateway/fake_endpoints.ts
+++ b/standins/gateway/fake_endpoints.ts
@@ -7,6 +7,7 @@
   ReplySink,
   Transfer,
 } from "../../src/services/http/common/pass_through_client.ts";
+import { isStreamed } from "../../src/services/http/common/request_body.ts";
 import { headerOf } from "../../src/services/http/common/header_list.ts";
 
 /** A request that reached an endpoint. */
@@ -90,7 +91,11 @@
     queueMicrotask(() => {
       if (transfer.isAborted || this.unanswering.has(request.address)) return;
       if (this.unreachable.has(request.address)) transfer.refuseConnection();
-      else transfer.markSent();
+      else {
+        transfer.markSent();
+        const { body } = request;
+        if (isStreamed(body)) void body.chunks()[Symbol.asyncIterator]().next();
+      }
     });
     return transfer;
   }
--- a/standins/gateway/fake_exchange.ts
+++ b/standins/gateway/fake_exchange.ts
@@ -2,6 +2,7 @@
 
 import { Emitter } from "../../src/base/common/event.ts";
 import type {
+  BodyLimits,
   BodyResult,
   CallerExchange,
   ExchangeEnd,
@@ -10,6 +11,27 @@
   type HeaderList,
   headerOf,
 } from "../../src/services/http/common/header_list.ts";
+import type { StreamedBody } from "../../src/services/http/common/request_body.ts";
+
+/** A body that arrives while it is passed on. */
+export class FakeStreamedBody implements StreamedBody {
+  readonly sizeBytes: number;
+  readonly #bytes: Uint8Array;
+  isTaken = false;
+  isTooLarge = false;
+
+  /** @param bytes - The whole body. */
+  constructor(bytes: Uint8Array) {
+    this.#bytes = bytes;
+    this.sizeBytes = bytes.byteLength;
+  }
+
+  async *chunks(): AsyncGenerator<Uint8Array> {
+    this.isTaken = true;
+    await Promise.resolve();
+    yield this.#bytes;
+  }
+}
 
 /** What a fake request says. */
 export interface FakeRequest {
@@ -79,8 +101,18 @@
     return headerOf(this.#answerHeaders, name);
   }
 
-  readBody(): Promise<BodyResult> {
-    return Promise.resolve({ kind: "whole", body: this.#body });
+  readBody({ collectedBytes }: BodyLimits): Promise<BodyResult> {
+    const body = this.#body;
+    const sizeBytes = body?.byteLength ?? 0;
+    return Promise.resolve(
+      body && sizeBytes > collectedBytes
+        ? {
+          kind: "streamed",
+          body: new FakeStreamedBody(body),
+          collectedBytes,
+        }
+        : { kind: "whole", body },
+    );
   }
 
   reply(status: number, headers: HeaderList, body: Uint8Array | string): void {
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -104,6 +104,46 @@
       expect(exchange.answerHeader("retry-after")).toBeDefined();
     });
 
+    it("sends a body that it passes on while it arrives only once", async () => {
+      const large = new Uint8Array(300_000);
+      const key = ["key", "key-1"];
+      const refused = await world.send("/read/x", key, large);
+      world.endpoints.last.answer(503, "", NOT_RUN);
+      await settlePromises();
+      expect(refused.status).toBe(503);
+      expect(world.endpoints.transfers).toHaveLength(1);
+      const broken = await world.send("/read/x", key, large);
+      world.endpoints.last.breakOff();
+      await settlePromises();
+      expect(broken.status).toBe(502);
+      expect(world.endpoints.transfers).toHaveLength(2);
+    });
+
+    it("tries another endpoint when none of a large body was taken", async () => {
+      world.endpoints.unreachable.add(world.addressOf(1));
+      for (let count = 0; count < 4; count++) {
+        const exchange = await world.send(
+          "/book/x",
+          ["key", "key-1"],
+          new Uint8Array(300_000),
+        );
+        world.endpoints.last.answer(200, "done");
+        await settlePromises();
+        expect(exchange.text).toBe("done");
+      }
+    });
+
+    it("does not take a caller that sends slowly for a silent endpoint", async () => {
+      const key = ["key", "key-1"];
+      const large = new Uint8Array(300_000);
+      const exchange = await world.send("/read/x", key, large);
+      await world.advance(1_200);
+      expect(world.endpoints.transfers).toHaveLength(1);
+      world.endpoints.last.answer(200, "done");
+      await settlePromises();
+      expect(exchange.status).toBe(200);
+    });
+
     it("runs a booking at most once, and never calls a broken one not run", async () => {
       const exchange = await world.send("/book/x");
       world.endpoints.last.breakOff();
--- a/standins/gateway/gateway_world.ts
+++ b/standins/gateway/gateway_world.ts
@@ -296,6 +296,7 @@
   async send(
     target: string,
     headers: readonly string[] = ["key", KEY],
+    body?: Uint8Array,
   ): Promise<FakeExchange> {
     this.#requests++;
     const exchange = new FakeExchange({
@@ -310,6 +311,7 @@
         ...headers,
       ],
       receivedMs: this.clock.monotonicMs(),
+      ...(body && { body }),
     });
     void this.gateway.handle(exchange);
     await settlePromises();
