Let ragwort show gateways, and say what they do not offer

Cause: ragwort pointed at a gateway's metrics address failed with a parse error, since every path answered with the metrics.

Change: the address answers /metrics and /status; any other path of operators' ports is answered 501 with what a gateway offers instead, which ragwort prints. Failures of operator ports that say why are printed with their reason.

--- a/src/cli/node/operator_client.ts
+++ b/src/cli/node/operator_client.ts
@@ -52,16 +52,18 @@
       headersTimeout: TIMEOUT_MS,
       bodyTimeout: TIMEOUT_MS,
     });
-    const body = await response.body.json();
-    if (response.statusCode === HTTP_OK) return Right(body as T);
-    return Left(toFailure(response.statusCode));
+    if (response.statusCode === HTTP_OK) {
+      return Right(await response.body.json() as T);
+    }
+    const text = await response.body.text();
+    return Left(toFailure(response.statusCode, text));
   } catch (thrown) {
     return Left({ kind: "unreachable", detail: messageOf(thrown) });
   }
 }
 
-function toFailure(status: number): OperatorFailure {
-  const detail = `status ${status}`;
+function toFailure(status: number, text: string): OperatorFailure {
+  const detail = errorOf(text) ?? `status ${status}`;
   switch (status) {
     case HTTP_UNAUTHORIZED:
       return {
@@ -75,6 +77,16 @@
   }
 }
 
+/** @returns What the daemon says of the failure, if it says it. */
+function errorOf(text: string): string | undefined {
+  try {
+    const { error } = JSON.parse(text) as { error?: unknown };
+    return typeof error === "string" ? error : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /**
  * Reads the same path of every daemon, side by side.
  *
--- a/src/cli/node/status_command.ts
+++ b/src/cli/node/status_command.ts
@@ -26,6 +26,8 @@
     readonly revision: number;
     readonly isDeleted: boolean;
   }[];
+  /** A gateway's, which has no teams. */
+  readonly configurationVersion?: number;
 }
 
 /** Prints the status of every daemon. */
@@ -48,11 +50,14 @@
 ): string {
   return status.caseOf({
     Left: ({ detail }) => `${address}  unreachable: ${detail}`,
-    Right: ({ host, zone, isReady, isDraining, active, teams }) => {
+    Right: ({ host, zone, isReady, isDraining, active, ...rest }) => {
       const state = isDraining ? "draining" : isReady ? "ready" : "not ready";
-      const revisions = teams.map(({ team, revision }) =>
+      const revisions = rest.teams.map(({ team, revision }) =>
         `${team}@${revision}`
       );
+      if (rest.configurationVersion !== undefined) {
+        revisions.push(`configuration ${rest.configurationVersion}`);
+      }
       return `${address}  ${host}  ${zone}  ${state}  ${active} active  ${
         revisions.join(" ")
       }`;
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -13,6 +13,7 @@
   GatewayKnowledge,
   type StoreDecoder,
 } from "../common/gateway_knowledge.ts";
+import { GatewayPages } from "./gateway_pages.ts";
 import { GatewayPeers } from "./gateway_peers.ts";
 import { EndpointChooser } from "../../features/gateway/common/endpoint_choice.ts";
 import { EndpointProbe } from "../../features/gateway/common/endpoint_probe.ts";
@@ -370,6 +371,7 @@
       });
     }));
     this.#owned.add(setPeriodic(clock, TICK_MS, () => this.#tick()));
+    const pages = this.#createPages();
     await Promise.all([
       this.#links.listen(settings.peersAddress),
       this.#callers.listen(settings.callersAddress),
@@ -377,38 +379,41 @@
         settings.readyAddress,
         () => Promise.resolve(this.#readiness()),
       ),
-      this.#serve(settings.metricsAddress, () => this.#metricsPage()),
+      this.#serve(settings.metricsAddress, (path) => pages.page(path)),
     ]);
     void this.#watcher.run();
     void this.#lease.run();
     this.#peers.askSeeds();
   }
 
-  #readiness(): Page {
-    return { status: this.isReady ? 200 : 503, text: "" };
+  #createPages(): GatewayPages {
+    return new GatewayPages({
+      metrics: this.#metrics,
+      gateway: this.#gateway,
+      queue: this.#queue,
+      callers: this.#callers,
+      client: this.#client,
+      registry: this.#registry,
+      links: this.#links,
+      state: this.#state,
+      mirror: this.#mirror,
+      self: () => ({
+        host: this.#settings.host,
+        zone: this.#settings.zone,
+        isReady: this.isReady,
+        isDraining: this.#isStopping,
+      }),
+    });
   }
 
-  async #metricsPage(): Promise<Page> {
-    // Loaded at the first scrape: a restart is ready sooner without it.
-    const { formatGatewayMetrics } = await import(
-      "../../features/gateway/node/gateway_metrics_text.ts"
-    );
-    const { host, zone } = this.#settings;
-    const text = await formatGatewayMetrics({ host, zone }, this.#metrics, {
-      active_requests: this.#gateway.activeCount,
-      waiting_generations: this.#queue.length,
-      caller_connections: this.#callers.connectionCount,
-      endpoint_connections_opened: this.#client.openedCount,
-      endpoints: this.#registry.all.length,
-      peers: this.#links.connectedHosts().length,
-      configuration_version: this.#state.current?.configuration.version ?? 0,
-      configuration_age_seconds: this.#mirror.confirmationAgeMs / 1_000,
-      memory_bytes: process.memoryUsage().rss,
-    });
-    return { status: 200, text };
+  #readiness(): Page {
+    return { status: this.isReady ? 200 : 503, text: "" };
   }
 
-  #serve(address: Address, page: () => Promise<Page>): Promise<void> {
+  #serve(
+    address: Address,
+    page: (path: string) => Promise<Page>,
+  ): Promise<void> {
     return this.#owned.add(new PageServer(this.#logger, page)).listen(address);
   }
 
--- /dev/null
+++ b/src/daemon/node/gateway_pages.ts
@@ -0,0 +1,106 @@
+/** Pages at the metrics address of a gateway: for scrapes, and for `ragwort`. */
+
+import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import type { Gateway } from "../../features/gateway/common/gateway.ts";
+import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
+import type { PlacementQueue } from "../../features/gateway/common/placement_queue.ts";
+import type { Gauges } from "../../features/gateway/node/gateway_metrics_text.ts";
+import type { CallerListener } from "../../services/http/node/caller_listener.ts";
+import type { Page } from "../../services/http/node/page_server.ts";
+import type { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
+import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
+import type { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
+
+const HTTP_OK = 200;
+const HTTP_NOT_IMPLEMENTED = 501;
+const MS_PER_SECOND = 1_000;
+
+/** State of a gateway, as `ragwort status` shows it. */
+export interface GatewayStatus {
+  readonly host: string;
+  readonly zone: string;
+  readonly isReady: boolean;
+  readonly isDraining: boolean;
+  readonly active: number;
+  /** Teams publish no documents to a gateway. */
+  readonly teams: readonly [];
+  readonly configurationVersion: number | undefined;
+}
+
+/** Parts of a gateway that pages tell of. */
+export interface GatewayPageParts {
+  readonly metrics: GatewayMetrics;
+  readonly gateway: Gateway;
+  readonly queue: PlacementQueue;
+  readonly callers: CallerListener;
+  readonly client: UndiciPassThroughClient;
+  readonly registry: EndpointRegistry;
+  readonly links: WsPeerLinks;
+  readonly state: ConfigurationState;
+  readonly mirror: StoreMirror;
+  /** @returns What only the daemon itself knows. */
+  self(): Pick<GatewayStatus, "host" | "zone" | "isReady" | "isDraining">;
+}
+
+/** Makes the pages of one gateway. */
+export class GatewayPages {
+  readonly #parts: GatewayPageParts;
+
+  /** @param parts - What the pages tell of. */
+  constructor(parts: GatewayPageParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param target - Path that was asked for, with its query.
+   * @returns The page; one that only other daemons have says so.
+   */
+  async page(target: string): Promise<Page> {
+    const path = target.split("?", 1)[0];
+    if (path === "/metrics") {
+      return { status: HTTP_OK, text: await this.#metricsText() };
+    }
+    if (path === "/status") {
+      return { status: HTTP_OK, text: JSON.stringify(this.#status()) };
+    }
+    const error = `a gateway has no ${path}; it offers /status and /metrics, ` +
+      "and logs each decision with the request's id (docs/OPERATIONS.md)";
+    return { status: HTTP_NOT_IMPLEMENTED, text: JSON.stringify({ error }) };
+  }
+
+  #status(): GatewayStatus {
+    const { gateway, self, state } = this.#parts;
+    return {
+      ...self(),
+      active: gateway.activeCount,
+      teams: [],
+      configurationVersion: state.current?.configuration.version,
+    };
+  }
+
+  async #metricsText(): Promise<string> {
+    // Loaded at the first scrape: a restart is ready sooner without it.
+    const { formatGatewayMetrics } = await import(
+      "../../features/gateway/node/gateway_metrics_text.ts"
+    );
+    const { host, zone } = this.#parts.self();
+    const { metrics } = this.#parts;
+    return formatGatewayMetrics({ host, zone }, metrics, this.#gauges());
+  }
+
+  #gauges(): Gauges {
+    const parts = this.#parts;
+    return {
+      active_requests: parts.gateway.activeCount,
+      waiting_generations: parts.queue.length,
+      caller_connections: parts.callers.connectionCount,
+      endpoint_connections_opened: parts.client.openedCount,
+      endpoints: parts.registry.all.length,
+      peers: parts.links.connectedHosts().length,
+      configuration_version: parts.state.current?.configuration.version ?? 0,
+      configuration_age_seconds: parts.mirror.confirmationAgeMs / MS_PER_SECOND,
+      memory_bytes: process.memoryUsage().rss,
+    };
+  }
+}
--- a/src/services/http/node/page_server.ts
+++ b/src/services/http/node/page_server.ts
@@ -13,17 +13,17 @@
   readonly text: string;
 }
 
-/** Answers every request to an address with the same page. */
+/** Answers requests to an address with pages. */
 export class PageServer implements Disposable {
   readonly #server: Server;
 
   /**
    * @param logger - Where failures of the page are told.
-   * @param page - Makes the page for each request.
+   * @param page - Makes the page of a path, which may have a query.
    */
-  constructor(logger: Logger, page: () => Promise<Page>) {
-    this.#server = createServer((_request, response) => {
-      page().then(({ status, text }) => {
+  constructor(logger: Logger, page: (path: string) => Promise<Page>) {
+    this.#server = createServer((request, response) => {
+      page(request.url ?? "/").then(({ status, text }) => {
         const length = Buffer.byteLength(text);
         response.writeHead(status, { "content-length": length });
         response.end(text);
