Let one daemon of each zone place its generations

Ruled out: leaks of claims (the table never drifts from the reports) and memory that nobody counts (what engines hold beyond runs and known copies is 14 tokens at the median, and prompts being read above that).

Change: ZonePlacer asks one hub of the zone for each generation's place; that hub queues the requests of its whole zone in one order and counts what it grants at once. Silence of 300 ms, a link that is down, or a service that the hub does not know yet, and the daemon places by itself. Sums of the table are kept up to date instead of added up for each look.

The test plays 30 gateways against one.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -6,13 +6,17 @@
 import { type Clock, setPeriodic, sleep } from "../../base/common/clock.ts";
 import { messageOf } from "../../base/common/errors.ts";
 import { createHasher, type Hasher } from "../../base/common/hasher.ts";
-import type { Address, HostId, ZoneName } from "../../base/common/ids.ts";
+import type { Address, ServiceId } from "../../base/common/ids.ts";
 import { DisposableStore } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import {
   GatewayKnowledge,
   type StoreDecoder,
 } from "../common/gateway_knowledge.ts";
+import type {
+  GatewayDaemonSettings,
+  GatewayTuning,
+} from "../common/gateway_settings.ts";
 import { GatewayPages } from "./gateway_pages.ts";
 import { GatewayPeers } from "./gateway_peers.ts";
 import { EndpointChooser } from "../../features/gateway/common/endpoint_choice.ts";
@@ -28,6 +32,7 @@
 import { PlacementQueue } from "../../features/gateway/common/placement_queue.ts";
 import { ReportPoller } from "../../features/gateway/common/report_poller.ts";
 import { RunMover } from "../../features/gateway/common/run_mover.ts";
+import { ZonePlacer } from "../../features/gateway/common/zone_placer.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import {
   encodeHostEntry,
@@ -66,30 +71,6 @@
 const STOP_RESERVE_MS = 400;
 const BYTES_PER_MB = 1_048_576;
 
-/** Settings that may change while the daemon runs. */
-export interface GatewayTuning {
-  /** Time within which a configuration has to be in force. */
-  readonly configurationDelayMs: number;
-  /** Time within which a revoked key has to be refused. */
-  readonly revocationDelayMs: number;
-  readonly stopGraceMs: number;
-  readonly memoryMb: number;
-  readonly retries: { readonly share: number; readonly extra: number };
-  readonly seedAddresses: readonly Address[];
-}
-
-/** Who a daemon is and where it listens. */
-export interface GatewayDaemonSettings extends GatewayTuning {
-  readonly host: HostId;
-  readonly zone: ZoneName;
-  readonly callersAddress: Address;
-  readonly readyAddress: Address;
-  readonly peersAddress: Address;
-  readonly metricsAddress: Address;
-  /** Processor and network of the host; greater ones become hubs first. */
-  readonly relayCapacity: number;
-}
-
 /** What the adapter of a platform brings. */
 export interface GatewayPlatform extends StoreDecoder {
   readonly store: RevisionedStore & LeaseStore;
@@ -114,7 +95,7 @@
   readonly #links: WsPeerLinks;
   readonly #watcher: StoreWatcher;
   readonly #lease: HostLease;
-  readonly #queue: PlacementQueue;
+  readonly #queue: ZonePlacer;
   readonly #gateway: Gateway;
   readonly #callers: CallerListener;
   readonly #client: UndiciPassThroughClient;
@@ -215,7 +196,21 @@
       random,
       zone,
     );
-    this.#queue = this.#owned.add(new PlacementQueue(clock, chooser));
+    const findService = (id: ServiceId) =>
+      this.#state.current?.configuration.services.get(id);
+    this.#queue = this.#owned.add(
+      new ZonePlacer({
+        self: host,
+        clock,
+        logger,
+        links: this.#links,
+        overlay: this.#peers,
+        registry: this.#registry,
+        board,
+        queue: this.#owned.add(new PlacementQueue(clock, chooser)),
+        findService,
+      }),
+    );
     this.#gateway = new Gateway(
       {
         clock,
@@ -256,8 +251,7 @@
         this.#registry,
         platform.control,
         ({ announcement }) =>
-          this.#state.current?.configuration.services
-            .get(announcement.service)?.engine !== undefined,
+          findService(announcement.service)?.engine !== undefined,
       ),
     );
   }
--- a/src/daemon/node/gateway_pages.ts
+++ b/src/daemon/node/gateway_pages.ts
@@ -4,7 +4,7 @@
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
-import type { PlacementQueue } from "../../features/gateway/common/placement_queue.ts";
+import type { GenerationPlacer } from "../../features/gateway/common/placement_queue.ts";
 import type { Gauges } from "../../features/gateway/node/gateway_metrics_text.ts";
 import type { CallerListener } from "../../services/http/node/caller_listener.ts";
 import type { Page } from "../../services/http/node/page_server.ts";
@@ -32,7 +32,7 @@
 export interface GatewayPageParts {
   readonly metrics: GatewayMetrics;
   readonly gateway: Gateway;
-  readonly queue: PlacementQueue;
+  readonly queue: GenerationPlacer;
   readonly callers: CallerListener;
   readonly client: UndiciPassThroughClient;
   readonly registry: EndpointRegistry;
--- a/src/daemon/node/gateway_peers.ts
+++ b/src/daemon/node/gateway_peers.ts
@@ -87,6 +87,17 @@
     return this.#home;
   }
 
+  /** {@inheritDoc PeerOverlay.zoneHub} */
+  zoneHub(duty: string): HostId {
+    const { hasher, self } = this.#services;
+    const order = rendezvousOrder(
+      hasher,
+      `${self.zone}/${duty}`,
+      this.#zoneHubs(),
+    );
+    return order[0] ?? self.host;
+  }
+
   /** {@inheritDoc PeerOverlay.linkedHubs} */
   linkedHubs(): readonly HostId[] {
     const { links } = this.#services;
@@ -134,9 +145,13 @@
   /** Hubs of the zone that are there, in the order in which they relay. */
   #relayOrder(): readonly HostId[] {
     const { hasher, self } = this.#services;
+    return rendezvousOrder(hasher, self.zone, this.#zoneHubs());
+  }
+
+  #zoneHubs(): readonly HostId[] {
     const hubs = this.#linkedZoneHubs();
-    if (this.#plan.isHub) hubs.push(self.host);
-    return rendezvousOrder(hasher, self.zone, hubs);
+    if (this.#plan.isHub) hubs.push(this.#services.self.host);
+    return hubs;
   }
 
   /** Linked daemons of the own zone. */
--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import type {
   EndpointId,
+  HostId,
   ServiceId,
   ZoneName,
 } from "../../../base/common/ids.ts";
@@ -62,6 +63,8 @@
   readonly endpoint: RegisteredEndpoint;
   readonly cost: number;
   readonly candidates: number;
+  /** Daemon that chose, if it was another one. */
+  readonly placer?: HostId;
 }
 
 /** Where a generation fits now. */
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -161,6 +161,7 @@
     const sinceMs = clock.monotonicMs();
     this.owned.add(queue.add({
       need,
+      unreadTokens: this.request.fields.prompt?.promptTokens ?? 0,
       service,
       priority: this.priority,
       sinceMs,
@@ -169,6 +170,7 @@
       onPlaced: (choice) => {
         this.log("info", "stream-placed", {
           endpoint: choice.endpoint.id,
+          placer: choice.placer,
           cost: Number(choice.cost.toFixed(2)),
           candidates: choice.candidates,
           memoryTokens: need.memoryTokens,
--- a/src/features/gateway/common/load_board.ts
+++ b/src/features/gateway/common/load_board.ts
@@ -60,6 +60,8 @@
   /** Plain calls, which are too short to be worth telling peers about. */
   readonly #calls = new Map<EndpointId, number>();
   readonly #peers = new Map<HostId, PeerRows>();
+  /** Sums over this daemon and its peers, as they are asked for often. */
+  readonly #totals = new Map<EndpointId, MutableUse>();
   readonly #changed = new Emitter<EndpointId>();
 
   /** Fires when this daemon's own use of an endpoint changes. */
@@ -170,11 +172,17 @@
   ): boolean {
     const known = this.#peers.get(host);
     if (known && revision <= known.revision) return false;
+    if (isWhole && known) this.#subtractRows(known.rows);
     const kept = isWhole ? undefined : known?.rows;
     const next = kept ?? new Map<EndpointId, EndpointUse>();
     for (const { endpoint, ...use } of rows) {
-      if (use.runs === 0 && use.copyTokens === 0) next.delete(endpoint);
-      else next.set(endpoint, use);
+      const earlier = next.get(endpoint);
+      if (earlier) this.#addToTotal(endpoint, negative(earlier));
+      if (isNone(use)) next.delete(endpoint);
+      else {
+        next.set(endpoint, use);
+        this.#addToTotal(endpoint, use);
+      }
     }
     const toldMs = this.#clock.monotonicMs();
     this.#peers.set(host, { rows: next, revision, toldMs });
@@ -183,23 +191,34 @@
 
   /** @returns What all daemons use of an endpoint, as far as is known. */
   totalUse(endpoint: EndpointId): EndpointUse {
-    const total = { ...(this.#own.get(endpoint) ?? noUse()) };
-    total.runs += this.#calls.get(endpoint) ?? 0;
     this.#forgetSilentPeers();
-    for (const { rows } of this.#peers.values()) {
-      const use = rows.get(endpoint);
-      if (use) addTo(total, use);
-    }
+    const total = { ...(this.#totals.get(endpoint) ?? noUse()) };
+    total.runs += this.#calls.get(endpoint) ?? 0;
     return total;
   }
 
   #forgetSilentPeers(): void {
     const oldestMs = this.#clock.monotonicMs() - PEER_ROWS_LIFETIME_MS;
-    for (const [host, { toldMs }] of this.#peers) {
-      if (toldMs < oldestMs) this.#peers.delete(host);
+    for (const [host, { rows, toldMs }] of this.#peers) {
+      if (toldMs >= oldestMs) continue;
+      this.#subtractRows(rows);
+      this.#peers.delete(host);
+    }
+  }
+
+  #subtractRows(rows: ReadonlyMap<EndpointId, EndpointUse>): void {
+    for (const [endpoint, use] of rows) {
+      this.#addToTotal(endpoint, negative(use));
     }
   }
 
+  #addToTotal(endpoint: EndpointId, use: EndpointUse): void {
+    const total = this.#totals.get(endpoint) ?? noUse();
+    addTo(total, use);
+    if (isNone(total)) this.#totals.delete(endpoint);
+    else this.#totals.set(endpoint, total);
+  }
+
   #addCall(endpoint: EndpointId, by: number): void {
     const count = (this.#calls.get(endpoint) ?? 0) + by;
     if (count === 0) this.#calls.delete(endpoint);
@@ -215,8 +234,10 @@
     isTold = true,
   ): void {
     const use = this.#own.get(endpoint) ?? noUse();
-    addTo(use, { runs, memoryTokens, unreadTokens, copyTokens });
-    if (use.runs === 0 && use.copyTokens === 0) this.#own.delete(endpoint);
+    const change = { runs, memoryTokens, unreadTokens, copyTokens };
+    addTo(use, change);
+    this.#addToTotal(endpoint, change);
+    if (isNone(use)) this.#own.delete(endpoint);
     else this.#own.set(endpoint, use);
     // Growth is told with the next change or the next whole table.
     if (isTold) this.#changed.fire(endpoint);
@@ -227,6 +248,19 @@
   return { runs: 0, memoryTokens: 0, unreadTokens: 0, copyTokens: 0 };
 }
 
+function isNone({ runs, copyTokens }: EndpointUse): boolean {
+  return runs === 0 && copyTokens === 0;
+}
+
+function negative(use: EndpointUse): EndpointUse {
+  return {
+    runs: -use.runs,
+    memoryTokens: -use.memoryTokens,
+    unreadTokens: -use.unreadTokens,
+    copyTokens: -use.copyTokens,
+  };
+}
+
 function addTo(total: MutableUse, use: EndpointUse): void {
   total.runs += use.runs;
   total.memoryTokens += use.memoryTokens;
--- a/src/features/gateway/common/placement_queue.ts
+++ b/src/features/gateway/common/placement_queue.ts
@@ -20,6 +20,8 @@
 /** A generation that has no place yet. */
 export interface PlacementRequest {
   readonly need: Need;
+  /** Its prompt, as far as it has to be read. */
+  readonly unreadTokens: number;
   readonly service: GatewayService;
   /** 0 comes first. */
   readonly priority: number;
--- a/src/services/peers/common/peer_overlay.ts
+++ b/src/services/peers/common/peer_overlay.ts
@@ -11,6 +11,11 @@
   readonly isHub: boolean;
   /** Hub that this daemon reports to; none while it is a hub or has no link. */
   home(): HostId | undefined;
+  /**
+   * @param duty - What is to be done by one daemon of the zone.
+   * @returns The hub that does it; this daemon if it sees no other.
+   */
+  zoneHub(duty: string): HostId;
   /** Linked hubs. */
   linkedHubs(): readonly HostId[];
   /** Linked daemons that are no hubs. */
--- a/standins/gateway/gateway_world.ts
+++ b/standins/gateway/gateway_world.ts
@@ -203,20 +203,27 @@
 
 /** Parts of a world that a test brings itself. */
 export interface GatewayWorldOptions {
+  /** Clock that several gateways share. */
+  readonly clock?: ManualClock;
+  /** Seed of the choices among equal endpoints. */
+  readonly seed?: number;
   /** Endpoints of another kind than the scripted ones. */
   readonly client?: PassThroughClient;
-  readonly createPlacer?: (chooser: EndpointChooser) => GenerationPlacer;
+  readonly createPlacer?: (
+    world: GatewayWorld,
+    chooser: EndpointChooser,
+  ) => GenerationPlacer;
 }
 
 /** A gateway with its surroundings. */
 export class GatewayWorld {
-  readonly clock = new ManualClock();
+  readonly clock: ManualClock;
   readonly logger = new RecordingLogger();
   readonly endpoints = new FakeEndpoints();
   readonly control = new FakeEngineControl();
   readonly metrics = new GatewayMetrics();
-  readonly registry = new EndpointRegistry(this.clock, this.logger);
-  readonly board = new LoadBoard(this.clock);
+  readonly registry: EndpointRegistry;
+  readonly board: LoadBoard;
   readonly state = new ConfigurationState(
     this.logger,
     () => this.confirmationAgeMs,
@@ -227,10 +234,13 @@
 
   private constructor(
     hasher: Awaited<ReturnType<typeof createHasher>>,
-    { client, createPlacer }: GatewayWorldOptions,
+    { client, createPlacer, ...options }: GatewayWorldOptions,
   ) {
+    this.clock = options.clock ?? new ManualClock();
+    this.registry = new EndpointRegistry(this.clock, this.logger);
+    this.board = new LoadBoard(this.clock);
     const { clock, logger, metrics, registry, board, control } = this;
-    const random = new SeededRandom(1);
+    const random = new SeededRandom(options.seed ?? 1);
     const chooser = new EndpointChooser(clock, registry, board, random, ZONE);
     this.gateway = new Gateway(
       {
@@ -242,7 +252,8 @@
         registry,
         board,
         chooser,
-        queue: createPlacer?.(chooser) ?? new PlacementQueue(clock, chooser),
+        queue: createPlacer?.(this, chooser) ??
+          new PlacementQueue(clock, chooser),
         budget: new RetryBudget({ clock, random }),
         probe: new EndpointProbe(clock, logger, metrics, control),
         mover: new RunMover(clock, control),
--- a/standins/gateway/load_play.ts
+++ b/standins/gateway/load_play.ts
@@ -3,9 +3,9 @@
  * tells what callers got.
  */
 
-import { settlePromises } from "../../src/base/common/clock.ts";
+import { ManualClock, settlePromises } from "../../src/base/common/clock.ts";
 import { Emitter } from "../../src/base/common/event.ts";
-import type { Address } from "../../src/base/common/ids.ts";
+import type { Address, HostId } from "../../src/base/common/ids.ts";
 import {
   type Disposable,
   NO_DISPOSABLE,
@@ -22,9 +22,11 @@
   ReplySink,
   Transfer,
 } from "../../src/services/http/common/pass_through_client.ts";
+import { InProcessNetwork } from "../peers/in_process_links.ts";
 import { BusyEngine, type BusyWork } from "./busy_engine.ts";
 import { FakeTransfer } from "./fake_endpoints.ts";
 import { FakeExchange } from "./fake_exchange.ts";
+import { createZonePlacer } from "./placer_parts.ts";
 import {
   configuration,
   ENGINE,
@@ -43,8 +45,14 @@
   /** Short generations a second. */
   readonly checksPerS: number;
   readonly durationMs: number;
-  /** Whether requests wait for room in the gateway, or at engines. */
-  readonly placing: "queued" | "at-once";
+  /** Daemons that share the load; each learns of the others' placements late. */
+  readonly gateways?: number;
+  readonly newsDelayMs?: number;
+  /**
+   * Whether requests wait for room in each gateway, in one of them for all, or
+   * at engines.
+   */
+  readonly placing: "queued" | "queued-in-one" | "at-once";
 }
 
 /** What the callers of one kind of request got. */
@@ -144,22 +152,17 @@
 /** @returns What callers got of a load. */
 export async function playLoad(options: LoadOptions): Promise<LoadOutcome> {
   const farm = new EngineFarm();
-  const world = await GatewayWorld.create({
-    client: farm,
-    ...options.placing === "at-once" &&
-      { createPlacer: (chooser) => new PlacingAtOnce(chooser) },
-  });
-  const { clock } = world;
-  world.state.apply(
-    configuration(2, {
-      services: new Map([[ENGINE, engineService(options.memoryTokens)]]),
-    }),
-    2,
-  );
+  const clock = new ManualClock();
+  const network = new InProcessNetwork();
+  const worlds: GatewayWorld[] = [];
+  for (let seed = 1; seed <= (options.gateways ?? 1); seed++) {
+    worlds.push(await createWorld(options, farm, clock, network, seed));
+  }
+  shareNews(worlds, options.newsDelayMs ?? 0);
   for (let number = 1; number <= options.engines; number++) {
-    world.announce(ENGINE, number);
+    for (const world of worlds) world.announce(ENGINE, number);
     farm.engines.set(
-      world.addressOf(number),
+      worlds[0]!.addressOf(number),
       new BusyEngine(clock, {
         slots: SLOTS,
         memoryTokens: options.memoryTokens,
@@ -203,6 +206,7 @@
       receivedMs: clock.monotonicMs(),
     }, () => clock.monotonicMs());
     sent.push({ exchange, isDraft });
+    const world = worlds[Math.floor(random.float() * worlds.length)]!;
     void world.gateway.handle(exchange);
     await settlePromises();
   }
@@ -222,6 +226,47 @@
   return outcome;
 }
 
+async function createWorld(
+  { memoryTokens, placing }: LoadOptions,
+  client: PassThroughClient,
+  clock: ManualClock,
+  network: InProcessNetwork,
+  seed: number,
+): Promise<GatewayWorld> {
+  const world = await GatewayWorld.create({
+    clock,
+    seed,
+    client,
+    ...placing !== "queued" && {
+      createPlacer: (world, chooser) =>
+        placing === "at-once"
+          ? new PlacingAtOnce(chooser)
+          : createZonePlacer(world, chooser, network, seed),
+    },
+  });
+  const services = new Map([[ENGINE, engineService(memoryTokens)]]);
+  world.state.apply(configuration(2, { services }), 2);
+  return world;
+}
+
+/** Tells each gateway of the placements of the others, some time later. */
+function shareNews(worlds: readonly GatewayWorld[], delayMs: number): void {
+  worlds.forEach((world, index) => {
+    let revision = 0;
+    world.board.onDidChangeOwn((endpoint) => {
+      const row = world.board.ownRow(endpoint);
+      const number = ++revision;
+      world.clock.setTimer(delayMs, () => {
+        for (const other of worlds) {
+          if (other === world) continue;
+          const host = `host-${index}` as HostId;
+          other.board.applyPeerRows(host, number, [row], false);
+        }
+      });
+    });
+  });
+}
+
 function noShares(): LoadShares {
   return { asked: 0, onTime: 0, late: 0, refused: 0, failed: 0 };
 }
--- a/standins/gateway/load_play_test.ts
+++ b/standins/gateway/load_play_test.ts
@@ -40,4 +40,27 @@
     expect(drafts.failed + checks.failed).toBe(0);
     expect(drafts.refused + checks.refused).toBeGreaterThan(0);
   });
+
+  it.each([1, 2])(
+    "are served by many gateways nearly as by one (seed %d)",
+    async (seed) => {
+      const load = {
+        seed,
+        engines: 28,
+        memoryTokens: 21_864,
+        durationMs: 15_000,
+        draftsPerS: 20,
+        checksPerS: 18,
+      };
+      const many = { ...load, gateways: 30, newsDelayMs: 40 };
+      const one = await playLoad({ ...load, placing: "queued" });
+      const apart = await playLoad({ ...many, placing: "queued" });
+      const joined = await playLoad({ ...many, placing: "queued-in-one" });
+      const onTime = ({ drafts, checks }: LoadOutcome) =>
+        drafts.onTime + checks.onTime;
+      expect(onTime(joined)).toBeGreaterThan(0.9 * onTime(one));
+      expect(onTime(joined)).toBeGreaterThan(onTime(apart));
+      expect(joined.drafts.failed + joined.checks.failed).toBe(0);
+    },
+  );
 });
--- /dev/null
+++ b/standins/gateway/placer_parts.ts
@@ -0,0 +1,58 @@
+/** Zone placers of gateways in one process; host 1 places for all. */
+
+import type { HostId } from "../../src/base/common/ids.ts";
+import type { EndpointChooser } from "../../src/features/gateway/common/endpoint_choice.ts";
+import { PlacementQueue } from "../../src/features/gateway/common/placement_queue.ts";
+import { ZonePlacer } from "../../src/features/gateway/common/zone_placer.ts";
+import type { PeerOverlay } from "../../src/services/peers/common/peer_overlay.ts";
+import type { InProcessNetwork } from "../peers/in_process_links.ts";
+import type { GatewayWorld } from "./gateway_world.ts";
+
+/** Host that places for the zone. */
+export const PLACER = "host-1" as HostId;
+
+const OVERLAY: PeerOverlay = {
+  onDidChangeHome: () => ({ dispose: () => undefined }),
+  isHub: true,
+  home: () => undefined,
+  zoneHub: () => PLACER,
+  linkedHubs: () => [],
+  linkedLeaves: () => [],
+};
+
+/**
+ * @param world - The gateway that asks for places.
+ * @param chooser - Its chooser.
+ * @param network - Where its host joins.
+ * @param number - Number of its host.
+ * @returns Its placer.
+ */
+export function createZonePlacer(
+  world: GatewayWorld,
+  chooser: EndpointChooser,
+  network: InProcessNetwork,
+  number: number,
+): ZonePlacer {
+  const { board, clock, logger, registry, state } = world;
+  const self = `host-${number}` as HostId;
+  const links = network.join(self, clock);
+  for (const [host, joined] of network.hosts) {
+    const others = [...network.hosts.keys()].filter((other) => other !== host);
+    joined.setPeers(others.map((other) => ({
+      host: other,
+      zone: "zone" as never,
+      address: "" as never,
+    })));
+  }
+  return new ZonePlacer({
+    self,
+    clock,
+    logger,
+    links,
+    overlay: OVERLAY,
+    registry,
+    board,
+    queue: new PlacementQueue(clock, chooser),
+    findService: (id) => state.current?.configuration.services.get(id),
+  });
+}
