Let the placing daemon choose backups, and reject after a quarter of the time

Cause: backups were still chosen by each daemon from what it heard late, and their copies took room that had just been granted to others. Generations without a place were told so after half of their time.

Change: a place is granted together with the engine for the copy, and both are counted at once. A generation waits for a quarter of its time at most.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -207,6 +207,7 @@
         overlay: this.#peers,
         registry: this.#registry,
         board,
+        chooser,
         queue: this.#owned.add(new PlacementQueue(clock, chooser)),
         findService,
       }),
--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -63,8 +63,12 @@
   readonly endpoint: RegisteredEndpoint;
   readonly cost: number;
   readonly candidates: number;
-  /** Daemon that chose, if it was another one. */
-  readonly placer?: HostId;
+  /** Another daemon's choice. */
+  readonly granted?: {
+    readonly by: HostId;
+    /** Where it lets a copy of the generation be kept. */
+    readonly backup: RegisteredEndpoint | undefined;
+  };
 }
 
 /** Where a generation fits now. */
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -80,8 +80,8 @@
   | "interrupted"
   | "caller-left";
 
-/** Part of its time that a generation may wait; it needs the rest to run. */
-const MAX_WAIT_SHARE = 0.5;
+/** Part of its time that a generation may wait: a caller that is told earlier can turn elsewhere. */
+const MAX_WAIT_SHARE = 0.25;
 
 /** Parts that both kinds of forwarding share. */
 export class RequestContext {
@@ -161,6 +161,7 @@
     const sinceMs = clock.monotonicMs();
     this.owned.add(queue.add({
       need,
+      wantsBackup: route.kind.kind === "generation" && !route.kind.isResumable,
       unreadTokens: this.request.fields.prompt?.promptTokens ?? 0,
       service,
       priority: this.priority,
@@ -170,7 +171,7 @@
       onPlaced: (choice) => {
         this.log("info", "stream-placed", {
           endpoint: choice.endpoint.id,
-          placer: choice.placer,
+          placer: choice.granted?.by,
           cost: Number(choice.cost.toFixed(2)),
           candidates: choice.candidates,
           memoryTokens: need.memoryTokens,
--- a/src/features/gateway/common/generation_backup.ts
+++ b/src/features/gateway/common/generation_backup.ts
@@ -1,6 +1,6 @@
 /** The copy of a generation's memory that another engine keeps as it grows. */
 
-import type { Need } from "./endpoint_choice.ts";
+import type { Choice, Need } from "./endpoint_choice.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { RequestContext } from "./gateway_request.ts";
 import type { GenerationSize } from "./generation_size.ts";
@@ -37,13 +37,16 @@
    * Chooses the engine that is to keep the copy of a new run, if any has room.
    *
    * @param primary - Where the run is.
+   * @param granted - What another daemon has chosen with it.
    */
-  chooseFor(primary: RegisteredEndpoint): void {
+  chooseFor(primary: RegisteredEndpoint, granted?: Choice["granted"]): void {
     this.drop();
     const { request, services } = this.#context;
     const { board, chooser } = services;
-    const endpoint = chooser.chooseBackup(this.#need, request.service, primary);
-    if (!endpoint) return;
+    const endpoint = granted
+      ? granted.backup
+      : chooser.chooseBackup(this.#need, request.service, primary);
+    if (!endpoint?.isUsable) return;
     this.#endpoint = endpoint;
     this.#claim = board.claimCopy(endpoint.id, this.#size.heldTokens);
   }
--- a/src/features/gateway/common/placement_message.ts
+++ b/src/features/gateway/common/placement_message.ts
@@ -12,6 +12,8 @@
   readonly service: ServiceId;
   readonly memoryTokens: number;
   readonly unreadTokens: number;
+  /** Whether a copy is to be kept at another engine. */
+  readonly wantsBackup: boolean;
   readonly excluded: readonly EndpointId[];
   readonly priority: number;
   readonly objectiveLeftMs: number;
@@ -27,6 +29,8 @@
     readonly kind: "granted";
     readonly number: number;
     readonly endpoint: EndpointId;
+    /** Where a copy may be kept, if anywhere. */
+    readonly backup?: EndpointId;
     readonly cost: number;
     readonly candidates: number;
     readonly recentWaitMs: number;
@@ -68,12 +72,14 @@
         "objectiveLeftMs",
         "startLeftMs",
       ]) && typeof message["service"] === "string" &&
+        typeof message["wantsBackup"] === "boolean" &&
         areTexts(message["excluded"]);
     case "withdrawn":
     case "declined":
       return areNumbers(message, ["number"]);
     case "granted":
       return typeof message["endpoint"] === "string" &&
+        ["string", "undefined"].includes(typeof message["backup"]) &&
         areNumbers(message, ["number", "cost", "candidates", "recentWaitMs"]);
     case "rejected":
       return typeof message["reason"] === "string" &&
--- a/src/features/gateway/common/placement_queue.ts
+++ b/src/features/gateway/common/placement_queue.ts
@@ -22,6 +22,8 @@
   readonly need: Need;
   /** Its prompt, as far as it has to be read. */
   readonly unreadTokens: number;
+  /** Whether a copy is to be kept at another engine. */
+  readonly wantsBackup: boolean;
   readonly service: GatewayService;
   /** 0 comes first. */
   readonly priority: number;
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -110,19 +110,18 @@
     );
   }
 
-  #onPlaced(choice: Choice): void {
+  #onPlaced({ endpoint, granted }: Choice): void {
     const afterEvent = this.#answer.lastEventId;
-    this.#startLeg(
-      choice.endpoint,
-      afterEvent === undefined ? undefined : { copy: undefined, afterEvent },
-    );
+    const continuation = afterEvent && { copy: undefined, afterEvent };
+    this.#startLeg(endpoint, continuation || undefined, granted);
   }
 
   #startLeg(
     endpoint: RegisteredEndpoint,
     continuation: Continuation | undefined,
+    granted?: Choice["granted"],
   ): void {
-    const leg = this.#createLeg(endpoint, continuation);
+    const leg = this.#createLeg(endpoint, continuation, granted);
     this.#leg = leg;
     this.#silence.note(this.#context.services.clock.monotonicMs());
     leg.send();
@@ -131,10 +130,11 @@
   #createLeg(
     endpoint: RegisteredEndpoint,
     continuation: Continuation | undefined,
+    granted?: Choice["granted"],
   ): StreamLeg {
     const { board } = this.#context.services;
     // A resumable route can read its short prompts anew instead.
-    if (!this.#isResumable) this.#backup.chooseFor(endpoint);
+    if (!this.#isResumable) this.#backup.chooseFor(endpoint, granted);
     const unreadTokens = continuation?.copy === undefined
       ? this.#size.promptTokens
       : 0;
--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -19,6 +19,7 @@
   PeerLinks,
 } from "../../../services/peers/common/peer_links.ts";
 import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
+import type { EndpointChooser, Need } from "./endpoint_choice.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { GatewayService } from "./gateway_configuration.ts";
 import type { LoadBoard } from "./load_board.ts";
@@ -48,6 +49,7 @@
   readonly overlay: PeerOverlay;
   readonly registry: EndpointRegistry;
   readonly board: LoadBoard;
+  readonly chooser: EndpointChooser;
   /** Places the requests of this daemon's zone, or only its own. */
   readonly queue: GenerationPlacer;
   /** @returns The service as configured, if it is. */
@@ -180,8 +182,12 @@
       this.#placeHere(delegated);
       return;
     }
-    const { cost, candidates } = message;
-    delegated.request.onPlaced({ endpoint, cost, candidates, placer: from });
+    const { backup, candidates, cost } = message;
+    const granted = {
+      by: from,
+      backup: backup && this.#services.registry.get(backup),
+    };
+    delegated.request.onPlaced({ endpoint, cost, candidates, granted });
   }
 
   #take(from: HostId, number: number): Delegated | undefined {
@@ -227,7 +233,7 @@
 
   /** Lets a request of another daemon wait here, in the order of all. */
   #host(from: HostId, asked: PlaceAsked): void {
-    const { board, clock, findService, queue } = this.#services;
+    const { board, chooser, clock, findService, queue } = this.#services;
     const { number, unreadTokens } = asked;
     const service = findService(asked.service);
     if (!service) {
@@ -237,6 +243,11 @@
     const hosted = this.#hosted.get(from) ?? new Map<number, Disposable>();
     this.#hosted.set(from, hosted);
     const nowMs = clock.monotonicMs();
+    const need: Need = {
+      service: asked.service,
+      memoryTokens: asked.memoryTokens,
+      excluded: new Set(asked.excluded),
+    };
     let isAnswered = false;
     const answer = (message: PlacementMessage): void => {
       isAnswered = true;
@@ -244,11 +255,8 @@
       this.#channel.send(from, message);
     };
     const place = queue.add({
-      need: {
-        service: asked.service,
-        memoryTokens: asked.memoryTokens,
-        excluded: new Set(asked.excluded),
-      },
+      need,
+      wantsBackup: asked.wantsBackup,
       unreadTokens,
       service,
       priority: asked.priority,
@@ -256,17 +264,19 @@
       objectiveDueMs: nowMs + asked.objectiveLeftMs,
       lastStartMs: nowMs + asked.startLeftMs,
       onPlaced: ({ endpoint, cost, candidates }) => {
-        // Counted until the other daemon's own row tells of it.
-        const claim = board.claim(
-          endpoint.id,
-          asked.memoryTokens,
-          unreadTokens,
-        );
-        clock.setTimer(GRANT_LIFETIME_MS, () => claim.dispose());
+        const claims = new DisposableStore();
+        claims.add(board.claim(endpoint.id, need.memoryTokens, unreadTokens));
+        const backup = asked.wantsBackup
+          ? chooser.chooseBackup(need, service, endpoint)
+          : undefined;
+        if (backup) claims.add(board.claimCopy(backup.id, unreadTokens));
+        // Counted until the other daemon's own rows tell of them.
+        clock.setTimer(GRANT_LIFETIME_MS, () => claims.dispose());
         answer({
           kind: "granted",
           number,
           endpoint: endpoint.id,
+          ...(backup && { backup: backup.id }),
           cost,
           candidates,
           recentWaitMs: queue.recentWaitMs,
@@ -297,13 +307,14 @@
   number: number,
   nowMs: number,
 ): PlaceAsked {
-  const { need, unreadTokens, priority } = request;
+  const { need, priority, unreadTokens, wantsBackup } = request;
   return {
     kind: "asked",
     number,
     service: need.service,
     memoryTokens: need.memoryTokens,
     unreadTokens,
+    wantsBackup,
     excluded: [...need.excluded],
     priority,
     objectiveLeftMs: request.objectiveDueMs - nowMs,
--- a/standins/gateway/placer_parts.ts
+++ b/standins/gateway/placer_parts.ts
@@ -52,6 +52,7 @@
     overlay: OVERLAY,
     registry,
     board,
+    chooser,
     queue: new PlacementQueue(clock, chooser),
     findService: (id) => state.current?.configuration.services.get(id),
   });
