Ask for no place at engines that have failed the asking daemon

Cause: an engine that one daemon finds dark or broken is kept out by that daemon only; the placing hub, which has not used it, went on granting it.

Change: the daemon names the engines that it has ejected with its request, unless these are all that there are. The test failed before.

--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -7,7 +7,11 @@
  */
 
 import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
-import type { HostId, ServiceId } from "../../../base/common/ids.ts";
+import type {
+  EndpointId,
+  HostId,
+  ServiceId,
+} from "../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
@@ -118,7 +122,7 @@
     const isTrusted = nowMs >= (this.#distrustedUntilMs.get(placer) ?? 0);
     if (placer === self || !isTrusted) return queue.add(request);
     const number = this.#count++;
-    const asked = toAsked(request, number, nowMs);
+    const asked = toAsked(request, number, nowMs, this.#avoided(request));
     if (this.#channel.send(placer, asked) !== "queued") {
       return queue.add(request);
     }
@@ -136,6 +140,19 @@
     });
   }
 
+  /** Endpoints that failed the request, or this daemon lately. */
+  #avoided({ need }: PlacementRequest): readonly EndpointId[] {
+    const { clock, registry } = this.#services;
+    const nowMs = clock.monotonicMs();
+    const usable = registry.usable(need.service).filter(({ id }) =>
+      !need.excluded.has(id)
+    );
+    const ejected = usable.filter(({ health }) => health.isEjected(nowMs));
+    // Where all are ejected, one of them is still better than none.
+    const avoided = ejected.length < usable.length ? ejected : [];
+    return [...need.excluded, ...avoided.map(({ id }) => id)];
+  }
+
   /** Forgets all that wait. */
   dispose(): void {
     this.#owned.dispose();
@@ -306,6 +323,7 @@
   request: PlacementRequest,
   number: number,
   nowMs: number,
+  excluded: readonly EndpointId[],
 ): PlaceAsked {
   const { need, priority, unreadTokens, wantsBackup } = request;
   return {
@@ -315,7 +333,7 @@
     memoryTokens: need.memoryTokens,
     unreadTokens,
     wantsBackup,
-    excluded: [...need.excluded],
+    excluded,
     priority,
     objectiveLeftMs: request.objectiveDueMs - nowMs,
     startLeftMs: request.lastStartMs - nowMs,
--- a/standins/gateway/zone_placer_test.ts
+++ b/standins/gateway/zone_placer_test.ts
@@ -140,6 +140,17 @@
     expect(asking.logger.last("stream-placed")!["placer"]).toBeUndefined();
   });
 
+  it("is given no engine that has failed it lately", async () => {
+    const [first, second] = asking.registry.all;
+    placing.board.claim(second!.id, 20_000, 0);
+    const nowMs = clock.monotonicMs();
+    while (!first!.health.isEjected(nowMs)) first!.health.note("broken", nowMs);
+    await asking.send("/draft/x");
+    await clock.advanceSettled(5);
+    const used = asking.endpoints.last.request.address;
+    expect(used).toBe(second!.announcement.address);
+  });
+
   it("places by itself when the engine that it was given has left", async () => {
     const [first, second] = asking.registry.all;
     asking.registry.leave(first!.id, "draining");
