Keep an engine for large generations, and tell callers sooner

Cause: in one queue for a zone small generations pass a large one that does not fit as long as there are any, and drafts that had missed their objective were held for 9 s before they were rejected.

Change: an engine, the emptiest, is kept for the oldest request that has waited 300 ms and can still be on time. A request that has waited for two objectives is rejected.

--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -79,6 +79,8 @@
   /** There is no endpoint. */
   | { readonly kind: "none" };
 
+const NO_ENDPOINTS: ReadonlySet<EndpointId> = new Set();
+
 interface Candidate {
   readonly endpoint: RegisteredEndpoint;
   readonly use: EndpointUse;
@@ -118,12 +120,22 @@
     return this.#cheapest(this.#candidates(need), need, service);
   }
 
-  /** @returns The cheapest endpoint at which nothing has to yield. */
-  chooseWithRoom(need: Need, service: GatewayService): RoomChoice {
+  /**
+   * @param need - What the generation needs.
+   * @param service - Its service.
+   * @param reserved - Endpoints that are kept for others.
+   * @returns The cheapest endpoint at which nothing has to yield.
+   */
+  chooseWithRoom(
+    need: Need,
+    service: GatewayService,
+    reserved: ReadonlySet<EndpointId> = NO_ENDPOINTS,
+  ): RoomChoice {
     const candidates = this.#candidates(need);
     if (candidates.length === 0) return { kind: "none" };
     const nowMs = this.#clock.monotonicMs();
     const roomy = candidates.filter((candidate) =>
+      !reserved.has(candidate.endpoint.id) &&
       this.#hasRoom(candidate, need, service) &&
       !candidate.endpoint.health.isEjected(nowMs)
     );
@@ -131,6 +143,29 @@
     return choice ? { kind: "chosen", choice } : { kind: "full" };
   }
 
+  /**
+   * @param need - What the generation needs.
+   * @param reserved - Endpoints that are kept for others.
+   * @returns The endpoint with the most memory left.
+   */
+  emptiest(
+    need: Need,
+    reserved: ReadonlySet<EndpointId>,
+  ): RegisteredEndpoint | undefined {
+    const nowMs = this.#clock.monotonicMs();
+    let best: RegisteredEndpoint | undefined;
+    let leastTokens = Infinity;
+    for (const { endpoint, use } of this.#candidates(need)) {
+      if (reserved.has(endpoint.id)) continue;
+      if (endpoint.health.isEjected(nowMs) || this.#isCold(endpoint)) continue;
+      const takenTokens = use.memoryTokens + use.copyTokens;
+      if (takenTokens >= leastTokens) continue;
+      best = endpoint;
+      leastTokens = takenTokens;
+    }
+    return best;
+  }
+
   #candidates(need: Need): readonly Candidate[] {
     return this.#registry.usable(need.service).filter(({ id }) =>
       !need.excluded.has(id)
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -82,6 +82,8 @@
 
 /** Part of its time that a generation may wait: a caller that is told earlier can turn elsewhere. */
 const MAX_WAIT_SHARE = 0.25;
+/** The same in objectives of its route: on a full fleet late ones rarely get a place. */
+const MAX_WAIT_OBJECTIVES = 2;
 
 /** Parts that both kinds of forwarding share. */
 export class RequestContext {
@@ -159,6 +161,10 @@
     const { clock, queue } = this.services;
     const { deadlineMs, exchange, route, service } = this.request;
     const sinceMs = clock.monotonicMs();
+    const maxWaitMs = Math.min(
+      (deadlineMs - sinceMs) * MAX_WAIT_SHARE,
+      route.objectiveMs * MAX_WAIT_OBJECTIVES,
+    );
     this.owned.add(queue.add({
       need,
       wantsBackup: route.kind.kind === "generation" && !route.kind.isResumable,
@@ -167,7 +173,7 @@
       priority: this.priority,
       sinceMs,
       objectiveDueMs: exchange.receivedMs + route.objectiveMs,
-      lastStartMs: sinceMs + (deadlineMs - sinceMs) * MAX_WAIT_SHARE,
+      lastStartMs: sinceMs + maxWaitMs,
       onPlaced: (choice) => {
         this.log("info", "stream-placed", {
           endpoint: choice.endpoint.id,
--- a/src/features/gateway/common/placement_queue.ts
+++ b/src/features/gateway/common/placement_queue.ts
@@ -5,7 +5,8 @@
  * waits at one engine cannot use the room that another one gets.
  *
  * Those that can still begin within their objective go first, the most urgent
- * and then the oldest of them; late ones follow when none of these fits. A
+ * and then the oldest of them; late ones follow when none of these fits. Smaller
+ * ones may pass a larger one, but not for long: then an engine is kept for it. A
  * request whose last time to begin has passed is rejected as not run.
  */
 
@@ -14,6 +15,7 @@
   type Disposable,
   toDisposable,
 } from "../../../base/common/lifecycle.ts";
+import type { EndpointId } from "../../../base/common/ids.ts";
 import type { Choice, EndpointChooser, Need } from "./endpoint_choice.ts";
 import type { GatewayService } from "./gateway_configuration.ts";
 
@@ -63,6 +65,32 @@
 const WAIT_SMOOTHING = 0.15;
 /** Time to read a prompt of usual size; a start later than that is late. */
 const READING_MS = 250;
+/** Wait after which an engine is kept free; it takes about a second until one fits. */
+const RESERVE_AFTER_MS = 300;
+/** Engines kept at a time; more would stand half empty while small requests wait. */
+const MAX_RESERVATIONS = 1;
+
+/** Engines that are kept for some of those that wait. */
+class Reservations {
+  readonly #kept = new Map<Waiting, EndpointId>();
+  readonly #all = new Set<EndpointId>();
+
+  get all(): ReadonlySet<EndpointId> {
+    return this.#all;
+  }
+
+  add(waiting: Waiting, endpoint: EndpointId): void {
+    this.#kept.set(waiting, endpoint);
+    this.#all.add(endpoint);
+  }
+
+  /** @returns The engines that a request must not use. */
+  keptFromOthers(waiting: Waiting): ReadonlySet<EndpointId> {
+    const own = this.#kept.get(waiting);
+    if (own === undefined) return this.#all;
+    return new Set([...this.#all].filter((endpoint) => endpoint !== own));
+  }
+}
 
 /** The queue of one daemon. */
 export class PlacementQueue implements GenerationPlacer, Disposable {
@@ -111,6 +139,7 @@
     const order = [...this.#waiting].sort((left, right) =>
       compare(left, right, nowMs)
     );
+    const reservations = this.#reserve(nowMs);
     for (const waiting of order) {
       if (nowMs > waiting.lastStartMs) {
         this.#remove(waiting);
@@ -120,6 +149,7 @@
       const choice = this.#chooser.chooseWithRoom(
         waiting.need,
         waiting.service,
+        reservations.keptFromOthers(waiting),
       );
       switch (choice.kind) {
         case "full":
@@ -147,6 +177,20 @@
     }
   }
 
+  /** Keeps the emptiest engines for those that have waited longest. */
+  #reserve(nowMs: number): Reservations {
+    const reservations = new Reservations();
+    const byAge = this.#waiting.filter((waiting) =>
+      nowMs - waiting.sinceMs >= RESERVE_AFTER_MS && !isLate(waiting, nowMs)
+    ).sort((left, right) => left.number - right.number);
+    for (const waiting of byAge.slice(0, MAX_RESERVATIONS)) {
+      const { need } = waiting;
+      const endpoint = this.#chooser.emptiest(need, reservations.all);
+      if (endpoint) reservations.add(waiting, endpoint.id);
+    }
+    return reservations;
+  }
+
   #noteWait(waitMs: number): void {
     this.#recentWaitMs += (waitMs - this.#recentWaitMs) * WAIT_SMOOTHING;
   }
@@ -156,9 +200,12 @@
   }
 }
 
+function isLate({ objectiveDueMs }: Waiting, nowMs: number): boolean {
+  return nowMs + READING_MS > objectiveDueMs;
+}
+
 function compare(left: Waiting, right: Waiting, nowMs: number): number {
-  const isLeftLate = nowMs + READING_MS > left.objectiveDueMs;
-  const isRightLate = nowMs + READING_MS > right.objectiveDueMs;
-  if (isLeftLate !== isRightLate) return isLeftLate ? 1 : -1;
+  const isLeftLate = isLate(left, nowMs);
+  if (isLeftLate !== isLate(right, nowMs)) return isLeftLate ? 1 : -1;
   return left.priority - right.priority || left.number - right.number;
 }
--- a/standins/gateway/gateway_world.ts
+++ b/standins/gateway/gateway_world.ts
@@ -317,9 +317,10 @@
         "app.example",
         "id",
         `r${this.#requests}`,
+        ...headers,
+        // The first value of a header counts.
         "prompt",
         "3000,2000",
-        ...headers,
       ],
       receivedMs: this.clock.monotonicMs(),
       ...(body && { body }),
