Decline to place for services whose endpoints are not known yet

Cause: a hub that has just started may have the configuration before the endpoints; it rejected what others asked for, though engines were there. Change: it declines, and the asking daemon places by itself. The test failed before.

--- a/src/features/gateway/common/placement_message.ts
+++ b/src/features/gateway/common/placement_message.ts
@@ -42,7 +42,7 @@
     readonly reason: string;
     readonly recentWaitMs: number;
   }
-  /** The sender does not know the service yet. */
+  /** The sender does not know the service or its endpoints yet. */
   | { readonly kind: "declined"; readonly number: number }
   /** Requests of the receiver still wait at the sender. */
   | { readonly kind: "waiting" };
--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -250,10 +250,12 @@
 
   /** Lets a request of another daemon wait here, in the order of all. */
   #host(from: HostId, asked: PlaceAsked): void {
-    const { board, chooser, clock, findService, queue } = this.#services;
+    const { board, chooser, clock, queue } = this.#services;
     const { number, unreadTokens } = asked;
-    const service = findService(asked.service);
-    if (!service) {
+    const service = this.#services.findService(asked.service);
+    const usable = this.#services.registry.usable(asked.service);
+    // A daemon that has just started may not know them yet.
+    if (!service || usable.length === 0) {
       this.#channel.send(from, { kind: "declined", number });
       return;
     }
--- a/standins/gateway/zone_placer_test.ts
+++ b/standins/gateway/zone_placer_test.ts
@@ -140,6 +140,16 @@
     expect(asking.logger.last("stream-placed")!["placer"]).toBeUndefined();
   });
 
+  it("places by itself while the placing daemon knows no engine yet", async () => {
+    for (const { id } of placing.registry.all) {
+      placing.registry.leave(id, "removed");
+    }
+    const exchange = await asking.send("/draft/x");
+    await clock.advanceSettled(5);
+    expect(asking.endpoints.transfers).toHaveLength(1);
+    expect(exchange.hasEnded).toBe(false);
+  });
+
   it("is given no engine that has failed it lately", async () => {
     const [first, second] = asking.registry.all;
     placing.board.claim(second!.id, 20_000, 0);
