Never let a generation wait for a place twice

Change: an ended leg is nobody's any more (the silence watch, dark engines, leaving engines and rejected handovers look at the living one), and a request that asks for a place withdraws what it had asked for before.

--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -96,6 +96,7 @@
   /** Requests written to endpoints. */
   sentCount = 0;
   #isOver = false;
+  #place: Disposable | undefined;
   #firstByteMs: number | undefined;
 
   /**
@@ -165,7 +166,9 @@
       (deadlineMs - sinceMs) * MAX_WAIT_SHARE,
       route.objectiveMs * MAX_WAIT_OBJECTIVES,
     );
-    this.owned.add(queue.add({
+    // A request never waits twice: both places would be used.
+    this.#place?.dispose();
+    this.#place = this.owned.add(queue.add({
       need,
       wantsBackup: route.kind.kind === "generation" && !route.kind.isResumable,
       unreadTokens: this.request.fields.prompt?.promptTokens ?? 0,
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -60,10 +60,9 @@
     };
     this.#backup = new GenerationBackup(context, this.#need, this.#size);
     this.#silence = new SilenceWatch(context, {
-      leg: () => this.#darkTimer || context.isOver ? undefined : this.#leg,
-      onSilentConnection: () => {
-        if (!this.#handover.isPending) this.#goOnFromBackup("silent");
-      },
+      leg: () => this.#darkTimer || context.isOver ? undefined : this.#liveLeg,
+      onSilentConnection: () =>
+        void (this.#handover.isPending || this.#goOnFromBackup("silent")),
     });
     this.#answer = new GenerationAnswer(context);
     this.#handover = new Handover(context, {
@@ -72,6 +71,11 @@
     });
   }
 
+  /** The leg that can still bring something; none while a place is awaited. */
+  get #liveLeg(): StreamLeg | undefined {
+    return this.#leg?.isOver ? undefined : this.#leg;
+  }
+
   get #isResumable(): boolean {
     const { kind } = this.#context.request.route;
     return kind.kind === "generation" && kind.isResumable;
@@ -328,7 +332,7 @@
   #onRejected(cause: LossReason): void {
     // It was kept for the leg that came to nothing.
     this.#backup.drop();
-    const leg = this.#leg;
+    const leg = this.#liveLeg;
     if (!leg || this.#context.isOver) return;
     if (cause === "dark") this.#awaitDarkEndpoint();
     if (cause === "leaving" && ++this.#refusedTries < MAX_REFUSED_TRIES) {
@@ -364,15 +368,14 @@
 
   #onLeaving(endpoint: RegisteredEndpoint): void {
     if (endpoint === this.#backup.endpoint) this.#backup.drop();
-    const leg = this.#leg;
+    const leg = this.#liveLeg;
     if (leg?.endpoint !== endpoint || !leg.hasEvents) return;
     this.#moveAway(leg);
   }
 
   #moveAway(leg: StreamLeg): void {
-    if (this.#isMoving || this.#handover.isPending || this.#context.isOver) {
-      return;
-    }
+    const { isOver } = this.#context;
+    if (isOver || this.#isMoving || this.#handover.isPending) return;
     if (this.#goOnFromBackup("leaving")) return;
     const { services, request } = this.#context;
     if (!request.service.engine?.canMove) return;
@@ -420,7 +423,7 @@
   #onDark(endpoint: RegisteredEndpoint): void {
     if (endpoint === this.#backup.endpoint) this.#backup.drop();
     this.#handover.onTargetDark(endpoint);
-    const leg = this.#leg;
+    const leg = this.#liveLeg;
     if (leg?.endpoint !== endpoint || this.#context.isOver) return;
     const reason = "the endpoint is dark";
     if (!leg.wasSent) {
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -136,6 +136,27 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("runs once what waits for a place while its last engine is found dark", async () => {
+    for (const { id } of world.registry.all.slice(1)) {
+      world.board.claim(id, 32_000, 0);
+    }
+    const [only] = world.registry.all;
+    world.endpoints.unanswering.add(only!.announcement.address);
+    const exchange = await world.send("/draft/x");
+    const transfer = world.endpoints.last;
+    world.control.silent.add(only!.announcement.address);
+    await world.advance(400);
+    transfer.refuseConnection();
+    await world.advance(2_500);
+    expect(world.endpoints.transfers).toHaveLength(1);
+    for (const number of [4, 5]) world.announce(ENGINE, number);
+    await world.advance(100);
+    expect(world.endpoints.transfers).toHaveLength(2);
+    world.endpoints.last.head(200).event(1).finish();
+    await settlePromises();
+    expect(exchange.outcome).toBe("answered");
+  });
+
   it("runs elsewhere what was never sent to an engine that is dark", async () => {
     for (const { announcement } of world.registry.all) {
       world.endpoints.unanswering.add(announcement.address);
