Simplify placing by zone and take off work that nobody needs

Behaviour is as before: - place.v1 checks its messages with zod like the project's other channels, instead of a checker of its own; idSchema moves to schema_parts, so that dispatch and placing share it. - One engine is kept at a time, so the queue holds one reservation instead of a class with a map and a set; those that wait are a set in their own order. - PeriodicWork runs rounds while there is something to do. The queue had that by hand; the zone placer ran two timers for ever on every daemon, 30 times a second, also with nothing waiting. - LoadBoard looked through all peers for old rows at each endpoint of each choice; it now knows when the next one can be too old. - RequestContext says once whether a generation is resumable; the forwarder asks for the living leg where it spelled that out; the command line parses failures with `attempt`.

Joining them changes both protocols.

--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -53,6 +53,38 @@
   return toDisposable(() => timer.dispose());
 }
 
+/** Rounds of work that go on only while there is something to do. */
+export class PeriodicWork implements Disposable {
+  readonly #clock: Clock;
+  readonly #periodMs: number;
+  readonly #work: () => boolean;
+  #rounds: Disposable | undefined;
+
+  /**
+   * @param clock - The clock to run on.
+   * @param periodMs - The period in milliseconds.
+   * @param work - The work of one round; returns whether another is needed.
+   */
+  constructor(clock: Clock, periodMs: number, work: () => boolean) {
+    this.#clock = clock;
+    this.#periodMs = periodMs;
+    this.#work = work;
+  }
+
+  /** Lets the rounds run, the first after a period, unless they run already. */
+  start(): void {
+    this.#rounds ??= setPeriodic(this.#clock, this.#periodMs, () => {
+      if (!this.#work()) this.dispose();
+    });
+  }
+
+  /** Stops the rounds until they are started again. */
+  dispose(): void {
+    this.#rounds?.dispose();
+    this.#rounds = undefined;
+  }
+}
+
 /**
  * Runs a callback again and again, at the same points of the wall clock on all
  * machines.
--- a/src/cli/node/operator_client.ts
+++ b/src/cli/node/operator_client.ts
@@ -4,6 +4,7 @@
 import { messageOf } from "../../base/common/errors.ts";
 import type { Address } from "../../base/common/ids.ts";
 import {
+  attempt,
   type Either,
   type Eventually,
   Left,
@@ -79,12 +80,9 @@
 
 /** @returns What the daemon says of the failure, if it says it. */
 function errorOf(text: string): string | undefined {
-  try {
-    const { error } = JSON.parse(text) as { error?: unknown };
-    return typeof error === "string" ? error : undefined;
-  } catch {
-    return undefined;
-  }
+  const body = rightOf(attempt(() => JSON.parse(text) as unknown, messageOf));
+  const { error } = (body ?? {}) as { error?: unknown };
+  return typeof error === "string" ? error : undefined;
 }
 
 /**
--- a/src/features/dispatch/common/dispatch_messages.ts
+++ b/src/features/dispatch/common/dispatch_messages.ts
@@ -1,28 +1,24 @@
 /** Messages of the channel `dispatch.v1` between daemons. */
 
 import * as z from "zod";
-import type { Brand } from "../../../base/common/brand.ts";
-import {
-  type Address,
-  asId,
-  type EndpointId,
-  type ServiceId,
-  type WorkspaceId,
+import type {
+  Address,
+  EndpointId,
+  ServiceId,
+  WorkspaceId,
 } from "../../../base/common/ids.ts";
 import { Left, Right } from "../../../base/common/result.ts";
 import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
+import {
+  idSchema,
+  MAX_ID_CHARACTERS,
+} from "../../../services/settings/common/schema_parts.ts";
 import type { GroupId } from "./dispatch_groups.ts";
 import type { GrantId } from "./dispatcher.ts";
 
-const MAX_ID_CHARACTERS = 500;
 const MAX_BLOCKS = 64;
 const MAX_ITEMS = 10_000;
 
-function idSchema<T extends Brand<string, string>>(): z.ZodType<T> {
-  return z.string().min(1).max(MAX_ID_CHARACTERS)
-    .transform((text) => asId<T>(text)) as unknown as z.ZodType<T>;
-}
-
 const count = z.number().nonnegative();
 const grantId = idSchema<GrantId>();
 const endpointId = idSchema<EndpointId>();
--- a/src/features/gateway/common/endpoint_choice.ts
+++ b/src/features/gateway/common/endpoint_choice.ts
@@ -79,8 +79,6 @@
   /** There is no endpoint. */
   | { readonly kind: "none" };
 
-const NO_ENDPOINTS: ReadonlySet<EndpointId> = new Set();
-
 interface Candidate {
   readonly endpoint: RegisteredEndpoint;
   readonly use: EndpointUse;
@@ -123,19 +121,19 @@
   /**
    * @param need - What the generation needs.
    * @param service - Its service.
-   * @param reserved - Endpoints that are kept for others.
+   * @param reserved - Endpoint that is kept for another one.
    * @returns The cheapest endpoint at which nothing has to yield.
    */
   chooseWithRoom(
     need: Need,
     service: GatewayService,
-    reserved: ReadonlySet<EndpointId> = NO_ENDPOINTS,
+    reserved?: EndpointId,
   ): RoomChoice {
     const candidates = this.#candidates(need);
     if (candidates.length === 0) return { kind: "none" };
     const nowMs = this.#clock.monotonicMs();
     const roomy = candidates.filter((candidate) =>
-      !reserved.has(candidate.endpoint.id) &&
+      candidate.endpoint.id !== reserved &&
       this.#hasRoom(candidate, need, service) &&
       !candidate.endpoint.health.isEjected(nowMs)
     );
@@ -145,18 +143,13 @@
 
   /**
    * @param need - What the generation needs.
-   * @param reserved - Endpoints that are kept for others.
    * @returns The endpoint with the most memory left.
    */
-  emptiest(
-    need: Need,
-    reserved: ReadonlySet<EndpointId>,
-  ): RegisteredEndpoint | undefined {
+  emptiest(need: Need): RegisteredEndpoint | undefined {
     const nowMs = this.#clock.monotonicMs();
     let best: RegisteredEndpoint | undefined;
     let leastTokens = Infinity;
     for (const { endpoint, use } of this.#candidates(need)) {
-      if (reserved.has(endpoint.id)) continue;
       if (endpoint.health.isEjected(nowMs) || this.#isCold(endpoint)) continue;
       const takenTokens = use.memoryTokens + use.copyTokens;
       if (takenTokens >= leastTokens) continue;
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -30,7 +30,7 @@
 const BODIES_RETRY_AFTER_MS = 300;
 const HASH_RANGE = 2 ** 32;
 /** Larger bodies of calls are passed on while they arrive, and never sent again. */
-const MAX_COLLECTED_BYTES = 262_144;
+const MAX_COLLECTED_BODY_BYTES = 262_144;
 
 /** Another host takes the request as soon as it comes. */
 const STOPPING_RETRY_AFTER_MS = 50;
@@ -134,7 +134,7 @@
     const read = await exchange.readBody({
       maxBytes: maxBodyBytes,
       // A generation may have to go on elsewhere, with its prompt.
-      collectedBytes: isGeneration ? maxBodyBytes : MAX_COLLECTED_BYTES,
+      collectedBytes: isGeneration ? maxBodyBytes : MAX_COLLECTED_BODY_BYTES,
     });
     switch (read.kind) {
       case "left":
--- a/src/features/gateway/common/gateway_request.ts
+++ b/src/features/gateway/common/gateway_request.ts
@@ -113,6 +113,12 @@
     return this.request.deadlineMs - this.services.clock.monotonicMs();
   }
 
+  /** Whether a generation may begin anew after the last event that its caller has. */
+  get isResumable(): boolean {
+    const { kind } = this.request.route;
+    return kind.kind === "generation" && kind.isResumable;
+  }
+
   /** Whether the body is passed on while it arrives, and so only once. */
   get isBodyStreamed(): boolean {
     return isStreamed(this.request.body);
@@ -170,7 +176,7 @@
     this.#place?.dispose();
     this.#place = this.owned.add(queue.add({
       need,
-      wantsBackup: route.kind.kind === "generation" && !route.kind.isResumable,
+      wantsBackup: !this.isResumable,
       unreadTokens: this.request.fields.prompt?.promptTokens ?? 0,
       service,
       priority: this.priority,
--- a/src/features/gateway/common/load_board.ts
+++ b/src/features/gateway/common/load_board.ts
@@ -63,6 +63,8 @@
   /** Sums over this daemon and its peers, as they are asked for often. */
   readonly #totals = new Map<EndpointId, MutableUse>();
   readonly #changed = new Emitter<EndpointId>();
+  /** Time before which no peer's rows are too old. */
+  #nextForgetMs = -Infinity;
 
   /** Fires when this daemon's own use of an endpoint changes. */
   readonly onDidChangeOwn = this.#changed.event;
@@ -198,11 +200,16 @@
   }
 
   #forgetSilentPeers(): void {
-    const oldestMs = this.#clock.monotonicMs() - PEER_ROWS_LIFETIME_MS;
+    const nowMs = this.#clock.monotonicMs();
+    // Asked for each endpoint of each choice, while peers fall silent rarely.
+    if (nowMs <= this.#nextForgetMs) return;
+    this.#nextForgetMs = nowMs + PEER_ROWS_LIFETIME_MS;
     for (const [host, { rows, toldMs }] of this.#peers) {
-      if (toldMs >= oldestMs) continue;
-      this.#subtractRows(rows);
-      this.#peers.delete(host);
+      const endMs = toldMs + PEER_ROWS_LIFETIME_MS;
+      if (nowMs > endMs) {
+        this.#subtractRows(rows);
+        this.#peers.delete(host);
+      } else this.#nextForgetMs = Math.min(this.#nextForgetMs, endMs);
     }
   }
 
--- a/src/features/gateway/common/placement_message.ts
+++ b/src/features/gateway/common/placement_message.ts
@@ -1,100 +1,68 @@
 /** Messages between daemons that ask for places and the one that gives them. */
 
+import * as z from "zod";
 import type { EndpointId, ServiceId } from "../../../base/common/ids.ts";
 import { Left, Right } from "../../../base/common/result.ts";
 import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
+import { idSchema } from "../../../services/settings/common/schema_parts.ts";
+
+/** Numbers of requests are those of the daemon that asks. */
+const base = { number: z.number() };
+const endpointId = idSchema<EndpointId>();
 
 /** A generation that wants a place. Times are spans, as clocks differ. */
-export interface PlaceAsked {
-  readonly kind: "asked";
-  /** Number of the request at the daemon that asks. */
-  readonly number: number;
-  readonly service: ServiceId;
-  readonly memoryTokens: number;
-  readonly unreadTokens: number;
+const askedSchema = z.object({
+  ...base,
+  kind: z.literal("asked"),
+  service: idSchema<ServiceId>(),
+  memoryTokens: z.number(),
+  unreadTokens: z.number(),
   /** Whether a copy is to be kept at another engine. */
-  readonly wantsBackup: boolean;
-  readonly excluded: readonly EndpointId[];
-  readonly priority: number;
-  readonly objectiveLeftMs: number;
-  readonly startLeftMs: number;
-}
+  wantsBackup: z.boolean(),
+  excluded: z.array(endpointId).readonly(),
+  priority: z.number(),
+  objectiveLeftMs: z.number(),
+  startLeftMs: z.number(),
+});
 
-/** What the daemons tell each other about places. */
-export type PlacementMessage =
-  | PlaceAsked
+const messageSchema = z.discriminatedUnion("kind", [
+  askedSchema,
   /** The place is not wanted any more. */
-  | { readonly kind: "withdrawn"; readonly number: number }
-  | {
-    readonly kind: "granted";
-    readonly number: number;
-    readonly endpoint: EndpointId;
+  z.object({ ...base, kind: z.literal("withdrawn") }),
+  z.object({
+    ...base,
+    kind: z.literal("granted"),
+    endpoint: endpointId,
     /** Where a copy may be kept, if anywhere. */
-    readonly backup?: EndpointId;
-    readonly cost: number;
-    readonly candidates: number;
-    readonly recentWaitMs: number;
-  }
+    backup: endpointId.optional(),
+    cost: z.number(),
+    candidates: z.number(),
+    recentWaitMs: z.number(),
+  }),
   /** There will be no place in time. */
-  | {
-    readonly kind: "rejected";
-    readonly number: number;
-    readonly reason: string;
-    readonly recentWaitMs: number;
-  }
+  z.object({
+    ...base,
+    kind: z.literal("rejected"),
+    reason: z.string(),
+    recentWaitMs: z.number(),
+  }),
   /** The sender does not know the service or its endpoints yet. */
-  | { readonly kind: "declined"; readonly number: number }
+  z.object({ ...base, kind: z.literal("declined") }),
   /** Requests of the receiver still wait at the sender. */
-  | { readonly kind: "waiting" };
+  z.object({ kind: z.literal("waiting") }),
+]);
 
-type Figures = Readonly<Record<string, unknown>>;
+/** A generation that wants a place. */
+export type PlaceAsked = z.infer<typeof askedSchema>;
+
+/** What the daemons tell each other about places. */
+export type PlacementMessage = z.infer<typeof messageSchema>;
 
 /** Channel of these messages. */
 export const PLACEMENT_CHANNEL: PeerChannelSpec<PlacementMessage> = {
   name: "place.v1",
   decode: (body) => {
-    if (typeof body !== "object" || body === null) return Left("no object");
-    const message = body as Figures;
-    return isSound(message)
-      ? Right(body as PlacementMessage)
-      : Left(`a malformed message of kind ${String(message["kind"])}`);
+    const parsed = messageSchema.safeParse(body);
+    return parsed.success ? Right(parsed.data) : Left(parsed.error.message);
   },
 };
-
-function isSound(message: Figures): boolean {
-  switch (message["kind"]) {
-    case "asked":
-      return areNumbers(message, [
-        "number",
-        "memoryTokens",
-        "unreadTokens",
-        "priority",
-        "objectiveLeftMs",
-        "startLeftMs",
-      ]) && typeof message["service"] === "string" &&
-        typeof message["wantsBackup"] === "boolean" &&
-        areTexts(message["excluded"]);
-    case "withdrawn":
-    case "declined":
-      return areNumbers(message, ["number"]);
-    case "granted":
-      return typeof message["endpoint"] === "string" &&
-        ["string", "undefined"].includes(typeof message["backup"]) &&
-        areNumbers(message, ["number", "cost", "candidates", "recentWaitMs"]);
-    case "rejected":
-      return typeof message["reason"] === "string" &&
-        areNumbers(message, ["number", "recentWaitMs"]);
-    case "waiting":
-      return true;
-    default:
-      return false;
-  }
-}
-
-function areNumbers(message: Figures, names: readonly string[]): boolean {
-  return names.every((name) => Number.isFinite(message[name]));
-}
-
-function areTexts(value: unknown): boolean {
-  return Array.isArray(value) && value.every((one) => typeof one === "string");
-}
--- a/src/features/gateway/common/placement_queue.ts
+++ b/src/features/gateway/common/placement_queue.ts
@@ -10,7 +10,7 @@
  * request whose last time to begin has passed is rejected as not run.
  */
 
-import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
+import { type Clock, PeriodicWork } from "../../../base/common/clock.ts";
 import {
   type Disposable,
   toDisposable,
@@ -67,37 +67,20 @@
 const READING_MS = 250;
 /** Wait after which an engine is kept free; it takes about a second until one fits. */
 const RESERVE_AFTER_MS = 300;
-/** Engines kept at a time; more would stand half empty while small requests wait. */
-const MAX_RESERVATIONS = 1;
 
-/** Engines that are kept for some of those that wait. */
-class Reservations {
-  readonly #kept = new Map<Waiting, EndpointId>();
-  readonly #all = new Set<EndpointId>();
-
-  get all(): ReadonlySet<EndpointId> {
-    return this.#all;
-  }
-
-  add(waiting: Waiting, endpoint: EndpointId): void {
-    this.#kept.set(waiting, endpoint);
-    this.#all.add(endpoint);
-  }
-
-  /** @returns The engines that a request must not use. */
-  keptFromOthers(waiting: Waiting): ReadonlySet<EndpointId> {
-    const own = this.#kept.get(waiting);
-    if (own === undefined) return this.#all;
-    return new Set([...this.#all].filter((endpoint) => endpoint !== own));
-  }
+/** An engine that is kept for a request: more than one would stand half empty. */
+interface Reservation {
+  readonly waiting: Waiting;
+  readonly endpoint: EndpointId;
 }
 
 /** The queue of one daemon. */
 export class PlacementQueue implements GenerationPlacer, Disposable {
   readonly #clock: Clock;
   readonly #chooser: EndpointChooser;
-  #waiting: Waiting[] = [];
-  #timer: Disposable | undefined;
+  /** Oldest first. */
+  readonly #waiting = new Set<Waiting>();
+  readonly #looks: PeriodicWork;
   #count = 0;
   #recentWaitMs = 0;
 
@@ -108,11 +91,15 @@
   constructor(clock: Clock, chooser: EndpointChooser) {
     this.#clock = clock;
     this.#chooser = chooser;
+    this.#looks = new PeriodicWork(clock, LOOK_PERIOD_MS, () => {
+      this.#look();
+      return this.#waiting.size > 0;
+    });
   }
 
   /** {@inheritDoc GenerationPlacer.length} */
   get length(): number {
-    return this.#waiting.length;
+    return this.#waiting.size;
   }
 
   /** {@inheritDoc GenerationPlacer.recentWaitMs} */
@@ -123,15 +110,16 @@
   /** {@inheritDoc GenerationPlacer.add} */
   add(request: PlacementRequest): Disposable {
     const waiting: Waiting = { ...request, number: this.#count++ };
-    this.#waiting.push(waiting);
+    this.#waiting.add(waiting);
     this.#look();
-    return toDisposable(() => this.#remove(waiting));
+    if (this.#waiting.size > 0) this.#looks.start();
+    return toDisposable(() => this.#waiting.delete(waiting));
   }
 
   /** Forgets all that wait. */
   dispose(): void {
-    this.#timer?.dispose();
-    this.#waiting = [];
+    this.#looks.dispose();
+    this.#waiting.clear();
   }
 
   #look(): void {
@@ -139,65 +127,48 @@
     const order = [...this.#waiting].sort((left, right) =>
       compare(left, right, nowMs)
     );
-    const reservations = this.#reserve(nowMs);
+    const reservation = this.#reserve(nowMs);
     for (const waiting of order) {
       if (nowMs > waiting.lastStartMs) {
-        this.#remove(waiting);
+        this.#waiting.delete(waiting);
         waiting.onHopeless("no engine had room in time");
         continue;
       }
       const choice = this.#chooser.chooseWithRoom(
         waiting.need,
         waiting.service,
-        reservations.keptFromOthers(waiting),
+        reservation?.waiting === waiting ? undefined : reservation?.endpoint,
       );
       switch (choice.kind) {
         case "full":
           // A smaller one behind it may fit and be done soon.
           break;
         case "none":
-          this.#remove(waiting);
+          this.#waiting.delete(waiting);
           waiting.onHopeless("no endpoint is available");
           break;
         case "chosen":
-          this.#remove(waiting);
+          this.#waiting.delete(waiting);
           this.#noteWait(nowMs - waiting.sinceMs);
           waiting.onPlaced(choice.choice);
       }
     }
-    if (this.#waiting.length === 0) {
-      this.#timer?.dispose();
-      this.#timer = undefined;
-    } else {
-      this.#timer ??= setPeriodic(
-        this.#clock,
-        LOOK_PERIOD_MS,
-        () => this.#look(),
-      );
-    }
   }
 
-  /** Keeps the emptiest engines for those that have waited longest. */
-  #reserve(nowMs: number): Reservations {
-    const reservations = new Reservations();
-    const byAge = this.#waiting.filter((waiting) =>
-      nowMs - waiting.sinceMs >= RESERVE_AFTER_MS && !isLate(waiting, nowMs)
-    ).sort((left, right) => left.number - right.number);
-    for (const waiting of byAge.slice(0, MAX_RESERVATIONS)) {
-      const { need } = waiting;
-      const endpoint = this.#chooser.emptiest(need, reservations.all);
-      if (endpoint) reservations.add(waiting, endpoint.id);
+  /** Keeps the emptiest engine for the request that has waited longest. */
+  #reserve(nowMs: number): Reservation | undefined {
+    for (const waiting of this.#waiting) {
+      const isYoung = nowMs - waiting.sinceMs < RESERVE_AFTER_MS;
+      if (isYoung || isLate(waiting, nowMs)) continue;
+      const endpoint = this.#chooser.emptiest(waiting.need);
+      return endpoint && { waiting, endpoint: endpoint.id };
     }
-    return reservations;
+    return undefined;
   }
 
   #noteWait(waitMs: number): void {
     this.#recentWaitMs += (waitMs - this.#recentWaitMs) * WAIT_SMOOTHING;
   }
-
-  #remove(waiting: Waiting): void {
-    this.#waiting = this.#waiting.filter((other) => other !== waiting);
-  }
 }
 
 function isLate({ objectiveDueMs }: Waiting, nowMs: number): boolean {
--- a/src/features/gateway/common/stream_forwarder.ts
+++ b/src/features/gateway/common/stream_forwarder.ts
@@ -76,11 +76,6 @@
     return this.#leg?.isOver ? undefined : this.#leg;
   }
 
-  get #isResumable(): boolean {
-    const { kind } = this.#context.request.route;
-    return kind.kind === "generation" && kind.isResumable;
-  }
-
   /** Starts the first run. */
   start(): void {
     const context = this.#context;
@@ -103,7 +98,7 @@
 
   /** Runs the request from its prompt, which must not happen twice on some routes. */
   #startFresh(): void {
-    if (this.#wasRun && !this.#isResumable) {
+    if (this.#wasRun && !this.#context.isResumable) {
       this.#giveUp("the run cannot be repeated");
       return;
     }
@@ -138,7 +133,7 @@
   ): StreamLeg {
     const { board } = this.#context.services;
     // A resumable route can read its short prompts anew instead.
-    if (!this.#isResumable) this.#backup.chooseFor(endpoint, granted);
+    if (!this.#context.isResumable) this.#backup.chooseFor(endpoint, granted);
     const unreadTokens = continuation?.copy === undefined
       ? this.#size.promptTokens
       : 0;
@@ -317,8 +312,9 @@
       copy,
       afterEvent: this.#answer.lastEventId,
     };
-    if (this.#leg?.isOver ?? true) this.#startLeg(endpoint, continuation);
-    else this.#handover.begin(this.#createLeg(endpoint, continuation), cause);
+    if (this.#liveLeg) {
+      this.#handover.begin(this.#createLeg(endpoint, continuation), cause);
+    } else this.#startLeg(endpoint, continuation);
   }
 
   #onAccepted(next: StreamLeg): void {
@@ -342,7 +338,7 @@
 
   #goOnWithoutCopy(reason: string): void {
     this.#leg?.abort();
-    if (!this.#isResumable || !this.#context.mayRepeat(this.#wasRun)) {
+    if (!this.#context.isResumable || !this.#context.mayRepeat(this.#wasRun)) {
       this.#giveUp(reason);
       return;
     }
@@ -434,7 +430,7 @@
     this.#context.excluded.add(endpoint.id);
     if (this.#handover.onSourceDark()) return;
     if (this.#goOnFromBackup("dark")) return;
-    if (this.#isResumable) this.#goOnWithoutCopy(reason);
+    if (this.#context.isResumable) this.#goOnWithoutCopy(reason);
     else this.#awaitDarkEndpoint();
   }
 
--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -6,7 +6,7 @@
  * itself as long as nobody answers for its zone.
  */
 
-import { type Clock, setPeriodic } from "../../../base/common/clock.ts";
+import { type Clock, PeriodicWork } from "../../../base/common/clock.ts";
 import type {
   EndpointId,
   HostId,
@@ -74,6 +74,8 @@
   readonly #services: ZonePlacerServices;
   readonly #channel: PeerChannel<PlacementMessage>;
   readonly #owned = new DisposableStore();
+  readonly #reminders: PeriodicWork;
+  readonly #checks: PeriodicWork;
   readonly #delegated = new Map<number, Delegated>();
   /** Requests of other daemons that wait here, by daemon and number. */
   readonly #hosted = new Map<HostId, Map<number, Disposable>>();
@@ -96,11 +98,11 @@
       this.#takeBack(host, "its link is down");
       this.#dropHosted(host);
     }));
-    this.#owned.add(
-      setPeriodic(clock, WAITING_PERIOD_MS, () => this.#tellWaiting()),
+    this.#reminders = this.#owned.add(
+      new PeriodicWork(clock, WAITING_PERIOD_MS, () => this.#tellWaiting()),
     );
-    this.#owned.add(
-      setPeriodic(clock, CHECK_PERIOD_MS, () => this.#checkSilence()),
+    this.#checks = this.#owned.add(
+      new PeriodicWork(clock, CHECK_PERIOD_MS, () => this.#checkSilence()),
     );
   }
 
@@ -133,6 +135,7 @@
       own: undefined,
     };
     this.#delegated.set(number, delegated);
+    this.#checks.start();
     return toDisposable(() => {
       delegated.own?.dispose();
       if (!this.#delegated.delete(number)) return;
@@ -238,7 +241,8 @@
     }
   }
 
-  #checkSilence(): void {
+  /** @returns Whether requests still wait elsewhere. */
+  #checkSilence(): boolean {
     const nowMs = this.#services.clock.monotonicMs();
     const silent = new Set<HostId>();
     for (const { askedMs, placer } of this.#delegated.values()) {
@@ -246,6 +250,7 @@
       if (nowMs - heardMs > SILENCE_LIMIT_MS) silent.add(placer);
     }
     for (const placer of silent) this.#takeBack(placer, "it is silent");
+    return this.#delegated.size > 0;
   }
 
   /** Lets a request of another daemon wait here, in the order of all. */
@@ -306,7 +311,9 @@
         answer({ kind: "rejected", number, reason, recentWaitMs });
       },
     });
-    if (!isAnswered) hosted.set(number, place);
+    if (isAnswered) return;
+    hosted.set(number, place);
+    this.#reminders.start();
   }
 
   #dropHosted(host: HostId): void {
@@ -314,10 +321,12 @@
     this.#hosted.delete(host);
   }
 
-  #tellWaiting(): void {
-    for (const [host, hosted] of this.#hosted) {
-      if (hosted.size > 0) this.#channel.send(host, { kind: "waiting" });
-    }
+  /** @returns Whether requests of other daemons still wait here. */
+  #tellWaiting(): boolean {
+    const waiting = [...this.#hosted].filter(([, hosted]) => hosted.size > 0)
+      .map(([host]) => host);
+    this.#channel.multicast(waiting, { kind: "waiting" });
+    return waiting.length > 0;
   }
 }
 
--- a/src/services/settings/common/schema_parts.ts
+++ b/src/services/settings/common/schema_parts.ts
@@ -1,11 +1,20 @@
 /** Parts that several schemas share. */
 
 import * as z from "zod";
-import type { Address } from "../../../base/common/ids.ts";
+import type { Brand } from "../../../base/common/brand.ts";
+import { type Address, asId } from "../../../base/common/ids.ts";
 
 const NAME_PATTERN = /^[a-z0-9][a-z0-9_.-]{0,62}$/;
 const ADDRESS_PATTERN = /^((\d{1,3}\.){3}\d{1,3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/;
 const MAX_PORT = 65_535;
+/** Ids are names of the store's keys, or made of a few such names. */
+export const MAX_ID_CHARACTERS = 500;
+
+/** @returns The schema of an id. */
+export function idSchema<T extends Brand<string, string>>(): z.ZodType<T> {
+  return z.string().min(1).max(MAX_ID_CHARACTERS)
+    .transform((text) => asId<T>(text)) as unknown as z.ZodType<T>;
+}
 
 /** A name of a host, zone, team, workspace, service or class. */
 export const nameSchema = z.string().regex(
--- a/standins/gateway/load_play.ts
+++ b/standins/gateway/load_play.ts
@@ -47,7 +47,7 @@
   readonly durationMs: number;
   /** Daemons that share the load; each learns of the others' placements late. */
   readonly gateways?: number;
-  readonly newsDelayMs?: number;
+  readonly updateDelayMs?: number;
   /**
    * Whether requests wait for room in each gateway, in one of them for all, or
    * at engines.
@@ -158,7 +158,7 @@
   for (let seed = 1; seed <= (options.gateways ?? 1); seed++) {
     worlds.push(await createWorld(options, farm, clock, network, seed));
   }
-  shareNews(worlds, options.newsDelayMs ?? 0);
+  shareUpdates(worlds, options.updateDelayMs ?? 0);
   for (let number = 1; number <= options.engines; number++) {
     for (const world of worlds) world.announce(ENGINE, number);
     farm.engines.set(
@@ -250,7 +250,7 @@
 }
 
 /** Tells each gateway of the placements of the others, some time later. */
-function shareNews(worlds: readonly GatewayWorld[], delayMs: number): void {
+function shareUpdates(worlds: readonly GatewayWorld[], delayMs: number): void {
   worlds.forEach((world, index) => {
     let revision = 0;
     world.board.onDidChangeOwn((endpoint) => {
--- a/standins/gateway/load_play_test.ts
+++ b/standins/gateway/load_play_test.ts
@@ -52,7 +52,7 @@
         draftsPerS: 20,
         checksPerS: 18,
       };
-      const many = { ...load, gateways: 30, newsDelayMs: 40 };
+      const many = { ...load, gateways: 30, updateDelayMs: 40 };
       const one = await playLoad({ ...load, placing: "queued" });
       const apart = await playLoad({ ...many, placing: "queued" });
       const joined = await playLoad({ ...many, placing: "queued-in-one" });
