Place each waiting generation once, also when one comes back in between

Cause: a look at the queue goes through a copy of those that wait. A request whose endpoint fails at once comes back to the queue within that look, and the look that it starts places others of the copy, which the first look then places again: two runs of one generation.

Change: the look passes over what does not wait any more. The test has three requests and had one of them placed twice before.

--- a/src/features/gateway/common/placement_queue.ts
+++ b/src/features/gateway/common/placement_queue.ts
@@ -129,6 +129,8 @@
     );
     const reservation = this.#reserve(nowMs);
     for (const waiting of order) {
+      // A request that was placed may have come back and placed others.
+      if (!this.#waiting.has(waiting)) continue;
       if (nowMs > waiting.lastStartMs) {
         this.#waiting.delete(waiting);
         waiting.onHopeless("no engine had room in time");
--- a/standins/gateway/placement_queue_test.ts
+++ b/standins/gateway/placement_queue_test.ts
@@ -1,4 +1,13 @@
-import { ENGINE, GatewayWorld, KEY } from "./gateway_world.ts";
+import { SeededRandom } from "../../src/base/common/random.ts";
+import { EndpointChooser } from "../../src/features/gateway/common/endpoint_choice.ts";
+import { PlacementQueue } from "../../src/features/gateway/common/placement_queue.ts";
+import {
+  ENGINE,
+  engineService,
+  GatewayWorld,
+  KEY,
+  ZONE,
+} from "./gateway_world.ts";
 
 const MEMORY_TOKENS = 34_000;
 
@@ -25,6 +34,44 @@
     expect(sent()).toEqual(["500,100", "9000,400"]);
   });
 
+  it("places each once when a placed one comes back at once", async () => {
+    const world = await GatewayWorld.create();
+    const chooser = new EndpointChooser(
+      world.clock,
+      world.registry,
+      world.board,
+      new SeededRandom(1),
+      ZONE,
+    );
+    const queue = new PlacementQueue(world.clock, chooser);
+    const id = world.announce(ENGINE, 1);
+    const claim = world.board.claim(id, MEMORY_TOKENS, 0);
+    const placed: string[] = [];
+    const add = (name: string, onPlaced?: () => void): void => {
+      queue.add({
+        need: { service: ENGINE, memoryTokens: 100, excluded: new Set() },
+        unreadTokens: 100,
+        wantsBackup: false,
+        service: engineService(MEMORY_TOKENS),
+        priority: 1,
+        sinceMs: 0,
+        objectiveDueMs: 1_800,
+        lastStartMs: 3_600,
+        onPlaced: () => {
+          placed.push(name);
+          onPlaced?.();
+        },
+        onHopeless: (reason) => placed.push(reason),
+      });
+    };
+    add("first", () => add("first again"));
+    add("second");
+    expect(placed).toEqual([]);
+    claim.dispose();
+    await world.advance(100);
+    expect(placed.sort()).toEqual(["first", "first again", "second"]);
+  });
+
   it("tells a caller early that no engine has room", async () => {
     const world = await GatewayWorld.create();
     world.board.claim(world.announce(ENGINE, 1), MEMORY_TOKENS, 0);
