--- a/src/base/common/bounded_map.ts
+++ b/src/base/common/bounded_map.ts
@@ -20,6 +20,11 @@
     return this.#entries.get(key);
   }
 
+  /** All values, the least recently set one first. */
+  get values(): readonly V[] {
+    return [...this.#entries.values()];
+  }
+
   /** Sets a value and makes its entry the most recently set one. */
   set(key: K, value: V): void {
     this.#entries.delete(key);
--- a/src/cli/node/command_line.ts
+++ b/src/cli/node/command_line.ts
@@ -10,6 +10,7 @@
 import { addExplainCommand } from "./commands/explain.ts";
 import { addHintCommands } from "./commands/npm_script_hints.ts";
 import { addHistogramCommand } from "./commands/histogram.ts";
+import { addLimitsCommand } from "./commands/limits.ts";
 import { addOrdersCommand } from "./commands/orders.ts";
 import { addQuarantineCommand } from "./commands/quarantine.ts";
 import { addReportCommand } from "./commands/report.ts";
@@ -72,6 +73,7 @@
   addDrainCommand(cli, shell);
   addEndpointCommand(cli, shell);
   addQuarantineCommand(cli, shell);
+  addLimitsCommand(cli, shell);
   addOrdersCommand(cli, shell);
   addCheckCommand(cli, shell);
   addReportCommand(cli, shell);
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -11,6 +11,8 @@
 import type { Address, ServiceId } from "../../base/common/ids.ts";
 import { DisposableStore } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
+import { admissionLimits, retryLimits } from "../common/settings_limits.ts";
+import { GatewayLimits } from "../common/gateway_limits.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
 import { MirrorChangeHandler } from "../common/mirror_change_handler.ts";
 import type {
@@ -52,26 +54,8 @@
 import { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
 
 const TICK_MS = 100;
-/**
- * Fraction of the revocation delay for which an unconfirmed configuration is
- * trusted to check keys. The rest is left for requests in flight.
- */
-const KEY_MAX_AGE_RATIO = 0.88;
-/**
- * Fraction of the configuration delay after which the configuration may be
- * stale, so that an unknown key or route may only not have been received yet.
- */
-const UNKNOWN_MAX_AGE_RATIO = 0.95;
-/**
- * Fraction of the fleet's retry limits that the daemons use in total. Each
- * daemon takes an equal share, but their counts of hosts may differ.
- */
-const RETRY_LIMIT_RATIO = 0.6;
-/** Fraction of the memory limit that request bodies may use. */
-const BODY_MEMORY_RATIO = 0.15;
 /** Part of the grace period reserved for closing after the drain deadline. */
 const SHUTDOWN_RESERVE_MS = 400;
-const BYTES_PER_MB = 1_048_576;
 const HASH_RANGE = 2 ** 32;
 
 /** A running gateway daemon. */
@@ -89,6 +73,7 @@
   readonly #hostLease: HostLease;
   readonly #placer: ZonePlacer;
   readonly #quarantine: GatewayQuarantine;
+  readonly #limits: GatewayLimits;
   readonly #gateway: Gateway;
   readonly #callers: CallerServer;
   readonly #client: UndiciPassThroughClient;
@@ -212,6 +197,20 @@
     const leavingMarks = this.#disposables.add(
       new LeavingMarks(this.#links, this.#topology, this.#registry),
     );
+    this.#limits = this.#disposables.add(
+      new GatewayLimits({
+        self: host,
+        clock,
+        logger,
+        metrics,
+        hasher,
+        links: this.#links,
+        overlay: this.#topology,
+        reach: this.#topology,
+        registry: this.#registry,
+      }),
+    );
+    const limits = this.#limits.endpoints;
     this.#quarantine = this.#disposables.add(
       new GatewayQuarantine({
         clock,
@@ -241,24 +240,25 @@
         budget: new RetryBudget({
           clock,
           random,
-          limits: () => this.#retryLimits(),
+          limits: () =>
+            retryLimits(this.#activeSettings, this.#topology.fleetSize),
         }),
-        probe: new EndpointProbe(clock, logger, metrics, adapter.control),
-        migrator: new RunMigrator(clock, adapter.control),
+        probe: new EndpointProbe(
+          clock,
+          logger,
+          metrics,
+          adapter.control,
+          limits,
+        ),
+        migrator: new RunMigrator(clock, adapter.control, limits),
         crashMonitor: this.#quarantine.monitor,
         leavingMarks,
         holds: new EndpointHolds(clock, logger, metrics, random),
+        limits,
         fingerprint,
       },
       this.#state,
-      () => ({
-        maxConfirmationAgeForKeysMs: this.#activeSettings.revocationDelayMs *
-          KEY_MAX_AGE_RATIO,
-        maxConfirmationAgeForUnknownMs:
-          this.#activeSettings.configurationDelayMs * UNKNOWN_MAX_AGE_RATIO,
-        maxBodyBytesInUse: this.#activeSettings.memoryMb * BODY_MEMORY_RATIO *
-          BYTES_PER_MB,
-      }),
+      () => admissionLimits(this.#activeSettings),
       hasher,
     );
     this.#callers = this.#disposables.add(new CallerServer(clock));
@@ -269,6 +269,7 @@
         hasher,
         logger,
         leavingMarks,
+        limits,
         this.#topology,
         this.#registry,
         adapter.control,
@@ -314,8 +315,8 @@
    */
   get isReady(): boolean {
     if (this.#isStopping || !this.#state.current) return false;
-    const maxAgeMs = this.#activeSettings.revocationDelayMs * KEY_MAX_AGE_RATIO;
-    return this.#mirror.confirmationAgeMs <= maxAgeMs;
+    const limits = admissionLimits(this.#activeSettings);
+    return this.#mirror.confirmationAgeMs <= limits.maxConfirmationAgeForKeysMs;
   }
 
   /** Applies settings that were reloaded while the daemon is running. */
@@ -368,14 +369,6 @@
         exchange.abort();
       });
     }));
-    this.#disposables.add(
-      this.#links.onDidChangeLink(({ host, isUp, reason }) => {
-        this.#logger.log("info", isUp ? "peer-up" : "peer-down", {
-          peer: host,
-          reason,
-        });
-      }),
-    );
     this.#disposables.add(
       runPeriodically(this.#clock, TICK_MS, () => this.#tick()),
     );
@@ -399,6 +392,7 @@
       metrics: this.#metrics,
       gateway: this.#gateway,
       crashMonitor: this.#quarantine.monitor,
+      limitRights: this.#limits.rights,
       queue: this.#placer,
       callers: this.#callers,
       client: this.#client,
@@ -436,13 +430,4 @@
       stopping: this.#isStopping,
     });
   }
-
-  #retryLimits(): { successShare: number; minRetriesPerWindow: number } {
-    const { share, extra } = this.#activeSettings.retries;
-    const hosts = this.#topology.fleetSize;
-    return {
-      successShare: share * RETRY_LIMIT_RATIO,
-      minRetriesPerWindow: extra * RETRY_LIMIT_RATIO / hosts,
-    };
-  }
 }
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
+import type { LimitRights } from "../../features/gateway/common/limit_rights.ts";
 import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
 import type { GenerationPlacer } from "../../features/gateway/common/placement_queue.ts";
 import type { Gauges } from "../../features/gateway/node/gateway_metrics_text.ts";
@@ -37,6 +38,7 @@
   readonly metrics: GatewayMetrics;
   readonly gateway: Gateway;
   readonly crashMonitor: CrashMonitor;
+  readonly limitRights: LimitRights;
   readonly queue: GenerationPlacer;
   readonly callers: CallerServer;
   readonly client: UndiciPassThroughClient;
@@ -80,8 +82,13 @@
       const requests = this.#services.crashMonitor.list();
       return { status: HTTP_OK, text: JSON.stringify({ host, requests }) };
     }
+    if (path === "/limits") {
+      const { host } = this.#services.daemonState();
+      const limits = this.#services.limitRights.list();
+      return { status: HTTP_OK, text: JSON.stringify({ host, limits }) };
+    }
     const error =
-      `a gateway has no ${path}; it serves /status, /metrics and /quarantine, ` +
+      `a gateway has no ${path}; it serves /status, /metrics, /quarantine and /limits, ` +
       "and logs each decision with the request ID (see docs/OPERATIONS.md)";
     return { status: HTTP_NOT_IMPLEMENTED, text: JSON.stringify({ error }) };
   }
@@ -114,6 +121,7 @@
       caller_connections: services.callers.connectionCount,
       endpoint_connections_opened: services.client.openedCount,
       endpoints: services.registry.all.length,
+      limited_endpoints: services.limitRights.list().length,
       quarantined_requests: services.crashMonitor.list().length,
       peers: services.links.connectedHosts().length,
       configuration_version: services.state.current?.configuration.version ?? 0,
--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -24,6 +24,7 @@
 import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 import { PEER_DISCOVERY_PATH } from "../../services/peers/node/ws_peer_links.ts";
+import type { FleetReach } from "../../features/gateway/common/limit_rights.ts";
 import type { SuspectRelay } from "../../features/quarantine/common/suspect_sync.ts";
 import type { MirrorTopology } from "../../services/mirror/common/mirror_sync.ts";
 import type { HostChangeListener } from "../common/mirror_change_handler.ts";
@@ -60,6 +61,7 @@
     HostChangeListener,
     MirrorTopology,
     PeerOverlay,
+    FleetReach,
     SuspectRelay,
     Disposable {
   readonly #services: GatewayTopologyServices;
@@ -75,7 +77,7 @@
 
   /** @param services - Dependencies of the topology. */
   constructor(services: GatewayTopologyServices) {
-    const { clock, hasher, links, self } = services;
+    const { clock, hasher, links, logger, self } = services;
     this.#services = services;
     this.#planner = new LinkPlanner(clock, hasher, self);
     this.#plan = this.#planner.plan(() => false);
@@ -89,7 +91,13 @@
     this.#disposables.add(
       runPeriodically(clock, PLAN_INTERVAL_MS, () => this.#replan()),
     );
-    this.#disposables.add(links.onDidChangeLink(() => this.#replan()));
+    this.#disposables.add(links.onDidChangeLink(({ host, isUp, reason }) => {
+      logger.log("info", isUp ? "peer-up" : "peer-down", {
+        peer: host,
+        reason,
+      });
+      this.#replan();
+    }));
   }
 
   /** Number of registered daemons in the fleet. */
@@ -97,6 +105,23 @@
     return this.#planner.hosts.size;
   }
 
+  /** {@inheritDoc FleetReach.reachableShare} */
+  get reachableShare(): number {
+    const { links, self } = this.#services;
+    const linked = new Set(links.connectedHosts());
+    const { hosts } = this.#planner;
+    // The hosts of another zone are reached through the hubs of that zone.
+    const relayedZones = new Set(
+      this.linkedHubs().map((hub) => hosts.get(hub)?.zone),
+    );
+    const isReachable = ({ host, zone }: FleetHost): boolean => {
+      if (host === self.host || linked.has(host)) return true;
+      return !this.#plan.hubs.has(host) && zone !== self.zone &&
+        relayedZones.has(zone);
+    };
+    return [...hosts.values()].filter(isReachable).length / hosts.size;
+  }
+
   /** {@inheritDoc PeerOverlay.isHub} */
   get isHub(): boolean {
     return this.#plan.isHub;
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -79,30 +79,45 @@
   /** Runs attempts until the caller has a response or has disconnected. */
   async run(): Promise<void> {
     const context = this.#context;
+    const { exchange } = context.request;
     let refusedAttempts = 0;
     let lastReason = "no endpoint is available";
     while (!context.hasEnded) {
       // The caller may have left during a wait, when no attempt was in progress.
-      if (context.request.exchange.hasEnded) {
+      if (exchange.hasEnded) {
         context.finish("caller-left", 0, "caller went away");
         return;
       }
       if (context.refuseIfQuarantined(this.#mayHaveRun)) return;
       const choice = this.#choose();
-      if (!choice) {
-        const { heldForMs } = context;
-        const canWait = heldForMs !== undefined &&
-          heldForMs < context.objectiveRemainingMs;
+      const endpoint = choice?.endpoint ?? context.rights.nextLimitedEndpoint();
+      if (!endpoint) {
+        const { withheldForMs } = context.rights;
+        const canWait = withheldForMs !== undefined &&
+          withheldForMs < context.objectiveRemainingMs;
         if (!canWait) {
-          this.#refuse(lastReason, heldForMs);
+          this.#refuse(lastReason, withheldForMs);
           return;
         }
-        await sleep(context.services.clock, heldForMs);
+        await sleep(context.services.clock, withheldForMs);
         // The endpoints that turned the call away take it now.
         context.excludedEndpoints.clear();
         continue;
       }
-      const { endpoint } = choice;
+      if (context.services.limits.isLimited(endpoint)) {
+        const maxWaitMs = this.#hasAlternative(endpoint)
+          ? 0
+          : context.rights.patienceMs(context.objectiveRemainingMs);
+        const isGranted = await context.rights.take(endpoint, maxWaitMs);
+        if (!isGranted && !choice) {
+          const reason = "the limits of all endpoints are used up";
+          this.#refuse(reason, context.rights.retryAfterMs);
+          return;
+        }
+        if (!isGranted || !endpoint.isUsable) continue;
+        if (exchange.hasEnded) continue;
+        if (context.refuseIfQuarantined(this.#mayHaveRun)) return;
+      }
       const previousSentCount = context.sentCount;
       const result = await this.#attempt(endpoint);
       context.excludedEndpoints.add(endpoint.id);
@@ -128,7 +143,7 @@
           if (
             refusedAttempts >= MAX_REFUSED_ATTEMPTS || !context.mayRetry(false)
           ) {
-            this.#refuse(result.reason, context.heldForMs);
+            this.#refuse(result.reason, context.rights.withheldForMs);
             return;
           }
           break;
@@ -165,6 +180,16 @@
     return services.chooser.choose(criteria, service);
   }
 
+  /** Returns whether the call can be sent to another endpoint now. */
+  #hasAlternative(endpoint: RegisteredEndpoint): boolean {
+    const { services, request, excludedEndpoints } = this.#context;
+    const nowMs = services.clock.monotonicMs();
+    return services.registry.usable(request.service.id).some((other) =>
+      other !== endpoint && !excludedEndpoints.has(other.id) &&
+      !other.isWithheld(nowMs)
+    );
+  }
+
   #isBodyTooLarge(): boolean {
     const { body } = this.#context.request;
     return isStreamed(body) && body.isTooLarge;
--- a/src/features/gateway/common/endpoint_chooser.ts
+++ b/src/features/gateway/common/endpoint_chooser.ts
@@ -82,7 +82,10 @@
   /** Memory that the request will use, in tokens; 0 for a call. */
   readonly memoryTokens: number;
   readonly excluded: ReadonlySet<EndpointId>;
-  /** Whether the request is another host's, to which holds do not apply. */
+  /**
+   * Whether the request is another host's, which has excluded what it must not
+   * use now.
+   */
   readonly ignoresHolds?: boolean;
 }
 
@@ -102,7 +105,7 @@
 /** Result of choosing an endpoint with free capacity. */
 export type CapacityResult =
   | { readonly kind: "chosen"; readonly choice: EndpointChoice }
-  /** All endpoints want no requests from this host for a time. */
+  /** Nothing may be sent to any endpoint for a time. */
   | { readonly kind: "held"; readonly forMs: number }
   /** Endpoints exist, but all are full. */
   | { readonly kind: "full" }
@@ -173,11 +176,11 @@
     const candidates = this.#candidates(criteria);
     const nowMs = this.#clock.monotonicMs();
     if (candidates.length === 0) {
-      const heldUntilMs = Math.min(
-        ...this.#usable(criteria).map((endpoint) => endpoint.heldUntilMs),
+      const withheldUntilMs = Math.min(
+        ...this.#usable(criteria).map((endpoint) => endpoint.withheldUntilMs),
       );
-      return Number.isFinite(heldUntilMs)
-        ? { kind: "held", forMs: heldUntilMs - nowMs }
+      return Number.isFinite(withheldUntilMs)
+        ? { kind: "held", forMs: withheldUntilMs - nowMs }
         : { kind: "none" };
     }
     const withCapacity = candidates.filter((candidate) =>
@@ -212,7 +215,7 @@
   #candidates(criteria: EndpointCriteria): readonly Candidate[] {
     const nowMs = this.#clock.monotonicMs();
     return this.#usable(criteria).filter((endpoint) =>
-      criteria.ignoresHolds || !endpoint.isHeld(nowMs)
+      criteria.ignoresHolds || !endpoint.isWithheld(nowMs)
     ).map((endpoint) => ({
       endpoint,
       usage: this.#loadTable.totalUsage(endpoint.id),
@@ -284,7 +287,7 @@
     let bestCost = Infinity;
     for (const endpoint of this.#registry.usable(criteria.service)) {
       if (endpoint === primary || endpoint.health.isEjected(nowMs)) continue;
-      if (!criteria.ignoresHolds && endpoint.isHeld(nowMs)) continue;
+      if (!criteria.ignoresHolds && endpoint.isWithheld(nowMs)) continue;
       const usage = this.#loadTable.totalUsage(endpoint.id);
       const usedTokens = usage.memoryTokens + usage.backupTokens +
         criteria.memoryTokens;
--- a/src/features/gateway/common/endpoint_probe.ts
+++ b/src/features/gateway/common/endpoint_probe.ts
@@ -9,6 +9,7 @@
 import type { Logger } from "../../../services/log/common/logger.ts";
 import type { EngineControl } from "./engine_control.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
 /** Lifetime of a result, so that many stalled streams share one probe. */
@@ -28,6 +29,7 @@
   readonly #logger: Logger;
   readonly #metrics: GatewayMetrics;
   readonly #control: EngineControl;
+  readonly #limits: EndpointLimits;
   readonly #recentProbes = new Map<RegisteredEndpoint, CachedProbe>();
   readonly #failed = new Emitter<RegisteredEndpoint>();
 
@@ -39,17 +41,20 @@
    * @param logger - Logs engines that do not answer.
    * @param metrics - Counts ejections.
    * @param control - Reads the reports of engines.
+   * @param limits - Probes count against the limits of their engines.
    */
   constructor(
     clock: Clock,
     logger: Logger,
     metrics: GatewayMetrics,
     control: EngineControl,
+    limits: EndpointLimits,
   ) {
     this.#clock = clock;
     this.#logger = logger;
     this.#metrics = metrics;
     this.#control = control;
+    this.#limits = limits;
   }
 
   /**
@@ -71,6 +76,11 @@
 
   async #probe(endpoint: RegisteredEndpoint): Promise<ProbeResult> {
     const { id, address } = endpoint.announcement;
+    if (this.#limits.isLimited(endpoint)) {
+      const offer = await this.#limits.take(endpoint, 0);
+      // Others use up its rights, which it therefore answers.
+      if (offer.kind === "denied") return "alive";
+    }
     const report = await this.#control.readReport(address);
     const failure = leftOf(report);
     this.#clock.setTimer(RESULT_TTL_MS, () => {
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -39,6 +39,11 @@
    * from this host.
    */
   heldUntilMs = -Infinity;
+  /**
+   * Monotonic time in milliseconds until which the rights to send to the
+   * endpoint are used up.
+   */
+  limitedUntilMs = -Infinity;
   /** Sequence of the latest announcement. */
   lastSequence: number | undefined;
   /** Whether the endpoint was known to leave, even if it is removed by now. */
@@ -69,6 +74,19 @@
     return nowMs < this.heldUntilMs;
   }
 
+  /**
+   * Monotonic time in milliseconds until which the endpoint is not chosen,
+   * because it is held back or the rights to send to it are used up.
+   */
+  get withheldUntilMs(): number {
+    return Math.max(this.heldUntilMs, this.limitedUntilMs);
+  }
+
+  /** @returns Whether the endpoint must not be chosen now. */
+  isWithheld(nowMs: number): boolean {
+    return nowMs < this.withheldUntilMs;
+  }
+
   /** Whether the endpoint may still be working on earlier requests. */
   get isPresent(): boolean {
     return this.phase.kind !== "removed";
--- a/src/features/gateway/common/engine_control.ts
+++ b/src/features/gateway/common/engine_control.ts
@@ -1,6 +1,7 @@
 /** Control operations of engines, in addition to answering requests. */
 
 import type { Address, RequestId } from "../../../base/common/ids.ts";
+import type { NamedLimit } from "./limit_table.ts";
 import type { AsyncEither } from "../../../base/common/result.ts";
 
 /** Report of an engine; its values lag by some hundred milliseconds. */
@@ -10,6 +11,7 @@
   readonly shutdownInMs: number | undefined;
   /** Wall-clock start time of the process, if the engine reports it. */
   readonly bornMs: number | undefined;
+  readonly limit?: NamedLimit;
 }
 
 /** Whether anything answers at the address of an endpoint. */
--- a/src/features/gateway/common/engine_report_poller.ts
+++ b/src/features/gateway/common/engine_report_poller.ts
@@ -18,6 +18,7 @@
   RegisteredEndpoint,
 } from "./endpoint_registry.ts";
 import type { EngineControl } from "./engine_control.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { LeavingMarks } from "./leaving_marks.ts";
 
 /**
@@ -25,6 +26,8 @@
  * each read has a cost.
  */
 const POLL_PERIOD_MS = 500;
+/** Time between two reads of an engine with a limit; these count against it. */
+const LIMITED_READ_INTERVAL_MS = 2_000;
 
 /** Polls the engines that are assigned to this daemon. */
 export class EngineReportPoller implements Disposable {
@@ -37,6 +40,8 @@
   readonly #control: EngineControl;
   readonly #isEngine: (endpoint: RegisteredEndpoint) => boolean;
   readonly #leavingMarks: LeavingMarks;
+  readonly #limits: EndpointLimits;
+  readonly #lastReadMs = new WeakMap<RegisteredEndpoint, number>();
   readonly #disposables = new DisposableStore();
   readonly #pendingReads = new Set<RegisteredEndpoint>();
 
@@ -46,6 +51,7 @@
    * @param hasher - Assigns engines to daemons.
    * @param logger - Logs reports that could not be read.
    * @param leavingMarks - Marks the engines that leave, on all daemons.
+   * @param limits - Limits that reports name.
    * @param overlay - Determines the hubs, which divide the engines among
    * themselves.
    * @param registry - The registered endpoints.
@@ -58,6 +64,7 @@
     hasher: Hasher,
     logger: Logger,
     leavingMarks: LeavingMarks,
+    limits: EndpointLimits,
     overlay: PeerOverlay,
     registry: EndpointRegistry,
     control: EngineControl,
@@ -72,6 +79,7 @@
     this.#control = control;
     this.#isEngine = isEngine;
     this.#leavingMarks = leavingMarks;
+    this.#limits = limits;
     this.#disposables.add(
       runPeriodically(clock, POLL_PERIOD_MS, () => this.#poll()),
     );
@@ -85,9 +93,13 @@
   #poll(): void {
     if (!this.#overlay.isHub) return;
     const hosts = [this.#self, ...this.#overlay.linkedHubs()];
+    const nowMs = this.#clock.monotonicMs();
     for (const endpoint of this.#registry.all) {
       if (!endpoint.isUsable || !this.#isEngine(endpoint)) continue;
-      if (endpoint.isHeld(this.#clock.monotonicMs())) continue;
+      if (endpoint.isHeld(nowMs)) continue;
+      const sinceReadMs = nowMs - (this.#lastReadMs.get(endpoint) ?? -Infinity);
+      const isRecent = sinceReadMs < LIMITED_READ_INTERVAL_MS;
+      if (isRecent && this.#limits.isLimited(endpoint)) continue;
       const [owner] = rendezvousOrder(this.#hasher, endpoint.id, hosts);
       if (owner === this.#self) void this.#read(endpoint);
     }
@@ -96,6 +108,8 @@
   async #read(endpoint: RegisteredEndpoint): Promise<void> {
     if (this.#pendingReads.has(endpoint)) return;
     this.#pendingReads.add(endpoint);
+    const sentMs = this.#clock.monotonicMs();
+    this.#lastReadMs.set(endpoint, sentMs);
     const { address, bornMs, id } = endpoint.announcement;
     const report = await this.#control.readReport(address);
     this.#pendingReads.delete(endpoint);
@@ -106,7 +120,9 @@
         const isOtherProcess = read.bornMs !== undefined &&
           read.bornMs !== bornMs;
         const isDraining = read.isDraining || read.shutdownInMs !== undefined;
-        if (isOtherProcess || !isDraining || !endpoint.isUsable) return;
+        if (isOtherProcess) return;
+        this.#limits.observe(endpoint, read.limit, sentMs);
+        if (!isDraining || !endpoint.isUsable) return;
         this.#leavingMarks.mark(endpoint, "report");
       },
     });
--- a/src/features/gateway/common/gateway_codec.ts
+++ b/src/features/gateway/common/gateway_codec.ts
@@ -9,6 +9,7 @@
   WorkspaceId,
 } from "../../../base/common/ids.ts";
 import type { Address } from "../../../base/common/ids.ts";
+import type { NamedLimit } from "./limit_table.ts";
 import type { HeaderList } from "../../../services/http/common/header_list.ts";
 
 /** Size of a generation's prompt and output. */
@@ -77,6 +78,8 @@
   readonly isSigned: boolean;
   /** Whether the endpoint states that it is about to leave. */
   readonly isLeaving?: boolean;
+  /** What the answer says of the endpoint's limit; nothing if absent. */
+  readonly limit?: NamedLimit;
   /**
    * Time for which the endpoint wants no further requests from this host, in
    * milliseconds, if it turned this one away and stated a valid time.
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -25,6 +25,8 @@
   | "streams_moved"
   | "endpoints_ejected"
   | "endpoints_held"
+  | "limits_changed"
+  | "limit_rights"
   | "crashes_recorded"
   | "crashes_refuted"
   | "requests_quarantined"
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -6,7 +6,6 @@
  */
 
 import type { Disposable } from "../../../base/common/lifecycle.ts";
-import type { EndpointId } from "../../../base/common/ids.ts";
 import {
   type HeaderList,
   withoutHeader,
@@ -17,9 +16,10 @@
 import type { RequestContext } from "./request_context.ts";
 import { CallerStream } from "./caller_stream.ts";
 import { GenerationBackup } from "./generation_backup.ts";
+import { GenerationPlacement } from "./generation_placement.ts";
+import { GenerationMigration } from "./generation_migration.ts";
 import { GenerationMemoryEstimate } from "./generation_memory_estimate.ts";
 import { type ContinuationCause, Handover } from "./handover.ts";
-import type { MigrationResult } from "./run_migrator.ts";
 import { StreamStallMonitor } from "./stream_stall_monitor.ts";
 import { UpstreamAttempt } from "./upstream_attempt.ts";
 
@@ -36,6 +36,9 @@
  */
 const OUTAGE_TIMEOUT_MS = 8_000;
 
+/** Longest wait of a continuation for the right to send to its endpoint. */
+const MAX_CONTINUATION_WAIT_MS = 2_000;
+
 /** Forwards one generation until it ends. */
 export class GenerationForwarder {
   readonly #context: RequestContext;
@@ -47,7 +50,10 @@
   readonly #stream: CallerStream;
   readonly #handover: Handover;
   #refusedAttempts = 0;
-  #isMigrating = false;
+  readonly #placement: GenerationPlacement;
+  readonly #migration: GenerationMigration;
+  /** Whether a continuation waits for the right to send to its endpoint. */
+  #isAwaitingRight = false;
   #outageTimer: Disposable | undefined;
   /** Whether some endpoint may have run the request. */
   #mayHaveRun = false;
@@ -69,6 +75,16 @@
       onStalledConnection: () =>
         void (this.#handover.isPending || this.#continueFromBackup("silent")),
     });
+    this.#placement = new GenerationPlacement(context, this.#criteria, {
+      onPlaced: (choice) => this.#onPlaced(choice),
+      onRejected: (reason) => this.#failRequest(reason),
+    });
+    this.#migration = new GenerationMigration(context, this.#criteria, {
+      isRequired: (attempt) => attempt === this.#attempt && !context.hasEnded,
+      onCopied: (endpoint, copyRef) =>
+        this.#continueAt(endpoint, copyRef, "leaving"),
+      onNotCopied: () => void this.#continueFromBackup("leaving"),
+    });
     this.#stream = new CallerStream(context);
     this.#handover = new Handover(context, {
       onAccepted: (next) => this.#onAccepted(next),
@@ -113,11 +129,7 @@
       this.#failRequest("the generation may have run and must not run twice");
       return;
     }
-    this.#context.awaitPlacement(
-      this.#criteria,
-      (choice) => this.#onPlaced(choice),
-      (reason) => this.#failRequest(reason),
-    );
+    this.#placement.start();
   }
 
   #onPlaced({ endpoint, grant }: EndpointChoice): void {
@@ -303,6 +315,7 @@
   #continueFromBackup(cause: ContinuationCause): boolean {
     const attempt = this.#attempt;
     if (!attempt || this.#context.isQuarantined) return false;
+    if (this.#isAwaitingRight) return true;
     const nowMs = this.#context.services.clock.monotonicMs();
     const backup = this.#backup.usableAfter(attempt.streamingMs(nowMs));
     if (!backup) return false;
@@ -314,6 +327,33 @@
     endpoint: RegisteredEndpoint,
     copyRef: string,
     cause: ContinuationCause,
+  ): void {
+    if (!this.#context.services.limits.isLimited(endpoint)) {
+      this.#sendContinuation(endpoint, copyRef, cause);
+      return;
+    }
+    this.#isAwaitingRight = true;
+    void this.#context.rights.take(endpoint, MAX_CONTINUATION_WAIT_MS).then(
+      (isGranted) => {
+        this.#isAwaitingRight = false;
+        if (this.#context.hasEnded) return;
+        if (isGranted && endpoint.isUsable) {
+          this.#sendContinuation(endpoint, copyRef, cause);
+        } else this.#onRightDenied(cause);
+      },
+    );
+  }
+
+  #onRightDenied(cause: ContinuationCause): void {
+    if (!this.#activeAttempt) {
+      this.#rerunOrFail("the limit of the copy's endpoint is used up");
+    } else if (cause === "dark") this.#awaitUnreachableEndpoint();
+  }
+
+  #sendContinuation(
+    endpoint: RegisteredEndpoint,
+    copyRef: string,
+    cause: ContinuationCause,
   ): void {
     this.#context.services.metrics.count("streams_continued", cause);
     this.#context.log("info", "stream-continued", {
@@ -383,51 +423,11 @@
   }
 
   #migrate(attempt: UpstreamAttempt): void {
-    const { hasEnded } = this.#context;
-    if (hasEnded || this.#isMigrating || this.#handover.isPending) return;
-    if (this.#continueFromBackup("leaving")) return;
-    const { services, request } = this.#context;
-    if (!request.service.engine?.canMigrate) return;
-    this.#isMigrating = true;
-    void services.migrator.migrate({
-      requestId: request.id,
-      source: attempt.endpoint,
-      chooseTarget: (excluded) => this.#chooseTarget(excluded),
-      isRequired: () => attempt === this.#attempt && !this.#context.hasEnded,
-    }).then((result) => this.#onMigrationEnded(attempt, result));
-  }
-
-  #onMigrationEnded(attempt: UpstreamAttempt, result: MigrationResult): void {
-    this.#isMigrating = false;
-    const from = attempt.endpoint.id;
-    switch (result.kind) {
-      case "copied":
-        this.#context.log("info", "stream-moved", {
-          from,
-          to: result.endpoint.id,
-          tookMs: result.durationMs,
-        });
-        this.#context.services.metrics.count("streams_moved");
-        if (!this.#context.isQuarantined) {
-          this.#continueAt(result.endpoint, result.copyRef, "leaving");
-        }
-        return;
-      case "not-copied": {
-        const { reason } = result;
-        this.#context.log("warn", "stream-not-moved", { from, reason });
-        // The backup may have become usable in the meantime.
-        const isRequired = attempt === this.#attempt && !this.#context.hasEnded;
-        if (isRequired) this.#continueFromBackup("leaving");
-      }
+    if (this.#context.hasEnded || this.#handover.isPending) return;
+    if (this.#migration.isRunning || this.#continueFromBackup("leaving")) {
+      return;
     }
-  }
-
-  #chooseTarget(
-    excluded: ReadonlySet<EndpointId>,
-  ): RegisteredEndpoint | undefined {
-    const { services, request } = this.#context;
-    const criteria: EndpointCriteria = { ...this.#criteria, excluded };
-    return services.chooser.choose(criteria, request.service)?.endpoint;
+    void this.#migration.run(attempt);
   }
 
   #onUnreachable(endpoint: RegisteredEndpoint): void {
--- /dev/null
+++ b/src/features/gateway/common/generation_migration.ts
@@ -0,0 +1,86 @@
+/** Moves one generation away from an endpoint that is leaving. */
+
+import type { EndpointId } from "../../../base/common/ids.ts";
+import type { EndpointCriteria } from "./endpoint_chooser.ts";
+import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import type { RequestContext } from "./request_context.ts";
+import type { UpstreamAttempt } from "./upstream_attempt.ts";
+
+/** Receives the result of a migration. */
+export interface GenerationMigrationListener {
+  /** @returns Whether the attempt still runs and is the current one. */
+  isRequired(attempt: UpstreamAttempt): boolean;
+  onCopied(endpoint: RegisteredEndpoint, copyRef: string): void;
+  /** Called unless the migration is no longer required. */
+  onNotCopied(): void;
+}
+
+/** Runs at most one migration at a time. */
+export class GenerationMigration {
+  readonly #context: RequestContext;
+  readonly #criteria: EndpointCriteria;
+  readonly #listener: GenerationMigrationListener;
+  #isRunning = false;
+
+  /**
+   * @param context - State of the request.
+   * @param criteria - Requirements of the generation.
+   * @param listener - Receives the result.
+   */
+  constructor(
+    context: RequestContext,
+    criteria: EndpointCriteria,
+    listener: GenerationMigrationListener,
+  ) {
+    this.#context = context;
+    this.#criteria = criteria;
+    this.#listener = listener;
+  }
+
+  /** Whether a migration is in progress. */
+  get isRunning(): boolean {
+    return this.#isRunning;
+  }
+
+  /** Copies the state of an attempt to another endpoint, if there is one. */
+  async run(attempt: UpstreamAttempt): Promise<void> {
+    const { services, request } = this.#context;
+    if (!request.service.engine?.canMigrate) return;
+    this.#isRunning = true;
+    const result = await services.migrator.migrate({
+      requestId: request.id,
+      source: attempt.endpoint,
+      chooseTarget: (excluded) => this.#chooseTarget(excluded),
+      isRequired: () => this.#listener.isRequired(attempt),
+    });
+    this.#isRunning = false;
+    const from = attempt.endpoint.id;
+    switch (result.kind) {
+      case "copied":
+        this.#context.log("info", "stream-moved", {
+          from,
+          to: result.endpoint.id,
+          tookMs: result.durationMs,
+        });
+        services.metrics.count("streams_moved");
+        if (!this.#context.isQuarantined) {
+          this.#listener.onCopied(result.endpoint, result.copyRef);
+        }
+        return;
+      case "not-copied": {
+        const { reason } = result;
+        this.#context.log("warn", "stream-not-moved", { from, reason });
+        // The backup may have become usable in the meantime.
+        if (this.#listener.isRequired(attempt)) this.#listener.onNotCopied();
+      }
+    }
+  }
+
+  #chooseTarget(
+    excluded: ReadonlySet<EndpointId>,
+  ): RegisteredEndpoint | undefined {
+    const { services, request } = this.#context;
+    const criteria: EndpointCriteria = { ...this.#criteria, excluded };
+    return services.chooser.choose(criteria, request.service)?.endpoint;
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/generation_placement.ts
@@ -0,0 +1,146 @@
+/**
+ * Finds the endpoint for one generation: waits until one has capacity, and
+ * takes the right to send to it where it names a limit.
+ */
+
+import type { Disposable } from "../../../base/common/lifecycle.ts";
+import type { EndpointChoice, EndpointCriteria } from "./endpoint_chooser.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/**
+ * Share of the remaining time that a generation may wait for a placement. A
+ * caller that is refused early can try elsewhere.
+ */
+const MAX_WAIT_SHARE = 0.25;
+/**
+ * Maximum wait for a placement as a multiple of the route's objective. On a
+ * full fleet, generations that waited longer are rarely placed.
+ */
+const MAX_WAIT_OBJECTIVES = 2;
+
+/** Receives the result of a placement. */
+export interface GenerationPlacementListener {
+  /** The endpoint is to be used now. */
+  onPlaced(choice: EndpointChoice): void;
+  /** No endpoint will have capacity in time. */
+  onRejected(reason: string): void;
+}
+
+/** One search for an endpoint. */
+interface Search {
+  readonly startedMs: number;
+  /** Monotonic time after which a start is no longer worthwhile. */
+  readonly latestStartMs: number;
+}
+
+/** Placement of one generation. */
+export class GenerationPlacement {
+  readonly #context: RequestContext;
+  readonly #criteria: EndpointCriteria;
+  readonly #listener: GenerationPlacementListener;
+  /** Only one search is current: with two, both would take up capacity. */
+  #search: Search | undefined;
+  #queued: Disposable | undefined;
+
+  /**
+   * @param context - State of the request.
+   * @param criteria - The generation's requirements.
+   * @param listener - Receives the result of each search.
+   */
+  constructor(
+    context: RequestContext,
+    criteria: EndpointCriteria,
+    listener: GenerationPlacementListener,
+  ) {
+    this.#context = context;
+    this.#criteria = criteria;
+    this.#listener = listener;
+  }
+
+  /** Starts a search, in place of an earlier one. */
+  start(): void {
+    const { request, services } = this.#context;
+    const { deadlineMs, route } = request;
+    const startedMs = services.clock.monotonicMs();
+    const maxWaitMs = Math.min(
+      (deadlineMs - startedMs) * MAX_WAIT_SHARE,
+      route.objectiveMs * MAX_WAIT_OBJECTIVES,
+    );
+    this.#search = { startedMs, latestStartMs: startedMs + maxWaitMs };
+    this.#continue(this.#search);
+  }
+
+  #continue(search: Search): void {
+    this.#queued?.dispose();
+    const limited = this.#context.rights.nextLimitedEndpoint();
+    if (limited) {
+      const { clock } = this.#context.services;
+      const choice = { endpoint: limited, cost: 0, candidates: 1 };
+      const leftMs = search.latestStartMs - clock.monotonicMs();
+      void this.#takeRight(search, choice, leftMs);
+    } else this.#queue(search);
+  }
+
+  #queue(search: Search): void {
+    const { canResume, disposables, priority, request, services } =
+      this.#context;
+    const { clock, limits, placer } = services;
+    const { exchange, fields, route, service } = request;
+    this.#queued = disposables.add(placer.add({
+      criteria: this.#criteria,
+      wantsBackup: !canResume,
+      pendingPrefillTokens: fields.prompt?.promptTokens ?? 0,
+      service,
+      priority,
+      queuedMs: clock.monotonicMs(),
+      firstEventDueMs: exchange.receivedMs + route.objectiveMs,
+      latestStartMs: search.latestStartMs,
+      onPlaced: (choice) => {
+        const { endpoint } = choice;
+        // Another daemon that chose it does not know of holds of this one.
+        if (endpoint.isWithheld(clock.monotonicMs())) this.#continue(search);
+        else if (limits.isLimited(endpoint)) {
+          void this.#takeRight(search, choice, 0);
+        } else this.#complete(search, choice);
+      },
+      onRejected: (reason) => this.#reject(search, reason),
+    }));
+  }
+
+  async #takeRight(
+    search: Search,
+    choice: EndpointChoice,
+    maxWaitMs: number,
+  ): Promise<void> {
+    const { rights } = this.#context;
+    const { endpoint } = choice;
+    const isOnlyOne = rights.nextLimitedEndpoint() === endpoint;
+    const isGranted = await rights.take(endpoint, rights.patienceMs(maxWaitMs));
+    if (search !== this.#search || this.#context.hasEnded) return;
+    if (isGranted && endpoint.isUsable) this.#complete(search, choice);
+    else if (isGranted || !isOnlyOne) this.#continue(search);
+    else this.#reject(search, "the limits of all endpoints are used up");
+  }
+
+  #complete(search: Search, choice: EndpointChoice): void {
+    if (search !== this.#search) return;
+    this.#search = undefined;
+    const { services } = this.#context;
+    this.#context.log("info", "stream-placed", {
+      endpoint: choice.endpoint.id,
+      placer: choice.grant?.placer,
+      cost: Number(choice.cost.toFixed(2)),
+      candidates: choice.candidates,
+      memoryTokens: this.#criteria.memoryTokens,
+      waitedMs: Math.round(services.clock.monotonicMs() - search.startedMs),
+      waiting: services.placer.length,
+    });
+    this.#listener.onPlaced(choice);
+  }
+
+  #reject(search: Search, reason: string): void {
+    if (search !== this.#search) return;
+    this.#search = undefined;
+    this.#listener.onRejected(reason);
+  }
+}
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -27,11 +27,7 @@
 } from "../../../services/http/common/pass_through_client.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
-import type {
-  EndpointChoice,
-  EndpointChooser,
-  EndpointCriteria,
-} from "./endpoint_chooser.ts";
+import type { EndpointChooser } from "./endpoint_chooser.ts";
 import type { CrashMonitor, RequestContent } from "./crash_monitor.ts";
 import type { EndpointProbe } from "./endpoint_probe.ts";
 import type { EndpointOutcome } from "./endpoint_health.ts";
@@ -51,9 +47,12 @@
 } from "./gateway_configuration.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { EndpointHolds } from "./endpoint_holds.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { LeavingMarks } from "./leaving_marks.ts";
 import type { LoadTable } from "./load_table.ts";
 import type { GenerationPlacer } from "./placement_queue.ts";
+import { contentOf } from "./request_content.ts";
+import { RequestRights } from "./request_rights.ts";
 import type { RunMigrator } from "./run_migrator.ts";
 
 /** Dependencies of the forwarders. */
@@ -76,6 +75,7 @@
   readonly crashMonitor: CrashMonitor;
   readonly leavingMarks: Pick<LeavingMarks, "mark">;
   readonly holds: EndpointHolds;
+  readonly limits: EndpointLimits;
   /** @returns A collision-resistant hash of the parts. */
   fingerprint(parts: readonly (string | Uint8Array)[]): string;
 }
@@ -103,23 +103,6 @@
   | "interrupted"
   | "caller-left";
 
-/**
- * Share of the remaining time that a generation may wait for a placement. A
- * caller that is refused early can try elsewhere.
- */
-const MAX_PLACEMENT_WAIT_SHARE = 0.25;
-/**
- * Maximum wait for a placement as a multiple of the route's objective. On a
- * full fleet, generations that waited longer are rarely placed.
- */
-const MAX_PLACEMENT_WAIT_OBJECTIVES = 2;
-
-/**
- * Size in bytes up to which a body is part of a request's fingerprint. Larger
- * bodies are streamed and never complete on this host.
- */
-const MAX_FINGERPRINTED_BODY_BYTES = 262_144;
-
 const HTTP_MISDIRECTED = 421;
 /**
  * Minimum retry delay; a full engine finishes some of its work in this time.
@@ -132,12 +115,13 @@
   readonly request: AdmittedRequest;
   /** Endpoints that failed this request and are not tried again. */
   readonly excludedEndpoints = new Set<EndpointId>();
+  /** Rights to send the request where endpoints name a limit. */
+  readonly rights: RequestRights;
   /** Disposed of when the request ends. */
   readonly disposables = new DisposableStore();
   /** Number of times that the request was written to an endpoint. */
   sentCount = 0;
   #hasEnded = false;
-  #placement: Disposable | undefined;
   #fingerprint: string | undefined;
   #crashCheck: Promise<void> | undefined;
   #firstByteMs: number | undefined;
@@ -149,21 +133,7 @@
   constructor(services: GatewayServices, request: AdmittedRequest) {
     this.services = services;
     this.request = request;
-  }
-
-  /**
-   * Time until the first endpoint of the service accepts requests of this host
-   * again, in milliseconds; `undefined` unless all of them are held back.
-   */
-  get heldForMs(): number | undefined {
-    const { clock, registry } = this.services;
-    const endpoints = registry.usable(this.request.service.id);
-    const nowMs = clock.monotonicMs();
-    if (endpoints.length === 0) return undefined;
-    if (!endpoints.every((endpoint) => endpoint.isHeld(nowMs))) {
-      return undefined;
-    }
-    return Math.min(...endpoints.map(({ heldUntilMs }) => heldUntilMs)) - nowMs;
+    this.rights = new RequestRights(this);
   }
 
   /**
@@ -172,7 +142,8 @@
    */
   get placementRetryAfterMs(): number {
     const { recentWaitMs } = this.services.placer;
-    return this.heldForMs ?? Math.max(FULL_RETRY_AFTER_MS, recentWaitMs);
+    return this.rights.retryAfterMs ??
+      Math.max(FULL_RETRY_AFTER_MS, recentWaitMs);
   }
 
   /** Time until the first byte is due for the route's objective, in ms. */
@@ -260,59 +231,6 @@
     return true;
   }
 
-  /**
-   * Requests a placement for a generation and waits until an endpoint has
-   * capacity.
-   *
-   * @param criteria - The generation's requirements.
-   * @param onPlaced - Called with the endpoint to use now.
-   * @param onRejected - Called with the reason when no endpoint will have
-   * capacity in time.
-   */
-  awaitPlacement(
-    criteria: EndpointCriteria,
-    onPlaced: (choice: EndpointChoice) => void,
-    onRejected: (reason: string) => void,
-  ): void {
-    const { clock, placer } = this.services;
-    const { deadlineMs, exchange, route, service } = this.request;
-    const queuedMs = clock.monotonicMs();
-    const maxWaitMs = Math.min(
-      (deadlineMs - queuedMs) * MAX_PLACEMENT_WAIT_SHARE,
-      route.objectiveMs * MAX_PLACEMENT_WAIT_OBJECTIVES,
-    );
-    // Only one placement may be pending: with two, both would take up capacity.
-    this.#placement?.dispose();
-    this.#placement = this.disposables.add(placer.add({
-      criteria,
-      wantsBackup: !this.canResume,
-      pendingPrefillTokens: this.request.fields.prompt?.promptTokens ?? 0,
-      service,
-      priority: this.priority,
-      queuedMs,
-      firstEventDueMs: exchange.receivedMs + route.objectiveMs,
-      latestStartMs: queuedMs + maxWaitMs,
-      onPlaced: (choice) => {
-        // Another daemon that chose it does not know of holds of this one.
-        if (choice.endpoint.isHeld(clock.monotonicMs())) {
-          this.awaitPlacement(criteria, onPlaced, onRejected);
-          return;
-        }
-        this.log("info", "stream-placed", {
-          endpoint: choice.endpoint.id,
-          placer: choice.grant?.placer,
-          cost: Number(choice.cost.toFixed(2)),
-          candidates: choice.candidates,
-          memoryTokens: criteria.memoryTokens,
-          waitedMs: Math.round(clock.monotonicMs() - queuedMs),
-          waiting: placer.length,
-        });
-        onPlaced(choice);
-      },
-      onRejected,
-    }));
-  }
-
   /**
    * Sends the request to an endpoint. It is counted as sent when its first byte
    * is about to be written.
@@ -326,7 +244,8 @@
     fields: GenerationFields,
     sink: PassThroughListener,
   ): PassThroughExchange {
-    const { client, codec, crashMonitor, holds, leavingMarks } = this.services;
+    const { client, clock, codec, crashMonitor, holds, leavingMarks, limits } =
+      this.services;
     const { announcement, id } = endpoint;
     const { body, exchange, areKeysConfigured, keyHolder } = this.request;
     const { method, target } = exchange;
@@ -340,11 +259,13 @@
     const { address } = announcement;
     const run = crashMonitor.watchRun(this, endpoint);
     let wasSent = false;
+    let sentMs = 0;
     let isServed = false;
     const transfer = client.send({ address, method, target, headers, body }, {
       ...sink,
       onSent: () => {
         wasSent = true;
+        sentMs = clock.monotonicMs();
         this.sentCount++;
         run.onSent();
         sink.onSent?.();
@@ -357,6 +278,9 @@
         if (status !== HTTP_MISDIRECTED) {
           run.onAnswered();
           if (isLeaving) leavingMarks.mark(endpoint, "answer");
+          const isOwn = (fields.requestId ?? this.request.id) ===
+            this.request.id;
+          if (isOwn) limits.observe(endpoint, fields.limit, sentMs);
         }
         isServed = !isNotRun && status < 500 &&
           !isCloseDelimited(method, status, received);
@@ -526,20 +450,3 @@
     });
   }
 }
-
-/**
- * Returns the parts of a request that are the same in each of its repetitions:
- * all but its id, its deadline and the hints to engines.
- */
-function contentOf(
-  { body, exchange, fields }: AdmittedRequest,
-): readonly (string | Uint8Array)[] {
-  const { method, target } = exchange;
-  const parts = [method, fields.host, target];
-  if (body === undefined) return parts;
-  if (!isStreamed(body)) {
-    return [...parts, body];
-  }
-  const head = body.head.subarray(0, MAX_FINGERPRINTED_BODY_BYTES);
-  return [...parts, head, String(body.sizeBytes)];
-}
--- a/src/features/gateway/common/run_migrator.ts
+++ b/src/features/gateway/common/run_migrator.ts
@@ -8,6 +8,7 @@
 import { type Clock, sleep } from "../../../base/common/clock.ts";
 import type { EndpointId, RequestId } from "../../../base/common/ids.ts";
 import { leftOf, rightOf } from "../../../base/common/result.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 import type { EngineControl } from "./engine_control.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 
@@ -56,18 +57,24 @@
  */
 const MIGRATION_TIMEOUT_MS = 2_500;
 
+/** Longest wait for the right to ask a source with a limit for a copy. */
+const MAX_RIGHT_WAIT_MS = 500;
+
 /** Copies the KV state of runs to other engines. */
 export class RunMigrator {
   readonly #clock: Clock;
   readonly #control: EngineControl;
+  readonly #limits: EndpointLimits;
 
   /**
    * @param clock - Measures the duration of migrations.
    * @param control - Copies the KV state.
+   * @param limits - Migrations count against the limits of their sources.
    */
-  constructor(clock: Clock, control: EngineControl) {
+  constructor(clock: Clock, control: EngineControl, limits: EndpointLimits) {
     this.#clock = clock;
     this.#control = control;
+    this.#limits = limits;
   }
 
   /**
@@ -100,6 +107,13 @@
         reason = "the source wants no requests for now";
         break;
       }
+      if (this.#limits.isLimited(run.source)) {
+        const offer = await this.#limits.take(run.source, MAX_RIGHT_WAIT_MS);
+        if (offer.kind === "denied") {
+          reason = "the limit of the source is used up";
+          break;
+        }
+      }
       if (!run.isRequired()) return notCopied("no longer required");
       const endpoint = run.chooseTarget(excluded);
       if (!endpoint) break;
--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -189,10 +189,12 @@
     const avoidedEndpoints = ejected.length < usableEndpoints.length
       ? ejected
       : [];
-    const held = usableEndpoints.filter((endpoint) => endpoint.isHeld(nowMs));
+    const withheld = usableEndpoints.filter((endpoint) =>
+      endpoint.isWithheld(nowMs)
+    );
     return [
       ...criteria.excluded,
-      ...[...avoidedEndpoints, ...held].map(({ id }) => id),
+      ...[...avoidedEndpoints, ...withheld].map(({ id }) => id),
     ];
   }
 
--- a/standins/gateway/fake_gateway_codec.ts
+++ b/standins/gateway/fake_gateway_codec.ts
@@ -55,12 +55,16 @@
 
   readResponseHeaders(status: number, headers: HeaderList): ResponseFields {
     const retryAfter = headerOf(headers, "retry-after");
+    const limit = headerOf(headers, "limit");
     return {
       retryAfterMs: status === 503 && retryAfter !== undefined
         ? Number(retryAfter) * 1_000
         : undefined,
       isNotRun: headerOf(headers, "x-not-executed") !== undefined,
       requestId: headerOf(headers, "id"),
+      limit: limit === undefined
+        ? { kind: "none" }
+        : { kind: "named", requestsPerS: Number(limit) },
       isLeaving: headerOf(headers, "leaving") !== undefined,
       isSigned: headerOf(headers, "x-response-stamp") !== undefined,
     };
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -19,6 +19,11 @@
 import { EndpointChooser } from "../../src/features/gateway/common/endpoint_chooser.ts";
 import { CrashMonitor } from "../../src/features/gateway/common/crash_monitor.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoint_holds.ts";
+import { EndpointLimits } from "../../src/features/gateway/common/endpoint_limits.ts";
+import { LimitRights } from "../../src/features/gateway/common/limit_rights.ts";
+import { LimitTable } from "../../src/features/gateway/common/limit_table.ts";
+import { NOOP_DISPOSABLE } from "../../src/base/common/lifecycle.ts";
+import { InProcessNetwork } from "../peers/in_process_links.ts";
 import { EndpointProbe } from "../../src/features/gateway/common/endpoint_probe.ts";
 import { EndpointRegistry } from "../../src/features/gateway/common/endpoint_registry.ts";
 import type {
@@ -234,6 +239,8 @@
   ) => GenerationPlacer;
 }
 
+const HOST = "host-1" as HostId;
+
 /** A gateway with its dependencies. */
 export class GatewayHarness {
   readonly clock: ManualClock;
@@ -244,6 +251,7 @@
   readonly registry: EndpointRegistry;
   readonly loadTable: LoadTable;
   readonly suspects: SuspectTable;
+  readonly limitTable: LimitTable;
   readonly state = new ConfigurationState(
     this.logger,
     () => this.confirmationAgeMs,
@@ -269,6 +277,30 @@
       random,
       ZONE,
     );
+    this.limitTable = new LimitTable(clock);
+    const limits = new EndpointLimits({
+      clock,
+      registry,
+      table: this.limitTable,
+      rights: new LimitRights({
+        self: HOST,
+        clock,
+        logger,
+        metrics,
+        hasher,
+        links: new InProcessNetwork().addHost(HOST, clock),
+        overlay: {
+          onDidChangeHomeHub: () => NOOP_DISPOSABLE,
+          isHub: true,
+          homeHub: () => undefined,
+          zoneHubFor: () => HOST,
+          linkedHubs: () => [],
+          linkedLeaves: () => [],
+        },
+        reach: { fleetSize: 1, reachableShare: 1 },
+        table: this.limitTable,
+      }),
+    });
     this.gateway = new Gateway(
       {
         clock,
@@ -282,18 +314,19 @@
         placer: createPlacer?.(this, chooser) ??
           new PlacementQueue(clock, chooser),
         budget: new RetryBudget({ clock, random }),
-        probe: new EndpointProbe(clock, logger, metrics, engineControl),
-        migrator: new RunMigrator(clock, engineControl),
+        probe: new EndpointProbe(clock, logger, metrics, engineControl, limits),
+        migrator: new RunMigrator(clock, engineControl, limits),
         crashMonitor: new CrashMonitor({
           clock,
           logger,
           metrics,
-          host: "host-1" as HostId,
+          host: HOST,
           registry,
           control: engineControl,
           suspects: this.suspects,
         }),
         holds: new EndpointHolds(clock, logger, metrics, random),
+        limits,
         leavingMarks: {
           mark: ({ id }, reason) => registry.markDraining(id, reason),
         },
--- a/standins/peers/in_process_fleet.ts
+++ b/standins/peers/in_process_fleet.ts
@@ -9,6 +9,9 @@
   ZoneName,
 } from "../../src/base/common/ids.ts";
 import { GatewayTopology } from "../../src/daemon/node/gateway_topology.ts";
+import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
+import { LimitRights } from "../../src/features/gateway/common/limit_rights.ts";
+import { LimitTable } from "../../src/features/gateway/common/limit_table.ts";
 import { LoadTable } from "../../src/features/gateway/common/load_table.ts";
 import { LoadTableSync } from "../../src/features/gateway/common/load_table_sync.ts";
 import { QUARANTINE_CHANNEL } from "../../src/features/quarantine/common/quarantine_messages.ts";
@@ -96,6 +99,7 @@
     const daemon = this.daemons.get(host)!;
     daemon.exchange.dispose();
     daemon.suspectSync.dispose();
+    daemon.limitRights.dispose();
     daemon.peers.dispose();
     this.daemons.delete(host);
     this.network.removeHost(host);
@@ -131,7 +135,21 @@
       table: suspects,
       relay: peers,
     });
+    const limitTable = new LimitTable(clock);
+    const limitRights = new LimitRights({
+      self: self.host,
+      clock,
+      logger: NOOP_LOGGER,
+      metrics: new GatewayMetrics(),
+      hasher: this.#hasher,
+      links,
+      overlay: peers,
+      reach: peers,
+      table: limitTable,
+    });
     this.daemons.set(self.host, {
+      limitTable,
+      limitRights,
       links,
       peers,
       board,
@@ -144,6 +162,8 @@
 
 /** One daemon of a fleet. */
 export interface FleetDaemon {
+  readonly limitTable: LimitTable;
+  readonly limitRights: LimitRights;
   readonly links: InProcessPeerLinks;
   readonly peers: GatewayTopology;
   readonly board: LoadTable;
