Soak: check all of BUDGET and LIMIT, and kill all daemons in series

The checker counted two kinds of BUDGET. It now counts the repeats of a service in any 10 s against retry-ratio and retry-extra over all daemons, the endpoints that one request ran on, the time that endpoints are given, and what endpoints that name a limit get.

--- a/soak/caller_pool.ts
+++ b/soak/caller_pool.ts
@@ -12,13 +12,13 @@
   RequestResult,
   SentRequest,
 } from "./invariant_checker.ts";
+import type { SoakService } from "./retry_rules.ts";
 import { WORKSPACE_BY_KEY } from "./soak_deployment.ts";
 
 const REQUEST_KINDS = ["book", "read", "draft"] as const;
 const REQUEST_PATHS = { book: "/book/x", read: "/read/x", draft: "/stream/x" };
 /** Time after which a caller abandons a request, also sent as its deadline. */
 const REQUEST_TIMEOUT_MS = 8_000;
-const REQUEST_GAP_MS = 25;
 /** Paths of the requests that crash endpoints; the path is their body too. */
 const POISON_PATHS = ["/book/poison", "/read/poison", "/stream/poison"];
 const POISON_KEY = "key-a";
@@ -29,6 +29,7 @@
   readonly #random: SeededRandom;
   readonly #daemons: readonly DaemonProcess[];
   readonly #invariants: InvariantChecker;
+  readonly #gapMs: number;
   // Connections are reused until the daemon process ends.
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 200 });
   #isStopping = false;
@@ -38,15 +39,18 @@
    * @param random - Source of the choice of daemon, request kind and API key.
    * @param daemons - Daemons that receive the requests.
    * @param invariants - Checker that records each request and its result.
+   * @param gapMs - Time between the requests of a caller, in milliseconds.
    */
   constructor(
     random: SeededRandom,
     daemons: readonly DaemonProcess[],
     invariants: InvariantChecker,
+    gapMs: number,
   ) {
     this.#random = random;
     this.#daemons = daemons;
     this.#invariants = invariants;
+    this.#gapMs = gapMs;
   }
 
   /**
@@ -85,10 +89,10 @@
         sentMs,
         result: undefined,
       };
-      this.#invariants.recordSent(sent);
+      this.#recordSent(sent, kind === "draft" ? "llm" : "app");
       const body = kind === "draft" ? "" : id;
       sent.result = await this.#send(daemon, sent, REQUEST_PATHS[kind], body);
-      await wait(REQUEST_GAP_MS);
+      await wait(this.#gapMs);
     }
   }
 
@@ -104,12 +108,19 @@
         sentMs: Date.now(),
         result: undefined,
       };
-      this.#invariants.recordSent(sent);
+      this.#recordSent(sent, path.startsWith("/stream/") ? "llm" : "app");
       sent.result = await this.#send(daemon, sent, path, `poison ${path}`);
       await wait(POISON_GAP_MS);
     }
   }
 
+  #recordSent(sent: SentRequest, service: SoakService): void {
+    const { id, sentMs } = sent;
+    this.#invariants.recordSent(sent);
+    const { retryRules } = this.#invariants;
+    retryRules.recordRequest(id, service, sentMs, REQUEST_TIMEOUT_MS);
+  }
+
   #send(
     daemon: DaemonProcess,
     { id, key }: SentRequest,
--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -3,6 +3,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createWriteStream, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { RETRY_SETTINGS } from "./retry_rules.ts";
 import type { Address } from "../src/base/common/ids.ts";
 
 /** Identity, addresses and seeds of a daemon. */
@@ -99,9 +100,7 @@
         "revoke-ms": maxRevocationMs,
         "strict-revoke": true,
         "grace-s": SHUTDOWN_GRACE_MS / 1_000,
-        "retry-ratio": 0.2,
-        "retry-extra": 50,
-        "retry-window-s": 10,
+        ...RETRY_SETTINGS,
       },
       "provider": { address: storeAddress },
     };
--- a/soak/fault_proxy.ts
+++ b/soak/fault_proxy.ts
@@ -33,6 +33,7 @@
   readonly #server = createServer((client) => this.#accept(client));
   readonly #connections = new Set<ProxiedConnection>();
   #fault: ProxyFault = { kind: "none" };
+  #disturbedMs = 0;
 
   /** @param target - Address of the server. */
   constructor(target: Address) {
@@ -48,15 +49,22 @@
     return listenOnLoopback(this.#server);
   }
 
+  /** Wall-clock time of the latest fault, in milliseconds. */
+  get disturbedMs(): number {
+    return this.#fault.kind === "none" ? this.#disturbedMs : Date.now();
+  }
+
   /** Replaces the current fault. `silence` also affects open connections. */
   setFault(fault: ProxyFault): void {
     this.#fault = fault;
+    this.#disturbedMs = Date.now();
     if (fault.kind !== "silence") return;
     for (const connection of this.#connections) connection.isDiscarding = true;
   }
 
   /** Resets all open connections. */
   resetConnections(): void {
+    this.#disturbedMs = Date.now();
     for (const { client, server } of this.#connections) {
       client.resetAndDestroy();
       server.resetAndDestroy();
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -14,9 +14,30 @@
 const MAX_FAULT_GAP_MS = 700;
 /** Time in milliseconds from an endpoint's draining entry to its end. */
 const DRAIN_MS = 2_000;
+/** Long enough that a limit binds. */
+const MIN_LIMIT_MS = 5_000;
 /** Number of endpoints of each service that draining must leave. */
 const MIN_ENDPOINTS_PER_SERVICE = 2;
 
+/** Names of the faults. */
+export const FAULT_NAMES = [
+  "store",
+  "store-link",
+  "endpoint-link",
+  "signal",
+  "replace",
+  "revoke",
+  "restore",
+  "leave",
+  "turn-away",
+  "reject",
+  "limit",
+  "kill-all",
+] as const;
+
+/** Name of a fault. */
+export type FaultName = (typeof FAULT_NAMES)[number];
+
 type FaultAction = (deployment: SoakDeployment, random: SeededRandom) => string;
 
 /** Injects faults into a deployment until it is stopped. */
@@ -25,6 +46,7 @@
   readonly #random: SeededRandom;
   readonly #invariants: InvariantChecker;
   readonly #log: (line: string) => void;
+  readonly #names: readonly FaultName[];
   #isStopping = false;
 
   /**
@@ -32,34 +54,25 @@
    * @param random - Source of the choice of fault, target and duration.
    * @param invariants - Checker that records revoked and restored API keys.
    * @param log - Callback that receives one line per fault.
+   * @param names - Faults to choose from.
    */
   constructor(
     deployment: SoakDeployment,
     random: SeededRandom,
     invariants: InvariantChecker,
     log: (line: string) => void,
+    names: readonly FaultName[] = FAULT_NAMES,
   ) {
     this.#deployment = deployment;
     this.#random = random;
     this.#invariants = invariants;
     this.#log = log;
+    this.#names = names;
   }
 
   /** Injects faults until stopped, then waits until all faults have ended. */
   async run(): Promise<void> {
-    const faultActions: readonly FaultAction[] = [
-      (deployment) => this.#injectStoreFault(deployment),
-      (deployment) => this.#injectStoreConnectionFault(deployment),
-      (deployment) => this.#injectEndpointConnectionFault(deployment),
-      (deployment) => this.#signalDaemon(deployment),
-      (deployment) => this.#signalDaemon(deployment),
-      (deployment) => this.#replaceEndpoint(deployment),
-      (deployment) => this.#replaceEndpoint(deployment),
-      (deployment) => this.#toggleRevokedKey(deployment),
-      (deployment) => this.#restoreStore(deployment),
-      (deployment) => this.#announceLeaving(deployment),
-      (deployment) => this.#turnAway(deployment),
-    ];
+    const faultActions = this.#faultActions();
     while (!this.#isStopping) {
       const faultAction = this.#pick(faultActions);
       this.#log(faultAction(this.#deployment, this.#random));
@@ -69,6 +82,34 @@
     await this.#awaitRecovery();
   }
 
+  /** Returns the actions to choose from; frequent ones are listed twice. */
+  #faultActions(): readonly FaultAction[] {
+    const named: readonly (readonly [FaultName, FaultAction])[] = [
+      ["store", (deployment) => this.#injectStoreFault(deployment)],
+      [
+        "store-link",
+        (deployment) => this.#injectStoreConnectionFault(deployment),
+      ],
+      [
+        "endpoint-link",
+        (deployment) => this.#injectEndpointConnectionFault(deployment),
+      ],
+      ["signal", (deployment) => this.#signalDaemon(deployment)],
+      ["signal", (deployment) => this.#signalDaemon(deployment)],
+      ["replace", (deployment) => this.#replaceEndpoint(deployment)],
+      ["replace", (deployment) => this.#replaceEndpoint(deployment)],
+      ["revoke", (deployment) => this.#toggleRevokedKey(deployment)],
+      ["restore", (deployment) => this.#restoreStore(deployment)],
+      ["leave", (deployment) => this.#announceLeaving(deployment)],
+      ["turn-away", (deployment) => this.#turnAway(deployment)],
+      ["reject", (deployment) => this.#rejectMost(deployment)],
+      ["limit", (deployment) => this.#nameLimit(deployment)],
+      ["kill-all", (deployment) => this.#killAll(deployment)],
+    ];
+    return named.filter(([name]) => this.#names.includes(name))
+      .map(([, action]) => action);
+  }
+
   /** Stops injecting faults. */
   stop(): void {
     this.#isStopping = true;
@@ -145,6 +186,11 @@
     return `${signal} ${daemon.options.name}`;
   }
 
+  #killAll(deployment: SoakDeployment): string {
+    for (const daemon of deployment.daemons) daemon.kill();
+    return "kill all";
+  }
+
   #replaceEndpoint(deployment: SoakDeployment): string {
     const endpoint = this.#pick(deployment.endpoints);
     const { service, name } = endpoint;
@@ -202,6 +248,34 @@
     return `${name} turns away for ${seconds.toFixed(2)} s`;
   }
 
+  /** The endpoints of a service turn most requests away for a time. */
+  #rejectMost(deployment: SoakDeployment): string {
+    const service = this.#pick(["app", "llm"] as const);
+    const replicas = deployment.endpoints.filter((endpoint) =>
+      endpoint.service === service
+    ).map(({ replica }) => replica);
+    this.#applyTemporarily(
+      () => replicas.forEach((replica) => replica.rejectedOfFive = 4),
+      () => replicas.forEach((replica) => replica.rejectedOfFive = 0),
+    );
+    return `${service} rejects most requests`;
+  }
+
+  /** An endpoint names a limit in its answers for a time. */
+  #nameLimit(deployment: SoakDeployment): string {
+    const { name, process, replica } = this.#pick(deployment.endpoints);
+    if (replica.namedLimit !== undefined) return "no limit is named";
+    const perS = 1 + this.#random.float() * 4;
+    const { limitRules } = this.#invariants;
+    replica.namedLimit = perS.toFixed(1);
+    limitRules.begin(process, Number(replica.namedLimit), Date.now());
+    setTimeout(() => {
+      replica.namedLimit = undefined;
+      limitRules.end(process, Date.now());
+    }, MIN_LIMIT_MS + this.#random.float() * MAX_FAULT_DURATION_MS);
+    return `${name} names a limit of ${replica.namedLimit}`;
+  }
+
   #toggleRevokedKey(deployment: SoakDeployment): string {
     const key = "key-c";
     const isRevoked = deployment.revokedKeys.includes(key);
--- a/soak/invariant_checker.ts
+++ b/soak/invariant_checker.ts
@@ -4,6 +4,8 @@
  */
 
 import { EndpointRules } from "./endpoint_rules.ts";
+import { LimitRules } from "./limit_rules.ts";
+import { RetryRules } from "./retry_rules.ts";
 
 /** Result of a request as its caller received it. */
 export type RequestResult =
@@ -35,13 +37,20 @@
   readonly isContinuation: boolean;
   readonly body: string;
   readonly workspace: string | undefined;
+  /** Returns whether the endpoint ended or was cut off since. */
+  wasCut(): boolean;
 }
 
+/** Endpoints on which one request may run, as its route says. */
+export const MAX_ATTEMPTS = 2;
+
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
 /** Records requests and runs, and finds violated guarantees. */
 export class InvariantChecker {
   readonly endpointRules = new EndpointRules();
+  readonly limitRules = new LimitRules();
+  readonly retryRules = new RetryRules();
   readonly #sent = new Map<string, SentRequest>();
   readonly #runs = new Map<string, RecordedRun[]>();
   readonly #revokedMs = new Map<string, number>();
@@ -109,6 +118,8 @@
     const found = [...this.#runs.keys()].filter((id) => !this.#sent.has(id))
       .map((id) => `unasked: ${id} was run, and no caller sent it`);
     found.push(...this.endpointRules.findViolations());
+    found.push(...this.limitRules.findViolations());
+    found.push(...this.retryRules.findViolations());
     for (const request of this.#sent.values()) {
       const runs = this.#runs.get(request.id) ?? [];
       const violation = this.#findRequestViolation(request, runs);
@@ -124,6 +135,11 @@
     const { result, kind, id, key, sentMs } = request;
     if (kind === "poison") return undefined;
     const initialRuns = runs.filter(({ isContinuation }) => !isContinuation);
+    // A cut connection to an endpoint does not count towards the attempts.
+    const answeredRuns = initialRuns.filter(({ wasCut }) => !wasCut());
+    if (answeredRuns.length > MAX_ATTEMPTS) {
+      return `budget: ran on ${answeredRuns.length} endpoints`;
+    }
     if (kind !== "read" && initialRuns.length > 1) {
       return `twice: started at ${
         initialRuns.map(({ endpoint }) => endpoint).join()
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
  */
 
 import { cac } from "cac";
+import { FAULT_NAMES, type FaultName } from "./faults.ts";
 import { runSoak } from "./soak_run.ts";
 
 const PROGRAM_PATH = "target/ragwortd-platform.cjs";
@@ -20,11 +21,18 @@
 });
 cli.option("--daemons <n>", "Number of daemons", { default: 4 });
 cli.option("--callers <n>", "Number of concurrent callers", { default: 12 });
+cli.option("--gap <n>", "Time between the requests of a caller in ms", {
+  default: 25,
+});
 cli.option("--port <n>", "First port of the daemons", { default: FIRST_PORT });
+cli.option("--faults <names>", `Faults to inject, of ${FAULT_NAMES.join()}`, {
+  default: FAULT_NAMES.join(),
+});
 cli.help();
 const { options } = cli.parse();
 
 if (!options["help"]) {
+  const faults = parseFaults(String(options["faults"]));
   const firstSeed = Number(options["seed"]);
   for (
     let seed = firstSeed;
@@ -36,17 +44,27 @@
       seconds: Number(options["seconds"]),
       daemonCount: Number(options["daemons"]),
       callerCount: Number(options["callers"]),
+      faults,
+      gapMs: Number(options["gap"]),
       firstPort: Number(options["port"]),
       programPath: PROGRAM_PATH,
       folder: `soak-logs/${seed}`,
     });
-    const { violations, sentCount, servedCount, restartCount, crashCount } =
-      result;
+    const { sentCount, servedCount, restartCount, violations } = result;
+    const { crashCount, limitCount, mostRepeats } = result;
     const verdict = violations.length === 0 ? "kept" : "BROKEN";
     console.log(
-      `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed`,
+      `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed, ${limitCount} limits named, at most ${mostRepeats} repeats in 10 s`,
     );
     for (const violation of violations) console.log(`  ${violation}`);
     if (violations.length > 0) process.exitCode = EXIT_VIOLATIONS;
   }
 }
+
+function parseFaults(text: string): readonly FaultName[] {
+  return text.split(",").map((name) => {
+    const found = FAULT_NAMES.find((known) => known === name);
+    if (!found) throw new Error(`unknown fault ${name}; see --help`);
+    return found;
+  });
+}
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -48,6 +48,8 @@
   readonly service: "app" | "llm";
   readonly name: string;
   replica: ReplicaServer;
+  /** Identifies the current process of the endpoint. */
+  process: string;
   proxy: FaultProxy;
   /** Address of the proxy. */
   address: Address;
@@ -225,19 +227,33 @@
     name: string,
   ): Promise<Omit<SoakEndpoint, "service" | "name">> {
     const { invariants } = this.#options;
+    const service = name.startsWith("app") ? "app" : "llm";
     const replica = new ReplicaServer(name);
     replica.eventCount = DRAFT_EVENT_COUNT;
-    replica.onRun = ({ id, headers, body }) =>
+    replica.onRun = ({ id, headers, body }) => {
+      const atMs = Date.now();
       invariants.recordRun({
         id,
         endpoint: name,
-        atMs: Date.now(),
+        atMs,
         isContinuation: headers["kv-from"] !== undefined,
         body,
         workspace: headers["x-tenant"]?.toString(),
+        wasCut: () => proxy.disturbedMs >= atMs,
       });
+    };
     const process = `${name}@${++this.#startCount}`;
-    replica.onArrival = ({ id }) => this.#recordArrival(replica, process, id);
+    replica.onArrival = ({ id, headers }) => {
+      const given = headers["x-deadline-ms"];
+      invariants.retryRules.recordArrival({
+        id,
+        service,
+        atMs: Date.now(),
+        isContinuation: headers["kv-from"] !== undefined,
+        givenMs: given === undefined ? undefined : Number(given),
+      });
+      this.#recordArrival(replica, process, id);
+    };
     replica.effectOf = ({ body }) =>
       isPoison(body) ? { kind: "crash", afterEvents: 0 } : { kind: "none" };
     replica.onCrash = ({ body, id }) => {
@@ -247,13 +263,14 @@
     };
     const proxy = new FaultProxy(await replica.listen());
     const address = await proxy.listen();
-    return { replica, proxy, address, startedMs: Date.now() };
+    return { replica, proxy, address, process, startedMs: Date.now() };
   }
 
   #recordArrival(replica: ReplicaServer, process: string, id: string): void {
-    const { endpointRules } = this.#options.invariants;
+    const { endpointRules, limitRules } = this.#options.invariants;
     const arrival = this.#arrivalOf(process, id);
     if (!arrival) return;
+    limitRules.recordArrival(arrival);
     endpointRules.recordArrival(arrival);
     if (replica.isLeaving) endpointRules.recordNotice(arrival);
     if (replica.retryAfter !== undefined) {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -8,7 +8,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { SeededRandom } from "../src/base/common/random.ts";
 import { CallerPool } from "./caller_pool.ts";
-import { FaultInjector } from "./faults.ts";
+import { FaultInjector, type FaultName } from "./faults.ts";
 import { InvariantChecker } from "./invariant_checker.ts";
 import {
   DRAFT_EVENT_COUNT,
@@ -27,7 +27,11 @@
   readonly seconds: number;
   readonly daemonCount: number;
   readonly callerCount: number;
+  /** Time between the requests of a caller, in milliseconds. */
+  readonly gapMs: number;
   readonly firstPort: number;
+  /** Faults to choose from; all by default. */
+  readonly faults?: readonly FaultName[];
   /** Path of the built daemon program. */
   readonly programPath: string;
   /** Path of the folder for settings, logs and the list of events. */
@@ -42,6 +46,10 @@
   readonly restartCount: number;
   /** Number of endpoints that requests have crashed. */
   readonly crashCount: number;
+  /** Number of limits that endpoints have named. */
+  readonly limitCount: number;
+  /** Most repeats of one service in any 10 s. */
+  readonly mostRepeats: number;
 }
 
 /**
@@ -69,11 +77,13 @@
     (line) => {
       events.push(`${Date.now() - startMs} ms  ${line}`);
     },
+    options.faults,
   );
   const callers = new CallerPool(
     new SeededRandom(seed + 1),
     deployment.daemons,
     invariants,
+    options.gapMs,
   );
   const callersStopped = callers.run(callerCount);
   const faultsStopped = faultInjector.run();
@@ -105,6 +115,8 @@
     sentCount: invariants.sentCount,
     servedCount: invariants.servedCount(),
     crashCount: invariants.endpointRules.crashCount,
+    limitCount: invariants.limitRules.limitCount,
+    mostRepeats: invariants.retryRules.mostRepeats,
     restartCount:
       deployment.daemons.reduce((sum, { startCount }) => sum + startCount, 0) -
       daemonCount,
