Keep the fleet's retry budget while hosts restart and their entries lapse

Users saw repeats pile up beyond the budget on real processes.

Cause: the budget lives in the memory of a process and starts full. Each restart granted the fixed part of the window once more. Besides, a daemon divided it by the hosts that it saw at that moment, so that entries that lapse after an outage made each part larger, and each daemon rounded its part up: 90 hosts with 0.4 retries each sent 90.

The fixed part now begins with the second window of a process, when what the process before used has left the window; it is divided by the largest fleet of the last minute; and the remainder goes to some of the hosts, chosen by their names.

Only suspected: that this is what the users saw; they kept no logs.

--- a/src/daemon/common/settings_limits.ts
+++ b/src/daemon/common/settings_limits.ts
@@ -1,7 +1,10 @@
 /** Limits of a gateway daemon that follow from its settings. */
 
 import type { GatewayLimits } from "../../features/gateway/common/gateway.ts";
-import type { RetryLimits } from "../../features/retries/common/retry_budget.ts";
+import {
+  RETRY_WINDOW_MS,
+  type RetryLimits,
+} from "../../features/retries/common/retry_budget.ts";
 import type { ReloadableGatewaySettings } from "./gateway_settings.ts";
 
 /**
@@ -36,17 +39,33 @@
   };
 }
 
+/** A daemon's place in the fleet, by which it takes its part of the retries. */
+export interface FleetPlace {
+  /** Number of daemons in the fleet. */
+  readonly fleetSize: number;
+  /** Time since the start of this process in milliseconds. */
+  readonly uptimeMs: number;
+  /**
+   * Number from 0 to 1, evenly distributed over the hosts. It decides who gets
+   * what is left when the retries are divided.
+   */
+  readonly remainderRank: number;
+}
+
 /**
  * @param settings - Settings with the limits of the whole fleet.
- * @param fleetSize - Number of daemons in the fleet.
+ * @param place - Place of this daemon in the fleet.
  * @returns The part of this daemon.
  */
 export function retryLimits(
   { retries }: ReloadableGatewaySettings,
-  fleetSize: number,
+  { fleetSize, remainderRank, uptimeMs }: FleetPlace,
 ): RetryLimits {
+  const minRetries = retries.extra * RETRY_LIMIT_RATIO / fleetSize;
+  // The process before may have used this host's part of the current window.
+  const isFirstWindow = uptimeMs < RETRY_WINDOW_MS;
   return {
     successShare: retries.share * RETRY_LIMIT_RATIO,
-    minRetriesPerWindow: retries.extra * RETRY_LIMIT_RATIO / fleetSize,
+    minRetriesPerWindow: isFirstWindow ? 0 : minRetries + remainderRank,
   };
 }
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -97,6 +97,7 @@
     this.#logger = logger;
     this.#metrics = metrics;
     const { host, zone } = settings;
+    const startedMs = clock.monotonicMs();
     const random = new SeededRandom(hasher.hash32(`${host}${clock.nowMs()}`));
     this.#mirror = new StoreMirror(clock);
     this.#state = new ConfigurationState(
@@ -241,7 +242,11 @@
           clock,
           random,
           limits: () =>
-            retryLimits(this.#activeSettings, this.#topology.fleetSize),
+            retryLimits(this.#activeSettings, {
+              fleetSize: this.#topology.largestFleetSize,
+              uptimeMs: clock.monotonicMs() - startedMs,
+              remainderRank: hasher.hash32(host) / HASH_RANGE,
+            }),
         }),
         probe: new EndpointProbe(
           clock,
--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -6,6 +6,7 @@
 
 import { type Clock, runPeriodically } from "../../base/common/clock.ts";
 import { type Hasher, rendezvousOrder } from "../../base/common/hasher.ts";
+import { RecentMaximum } from "../../base/common/recent_maximum.ts";
 import { Emitter } from "../../base/common/event.ts";
 import type { Address, HostId } from "../../base/common/ids.ts";
 import {
@@ -36,6 +37,8 @@
 const RELAYS_PER_ZONE = 1;
 /** Age of the mirror from which any daemon watches the store itself. */
 const WATCH_FALLBACK_AGE_MS = 2_200;
+/** Longer than entries of living hosts are missing after an outage. */
+const FLEET_SIZE_MEMORY_MS = 60_000;
 const SEED_REQUEST_TIMEOUT_MS = 700;
 const SEED_REQUEST_INTERVAL_MS = 500;
 
@@ -69,6 +72,7 @@
   readonly #disposables = new DisposableStore();
   readonly #onDidChangeHome = this.#disposables.add(new Emitter<void>());
   #plan: LinkPlan;
+  readonly #recentFleetSize: RecentMaximum;
   #targetsText = "";
   #homeHub: HostId | undefined;
 
@@ -80,6 +84,7 @@
     const { clock, hasher, links, logger, self } = services;
     this.#services = services;
     this.#planner = new LinkPlanner(clock, hasher, self);
+    this.#recentFleetSize = new RecentMaximum(clock, FLEET_SIZE_MEMORY_MS);
     this.#plan = this.#planner.plan(() => false);
     this.#disposables.add(
       runPeriodically(
@@ -105,6 +110,14 @@
     return this.#planner.hosts.size;
   }
 
+  /**
+   * Largest number of daemons in the fleet within the last minute. Entries that
+   * lapse while their hosts are alive do not make this daemon's part larger.
+   */
+  get largestFleetSize(): number {
+    return Math.max(this.fleetSize, this.#recentFleetSize.max());
+  }
+
   /** {@inheritDoc FleetReach.reachableShare} */
   get reachableShare(): number {
     const { links, self } = this.#services;
@@ -279,6 +292,7 @@
   #replan(): void {
     const { hasher, links, logger, self } = this.#services;
     const linked = new Set(links.connectedHosts());
+    this.#recentFleetSize.record(this.fleetSize);
     this.#plan = this.#planner.plan((host) => linked.has(host));
     const targets = this.#plan.targets.map(({ host, address }) =>
       `${host} ${address}`
--- a/src/features/retries/common/retry_budget.ts
+++ b/src/features/retries/common/retry_budget.ts
@@ -27,6 +27,8 @@
 const BUCKET_MS = 1_000;
 /** Number of buckets in the sliding window. */
 const BUCKET_COUNT = 10;
+/** Duration of the sliding window. */
+export const RETRY_WINDOW_MS = BUCKET_MS * BUCKET_COUNT;
 const DEFAULT_LIMITS: RetryLimits = {
   successShare: 0.2,
   minRetriesPerWindow: 100,
@@ -76,7 +78,8 @@
     const { successes, retries } = this.#sum(service);
     const limits = this.#services.limits?.() ?? DEFAULT_LIMITS;
     const { minRetriesPerWindow, successShare } = limits;
-    if (retries >= minRetriesPerWindow + successes * successShare) {
+    // A fraction of a retry, times all daemons, would be many retries.
+    if (retries + 1 > minRetriesPerWindow + successes * successShare) {
       return undefined;
     }
     bucket.retries++;
--- a/standins/peers/fleet_load_test.ts
+++ b/standins/peers/fleet_load_test.ts
@@ -59,6 +59,20 @@
     },
   );
 
+  it("counts hosts whose entries lapse for a minute, so that retries stay within the budget", async () => {
+    const fleet = await startFleet(30);
+    const [, leaf] = [...fleet.daemons].find(([, { peers }]) => !peers.isHub)!;
+    const lapsed = [...fleet.daemons.keys()].map((host) =>
+      [host, undefined] as const
+    );
+    leaf.peers.onHostsChanged(new Map(lapsed));
+    expect(leaf.peers.fleetSize).toBeLessThan(10);
+    await fleet.advance(59_000);
+    expect(leaf.peers.largestFleetSize).toBe(90);
+    await fleet.advance(2_000);
+    expect(leaf.peers.largestFleetSize).toBeLessThan(10);
+  });
+
   it("sends each peer exactly one message per claim", async () => {
     const fleet = await startFleet(3);
     const claiming = fleet.daemons.get("zone-a-host-2" as HostId)!;
