Close connections on which bytes come without end

Cause: bounds applied to what is passed on, not to what is received. An answer that is not trusted was collected whole; a refusal and an error were read to their end; an event was buffered until its blank line came; interim answers and the reason phrase have no bound in the parser; reports, copies and the store were read whole, and a connection stayed open after some of them were given up.

A refusal stays a proof that the request was not run. A legal long answer is passed on as fast as its caller reads.

--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -370,7 +370,10 @@
     this.#bufferedBytes += chunk.byteLength;
     if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return true;
     const head = this.#head!;
-    if (!this.#isTrustworthy(head.status)) return true;
+    if (!this.#isTrustworthy(head.status)) {
+      this.#abandonEndlessBody(head.status);
+      return true;
+    }
     this.#isStreaming = true;
     const { codec } = this.#context.services;
     exchange.sendHead(
@@ -383,6 +386,15 @@
     return chunks.map((buffered) => this.#write(buffered)).every(Boolean);
   }
 
+  /** Gives up an answer that is not passed on and may never end. */
+  #abandonEndlessBody(status: number): void {
+    this.#chunks.length = 0;
+    this.#recordOutcome(this.#fields!.isNotRun ? "refused" : "broken");
+    const reason = `status ${status} with a body that does not end`;
+    const kind = this.#fields!.isNotRun ? "not-run" : "unknown";
+    this.#stop({ kind, reason });
+  }
+
   #write(chunk: Uint8Array): boolean {
     return this.#context.request.exchange.write(chunk);
   }
--- a/src/features/gateway/common/upstream_attempt.ts
+++ b/src/features/gateway/common/upstream_attempt.ts
@@ -16,8 +16,10 @@
 import type { RequestContext } from "./request_context.ts";
 import type { UsageClaim } from "./load_table.ts";
 
-/** Maximum size of an error response body in bytes; the rest is discarded. */
+/** Maximum size of the body of an error response in bytes. */
 const MAX_ERROR_BODY_BYTES = 65_536;
+/** Maximum size of one event in bytes. */
+const MAX_EVENT_BYTES = 262_144;
 
 /** Receives the progress and the result of an attempt. */
 export interface UpstreamAttemptListener {
@@ -179,14 +181,34 @@
 
   #onData(chunk: Uint8Array): boolean {
     if (this.#isEnded) return true;
-    if (this.#status === 200) return this.#options.listener.onData(chunk);
-    if (this.#errorBodyBytes < MAX_ERROR_BODY_BYTES) {
-      this.#errorBody.push(chunk);
-      this.#errorBodyBytes += chunk.byteLength;
+    if (this.#status === 200) {
+      const canContinue = this.#options.listener.onData(chunk);
+      if (this.eventSplitter.pendingBytes > MAX_EVENT_BYTES) {
+        this.#transfer?.abort();
+        this.#fail(true, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
+      }
+      return canContinue;
     }
+    this.#errorBody.push(chunk);
+    this.#errorBodyBytes += chunk.byteLength;
+    if (this.#errorBodyBytes > MAX_ERROR_BODY_BYTES) this.#abandonErrorBody();
     return true;
   }
 
+  /** Gives up the body of an error response that may never end. */
+  #abandonErrorBody(): void {
+    this.#transfer?.abort();
+    this.#errorBody = [];
+    const reason = `status ${this.#status} with a body that does not end`;
+    if (!this.#isRefusal) {
+      this.#fail(true, reason);
+      return;
+    }
+    this.#isEnded = true;
+    this.#options.claim.dispose();
+    this.#options.listener.onRefused(reason);
+  }
+
   #onEnd(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
--- a/src/services/http/node/json_client.ts
+++ b/src/services/http/node/json_client.ts
@@ -3,11 +3,13 @@
  * exchange.
  */
 
-import { Pool } from "undici";
+import { Socket } from "node:net";
+import { buildConnector, Pool } from "undici";
 import type { Clock } from "../../../base/common/clock.ts";
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import type { Disposable } from "../../../base/common/lifecycle.ts";
+import { ReceiveLimit } from "./receive_limit.ts";
 import { type AsyncEither, Left, Right } from "../../../base/common/result.ts";
 
 /**
@@ -24,6 +26,8 @@
  */
 const UNUSED_POOL_TTL_MS = 30_000;
 
+/** Default limit of responses; what hosts ask endpoints and each other. */
+const DEFAULT_MAX_RESPONSE_BYTES = 1_048_576;
 /** A request with an optional JSON body. */
 export interface JsonRequest {
   readonly method: "GET" | "POST" | "DELETE";
@@ -47,11 +51,21 @@
  */
 export class JsonClient implements Disposable {
   readonly #clock: Clock;
+  readonly #maxResponseBytes: number;
+  readonly #connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   readonly #pools = new Map<Address, { pool: Pool; lastUsedMs: number }>();
 
-  /** @param clock - The clock of the time limits. */
-  constructor(clock: Clock) {
+  /**
+   * @param clock - The clock of the time limits.
+   * @param maxResponseBytes - Maximum size of a response, with its head and its
+   * framing. The connection of a larger one is closed.
+   */
+  constructor(
+    clock: Clock,
+    maxResponseBytes: number = DEFAULT_MAX_RESPONSE_BYTES,
+  ) {
     this.#clock = clock;
+    this.#maxResponseBytes = maxResponseBytes;
   }
 
   /** @returns The response, or a description of why there is none. */
@@ -110,7 +124,15 @@
     this.#closeUnusedPools();
     const pool = new Pool(`http://${address}`, {
       connections: CONNECTIONS_PER_ADDRESS,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, callback) => {
+        this.#connect(options, (error, socket) => {
+          if (socket instanceof Socket) {
+            new ReceiveLimit(socket, this.#maxResponseBytes);
+          }
+          if (socket) callback(null, socket);
+          else callback(error ?? new Error("no connection"), null);
+        });
+      },
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
+import { ReceiveLimit } from "./receive_limit.ts";
 import { isCloseDelimited } from "../common/header_list.ts";
 import { isStreamed, type StreamedBody } from "../common/request_body.ts";
 import type {
@@ -44,10 +45,19 @@
  */
 const KEEP_ALIVE_TIMEOUT_MARGIN_MS = 400;
 const TCP_KEEP_ALIVE_DELAY_MS = 1_000;
+/** Maximum size of a head with the interim responses before it, in bytes. */
+const MAX_HEAD_BYTES = 262_144;
+/**
+ * Interim responses after which a final one is no longer waited for; a server
+ * sends a few at most.
+ */
+const MAX_INTERIM_RESPONSES = 20;
 
 interface PooledConnection {
   readonly address: Address;
   readonly client: Client;
+  /** Limits the head of each response; `undefined` before it is open. */
+  receiveLimit: ReceiveLimit | undefined;
   hasSocketError: boolean;
   isOpen: boolean;
   idleSinceMs: number;
@@ -129,6 +139,7 @@
     const connection: PooledConnection = {
       address,
       client,
+      receiveLimit: undefined,
       hasSocketError: false,
       isOpen: false,
       idleSinceMs: 0,
@@ -164,6 +175,7 @@
       clearTimeout(timeout);
       socket.off("error", fail);
       connection.isOpen = true;
+      connection.receiveLimit = new ReceiveLimit(socket, MAX_HEAD_BYTES);
       callback(null, socket);
     });
   }
@@ -191,6 +203,7 @@
   readonly #releaseConnection: () => void;
   #resume: (() => void) | undefined;
   #isSent = false;
+  #interimCount = 0;
   #isSettled = false;
   /**
    * Whether the end of the response is marked only by the closing of the
@@ -247,12 +260,21 @@
 
   #onSent(): void {
     this.#isSent = true;
+    this.#limitReceivedBytes(MAX_HEAD_BYTES);
     this.#listener.onSent?.();
   }
 
   #onHead(status: number, raw: Buffer[], resume: () => void): boolean {
-    if (this.#isSettled || status < 200) return true;
+    if (this.#isSettled) return true;
+    if (status < 200) {
+      if (++this.#interimCount > MAX_INTERIM_RESPONSES) {
+        this.#fail(new Error("interim responses do not end"));
+      }
+      return true;
+    }
     this.#resume = resume;
+    // The body is bounded by its reader.
+    this.#limitReceivedBytes(Infinity);
     const headers = raw.map((part) => part.toString("latin1"));
     this.#isCloseDelimited = isCloseDelimited(
       this.#request.method,
@@ -263,6 +285,11 @@
     return true;
   }
 
+  #limitReceivedBytes(maxBytes: number): void {
+    const { receiveLimit } = this.#connection;
+    if (receiveLimit) receiveLimit.maxBytes = maxBytes;
+  }
+
   #onComplete(): void {
     if (this.#isSettled) return;
     if (this.#isCloseDelimited && this.#connection.hasSocketError) {
