Tell hosts of leaving endpoints again over each new link

Cause: a mark was sent once, to the links of that moment, and dropped by a host that had not heard of the endpoint yet. Marks are now kept, sent over each new link while their endpoint is registered, and applied when it is announced.

Evidence: leaving_marks_test.ts, two of four tests failed before (a link that comes up later, an endpoint that is learnt of later), all pass.

--- a/src/features/gateway/common/leaving_marks.ts
+++ b/src/features/gateway/common/leaving_marks.ts
@@ -3,6 +3,7 @@
  * shares the marks with the peers.
  */
 
+import { BoundedMap } from "../../../base/common/bounded_map.ts";
 import type { EndpointId } from "../../../base/common/ids.ts";
 import {
   type Disposable,
@@ -36,12 +37,20 @@
   },
 };
 
-/** Marks of one daemon. A hub passes on each mark that is new to it. */
+const MAX_MARKS = 1_000;
+
+/**
+ * Marks of one daemon. A hub passes on each mark that is new to it; all of them
+ * are sent over each new link, as their messages may have been lost with the
+ * link before.
+ */
 export class LeavingMarks implements Disposable {
   readonly #registry: EndpointRegistry;
   readonly #overlay: PeerOverlay;
   readonly #channel: PeerChannel<LeavingMessage>;
   readonly #disposables = new DisposableStore();
+  /** Marks by endpoint, also of endpoints that are not announced here yet. */
+  readonly #marks = new BoundedMap<EndpointId, LeavingMessage>(MAX_MARKS);
 
   /**
    * @param links - Links to the peers.
@@ -57,10 +66,20 @@
     this.#overlay = overlay;
     this.#channel = this.#disposables.add(links.openChannel(LEAVING_CHANNEL));
     this.#disposables.add(this.#channel.onDidReceive(({ body }) => {
-      const found = registry.get(body.endpoint);
-      if (found?.announcement.bornMs !== body.bornMs || !found.isUsable) return;
-      registry.markDraining(body.endpoint, "reported by a peer");
-      if (overlay.isHub) this.#send(body);
+      const isNew = this.#marks.get(body.endpoint)?.bornMs !== body.bornMs;
+      this.#marks.set(body.endpoint, body);
+      this.#apply(registry.get(body.endpoint));
+      if (isNew && overlay.isHub) this.#send(body);
+    }));
+    this.#disposables.add(
+      registry.onDidAdd((endpoint) => this.#apply(endpoint)),
+    );
+    this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
+      if (!isUp) return;
+      for (const mark of this.#marks.values) {
+        // Endpoints that are gone here are gone everywhere soon.
+        if (registry.get(mark.endpoint)) this.#channel.send(host, mark);
+      }
     }));
   }
 
@@ -75,8 +94,10 @@
     reason: string,
   ): void {
     if (!isUsable) return;
+    const mark = { endpoint: id, bornMs: announcement.bornMs };
+    this.#marks.set(id, mark);
     this.#registry.markDraining(id, reason);
-    this.#send({ endpoint: id, bornMs: announcement.bornMs });
+    this.#send(mark);
   }
 
   /** Stops sharing marks. */
@@ -84,6 +105,13 @@
     this.#disposables.dispose();
   }
 
+  #apply(endpoint: RegisteredEndpoint | undefined): void {
+    if (!endpoint?.isUsable) return;
+    const { bornMs, id } = endpoint.announcement;
+    if (this.#marks.get(id)?.bornMs !== bornMs) return;
+    this.#registry.markDraining(id, "reported by a peer");
+  }
+
   #send(message: LeavingMessage): void {
     const hosts = [
       ...this.#overlay.linkedHubs(),
