Tell hosts that start the configuration that a restored store no longer holds

Cause: the later version lived in the memory of the hosts that had it in force; the mirror, by which a new host is filled, holds what the store holds. A host that knows a later version than the store's now tells it over each new link, and when it learns that the store holds an earlier one. The receiver takes it for in force until the store holds a newer one. Nothing is sent while the store holds the latest version.

Evidence: 'does not bring back a key on a host that starts before the operator writes again' failed before with 200, passes with 401; the file's other six pass. Until its first link such a host still knows the earlier version only.

--- a/src/daemon/common/mirror_change_handler.ts
+++ b/src/daemon/common/mirror_change_handler.ts
@@ -3,9 +3,15 @@
  * registry and the peer topology.
  */
 
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../base/common/lifecycle.ts";
+import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
 import type { EndpointId, HostId } from "../../base/common/ids.ts";
 import { type Either, rightOf } from "../../base/common/result.ts";
 import type { EndpointAnnouncement } from "../../features/gateway/common/endpoint_announcement.ts";
+import { KeptConfiguration } from "../../features/gateway/common/kept_configuration.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
 import type { GatewayConfiguration } from "../../features/gateway/common/gateway_configuration.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
@@ -50,22 +56,42 @@
   readonly logger: Logger;
   readonly mirror: StoreMirror;
   readonly state: ConfigurationState;
+  readonly links: PeerLinks;
   readonly registry: EndpointRegistry;
   readonly peers: HostChangeListener;
   readonly decoder: StoreDocumentDecoder;
 }
 
 /** Decodes changed documents and dispatches them by key. */
-export class MirrorChangeHandler {
+export class MirrorChangeHandler implements Disposable {
   readonly #services: MirrorChangeHandlerServices;
+  readonly #kept: KeptConfiguration;
+  readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the handler. */
   constructor(services: MirrorChangeHandlerServices) {
     this.#services = services;
+    const { decoder, links, logger, mirror, state } = services;
+    this.#kept = this.#disposables.add(
+      new KeptConfiguration({
+        logger,
+        links,
+        state,
+        decodeConfiguration: (value) => decoder.decodeConfiguration(value),
+      }),
+    );
+    this.#disposables.add(
+      mirror.onDidChange((changes) => this.#apply(changes)),
+    );
+  }
+
+  /** Stops handling changes. */
+  dispose(): void {
+    this.#disposables.dispose();
   }
 
   /** Applies a batch of changes of the mirror. */
-  apply(changes: readonly MirrorChange[]): void {
+  #apply(changes: readonly MirrorChange[]): void {
     const { decoder, peers } = this.#services;
     const { configurationKey, endpointPrefix } = decoder;
     const hosts = new Map<HostId, FleetHost | undefined>();
@@ -91,7 +117,10 @@
     decoder.decodeConfiguration(item.value).caseOf({
       Left: (detail) =>
         logger.log("error", "configuration-unreadable", { revision, detail }),
-      Right: (configuration) => state.apply(configuration, revision),
+      Right: (configuration) => {
+        state.apply(configuration, revision);
+        this.#kept.recordStored(configuration.version, item.value);
+      },
     });
   }
 
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -78,7 +78,6 @@
   readonly #callers: CallerServer;
   readonly #client: UndiciPassThroughClient;
   readonly #topology: GatewayTopology;
-  readonly #changeHandler: MirrorChangeHandler;
   #activeSettings: ReloadableGatewaySettings;
   #isStopping = false;
   #wasReady = false;
@@ -137,14 +136,17 @@
     this.#disposables.add(
       new MirrorSync(clock, logger, this.#links, this.#mirror, this.#topology),
     );
-    this.#changeHandler = new MirrorChangeHandler({
-      logger,
-      mirror: this.#mirror,
-      state: this.#state,
-      registry: this.#registry,
-      peers: this.#topology,
-      decoder: adapter,
-    });
+    this.#disposables.add(
+      new MirrorChangeHandler({
+        logger,
+        mirror: this.#mirror,
+        state: this.#state,
+        links: this.#links,
+        registry: this.#registry,
+        peers: this.#topology,
+        decoder: adapter,
+      }),
+    );
     this.#storeWatcher = this.#disposables.add(
       new StoreWatcher({
         clock,
@@ -357,9 +359,6 @@
 
   async #listen(): Promise<void> {
     const settings = this.#settings;
-    this.#disposables.add(
-      this.#mirror.onDidChange((changes) => this.#changeHandler.apply(changes)),
-    );
     this.#disposables.add(this.#state.onDidChange(({ configuration }) => {
       this.#callers.setLimits(configuration.limits);
     }));
--- a/src/features/gateway/common/configuration_state.ts
+++ b/src/features/gateway/common/configuration_state.ts
@@ -64,6 +64,24 @@
       this.#logger.log("warn", "configuration-older", { version, revision });
       return;
     }
+    this.#activate(configuration, revision);
+  }
+
+  /**
+   * Activates a configuration that the store no longer holds, unless it is
+   * older than the active one.
+   *
+   * @param configuration - The configuration, from a peer that had it in force.
+   */
+  adopt(configuration: GatewayConfiguration): void {
+    const { version } = configuration;
+    const current = this.#current;
+    if (current && version <= current.configuration.version) return;
+    // Whatever the store holds next is newer.
+    this.#activate(configuration, current?.revision ?? -Infinity);
+  }
+
+  #activate(configuration: GatewayConfiguration, revision: number): void {
     const routes = new RouteTable(configuration.routes);
     this.#current = { configuration, routes, revision };
     this.#logger.log("info", "configuration-in-force", {
