Name the limits of endpoints apart from those of admission; true hints after a denial

Two classes were called GatewayLimits. A request that was denied a right and then found no room elsewhere was told the time of the right; it is now told that time only while nothing may be sent to any endpoint.

--- a/src/daemon/common/gateway_limits.ts
+++ b/src/daemon/common/gateway_endpoint_limits.ts
@@ -15,20 +15,20 @@
 } from "../../features/gateway/common/limit_rights.ts";
 import { LimitTable } from "../../features/gateway/common/limit_table.ts";
 
-/** Dependencies of {@link GatewayLimits}. */
-export interface GatewayLimitsServices
+/** Dependencies of {@link GatewayEndpointLimits}. */
+export interface GatewayEndpointLimitsServices
   extends Omit<LimitRightsServices, "table"> {
   readonly registry: EndpointRegistry;
 }
 
 /** Limits of endpoints on one gateway daemon. */
-export class GatewayLimits implements Disposable {
+export class GatewayEndpointLimits implements Disposable {
   readonly rights: LimitRights;
   readonly endpoints: EndpointLimits;
   readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the parts. */
-  constructor(services: GatewayLimitsServices) {
+  constructor(services: GatewayEndpointLimitsServices) {
     const { clock, registry } = services;
     const table = new LimitTable(clock);
     this.rights = this.#disposables.add(
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -12,7 +12,7 @@
 import { DisposableStore } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import { admissionLimits, retryLimits } from "../common/settings_limits.ts";
-import { GatewayLimits } from "../common/gateway_limits.ts";
+import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
 import { MirrorChangeHandler } from "../common/mirror_change_handler.ts";
 import type {
@@ -73,7 +73,7 @@
   readonly #hostLease: HostLease;
   readonly #placer: ZonePlacer;
   readonly #quarantine: GatewayQuarantine;
-  readonly #limits: GatewayLimits;
+  readonly #limits: GatewayEndpointLimits;
   readonly #gateway: Gateway;
   readonly #callers: CallerServer;
   readonly #client: UndiciPassThroughClient;
@@ -201,7 +201,7 @@
       new LeavingMarks(this.#links, this.#topology, this.#registry),
     );
     this.#limits = this.#disposables.add(
-      new GatewayLimits({
+      new GatewayEndpointLimits({
         self: host,
         clock,
         logger,
--- a/src/features/gateway/common/request_rights.ts
+++ b/src/features/gateway/common/request_rights.ts
@@ -43,7 +43,9 @@
    * sent to any endpoint now.
    */
   get retryAfterMs(): number | undefined {
-    return this.#deniedRetryAfterMs ?? this.withheldForMs;
+    const { withheldForMs } = this;
+    if (withheldForMs === undefined) return undefined;
+    return Math.max(withheldForMs, this.#deniedRetryAfterMs ?? 0);
   }
 
   /**
