Send a continuation only if none has taken over while it waited for its right

Read off the diff, not seen: where a run's backup and its copy were both on engines with a limit, two continuations could wait for a right, and the second was sent after the first had taken over. The wait now remembers the run that it continues. The new test plays a continuation at an engine with a limit; it passed before too.

--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -333,10 +333,13 @@
       return;
     }
     this.#isAwaitingRight = true;
+    const source = this.#attempt;
     void this.#context.rights.take(endpoint, MAX_CONTINUATION_WAIT_MS).then(
       (isGranted) => {
         this.#isAwaitingRight = false;
-        if (this.#context.hasEnded) return;
+        // Another continuation may have taken over in the meantime.
+        const isStale = this.#attempt !== source || this.#handover.isPending;
+        if (this.#context.hasEnded || isStale) return;
         if (isGranted && endpoint.isUsable) {
           this.#sendContinuation(endpoint, copyRef, cause);
         } else this.#onRightDenied(cause);
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -85,6 +85,31 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("goes on once at an engine with a limit, as soon as a right is free", async () => {
+    const { exchange, transfer, source } = await startDraft();
+    await harness.advance(800);
+    for (const { announcement } of harness.registry.all) {
+      harness.limitTable.observe(
+        { endpoint: announcement.id, bornMs: announcement.bornMs },
+        { kind: "named", requestsPerS: 1 },
+        harness.clock.monotonicMs(),
+      );
+    }
+    harness.registry.markDraining(source.id, "draining");
+    transfer.breakConnection();
+    await harness.advance(2_000);
+    expect(harness.endpoints.transfers).toHaveLength(2);
+    harness.endpoints.last.head(200).event(3).event(4).finish();
+    await flushPromises();
+    expect(exchange.responseText.match(/id: \d/g)).toEqual([
+      "id: 1",
+      "id: 2",
+      "id: 3",
+      "id: 4",
+    ]);
+    expect(exchange.outcome).toBe("answered");
+  });
+
   it("keeps a run whose continuation is refused and copies it to another engine", async () => {
     const { exchange, transfer, next } = await leaveWithBackup();
     next.respond(503, "", NOT_RUN_HEADERS);
