Close the connections to a server whose interim answers do not end

Cause: the client of the store closed such a connection only at 16 MB, which is 370,000 interim answers of 45 bytes for the parser, so that each call ran into its own time limit. It now closes all connections to that address at 20 interim answers; aborting the request alone left the connection open.

--- a/src/services/http/node/json_client.ts
+++ b/src/services/http/node/json_client.ts
@@ -28,6 +28,12 @@
 
 /** Default limit of responses; what hosts ask endpoints and each other. */
 const DEFAULT_MAX_RESPONSE_BYTES = 1_048_576;
+/**
+ * Interim responses after which the connections of a server are closed; a
+ * server sends a few at most.
+ */
+const MAX_INTERIM_RESPONSES = 20;
+
 /** A request with an optional JSON body. */
 export interface JsonRequest {
   readonly method: "GET" | "POST" | "DELETE";
@@ -74,6 +80,7 @@
     call: JsonRequest,
   ): AsyncEither<string, JsonResponse> {
     const abortController = new AbortController();
+    let interimCount = 0;
     const timer = this.#clock.setTimer(call.timeoutMs, () => {
       abortController.abort(new Error(`no answer within ${call.timeoutMs} ms`));
     });
@@ -87,6 +94,10 @@
             : { "content-type": "application/json" },
           body: call.body === undefined ? null : JSON.stringify(call.body),
           signal: abortController.signal,
+          onInfo: () => {
+            // An aborted request would leave its connection open.
+            if (++interimCount > MAX_INTERIM_RESPONSES) this.closePool(address);
+          },
         },
       );
       const text = await body.text();
