--- a/soak/limit_rules.ts
+++ b/soak/limit_rules.ts
@@ -4,7 +4,7 @@
 
 /** Time in milliseconds after the first naming from which the limit binds. */
 const CONTACT_MS = 3_000;
-/** Time in milliseconds after which a daemon counts as told. */
+/** Time in milliseconds from an answer until it binds its daemon. */
 const TOLD_MS = 500;
 const WINDOW_MS = 4_000;
 const ALLOWED_SHARE = 1.5;
--- a/standins/peers/limit_rights_test.ts
+++ b/standins/peers/limit_rights_test.ts
@@ -41,7 +41,7 @@
     daemon.limitTable.observe(PROCESS, { kind: "named", requestsPerS }, nowMs);
   }
 
-  /** Has hosts ask for rights 25 times a second, with or without patience. */
+  /** Has hosts ask for rights 25 times a second, half of them with a wait. */
   async function demandFor(
     durationMs: number,
     daemons = () => [...fleet.daemons.values()],
