Split crash reports, record synchronization and record archive from suspect requests

No change of behavior. Suspect records of requests were the only kind of record that daemons share and store; parts of prompts need the same. The merge and the counting of crashes move to endpoint_crash.ts, what SuspectSync and SuspectArchive did to record_sync.ts and record_archive.ts. Tests of quarantine, peers and mirror pass (69).

--- a/src/base/common/event.ts
+++ b/src/base/common/event.ts
@@ -37,3 +37,15 @@
     this.#listeners.clear();
   }
 }
+
+/**
+ * @param source - An event.
+ * @param toValue - Converts the value of the event.
+ * @returns An event that fires with the converted values.
+ */
+export function mapEvent<T, U>(
+  source: Event<T>,
+  toValue: (value: T) => U,
+): Event<U> {
+  return (listener) => source((value) => listener(toValue(value)));
+}
--- a/src/daemon/common/gateway_quarantine.ts
+++ b/src/daemon/common/gateway_quarantine.ts
@@ -15,10 +15,8 @@
 } from "../../features/gateway/common/crash_monitor.ts";
 import { QUARANTINE_CHANNEL } from "../../features/quarantine/common/quarantine_messages.ts";
 import { SuspectArchive } from "../../features/quarantine/common/suspect_archive.ts";
-import {
-  type SuspectRelay,
-  SuspectSync,
-} from "../../features/quarantine/common/suspect_sync.ts";
+import type { RecordRelay } from "../../features/quarantine/common/record_sync.ts";
+import { SuspectSync } from "../../features/quarantine/common/suspect_sync.ts";
 import { SuspectTable } from "../../features/quarantine/common/suspect_table.ts";
 import type { LeaseStore } from "../../services/mirror/common/revisioned_store.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
@@ -29,7 +27,7 @@
 export interface GatewayQuarantineServices
   extends Omit<CrashMonitorServices, "suspects"> {
   readonly links: PeerLinks;
-  readonly overlay: PeerOverlay & SuspectRelay;
+  readonly overlay: PeerOverlay & RecordRelay;
   readonly hasher: Hasher;
   readonly store: LeaseStore;
   readonly mirror: StoreMirror;
--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -26,7 +26,7 @@
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 import { PEER_DISCOVERY_PATH } from "../../services/peers/node/ws_peer_links.ts";
 import type { FleetReach } from "../../features/gateway/common/limit_rights.ts";
-import type { SuspectRelay } from "../../features/quarantine/common/suspect_sync.ts";
+import type { RecordRelay } from "../../features/quarantine/common/record_sync.ts";
 import type { MirrorTopology } from "../../services/mirror/common/mirror_sync.ts";
 import type { HostChangeListener } from "../common/mirror_change_handler.ts";
 
@@ -65,7 +65,7 @@
     MirrorTopology,
     PeerOverlay,
     FleetReach,
-    SuspectRelay,
+    RecordRelay,
     Disposable {
   readonly #services: GatewayTopologyServices;
   readonly #planner: LinkPlanner;
@@ -204,7 +204,7 @@
     return this.isRelay() ? this.#connectedZonePeers() : [];
   }
 
-  /** {@inheritDoc SuspectRelay.targets} */
+  /** {@inheritDoc RecordRelay.targets} */
   targets(isLocal: boolean): readonly HostId[] {
     if (this.isHub) return [...this.linkedHubs(), ...this.linkedLeaves()];
     return isLocal ? this.linkedHubs() : [];
--- a/src/features/gateway/common/crash_monitor.ts
+++ b/src/features/gateway/common/crash_monitor.ts
@@ -12,8 +12,8 @@
   DisposableStore,
 } from "../../../base/common/lifecycle.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
+import type { CrashEvidence } from "../../quarantine/common/endpoint_crash.ts";
 import type {
-  CrashEvidence,
   QuarantinedRequest,
   SuspectChange,
   SuspectTable,
--- a/src/features/quarantine/common/quarantine_messages.ts
+++ b/src/features/quarantine/common/quarantine_messages.ts
@@ -12,7 +12,7 @@
 } from "../../../base/common/ids.ts";
 import { attempt } from "../../../base/common/result.ts";
 import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
-import { CRASH_EVIDENCE, MAX_CRASHES_PER_RECORD } from "./suspect_table.ts";
+import { CRASH_EVIDENCE, MAX_CRASHES_PER_RECORD } from "./endpoint_crash.ts";
 
 const MAX_NAME_CHARACTERS = 500;
 const MAX_WORKSPACES = 100;
--- a/src/features/quarantine/common/suspect_table.ts
+++ b/src/features/quarantine/common/suspect_table.ts
@@ -5,36 +5,19 @@
 
 import type { Clock } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
-import type { HostId, WorkspaceId } from "../../../base/common/ids.ts";
-
-/**
- * What is known of a crash. A suspected one has not been observed directly; it
- * is refuted when the same process answers later, and confirmed when another
- * process has taken its place.
- */
-export type CrashEvidence = "suspected" | "refuted" | "confirmed";
-
-/** Evidence in ascending order of precedence. */
-export const CRASH_EVIDENCE = ["suspected", "refuted", "confirmed"] as const;
-
-/** Unexpected termination of an endpoint. */
-export interface EndpointCrash {
-  /** Identifier of the endpoint, including its service. */
-  readonly endpoint: string;
-  /** Wall-clock time of the crash in milliseconds. */
-  readonly atMs: number;
-  /**
-   * Wall-clock time in milliseconds at which the request was sent to the
-   * endpoint; the time of the crash if it is not known.
-   */
-  readonly startedMs?: number | undefined;
-  /** Other workspaces with requests running on the endpoint at that time. */
-  readonly otherWorkspaces: readonly WorkspaceId[];
-  /** Confirmed if absent. */
-  readonly evidence?: CrashEvidence | undefined;
-  /** Host that observed the crash, if it is known. */
-  readonly host?: HostId | undefined;
-}
+import type { WorkspaceId } from "../../../base/common/ids.ts";
+import {
+  areSameCrashes,
+  countedCrashes,
+  countedDurationMs,
+  countSuccessive,
+  type CrashEvidence,
+  type EndpointCrash,
+  evidenceOf,
+  mergeCrashes,
+  QUARANTINE_DURATION_MS,
+  SAME_CRASH_WINDOW_MS,
+} from "./endpoint_crash.ts";
 
 /**
  * Crashes associated with one request. Records of different daemons can be
@@ -67,24 +50,12 @@
   readonly transition: "none" | "quarantined" | "released";
 }
 
-/** Time for which a crash is counted and for which a request is quarantined. */
-export const QUARANTINE_DURATION_MS = 600_000;
-/** Time for which a suspected crash is counted if nothing confirms it. */
-export const SUSPECTED_CRASH_DURATION_MS = 120_000;
-/** Maximum number of crashes kept per record. */
-export const MAX_CRASHES_PER_RECORD = 8;
-
 const CRASHES_TO_QUARANTINE = 2;
 /**
  * Applies if the same other workspace had requests running at every crash and
  * may therefore be the cause.
  */
 const AMBIGUOUS_CRASHES_TO_QUARANTINE = 3;
-/**
- * Crashes of one endpoint reported within this time are treated as the same
- * crash.
- */
-const SAME_CRASH_WINDOW_MS = 10_000;
 /**
  * Number of crashes that must have begun after the previous one had happened.
  * Endpoints that fail together would otherwise accuse every request that runs
@@ -402,20 +373,10 @@
     return lastMs + QUARANTINE_DURATION_MS > this.#clock.nowMs();
   }
 
-  /**
-   * Returns the distinct crashes that are still counted, in chronological
-   * order.
-   */
   #crashesOf(record: SuspectRecord | undefined): EndpointCrash[] {
-    const nowMs = this.#clock.nowMs();
-    const distinct: EndpointCrash[] = [];
-    for (const crash of record?.deaths ?? []) {
-      const { atMs } = crash;
-      const countedForMs = countedDurationMs(crash);
-      if (atMs + countedForMs <= nowMs || atMs <= record!.clearedMs) continue;
-      if (!isReportedIn(distinct, crash)) distinct.push(crash);
-    }
-    return distinct;
+    if (!record) return [];
+    const { clearedMs, deaths } = record;
+    return countedCrashes(deaths, this.#clock.nowMs(), clearedMs);
   }
 
   #quarantineEndMs(record: SuspectRecord | undefined): number | undefined {
@@ -436,92 +397,18 @@
   return `${workspace} ${fingerprint}`;
 }
 
-function evidenceOf({ evidence }: EndpointCrash): CrashEvidence {
-  return evidence ?? "confirmed";
-}
-
-/** Returns the time in milliseconds for which a crash is counted. */
-function countedDurationMs(crash: EndpointCrash): number {
-  switch (evidenceOf(crash)) {
-    case "suspected":
-      return SUSPECTED_CRASH_DURATION_MS;
-    case "refuted":
-      return 0;
-    case "confirmed":
-      return QUARANTINE_DURATION_MS;
-  }
-}
-
-/**
- * Returns the length of a chain of crashes in which each run was started after
- * the crash before.
- */
-function countSuccessive(crashes: readonly EndpointCrash[]): number {
-  let count = 0;
-  let lastMs = -Infinity;
-  for (const { atMs, startedMs } of crashes) {
-    if ((startedMs ?? atMs) <= lastMs) continue;
-    count++;
-    lastMs = atMs;
-  }
-  return count;
-}
-
 function isSameRecord(left: SuspectRecord, right: SuspectRecord): boolean {
   return left.clearedMs === right.clearedMs &&
-    left.deaths.length === right.deaths.length &&
-    left.deaths.every((crash, index) => {
-      const other = right.deaths[index]!;
-      return crash.endpoint === other.endpoint && crash.atMs === other.atMs &&
-        evidenceOf(crash) === evidenceOf(other);
-    });
-}
-
-/** Returns the report of a crash whose evidence takes precedence. */
-function strongerOf(left: EndpointCrash, right: EndpointCrash): EndpointCrash {
-  const rankOf = (crash: EndpointCrash): number =>
-    CRASH_EVIDENCE.indexOf(evidenceOf(crash));
-  return rankOf(right) > rankOf(left) ? right : left;
+    areSameCrashes(left.deaths, right.deaths);
 }
 
 function mergeRecords(
   left: SuspectRecord,
   right: SuspectRecord,
 ): SuspectRecord {
-  const crashes = new Map<string, EndpointCrash>();
-  for (const crash of [...left.deaths, ...right.deaths]) {
-    const key = `${crash.endpoint}|${crash.atMs}`;
-    const known = crashes.get(key);
-    crashes.set(key, known ? strongerOf(known, crash) : crash);
-  }
-  const chronological = [...crashes.values()].sort((a, b) => a.atMs - b.atMs);
-  const deaths = chronological.length > MAX_CRASHES_PER_RECORD
-    ? withoutRepeatedReports(chronological)
-    : chronological;
   return {
     ...left,
-    deaths: deaths.slice(-MAX_CRASHES_PER_RECORD),
+    deaths: mergeCrashes(left.deaths, right.deaths),
     clearedMs: Math.max(left.clearedMs, right.clearedMs),
   };
 }
-
-/** Returns the first report of each crash. */
-function withoutRepeatedReports(
-  chronological: readonly EndpointCrash[],
-): EndpointCrash[] {
-  const distinct: EndpointCrash[] = [];
-  for (const crash of chronological) {
-    if (!isReportedIn(distinct, crash)) distinct.push(crash);
-  }
-  return distinct;
-}
-
-/** Returns whether earlier reports include the same crash. */
-function isReportedIn(
-  earlier: readonly EndpointCrash[],
-  { endpoint, atMs }: EndpointCrash,
-): boolean {
-  return earlier.some((other) =>
-    other.endpoint === endpoint && atMs - other.atMs < SAME_CRASH_WINDOW_MS
-  );
-}
