Read the software version of endpoints

The entry of an endpoint states the version of its software; it was dropped while decoding. Two entries under one id that differ in it are two processes. Nothing else uses it yet.

--- a/src/features/gateway/common/endpoint_announcement.ts
+++ b/src/features/gateway/common/endpoint_announcement.ts
@@ -16,6 +16,8 @@
   readonly service: ServiceId;
   readonly address: Address;
   readonly zone: ZoneName;
+  /** Version of the endpoint's software, if it states one. */
+  readonly softwareVersion?: string | undefined;
   readonly slots: number;
   /**
    * Wall-clock start time of the process; distinguishes processes with the same
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -235,7 +235,8 @@
   }
 
   #add(announcement: EndpointAnnouncement): RegisteredEndpoint {
-    const { address, bornMs, id, service, zone } = announcement;
+    const { address, bornMs, id, service, softwareVersion, zone } =
+      announcement;
     const nowMs = this.#clock.monotonicMs();
     const endpoint = new RegisteredEndpoint(announcement, nowMs);
     this.#endpoints.set(id, endpoint);
@@ -244,6 +245,7 @@
       service,
       address,
       zone,
+      softwareVersion,
       bornMs,
     });
     this.#added.fire(endpoint);
@@ -272,5 +274,6 @@
   right: EndpointAnnouncement,
 ): boolean {
   return left.bornMs === right.bornMs && left.address === right.address &&
-    left.service === right.service;
+    left.service === right.service &&
+    left.softwareVersion === right.softwareVersion;
 }
--- a/src/features/gateway/common/endpoint_registry_test.ts
+++ b/src/features/gateway/common/endpoint_registry_test.ts
@@ -42,6 +42,13 @@
     registry.announce(announcement());
   });
 
+  it("takes an endpoint that returns with another software version for a new process", () => {
+    const before = registry.get(ID)!;
+    registry.announce(announcement({ softwareVersion: "v2" }));
+    expect(before.isPresent).toBe(false);
+    expect(registry.get(ID)!.announcement.softwareVersion).toBe("v2");
+  });
+
   it("stops using a draining endpoint and notifies listeners once", () => {
     registry.announce(announcement({ isDraining: true }));
     registry.announce(announcement({ isDraining: true }));
