Refuse prompts with a part that crashes the endpoints that write on it

Callers saw generations cut off again and again, endpoint after endpoint: one part of a prompt, never the last, crashes each endpoint that begins to write on it. No two requests with it are alike, and the quarantine compares whole requests.

Parts that were in requests without an answer at a crash are recorded on all hosts. The part that explains the most crashes, three at least, is refused, then what explains the rest; one on which an endpoint has written and lived is sound for that software version and never accused. After ten minutes, or when no endpoint of a version that crashed is left, one request at a time probes it. Records are shared and stored like those of requests.

--- a/src/cli/node/commands/quarantine.ts
+++ b/src/cli/node/commands/quarantine.ts
@@ -37,10 +37,20 @@
   readonly endpoints: readonly string[];
 }
 
-/** Quarantined requests as reported by a daemon. */
+/** Parts of prompts that a daemon refuses. */
+interface ReportedParts {
+  readonly service: string;
+  readonly parts: readonly string[];
+  readonly untilMs: number;
+  readonly sinceMs: number;
+  readonly endpoints: readonly string[];
+}
+
+/** Quarantined requests and parts of prompts as reported by a daemon. */
 interface QuarantineResponse {
   readonly host: string;
   readonly requests: readonly ReportedRequest[];
+  readonly promptParts?: readonly ReportedParts[];
 }
 
 /** A quarantined request as all daemons reported it. */
@@ -86,10 +96,10 @@
     context,
     "/quarantine",
   );
-  const requests = mergeReports(
-    answers.flatMap(({ result }) => rightOf(result) ?? []),
-  );
-  const rows = requests.map((
+  const responses = answers.flatMap(({ result }) => rightOf(result) ?? []);
+  const requests = mergeReports(responses);
+  const promptParts = mergeReports(responses.map(toPartRequests));
+  const rows = [...requests, ...promptParts].map((
     { fingerprint, workspace, untilMs, endpoints, hosts },
   ) => [
     fingerprint,
@@ -103,11 +113,23 @@
   const text = rows.length === 0
     ? "no requests are quarantined"
     : formatTable([COLUMN_HEADERS, ...rows]).join("\n");
-  printResult(context, { requests }, text);
+  printResult(context, { requests, promptParts }, text);
   const areAllReachable = reportFailedDaemons(context, answers);
   return areAllReachable ? EXIT_CODES.ok : EXIT_CODES.unreachable;
 }
 
+/** Lists parts of prompts like requests: by the parts and their service. */
+function toPartRequests(
+  { host, promptParts = [] }: QuarantineResponse,
+): QuarantineResponse {
+  const requests = promptParts.map(({ parts, service, ...part }) => ({
+    ...part,
+    fingerprint: `prompt part ${parts.join(" + ")}`,
+    workspace: service,
+  }));
+  return { host, requests };
+}
+
 /** Joins the reports of one request; the hosts may differ in what they know. */
 function mergeReports(
   responses: readonly QuarantineResponse[],
--- a/src/daemon/common/gateway_quarantine.ts
+++ b/src/daemon/common/gateway_quarantine.ts
@@ -1,6 +1,6 @@
 /**
- * Composes the quarantine of a gateway daemon: the records of requests that
- * crash endpoints, their exchange with the peers and the store, and the monitor
+ * Composes the quarantine of a gateway daemon: the records of requests and of
+ * parts of prompts that crash endpoints, their exchange with the peers and the store, and the monitor
  * that makes them.
  */
 
@@ -13,6 +13,12 @@
   CrashMonitor,
   type CrashMonitorServices,
 } from "../../features/gateway/common/crash_monitor.ts";
+import { PromptPartMonitor } from "../../features/gateway/common/prompt_part_monitor.ts";
+import {
+  createPromptPartArchive,
+  PromptPartSync,
+} from "../../features/quarantine/common/prompt_part_sync.ts";
+import { PromptPartTable } from "../../features/quarantine/common/prompt_part_table.ts";
 import { QUARANTINE_CHANNEL } from "../../features/quarantine/common/quarantine_messages.ts";
 import { SuspectArchive } from "../../features/quarantine/common/suspect_archive.ts";
 import type { RecordRelay } from "../../features/quarantine/common/record_sync.ts";
@@ -25,7 +31,7 @@
 
 /** Dependencies of a {@link GatewayQuarantine}. */
 export interface GatewayQuarantineServices
-  extends Omit<CrashMonitorServices, "suspects"> {
+  extends Omit<CrashMonitorServices, "suspects" | "prompts"> {
   readonly links: PeerLinks;
   readonly overlay: PeerOverlay & RecordRelay;
   readonly hasher: Hasher;
@@ -49,8 +55,18 @@
       new SuspectSync({ clock, links, channel, table, relay: overlay }),
     );
     this.#disposables.add(new SuspectArchive({ ...services, table }));
+    const parts = new PromptPartTable(clock);
+    this.#disposables.add(
+      new PromptPartSync({ clock, links, relay: overlay, table: parts }),
+    );
+    this.#disposables.add(
+      createPromptPartArchive({ ...services, table: parts }),
+    );
+    const prompts = this.#disposables.add(
+      new PromptPartMonitor({ ...services, parts }),
+    );
     this.monitor = this.#disposables.add(
-      new CrashMonitor({ ...services, suspects: table }),
+      new CrashMonitor({ ...services, suspects: table, prompts }),
     );
   }
 
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -79,8 +79,11 @@
     }
     if (path === "/quarantine") {
       const { host } = this.#services.daemonState();
-      const requests = this.#services.crashMonitor.list();
-      return { status: HTTP_OK, text: JSON.stringify({ host, requests }) };
+      const { crashMonitor } = this.#services;
+      const requests = crashMonitor.list();
+      const promptParts = crashMonitor.prompts.list();
+      const text = JSON.stringify({ host, requests, promptParts });
+      return { status: HTTP_OK, text };
     }
     if (path === "/limits") {
       const { host } = this.#services.daemonState();
--- a/src/features/gateway/common/crash_monitor.ts
+++ b/src/features/gateway/common/crash_monitor.ts
@@ -24,12 +24,18 @@
 } from "./endpoint_registry.ts";
 import type { EngineControl } from "./engine_control.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type {
+  MonitoredPrompt,
+  PromptPartMonitor,
+} from "./prompt_part_monitor.ts";
 
 /** Identifies a request by its caller's workspace and its content. */
 export interface RequestContent {
   readonly workspace: WorkspaceId | undefined;
   /** Hash of the content; computed only when it is read. */
   readonly fingerprint: string;
+  /** Parts of the prompt that other requests may share. */
+  readonly promptParts: readonly string[];
 }
 
 /** Dependencies of a {@link CrashMonitor}. */
@@ -41,14 +47,19 @@
   readonly registry: EndpointRegistry;
   readonly control: EngineControl;
   readonly suspects: SuspectTable;
+  readonly prompts: PromptPartMonitor;
 }
 
 /** Follows one run of a request on one endpoint. */
 export interface MonitoredRun {
   /** The request is about to be written to the endpoint. */
   onSent(): void;
-  /** The endpoint has begun to answer this request. */
-  onAnswered(): void;
+  /**
+   * The endpoint has begun to answer this request.
+   *
+   * @param isSuccess - Whether it runs the request.
+   */
+  onAnswered(isSuccess: boolean): void;
   /** A part of the answer has arrived. */
   onData(): void;
   /** The endpoint has run the request to its end. */
@@ -85,6 +96,7 @@
 /** A run on an endpoint. */
 interface Run {
   readonly content: RequestContent;
+  readonly prompt: MonitoredPrompt;
   /** Monotonic time in milliseconds. */
   sentMs: number;
   /** Wall-clock time in milliseconds. */
@@ -95,6 +107,8 @@
 interface LostRun {
   readonly workspace: WorkspaceId;
   readonly fingerprint: string;
+  /** Parts of the prompt that may have caused the loss. */
+  readonly promptParts: readonly string[];
   /** Wall-clock time of the start in milliseconds. */
   readonly startedMs: number;
   /** Monotonic time of the loss in milliseconds. */
@@ -141,6 +155,11 @@
     );
   }
 
+  /** Monitor of the parts of prompts. */
+  get prompts(): PromptPartMonitor {
+    return this.#services.prompts;
+  }
+
   /** @returns The quarantine of a request, or `undefined` if it may run. */
   quarantineOf(content: RequestContent): QuarantinedRequest | undefined {
     const { suspects } = this.#services;
@@ -160,20 +179,26 @@
   ): MonitoredRun {
     const state = this.#stateOf(endpoint);
     const { clock } = this.#services;
-    const run: Run = { content, sentMs: 0, startedMs: 0 };
+    const prompt = this.#services.prompts.watch(content.promptParts, endpoint);
+    const run: Run = { content, prompt, sentMs: 0, startedMs: 0 };
     return {
       onSent: () => {
         run.sentMs = clock.monotonicMs();
         run.startedMs = clock.nowMs();
         state.running.add(run);
       },
-      onAnswered: () => {
+      onAnswered: (isSuccess) => {
         this.#recordHeard(state);
         this.#recordAnswer(endpoint, run.sentMs);
+        if (isSuccess) prompt.onAnswered();
+      },
+      onData: () => {
+        this.#recordHeard(state);
+        prompt.onData();
       },
-      onData: () => this.#recordHeard(state),
       onCompleted: () => {
         state.running.delete(run);
+        prompt.onCompleted();
         this.#clear(content);
       },
       onLost: () =>
@@ -237,6 +262,7 @@
     const lost: LostRun = {
       workspace: workspaceOf(run.content),
       fingerprint: run.content.fingerprint,
+      promptParts: run.prompt.isSound ? [] : run.content.promptParts,
       startedMs: run.startedMs,
       lostMs: nowMs,
       atMs,
@@ -276,10 +302,11 @@
 
   #recordCrash(
     endpoint: RegisteredEndpoint,
-    { atMs, fingerprint, otherWorkspaces, startedMs, workspace }: LostRun,
+    lost: LostRun,
     evidence: CrashEvidence,
   ): void {
-    const { host, logger, metrics, suspects } = this.#services;
+    const { host, logger, metrics, prompts, suspects } = this.#services;
+    const { atMs, fingerprint, otherWorkspaces, startedMs, workspace } = lost;
     metrics.count("crashes_recorded", evidence);
     logger.log("warn", "endpoint-crash-recorded", {
       endpoint: endpoint.id,
@@ -289,14 +316,18 @@
       evidence,
       others: otherWorkspaces.length,
     });
-    suspects.recordCrash(workspace, fingerprint, {
+    const crash = {
       endpoint: processKey(endpoint),
       atMs,
       startedMs,
-      otherWorkspaces,
       evidence,
+    };
+    suspects.recordCrash(workspace, fingerprint, {
+      ...crash,
+      otherWorkspaces,
       host,
     });
+    prompts.recordCrash(endpoint, lost.promptParts, crash);
   }
 
   /**
@@ -309,10 +340,11 @@
     const sinceMs = this.#suspectedSinceMs.get(key);
     if (sinceMs === undefined || sentMs <= sinceMs) return;
     this.#suspectedSinceMs.delete(key);
-    const { logger, metrics, suspects } = this.#services;
+    const { logger, metrics, prompts, suspects } = this.#services;
     metrics.count("crashes_refuted");
     logger.log("info", "endpoint-crash-refuted", { endpoint: endpoint.id });
     suspects.refute(key);
+    prompts.refute(key);
   }
 
   #onChange({ record, transition }: SuspectChange): void {
@@ -363,9 +395,11 @@
   }
 
   #onReplaced(endpoint: RegisteredEndpoint): void {
-    const { clock, suspects } = this.#services;
+    const { clock, prompts, suspects } = this.#services;
     const nowMs = clock.monotonicMs();
-    suspects.confirm(processKey(endpoint), clock.nowMs() - RESTART_WINDOW_MS);
+    const sinceMs = clock.nowMs() - RESTART_WINDOW_MS;
+    suspects.confirm(processKey(endpoint), sinceMs);
+    prompts.confirm(processKey(endpoint), sinceMs);
     for (const lost of this.#stateOf(endpoint).lost) {
       if (nowMs - lost.lostMs >= RESTART_WINDOW_MS) continue;
       this.#recordCrash(endpoint, lost, "confirmed");
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -238,7 +238,7 @@
       deadlineMs: exchange.receivedMs + Math.min(timeoutMs, route.timeoutMs),
     };
     const context = new RequestContext(this.#services, request);
-    if (context.refuseIfQuarantined(false)) return;
+    if (context.quarantine.refuse(false)) return;
     switch (route.kind.kind) {
       case "generation":
         new GenerationForwarder(context).start();
--- a/src/features/gateway/common/gateway_codec.ts
+++ b/src/features/gateway/common/gateway_codec.ts
@@ -34,6 +34,11 @@
   readonly timeoutMs: number | undefined;
   readonly apiKey: string | undefined;
   readonly prompt: PromptSize | undefined;
+  /**
+   * Identifiers of the parts of the prompt that other requests may share, in
+   * order.
+   */
+  readonly promptParts: readonly string[];
   /** Id of the event after which the stream is to be resumed. */
   readonly resumeAfterEventId: string | undefined;
 }
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -31,6 +31,7 @@
   | "crashes_refuted"
   | "requests_quarantined"
   | "requests_refused_as_crashing"
+  | "prompt_parts_quarantined"
   | "log_lines_dropped";
 
 /** Collects the request metrics of one daemon. */
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -134,7 +134,7 @@
 
   #onPlaced({ endpoint, grant }: EndpointChoice): void {
     // Other runs may have crashed their endpoints while this one waited.
-    if (this.#context.refuseIfQuarantined(this.#mayHaveRun)) return;
+    if (this.#context.quarantine.refuse(this.#mayHaveRun)) return;
     const afterEventId = this.#stream.lastEventId;
     const continuation = afterEventId && { copyRef: undefined, afterEventId };
     this.#startAttempt(endpoint, continuation || undefined, grant);
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -52,6 +52,7 @@
 import type { LoadTable } from "./load_table.ts";
 import type { GenerationPlacer } from "./placement_queue.ts";
 import { contentOf } from "./request_content.ts";
+import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
 import type { RunMigrator } from "./run_migrator.ts";
 
@@ -109,6 +110,9 @@
  */
 const FULL_RETRY_AFTER_MS = 400;
 
+/** Longer identifiers of parts are replaced by their hash. */
+const MAX_PART_CHARACTERS = 64;
+
 /** State of one request, shared by the two kinds of forwarders. */
 export class RequestContext implements RequestContent {
   readonly services: GatewayServices;
@@ -117,12 +121,15 @@
   readonly excludedEndpoints = new Set<EndpointId>();
   /** Rights to send the request where endpoints name a limit. */
   readonly rights: RequestRights;
+  /** Refuses the request if it crashes the endpoints that run it. */
+  readonly quarantine: RequestQuarantine;
   /** Disposed of when the request ends. */
   readonly disposables = new DisposableStore();
   /** Number of times that the request was written to an endpoint. */
   sentCount = 0;
   #hasEnded = false;
   #fingerprint: string | undefined;
+  #promptParts: readonly string[] | undefined;
   #crashCheck: Promise<void> | undefined;
   #firstByteMs: number | undefined;
 
@@ -134,6 +141,7 @@
     this.services = services;
     this.request = request;
     this.rights = new RequestRights(this);
+    this.quarantine = new RequestQuarantine(this);
   }
 
   /**
@@ -172,7 +180,17 @@
    * those that run it.
    */
   get isQuarantined(): boolean {
-    return this.services.crashMonitor.quarantineOf(this) !== undefined;
+    return this.quarantine.isRefused;
+  }
+
+  /** Parts of the prompt that other requests may share. */
+  get promptParts(): readonly string[] {
+    this.#promptParts ??= this.request.fields.promptParts.map((part) =>
+      part.length <= MAX_PART_CHARACTERS
+        ? part
+        : this.services.fingerprint([part])
+    );
+    return this.#promptParts;
   }
 
   /** Time until the response is due, in milliseconds. */
@@ -276,7 +294,7 @@
         if (retryAfterMs !== undefined) holds.hold(endpoint, retryAfterMs);
         // Another process at the address answers that it is not the one named.
         if (status !== HTTP_MISDIRECTED) {
-          run.onAnswered();
+          run.onAnswered(status >= 200 && status < 300 && fields.isSigned);
           if (isLeaving) leavingMarks.mark(endpoint, "answer");
           const isOwn = (fields.requestId ?? this.request.id) ===
             this.request.id;
@@ -392,37 +410,6 @@
     this.finish(outcome, status, reason);
   }
 
-  /**
-   * Ends the request if it crashes the endpoints that run it.
-   *
-   * @param mayHaveRun - Whether some endpoint may have run the request.
-   * @returns Whether the request was ended.
-   */
-  refuseIfQuarantined(mayHaveRun: boolean): boolean {
-    const { clock, crashMonitor, metrics } = this.services;
-    const quarantine = crashMonitor.quarantineOf(this);
-    if (!quarantine) return false;
-    const endpoints = quarantine.endpoints.join(", ");
-    metrics.count("requests_refused_as_crashing");
-    this.log("warn", "request-refused-as-crashing", {
-      fingerprint: this.fingerprint,
-      workspace: this.workspace,
-      endpoints,
-      since: new Date(quarantine.sinceMs).toISOString(),
-      until: new Date(quarantine.untilMs).toISOString(),
-    });
-    const reason =
-      `this request was running on each of these endpoints when it crashed: ${endpoints}`;
-    if (this.request.exchange.hasSentHead) {
-      this.fail(502, "interrupted", reason);
-    } else if (mayHaveRun) this.fail(502, "unknown", reason);
-    else {
-      const retryAfterMs = Math.max(1, quarantine.untilMs - clock.nowMs());
-      this.fail(503, "not-run", reason, retryAfterMs);
-    }
-    return true;
-  }
-
   /** Records the outcome and releases everything that the request holds. */
   finish(outcome: RequestOutcome, status: number, reason: string): void {
     if (this.#hasEnded) return;
--- a/src/features/quarantine/common/endpoint_crash.ts
+++ b/src/features/quarantine/common/endpoint_crash.ts
@@ -15,8 +15,8 @@
 /** Evidence in ascending order of precedence. */
 export const CRASH_EVIDENCE = ["suspected", "refuted", "confirmed"] as const;
 
-/** Unexpected termination of an endpoint. */
-export interface EndpointCrash {
+/** Report of the unexpected termination of an endpoint. */
+export interface CrashReport {
   /** Identifier of the endpoint, including its service. */
   readonly endpoint: string;
   /** Wall-clock time of the crash in milliseconds. */
@@ -26,10 +26,14 @@
    * endpoint; the time of the crash if it is not known.
    */
   readonly startedMs?: number | undefined;
-  /** Other workspaces with requests running on the endpoint at that time. */
-  readonly otherWorkspaces: readonly WorkspaceId[];
   /** Confirmed if absent. */
   readonly evidence?: CrashEvidence | undefined;
+}
+
+/** Crash of an endpoint on which a request was running. */
+export interface EndpointCrash extends CrashReport {
+  /** Other workspaces with requests running on the endpoint at that time. */
+  readonly otherWorkspaces: readonly WorkspaceId[];
   /** Host that observed the crash, if it is known. */
   readonly host?: HostId | undefined;
 }
@@ -47,12 +51,12 @@
  */
 export const SAME_CRASH_WINDOW_MS = 10_000;
 /** Returns the evidence of a crash. */
-export function evidenceOf({ evidence }: EndpointCrash): CrashEvidence {
+export function evidenceOf({ evidence }: CrashReport): CrashEvidence {
   return evidence ?? "confirmed";
 }
 
 /** Returns the time in milliseconds for which a crash is counted. */
-export function countedDurationMs(crash: EndpointCrash): number {
+export function countedDurationMs(crash: CrashReport): number {
   switch (evidenceOf(crash)) {
     case "suspected":
       return SUSPECTED_CRASH_DURATION_MS;
@@ -71,12 +75,12 @@
  * @param clearedMs - Wall-clock time in milliseconds up to which crashes are
  * ignored.
  */
-export function countedCrashes(
-  crashes: readonly EndpointCrash[],
+export function countedCrashes<C extends CrashReport>(
+  crashes: readonly C[],
   nowMs: number,
   clearedMs: number,
-): EndpointCrash[] {
-  const distinct: EndpointCrash[] = [];
+): C[] {
+  const distinct: C[] = [];
   for (const crash of crashes) {
     const { atMs } = crash;
     if (atMs + countedDurationMs(crash) <= nowMs || atMs <= clearedMs) continue;
@@ -89,7 +93,7 @@
  * Returns the length of a chain of crashes in which each run was started after
  * the crash before.
  */
-export function countSuccessive(crashes: readonly EndpointCrash[]): number {
+export function countSuccessive(crashes: readonly CrashReport[]): number {
   let count = 0;
   let lastMs = -Infinity;
   for (const { atMs, startedMs } of crashes) {
@@ -102,8 +106,8 @@
 
 /** Returns whether two lists hold the same reports with the same evidence. */
 export function areSameCrashes(
-  left: readonly EndpointCrash[],
-  right: readonly EndpointCrash[],
+  left: readonly CrashReport[],
+  right: readonly CrashReport[],
 ): boolean {
   return left.length === right.length && left.every((crash, index) => {
     const other = right[index]!;
@@ -118,11 +122,11 @@
  *
  * @returns The newest reports in chronological order.
  */
-export function mergeCrashes(
-  left: readonly EndpointCrash[],
-  right: readonly EndpointCrash[],
-): EndpointCrash[] {
-  const crashes = new Map<string, EndpointCrash>();
+export function mergeCrashes<C extends CrashReport>(
+  left: readonly C[],
+  right: readonly C[],
+): C[] {
+  const crashes = new Map<string, C>();
   for (const crash of [...left, ...right]) {
     const key = `${crash.endpoint}|${crash.atMs}`;
     const known = crashes.get(key);
@@ -136,17 +140,17 @@
 }
 
 /** Returns the report of a crash whose evidence takes precedence. */
-function strongerOf(left: EndpointCrash, right: EndpointCrash): EndpointCrash {
-  const rankOf = (crash: EndpointCrash): number =>
+function strongerOf<C extends CrashReport>(left: C, right: C): C {
+  const rankOf = (crash: C): number =>
     CRASH_EVIDENCE.indexOf(evidenceOf(crash));
   return rankOf(right) > rankOf(left) ? right : left;
 }
 
 /** Returns the first report of each crash. */
-function withoutRepeatedReports(
-  chronological: readonly EndpointCrash[],
-): EndpointCrash[] {
-  const distinct: EndpointCrash[] = [];
+function withoutRepeatedReports<C extends CrashReport>(
+  chronological: readonly C[],
+): C[] {
+  const distinct: C[] = [];
   for (const crash of chronological) {
     if (!isReportedIn(distinct, crash)) distinct.push(crash);
   }
@@ -155,8 +159,8 @@
 
 /** Returns whether earlier reports include the same crash. */
 function isReportedIn(
-  earlier: readonly EndpointCrash[],
-  { endpoint, atMs }: EndpointCrash,
+  earlier: readonly CrashReport[],
+  { endpoint, atMs }: CrashReport,
 ): boolean {
   return earlier.some((other) =>
     other.endpoint === endpoint && atMs - other.atMs < SAME_CRASH_WINDOW_MS
--- a/standins/gateway/fake_gateway_codec.ts
+++ b/standins/gateway/fake_gateway_codec.ts
@@ -28,6 +28,7 @@
         maxOutputTokens: prompt[1]!,
         hintedOutputTokens: undefined,
       },
+      promptParts: headerOf(headers, "parts")?.split(",") ?? [],
       resumeAfterEventId: headerOf(headers, "after"),
     };
   }
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -48,6 +48,8 @@
 } from "../../src/features/gateway/common/placement_queue.ts";
 import { RunMigrator } from "../../src/features/gateway/common/run_migrator.ts";
 import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
+import { PromptPartMonitor } from "../../src/features/gateway/common/prompt_part_monitor.ts";
+import { PromptPartTable } from "../../src/features/quarantine/common/prompt_part_table.ts";
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
 import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
 import type {
@@ -251,6 +253,7 @@
   readonly registry: EndpointRegistry;
   readonly loadTable: LoadTable;
   readonly suspects: SuspectTable;
+  readonly promptParts: PromptPartTable;
   readonly limitTable: LimitTable;
   readonly state = new ConfigurationState(
     this.logger,
@@ -268,6 +271,7 @@
     this.registry = new EndpointRegistry(this.clock, this.logger);
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
+    this.promptParts = new PromptPartTable(this.clock);
     const { clock, logger, metrics, registry, loadTable, engineControl } = this;
     const random = new SeededRandom(options.seed ?? 1);
     const chooser = new EndpointChooser(
@@ -324,6 +328,16 @@
           registry,
           control: engineControl,
           suspects: this.suspects,
+          prompts: new PromptPartMonitor({
+            clock,
+            logger,
+            metrics,
+            hasher,
+            host: HOST,
+            overlay: { isHub: true, linkedHubs: () => [] },
+            registry,
+            parts: this.promptParts,
+          }),
         }),
         holds: new EndpointHolds(clock, logger, metrics, random),
         limits,
--- a/standins/peers/in_process_fleet.ts
+++ b/standins/peers/in_process_fleet.ts
@@ -15,6 +15,8 @@
 import { LoadTable } from "../../src/features/gateway/common/load_table.ts";
 import { LoadTableSync } from "../../src/features/gateway/common/load_table_sync.ts";
 import { QUARANTINE_CHANNEL } from "../../src/features/quarantine/common/quarantine_messages.ts";
+import { PromptPartSync } from "../../src/features/quarantine/common/prompt_part_sync.ts";
+import { PromptPartTable } from "../../src/features/quarantine/common/prompt_part_table.ts";
 import { SuspectSync } from "../../src/features/quarantine/common/suspect_sync.ts";
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
 import { JsonClient } from "../../src/services/http/node/json_client.ts";
@@ -99,6 +101,7 @@
     const daemon = this.daemons.get(host)!;
     daemon.exchange.dispose();
     daemon.suspectSync.dispose();
+    daemon.promptPartSync.dispose();
     daemon.limitRights.dispose();
     daemon.peers.dispose();
     this.daemons.delete(host);
@@ -135,6 +138,13 @@
       table: suspects,
       relay: peers,
     });
+    const promptParts = new PromptPartTable(clock);
+    const promptPartSync = new PromptPartSync({
+      clock,
+      links,
+      relay: peers,
+      table: promptParts,
+    });
     const limitTable = new LimitTable(clock);
     const limitRights = new LimitRights({
       self: self.host,
@@ -156,6 +166,8 @@
       exchange,
       suspects,
       suspectSync,
+      promptParts,
+      promptPartSync,
     });
   }
 }
@@ -170,4 +182,6 @@
   readonly exchange: LoadTableSync;
   readonly suspects: SuspectTable;
   readonly suspectSync: SuspectSync;
+  readonly promptParts: PromptPartTable;
+  readonly promptPartSync: PromptPartSync;
 }
