Let streams go on only at the software version that began them

The version in an endpoint's entry was not read, nor was Resumes. The first event binds a request to the version of its endpoint; repeats, backups, moves and placements by other daemons take only that version. Hosts tell each other at which version resumable streams began, while a service has two versions. A try that takes up a stream is refused at once with 503 and Retry-After when that is not known and two versions may have served, or when the version serves no more.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -8,13 +8,15 @@
 import { toErrorMessage } from "../../base/common/errors.ts";
 import { createHasher, type Hasher } from "../../base/common/hasher.ts";
 import { fingerprint } from "../../base/node/fingerprint.ts";
-import type { Address, ServiceId } from "../../base/common/ids.ts";
+import type { ServiceId } from "../../base/common/ids.ts";
 import { DisposableStore } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import { admissionLimits, retryLimits } from "../common/settings_limits.ts";
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
+import { GatewayStreamVersions } from "../common/gateway_stream_versions.ts";
 import { MirrorChangeHandler } from "../common/mirror_change_handler.ts";
+import { ReadinessLog } from "../common/readiness_log.ts";
 import type {
   GatewayDaemonSettings,
   ReloadableGatewaySettings,
@@ -80,7 +82,7 @@
   readonly #topology: GatewayTopology;
   #activeSettings: ReloadableGatewaySettings;
   #isStopping = false;
-  #wasReady = false;
+  readonly #readinessLog: ReadinessLog;
 
   private constructor(
     settings: GatewayDaemonSettings,
@@ -96,6 +98,7 @@
     this.#logger = logger;
     this.#metrics = metrics;
     const { host, zone } = settings;
+    const { control } = adapter;
     const startedMs = clock.monotonicMs();
     const random = new SeededRandom(hasher.hash32(`${host}${clock.nowMs()}`));
     this.#mirror = new StoreMirror(clock);
@@ -104,6 +107,12 @@
       () => this.#mirror.confirmationAgeMs,
     );
     this.#registry = new EndpointRegistry(clock, logger);
+    this.#readinessLog = new ReadinessLog({
+      logger,
+      mirror: this.#mirror,
+      state: this.#state,
+      registry: this.#registry,
+    });
     const incarnation = clock.nowMs();
     this.#links = this.#disposables.add(
       new WsPeerLinks({
@@ -214,6 +223,14 @@
       }),
     );
     const limits = this.#limits.endpoints;
+    const streamVersions = this.#disposables.add(
+      new GatewayStreamVersions({
+        clock,
+        links: this.#links,
+        relay: this.#topology,
+        registry: this.#registry,
+      }),
+    );
     this.#quarantine = this.#disposables.add(
       new GatewayQuarantine({
         clock,
@@ -221,7 +238,7 @@
         metrics,
         host,
         registry: this.#registry,
-        control: adapter.control,
+        control,
         links: this.#links,
         overlay: this.#topology,
         hasher,
@@ -250,18 +267,13 @@
               remainderRank: hasher.hash32(host) / HASH_RANGE,
             }),
         }),
-        probe: new EndpointProbe(
-          clock,
-          logger,
-          metrics,
-          adapter.control,
-          limits,
-        ),
-        migrator: new RunMigrator(clock, adapter.control, limits),
+        probe: new EndpointProbe(clock, logger, metrics, control, limits),
+        migrator: new RunMigrator(clock, control, limits),
         crashMonitor: this.#quarantine.monitor,
         leavingMarks,
         holds: new EndpointHolds(clock, logger, metrics, random),
         limits,
+        streamVersions: streamVersions.table,
         fingerprint,
       },
       this.#state,
@@ -279,7 +291,7 @@
         limits,
         this.#topology,
         this.#registry,
-        adapter.control,
+        control,
         ({ announcement }) =>
           findService(announcement.service)?.engine !== undefined,
       ),
@@ -374,17 +386,20 @@
       });
     }));
     this.#disposables.add(
-      runPeriodically(this.#clock, TICK_MS, () => this.#tick()),
+      runPeriodically(this.#clock, TICK_MS, () => {
+        this.#registry.expirePhases();
+        this.#readinessLog.update(this.isReady, this.#isStopping);
+      }),
     );
     const pages = this.#createPages();
     await Promise.all([
       this.#links.listen(settings.peersAddress),
       this.#callers.listen(settings.callersAddress),
-      this.#servePages(
-        settings.readinessAddress,
-        () => Promise.resolve({ status: this.isReady ? 200 : 503, text: "" }),
-      ),
-      this.#servePages(settings.metricsAddress, (path) => pages.render(path)),
+      this.#pageServer(() =>
+        Promise.resolve({ status: this.isReady ? 200 : 503, text: "" })
+      ).listen(settings.readinessAddress),
+      this.#pageServer((path) => pages.render(path))
+        .listen(settings.metricsAddress),
     ]);
     void this.#storeWatcher.run();
     void this.#hostLease.run();
@@ -413,25 +428,7 @@
     });
   }
 
-  #servePages(
-    address: Address,
-    page: (path: string) => Promise<Page>,
-  ): Promise<void> {
-    return this.#disposables.add(new PageServer(this.#logger, page))
-      .listen(address);
-  }
-
-  #tick(): void {
-    this.#registry.expirePhases();
-    const { isReady } = this;
-    if (isReady === this.#wasReady) return;
-    this.#wasReady = isReady;
-    this.#logger.log("info", isReady ? "ready" : "not-ready", {
-      sinceStartMs: Math.round(process.uptime() * 1_000),
-      confirmedAgeMs: Math.round(this.#mirror.confirmationAgeMs),
-      version: this.#state.current?.configuration.version,
-      endpoints: this.#registry.all.length,
-      stopping: this.#isStopping,
-    });
+  #pageServer(page: (path: string) => Promise<Page>): PageServer {
+    return this.#disposables.add(new PageServer(this.#logger, page));
   }
 }
--- /dev/null
+++ b/src/features/gateway/common/continuation_right.ts
@@ -0,0 +1,56 @@
+/**
+ * Takes the right to continue a generation on another endpoint: the endpoint
+ * must have the software version of the stream, and a right where it names a
+ * limit.
+ */
+
+import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import type { RequestContext } from "./request_context.ts";
+
+/** Longest wait of a continuation for the right to send to its endpoint. */
+const MAX_CONTINUATION_WAIT_MS = 2_000;
+
+/** Right of one generation; at most one is waited for at a time. */
+export class ContinuationRight {
+  readonly #context: RequestContext;
+  #isPending = false;
+
+  /** @param context - State of the request. */
+  constructor(context: RequestContext) {
+    this.#context = context;
+  }
+
+  /** Whether a continuation waits for its right. */
+  get isPending(): boolean {
+    return this.#isPending;
+  }
+
+  /**
+   * Takes the right, without waiting if none is needed.
+   *
+   * @param endpoint - Endpoint to continue on.
+   * @param isStale - Returns whether another continuation has taken over.
+   * @param onSettled - Called with whether the continuation may be sent.
+   */
+  take(
+    endpoint: RegisteredEndpoint,
+    isStale: () => boolean,
+    onSettled: (isGranted: boolean) => void,
+  ): void {
+    const { rights, services } = this.#context;
+    if (!this.#context.accepts(endpoint)) {
+      onSettled(false);
+      return;
+    }
+    if (!services.limits.isLimited(endpoint)) {
+      onSettled(true);
+      return;
+    }
+    this.#isPending = true;
+    void rights.take(endpoint, MAX_CONTINUATION_WAIT_MS).then((isGranted) => {
+      this.#isPending = false;
+      if (this.#context.hasEnded || isStale()) return;
+      onSettled(isGranted && endpoint.isUsable);
+    });
+  }
+}
--- a/src/features/gateway/common/endpoint_announcement.ts
+++ b/src/features/gateway/common/endpoint_announcement.ts
@@ -33,6 +33,15 @@
   readonly warmUpRemainingMs: number;
 }
 
+/**
+ * Returns the version of an endpoint's software; empty if it states none.
+ */
+export function softwareVersionOf(
+  { softwareVersion }: Pick<EndpointAnnouncement, "softwareVersion">,
+): string {
+  return softwareVersion ?? "";
+}
+
 /**
  * Phase of a registered endpoint, which decides whether it accepts requests.
  */
--- a/src/features/gateway/common/endpoint_chooser.ts
+++ b/src/features/gateway/common/endpoint_chooser.ts
@@ -82,6 +82,8 @@
   /** Memory that the request will use, in tokens; 0 for a call. */
   readonly memoryTokens: number;
   readonly excluded: ReadonlySet<EndpointId>;
+  /** Software version that the endpoint must have; any if absent. */
+  readonly softwareVersion?: string | undefined;
   /**
    * Whether the request is another host's, which has excluded what it must not
    * use now.
@@ -223,8 +225,11 @@
   }
 
   #usable(criteria: EndpointCriteria): RegisteredEndpoint[] {
-    return this.#registry.usable(criteria.service).filter(({ id }) =>
-      !criteria.excluded.has(id)
+    const { excluded, service, softwareVersion } = criteria;
+    return this.#registry.usable(service).filter((endpoint) =>
+      !excluded.has(endpoint.id) &&
+      (softwareVersion === undefined ||
+        endpoint.softwareVersion === softwareVersion)
     );
   }
 
@@ -287,6 +292,7 @@
     let bestCost = Infinity;
     for (const endpoint of this.#registry.usable(criteria.service)) {
       if (endpoint === primary || endpoint.health.isEjected(nowMs)) continue;
+      if (endpoint.softwareVersion !== primary.softwareVersion) continue;
       if (!criteria.ignoresHolds && endpoint.isWithheld(nowMs)) continue;
       const usage = this.#loadTable.totalUsage(endpoint.id);
       const usedTokens = usage.memoryTokens + usage.backupTokens +
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -9,9 +9,10 @@
 import { Emitter } from "../../../base/common/event.ts";
 import type { EndpointId, ServiceId } from "../../../base/common/ids.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
-import type {
-  EndpointAnnouncement,
-  EndpointPhase,
+import {
+  type EndpointAnnouncement,
+  type EndpointPhase,
+  softwareVersionOf,
 } from "./endpoint_announcement.ts";
 import { EndpointHealth } from "./endpoint_health.ts";
 
@@ -64,6 +65,11 @@
     return this.announcement.id;
   }
 
+  /** Version of the endpoint's software; empty if it states none. */
+  get softwareVersion(): string {
+    return softwareVersionOf(this.announcement);
+  }
+
   /** Whether new requests may be sent to the endpoint. */
   get isUsable(): boolean {
     return this.phase.kind === "ready" || this.phase.kind === "missing";
@@ -93,6 +99,14 @@
   }
 }
 
+/** Version of an endpoint that was removed. */
+interface LeftVersion {
+  readonly service: ServiceId;
+  readonly softwareVersion: string;
+  /** Monotonic time of the latest removal in milliseconds. */
+  readonly atMs: number;
+}
+
 /** Registers the endpoints of all services. */
 export class EndpointRegistry {
   readonly #clock: Clock;
@@ -103,6 +117,8 @@
   readonly #departed = new BoundedMap<EndpointId, EndpointAnnouncement>(
     MAX_DEPARTED,
   );
+  /** Versions of endpoints that were removed, by service and version. */
+  readonly #leftVersions = new BoundedMap<string, LeftVersion>(MAX_DEPARTED);
   readonly #added = new Emitter<RegisteredEndpoint>();
 
   /** Fires when a process of an endpoint is announced for the first time. */
@@ -130,6 +146,32 @@
     return [...this.#endpoints.values()];
   }
 
+  /**
+   * @returns The software versions of the endpoints of a service, including
+   * those that leave.
+   */
+  presentVersions(service: ServiceId): ReadonlySet<string> {
+    return new Set(
+      this.all.filter(({ announcement }) => announcement.service === service)
+        .map(({ softwareVersion }) => softwareVersion),
+    );
+  }
+
+  /**
+   * @param service - A service.
+   * @param sinceMs - Monotonic time in milliseconds.
+   * @returns The software versions whose endpoints were present since then.
+   */
+  versionsSince(service: ServiceId, sinceMs: number): ReadonlySet<string> {
+    const versions = new Set(this.presentVersions(service));
+    for (const left of this.#leftVersions.values) {
+      if (left.service === service && left.atMs >= sinceMs) {
+        versions.add(left.softwareVersion);
+      }
+    }
+    return versions;
+  }
+
   /** @returns The endpoints of a service that accept requests. */
   usable(service: ServiceId): RegisteredEndpoint[] {
     return [...this.#endpoints.values()].filter((endpoint) =>
@@ -258,6 +300,14 @@
     if (this.#endpoints.get(endpoint.id) === endpoint) {
       this.#endpoints.delete(endpoint.id);
     }
+    const { announcement, softwareVersion } = endpoint;
+    const { service } = announcement;
+    const atMs = this.#clock.monotonicMs();
+    this.#leftVersions.set(`${service} ${softwareVersion}`, {
+      service,
+      softwareVersion,
+      atMs,
+    });
     this.#logger.log("info", "endpoint-gone", {
       endpoint: endpoint.id,
       reason,
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -201,7 +201,10 @@
     { body, bufferedBytes }: ReceivedBody,
   ): void {
     const { configuration } = activeConfiguration;
-    const fraction = this.#hasher.hash32(id) / HASH_RANGE;
+    // A stream that is taken up goes to the service that began it.
+    const { resumeAfterEventId, resumedRequestId } = fields;
+    const streamId = resumeAfterEventId && resumedRequestId || id;
+    const fraction = this.#hasher.hash32(streamId) / HASH_RANGE;
     const target = selectTarget(route, fraction);
     const service = configuration.services.get(target);
     if (!service) {
--- a/src/features/gateway/common/gateway_codec.ts
+++ b/src/features/gateway/common/gateway_codec.ts
@@ -41,6 +41,8 @@
   readonly promptParts: readonly string[];
   /** Id of the event after which the stream is to be resumed. */
   readonly resumeAfterEventId: string | undefined;
+  /** Id of the try that brought the first event of that stream, if stated. */
+  readonly resumedRequestId: string | undefined;
 }
 
 /** State from which another endpoint continues a generation. */
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -32,6 +32,7 @@
   | "requests_quarantined"
   | "requests_refused_as_crashing"
   | "prompt_parts_quarantined"
+  | "resumptions_refused"
   | "log_lines_dropped";
 
 /** Collects the request metrics of one daemon. */
--- a/src/features/gateway/common/generation_backup.ts
+++ b/src/features/gateway/common/generation_backup.ts
@@ -62,6 +62,8 @@
       ? grant.backup
       : chooser.chooseBackup(this.#criteria, request.service, primary);
     if (!endpoint?.isUsable) return;
+    // A copy is of no use to another software version.
+    if (endpoint.softwareVersion !== primary.softwareVersion) return;
     this.#endpoint = endpoint;
     this.#claim = loadTable.claimBackup(endpoint.id, this.#memory.usedTokens);
   }
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -15,11 +15,13 @@
 import type { Continuation } from "./gateway_codec.ts";
 import type { RequestContext } from "./request_context.ts";
 import { CallerStream } from "./caller_stream.ts";
+import { ContinuationRight } from "./continuation_right.ts";
 import { GenerationBackup } from "./generation_backup.ts";
-import { GenerationPlacement } from "./generation_placement.ts";
+import { createCriteria, GenerationPlacement } from "./generation_placement.ts";
 import { GenerationMigration } from "./generation_migration.ts";
 import { GenerationMemoryEstimate } from "./generation_memory_estimate.ts";
 import { type ContinuationCause, Handover } from "./handover.ts";
+import { StreamResumption } from "./stream_resumption.ts";
 import { StreamStallMonitor } from "./stream_stall_monitor.ts";
 import { UpstreamAttempt } from "./upstream_attempt.ts";
 
@@ -36,9 +38,6 @@
  */
 const OUTAGE_TIMEOUT_MS = 8_000;
 
-/** Longest wait of a continuation for the right to send to its endpoint. */
-const MAX_CONTINUATION_WAIT_MS = 2_000;
-
 /** Forwards one generation until it ends. */
 export class GenerationForwarder {
   readonly #context: RequestContext;
@@ -48,12 +47,12 @@
   readonly #backup: GenerationBackup;
   #attempt: UpstreamAttempt | undefined;
   readonly #stream: CallerStream;
+  readonly #resumption: StreamResumption;
   readonly #handover: Handover;
   #refusedAttempts = 0;
   readonly #placement: GenerationPlacement;
   readonly #migration: GenerationMigration;
-  /** Whether a continuation waits for the right to send to its endpoint. */
-  #isAwaitingRight = false;
+  readonly #right: ContinuationRight;
   #outageTimer: Disposable | undefined;
   /** Whether some endpoint may have run the request. */
   #mayHaveRun = false;
@@ -63,11 +62,9 @@
     this.#context = context;
     const { request } = context;
     this.#memory = new GenerationMemoryEstimate(request);
-    this.#criteria = {
-      service: request.service.id,
-      memoryTokens: this.#memory.reservedTokens,
-      excluded: context.excludedEndpoints,
-    };
+    this.#criteria = createCriteria(context, this.#memory.reservedTokens);
+    this.#right = new ContinuationRight(context);
+    this.#resumption = new StreamResumption(context);
     this.#backup = new GenerationBackup(context, this.#criteria, this.#memory);
     this.#stallMonitor = new StreamStallMonitor(context, {
       attempt: () =>
@@ -117,7 +114,7 @@
       if (end === "left") context.finish("caller-left", 0, "caller went away");
     });
     request.exchange.onDidDrain(() => this.#attempt?.resume());
-    this.#startFromPrompt();
+    if (!this.#resumption.refuse()) this.#startFromPrompt();
   }
 
   /**
@@ -135,6 +132,10 @@
   #onPlaced({ endpoint, grant }: EndpointChoice): void {
     // Other runs may have crashed their endpoints while this one waited.
     if (this.#context.quarantine.refuse(this.#mayHaveRun)) return;
+    if (!this.#context.accepts(endpoint)) {
+      this.#failRequest("no endpoint of the stream's version is available");
+      return;
+    }
     const afterEventId = this.#stream.lastEventId;
     const continuation = afterEventId && { copyRef: undefined, afterEventId };
     this.#startAttempt(endpoint, continuation || undefined, grant);
@@ -209,6 +210,13 @@
       this.#onLost(attempt, true, "events are missing from the continuation");
       return true;
     }
+    if (!this.#context.accepts(attempt.endpoint)) {
+      this.#onLost(attempt, true, "the stream began at another version");
+      return true;
+    }
+    if (!this.#stream.hasStarted) {
+      this.#resumption.recordStart(attempt.endpoint);
+    }
     const nowMs = this.#context.services.clock.monotonicMs();
     const gapMs = nowMs - this.#stallMonitor.lastProgressMs;
     this.#stallMonitor.markProgress(nowMs);
@@ -315,7 +323,7 @@
   #continueFromBackup(cause: ContinuationCause): boolean {
     const attempt = this.#attempt;
     if (!attempt || this.#context.isQuarantined) return false;
-    if (this.#isAwaitingRight) return true;
+    if (this.#right.isPending) return true;
     const nowMs = this.#context.services.clock.monotonicMs();
     const backup = this.#backup.usableAfter(attempt.streamingMs(nowMs));
     if (!backup) return false;
@@ -328,28 +336,17 @@
     copyRef: string,
     cause: ContinuationCause,
   ): void {
-    if (!this.#context.services.limits.isLimited(endpoint)) {
-      this.#sendContinuation(endpoint, copyRef, cause);
-      return;
-    }
-    this.#isAwaitingRight = true;
     const source = this.#attempt;
-    void this.#context.rights.take(endpoint, MAX_CONTINUATION_WAIT_MS).then(
-      (isGranted) => {
-        this.#isAwaitingRight = false;
-        // Another continuation may have taken over in the meantime.
-        const isStale = this.#attempt !== source || this.#handover.isPending;
-        if (this.#context.hasEnded || isStale) return;
-        if (isGranted && endpoint.isUsable) {
-          this.#sendContinuation(endpoint, copyRef, cause);
-        } else this.#onRightDenied(cause);
-      },
-    );
+    const isStale = () => this.#attempt !== source || this.#handover.isPending;
+    this.#right.take(endpoint, isStale, (isGranted) => {
+      if (isGranted) this.#sendContinuation(endpoint, copyRef, cause);
+      else this.#onRightDenied(cause);
+    });
   }
 
   #onRightDenied(cause: ContinuationCause): void {
     if (!this.#activeAttempt) {
-      this.#rerunOrFail("the limit of the copy's endpoint is used up");
+      this.#rerunOrFail("the endpoint of the copy cannot be used");
     } else if (cause === "dark") this.#awaitUnreachableEndpoint();
   }
 
--- a/src/features/gateway/common/generation_migration.ts
+++ b/src/features/gateway/common/generation_migration.ts
@@ -50,7 +50,8 @@
     const result = await services.migrator.migrate({
       requestId: request.id,
       source: attempt.endpoint,
-      chooseTarget: (excluded) => this.#chooseTarget(excluded),
+      chooseTarget: (excluded) =>
+        this.#chooseTarget(attempt.endpoint.softwareVersion, excluded),
       isRequired: () => this.#listener.isRequired(attempt),
     });
     this.#isRunning = false;
@@ -77,10 +78,11 @@
   }
 
   #chooseTarget(
+    softwareVersion: string,
     excluded: ReadonlySet<EndpointId>,
   ): RegisteredEndpoint | undefined {
     const { services, request } = this.#context;
-    const criteria: EndpointCriteria = { ...this.#criteria, excluded };
+    const criteria = { ...this.#criteria, excluded, softwareVersion };
     return services.chooser.choose(criteria, request.service)?.endpoint;
   }
 }
--- a/src/features/gateway/common/generation_placement.ts
+++ b/src/features/gateway/common/generation_placement.ts
@@ -26,6 +26,25 @@
   onRejected(reason: string): void;
 }
 
+/**
+ * @param context - State of the request.
+ * @param memoryTokens - Memory that the generation will use, in tokens.
+ * @returns What the endpoints of a generation must have at any time.
+ */
+export function createCriteria(
+  context: RequestContext,
+  memoryTokens: number,
+): EndpointCriteria {
+  return {
+    service: context.request.service.id,
+    memoryTokens,
+    excluded: context.excludedEndpoints,
+    get softwareVersion() {
+      return context.softwareVersion;
+    },
+  };
+}
+
 /** One search for an endpoint. */
 interface Search {
   readonly startedMs: number;
--- a/src/features/gateway/common/placement_message.ts
+++ b/src/features/gateway/common/placement_message.ts
@@ -26,6 +26,8 @@
   /** Whether a backup is requested on another engine. */
   wantsBackup: z.boolean(),
   excluded: z.array(endpointIdSchema).readonly(),
+  /** Software version that the endpoint must have; any if absent. */
+  softwareVersion: z.string().optional(),
   priority: z.number(),
   objectiveLeftMs: z.number(),
   startLeftMs: z.number(),
--- a/src/features/gateway/common/prompt_part_monitor.ts
+++ b/src/features/gateway/common/prompt_part_monitor.ts
@@ -20,6 +20,7 @@
   PromptPartTable,
   QuarantinedParts,
 } from "../../quarantine/common/prompt_part_table.ts";
+import { softwareVersionOf } from "./endpoint_announcement.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
@@ -134,7 +135,7 @@
   ): MonitoredPrompt {
     const { clock, parts: table } = this.#services;
     const { service } = announcement;
-    const version = versionOf(announcement);
+    const version = softwareVersionOf(announcement);
     let isAnswered = false;
     let isSound = parts.length === 0;
     let firstDataMs: number | undefined;
@@ -169,7 +170,7 @@
     parts: readonly string[],
     crash: CrashReport,
   ): void {
-    const version = versionOf(announcement);
+    const version = softwareVersionOf(announcement);
     this.#services.parts.recordCrash(announcement.service, parts, {
       ...crash,
       version,
@@ -195,7 +196,7 @@
     const { registry } = this.#services;
     return new Set(
       registry.usable(service).map(({ announcement }) =>
-        versionOf(announcement)
+        softwareVersionOf(announcement)
       ),
     );
   }
@@ -221,10 +222,3 @@
     }
   }
 }
-
-/** Returns the software version of an endpoint; empty if it states none. */
-function versionOf(
-  { softwareVersion }: RegisteredEndpoint["announcement"],
-): string {
-  return softwareVersion ?? "";
-}
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -55,6 +55,7 @@
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
 import type { RunMigrator } from "./run_migrator.ts";
+import type { StreamVersionTable } from "./stream_versions.ts";
 
 /** Dependencies of the forwarders. */
 export interface GatewayServices {
@@ -77,6 +78,7 @@
   readonly leavingMarks: Pick<LeavingMarks, "mark">;
   readonly holds: EndpointHolds;
   readonly limits: EndpointLimits;
+  readonly streamVersions: StreamVersionTable;
   /** @returns A collision-resistant hash of the parts. */
   fingerprint(parts: readonly (string | Uint8Array)[]): string;
 }
@@ -123,6 +125,8 @@
   readonly rights: RequestRights;
   /** Refuses the request if it crashes the endpoints that run it. */
   readonly quarantine: RequestQuarantine;
+  /** Software version whose events the caller has; set by the first one. */
+  softwareVersion: string | undefined;
   /** Disposed of when the request ends. */
   readonly disposables = new DisposableStore();
   /** Number of times that the request was written to an endpoint. */
@@ -193,6 +197,12 @@
     return this.#promptParts;
   }
 
+  /** @returns Whether an endpoint can go on after what the caller has. */
+  accepts({ softwareVersion }: RegisteredEndpoint): boolean {
+    return this.softwareVersion === undefined ||
+      this.softwareVersion === softwareVersion;
+  }
+
   /** Time until the response is due, in milliseconds. */
   get remainingMs(): number {
     return this.request.deadlineMs - this.services.clock.monotonicMs();
--- a/src/features/gateway/common/request_rights.ts
+++ b/src/features/gateway/common/request_rights.ts
@@ -28,7 +28,8 @@
    */
   get withheldForMs(): number | undefined {
     const { services, request } = this.#context;
-    const endpoints = services.registry.usable(request.service.id);
+    const endpoints = services.registry.usable(request.service.id)
+      .filter((endpoint) => this.#context.accepts(endpoint));
     const nowMs = services.clock.monotonicMs();
     if (endpoints.length === 0) return undefined;
     if (!endpoints.every((endpoint) => endpoint.isWithheld(nowMs))) {
@@ -97,9 +98,10 @@
     const { services, request, excludedEndpoints } = this.#context;
     const { clock, limits, registry } = services;
     const nowMs = clock.monotonicMs();
-    const endpoints = registry.usable(request.service.id).filter(({ id }) =>
-      !excludedEndpoints.has(id)
-    );
+    const endpoints = registry.usable(request.service.id)
+      .filter((endpoint) =>
+        !excludedEndpoints.has(endpoint.id) && this.#context.accepts(endpoint)
+      );
     if (!endpoints.every((endpoint) => endpoint.isWithheld(nowMs))) {
       return undefined;
     }
--- /dev/null
+++ b/src/features/gateway/common/stream_version_sync.ts
@@ -0,0 +1,177 @@
+/**
+ * Tells the peers at which software version streams began. While all endpoints
+ * of a service have one version nothing is sent; when another appears, the
+ * streams that have begun until then follow.
+ */
+
+import * as z from "zod";
+import type { Clock } from "../../../base/common/clock.ts";
+import { toErrorMessage } from "../../../base/common/errors.ts";
+import type {
+  HostId,
+  ServiceId,
+  WorkspaceId,
+} from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import { attempt } from "../../../base/common/result.ts";
+import type {
+  PeerChannel,
+  PeerChannelSpec,
+  PeerLinks,
+} from "../../../services/peers/common/peer_links.ts";
+import type { RecordRelay } from "../../quarantine/common/record_sync.ts";
+import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { StreamVersion, StreamVersionTable } from "./stream_versions.ts";
+
+const MAX_NAME_CHARACTERS = 500;
+const MAX_STREAMS_PER_MESSAGE = 200;
+/** Streams that begin within this time share a message. */
+const BATCH_DELAY_MS = 50;
+
+const name = z.string().max(MAX_NAME_CHARACTERS);
+
+const messageSchema = z.object({
+  /** Rows of id, workspace, service, software version and time left in ms. */
+  streams: z.array(z.tuple([
+    name.min(1),
+    name,
+    name.min(1),
+    name,
+    z.number().nonnegative(),
+  ])).max(MAX_STREAMS_PER_MESSAGE).readonly(),
+});
+
+type StreamVersionMessage = z.infer<typeof messageSchema>;
+
+const STREAM_VERSION_CHANNEL: PeerChannelSpec<StreamVersionMessage> = {
+  name: "stream-versions.v1",
+  decode: (body) => attempt(() => messageSchema.parse(body), toErrorMessage),
+};
+
+/** Dependencies of a {@link StreamVersionSync}. */
+export interface StreamVersionSyncServices {
+  readonly clock: Clock;
+  readonly links: PeerLinks;
+  readonly relay: RecordRelay;
+  readonly registry: EndpointRegistry;
+  readonly table: StreamVersionTable;
+}
+
+/** Synchronizes the stream versions of one daemon. */
+export class StreamVersionSync implements Disposable {
+  readonly #services: StreamVersionSyncServices;
+  readonly #channel: PeerChannel<StreamVersionMessage>;
+  readonly #disposables = new DisposableStore();
+  readonly #localChanges = new Set<StreamVersion>();
+  readonly #peerChanges = new Set<StreamVersion>();
+  /** Services of which endpoints with several versions were seen. */
+  readonly #mixedServices = new Set<ServiceId>();
+  #isScheduled = false;
+
+  /** @param services - Dependencies of the synchronization. */
+  constructor(services: StreamVersionSyncServices) {
+    this.#services = services;
+    const { links, registry, table } = services;
+    this.#channel = this.#disposables.add(
+      links.openChannel(STREAM_VERSION_CHANNEL),
+    );
+    this.#disposables.add(
+      this.#channel.onDidReceive(({ body }) => this.#receive(body)),
+    );
+    this.#disposables.add(table.onDidRecord((stream) => {
+      if (this.#mixedServices.has(stream.service)) {
+        this.#add(this.#localChanges, stream);
+      }
+    }));
+    this.#disposables.add(
+      registry.onDidAdd(({ announcement }) =>
+        this.#updateService(announcement.service)
+      ),
+    );
+    this.#disposables.add(
+      registry.onDidRetire(({ announcement }) =>
+        this.#updateService(announcement.service)
+      ),
+    );
+    this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
+      if (!isUp) return;
+      const shared = table.streams().filter(({ service }) =>
+        this.#mixedServices.has(service)
+      );
+      this.#send([host], shared);
+    }));
+  }
+
+  /** Stops the synchronization. */
+  dispose(): void {
+    this.#disposables.dispose();
+  }
+
+  #updateService(service: ServiceId): void {
+    const { registry, table } = this.#services;
+    const isMixed = registry.presentVersions(service).size > 1;
+    if (!isMixed) {
+      this.#mixedServices.delete(service);
+      return;
+    }
+    if (this.#mixedServices.has(service)) return;
+    this.#mixedServices.add(service);
+    for (const stream of table.streams()) {
+      if (stream.service === service) this.#add(this.#localChanges, stream);
+    }
+  }
+
+  #receive({ streams }: StreamVersionMessage): void {
+    const { clock, table } = this.#services;
+    const nowMs = clock.monotonicMs();
+    for (const [id, workspace, service, softwareVersion, leftMs] of streams) {
+      const stream = {
+        id,
+        workspace: workspace as WorkspaceId,
+        service: service as ServiceId,
+        softwareVersion,
+        expiresMs: nowMs + leftMs,
+      };
+      if (table.add(stream)) this.#add(this.#peerChanges, stream);
+    }
+  }
+
+  #add(changes: Set<StreamVersion>, stream: StreamVersion): void {
+    changes.add(stream);
+    if (this.#isScheduled) return;
+    this.#isScheduled = true;
+    this.#services.clock.setTimer(BATCH_DELAY_MS, () => this.#flush());
+  }
+
+  #flush(): void {
+    this.#isScheduled = false;
+    const { relay } = this.#services;
+    this.#send(relay.targets(true), [...this.#localChanges]);
+    this.#send(relay.targets(false), [...this.#peerChanges]);
+    this.#localChanges.clear();
+    this.#peerChanges.clear();
+  }
+
+  #send(hosts: readonly HostId[], streams: readonly StreamVersion[]): void {
+    const nowMs = this.#services.clock.monotonicMs();
+    for (
+      let start = 0;
+      start < streams.length && hosts.length > 0;
+      start += MAX_STREAMS_PER_MESSAGE
+    ) {
+      const page = streams.slice(start, start + MAX_STREAMS_PER_MESSAGE);
+      this.#channel.multicast(hosts, {
+        streams: page.map((stream) => [
+          stream.id,
+          stream.workspace,
+          stream.service,
+          stream.softwareVersion,
+          Math.max(0, Math.round(stream.expiresMs - nowMs)),
+        ]),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/stream_versions.ts
@@ -0,0 +1,80 @@
+/**
+ * Remembers at which software version streams began, so that callers can take
+ * them up at any host. What endpoints of two versions write does not fit
+ * together, and endpoints do not check it.
+ */
+
+import { BoundedMap } from "../../../base/common/bounded_map.ts";
+import type { Clock } from "../../../base/common/clock.ts";
+import { Emitter } from "../../../base/common/event.ts";
+import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
+
+/** A stream that has begun, under the id of the try that began it. */
+export interface StreamVersion {
+  readonly id: string;
+  /** Workspace of the caller; empty on routes without keys. */
+  readonly workspace: WorkspaceId;
+  readonly service: ServiceId;
+  readonly softwareVersion: string;
+  /** Monotonic time in milliseconds after which no caller takes it up. */
+  readonly expiresMs: number;
+}
+
+/** Identifies a stream. Other workspaces cannot find it. */
+export type StreamKey = Pick<StreamVersion, "id" | "workspace" | "service">;
+
+const MAX_STREAMS = 20_000;
+/** Longer ids are not remembered. */
+const MAX_ID_CHARACTERS = 200;
+
+/** Streams that have begun at any host, as far as this one knows. */
+export class StreamVersionTable {
+  readonly #clock: Clock;
+  readonly #streams = new BoundedMap<string, StreamVersion>(MAX_STREAMS);
+  readonly #didRecord = new Emitter<StreamVersion>();
+
+  /** Fires when a stream of this daemon has begun. */
+  readonly onDidRecord = this.#didRecord.event;
+
+  /** @param clock - Clock for the expiry of streams. */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** @returns The streams that callers may still take up. */
+  streams(): readonly StreamVersion[] {
+    const nowMs = this.#clock.monotonicMs();
+    return this.#streams.values.filter(({ expiresMs }) => expiresMs > nowMs);
+  }
+
+  /** @returns The version at which a stream began, if it is known. */
+  versionOf(key: StreamKey): string | undefined {
+    const stream = this.#streams.get(toMapKey(key));
+    if (!stream || stream.expiresMs <= this.#clock.monotonicMs()) {
+      return undefined;
+    }
+    return stream.softwareVersion;
+  }
+
+  /** Records that a stream of this daemon has begun, or goes on. */
+  record(stream: StreamVersion): void {
+    if (stream.id.length > MAX_ID_CHARACTERS) return;
+    this.add(stream);
+    this.#didRecord.fire(stream);
+  }
+
+  /**
+   * Adds a stream of any daemon.
+   *
+   * @returns Whether it was not known yet.
+   */
+  add(stream: StreamVersion): boolean {
+    const isKnown = this.versionOf(stream) === stream.softwareVersion;
+    this.#streams.set(toMapKey(stream), stream);
+    return !isKnown;
+  }
+}
+
+function toMapKey({ id, service, workspace }: StreamKey): string {
+  return `${service} ${workspace} ${id}`;
+}
--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -240,7 +240,10 @@
     const delegated = this.#takeDelegated(from, message.number);
     if (!delegated) return;
     const endpoint = this.#services.registry.get(message.endpoint);
-    if (!endpoint?.isUsable) {
+    const { softwareVersion } = delegated.request.criteria;
+    const isOtherVersion = softwareVersion !== undefined &&
+      endpoint?.softwareVersion !== softwareVersion;
+    if (!endpoint?.isUsable || isOtherVersion) {
       this.#placeLocally(delegated);
       return;
     }
@@ -319,6 +322,7 @@
       service: ask.service,
       memoryTokens: ask.memoryTokens,
       excluded: new Set(ask.excluded),
+      softwareVersion: ask.softwareVersion,
       ignoresHolds: true,
     };
     let isAnswered = false;
@@ -394,6 +398,7 @@
   excluded: readonly EndpointId[],
 ): PlacementAsk {
   const { criteria, priority, pendingPrefillTokens, wantsBackup } = request;
+  const { softwareVersion } = criteria;
   return {
     kind: "asked",
     number,
@@ -402,6 +407,7 @@
     unreadTokens: pendingPrefillTokens,
     wantsBackup,
     excluded,
+    ...(softwareVersion !== undefined && { softwareVersion }),
     priority,
     objectiveLeftMs: request.firstEventDueMs - nowMs,
     startLeftMs: request.latestStartMs - nowMs,
--- a/standins/gateway/fake_gateway_codec.ts
+++ b/standins/gateway/fake_gateway_codec.ts
@@ -30,6 +30,7 @@
       },
       promptParts: headerOf(headers, "parts")?.split(",") ?? [],
       resumeAfterEventId: headerOf(headers, "after"),
+      resumedRequestId: headerOf(headers, "resumes"),
     };
   }
 
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -50,6 +50,7 @@
 import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
 import { PromptPartMonitor } from "../../src/features/gateway/common/prompt_part_monitor.ts";
 import { PromptPartTable } from "../../src/features/quarantine/common/prompt_part_table.ts";
+import { StreamVersionTable } from "../../src/features/gateway/common/stream_versions.ts";
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
 import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
 import type {
@@ -255,6 +256,7 @@
   readonly suspects: SuspectTable;
   readonly promptParts: PromptPartTable;
   readonly limitTable: LimitTable;
+  readonly streamVersions: StreamVersionTable;
   readonly state = new ConfigurationState(
     this.logger,
     () => this.confirmationAgeMs,
@@ -271,6 +273,7 @@
     this.registry = new EndpointRegistry(this.clock, this.logger);
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
+    this.streamVersions = new StreamVersionTable(this.clock);
     this.promptParts = new PromptPartTable(this.clock);
     const { clock, logger, metrics, registry, loadTable, engineControl } = this;
     const random = new SeededRandom(options.seed ?? 1);
@@ -341,6 +344,7 @@
         }),
         holds: new EndpointHolds(clock, logger, metrics, random),
         limits,
+        streamVersions: this.streamVersions,
         leavingMarks: {
           mark: ({ id }, reason) => registry.markDraining(id, reason),
         },
--- a/standins/peers/in_process_fleet.ts
+++ b/standins/peers/in_process_fleet.ts
@@ -8,7 +8,9 @@
   HostId,
   ZoneName,
 } from "../../src/base/common/ids.ts";
+import { GatewayStreamVersions } from "../../src/daemon/common/gateway_stream_versions.ts";
 import { GatewayTopology } from "../../src/daemon/node/gateway_topology.ts";
+import { EndpointRegistry } from "../../src/features/gateway/common/endpoint_registry.ts";
 import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
 import { LimitRights } from "../../src/features/gateway/common/limit_rights.ts";
 import { LimitTable } from "../../src/features/gateway/common/limit_table.ts";
@@ -102,6 +104,7 @@
     daemon.exchange.dispose();
     daemon.suspectSync.dispose();
     daemon.promptPartSync.dispose();
+    daemon.streamVersions.dispose();
     daemon.limitRights.dispose();
     daemon.peers.dispose();
     this.daemons.delete(host);
@@ -145,6 +148,13 @@
       relay: peers,
       table: promptParts,
     });
+    const registry = new EndpointRegistry(clock, NOOP_LOGGER);
+    const streamVersions = new GatewayStreamVersions({
+      clock,
+      links,
+      relay: peers,
+      registry,
+    });
     const limitTable = new LimitTable(clock);
     const limitRights = new LimitRights({
       self: self.host,
@@ -168,6 +178,8 @@
       suspectSync,
       promptParts,
       promptPartSync,
+      registry,
+      streamVersions,
     });
   }
 }
@@ -184,4 +196,6 @@
   readonly suspectSync: SuspectSync;
   readonly promptParts: PromptPartTable;
   readonly promptPartSync: PromptPartSync;
+  readonly registry: EndpointRegistry;
+  readonly streamVersions: GatewayStreamVersions;
 }
--- a/standins/peers/in_process_links.ts
+++ b/standins/peers/in_process_links.ts
@@ -6,6 +6,7 @@
 import { Emitter } from "../../src/base/common/event.ts";
 import type { HostId } from "../../src/base/common/ids.ts";
 import type {
+  ChannelTraffic,
   PeerAddress,
   PeerChannel,
   PeerChannelSpec,
@@ -86,6 +87,10 @@
   readonly #connected = new Set<HostId>();
   #messagesSent = 0;
   #messagesReceived = 0;
+  /** Messages received by channel, with their size as JSON. */
+  readonly #channelTraffic = new Map<string, ChannelTraffic>();
+  /** Channel whose messages are measured. */
+  measuredChannel: string | undefined;
 
   /** {@inheritDoc PeerLinks.onDidChangeLink} */
   readonly onDidChangeLink = this.#didChangeLink.event;
@@ -145,7 +150,7 @@
       messagesReceived: this.#messagesReceived,
       bytesSent: 0,
       bytesReceived: 0,
-      channels: new Map(),
+      channels: this.#channelTraffic,
     };
   }
 
@@ -177,10 +182,21 @@
   deliver(from: HostId, channel: string, body: unknown): void {
     this.#clock.setTimer(LINK_DELAY_MS, () => {
       this.#messagesReceived++;
+      if (channel === this.measuredChannel) this.#measure(channel, body);
       this.#receivers.get(channel)?.(from, body);
     });
   }
 
+  #measure(channel: string, body: unknown): void {
+    const known = this.#channelTraffic.get(channel);
+    this.#channelTraffic.set(channel, {
+      messagesSent: 0,
+      bytesSent: 0,
+      messagesReceived: (known?.messagesReceived ?? 0) + 1,
+      bytesReceived: (known?.bytesReceived ?? 0) + JSON.stringify(body).length,
+    });
+  }
+
   /** Releases all listeners. */
   dispose(): void {
     this.#receivers.clear();
