Reset the caller's connection when an answer without length or chunks breaks off

Callers took a stream for complete that their replica had broken off inside an event or reset: where the answer has neither a length nor chunks, its end is that of the connection, and an aborted answer ended it plainly, after a whole event. The same when this host stops and cuts what is left.

Such an answer is now reset.

--- a/src/services/http/node/caller_server.ts
+++ b/src/services/http/node/caller_server.ts
@@ -51,6 +51,8 @@
   readonly #server: Server;
   readonly #didReceive = new Emitter<CallerExchange>();
   readonly #sockets = new Set<Socket>();
+  /** Exchanges without a complete response. */
+  readonly #exchanges = new Set<CallerExchange>();
   /** Number of requests without a complete response, by connection. */
   readonly #activeRequests = new Map<Socket, number>();
   #isClosing = false;
@@ -133,6 +135,7 @@
   /** Stops accepting connections and closes all of them. */
   dispose(): void {
     this.#server.close();
+    for (const exchange of [...this.#exchanges]) exchange.abort();
     for (const socket of this.#sockets) socket.destroy();
     this.#didReceive.dispose();
   }
@@ -149,7 +152,9 @@
       this.#clock.monotonicMs(),
       () => this.#isClosing,
     );
+    this.#exchanges.add(exchange);
     exchange.onDidEnd(() => {
+      this.#exchanges.delete(exchange);
       const remaining = (this.#activeRequests.get(socket) ?? 1) - 1;
       if (remaining > 0) this.#activeRequests.set(socket, remaining);
       else this.#activeRequests.delete(socket);
@@ -166,6 +171,7 @@
   readonly #didEnd = new Emitter<ExchangeEnd>();
   readonly #didDrain = new Emitter<void>();
   #end: ExchangeEnd | undefined;
+  #isCloseDelimited = false;
   readonly receivedMs: number;
   readonly onDidDrain = this.#didDrain.event;
 
@@ -237,6 +243,7 @@
   ): void {
     if (this.hasEnded || this.hasSentHead) return;
     if (isCloseDelimited) {
+      this.#isCloseDelimited = true;
       this.#response.useChunkedEncodingByDefault = false;
       this.#response.shouldKeepAlive = false;
     }
@@ -254,7 +261,10 @@
   }
 
   abort(): void {
-    this.#response.destroy();
+    const { socket } = this.#request;
+    // Only a reset tells the caller that such a response is not complete.
+    if (this.#isCloseDelimited && !this.hasEnded) socket.resetAndDestroy();
+    else this.#response.destroy();
   }
 
   #writeHead(status: number, headers: HeaderList): void {
