Tell a reset that arrives together with data from the end of an answer

When a reset arrives while data is unread, the socket reports an end and no error (the poll says hang-up after a partial read, and no further read is made). The socket has no peer any more then, by which the client now tells it from a connection that the other side has closed.

--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -163,6 +163,11 @@
     socket.on("error", () => {
       connection.hasSocketError = true;
     });
+    socket.on("end", () => {
+      // A reset that arrives together with data is reported as an end, but the
+      // socket has no peer any more.
+      if (socket.remoteAddress === undefined) connection.hasSocketError = true;
+    });
     const timeout = setTimeout(() => {
       socket.destroy(new Error("the connection could not be opened in time"));
     }, this.#limits.connectTimeoutMs);
