Stop relaying the versions of streams that have expired

A record that expires on its way was new to each receiver, as expired ones count as unknown, and so was passed on again and again.

Expired records are neither sent nor taken, and one that was known is not passed on again.

--- a/src/features/gateway/common/stream_version_sync.ts
+++ b/src/features/gateway/common/stream_version_sync.ts
@@ -128,6 +128,7 @@
     const { clock, table } = this.#services;
     const nowMs = clock.monotonicMs();
     for (const [id, workspace, service, softwareVersion, leftMs] of streams) {
+      if (leftMs <= 0) continue;
       const stream = {
         id,
         workspace: workspace as WorkspaceId,
@@ -157,19 +158,20 @@
 
   #send(hosts: readonly HostId[], streams: readonly StreamVersion[]): void {
     const nowMs = this.#services.clock.monotonicMs();
+    const current = streams.filter(({ expiresMs }) => expiresMs > nowMs);
     for (
       let start = 0;
-      start < streams.length && hosts.length > 0;
+      start < current.length && hosts.length > 0;
       start += MAX_STREAMS_PER_MESSAGE
     ) {
-      const page = streams.slice(start, start + MAX_STREAMS_PER_MESSAGE);
+      const page = current.slice(start, start + MAX_STREAMS_PER_MESSAGE);
       this.#channel.multicast(hosts, {
         streams: page.map((stream) => [
           stream.id,
           stream.workspace,
           stream.service,
           stream.softwareVersion,
-          Math.max(0, Math.round(stream.expiresMs - nowMs)),
+          Math.round(stream.expiresMs - nowMs),
         ]),
       });
     }
--- a/src/features/gateway/common/stream_versions.ts
+++ b/src/features/gateway/common/stream_versions.ts
@@ -69,9 +69,10 @@
    * @returns Whether it was not known yet.
    */
   add(stream: StreamVersion): boolean {
-    const isKnown = this.versionOf(stream) === stream.softwareVersion;
-    this.#streams.set(toMapKey(stream), stream);
-    return !isKnown;
+    const key = toMapKey(stream);
+    const known = this.#streams.get(key);
+    this.#streams.set(key, stream);
+    return known?.softwareVersion !== stream.softwareVersion;
   }
 }
 
--- a/standins/peers/stream_version_sync_test.ts
+++ b/standins/peers/stream_version_sync_test.ts
@@ -49,13 +49,13 @@
     }
   }
 
-  function begin(host: HostId, id: string): void {
+  function begin(host: HostId, id: string, leftMs = 6_000): void {
     fleet.daemons.get(host)!.streamVersions.table.record({
       id,
       workspace: WORKSPACE,
       service: SERVICE,
       softwareVersion: "v1",
-      expiresMs: fleet.clock.monotonicMs() + 6_000,
+      expiresMs: fleet.clock.monotonicMs() + leftMs,
     });
   }
 
@@ -107,6 +107,17 @@
     expect(hostsKnowing("first")).toBe(0);
   });
 
+  it("are not relayed for ever when they expire on the way", async () => {
+    announce("e2", "v2");
+    for (const leftMs of [20, 55, 105]) {
+      begin(hosts()[5]!, `s${leftMs}`, leftMs);
+    }
+    await fleet.advance(1_000);
+    const before = messagesReceived();
+    await fleet.advance(1_000);
+    expect(messagesReceived()).toBe(before);
+  });
+
   it("cost a host few messages and bytes while two versions serve", async () => {
     announce("e2", "v2");
     await fleet.advance(100);
