Do not accuse parts of prompts of crashes that a whole request explains

Found by the soak: a part that all requests of a workspace share was held while a request that is quarantined as a whole crashed endpoints faster than any stream could show that the part is sound. Callers of that workspace were refused.

A quarantined request now explains its crashes before a part does that has no more of them. An endpoint that wrote for 100 ms, also up to its crash, shows that a part is sound (250 ms before, and only by later data). Evidence: prompt_part_table_test.ts, a new test that fails without it.

--- a/src/daemon/common/gateway_quarantine.ts
+++ b/src/daemon/common/gateway_quarantine.ts
@@ -55,7 +55,10 @@
       new SuspectSync({ clock, links, channel, table, relay: overlay }),
     );
     this.#disposables.add(new SuspectArchive({ ...services, table }));
-    const parts = new PromptPartTable(clock);
+    const parts = new PromptPartTable(
+      clock,
+      () => table.listQuarantined().map(({ endpoints }) => endpoints),
+    );
     this.#disposables.add(
       new PromptPartSync({ clock, links, relay: overlay, table: parts }),
     );
--- a/src/features/gateway/common/crash_monitor.ts
+++ b/src/features/gateway/common/crash_monitor.ts
@@ -201,10 +201,11 @@
         prompt.onCompleted();
         this.#clear(content);
       },
-      onLost: () =>
-        state.running.delete(run)
-          ? this.#onLost(endpoint, state, run, clock.nowMs())
-          : Promise.resolve(),
+      onLost: () => {
+        if (!state.running.delete(run)) return Promise.resolve();
+        prompt.onLost();
+        return this.#onLost(endpoint, state, run, clock.nowMs());
+      },
       onEnded: () => {
         if (!state.running.delete(run)) return;
         const heardMs = Math.max(run.sentMs, state.heardMs);
--- a/src/features/gateway/common/prompt_part_monitor.ts
+++ b/src/features/gateway/common/prompt_part_monitor.ts
@@ -47,6 +47,8 @@
   onData(): void;
   /** The answer is complete. */
   onCompleted(): void;
+  /** The connection has ended now. */
+  onLost(): void;
   /** Whether the endpoint has written on all parts and lived. */
   readonly isSound: boolean;
 }
@@ -63,7 +65,7 @@
 }
 
 /** Time for which an endpoint must live after the first part of its answer. */
-const SOUND_AFTER_MS = 250;
+const SOUND_AFTER_MS = 100;
 
 /** Monitors the parts of prompts on one daemon. */
 export class PromptPartMonitor implements Disposable {
@@ -144,6 +146,10 @@
       isSound = true;
       table.recordSound(service, version, parts);
     };
+    const onAlive = (): void => {
+      if (firstDataMs === undefined) return;
+      if (clock.monotonicMs() - firstDataMs >= SOUND_AFTER_MS) onSound();
+    };
     return {
       get isSound() {
         return isSound;
@@ -153,11 +159,11 @@
       },
       onData: () => {
         if (isSound) return;
-        const nowMs = clock.monotonicMs();
-        firstDataMs ??= nowMs;
-        if (nowMs - firstDataMs >= SOUND_AFTER_MS) onSound();
+        firstDataMs ??= clock.monotonicMs();
+        onAlive();
       },
       onCompleted: onSound,
+      onLost: onAlive,
     };
   }
 
--- a/src/features/quarantine/common/prompt_part_table.ts
+++ b/src/features/quarantine/common/prompt_part_table.ts
@@ -89,6 +89,7 @@
 /** Parts of prompts that may crash endpoints, of all services. */
 export class PromptPartTable {
   readonly #clock: Clock;
+  readonly #requestCrashes: () => readonly (readonly string[])[];
   /** Records in the order of their latest change. */
   readonly #records = new Map<string, PromptPartRecord>();
   /** Parts known to be sound, by service and version. */
@@ -105,9 +106,17 @@
   /** Fires when this daemon starts or stops to refuse parts. */
   readonly onDidTransition = this.#didTransition.event;
 
-  /** @param clock - Clock for the expiry of records. */
-  constructor(clock: Clock) {
+  /**
+   * @param clock - Clock for the expiry of records.
+   * @param requestCrashes - Returns the endpoints that each request crashed
+   * which is quarantined as a whole.
+   */
+  constructor(
+    clock: Clock,
+    requestCrashes: () => readonly (readonly string[])[] = () => [],
+  ) {
     this.#clock = clock;
+    this.#requestCrashes = requestCrashes;
   }
 
   /** @returns All records that have not expired. */
@@ -374,7 +383,10 @@
         successiveCrashes: countSuccessive(crashes),
       };
     });
-    const found = findCrashingParts(candidates);
+    const requests = this.#requestCrashes().map((endpoints) =>
+      new Set(endpoints.flatMap((endpoint) => crashIds.allOf(endpoint)))
+    );
+    const found = findCrashingParts(candidates, requests);
     const alone = new Set<string>();
     for (const parts of found) {
       if (parts.length !== 1) continue;
@@ -467,6 +479,11 @@
     }
   }
 
+  allOf(endpoint: string): string[] {
+    const times = this.#firstMs.get(endpoint) ?? [undefined];
+    return times.map((firstMs) => `${endpoint}@${firstMs}`);
+  }
+
   of({ atMs, endpoint }: PartCrash): string {
     const times = this.#firstMs.get(endpoint) ?? [];
     return `${endpoint}@${times.findLast((firstMs) => firstMs <= atMs)}`;
--- a/src/features/quarantine/common/prompt_part_table_test.ts
+++ b/src/features/quarantine/common/prompt_part_table_test.ts
@@ -96,6 +96,26 @@
     expect([kindOf([BAD]), kindOf(["a"])]).toEqual(["quarantined", "allowed"]);
   });
 
+  it("does not accuse parts beside a request that is quarantined as a whole", () => {
+    const clock = new ManualClock();
+    const table = new PromptPartTable(clock, () => [["e1", "e2", "e3", "e4"]]);
+    const crash = (endpoint: string, parts: readonly string[]) => {
+      clock.advance(100);
+      table.recordCrash(SERVICE, parts, {
+        endpoint,
+        version: V1,
+        atMs: clock.nowMs(),
+        startedMs: clock.nowMs() - 50,
+      });
+    };
+    for (const endpoint of ["e1", "e2", "e3"]) crash(endpoint, ["a"]);
+    expect(table.listQuarantined()).toEqual([]);
+    for (const endpoint of ["e5", "e6", "e7", "e8", "e9"]) {
+      crash(endpoint, [BAD]);
+    }
+    expect(table.listQuarantined().map(({ parts }) => parts)).toEqual([[BAD]]);
+  });
+
   it("finds two bad parts at once", () => {
     const { crash, kindOf } = createTable();
     for (let count = 0; count < 5; count++) {
--- a/src/features/quarantine/common/prompt_part_verdicts.ts
+++ b/src/features/quarantine/common/prompt_part_verdicts.ts
@@ -29,10 +29,12 @@
  * Finds the parts that crash endpoints.
  *
  * @param candidates - Parts of one service that were never shown to be sound.
+ * @param requests - Crashes of each request that is quarantined as a whole.
  * @returns The groups of parts, the one with the most crashes first.
  */
 export function findCrashingParts(
   candidates: readonly PartCandidate[],
+  requests: readonly ReadonlySet<string>[] = [],
 ): readonly CrashingParts[] {
   const found: CrashingParts[] = [];
   const explained = new Set<string>();
@@ -40,6 +42,7 @@
     crashes.size >= MIN_CRASHES && successiveCrashes >= MIN_SUCCESSIVE_CRASHES
   );
   while (open.length > 0) {
+    const worstRequest = findLargest(requests, explained);
     const counted = open.map((candidate) => ({
       candidate,
       unexplained: [...candidate.crashes].filter((crash) =>
@@ -50,6 +53,10 @@
     const most = Math.max(
       ...counted.map(({ unexplained }) => unexplained.length),
     );
+    if (worstRequest.length > most) {
+      for (const crash of worstRequest) explained.add(crash);
+      continue;
+    }
     // Parts with as many crashes, but not the same ones, explain them as well.
     const groups = new Map<string, { parts: string[]; crashes: string[] }>();
     for (const { candidate, unexplained } of counted) {
@@ -73,3 +80,16 @@
   }
   return found;
 }
+
+/** Returns the unexplained crashes of the set that has the most of them. */
+function findLargest(
+  sets: readonly ReadonlySet<string>[],
+  explained: ReadonlySet<string>,
+): readonly string[] {
+  let largest: readonly string[] = [];
+  for (const set of sets) {
+    const unexplained = [...set].filter((crash) => !explained.has(crash));
+    if (unexplained.length > largest.length) largest = unexplained;
+  }
+  return largest;
+}
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -274,7 +274,10 @@
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
     this.streamVersions = new StreamVersionTable(this.clock);
-    this.promptParts = new PromptPartTable(this.clock);
+    this.promptParts = new PromptPartTable(
+      this.clock,
+      () => this.suspects.listQuarantined().map(({ endpoints }) => endpoints),
+    );
     const { clock, logger, metrics, registry, loadTable, engineControl } = this;
     const random = new SeededRandom(options.seed ?? 1);
     const chooser = new EndpointChooser(
