Soak: prompts with a part that crashes endpoints

Two callers send ever new requests with one part that crashes endpoints; after the fifth crash and 3 s calm daemons may send three more. All other prompts share their first part and that of their key.

--- a/soak/caller_pool.ts
+++ b/soak/caller_pool.ts
@@ -13,10 +13,13 @@
   SentRequest,
 } from "./invariant_checker.ts";
 import type { SoakService } from "./retry_rules.ts";
-import { WORKSPACE_BY_KEY } from "./soak_deployment.ts";
+import { CRASHING_PART, WORKSPACE_BY_KEY } from "./soak_deployment.ts";
 
 const REQUEST_KINDS = ["book", "read", "draft"] as const;
 const REQUEST_PATHS = { book: "/book/x", read: "/read/x", draft: "/stream/x" };
+/** Time between two tainted requests, in milliseconds. */
+const TAINTED_GAP_MS = 300;
+const TAINTED_KINDS = ["book", "draft"] as const;
 /** Time after which a caller abandons a request, also sent as its deadline. */
 const REQUEST_TIMEOUT_MS = 8_000;
 /** Paths of the requests that crash endpoints; the path is their body too. */
@@ -24,6 +27,14 @@
 const POISON_KEY = "key-a";
 const POISON_GAP_MS = 250;
 
+/** Part that all prompts share. */
+const SYSTEM_PART = "5c1e";
+
+/** What only some requests need. */
+interface SendOptions {
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
 /** Runs concurrent callers until it is stopped. */
 export class CallerPool {
   readonly #random: SeededRandom;
@@ -65,7 +76,8 @@
       () => this.#runCaller(),
     );
     const poisons = POISON_PATHS.map((path) => this.#repeatPoison(path));
-    await Promise.all([...callers, ...poisons]);
+    const tainted = TAINTED_KINDS.map((kind) => this.#sendTainted(kind));
+    await Promise.all([...callers, ...poisons, ...tainted]);
     this.#agent.destroy();
   }
 
@@ -96,6 +108,29 @@
     }
   }
 
+  /** Sends different requests that share a part that crashes endpoints. */
+  async #sendTainted(kind: "book" | "draft"): Promise<void> {
+    while (!this.#isStopping) {
+      const daemon = this.#pick(this.#daemons);
+      const id = `q-${++this.#requestCount}`;
+      const sent: SentRequest = {
+        id,
+        kind: "tainted",
+        daemon: daemon.options.name,
+        key: POISON_KEY,
+        sentMs: Date.now(),
+        result: undefined,
+      };
+      this.#recordSent(sent, kind === "draft" ? "llm" : "app");
+      sent.result = await this.#send(daemon, sent, REQUEST_PATHS[kind], id, {
+        headers: {
+          "X-Prompt-Prefix": `${SYSTEM_PART}:80,${CRASHING_PART}:90,${id}:10`,
+        },
+      });
+      await wait(TAINTED_GAP_MS);
+    }
+  }
+
   /** Sends one request again and again, under a new id each time. */
   async #repeatPoison(path: string): Promise<void> {
     while (!this.#isStopping) {
@@ -126,6 +161,7 @@
     { id, key }: SentRequest,
     path: string,
     body: string,
+    { headers }: SendOptions = {},
   ): Promise<RequestResult> {
     const { ip, port } = daemon.options;
     return new Promise((resolve) => {
@@ -141,7 +177,9 @@
           "X-Request-Id": id,
           "X-Deadline-Ms": String(REQUEST_TIMEOUT_MS),
           "X-Token-Count": "300,400",
+          "X-Prompt-Prefix": `${SYSTEM_PART}:80,${key}:40,${id}:200`,
           "Authorization": `Bearer ${key}`,
+          ...headers,
         },
       }, (response) => {
         response.on("data", (chunk) => text += String(chunk));
--- a/soak/endpoint_rules.ts
+++ b/soak/endpoint_rules.ts
@@ -17,6 +17,8 @@
 const CONTACT_MS = 3_000;
 /** Crashes after which a request must be known. */
 const MAX_CRASHES = 3;
+/** Crashes after which a part of prompts must be known. */
+export const MAX_PART_CRASHES = 5;
 /** Sends of such a request that may still reach endpoints. */
 const MAX_RETRIES = 3;
 /** Time in milliseconds after a notice in which requests may still arrive. */
@@ -48,11 +50,21 @@
     );
   }
 
-  /** Records a request that crashes the endpoint that receives it. */
-  recordCrash(content: string, { atMs, calmMs }: EndpointArrival): void {
+  /**
+   * Records a request that crashes the endpoint that receives it.
+   *
+   * @param content - What causes the crash.
+   * @param arrival - The request at the endpoint.
+   * @param maxCrashes - Crashes after which the cause must be known.
+   */
+  recordCrash(
+    content: string,
+    { atMs, calmMs }: EndpointArrival,
+    maxCrashes = MAX_CRASHES,
+  ): void {
     const times = this.#crashTimesMs.get(content) ?? [];
     this.#crashTimesMs.set(content, times);
-    const knownMs = times[MAX_CRASHES - 1];
+    const knownMs = times[maxCrashes - 1];
     times.push(atMs);
     const isLate = knownMs !== undefined && atMs > knownMs + CONTACT_MS;
     if (!isLate || calmMs < CONTACT_MS) return;
--- a/soak/invariant_checker.ts
+++ b/soak/invariant_checker.ts
@@ -20,8 +20,11 @@
 /** A request that a caller sent. */
 export interface SentRequest {
   readonly id: string;
-  /** A poison crashes each endpoint that runs it. */
-  readonly kind: "book" | "read" | "draft" | "poison";
+  /**
+   * A poison crashes each endpoint that runs it, a tainted request has a part in
+   * its prompt that does.
+   */
+  readonly kind: "book" | "read" | "draft" | "poison" | "tainted";
   readonly daemon: string;
   readonly key: string;
   readonly sentMs: number;
@@ -133,7 +136,7 @@
     runs: readonly RecordedRun[],
   ): string | undefined {
     const { result, kind, id, key, sentMs } = request;
-    if (kind === "poison") return undefined;
+    if (kind === "poison" || kind === "tainted") return undefined;
     const initialRuns = runs.filter(({ isContinuation }) => !isContinuation);
     // A cut connection to an endpoint does not count towards the attempts.
     const answeredRuns = initialRuns.filter(({ wasCut }) => !wasCut());
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -4,6 +4,7 @@
  */
 
 import { mkdir, rm } from "node:fs/promises";
+import type { IncomingHttpHeaders } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
 import { SystemClock } from "../src/base/node/system_clock.ts";
 import type { Address } from "../src/base/common/ids.ts";
@@ -16,7 +17,7 @@
 import { DaemonProcess } from "./daemon_process.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 import type { StoreCopy } from "../standins/mirror/fake_revisioned_store.ts";
-import type { EndpointArrival } from "./endpoint_rules.ts";
+import { type EndpointArrival, MAX_PART_CRASHES } from "./endpoint_rules.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 
 /** Time in milliseconds within which a revoked API key must be refused. */
@@ -30,6 +31,9 @@
   ["key-c", "workspace-b"],
 ]);
 
+/** Part of prompts that crashes each endpoint that begins to answer it. */
+export const CRASHING_PART = "7a1d";
+
 const ZONES = ["zone-a", "zone-b"];
 /** Killed processes exit within a few milliseconds. */
 const EXIT_POLL_INTERVAL_MS = 20;
@@ -254,11 +258,17 @@
       });
       this.#recordArrival(replica, process, id);
     };
-    replica.effectOf = ({ body }) =>
-      isPoison(body) ? { kind: "crash", afterEvents: 0 } : { kind: "none" };
-    replica.onCrash = ({ body, id }) => {
+    replica.effectOf = ({ body, headers }) =>
+      isPoison(body) || isTainted(headers)
+        ? { kind: "crash", afterEvents: 0 }
+        : { kind: "none" };
+    replica.onCrash = ({ body, headers, id }) => {
       const arrival = this.#arrivalOf(process, id);
-      if (arrival) invariants.endpointRules.recordCrash(body, arrival);
+      const { endpointRules } = invariants;
+      if (arrival && isTainted(headers)) {
+        const content = `part ${CRASHING_PART} at ${service}`;
+        endpointRules.recordCrash(content, arrival, MAX_PART_CRASHES);
+      } else if (arrival) endpointRules.recordCrash(body, arrival);
       void this.#replaceCrashed(name);
     };
     const proxy = new FaultProxy(await replica.listen());
@@ -332,6 +342,13 @@
   }
 }
 
+function isTainted(headers: IncomingHttpHeaders): boolean {
+  const parts = String(headers["x-prompt-prefix"] ?? "").split(",");
+  return parts.slice(0, -1).some((part) =>
+    part.startsWith(`${CRASHING_PART}:`)
+  );
+}
+
 function isPoison(body: string): boolean {
   return body.startsWith("poison ");
 }
