--- a/soak/caller_pool.ts
+++ b/soak/caller_pool.ts
@@ -15,8 +15,15 @@
 import type { SoakService } from "./retry_rules.ts";
 import { CRASHING_PART, WORKSPACE_BY_KEY } from "./soak_deployment.ts";
 
-const REQUEST_KINDS = ["book", "read", "draft"] as const;
-const REQUEST_PATHS = { book: "/book/x", read: "/read/x", draft: "/stream/x" };
+const REQUEST_KINDS = ["book", "read", "draft", "check"] as const;
+const REQUEST_PATHS = {
+  book: "/book/x",
+  read: "/read/x",
+  draft: "/stream/x",
+  check: "/again/stream/x",
+};
+/** Events of a check after which its caller closes the connection. */
+const CHECK_BREAK_EVENTS = 8;
 /** Time between two tainted requests, in milliseconds. */
 const TAINTED_GAP_MS = 300;
 const TAINTED_KINDS = ["book", "draft"] as const;
@@ -32,6 +39,8 @@
 
 /** What only some requests need. */
 interface SendOptions {
+  /** Number of events after which the connection is closed. */
+  readonly breakAfterEvents?: number;
   readonly headers?: Readonly<Record<string, string>>;
 }
 
@@ -101,13 +110,44 @@
         sentMs,
         result: undefined,
       };
-      this.#recordSent(sent, kind === "draft" ? "llm" : "app");
-      const body = kind === "draft" ? "" : id;
-      sent.result = await this.#send(daemon, sent, REQUEST_PATHS[kind], body);
+      const isStream = kind === "draft" || kind === "check";
+      this.#recordSent(sent, isStream ? "llm" : "app");
+      const body = isStream ? "" : id;
+      if (kind === "check") await this.#sendAndTakeUp(daemon, sent);
+      else {
+        sent.result = await this.#send(daemon, sent, REQUEST_PATHS[kind], body);
+      }
       await wait(this.#gapMs);
     }
   }
 
+  /** Breaks a stream off after some events and takes it up at another daemon. */
+  async #sendAndTakeUp(
+    daemon: DaemonProcess,
+    first: SentRequest,
+  ): Promise<void> {
+    const path = REQUEST_PATHS.check;
+    const begun = await this.#send(daemon, first, path, "", {
+      breakAfterEvents: CHECK_BREAK_EVENTS,
+    });
+    first.result = begun;
+    const lastEvent = [...begun.text.matchAll(/id: (\d+)\n[^\n]*\n\n/g)].at(-1);
+    if (begun.kind === "answered" || !lastEvent) return;
+    const other = this.#pick(this.#daemons);
+    const again: SentRequest = {
+      ...first,
+      id: `q-${++this.#requestCount}`,
+      daemon: other.options.name,
+      sentMs: Date.now(),
+      afterEvent: Number(lastEvent[1]),
+      result: undefined,
+    };
+    this.#recordSent(again, "llm");
+    again.result = await this.#send(other, again, path, "", {
+      headers: { "Last-Event-Id": lastEvent[1]!, "Resumes": first.id },
+    });
+  }
+
   /** Sends different requests that share a part that crashes endpoints. */
   async #sendTainted(kind: "book" | "draft"): Promise<void> {
     while (!this.#isStopping) {
@@ -161,7 +201,7 @@
     { id, key }: SentRequest,
     path: string,
     body: string,
-    { headers }: SendOptions = {},
+    { breakAfterEvents, headers }: SendOptions = {},
   ): Promise<RequestResult> {
     const { ip, port } = daemon.options;
     return new Promise((resolve) => {
@@ -182,7 +222,14 @@
           ...headers,
         },
       }, (response) => {
-        response.on("data", (chunk) => text += String(chunk));
+        response.on("data", (chunk) => {
+          text += String(chunk);
+          const eventCount = text.split("\n\n").length - 1;
+          if (breakAfterEvents && eventCount >= breakAfterEvents) {
+            resolve({ kind: "cut", text });
+            request.destroy();
+          }
+        });
         response.on("error", () => resolve({ kind: "cut", text }));
         response.on("close", () => {
           if (!response.complete) resolve({ kind: "cut", text });
--- a/soak/invariant_checker.ts
+++ b/soak/invariant_checker.ts
@@ -6,6 +6,7 @@
 import { EndpointRules } from "./endpoint_rules.ts";
 import { LimitRules } from "./limit_rules.ts";
 import { RetryRules } from "./retry_rules.ts";
+import { VersionRules } from "./version_rules.ts";
 
 /** Result of a request as its caller received it. */
 export type RequestResult =
@@ -22,12 +23,14 @@
   readonly id: string;
   /**
    * A poison crashes each endpoint that runs it, a tainted request has a part in
-   * its prompt that does.
+   * its prompt that does; a check is a stream that its caller may take up again.
    */
-  readonly kind: "book" | "read" | "draft" | "poison" | "tainted";
+  readonly kind: "book" | "read" | "draft" | "check" | "poison" | "tainted";
   readonly daemon: string;
   readonly key: string;
   readonly sentMs: number;
+  /** Number of the event after which a stream is taken up. */
+  readonly afterEvent?: number;
   result: RequestResult | undefined;
 }
 
@@ -54,6 +57,7 @@
   readonly endpointRules = new EndpointRules();
   readonly limitRules = new LimitRules();
   readonly retryRules = new RetryRules();
+  readonly versionRules = new VersionRules();
   readonly #sent = new Map<string, SentRequest>();
   readonly #runs = new Map<string, RecordedRun[]>();
   readonly #revokedMs = new Map<string, number>();
@@ -123,6 +127,7 @@
     found.push(...this.endpointRules.findViolations());
     found.push(...this.limitRules.findViolations());
     found.push(...this.retryRules.findViolations());
+    found.push(...this.versionRules.findViolations());
     for (const request of this.#sent.values()) {
       const runs = this.#runs.get(request.id) ?? [];
       const violation = this.#findRequestViolation(request, runs);
@@ -135,7 +140,8 @@
     request: SentRequest,
     runs: readonly RecordedRun[],
   ): string | undefined {
-    const { result, kind, id, key, sentMs } = request;
+    const { afterEvent = 0, result, kind, id, key, sentMs } = request;
+    const isStream = kind === "draft" || kind === "check";
     if (kind === "poison" || kind === "tainted") return undefined;
     const initialRuns = runs.filter(({ isContinuation }) => !isContinuation);
     // A cut connection to an endpoint does not count towards the attempts.
@@ -143,7 +149,8 @@
     if (answeredRuns.length > MAX_ATTEMPTS) {
       return `budget: ran on ${answeredRuns.length} endpoints`;
     }
-    if (kind !== "read" && initialRuns.length > 1) {
+    const mayRepeat = kind === "read" || kind === "check";
+    if (!mayRepeat && initialRuns.length > 1) {
       return `twice: started at ${
         initialRuns.map(({ endpoint }) => endpoint).join()
       }`;
@@ -152,25 +159,28 @@
     if (runs.some((run) => run.workspace !== workspace)) {
       return "unasked: run for another workspace";
     }
-    if (runs.some((run) => kind !== "draft" && run.body !== id)) {
+    if (runs.some((run) => !isStream && run.body !== id)) {
       return "unasked: run with another body";
     }
     if (result?.kind !== "answered") return undefined;
     const isRefused = NOT_RUN_STATUSES.has(result.status);
-    if (isRefused && kind !== "read" && runs.length > 0) {
+    if (isRefused && !mayRepeat && runs.length > 0) {
       return `refused with ${result.status}, but was run`;
     }
     if (result.status !== 200) return undefined;
-    if (kind === "draft") return this.#findDraftViolation(result.text);
+    if (isStream) return this.#findStreamViolation(result.text, afterEvent);
     return result.text.endsWith(`:${id}`)
       ? undefined
       : `mixed: got ${JSON.stringify(result.text)} at ${sentMs}`;
   }
 
-  #findDraftViolation(text: string): string | undefined {
+  #findStreamViolation(
+    text: string,
+    afterEvent: number,
+  ): string | undefined {
     const ids = [...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-    const isComplete = ids.length === this.#draftEventCount &&
-      ids.every((id, index) => id === index + 1);
+    const isComplete = ids.length === this.#draftEventCount - afterEvent &&
+      ids.every((id, index) => id === afterEvent + index + 1);
     return isComplete ? undefined : `order: events ${ids.join()}`;
   }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -51,10 +51,10 @@
       folder: `soak-logs/${seed}`,
     });
     const { sentCount, servedCount, restartCount, violations } = result;
-    const { crashCount, limitCount, mostRepeats } = result;
+    const { crashCount, limitCount, mostRepeats, resumedCount } = result;
     const verdict = violations.length === 0 ? "kept" : "BROKEN";
     console.log(
-      `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed, ${limitCount} limits named, at most ${mostRepeats} repeats in 10 s`,
+      `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed, ${limitCount} limits named, ${resumedCount} streams went on, at most ${mostRepeats} repeats in 10 s`,
     );
     for (const violation of violations) console.log(`  ${violation}`);
     if (violations.length > 0) process.exitCode = EXIT_VIOLATIONS;
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -101,7 +101,7 @@
     await mkdir(folder, { recursive: true });
     const storeAddress = await this.storeServer.listen();
     this.writeConfiguration();
-    for (const service of ["app", "app", "llm", "llm", "llm"] as const) {
+    for (const service of ["app", "app", "llm", "llm", "llm", "llm"] as const) {
       await this.addEndpoint(service);
     }
     const seeds = [0, 1, 2].filter((index) => index < daemonCount)
@@ -245,6 +245,13 @@
         workspace: headers["x-tenant"]?.toString(),
         wasCut: () => proxy.disturbedMs >= atMs,
       });
+      if (service === "app") return;
+      invariants.versionRules.recordRun({
+        stream: String(headers["resumes"] ?? id),
+        version: versionOf(name),
+        goesOn: headers["last-event-id"] !== undefined ||
+          headers["kv-from"] !== undefined,
+      });
     };
     const process = `${name}@${++this.#startCount}`;
     replica.onArrival = ({ id, headers }) => {
@@ -326,6 +333,7 @@
       service,
       address,
       "zone": ZONES[0],
+      "version": versionOf(name),
       "slots": 8,
       state,
       "cold-left-ms": 0,
@@ -342,6 +350,11 @@
   }
 }
 
+/** Endpoints have one of two software versions in turn. */
+function versionOf(name: string): string {
+  return Number(name.split("-")[1]) % 2 === 0 ? "v2" : "v1";
+}
+
 function isTainted(headers: IncomingHttpHeaders): boolean {
   const parts = String(headers["x-prompt-prefix"] ?? "").split(",");
   return parts.slice(0, -1).some((part) =>
@@ -387,6 +400,15 @@
         "timeout-ms": 15_000,
         "max-attempts": 1,
       },
+      {
+        ...route,
+        "name": "check",
+        "prefix": "/again/stream/",
+        "kind": "stream",
+        "service": "llm",
+        "timeout-ms": 6_000,
+        "resumable": true,
+      },
     ],
     services: [
       { "name": "app", "max-conns": 100 },
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -48,6 +48,8 @@
   readonly crashCount: number;
   /** Number of limits that endpoints have named. */
   readonly limitCount: number;
+  /** Number of streams that went on after events of another run. */
+  readonly resumedCount: number;
   /** Most repeats of one service in any 10 s. */
   readonly mostRepeats: number;
 }
@@ -115,6 +117,7 @@
     sentCount: invariants.sentCount,
     servedCount: invariants.servedCount(),
     crashCount: invariants.endpointRules.crashCount,
+    resumedCount: invariants.versionRules.resumedCount,
     limitCount: invariants.limitRules.limitCount,
     mostRepeats: invariants.retryRules.mostRepeats,
     restartCount:
