--- a/soak/version_rules.ts
+++ b/soak/version_rules.ts
@@ -5,7 +5,7 @@
   /** Id of the first try of its caller. */
   readonly stream: string;
   readonly version: string;
-  /** Whether it goes on after events that another run has written. */
+  /** Whether it continues after events of another run. */
   readonly goesOn: boolean;
 }
 
--- a/src/daemon/common/readiness_log.ts
+++ b/src/daemon/common/readiness_log.ts
@@ -18,7 +18,7 @@
   readonly #services: ReadinessLogServices;
   #wasReady = false;
 
-  /** @param services - What a line tells beside the readiness. */
+  /** @param services - Sources of the fields of a line. */
   constructor(services: ReadinessLogServices) {
     this.#services = services;
   }
--- a/src/features/gateway/common/prompt_part_monitor.ts
+++ b/src/features/gateway/common/prompt_part_monitor.ts
@@ -56,10 +56,10 @@
 /** Reason why a request is not sent because of its prompt. */
 export type PromptRefusal =
   | { readonly kind: "quarantined"; readonly quarantine: QuarantinedParts }
-  /** Another request may show first whether the part is sound by now. */
+  /** Another request is probing the part. */
   | { readonly kind: "probation"; readonly part: string };
 
-/** Request that shows whether a part on probation is sound by now. */
+/** Request that probes a part on probation. */
 export interface PromptProbe extends Disposable {
   readonly part: string;
 }
--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/stream_resumption.ts
@@ -52,7 +52,7 @@
     );
   }
 
-  /** Records that an endpoint has begun the stream, or goes on with it. */
+  /** Records that an endpoint has begun or continued the stream. */
   recordStart({ softwareVersion }: RegisteredEndpoint): void {
     const context = this.#context;
     context.softwareVersion = softwareVersion;
--- a/src/features/gateway/common/stream_version_sync.ts
+++ b/src/features/gateway/common/stream_version_sync.ts
@@ -1,5 +1,5 @@
 /**
- * Tells the peers at which software version streams began. While all endpoints
+ * Shares with the peers at which software version streams began. While all endpoints
  * of a service have one version nothing is sent; when another appears, the
  * streams that have begun until then follow.
  */
--- a/src/features/gateway/common/stream_versions.ts
+++ b/src/features/gateway/common/stream_versions.ts
@@ -56,7 +56,7 @@
     return stream.softwareVersion;
   }
 
-  /** Records that a stream of this daemon has begun, or goes on. */
+  /** Records that a stream of this daemon has begun or continued. */
   record(stream: StreamVersion): void {
     if (stream.id.length > MAX_ID_CHARACTERS) return;
     this.add(stream);
--- a/src/services/http/node/caller_server.ts
+++ b/src/services/http/node/caller_server.ts
@@ -262,7 +262,7 @@
 
   abort(): void {
     const { socket } = this.#request;
-    // Only a reset tells the caller that such a response is not complete.
+    // Without framing, only a reset marks the response as incomplete.
     if (this.#isCloseDelimited && !this.hasEnded) socket.resetAndDestroy();
     else this.#response.destroy();
   }
