--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -24,7 +24,7 @@
 } from "../../services/peers/common/link_planner.ts";
 import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
-import { PEER_DISCOVERY_PATH } from "../../services/peers/node/ws_peer_links.ts";
+import { PEER_DISCOVERY_PATH } from "../../services/peers/node/peer_server.ts";
 import type { FleetReach } from "../../features/gateway/common/limit_rights.ts";
 import type { RecordRelay } from "../../features/quarantine/common/record_sync.ts";
 import type { MirrorTopology } from "../../services/mirror/common/mirror_sync.ts";
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -4,28 +4,13 @@
  * sides keep the same one.
  */
 
-import {
-  createServer as createHttpServer,
-  type IncomingMessage,
-  type Server as HttpServer,
-  type ServerResponse,
-} from "node:http";
-import {
-  createServer as createHttpsServer,
-  type ServerOptions,
-} from "node:https";
-import type { ConnectionOptions, Server as TlsServer } from "node:tls";
-import { WebSocket, WebSocketServer } from "ws";
+import { WebSocket } from "ws";
 import { type Clock, runPeriodically } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { Address, HostId } from "../../../base/common/ids.ts";
-import {
-  type Disposable,
-  DisposableStore,
-} from "../../../base/common/lifecycle.ts";
+import { DisposableStore } from "../../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../../base/common/random.ts";
 import type { Logger } from "../../log/common/logger.ts";
-import { listenAt } from "../../http/node/listen.ts";
 import {
   encodeFrame,
   KEEPALIVE_CHANNEL,
@@ -47,13 +32,8 @@
 import { TrafficCounters } from "../common/traffic_counters.ts";
 import { PeerLink } from "./peer_link.ts";
 import { DialSchedule } from "./dial_schedule.ts";
+import { PEER_LINK_PATH, PeerServer, type PeerTls } from "./peer_server.ts";
 
-/** Path of the WebSocket endpoint for peer links. */
-const PEER_LINK_PATH = "/peers";
-/**
- * Path at which a daemon lists the hosts that it has in its view of the fleet.
- */
-export const PEER_DISCOVERY_PATH = "/hosts";
 const TICK_MS = 500;
 /** Time without a sent frame after which a keepalive is sent. */
 const KEEPALIVE_IDLE_MS = 1_200;
@@ -65,19 +45,6 @@
 const MAX_PENDING_HANDSHAKES = 512;
 const KEEPALIVE_FRAME = encodeFrame(KEEPALIVE_CHANNEL, null);
 
-/** TLS settings of the links, when they are encrypted. */
-export interface PeerTls {
-  /** @returns The options of the accepting side. */
-  serverOptions(): ServerOptions;
-  /**
-   * @returns The options of the dialing side, which accept only a certificate
-   * of the given host.
-   */
-  clientOptions(host: HostId): ConnectionOptions;
-  /** Keeps the certificates of a server up to date until disposed. */
-  follow(server: TlsServer): Disposable;
-}
-
 /** Dependencies and settings of {@link WsPeerLinks}. */
 export interface WsPeerLinksOptions {
   readonly clock: Clock;
@@ -107,8 +74,7 @@
   readonly #options: WsPeerLinksOptions;
   readonly #disposables = new DisposableStore();
   readonly #didChangeLink = new Emitter<PeerLinkChange>();
-  readonly #httpServer: HttpServer;
-  readonly #webSocketServer: WebSocketServer;
+  readonly #server: PeerServer;
   readonly #dialSchedule: DialSchedule;
   readonly #pendingLinks = new Set<PeerLink>();
   readonly #establishedLinks = new Map<HostId, PeerLink>();
@@ -129,18 +95,11 @@
       new SeededRandom(seed),
       self.host,
     );
-    this.#httpServer = tls ? this.#createTlsServer(tls) : createHttpServer();
-    this.#httpServer.on("request", (request: IncomingMessage, response) => {
-      this.#serveDiscovery(request, response as ServerResponse);
-    });
-    this.#webSocketServer = new WebSocketServer({
-      server: this.#httpServer,
-      path: PEER_LINK_PATH,
-      maxPayload: MAX_FRAME_BYTES,
-      perMessageDeflate: false,
+    this.#server = new PeerServer({
+      tls,
+      createDiscoveryResponse: options.createDiscoveryResponse?.bind(options),
+      onSocket: (socket) => this.#accept(socket),
     });
-    this.#webSocketServer.on("connection", (socket) => this.#accept(socket));
-    this.#webSocketServer.on("error", () => undefined);
     this.#disposables.add(runPeriodically(clock, TICK_MS, () => this.#tick()));
   }
 
@@ -151,7 +110,7 @@
    * @returns The address with the actual port.
    */
   listen(address: Address): Promise<Address> {
-    return listenAt(this.#httpServer, address);
+    return this.#server.listen(address);
   }
 
   /** {@inheritDoc PeerLinks.connectedHosts} */
@@ -210,9 +169,7 @@
     ) {
       link.dispose();
     }
-    this.#webSocketServer.close();
-    this.#httpServer.close();
-    this.#httpServer.closeAllConnections();
+    this.#server.dispose();
   }
 
   #send(to: HostId, channel: string, body: unknown): SendResult {
@@ -269,20 +226,6 @@
     for (const peer of due) this.#dial(peer);
   }
 
-  #serveDiscovery(request: IncomingMessage, response: ServerResponse): void {
-    const body = this.#options.createDiscoveryResponse?.();
-    const isDiscovery = body !== undefined &&
-      request.url === PEER_DISCOVERY_PATH;
-    response.writeHead(isDiscovery ? 200 : 404, { connection: "close" });
-    response.end(isDiscovery ? body : undefined);
-  }
-
-  #createTlsServer(tls: PeerTls): HttpServer {
-    const server = createHttpsServer(tls.serverOptions());
-    this.#disposables.add(tls.follow(server));
-    return server;
-  }
-
   #dial({ host, address }: PeerAddress): void {
     const { tls } = this.#options;
     const scheme = tls ? "wss" : "ws";
