Send messages over a frame's size between daemons in parts

Cause: a channel's messages grow with routes, hosts, endpoints and records, but a link carried single frames of up to 262,144 bytes and threw out of the receive path for more. A host that restarts asks for the whole contents again, so that the host that answers ends too.

A link now sends larger messages in parts of 32 KB below the channels. The receiver acknowledges parts and two are on the way at most, so that keepalives and urgent channels pass a large message on a link of 7 Mbit/s. Messages of one channel keep their order. A message is at most 8 MB, which also bounds what a receiver holds for a sender; what waits is bounded by link and by daemon. Refused messages are logged and counted, and an error while a message is encoded or processed is logged and counted instead of ending the process. A peer of an earlier version gets whole frames only.

--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -89,6 +89,9 @@
         tls: this.#loadTls("peers"),
         seed: randomInt(SEED_LIMIT),
         onLinkClosed: () => metrics.count("peer_links_closed"),
+        onMessageRefused: () => metrics.count("peer_messages_refused"),
+        onMessageFailed: () => metrics.count("peer_messages_failed"),
+        onTransferAborted: () => metrics.count("peer_transfers_aborted"),
       }),
     );
     const random = new SeededRandom(randomInt(SEED_LIMIT));
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -16,6 +16,7 @@
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
 import { GatewayStreamVersions } from "../common/gateway_stream_versions.ts";
 import { MirrorChangeHandler } from "../common/mirror_change_handler.ts";
+import { peerLinkCounters } from "../common/peer_link_counters.ts";
 import { ReadinessLog } from "../common/readiness_log.ts";
 import type {
   GatewayDaemonSettings,
@@ -122,6 +123,7 @@
         secret: adapter.peerSecret,
         seed: hasher.hash32(host),
         createDiscoveryResponse: () => this.#topology.formatHostList(),
+        ...peerLinkCounters(metrics),
       }),
     );
     const self: FleetHost = {
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -118,6 +118,7 @@
 
   #gauges(): Gauges {
     const services = this.#services;
+    const traffic = services.links.traffic();
     return {
       active_requests: services.gateway.activeCount,
       waiting_generations: services.queue.length,
@@ -127,6 +128,9 @@
       limited_endpoints: services.limitRights.list().length,
       quarantined_requests: services.crashMonitor.list().length,
       peers: services.links.connectedHosts().length,
+      peer_bytes_sent: traffic.bytesSent,
+      peer_bytes_received: traffic.bytesReceived,
+      peer_bytes_waiting: traffic.waitingBytes,
       configuration_version: services.state.current?.configuration.version ?? 0,
       configuration_age_seconds: services.mirror.confirmationAgeMs /
         MS_PER_SECOND,
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -33,6 +33,9 @@
   | "requests_refused_as_crashing"
   | "prompt_parts_quarantined"
   | "resumptions_refused"
+  | "peer_messages_refused"
+  | "peer_messages_failed"
+  | "peer_transfers_aborted"
   | "log_lines_dropped";
 
 /** Collects the request metrics of one daemon. */
--- a/src/services/metrics/common/metrics.ts
+++ b/src/services/metrics/common/metrics.ts
@@ -45,7 +45,10 @@
   | "frames_dropped"
   | "streams_resumed"
   | "config_applied"
-  | "peer_links_closed";
+  | "peer_links_closed"
+  | "peer_messages_refused"
+  | "peer_messages_failed"
+  | "peer_transfers_aborted";
 
 /** Records all metrics of a daemon. */
 export interface Metrics {
--- a/src/services/peers/common/peer_links.ts
+++ b/src/services/peers/common/peer_links.ts
@@ -49,8 +49,11 @@
   readonly body: T;
 }
 
+/** Why a message to a connected host is not sent. */
+export type SendRefusal = "queue-full" | "too-large" | "not-encodable";
+
 /** Result of handing a message over for sending. */
-export type SendResult = "queued" | "not-connected" | "queue-full";
+export type SendResult = "queued" | "not-connected" | SendRefusal;
 
 /**
  * A message channel on all links. Messages are delivered in order and at most
@@ -68,6 +71,10 @@
    * once.
    */
   broadcast(body: T): void;
+  /**
+   * Returns whether messages of this channel to a host still wait for its link.
+   */
+  hasWaiting(to: HostId): boolean;
 }
 
 /** Notification that a link was established or closed. */
@@ -89,6 +96,20 @@
 export interface PeerTraffic extends ChannelTraffic {
   /** Traffic by channel. */
   readonly channels: ReadonlyMap<string, ChannelTraffic>;
+  /** Bytes that wait for links at present. */
+  readonly waitingBytes: number;
+}
+
+/** Observes the links of a daemon, for its metrics. */
+export interface PeerLinkObserver {
+  /** Called when a link closes. */
+  onLinkClosed?(): void;
+  /** Called when a message to a connected host is not sent. */
+  onMessageRefused?(channel: string, reason: SendRefusal): void;
+  /** Called when a received message was not processed because of an error. */
+  onMessageFailed?(channel: string): void;
+  /** Called when a link closes in the middle of a message. */
+  onTransferAborted?(): void;
 }
 
 /** The links of one daemon to its peers. */
--- a/src/services/peers/common/traffic_counters.ts
+++ b/src/services/peers/common/traffic_counters.ts
@@ -25,12 +25,15 @@
     }
   }
 
-  /** @returns A copy of the current counters. */
-  snapshot(): PeerTraffic {
+  /**
+   * @param waitingBytes - Bytes that wait for links at present.
+   * @returns A copy of the current counters.
+   */
+  snapshot(waitingBytes: number): PeerTraffic {
     const channels = [...this.#channels].map(([name, traffic]) =>
       [name, { ...traffic }] as const
     );
-    return { ...this.#total, channels: new Map(channels) };
+    return { ...this.#total, channels: new Map(channels), waitingBytes };
   }
 
   #trafficOf(channel: string): MutableTraffic {
--- a/src/services/peers/node/peer_link.ts
+++ b/src/services/peers/node/peer_link.ts
@@ -30,11 +30,17 @@
   proofPayload,
 } from "../common/peer_handshake.ts";
 import type { SendResult } from "../common/peer_links.ts";
+import { PeerSendQueue, type WaitingBytes } from "../common/peer_send_queue.ts";
+import {
+  decodeTransferFrame,
+  encodeAcknowledgement,
+  TRANSFER_CHANNEL,
+  TransferAssembler,
+  type TransferFrame,
+} from "../common/peer_transfer.ts";
 
 /** Time within which the handshake has to complete. */
 const HANDSHAKE_TIMEOUT_MS = 3_000;
-/** Largest number of bytes that may wait in the socket's send buffer. */
-const MAX_QUEUED_BYTES = 1_048_576;
 /** Size of the random nonce in a hello frame. */
 const NONCE_BYTES = 18;
 
@@ -45,6 +51,8 @@
   readonly secret: string;
   /** Names of the channels that are open on this daemon. */
   readonly channels: readonly string[];
+  /** Limit of what waits for all links. */
+  readonly totalWaiting: WaitingBytes;
   /** Called once both sides have proved knowledge of the secret. */
   onUp(link: PeerLink): void;
   /** Called for each frame after the handshake. */
@@ -62,6 +70,8 @@
   readonly #expectedHost: HostId | undefined;
   #peerHello: Hello | undefined;
   #peerChannels: ReadonlySet<string> = new Set();
+  #sendQueue: PeerSendQueue | undefined;
+  readonly #assembler = new TransferAssembler();
   #state: "opening" | "proving" | "up" | "closed" = "opening";
   #handshakeTimer: Disposable = NOOP_DISPOSABLE;
   #lastReceivedMs: number;
@@ -91,7 +101,7 @@
       zone: self.zone,
       incarnation: self.incarnation,
       version: PEER_PROTOCOL_VERSION,
-      channels,
+      channels: [...channels, TRANSFER_CHANNEL],
       nonce: randomBytes(NONCE_BYTES).toString("base64url"),
     };
     this.#handshakeTimer = clock.setTimer(
@@ -132,22 +142,29 @@
     return this.#lastSentMs;
   }
 
+  /** Whether a message was sent or received in part. */
+  get isTransferring(): boolean {
+    return this.#assembler.isIncomplete ||
+      this.#sendQueue?.isSendingParts === true;
+  }
+
   /**
-   * Queues a frame for sending.
+   * Queues a message for sending.
    *
-   * @param channel - The name of the frame's channel.
-   * @param bytes - The encoded frame.
-   * @returns Whether the frame was queued, or why it was not.
+   * @param channel - The name of the message's channel.
+   * @param bytes - The message, encoded as a frame.
+   * @returns Whether the message was queued, or why it was not.
    */
   send(channel: string, bytes: Uint8Array): SendResult {
     if (this.#state !== "up" || !this.#peerChannels.has(channel)) {
       return "not-connected";
     }
-    if (this.#socket.bufferedAmount + bytes.byteLength > MAX_QUEUED_BYTES) {
-      return "queue-full";
-    }
-    this.#sendFrame(bytes);
-    return "queued";
+    return this.#sendQueue!.add(channel, bytes);
+  }
+
+  /** Returns whether messages of a channel wait to be sent. */
+  hasWaiting(channel: string): boolean {
+    return this.#sendQueue?.hasWaiting(channel) === true;
   }
 
   /**
@@ -161,6 +178,7 @@
     this.#handshakeTimer.dispose();
     this.#socket.terminate();
     this.#services.onClosed(this, reason);
+    this.#sendQueue?.clear();
   }
 
   /** Closes the link. */
@@ -187,7 +205,7 @@
       case "up":
         this.#handleDecoded(
           decodeFrame(data),
-          (frame) => this.#services.onFrame(this, frame, data.byteLength),
+          (frame) => this.#receiveFrame(frame, data.byteLength),
         );
         return;
       case "closed":
@@ -205,6 +223,40 @@
     });
   }
 
+  #receiveFrame(frame: PeerFrame, sizeBytes: number): void {
+    if (frame.channel !== TRANSFER_CHANNEL) {
+      this.#services.onFrame(this, frame, sizeBytes);
+      return;
+    }
+    this.#handleDecoded(
+      decodeTransferFrame(frame.body),
+      (transferFrame) => this.#receiveTransferFrame(transferFrame),
+    );
+  }
+
+  #receiveTransferFrame(frame: TransferFrame): void {
+    switch (frame.kind) {
+      case "acknowledgement":
+        this.#handleDecoded(
+          this.#sendQueue!.acknowledge(frame.receivedBytes),
+          () => undefined,
+        );
+        return;
+      case "part":
+        this.#handleDecoded(this.#assembler.addPart(frame), (message) => {
+          this.#sendFrame(encodeAcknowledgement(this.#assembler.receivedBytes));
+          if (message) this.#receiveMessage(message);
+        });
+    }
+  }
+
+  #receiveMessage(message: Uint8Array): void {
+    this.#handleDecoded(
+      decodeFrame(message),
+      (frame) => this.#services.onFrame(this, frame, message.byteLength),
+    );
+  }
+
   #acceptHello(hello: Hello): void {
     this.#peerHello = hello;
     if (hello.host === this.#ownHello.host) {
@@ -217,6 +269,7 @@
       return;
     }
     this.#peerChannels = new Set([KEEPALIVE_CHANNEL, ...hello.channels]);
+    this.#sendQueue = this.#createSendQueue();
     this.#state = "proving";
     if (this.role === "acceptor") this.#sendHello();
     const mac = this.#computeMac(this.role);
@@ -238,6 +291,20 @@
     this.#services.onUp(this);
   }
 
+  #createSendQueue(): PeerSendQueue {
+    const socket = this.#socket;
+    return new PeerSendQueue(
+      {
+        get bufferedBytes() {
+          return socket.bufferedAmount;
+        },
+        write: (frame) => this.#sendFrame(frame),
+      },
+      this.#peerChannels.has(TRANSFER_CHANNEL),
+      this.#services.totalWaiting,
+    );
+  }
+
   #computeMac(role: LinkRole): string {
     const peer = this.#peerHello!;
     const isDialer = this.role === "dialer";
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -10,7 +10,10 @@
 import type { Address, HostId } from "../../../base/common/ids.ts";
 import { DisposableStore } from "../../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../../base/common/random.ts";
-import type { Logger } from "../../log/common/logger.ts";
+import { attempt } from "../../../base/common/result.ts";
+import { toErrorMessage } from "../../../base/common/errors.ts";
+import { LogGate } from "../../log/common/log_gate.ts";
+import type { LogFields, Logger } from "../../log/common/logger.ts";
 import {
   encodeFrame,
   KEEPALIVE_CHANNEL,
@@ -23,12 +26,15 @@
   PeerChannel,
   PeerChannelSpec,
   PeerLinkChange,
+  PeerLinkObserver,
   PeerLinks,
   PeerMessage,
   PeerTarget,
   PeerTraffic,
+  SendRefusal,
   SendResult,
 } from "../common/peer_links.ts";
+import { WaitingBytes } from "../common/peer_send_queue.ts";
 import { TrafficCounters } from "../common/traffic_counters.ts";
 import { PeerLink } from "./peer_link.ts";
 import { DialSchedule } from "./dial_schedule.ts";
@@ -43,10 +49,12 @@
 const MAX_TICK_GAP_MS = 1_500;
 /** Largest number of unauthenticated links; further connections are dropped. */
 const MAX_PENDING_HANDSHAKES = 512;
+/** Interval at which the same refusal or failure is logged again. */
+const REPEATED_LINE_INTERVAL_MS = 1_000;
 const KEEPALIVE_FRAME = encodeFrame(KEEPALIVE_CHANNEL, null);
 
 /** Dependencies and settings of {@link WsPeerLinks}. */
-export interface WsPeerLinksOptions {
+export interface WsPeerLinksOptions extends PeerLinkObserver {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly self: PeerIdentity;
@@ -60,8 +68,6 @@
    * while the store is unavailable reads it to find the other daemons.
    */
   createDiscoveryResponse?(): string;
-  /** Called when a link closes, for the metrics. */
-  onLinkClosed?(): void;
 }
 
 type FrameReceiver = (from: HostId, body: unknown) => string | undefined;
@@ -80,6 +86,8 @@
   readonly #establishedLinks = new Map<HostId, PeerLink>();
   readonly #receivers = new Map<string, FrameReceiver>();
   readonly #trafficCounters = new TrafficCounters();
+  readonly #totalWaiting = new WaitingBytes();
+  readonly #logGate: LogGate;
   #lastTickMs: number;
 
   /** {@inheritDoc PeerLinks.onDidChangeLink} */
@@ -90,6 +98,7 @@
     const { clock, self, seed, tls } = options;
     this.#options = options;
     this.#lastTickMs = clock.monotonicMs();
+    this.#logGate = new LogGate(clock, REPEATED_LINE_INTERVAL_MS);
     this.#dialSchedule = new DialSchedule(
       clock,
       new SeededRandom(seed),
@@ -148,6 +157,8 @@
       multicast: (to, body) => this.#multicast(to, spec.name, encode(body)),
       broadcast: (body) =>
         this.#multicast(this.connectedHosts(), spec.name, encode(body)),
+      hasWaiting: (to) =>
+        this.#establishedLinks.get(to)?.hasWaiting(spec.name) === true,
       dispose: () => {
         this.#receivers.delete(spec.name);
         didReceive.dispose();
@@ -157,7 +168,7 @@
 
   /** {@inheritDoc PeerLinks.traffic} */
   traffic(): PeerTraffic {
-    return this.#trafficCounters.snapshot();
+    return this.#trafficCounters.snapshot(this.#totalWaiting.bytes);
   }
 
   /** Closes all links and stops accepting new ones. */
@@ -175,30 +186,56 @@
   #send(to: HostId, channel: string, body: unknown): SendResult {
     const link = this.#establishedLinks.get(to);
     if (!link) return "not-connected";
-    return this.#sendBytes(link, channel, encodeFrame(channel, body));
+    const bytes = this.#encode(channel, body);
+    return bytes ? this.#sendBytes(link, channel, bytes) : "not-encodable";
   }
 
   #multicast(to: readonly HostId[], channel: string, body: unknown): void {
-    const bytes = encodeFrame(channel, body);
+    const bytes = this.#encode(channel, body);
+    if (!bytes) return;
     for (const host of to) {
       const link = this.#establishedLinks.get(host);
       if (link) this.#sendBytes(link, channel, bytes);
     }
   }
 
+  #encode(channel: string, body: unknown): Uint8Array | undefined {
+    return attempt(() => encodeFrame(channel, body), toErrorMessage)
+      .caseOf<Uint8Array | undefined>({
+        Left: (detail) => {
+          this.#refuse(channel, "not-encodable", { detail });
+          return undefined;
+        },
+        Right: (bytes) => bytes,
+      });
+  }
+
   #sendBytes(link: PeerLink, channel: string, bytes: Uint8Array): SendResult {
-    if (bytes.byteLength > MAX_FRAME_BYTES) {
-      throw new RangeError(
-        `a ${channel} message exceeds the maximum frame size`,
-      );
-    }
+    const sizeBytes = bytes.byteLength;
     const result = link.send(channel, bytes);
-    if (result === "queued") {
-      this.#trafficCounters.countSent(channel, bytes.byteLength);
+    switch (result) {
+      case "queued":
+        this.#trafficCounters.countSent(channel, sizeBytes);
+        break;
+      case "not-connected":
+        break;
+      case "queue-full":
+      case "too-large":
+      case "not-encodable":
+        this.#refuse(channel, result, { peer: link.host, sizeBytes });
     }
     return result;
   }
 
+  #refuse(channel: string, reason: SendRefusal, details: LogFields): void {
+    const { logger } = this.#options;
+    this.#options.onMessageRefused?.(channel, reason);
+    const suppressed = this.#logGate.pass(`${channel} ${reason}`);
+    if (suppressed === undefined) return;
+    const fields = { channel, reason, suppressed, ...details };
+    logger.log("error", "peer-message-refused", fields);
+  }
+
   #tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const wasPaused = nowMs - this.#lastTickMs > MAX_TICK_GAP_MS;
@@ -254,6 +291,7 @@
         self,
         secret,
         channels: [...this.#receivers.keys()],
+        totalWaiting: this.#totalWaiting,
         onUp: (opened) => this.#onLinkUp(opened),
         onFrame: (from, frame, size) => this.#onFrame(from, frame, size),
         onClosed: (closed, reason) => this.#onLinkClosed(closed, reason),
@@ -309,8 +347,23 @@
       return;
     }
     this.#trafficCounters.countReceived(channel, sizeBytes);
-    const decodeError = receive(link.peer!.host, body);
-    if (decodeError !== undefined) link.close(decodeError);
+    const { host } = link.peer!;
+    attempt(() => receive(host, body), toErrorMessage).caseOf({
+      Left: (detail) => this.#recordFailure(channel, host, detail),
+      Right: (decodeError) => {
+        if (decodeError !== undefined) link.close(decodeError);
+      },
+    });
+  }
+
+  /** An error in the processing of one message must not end the process. */
+  #recordFailure(channel: string, peer: HostId, detail: string): void {
+    const { logger } = this.#options;
+    this.#options.onMessageFailed?.(channel);
+    const suppressed = this.#logGate.pass(`${channel} failed`);
+    if (suppressed === undefined) return;
+    const fields = { channel, peer, detail, suppressed };
+    logger.log("error", "peer-message-failed", fields);
   }
 
   #onLinkClosed(link: PeerLink, reason: string): void {
@@ -320,6 +373,7 @@
       this.#establishedLinks.get(host) === link;
     if (wasEstablished) this.#establishedLinks.delete(host);
     if (this.#disposables.isDisposed) return;
+    if (link.isTransferring) this.#options.onTransferAborted?.();
     const hasFailedHandshake = wasPending &&
       (link.peer || link.role === "acceptor");
     if (wasEstablished || hasFailedHandshake) {
--- a/src/services/peers/node/ws_peer_links_test.ts
+++ b/src/services/peers/node/ws_peer_links_test.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { Transform, type TransformCallback } from "node:stream";
 import { WebSocket } from "ws";
 import { SystemClock } from "../../../base/node/system_clock.ts";
 import { type Address, asId } from "../../../base/common/ids.ts";
@@ -6,9 +7,15 @@
 import type { LogFields, Logger } from "../../log/common/logger.ts";
 import type { PeerChannelSpec } from "../common/peer_links.ts";
 import { encodeFrame, MAX_FRAME_BYTES } from "../common/peer_frame.ts";
+import {
+  MAX_MESSAGE_BYTES,
+  TRANSFER_CHANNEL,
+} from "../common/peer_transfer.ts";
 import { WsPeerLinks } from "./ws_peer_links.ts";
 
 const SECRET = "secret of the peers";
+/** 7 Mbit/s, the slowest link of a host. */
+const SLOW_LINK_BYTES_PER_S = 875_000;
 const clock = new SystemClock();
 const opened: WsPeerLinks[] = [];
 const texts: PeerChannelSpec<string> = {
@@ -19,19 +26,25 @@
 
 class ReasonLogger implements Logger {
   readonly reasons: unknown[] = [];
-  log(_level: string, _event: string, fields: LogFields = {}): void {
+  readonly events: string[] = [];
+  log(_level: string, event: string, fields: LogFields = {}): void {
     this.reasons.push(fields["reason"]);
+    this.events.push(event);
   }
 }
 
 async function open(host: string, secret = SECRET, incarnation = 1) {
   const logger = new ReasonLogger();
+  const refused: string[] = [];
+  const aborted: string[] = [];
   const links = new WsPeerLinks({
     clock,
     logger,
     self: { host: asId(host), zone: asId("zone-1"), incarnation },
     secret,
     seed: 1,
+    onMessageRefused: (channel, reason) => refused.push(`${channel} ${reason}`),
+    onTransferAborted: () => aborted.push(host),
   });
   opened.push(links);
   const channel = links.openChannel(texts);
@@ -43,7 +56,7 @@
     zone: asId<never>("zone-1"),
     address,
   };
-  return { links, channel, received, peer, logger };
+  return { links, channel, received, peer, logger, refused, aborted };
 }
 
 async function until(isTrue: () => boolean): Promise<void> {
@@ -53,15 +66,40 @@
   expect(isTrue()).toBe(true);
 }
 
+/** Passes bytes on at a limited rate. */
+class Throttle extends Transform {
+  readonly #bytesPerS: number;
+  #freeMs = 0;
+
+  constructor(bytesPerS: number) {
+    // As little as a network would hold.
+    super({ highWaterMark: 16_384 });
+    this.#bytesPerS = bytesPerS;
+  }
+
+  override _transform(
+    chunk: Buffer,
+    _encoding: BufferEncoding,
+    done: TransformCallback,
+  ): void {
+    const nowMs = clock.monotonicMs();
+    const takesMs = chunk.byteLength / this.#bytesPerS * 1_000;
+    this.#freeMs = Math.max(this.#freeMs, nowMs) + takesMs;
+    setTimeout(() => done(null, chunk), this.#freeMs - nowMs);
+  }
+}
+
 /**
- * Forwards connections to a port. `stall` stops forwarding on the open
- * connections without closing them.
+ * Forwards connections to a port, at a limited rate from the client if one is
+ * given. `stall` stops forwarding on the open connections without closing them,
+ * `reset` closes them.
  */
-async function openForwarder(port: number) {
+async function openForwarder(port: number, bytesPerS?: number) {
   const sockets: Socket[] = [];
   const server = createServer((client) => {
     const target = connect(port, "127.0.0.1");
-    client.pipe(target).pipe(client);
+    const forward = bytesPerS ? client.pipe(new Throttle(bytesPerS)) : client;
+    forward.pipe(target).pipe(client);
     for (const socket of [client, target]) socket.on("error", () => undefined);
     sockets.push(client, target);
   });
@@ -73,6 +111,9 @@
     stall: () => {
       for (const socket of sockets) socket.unpipe().pause();
     },
+    reset: () => {
+      for (const socket of sockets) socket.destroy();
+    },
     close: () => {
       server.close();
       for (const socket of sockets) socket.destroy();
@@ -173,4 +214,114 @@
     await until(() => b.received.length === 1);
     forwarder.close();
   });
+
+  it("carry a message over a frame's size and end no process", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    a.links.setPeers([b.peer]);
+    await until(() => a.links.connectedHosts().length === 1);
+    const text = "x".repeat(8 * MAX_FRAME_BYTES);
+    expect(a.channel.send(b.peer.host, text)).toBe("queued");
+    a.channel.broadcast("after");
+    await until(() => b.received.length === 2);
+    expect(b.received).toEqual([`a:${text}`, "a:after"]);
+    expect(a.logger.events).toEqual([]);
+  });
+
+  it("refuse a message that is too large with a log line", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    a.links.setPeers([b.peer]);
+    await until(() => a.links.connectedHosts().length === 1);
+    const text = "x".repeat(MAX_MESSAGE_BYTES);
+    expect(a.channel.send(b.peer.host, text)).toBe("too-large");
+    a.channel.broadcast(text);
+    a.channel.broadcast("after");
+    await until(() => b.received.length === 1);
+    expect(a.logger.events).toEqual(["peer-message-refused"]);
+    expect(a.refused).toEqual(["texts.v1 too-large", "texts.v1 too-large"]);
+  });
+
+  it("stay up when a message cannot be encoded or processed", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    b.channel.onDidReceive(({ body }) => {
+      if (body === "bad") throw new Error("a receiver that fails");
+    });
+    a.links.setPeers([b.peer]);
+    await until(() => a.links.connectedHosts().length === 1);
+    const { channel } = a;
+    const endless: unknown[] = [];
+    endless.push(endless);
+    expect(channel.send(b.peer.host, endless as never)).toBe("not-encodable");
+    channel.broadcast("bad");
+    channel.broadcast("good");
+    await until(() => b.received.length === 2);
+    expect(a.logger.events).toEqual(["peer-message-refused"]);
+    expect(b.logger.events).toEqual(["peer-message-failed"]);
+    expect(a.links.connectedHosts()).toEqual(["b"]);
+  });
+
+  it("leave the receiver as it was when they close in the middle of a message", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    const port = Number(b.peer.address.split(":")[1]);
+    const forwarder = await openForwarder(port, SLOW_LINK_BYTES_PER_S);
+    a.links.setPeers([{ ...b.peer, address: forwarder.address }]);
+    await until(() => b.links.connectedHosts().length === 1);
+    a.channel.broadcast("x".repeat(4_000_000));
+    await until(() =>
+      b.links.traffic().channels.size > 0 || a.links.traffic().waitingBytes > 0
+    );
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    forwarder.reset();
+    await until(() => a.aborted.length + b.aborted.length === 2);
+    expect(a.links.traffic().waitingBytes).toBe(0);
+    await until(() => a.links.connectedHosts().length === 1);
+    a.channel.broadcast("again");
+    await until(() => b.received.length === 1);
+    expect(b.received).toEqual(["a:again"]);
+    forwarder.close();
+  });
+
+  it("carry urgent messages past a large one on a slow link", async () => {
+    const [a, b] = [await open("a"), await open("b")];
+    const urgent = { ...texts, name: "urgent.v1" };
+    const [urgentA, urgentB] = [a, b].map(({ links }) =>
+      links.openChannel(urgent)
+    );
+    const delaysMs: number[] = [];
+    urgentB!.onDidReceive(({ body }) => {
+      delaysMs.push(clock.monotonicMs() - Number(body));
+    });
+    const port = Number(b.peer.address.split(":")[1]);
+    const forwarder = await openForwarder(port, SLOW_LINK_BYTES_PER_S);
+    a.links.setPeers([{ ...b.peer, address: forwarder.address }]);
+    await until(() => b.links.connectedHosts().length === 1);
+    const text = "x".repeat(1_000_000);
+    a.channel.broadcast(text);
+    await until(() => {
+      urgentA!.broadcast(String(clock.monotonicMs()));
+      return b.received.length === 1;
+    });
+    expect(b.received).toEqual([`a:${text}`]);
+    expect(delaysMs.length).toBeGreaterThan(20);
+    // Two parts of 32 KB take 75 ms at 7 Mbit/s.
+    expect(Math.max(...delaysMs)).toBeLessThan(500);
+    expect(a.logger.events).toEqual([]);
+    forwarder.close();
+  });
+
+  it("are closed on parts that do not fit", async () => {
+    const a = await open("a");
+    const b = await open("b");
+    a.links.setPeers([b.peer]);
+    await until(() => a.links.connectedHosts().length === 1);
+    const transfers = { ...texts, name: TRANSFER_CHANNEL };
+    const channel = a.links.openChannel(transfers);
+    for (const body of [[100, 50, new Uint8Array(50)], "no list"]) {
+      channel.broadcast(body as never);
+      await until(() => b.logger.events.includes("peer-link-closed"));
+      b.logger.events.length = 0;
+      await until(() => a.links.connectedHosts().length === 1);
+    }
+    a.channel.broadcast("again");
+    await until(() => b.received.length === 1);
+  });
 });
--- a/standins/peers/in_process_links.ts
+++ b/standins/peers/in_process_links.ts
@@ -136,6 +136,7 @@
       broadcast: (body) => {
         for (const to of this.#connected) send(to, body);
       },
+      hasWaiting: () => false,
       dispose: () => {
         this.#receivers.delete(spec.name);
         didReceive.dispose();
@@ -151,6 +152,7 @@
       bytesSent: 0,
       bytesReceived: 0,
       channels: this.#channelTraffic,
+      waitingBytes: 0,
     };
   }
 
