Send changes of large values between mirrors as patches

A change of one route sent the whole configuration to every host: with 42 hosts in a zone and 280 KB that is 12 MB through one hub for each change, and a host that waited for the answer asked again each 250 ms and was sent all of it again.

A mirror that asks names its revision, and gets the difference to the value that it has; the receiver applies it only to exactly that value and otherwise asks for the whole, with its contents as they were. While an answer is on its way the peer is not asked again, and a link that still sends an answer gets no second one. Mirrors of earlier versions get whole items.

The tests of the links moved to standins/, where the forwarder is shared.

--- a/src/base/common/bounded_map.ts
+++ b/src/base/common/bounded_map.ts
@@ -15,6 +15,11 @@
     return this.#entries.size;
   }
 
+  /** @returns Whether the key is present. */
+  has(key: K): boolean {
+    return this.#entries.has(key);
+  }
+
   /** @returns The value of the key, or `undefined` if the key is absent. */
   get(key: K): V | undefined {
     return this.#entries.get(key);
--- a/src/services/mirror/common/mirror_sync.ts
+++ b/src/services/mirror/common/mirror_sync.ts
@@ -12,9 +12,11 @@
 } from "../../../base/common/lifecycle.ts";
 import { type Either, Left, Right } from "../../../base/common/result.ts";
 import {
+  ageMs,
   type Timestamp,
   timestampNow,
 } from "../../../base/common/timestamp.ts";
+import { isPatch } from "../../../base/common/byte_patch.ts";
 import type { Logger } from "../../log/common/logger.ts";
 import type {
   PeerChannel,
@@ -22,11 +24,18 @@
   PeerLinks,
 } from "../../peers/common/peer_links.ts";
 import type { MirrorSnapshot, StoreMirror } from "./store_mirror.ts";
+import type { PatchedItem } from "./value_history.ts";
 
 /** Messages between mirrors. */
 export type MirrorMessage =
   | { readonly kind: "changed"; readonly revision: number }
-  | { readonly kind: "ask"; readonly askId: number; readonly revision: number }
+  | {
+    readonly kind: "ask";
+    readonly askId: number;
+    readonly revision: number;
+    /** Whether changed items may be sent as patches; no in earlier versions. */
+    readonly acceptsPatches?: boolean;
+  }
   | {
     readonly kind: "tell";
     readonly askId: number;
@@ -52,10 +61,15 @@
 const FALLBACK_AGE_MS = 2_000;
 /** Number of other peers queried in one check. */
 const FALLBACK_PEERS_PER_CHECK = 2;
-/**
- * Time after which a response is ignored, since its contents would be stale.
- */
-const REQUEST_TIMEOUT_MS = 2_000;
+/** Longer than a large response takes on a slow link. */
+const REQUEST_TIMEOUT_MS = 10_000;
+/** Time for which a peer is not asked again while its response is missing. */
+const RESPONSE_WAIT_MS = 1_000;
+
+interface PendingRequest {
+  readonly host: HostId;
+  readonly requestedAt: Timestamp;
+}
 
 /** Selects the peers between which mirrors are synchronized. */
 export interface MirrorTopology {
@@ -76,7 +90,7 @@
   readonly #topology: MirrorTopology;
   readonly #channel: PeerChannel<MirrorMessage>;
   readonly #disposables = new DisposableStore();
-  readonly #pendingRequests = new Map<number, Timestamp>();
+  readonly #pendingRequests = new Map<number, PendingRequest>();
   #lastRequestId = 0;
   #nextPeerIndex = 0;
 
@@ -110,7 +124,8 @@
       }
     }));
     this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
-      if (isUp && mirror.confirmationAgeMs > STALE_AGE_MS) this.#request(host);
+      if (!isUp) this.#discardRequests((request) => request.host === host);
+      else if (mirror.confirmationAgeMs > STALE_AGE_MS) this.#request(host);
     }));
     this.#disposables.add(
       runPeriodically(clock, CHECK_PERIOD_MS, () => this.#refreshIfStale()),
@@ -123,15 +138,14 @@
   }
 
   #refreshIfStale(): void {
-    for (const [askId, requestedAt] of this.#pendingRequests) {
-      const waitedMs = this.#clock.monotonicMs() - requestedAt.monotonicMs;
-      if (waitedMs > REQUEST_TIMEOUT_MS) this.#pendingRequests.delete(askId);
-    }
-    const ageMs = this.#mirror.confirmationAgeMs;
-    if (ageMs <= STALE_AGE_MS) return;
+    this.#discardRequests(({ requestedAt }) =>
+      ageMs(this.#clock, requestedAt) > REQUEST_TIMEOUT_MS
+    );
+    const confirmationAgeMs = this.#mirror.confirmationAgeMs;
+    if (confirmationAgeMs <= STALE_AGE_MS) return;
     const source = this.#topology.preferredSource();
     if (source !== undefined) this.#request(source);
-    if (source !== undefined && ageMs <= FALLBACK_AGE_MS) return;
+    if (source !== undefined && confirmationAgeMs <= FALLBACK_AGE_MS) return;
     const peers = this.#links.connectedHosts();
     const count = Math.min(FALLBACK_PEERS_PER_CHECK, peers.length);
     for (let attempt = 0; attempt < count; attempt++) {
@@ -139,13 +153,27 @@
     }
   }
 
-  #request(host: HostId): void {
+  #discardRequests(isDiscarded: (request: PendingRequest) => boolean): void {
+    for (const [askId, request] of this.#pendingRequests) {
+      if (isDiscarded(request)) this.#pendingRequests.delete(askId);
+    }
+  }
+
+  #request(host: HostId, acceptsPatches = true): void {
+    // The response that is on its way holds what the peer has when it sends.
+    const isAsked = [...this.#pendingRequests.values()].some((request) =>
+      request.host === host &&
+      ageMs(this.#clock, request.requestedAt) < RESPONSE_WAIT_MS
+    );
+    if (isAsked) return;
     const askId = ++this.#lastRequestId;
-    this.#pendingRequests.set(askId, timestampNow(this.#clock));
+    const requestedAt = timestampNow(this.#clock);
+    this.#pendingRequests.set(askId, { host, requestedAt });
     this.#channel.send(host, {
       kind: "ask",
       askId,
       revision: this.#mirror.revision,
+      acceptsPatches,
     });
   }
 
@@ -155,19 +183,29 @@
         if (message.revision > this.#mirror.revision) this.#request(from);
         return;
       case "ask": {
-        if (this.#mirror.revision === 0) return;
-        const snapshot = this.#mirror.snapshotSince(message.revision);
-        const { askId } = message;
+        // A slow link gets one response at a time.
+        if (this.#mirror.revision === 0 || this.#channel.hasWaiting(from)) {
+          return;
+        }
+        const { askId, revision, acceptsPatches = false } = message;
+        const snapshot = this.#mirror.snapshotSince(revision, acceptsPatches);
         this.#channel.send(from, { kind: "tell", askId, snapshot });
         return;
       }
       case "tell": {
-        const requestedAt = this.#pendingRequests.get(message.askId);
-        if (!requestedAt) return;
-        this.#pendingRequests.delete(message.askId);
+        const request = this.#pendingRequests.get(message.askId);
+        if (!request) return;
+        this.#discardRequests((pending) => pending.host === from);
         const wasEmpty = this.#mirror.revision === 0;
-        this.#mirror.applySnapshot(message.snapshot, requestedAt);
-        if (wasEmpty) {
+        const { requestedAt } = request;
+        if (!this.#mirror.applySnapshot(message.snapshot, requestedAt)) {
+          this.#logger.log("info", "mirror-patch-refused", {
+            peer: from,
+            revision: this.#mirror.revision,
+            offeredRevision: message.snapshot.revision,
+          });
+          this.#request(from, false);
+        } else if (wasEmpty) {
           this.#logger.log("info", "mirror-filled", {
             peer: from,
             revision: this.#mirror.revision,
@@ -180,14 +218,22 @@
 
 function decodeMirrorMessage(body: unknown): Either<string, MirrorMessage> {
   if (typeof body !== "object" || body === null) return Left("not an object");
-  const { kind, askId, revision, snapshot } = body as Record<string, unknown>;
+  const { kind, askId, revision, acceptsPatches, snapshot } = body as Record<
+    string,
+    unknown
+  >;
   switch (kind) {
     case "changed":
       if (!isCount(revision)) return Left("invalid revision");
       return Right({ kind, revision });
     case "ask":
       if (!isCount(askId) || !isCount(revision)) return Left("invalid ask");
-      return Right({ kind, askId, revision });
+      return Right({
+        kind,
+        askId,
+        revision,
+        acceptsPatches: acceptsPatches === true,
+      });
     case "tell":
       if (!isCount(askId) || !isSnapshot(snapshot)) return Left("invalid tell");
       return Right({ kind, askId, snapshot });
@@ -203,7 +249,7 @@
 function isSnapshot(value: unknown): value is MirrorSnapshot {
   if (typeof value !== "object" || value === null) return false;
   const candidate = value as Partial<MirrorSnapshot>;
-  const { keys, items, removals } = candidate;
+  const { keys, items, patchedItems = [], removals } = candidate;
   const hasKeys = keys === undefined || keys === null ||
     (Array.isArray(keys) && keys.every((key) => typeof key === "string"));
   return hasKeys && isCount(candidate.revision) &&
@@ -211,9 +257,18 @@
     isCount(candidate.sinceTroubleMs) &&
     Array.isArray(removals) &&
     removals.every((removal) => isRemoval(removal)) &&
+    Array.isArray(patchedItems) &&
+    patchedItems.every((item: unknown) => isPatchedItem(item)) &&
     Array.isArray(items) && items.every((item: unknown) => isItem(item));
 }
 
+function isPatchedItem(value: unknown): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  const { key, revision, baseRevision, patch } = value as Partial<PatchedItem>;
+  return typeof key === "string" && isCount(revision) &&
+    isCount(baseRevision) && isPatch(patch);
+}
+
 function isRemoval(value: unknown): boolean {
   if (typeof value !== "object" || value === null) return false;
   const { key, revision } = value as Record<string, unknown>;
--- a/src/services/mirror/common/store_mirror.ts
+++ b/src/services/mirror/common/store_mirror.ts
@@ -12,8 +12,11 @@
   timestampBefore,
   timestampNow,
 } from "../../../base/common/timestamp.ts";
+import { applyPatch } from "../../../base/common/byte_patch.ts";
+import { rightOf } from "../../../base/common/result.ts";
 import type { ItemChange, StoreItem } from "./revisioned_store.ts";
 import { eraOf } from "./store_revision.ts";
+import { type PatchedItem, ValueHistory } from "./value_history.ts";
 
 /** A changed key. `item` is `undefined` if the key was removed. */
 export interface MirrorChange {
@@ -33,11 +36,16 @@
  */
 const MAX_RETAINED_REMOVALS = 256;
 
+/** Largest value that a patch may yield. */
+const MAX_PATCHED_BYTES = 8_388_608;
+
 /** Contents that one mirror sends to another. */
 export interface MirrorSnapshot {
   readonly revision: number;
   /** Items that changed after the requested revision. */
   readonly items: readonly StoreItem[];
+  /** Changed items of which the requesting mirror has an earlier value. */
+  readonly patchedItems?: readonly PatchedItem[];
   /** Keys that were removed after the requested revision. */
   readonly removals: readonly KeyRemoval[];
   /** All existing keys, if the kept removals do not reach back far enough. */
@@ -58,6 +66,7 @@
   #removals: KeyRemoval[] = [];
   /** Revision since which `#removals` is complete. */
   #removalsCompleteSince = Infinity;
+  readonly #history = new ValueHistory();
   #pending: MirrorChange[] = [];
   #confirmedAt: Timestamp | undefined;
   #lastStoreFailure: Timestamp | undefined;
@@ -158,16 +167,31 @@
    * Creates a snapshot for another mirror.
    *
    * @param sinceRevision - Store revision of the requesting mirror.
+   * @param acceptsPatches - Whether large items may be sent as the difference
+   * to an earlier value.
    * @returns The changes that the requesting mirror lacks.
    */
-  snapshotSince(sinceRevision: number): MirrorSnapshot {
+  snapshotSince(
+    sinceRevision: number,
+    acceptsPatches = false,
+  ): MirrorSnapshot {
     const isNewer = ({ revision }: { readonly revision: number }): boolean =>
       revision > sinceRevision;
     const items = [...this.#items.values()];
     const isLogComplete = sinceRevision >= this.#removalsCompleteSince;
+    const wholeItems: StoreItem[] = [];
+    const patchedItems: PatchedItem[] = [];
+    for (const item of items.filter(isNewer)) {
+      const patched = acceptsPatches
+        ? this.#history.patchSince(item, sinceRevision)
+        : undefined;
+      if (patched) patchedItems.push(patched);
+      else wholeItems.push(item);
+    }
     return {
       revision: this.#revision,
-      items: items.filter(isNewer),
+      items: wholeItems,
+      ...(patchedItems.length > 0 && { patchedItems }),
       removals: isLogComplete ? this.#removals.filter(isNewer) : [],
       keys: isLogComplete ? undefined : items.map(({ key }) => key),
       ageMs: this.confirmationAgeMs,
@@ -182,9 +206,13 @@
    *
    * @param snapshot - The snapshot.
    * @param requestedAt - Time at which the snapshot was requested.
+   * @returns False if a patch does not fit the contents, which then stay as
+   * they are.
    */
-  applySnapshot(snapshot: MirrorSnapshot, requestedAt: Timestamp): void {
-    if (snapshot.revision < this.#revision) return;
+  applySnapshot(snapshot: MirrorSnapshot, requestedAt: Timestamp): boolean {
+    if (snapshot.revision < this.#revision) return true;
+    const patchedItems = this.#applyPatches(snapshot.patchedItems ?? []);
+    if (!patchedItems) return false;
     this.#enterEraOf(snapshot.revision);
     if (Number.isFinite(snapshot.sinceTroubleMs)) {
       const failedAt = timestampBefore(requestedAt, snapshot.sinceTroubleMs);
@@ -192,7 +220,7 @@
         this.#lastStoreFailure = failedAt;
       }
     }
-    this.#putNewer(snapshot.items);
+    this.#putNewer([...snapshot.items, ...patchedItems]);
     for (const removal of snapshot.removals) this.#remove(removal);
     if (snapshot.keys) {
       this.#removeUnlisted(new Set(snapshot.keys), snapshot.revision);
@@ -201,6 +229,23 @@
     if (Number.isFinite(snapshot.ageMs)) {
       this.#confirm(timestampBefore(requestedAt, snapshot.ageMs));
     }
+    return true;
+  }
+
+  /** @returns The items, or `undefined` if a patch has another base. */
+  #applyPatches(
+    patchedItems: readonly PatchedItem[],
+  ): readonly StoreItem[] | undefined {
+    const items: StoreItem[] = [];
+    for (const { key, revision, baseRevision, patch } of patchedItems) {
+      const base = this.#items.get(key);
+      if (base && base.revision >= revision) continue;
+      if (base?.revision !== baseRevision) return undefined;
+      const value = rightOf(applyPatch(base.value, patch, MAX_PATCHED_BYTES));
+      if (!value) return undefined;
+      items.push({ key, revision, value });
+    }
+    return items;
   }
 
   /** A copy may lack what was written last, as after any failure. */
@@ -220,6 +265,7 @@
     for (const item of items) {
       const current = this.#items.get(item.key);
       if (current && current.revision >= item.revision) continue;
+      if (current) this.#history.add(current);
       this.#items.set(item.key, item);
       this.#pending.push({ key: item.key, item });
     }
@@ -233,7 +279,7 @@
     if (this.#removals.length > MAX_RETAINED_REMOVALS) {
       this.#removalsCompleteSince = this.#removals.shift()!.revision;
     }
-    if (this.#items.delete(key)) this.#pending.push({ key, item: undefined });
+    if (this.#items.delete(key)) this.#forget(key);
   }
 
   /**
@@ -243,13 +289,18 @@
     for (const [key, item] of this.#items) {
       if (keys.has(key) || item.revision > revision) continue;
       this.#items.delete(key);
-      this.#pending.push({ key, item: undefined });
+      this.#forget(key);
     }
     // Keys that were created and removed in the meantime are unknown.
     this.#removals = [];
     this.#removalsCompleteSince = Math.max(this.#revision, revision);
   }
 
+  #forget(key: string): void {
+    this.#history.remove(key);
+    this.#pending.push({ key, item: undefined });
+  }
+
   /** Sets the revision and fires the pending changes. */
   #commitRevision(revision: number): void {
     this.#revision = Math.max(this.#revision, revision);
--- a/standins/mirror/mirror_test.ts
+++ b/standins/mirror/mirror_test.ts
@@ -151,11 +151,12 @@
         const source = new StoreMirror(clock);
         const follower = new StoreMirror(clock);
         let revision = 0;
-        const sendSnapshot = (): void =>
+        const sendSnapshot = (): void => {
           follower.applySnapshot(
             source.snapshotSince(follower.revision),
             timestampNow(clock),
           );
+        };
         for (const { key, isRemoved, isSent } of steps) {
           revision++;
           source.applyChanges(
--- a/src/services/peers/node/ws_peer_links_test.ts
+++ b/standins/peers/ws_peer_links_test.ts
@@ -1,17 +1,22 @@
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
-import { Transform, type TransformCallback } from "node:stream";
 import { WebSocket } from "ws";
-import { SystemClock } from "../../../base/node/system_clock.ts";
-import { type Address, asId } from "../../../base/common/ids.ts";
-import { Left, Right } from "../../../base/common/result.ts";
-import type { LogFields, Logger } from "../../log/common/logger.ts";
-import type { PeerChannelSpec } from "../common/peer_links.ts";
-import { encodeFrame, MAX_FRAME_BYTES } from "../common/peer_frame.ts";
+import { SystemClock } from "../../src/base/node/system_clock.ts";
+import { type Address, asId } from "../../src/base/common/ids.ts";
+import { Left, Right } from "../../src/base/common/result.ts";
+import type {
+  LogFields,
+  Logger,
+} from "../../src/services/log/common/logger.ts";
+import type { PeerChannelSpec } from "../../src/services/peers/common/peer_links.ts";
+import {
+  encodeFrame,
+  MAX_FRAME_BYTES,
+} from "../../src/services/peers/common/peer_frame.ts";
 import {
   MAX_MESSAGE_BYTES,
   TRANSFER_CHANNEL,
-} from "../common/peer_transfer.ts";
-import { WsPeerLinks } from "./ws_peer_links.ts";
+} from "../../src/services/peers/common/peer_transfer.ts";
+import { openForwarder } from "./forwarder.ts";
+import { WsPeerLinks } from "../../src/services/peers/node/ws_peer_links.ts";
 
 const SECRET = "secret of the peers";
 /** 7 Mbit/s, the slowest link of a host. */
@@ -66,61 +71,6 @@
   expect(isTrue()).toBe(true);
 }
 
-/** Passes bytes on at a limited rate. */
-class Throttle extends Transform {
-  readonly #bytesPerS: number;
-  #freeMs = 0;
-
-  constructor(bytesPerS: number) {
-    // As little as a network would hold.
-    super({ highWaterMark: 16_384 });
-    this.#bytesPerS = bytesPerS;
-  }
-
-  override _transform(
-    chunk: Buffer,
-    _encoding: BufferEncoding,
-    done: TransformCallback,
-  ): void {
-    const nowMs = clock.monotonicMs();
-    const takesMs = chunk.byteLength / this.#bytesPerS * 1_000;
-    this.#freeMs = Math.max(this.#freeMs, nowMs) + takesMs;
-    setTimeout(() => done(null, chunk), this.#freeMs - nowMs);
-  }
-}
-
-/**
- * Forwards connections to a port, at a limited rate from the client if one is
- * given. `stall` stops forwarding on the open connections without closing them,
- * `reset` closes them.
- */
-async function openForwarder(port: number, bytesPerS?: number) {
-  const sockets: Socket[] = [];
-  const server = createServer((client) => {
-    const target = connect(port, "127.0.0.1");
-    const forward = bytesPerS ? client.pipe(new Throttle(bytesPerS)) : client;
-    forward.pipe(target).pipe(client);
-    for (const socket of [client, target]) socket.on("error", () => undefined);
-    sockets.push(client, target);
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  return {
-    address: asId<Address>(
-      `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    ),
-    stall: () => {
-      for (const socket of sockets) socket.unpipe().pause();
-    },
-    reset: () => {
-      for (const socket of sockets) socket.destroy();
-    },
-    close: () => {
-      server.close();
-      for (const socket of sockets) socket.destroy();
-    },
-  };
-}
-
 afterEach(() => opened.splice(0).forEach((links) => links.dispose()));
 
 describe("links over WebSockets", () => {
@@ -202,8 +152,7 @@
 
   it("are reopened when an open connection stalls", async () => {
     const [a, b] = [await open("a"), await open("b")];
-    const port = Number(b.peer.address.split(":")[1]);
-    const forwarder = await openForwarder(port);
+    const forwarder = await openForwarder(b.peer.address);
     a.links.setPeers([{ ...b.peer, address: forwarder.address }]);
     await until(() => b.links.connectedHosts().length === 1);
     forwarder.stall();
@@ -212,7 +161,7 @@
     await until(() => a.links.connectedHosts().length === 1);
     a.channel.broadcast("again");
     await until(() => b.received.length === 1);
-    forwarder.close();
+    forwarder.dispose();
   });
 
   it("carry a message over a frame's size and end no process", async () => {
@@ -261,8 +210,9 @@
 
   it("leave the receiver as it was when they close in the middle of a message", async () => {
     const [a, b] = [await open("a"), await open("b")];
-    const port = Number(b.peer.address.split(":")[1]);
-    const forwarder = await openForwarder(port, SLOW_LINK_BYTES_PER_S);
+    const forwarder = await openForwarder(b.peer.address, {
+      bytesPerS: SLOW_LINK_BYTES_PER_S,
+    });
     a.links.setPeers([{ ...b.peer, address: forwarder.address }]);
     await until(() => b.links.connectedHosts().length === 1);
     a.channel.broadcast("x".repeat(4_000_000));
@@ -277,7 +227,7 @@
     a.channel.broadcast("again");
     await until(() => b.received.length === 1);
     expect(b.received).toEqual(["a:again"]);
-    forwarder.close();
+    forwarder.dispose();
   });
 
   it("carry urgent messages past a large one on a slow link", async () => {
@@ -290,8 +240,9 @@
     urgentB!.onDidReceive(({ body }) => {
       delaysMs.push(clock.monotonicMs() - Number(body));
     });
-    const port = Number(b.peer.address.split(":")[1]);
-    const forwarder = await openForwarder(port, SLOW_LINK_BYTES_PER_S);
+    const forwarder = await openForwarder(b.peer.address, {
+      bytesPerS: SLOW_LINK_BYTES_PER_S,
+    });
     a.links.setPeers([{ ...b.peer, address: forwarder.address }]);
     await until(() => b.links.connectedHosts().length === 1);
     const text = "x".repeat(1_000_000);
@@ -305,7 +256,7 @@
     // Two parts of 32 KB take 75 ms at 7 Mbit/s.
     expect(Math.max(...delaysMs)).toBeLessThan(500);
     expect(a.logger.events).toEqual([]);
-    forwarder.close();
+    forwarder.dispose();
   });
 
   it("are closed on parts that do not fit", async () => {
