Soak: large configurations in series, daemons that end by themselves, ports in use

The soak never wrote a configuration over a frame's size and did not notice that a daemon ends by itself. It now writes up to four configurations in series with up to 4,000 more routes each, between cuts, kills and signals, and an end that no signal asked for breaks a promise.

--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -35,6 +35,7 @@
   #stopRequestedMs: number | undefined;
   #startCount = 0;
   #disturbedMs = 0;
+  readonly #ownEnds: string[] = [];
 
   /**
    * @param options - Identity, addresses and seeds of the daemon.
@@ -71,6 +72,11 @@
     return this.#isPaused ? Date.now() : this.#disturbedMs;
   }
 
+  /** Ends of the process that no signal asked for. */
+  get ownEnds(): readonly string[] {
+    return this.#ownEnds;
+  }
+
   /** Number of times that the process was started. */
   get startCount(): number {
     return this.#startCount;
@@ -112,6 +118,7 @@
     if (this.#child) return;
     this.#startCount++;
     this.#disturbedMs = Date.now();
+    const { name } = this.options;
     const child = spawn(process.execPath, [this.#programPath], {
       env: {
         PATH: process.env["PATH"],
@@ -124,7 +131,11 @@
     const log = createWriteStream(this.#logPath, { flags: "a" });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    child.on("exit", () => {
+    child.on("exit", (code, signal) => {
+      const wasAsked = this.#stopRequestedMs !== undefined;
+      if (signal === null && (code !== 0 || !wasAsked)) {
+        this.#ownEnds.push(`${name} ended by itself with code ${code}`);
+      }
       this.#child = undefined;
       this.#isPaused = false;
       this.#stopRequestedMs = undefined;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -16,6 +16,10 @@
 const DRAIN_MS = 2_000;
 /** Long enough that a limit binds. */
 const MIN_LIMIT_MS = 5_000;
+/** Routes of 150 bytes each; the largest configuration has 600 KB. */
+const MAX_EXTRA_ROUTES = 4_000;
+const MAX_CONFIGURATIONS = 4;
+const CONFIGURATION_GAP_MS = 150;
 /** Number of endpoints of each service that draining must leave. */
 const MIN_ENDPOINTS_PER_SERVICE = 2;
 
@@ -33,6 +37,7 @@
   "reject",
   "limit",
   "kill-all",
+  "big-config",
 ] as const;
 
 /** Name of a fault. */
@@ -105,6 +110,10 @@
       ["reject", (deployment) => this.#rejectMost(deployment)],
       ["limit", (deployment) => this.#nameLimit(deployment)],
       ["kill-all", (deployment) => this.#killAll(deployment)],
+      [
+        "big-config",
+        (deployment) => this.#writeLargeConfigurations(deployment),
+      ],
     ];
     return named.filter(([name]) => this.#names.includes(name))
       .map(([, action]) => action);
@@ -286,6 +295,22 @@
     return isRevoked ? `restore ${key}` : `revoke ${key}`;
   }
 
+  /** Writes configurations in series, some larger than a frame between hosts. */
+  #writeLargeConfigurations(deployment: SoakDeployment): string {
+    const count = 1 + Math.floor(this.#random.float() * MAX_CONFIGURATIONS);
+    const routeCounts = Array.from(
+      { length: count },
+      () => Math.floor(this.#random.float() * MAX_EXTRA_ROUTES),
+    );
+    routeCounts.forEach((routeCount, index) =>
+      setTimeout(() => {
+        deployment.extraRouteCount = routeCount;
+        deployment.writeConfiguration();
+      }, index * CONFIGURATION_GAP_MS)
+    );
+    return `configurations of ${routeCounts.join()} more routes`;
+  }
+
   #applyTemporarily(apply: () => void, revert: () => void): void {
     apply();
     setTimeout(revert, this.#random.float() * MAX_FAULT_DURATION_MS);
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -5,7 +5,10 @@
 
 import { mkdir, rm } from "node:fs/promises";
 import type { IncomingHttpHeaders } from "node:http";
+import { createServer } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
+import { StepError } from "../src/base/common/errors.ts";
+import { listenAt } from "../src/services/http/node/listen.ts";
 import { SystemClock } from "../src/base/node/system_clock.ts";
 import type { Address } from "../src/base/common/ids.ts";
 import { MetadataStoreServer } from "../platform/standins/metadata_store_server.ts";
@@ -15,6 +18,7 @@
   ENDPOINT_PREFIX,
 } from "../platform/store_documents.ts";
 import { DaemonProcess } from "./daemon_process.ts";
+import { createConfiguration } from "./soak_configuration.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 import type { StoreCopy } from "../standins/mirror/fake_revisioned_store.ts";
 import { type EndpointArrival, MAX_PART_CRASHES } from "./endpoint_rules.ts";
@@ -87,6 +91,8 @@
   #endpointCount = 0;
   #startCount = 0;
   revokedKeys: readonly string[] = [];
+  /** Routes of the next configuration that no caller uses. */
+  extraRouteCount = 0;
 
   /** @param options - Size, paths and first port of the deployment. */
   constructor(options: SoakDeploymentOptions) {
@@ -97,6 +103,7 @@
   /** Starts all components; daemons may become ready later. */
   async start(): Promise<void> {
     const { folder, daemonCount, programPath } = this.#options;
+    await this.#assertPortsAreFree();
     await rm(folder, { recursive: true, force: true });
     await mkdir(folder, { recursive: true });
     const storeAddress = await this.storeServer.listen();
@@ -212,12 +219,32 @@
       ),
     }));
     const text = JSON.stringify(
-      createConfiguration(this.#configurationVersion, tenants),
+      createConfiguration(
+        this.#configurationVersion,
+        tenants,
+        this.extraRouteCount,
+      ),
     );
     this.#configurationText = text;
     this.storeServer.store.put(CONFIGURATION_KEY, text);
   }
 
+  /** Two soaks that share ports would serve each other's callers. */
+  async #assertPortsAreFree(): Promise<void> {
+    for (let index = 0; index < this.#options.daemonCount; index++) {
+      const address = `${this.#getIp(index)}:${this.#getPort(index)}`;
+      const server = createServer();
+      await listenAt(server, address as Address).catch((cause: unknown) => {
+        throw new StepError(
+          "the address is in use; choose a --port in another thousand",
+          { step: "soak.start", peer: address },
+          cause,
+        );
+      });
+      await new Promise((resolve) => server.close(resolve));
+    }
+  }
+
   #getPort(index: number): number {
     return this.#firstPort + index * PORTS_PER_DAEMON;
   }
@@ -365,71 +392,3 @@
 function isPoison(body: string): boolean {
   return body.startsWith("poison ");
 }
-
-function createConfiguration(version: number, tenants: unknown): unknown {
-  const route = {
-    "host": "app.example",
-    "timeout-ms": 4_000,
-    "slo-ms": 300,
-    "priority": 1,
-    "max-attempts": 2,
-  };
-  return {
-    version,
-    routes: [
-      {
-        ...route,
-        name: "book",
-        prefix: "/book/",
-        kind: "non_idempotent",
-        service: "app",
-      },
-      {
-        ...route,
-        name: "read",
-        prefix: "/read/",
-        kind: "idempotent",
-        service: "app",
-      },
-      {
-        ...route,
-        "name": "draft",
-        "prefix": "/stream/",
-        "kind": "stream",
-        "service": "llm",
-        "timeout-ms": 15_000,
-        "max-attempts": 1,
-      },
-      {
-        ...route,
-        "name": "check",
-        "prefix": "/again/stream/",
-        "kind": "stream",
-        "service": "llm",
-        "timeout-ms": 6_000,
-        "resumable": true,
-      },
-    ],
-    services: [
-      { "name": "app", "max-conns": 100 },
-      {
-        "name": "llm",
-        "max-conns": 100,
-        "engine": {
-          "slots": 8,
-          "kv-cap-tokens": 30_000,
-          "stride": 4,
-          "moves": true,
-          "backups": true,
-        },
-      },
-    ],
-    limits: {
-      "max-header-bytes": 16_384,
-      "max-body-bytes": 100_000,
-      "header-timeout-ms": 3_000,
-      "idle-timeout-ms": 15_000,
-    },
-    tenants,
-  };
-}
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -95,6 +95,7 @@
       const violation of [
         ...invariants.findViolations(),
         ...invariants.findRunsOfRevokedKeys(),
+        ...deployment.daemons.flatMap(({ ownEnds }) => ownEnds),
       ]
     ) {
       if (!violations.has(violation)) {
