Bound the time and the size of the host list's response

A host list that sent a byte now and then was read for ever: the limits were for the headers and for each part of the body, so that the fleet stayed as it was known at the start of that read, and a host that had left stayed in use.

The whole response now has 3 s and 1 MB. Both tests fail before (no result after 6 s; more than 100 MB read) and pass now. It is the product's own wire; the users' platform does not use this client.

--- a/src/services/hosts/node/http_host_list_client.ts
+++ b/src/services/hosts/node/http_host_list_client.ts
@@ -11,8 +11,10 @@
 } from "../common/host_list.ts";
 import { parseHostList } from "../common/host_list_format.ts";
 
-/** Time limit for the response headers and for each part of the body. */
+/** Time limit for the whole response, however it arrives. */
 const TIMEOUT_MS = 3_000;
+/** Room for thousands of hosts. */
+const MAX_RESPONSE_BYTES = 1_048_576;
 const HTTP_OK = 200;
 
 /** Reads the host list from one address. */
@@ -28,10 +30,9 @@
   async read(): AsyncEither<HostListFailure, readonly HostListEntry[]> {
     try {
       const response = await request(`http://${this.#address}/`, {
-        headersTimeout: TIMEOUT_MS,
-        bodyTimeout: TIMEOUT_MS,
+        signal: AbortSignal.timeout(TIMEOUT_MS),
       });
-      const json: unknown = await response.body.json();
+      const json: unknown = JSON.parse(await readText(response.body));
       if (response.statusCode !== HTTP_OK) {
         return Left(this.#failure(`status ${response.statusCode}`));
       }
@@ -45,3 +46,17 @@
     return { step: "hosts.read", peer: this.#address, detail };
   }
 }
+
+async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
+  const parts: Uint8Array[] = [];
+  let sizeBytes = 0;
+  for await (const part of body) {
+    sizeBytes += part.byteLength;
+    // Leaving the loop closes the connection.
+    if (sizeBytes > MAX_RESPONSE_BYTES) {
+      throw new Error(`the host list exceeds ${MAX_RESPONSE_BYTES} bytes`);
+    }
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString("utf8");
+}
