Bound responses of the store and of engines on the product's own wire

Calls to engines have 2 s and 1 MB in all, those to the store 15 s and 64 MB (a listing holds all documents) beside 3 s for each part.

--- a/src/services/endpoints/node/http_engine_client.ts
+++ b/src/services/endpoints/node/http_engine_client.ts
@@ -2,6 +2,7 @@
 
 import { Agent, request } from "undici";
 import type * as z from "zod";
+import { readBoundedText } from "../../http/node/bounded_response.ts";
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { GenerationId } from "../../../base/common/ids.ts";
@@ -27,7 +28,10 @@
 } from "./engine_messages.ts";
 import { HttpEngineStream } from "./http_engine_stream.ts";
 
+/** Time limit for the whole response of a call, however it arrives. */
 const CALL_TIMEOUT_MS = 2_000;
+/** Largest response of a call; load reports take a few kilobytes. */
+const MAX_RESPONSE_BYTES = 1_048_576;
 const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_OK = 200;
 const HTTP_PRECONDITION_FAILED = 412;
@@ -175,12 +179,13 @@
       const response = await request(`http://${address}${call.path}`, {
         method: call.method,
         dispatcher: this.#agent,
-        headersTimeout: CALL_TIMEOUT_MS,
-        bodyTimeout: CALL_TIMEOUT_MS,
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
         headers: { "content-type": "application/json" },
         ...(call.body === undefined ? {} : { body: JSON.stringify(call.body) }),
       });
-      const body: unknown = await response.body.json();
+      const body: unknown = JSON.parse(
+        await readBoundedText(response.body, MAX_RESPONSE_BYTES),
+      );
       if (response.statusCode !== HTTP_OK) {
         const kind = toFailureKind(response.statusCode);
         return Left(fail(kind, `status ${response.statusCode}`));
--- a/src/services/hosts/node/http_host_list_client.ts
+++ b/src/services/hosts/node/http_host_list_client.ts
@@ -4,6 +4,7 @@
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import { type AsyncEither, Left } from "../../../base/common/result.ts";
+import { readBoundedText } from "../../http/node/bounded_response.ts";
 import type {
   HostListClient,
   HostListEntry,
@@ -32,7 +33,9 @@
       const response = await request(`http://${this.#address}/`, {
         signal: AbortSignal.timeout(TIMEOUT_MS),
       });
-      const json: unknown = JSON.parse(await readText(response.body));
+      const json: unknown = JSON.parse(
+        await readBoundedText(response.body, MAX_RESPONSE_BYTES),
+      );
       if (response.statusCode !== HTTP_OK) {
         return Left(this.#failure(`status ${response.statusCode}`));
       }
@@ -46,17 +49,3 @@
     return { step: "hosts.read", peer: this.#address, detail };
   }
 }
-
-async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
-  const parts: Uint8Array[] = [];
-  let sizeBytes = 0;
-  for await (const part of body) {
-    sizeBytes += part.byteLength;
-    // Leaving the loop closes the connection.
-    if (sizeBytes > MAX_RESPONSE_BYTES) {
-      throw new Error(`the host list exceeds ${MAX_RESPONSE_BYTES} bytes`);
-    }
-    parts.push(part);
-  }
-  return Buffer.concat(parts).toString("utf8");
-}
--- a/src/services/store/node/etcd_store_client.ts
+++ b/src/services/store/node/etcd_store_client.ts
@@ -9,6 +9,7 @@
 } from "../../../base/common/lifecycle.ts";
 import { type AsyncEither, Left, Right } from "../../../base/common/result.ts";
 import { readLines } from "../../endpoints/node/line_reader.ts";
+import { readBoundedText } from "../../http/node/bounded_response.ts";
 import type {
   LeaseId,
   StoreClient,
@@ -34,7 +35,12 @@
   type TxnResponse,
 } from "./etcd_messages.ts";
 
+/** Time limit for the response headers and for each part of the body. */
 const CALL_TIMEOUT_MS = 3_000;
+/** Time limit for the whole response; a listing on a slow link takes seconds. */
+const MAX_RESPONSE_MS = 15_000;
+/** A listing holds all documents of the fleet. */
+const MAX_RESPONSE_BYTES = 67_108_864;
 const HTTP_OK = 200;
 const HTTP_TOO_MANY_REQUESTS = 429;
 const MS_PER_SECOND = 1_000;
@@ -176,8 +182,9 @@
         dispatcher: this.#agent,
         headersTimeout: CALL_TIMEOUT_MS,
         bodyTimeout: CALL_TIMEOUT_MS,
+        signal: AbortSignal.timeout(MAX_RESPONSE_MS),
       });
-      const text = await response.body.text();
+      const text = await readBoundedText(response.body, MAX_RESPONSE_BYTES);
       if (response.statusCode === HTTP_OK) return Right(JSON.parse(text) as T);
       this.#selectNextAddress();
       const kind = response.statusCode === HTTP_TOO_MANY_REQUESTS
