--- a/standins/edge/trickled_response_test.ts
+++ b/standins/edge/trickled_response_test.ts
@@ -1,4 +1,7 @@
-/** Servers that send a byte now and then, or without end, to the product's own clients. */
+/**
+ * Servers that send a byte now and then, without end or not to the end, to the
+ * clients of the product's own wire.
+ */
 
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type Address, asId } from "../../src/base/common/ids.ts";
@@ -76,4 +79,13 @@
     expect(await call(address)).toMatchObject({ peer: address });
     expect(sentBytes).toBeLessThan(MAX_SENT_BYTES);
   });
+
+  it("fails when the response breaks off", async () => {
+    const address = await serve((response) => {
+      response.writeHead(200, { "content-length": "100" });
+      response.write("[");
+      setTimeout(() => response.destroy(), 50);
+    });
+    expect(await call(address)).toMatchObject({ peer: address });
+  });
 });
