Count only store failures before the confirmation when an entry is missing

Cause: the store turned away three hosts and served the others. A mirror took over the last store failure of any peer that answered it, also of the relay that was turned away. A host without any failure of its own, which then heard of the removal from another zone, took it for a lapse in an outage and waited until 2 s after the relay's failure (endpoint-lapsed, sinceTroubleMs 580, waitMs 1420).

A failure now counts only if the host that confirmed the contents had observed it before that read; a failure after it says that this host has lost the store, not that the store was away. Where the store was away for all, the host that reads it again knows its own failures, and passes them on with what it read.

--- a/src/daemon/common/mirror_change_handler.ts
+++ b/src/daemon/common/mirror_change_handler.ts
@@ -128,7 +128,7 @@
     const { decoder, logger, mirror, registry } = this.#services;
     const endpoint = id as EndpointId;
     if (!item) {
-      registry.withdraw(endpoint, mirror.sinceStoreFailureMs);
+      registry.withdraw(endpoint, mirror.sinceDisruptionMs);
       return;
     }
     const { revision } = item;
--- a/src/services/mirror/common/store_mirror.ts
+++ b/src/services/mirror/common/store_mirror.ts
@@ -52,7 +52,7 @@
   readonly keys: readonly string[] | undefined;
   /** Age of the last confirmation when the snapshot was created. */
   readonly ageMs: number;
-  /** Time since the last observed store failure. */
+  /** Time since the last store failure before the confirmation. */
   readonly sinceTroubleMs: number;
 }
 
@@ -70,6 +70,8 @@
   #pending: MirrorChange[] = [];
   #confirmedAt: Timestamp | undefined;
   #lastStoreFailure: Timestamp | undefined;
+  /** Last store failure known when the contents were confirmed. */
+  #failureBeforeConfirmation: Timestamp | undefined;
 
   /** Fires after keys have been changed or removed. */
   readonly onDidChange = this.#didChange.event;
@@ -96,13 +98,23 @@
   }
 
   /**
-   * Time since the last observed store failure, in milliseconds; infinite if
-   * there was none.
+   * Time since the last store failure that this host observed, in milliseconds;
+   * infinite if there was none.
    */
   get sinceStoreFailureMs(): number {
     return ageMs(this.#clock, this.#lastStoreFailure);
   }
 
+  /**
+   * Time since the last store failure that a host observed before its read
+   * confirmed these contents, in milliseconds; infinite if there was none. A
+   * failure of another host does not count: the store may turn away that host
+   * alone, and what is missing then was removed.
+   */
+  get sinceDisruptionMs(): number {
+    return ageMs(this.#clock, this.#failureBeforeConfirmation);
+  }
+
   /** @returns The item with this key, if it exists. */
   get(key: string): StoreItem | undefined {
     return this.#items.get(key);
@@ -134,6 +146,7 @@
   ): void {
     const keys = new Set(items.map(({ key }) => key));
     this.#enterEraOf(revision);
+    this.#recordDisruption(this.#lastStoreFailure);
     this.#putNewer(items);
     this.#removeUnlisted(keys, revision);
     this.#commitRevision(revision);
@@ -152,6 +165,7 @@
     revision: number,
     requestedAt: Timestamp,
   ): void {
+    this.#recordDisruption(this.#lastStoreFailure);
     for (const change of changes) {
       if (change.kind === "removed") this.#remove(change);
       else {
@@ -195,7 +209,7 @@
       removals: isLogComplete ? this.#removals.filter(isNewer) : [],
       keys: isLogComplete ? undefined : items.map(({ key }) => key),
       ageMs: this.confirmationAgeMs,
-      sinceTroubleMs: this.sinceStoreFailureMs,
+      sinceTroubleMs: this.sinceDisruptionMs,
     };
   }
 
@@ -216,9 +230,7 @@
     this.#enterEraOf(snapshot.revision);
     if (Number.isFinite(snapshot.sinceTroubleMs)) {
       const failedAt = timestampBefore(requestedAt, snapshot.sinceTroubleMs);
-      if (ageMs(this.#clock, failedAt) < this.sinceStoreFailureMs) {
-        this.#lastStoreFailure = failedAt;
-      }
+      this.#recordDisruption(failedAt);
     }
     this.#putNewer([...snapshot.items, ...patchedItems]);
     for (const removal of snapshot.removals) this.#remove(removal);
@@ -253,10 +265,17 @@
     const era = eraOf(revision);
     if (this.#revision === 0 || era <= eraOf(this.#revision)) return;
     this.recordStoreFailure(timestampNow(this.#clock));
+    this.#recordDisruption(this.#lastStoreFailure);
     this.#revision = revision;
     this.#didChangeEra.fire(era);
   }
 
+  #recordDisruption(failedAt: Timestamp | undefined): void {
+    if (ageMs(this.#clock, failedAt) < this.sinceDisruptionMs) {
+      this.#failureBeforeConfirmation = failedAt;
+    }
+  }
+
   #confirm(at: Timestamp): void {
     if (ageMs(this.#clock, at) < this.confirmationAgeMs) this.#confirmedAt = at;
   }
--- a/standins/mirror/mirror_test.ts
+++ b/standins/mirror/mirror_test.ts
@@ -182,6 +182,59 @@
   });
 });
 
+describe("the last disruption of the store that a mirror knows", () => {
+  function openMirrors() {
+    const clock = new ManualClock();
+    const [turnedAway, served, leaf] = [1, 2, 3].map(() =>
+      new StoreMirror(clock)
+    );
+    for (const mirror of [turnedAway!, served!, leaf!]) {
+      mirror.applyListing([], 5, timestampNow(clock));
+    }
+    const tell = (from: StoreMirror, to: StoreMirror): void => {
+      to.applySnapshot(from.snapshotSince(to.revision), timestampNow(clock));
+    };
+    return {
+      clock,
+      turnedAway: turnedAway!,
+      served: served!,
+      leaf: leaf!,
+      tell,
+    };
+  }
+
+  it("is none if the store turns away another host only", () => {
+    const { clock, turnedAway, served, leaf, tell } = openMirrors();
+    for (let count = 0; count < 5; count++) {
+      clock.advance(500);
+      turnedAway.recordStoreFailure(timestampNow(clock));
+      served.applyChanges([], 5, timestampNow(clock));
+      tell(turnedAway, leaf);
+      tell(served, turnedAway);
+    }
+    expect(leaf.sinceDisruptionMs).toBe(Infinity);
+    // The leaf's contents are old by now, so that it reads the store itself.
+    leaf.applyListing([], 6, timestampNow(clock));
+    expect(leaf.sinceDisruptionMs).toBe(Infinity);
+    expect(turnedAway.sinceDisruptionMs).toBe(Infinity);
+    expect(turnedAway.sinceStoreFailureMs).toBe(0);
+  });
+
+  it("is that of the host that reads the store again", () => {
+    const { clock, served: relay, leaf, tell } = openMirrors();
+    clock.advance(3_000);
+    relay.recordStoreFailure(timestampNow(clock));
+    clock.advance(100);
+    const removed = { kind: "removed", key: "servers/a", revision: 6 } as const;
+    relay.applyChanges([removed], 6, timestampNow(clock));
+    tell(relay, leaf);
+    expect(leaf.sinceDisruptionMs).toBeCloseTo(100);
+    clock.advance(1_000);
+    leaf.applyListing([], 7, timestampNow(clock));
+    expect(leaf.sinceDisruptionMs).toBeCloseTo(1_100);
+  });
+});
+
 describe("mirrors of different eras", () => {
   function createMirror(era: number, counter: number, items: string[]) {
     const clock = new ManualClock();
