Revert "Start at most two watches of the store in 300 ms"

Endpoints that come back were known up to 300 ms later. The pacing saved store calls while hundreds of hosts register; that needs a form that does not delay what is known of endpoints.

--- a/src/services/mirror/common/store_watcher.ts
+++ b/src/services/mirror/common/store_watcher.ts
@@ -23,12 +23,6 @@
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 600;
 const ROLE_CHECK_INTERVAL_MS = 250;
-/**
- * Time in which at most two watches start. A change is reported at once; while
- * hundreds of hosts register or the configuration changes in series, one watch
- * reports several changes.
- */
-const WATCH_PAIR_INTERVAL_MS = 300;
 
 /** Dependencies of {@link StoreWatcher}. */
 export interface StoreWatcherServices {
@@ -46,8 +40,6 @@
   #isDisposed = false;
   #hasListed = false;
   #failureCount = 0;
-  /** Start of the last two watches. */
-  #watchStartsMs: readonly [number, number] = [-Infinity, -Infinity];
 
   /** @param services - Dependencies of the watcher. */
   constructor(services: StoreWatcherServices) {
@@ -98,11 +90,6 @@
 
   async #watch(): Promise<StoreCallFailure | undefined> {
     const { clock, store, mirror } = this.#services;
-    const [earlierMs, lastMs] = this.#watchStartsMs;
-    const delayMs = earlierMs + WATCH_PAIR_INTERVAL_MS - clock.monotonicMs();
-    if (delayMs > 0) await sleep(clock, delayMs);
-    if (this.#isDisposed) return undefined;
-    this.#watchStartsMs = [lastMs, clock.monotonicMs()];
     const sentAt = timestampNow(clock);
     const result = await store.watch("", mirror.revision, WATCH_WAIT_MS);
     return result.caseOf<StoreCallFailure | undefined>({
