--- a/src/services/peers/common/peer_send_queue_test.ts
+++ b/src/services/peers/common/peer_send_queue_test.ts
@@ -13,7 +13,7 @@
 } from "./peer_transfer.ts";
 import { leftOf, rightOf } from "../../../base/common/result.ts";
 
-/** Receives the frames of a queue and acknowledges parts when told to. */
+/** Receives the frames of a queue; acknowledges parts when `read` is called. */
 class Receiver implements FrameSink {
   bufferedBytes = 0;
   readonly frameSizes: number[] = [];
--- a/standins/mirror/mirror_test.ts
+++ b/standins/mirror/mirror_test.ts
@@ -213,7 +213,7 @@
       tell(served, turnedAway);
     }
     expect(leaf.sinceDisruptionMs).toBe(Infinity);
-    // The leaf's contents are old by now, so that it reads the store itself.
+    // Contents of this age make the leaf read the store itself.
     leaf.applyListing([], 6, timestampNow(clock));
     expect(leaf.sinceDisruptionMs).toBe(Infinity);
     expect(turnedAway.sinceDisruptionMs).toBe(Infinity);
