Log and count the endpoints that a host cannot connect to

The log did not tell an endpoint that is gone from a host that cannot reach it: which connections failed, how, since when. Adds direct-path-lost and direct-path-back, unreached in request-ended and two metrics; decisions are unchanged.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -24,6 +24,7 @@
 } from "../common/gateway_settings.ts";
 import { GatewayOperatorPages } from "./gateway_operator_pages.ts";
 import type { GatewayPlatformAdapter } from "./gateway_platform_adapter.ts";
+import { GatewayPaths } from "./gateway_paths.ts";
 import { GatewayTopology } from "./gateway_topology.ts";
 import { drainRequests } from "./request_drain.ts";
 import { EndpointChooser } from "../../features/gateway/common/endpoint_chooser.ts";
@@ -48,7 +49,6 @@
 import { HostLease } from "../../services/hosts/common/host_lease.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
 import { type Page, PageServer } from "../../services/http/node/page_server.ts";
-import { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import { MirrorSync } from "../../services/mirror/common/mirror_sync.ts";
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
@@ -79,7 +79,7 @@
   readonly #limits: GatewayEndpointLimits;
   readonly #gateway: Gateway;
   readonly #callers: CallerServer;
-  readonly #client: UndiciPassThroughClient;
+  readonly #paths: GatewayPaths;
   readonly #topology: GatewayTopology;
   #activeSettings: ReloadableGatewaySettings;
   #isStopping = false;
@@ -184,7 +184,9 @@
     this.#disposables.add(
       new LoadTableSync(host, clock, this.#links, this.#topology, board),
     );
-    this.#client = new UndiciPassThroughClient(clock);
+    this.#paths = this.#disposables.add(
+      new GatewayPaths({ clock, logger, metrics, registry: this.#registry }),
+    );
     const chooser = new EndpointChooser(
       clock,
       this.#registry,
@@ -254,7 +256,7 @@
         logger,
         metrics,
         codec: adapter.codec,
-        client: this.#client,
+        client: this.#paths.client,
         registry: this.#registry,
         loadTable: board,
         chooser,
@@ -376,9 +378,6 @@
     this.#disposables.add(this.#state.onDidChange(({ configuration }) => {
       this.#callers.setLimits(configuration.limits);
     }));
-    this.#disposables.add(this.#registry.onDidRetire(({ announcement }) => {
-      this.#client.closeIdleConnections(announcement.address);
-    }));
     this.#disposables.add(this.#callers.onDidReceive((exchange) => {
       this.#gateway.handle(exchange).catch((thrown: unknown) => {
         this.#logger.log("error", "request-crashed", {
@@ -416,7 +415,7 @@
       limitRights: this.#limits.rights,
       queue: this.#placer,
       callers: this.#callers,
-      client: this.#client,
+      paths: this.#paths,
       registry: this.#registry,
       links: this.#links,
       state: this.#state,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -13,7 +13,7 @@
 import type { Gauges } from "../../features/gateway/node/gateway_metrics_text.ts";
 import type { CallerServer } from "../../services/http/node/caller_server.ts";
 import type { Page } from "../../services/http/node/page_server.ts";
-import type { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
+import type { GatewayPaths } from "./gateway_paths.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
 
@@ -41,7 +41,7 @@
   readonly limitRights: LimitRights;
   readonly queue: GenerationPlacer;
   readonly callers: CallerServer;
-  readonly client: UndiciPassThroughClient;
+  readonly paths: GatewayPaths;
   readonly registry: EndpointRegistry;
   readonly links: WsPeerLinks;
   readonly state: ConfigurationState;
@@ -123,8 +123,9 @@
       active_requests: services.gateway.activeCount,
       waiting_generations: services.queue.length,
       caller_connections: services.callers.connectionCount,
-      endpoint_connections_opened: services.client.openedCount,
+      endpoint_connections_opened: services.paths.client.openedCount,
       endpoints: services.registry.all.length,
+      lost_direct_paths: services.paths.direct.lostAddresses.length,
       limited_endpoints: services.limitRights.list().length,
       quarantined_requests: services.crashMonitor.list().length,
       peers: services.links.connectedHosts().length,
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -25,6 +25,7 @@
   | "streams_moved"
   | "endpoints_ejected"
   | "endpoints_held"
+  | "direct_paths_lost"
   | "limits_changed"
   | "limit_rights"
   | "crashes_recorded"
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -131,6 +131,8 @@
   readonly disposables = new DisposableStore();
   /** Number of times that the request was written to an endpoint. */
   sentCount = 0;
+  /** Number of connections to endpoints that could not be opened for it. */
+  #unreachedCount = 0;
   #hasEnded = false;
   #fingerprint: string | undefined;
   #promptParts: readonly string[] | undefined;
@@ -324,6 +326,7 @@
         sink.onEnd();
       },
       onFailure: (failure) => {
+        if (failure.kind === "not-sent") this.#unreachedCount++;
         if (wasSent) {
           this.log("warn", "run-lost", {
             endpoint: id,
@@ -441,6 +444,7 @@
       service: service.id,
       workspace: this.request.keyHolder?.workspace,
       sent: this.sentCount,
+      unreached: this.#unreachedCount || undefined,
       firstMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
       leftMs: Math.round(this.remainingMs),
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -12,6 +12,10 @@
 import { ReceiveLimit } from "./receive_limit.ts";
 import { isCloseDelimited } from "../common/header_list.ts";
 import { isStreamed, type StreamedBody } from "../common/request_body.ts";
+import type {
+  ConnectFailure,
+  ConnectionObserver,
+} from "../common/connection_observer.ts";
 import type {
   PassThroughClient,
   PassThroughExchange,
@@ -70,19 +74,23 @@
 export class UndiciPassThroughClient implements PassThroughClient {
   readonly #clock: Clock;
   readonly #limits: ConnectionLimits;
+  readonly #observer: ConnectionObserver | undefined;
   readonly #idle = new Map<Address, PooledConnection[]>();
   #openedCount = 0;
 
   /**
    * @param clock - The clock that measures idle times.
    * @param limits - The limits of the connections.
+   * @param observer - Observes the connections.
    */
   constructor(
     clock: Clock,
     limits: ConnectionLimits = DEFAULT_CONNECTION_LIMITS,
+    observer?: ConnectionObserver,
   ) {
     this.#clock = clock;
     this.#limits = limits;
+    this.#observer = observer;
   }
 
   /** Number of connections opened since the start. */
@@ -96,9 +104,12 @@
     listener: PassThroughListener,
   ): PassThroughExchange {
     const connection = this.#acquire(request.address);
-    const exchange = new UndiciExchange(connection, request, listener, () => {
-      this.#release(connection);
-    });
+    const exchange = new UndiciExchange(
+      connection,
+      request,
+      this.#observed(request.address, listener),
+      () => this.#release(connection),
+    );
     exchange.start();
     return exchange;
   }
@@ -109,6 +120,26 @@
     this.#idle.delete(address);
   }
 
+  /** Adds the observer to a listener. */
+  #observed(
+    address: Address,
+    listener: PassThroughListener,
+  ): PassThroughListener {
+    const observer = this.#observer;
+    if (!observer) return listener;
+    return {
+      ...listener,
+      onHead: (status, headers) => {
+        observer.onReceived(address);
+        listener.onHead(status, headers);
+      },
+      onData: (chunk) => {
+        observer.onReceived(address);
+        return listener.onData(chunk);
+      },
+    };
+  }
+
   #acquire(address: Address): PooledConnection {
     const idle = this.#idle.get(address) ?? [];
     const nowMs = this.#clock.monotonicMs();
@@ -168,17 +199,23 @@
       // socket has no peer any more.
       if (socket.remoteAddress === undefined) connection.hasSocketError = true;
     });
+    const { address } = connection;
+    let isTimedOut = false;
     const timeout = setTimeout(() => {
+      isTimedOut = true;
       socket.destroy(new Error("the connection could not be opened in time"));
     }, this.#limits.connectTimeoutMs);
     const fail = (error: Error): void => {
       clearTimeout(timeout);
+      const failure = isTimedOut ? "timed-out" : toConnectFailure(error);
+      this.#observer?.onOpenFailed(address, failure);
       callback(error, null);
     };
     socket.once("error", fail);
     socket.once("connect", () => {
       clearTimeout(timeout);
       socket.off("error", fail);
+      this.#observer?.onOpened(address);
       connection.isOpen = true;
       connection.receiveLimit = new ReceiveLimit(socket, MAX_HEAD_BYTES);
       callback(null, socket);
@@ -330,6 +367,16 @@
   return Readable.from(body.chunks(), { objectMode: false });
 }
 
+const CONNECT_FAILURES: Readonly<Record<string, ConnectFailure>> = {
+  ECONNREFUSED: "refused",
+  ECONNRESET: "reset",
+  ETIMEDOUT: "timed-out",
+};
+
+function toConnectFailure({ code }: NodeJS.ErrnoException): ConnectFailure {
+  return CONNECT_FAILURES[code ?? ""] ?? "failed";
+}
+
 function discard(client: Client): void {
   // Requests in flight report the failure through their own handlers.
   client.destroy().catch(() => undefined);
