Open connections to endpoints by one connector, from the host's own address

No change for callers. After a pause of the process a connection that was opened in the meantime no longer counts as timed out, as timers run before it is reported.

--- a/deploy/undici_subset.js
+++ b/deploy/undici_subset.js
@@ -4,9 +4,8 @@
 import request from "../node_modules/undici/lib/api/api-request.js";
 import Client from "../node_modules/undici/lib/dispatcher/client.js";
 import Dispatcher from "../node_modules/undici/lib/dispatcher/dispatcher.js";
-import buildConnector from "../node_modules/undici/lib/core/connect.js";
 import Pool from "../node_modules/undici/lib/dispatcher/pool.js";
 
 Dispatcher.prototype.request = request;
 
-export { buildConnector, Client, Pool };
+export { Client, Pool };
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -6,7 +6,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { SeededRandom } from "../src/base/common/random.ts";
 import type { StoreFault } from "../platform/standins/metadata_store_server.ts";
-import type { ProxyFault } from "./fault_proxy.ts";
+import type { ProxyFault } from "../standins/network/fault_proxy.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 import type { SoakDeployment } from "./soak_deployment.ts";
 
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -19,7 +19,7 @@
 } from "../platform/store_documents.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { createConfiguration } from "./soak_configuration.ts";
-import { FaultProxy } from "./fault_proxy.ts";
+import { FaultProxy } from "../standins/network/fault_proxy.ts";
 import type { StoreCopy } from "../standins/mirror/fake_revisioned_store.ts";
 import { type EndpointArrival, MAX_PART_CRASHES } from "./endpoint_rules.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -15,7 +15,6 @@
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
 import { GatewayStreamVersions } from "../common/gateway_stream_versions.ts";
-import { MirrorChangeHandler } from "../common/mirror_change_handler.ts";
 import { peerLinkCounters } from "../common/peer_link_counters.ts";
 import { ReadinessLog } from "../common/readiness_log.ts";
 import type {
@@ -25,6 +24,7 @@
 import { GatewayOperatorPages } from "./gateway_operator_pages.ts";
 import type { GatewayPlatformAdapter } from "./gateway_platform_adapter.ts";
 import { GatewayPaths } from "./gateway_paths.ts";
+import { GatewayStore } from "./gateway_store.ts";
 import { GatewayTopology } from "./gateway_topology.ts";
 import { drainRequests } from "./request_drain.ts";
 import { EndpointChooser } from "../../features/gateway/common/endpoint_chooser.ts";
@@ -42,17 +42,10 @@
 import { RunMigrator } from "../../features/gateway/common/run_migrator.ts";
 import { ZonePlacer } from "../../features/gateway/common/zone_placer.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
-import {
-  encodeHostEntry,
-  HOST_KEY_PREFIX,
-} from "../../services/hosts/common/host_entry.ts";
-import { HostLease } from "../../services/hosts/common/host_lease.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
 import { type Page, PageServer } from "../../services/http/node/page_server.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
-import { MirrorSync } from "../../services/mirror/common/mirror_sync.ts";
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
-import { StoreWatcher } from "../../services/mirror/common/store_watcher.ts";
 import type { FleetHost } from "../../services/peers/common/link_planner.ts";
 import { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
 
@@ -72,8 +65,7 @@
   readonly #state: ConfigurationState;
   readonly #registry: EndpointRegistry;
   readonly #links: WsPeerLinks;
-  readonly #storeWatcher: StoreWatcher;
-  readonly #hostLease: HostLease;
+  readonly #store: GatewayStore;
   readonly #placer: ZonePlacer;
   readonly #quarantine: GatewayQuarantine;
   readonly #limits: GatewayEndpointLimits;
@@ -99,7 +91,6 @@
     this.#logger = logger;
     this.#metrics = metrics;
     const { host, zone } = settings;
-    const { control } = adapter;
     const startedMs = clock.monotonicMs();
     const random = new SeededRandom(hasher.hash32(`${host}${clock.nowMs()}`));
     this.#mirror = new StoreMirror(clock);
@@ -108,6 +99,16 @@
       () => this.#mirror.confirmationAgeMs,
     );
     this.#registry = new EndpointRegistry(clock, logger);
+    this.#paths = this.#disposables.add(
+      new GatewayPaths({
+        clock,
+        logger,
+        metrics,
+        registry: this.#registry,
+        connector: adapter.connector,
+      }),
+    );
+    const control = adapter.createControl(this.#paths.controlHttp);
     this.#readinessLog = new ReadinessLog({
       logger,
       mirror: this.#mirror,
@@ -144,49 +145,24 @@
         seedAddresses: () => this.#activeSettings.seedAddresses,
       }),
     );
-    this.#disposables.add(
-      new MirrorSync(clock, logger, this.#links, this.#mirror, this.#topology),
-    );
-    this.#disposables.add(
-      new MirrorChangeHandler({
+    this.#store = this.#disposables.add(
+      new GatewayStore({
+        self,
+        clock,
         logger,
+        hasher,
+        adapter,
+        links: this.#links,
+        topology: this.#topology,
         mirror: this.#mirror,
         state: this.#state,
-        links: this.#links,
         registry: this.#registry,
-        peers: this.#topology,
-        decoder: adapter,
-      }),
-    );
-    this.#storeWatcher = this.#disposables.add(
-      new StoreWatcher({
-        clock,
-        logger,
-        store: adapter.store,
-        mirror: this.#mirror,
-        shouldWatch: () => this.#topology.isRelay(),
       }),
     );
-    this.#hostLease = this.#disposables.add(
-      new HostLease(
-        clock,
-        logger,
-        adapter.store,
-        `${HOST_KEY_PREFIX}${host}`,
-        encodeHostEntry(self),
-      ),
-    );
-    this.#disposables.add(this.#mirror.onDidChangeEra((era) => {
-      logger.log("warn", "store-restored", { era });
-      this.#hostLease.onStoreRestored(hasher.hash32(host) / HASH_RANGE);
-    }));
     const board = new LoadTable(clock);
     this.#disposables.add(
       new LoadTableSync(host, clock, this.#links, this.#topology, board),
     );
-    this.#paths = this.#disposables.add(
-      new GatewayPaths({ clock, logger, metrics, registry: this.#registry }),
-    );
     const chooser = new EndpointChooser(
       clock,
       this.#registry,
@@ -367,7 +343,7 @@
       this.#activeSettings.stopGraceMs - SHUTDOWN_RESERVE_MS,
     );
     await Promise.race([
-      this.#hostLease.withdraw(),
+      this.#store.withdraw(),
       sleep(this.#clock, SHUTDOWN_RESERVE_MS / 2),
     ]);
     this.#disposables.dispose();
@@ -402,8 +378,7 @@
       this.#pageServer((path) => pages.render(path))
         .listen(settings.metricsAddress),
     ]);
-    void this.#storeWatcher.run();
-    void this.#hostLease.run();
+    this.#store.start();
     this.#topology.querySeeds();
   }
 
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -12,10 +12,10 @@
   type DirectPathChange,
   DirectPaths,
 } from "../../features/paths/common/direct_paths.ts";
-import {
-  DEFAULT_CONNECTION_LIMITS,
-  UndiciPassThroughClient,
-} from "../../services/http/node/undici_pass_through_client.ts";
+import type { JsonCaller } from "../../services/http/common/json_caller.ts";
+import { JsonClient } from "../../services/http/node/json_client.ts";
+import type { SocketConnector } from "../../services/http/node/socket_connector.ts";
+import { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 
 /** Dependencies of {@link GatewayPaths}. */
@@ -24,24 +24,30 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly registry: EndpointRegistry;
+  /** Opens the connections to endpoints. */
+  readonly connector: SocketConnector;
 }
 
 /** Client for requests to endpoints and the state of the paths to them. */
 export class GatewayPaths implements Disposable {
   readonly direct: DirectPaths;
   readonly client: UndiciPassThroughClient;
+  /** Client for control requests to endpoints. */
+  readonly controlHttp: JsonCaller;
   readonly #services: GatewayPathsServices;
   readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the paths. */
   constructor(services: GatewayPathsServices) {
-    const { clock, registry } = services;
+    const { clock, connector, registry } = services;
     this.#services = services;
     this.direct = new DirectPaths(clock);
-    this.client = new UndiciPassThroughClient(
-      clock,
-      DEFAULT_CONNECTION_LIMITS,
-      this.direct,
+    this.client = new UndiciPassThroughClient(clock, {
+      observer: this.direct,
+      connector,
+    });
+    this.controlHttp = this.#disposables.add(
+      new JsonClient(clock, undefined, connector),
     );
     this.#disposables.add(
       this.direct.onDidChange((change) => this.#onChanged(change)),
--- /dev/null
+++ b/src/services/http/common/json_caller.ts
@@ -0,0 +1,33 @@
+/** Contract of JSON requests over HTTP. */
+
+import type { Address } from "../../../base/common/ids.ts";
+import type { AsyncEither } from "../../../base/common/result.ts";
+
+/** A request with an optional JSON body. */
+export interface JsonRequest {
+  readonly method: "GET" | "POST" | "DELETE";
+  /** Path and query. */
+  readonly target: string;
+  readonly body?: unknown;
+  readonly timeoutMs: number;
+}
+
+/** A response; `body` is `undefined` if the response has no valid JSON body. */
+export interface JsonResponse {
+  readonly status: number;
+  /** Headers by their names in lowercase. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: unknown;
+}
+
+/**
+ * Sends JSON requests to any address. A request without a response may have
+ * been executed.
+ */
+export interface JsonCaller {
+  /** @returns The response, or a description of why there is none. */
+  call(
+    address: Address,
+    request: JsonRequest,
+  ): AsyncEither<string, JsonResponse>;
+}
--- a/src/services/http/node/json_client.ts
+++ b/src/services/http/node/json_client.ts
@@ -3,14 +3,23 @@
  * exchange.
  */
 
-import { Socket } from "node:net";
-import { buildConnector, Pool } from "undici";
+import { Pool } from "undici";
 import type { Clock } from "../../../base/common/clock.ts";
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import type { Disposable } from "../../../base/common/lifecycle.ts";
-import { ReceiveLimit } from "./receive_limit.ts";
 import { type AsyncEither, Left, Right } from "../../../base/common/result.ts";
+import type {
+  JsonCaller,
+  JsonRequest,
+  JsonResponse,
+} from "../common/json_caller.ts";
+import { ReceiveLimit } from "./receive_limit.ts";
+import {
+  createTcpConnector,
+  openSocket,
+  type SocketConnector,
+} from "./socket_connector.ts";
 
 /**
  * Several connections are kept to each address, so that a pending request does
@@ -34,47 +43,33 @@
  */
 const MAX_INTERIM_RESPONSES = 20;
 
-/** A request with an optional JSON body. */
-export interface JsonRequest {
-  readonly method: "GET" | "POST" | "DELETE";
-  /** Path and query. */
-  readonly target: string;
-  readonly body?: unknown;
-  readonly timeoutMs: number;
-}
-
-/** A response; `body` is `undefined` if the response has no valid JSON body. */
-export interface JsonResponse {
-  readonly status: number;
-  /** Headers by their names in lowercase. */
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly body: unknown;
-}
-
 /**
  * Sends JSON requests to any address. A request without a response may have
  * been executed.
  */
-export class JsonClient implements Disposable {
+export class JsonClient implements JsonCaller, Disposable {
   readonly #clock: Clock;
   readonly #maxResponseBytes: number;
-  readonly #connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  readonly #connector: SocketConnector;
   readonly #pools = new Map<Address, { pool: Pool; lastUsedMs: number }>();
 
   /**
    * @param clock - The clock of the time limits.
    * @param maxResponseBytes - Maximum size of a response, with its head and its
    * framing. The connection of a larger one is closed.
+   * @param connector - Opens the connections.
    */
   constructor(
     clock: Clock,
     maxResponseBytes: number = DEFAULT_MAX_RESPONSE_BYTES,
+    connector: SocketConnector = createTcpConnector(),
   ) {
     this.#clock = clock;
     this.#maxResponseBytes = maxResponseBytes;
+    this.#connector = connector;
   }
 
-  /** @returns The response, or a description of why there is none. */
+  /** {@inheritDoc JsonCaller.call} */
   async call(
     address: Address,
     call: JsonRequest,
@@ -135,14 +130,18 @@
     this.#closeUnusedPools();
     const pool = new Pool(`http://${address}`, {
       connections: CONNECTIONS_PER_ADDRESS,
-      connect: (options, callback) => {
-        this.#connect(options, (error, socket) => {
-          if (socket instanceof Socket) {
-            new ReceiveLimit(socket, this.#maxResponseBytes);
-          }
-          if (socket) callback(null, socket);
-          else callback(error ?? new Error("no connection"), null);
-        });
+      connect: (_options, callback) => {
+        const socket = openSocket(
+          this.#connector,
+          address,
+          CONNECT_TIMEOUT_MS,
+          (...outcome) => {
+            const [, opened] = outcome;
+            if (opened) new ReceiveLimit(opened, this.#maxResponseBytes);
+            callback(...outcome);
+          },
+        );
+        socket.setNoDelay(true);
       },
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       headersTimeout: 0,
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -3,13 +3,19 @@
  * on each connection.
  */
 
-import { connect as connectSocket, type Socket } from "node:net";
 import { Readable } from "node:stream";
 import { Client, type Dispatcher } from "undici";
 import type { Clock } from "../../../base/common/clock.ts";
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
 import { ReceiveLimit } from "./receive_limit.ts";
+import {
+  type ConnectCallback,
+  ConnectTimeoutError,
+  createTcpConnector,
+  openSocket,
+  type SocketConnector,
+} from "./socket_connector.ts";
 import { isCloseDelimited } from "../common/header_list.ts";
 import { isStreamed, type StreamedBody } from "../common/request_body.ts";
 import type {
@@ -43,6 +49,13 @@
   maxIdlePerAddress: 16,
 };
 
+/** Settings of a client; each has a default. */
+export interface PassThroughClientOptions {
+  readonly limits?: ConnectionLimits;
+  readonly observer?: ConnectionObserver | undefined;
+  readonly connector?: SocketConnector | undefined;
+}
+
 /**
  * A connection is not reused within this time before the idle timeout that the
  * server announced, since the server may close it at the same moment.
@@ -75,22 +88,19 @@
   readonly #clock: Clock;
   readonly #limits: ConnectionLimits;
   readonly #observer: ConnectionObserver | undefined;
+  readonly #connector: SocketConnector;
   readonly #idle = new Map<Address, PooledConnection[]>();
   #openedCount = 0;
 
   /**
    * @param clock - The clock that measures idle times.
-   * @param limits - The limits of the connections.
-   * @param observer - Observes the connections.
+   * @param options - Limits, observer and connector of the connections.
    */
-  constructor(
-    clock: Clock,
-    limits: ConnectionLimits = DEFAULT_CONNECTION_LIMITS,
-    observer?: ConnectionObserver,
-  ) {
+  constructor(clock: Clock, options: PassThroughClientOptions = {}) {
     this.#clock = clock;
-    this.#limits = limits;
-    this.#observer = observer;
+    this.#limits = options.limits ?? DEFAULT_CONNECTION_LIMITS;
+    this.#observer = options.observer;
+    this.#connector = options.connector ?? createTcpConnector();
   }
 
   /** Number of connections opened since the start. */
@@ -164,8 +174,7 @@
       keepAliveTimeout: this.#limits.maxIdleMs,
       keepAliveTimeoutThreshold: KEEP_ALIVE_TIMEOUT_MARGIN_MS,
       strictContentLength: true,
-      connect: (options, callback) =>
-        this.#connect(connection, options, callback),
+      connect: (_options, callback) => this.#connect(connection, callback),
     });
     const connection: PooledConnection = {
       address,
@@ -181,12 +190,24 @@
     return connection;
   }
 
-  #connect(
-    connection: PooledConnection,
-    { hostname, port }: { hostname: string; port?: string },
-    callback: (...outcome: [Error, null] | [null, Socket]) => void,
-  ): void {
-    const socket = connectSocket({ host: hostname, port: Number(port) });
+  #connect(connection: PooledConnection, callback: ConnectCallback): void {
+    const { address } = connection;
+    const socket = openSocket(
+      this.#connector,
+      address,
+      this.#limits.connectTimeoutMs,
+      (error, opened) => {
+        if (opened) {
+          connection.isOpen = true;
+          connection.receiveLimit = new ReceiveLimit(opened, MAX_HEAD_BYTES);
+          this.#observer?.onOpened(address);
+          callback(null, opened);
+        } else {
+          this.#observer?.onOpenFailed(address, toConnectFailure(error));
+          callback(error, null);
+        }
+      },
+    );
     socket.setNoDelay(true);
     socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
     // Registered before undici's own listener, so that this listener runs
@@ -199,27 +220,6 @@
       // socket has no peer any more.
       if (socket.remoteAddress === undefined) connection.hasSocketError = true;
     });
-    const { address } = connection;
-    let isTimedOut = false;
-    const timeout = setTimeout(() => {
-      isTimedOut = true;
-      socket.destroy(new Error("the connection could not be opened in time"));
-    }, this.#limits.connectTimeoutMs);
-    const fail = (error: Error): void => {
-      clearTimeout(timeout);
-      const failure = isTimedOut ? "timed-out" : toConnectFailure(error);
-      this.#observer?.onOpenFailed(address, failure);
-      callback(error, null);
-    };
-    socket.once("error", fail);
-    socket.once("connect", () => {
-      clearTimeout(timeout);
-      socket.off("error", fail);
-      this.#observer?.onOpened(address);
-      connection.isOpen = true;
-      connection.receiveLimit = new ReceiveLimit(socket, MAX_HEAD_BYTES);
-      callback(null, socket);
-    });
   }
 
   #release(connection: PooledConnection): void {
@@ -373,8 +373,9 @@
   ETIMEDOUT: "timed-out",
 };
 
-function toConnectFailure({ code }: NodeJS.ErrnoException): ConnectFailure {
-  return CONNECT_FAILURES[code ?? ""] ?? "failed";
+function toConnectFailure(error: NodeJS.ErrnoException): ConnectFailure {
+  if (error instanceof ConnectTimeoutError) return "timed-out";
+  return CONNECT_FAILURES[error.code ?? ""] ?? "failed";
 }
 
 function discard(client: Client): void {
--- a/soak/fault_proxy.ts
+++ b/standins/network/fault_proxy.ts
@@ -4,9 +4,9 @@
  */
 
 import { connect, createServer, type Socket } from "node:net";
-import { listenOnLoopback } from "../platform/standins/loopback_server.ts";
-import type { Address } from "../src/base/common/ids.ts";
-import { splitAddress } from "../src/services/settings/common/shared_schemas.ts";
+import { listenOnLoopback } from "../../platform/standins/loopback_server.ts";
+import type { Address } from "../../src/base/common/ids.ts";
+import { splitAddress } from "../../src/services/settings/common/shared_schemas.ts";
 
 /** Fault that the proxy applies to its connections. */
 export type ProxyFault =
@@ -17,7 +17,18 @@
   /** Resets new connections. */
   | { readonly kind: "reset" };
 
+/** How one client host is cut from the server, while others reach it. */
+export type SourceCut =
+  /** No data passes on any connection; new ones are accepted. */
+  | "silent"
+  /** Open connections are reset, and so are new ones. */
+  | "reset"
+  /** Open connections live on; new ones are reset. */
+  | "refuse-new";
+
 interface ProxiedConnection {
+  /** Address of the client host. */
+  readonly source: string;
   readonly client: Socket;
   readonly server: Socket;
   /**
@@ -32,6 +43,7 @@
   readonly #target: Address;
   readonly #server = createServer((client) => this.#accept(client));
   readonly #connections = new Set<ProxiedConnection>();
+  readonly #sourceCuts = new Map<string, SourceCut>();
   #fault: ProxyFault = { kind: "none" };
   #disturbedMs = 0;
 
@@ -62,33 +74,58 @@
     for (const connection of this.#connections) connection.isDiscarding = true;
   }
 
+  /** Cuts a client host from the server, or heals its cut. */
+  cutSource(source: string, cut: SourceCut | undefined): void {
+    if (cut === undefined) {
+      this.#sourceCuts.delete(source);
+      return;
+    }
+    this.#sourceCuts.set(source, cut);
+    for (const connection of this.#connections) {
+      if (connection.source !== source) continue;
+      switch (cut) {
+        case "silent":
+          connection.isDiscarding = true;
+          break;
+        case "reset":
+          reset(connection);
+          break;
+        case "refuse-new":
+      }
+    }
+  }
+
   /** Resets all open connections. */
   resetConnections(): void {
     this.#disturbedMs = Date.now();
-    for (const { client, server } of this.#connections) {
-      client.resetAndDestroy();
-      server.resetAndDestroy();
-    }
+    for (const connection of this.#connections) reset(connection);
   }
 
-  /** Stops accepting connections and resets the open ones. */
+  /** Stops accepting connections and closes the open ones. */
   close(): void {
+    this.#disturbedMs = Date.now();
     this.#server.close();
-    this.resetConnections();
+    for (const { client, server } of this.#connections) {
+      client.destroy();
+      server.destroy();
+    }
   }
 
   #accept(client: Socket): void {
-    if (this.#fault.kind === "reset") {
+    const source = client.remoteAddress ?? "";
+    const sourceCut = this.#sourceCuts.get(source);
+    const isRefused = sourceCut === "reset" || sourceCut === "refuse-new";
+    if (this.#fault.kind === "reset" || isRefused) {
       client.resetAndDestroy();
       return;
     }
     const { ip, port } = splitAddress(this.#target);
     const server = connect({ host: ip, port });
-    const isDiscarding = this.#fault.kind === "silence";
     const connection: ProxiedConnection = {
+      source,
       client,
       server,
-      isDiscarding: isDiscarding,
+      isDiscarding: this.#fault.kind === "silence" || sourceCut === "silent",
     };
     this.#connections.add(connection);
     this.#forward(connection, client, server, false);
@@ -119,6 +156,11 @@
   }
 }
 
+function reset({ client, server }: ProxiedConnection): void {
+  client.resetAndDestroy();
+  server.resetAndDestroy();
+}
+
 /** Writes data to a socket after a delay and preserves its order. */
 class DelayedWriter {
   readonly #target: Socket;
