--- a/src/daemon/common/gateway_settings.ts
+++ b/src/daemon/common/gateway_settings.ts
@@ -22,6 +22,11 @@
   readonly readinessAddress: Address;
   readonly peersAddress: Address;
   readonly metricsAddress: Address;
+  /**
+   * Address at which requests of peers are passed on to endpoints that these
+   * cannot reach; without it, none are passed on.
+   */
+  readonly relayAddress?: Address | undefined;
   /**
    * Relative CPU and network capacity of the host; daemons with a larger value
    * are preferred as hubs.
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -13,6 +13,7 @@
 import { SeededRandom } from "../../base/common/random.ts";
 import { admissionLimits, retryLimits } from "../common/settings_limits.ts";
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
+import { GatewayPlacement } from "../common/gateway_placement.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
 import { GatewayStreamVersions } from "../common/gateway_stream_versions.ts";
 import { peerLinkCounters } from "../common/peer_link_counters.ts";
@@ -24,10 +25,11 @@
 import { GatewayOperatorPages } from "./gateway_operator_pages.ts";
 import type { GatewayPlatformAdapter } from "./gateway_platform_adapter.ts";
 import { GatewayPaths } from "./gateway_paths.ts";
+import { GatewayRelay } from "./gateway_relay.ts";
 import { GatewayStore } from "./gateway_store.ts";
 import { GatewayTopology } from "./gateway_topology.ts";
 import { drainRequests } from "./request_drain.ts";
-import { EndpointChooser } from "../../features/gateway/common/endpoint_chooser.ts";
+import { AnswerObserver } from "../../features/gateway/common/answer_observer.ts";
 import { EndpointHolds } from "../../features/gateway/common/endpoint_holds.ts";
 import { EndpointProbe } from "../../features/gateway/common/endpoint_probe.ts";
 import { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
@@ -35,12 +37,9 @@
 import { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
 import { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import { LeavingMarks } from "../../features/gateway/common/leaving_marks.ts";
-import { LoadTable } from "../../features/gateway/common/load_table.ts";
-import { LoadTableSync } from "../../features/gateway/common/load_table_sync.ts";
-import { PlacementQueue } from "../../features/gateway/common/placement_queue.ts";
 import { EngineReportPoller } from "../../features/gateway/common/engine_report_poller.ts";
 import { RunMigrator } from "../../features/gateway/common/run_migrator.ts";
-import { ZonePlacer } from "../../features/gateway/common/zone_placer.ts";
+import type { ZonePlacer } from "../../features/gateway/common/zone_placer.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
 import { type Page, PageServer } from "../../services/http/node/page_server.ts";
@@ -48,6 +47,7 @@
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { FleetHost } from "../../services/peers/common/link_planner.ts";
 import { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
+import { HmacRelaySigner } from "../../services/relay/node/hmac_relay_signer.ts";
 
 const TICK_MS = 100;
 /** Part of the grace period reserved for closing after the drain deadline. */
@@ -72,6 +72,7 @@
   readonly #gateway: Gateway;
   readonly #callers: CallerServer;
   readonly #paths: GatewayPaths;
+  readonly #relay: GatewayRelay;
   readonly #topology: GatewayTopology;
   #activeSettings: ReloadableGatewaySettings;
   #isStopping = false;
@@ -98,17 +99,11 @@
       logger,
       () => this.#mirror.confirmationAgeMs,
     );
-    this.#registry = new EndpointRegistry(clock, logger);
-    this.#paths = this.#disposables.add(
-      new GatewayPaths({
-        clock,
-        logger,
-        metrics,
-        registry: this.#registry,
-        connector: adapter.connector,
-      }),
+    this.#registry = new EndpointRegistry(
+      clock,
+      logger,
+      (endpoint) => this.#paths.isReachable(endpoint),
     );
-    const control = adapter.createControl(this.#paths.controlHttp);
     this.#readinessLog = new ReadinessLog({
       logger,
       mirror: this.#mirror,
@@ -132,6 +127,7 @@
       zone,
       address: settings.peersAddress,
       capacity: settings.relayCapacity,
+      ...(settings.relayAddress && { relayAddress: settings.relayAddress }),
     };
     this.#topology = this.#disposables.add(
       new GatewayTopology({
@@ -159,33 +155,43 @@
         registry: this.#registry,
       }),
     );
-    const board = new LoadTable(clock);
-    this.#disposables.add(
-      new LoadTableSync(host, clock, this.#links, this.#topology, board),
-    );
-    const chooser = new EndpointChooser(
-      clock,
-      this.#registry,
-      board,
-      random,
-      zone,
+    const holds = new EndpointHolds(clock, logger, metrics, random);
+    const signer = new HmacRelaySigner(adapter.peerSecret);
+    this.#paths = this.#disposables.add(
+      new GatewayPaths({
+        self,
+        clock,
+        logger,
+        metrics,
+        random,
+        registry: this.#registry,
+        links: this.#links,
+        overlay: this.#topology,
+        signer,
+        holds,
+        connector: adapter.connector,
+        createControl: (http) => adapter.createControl(http),
+        relayPeers: () => this.#topology.relayPeers,
+        isLimited: (endpoint) => this.#limits.endpoints.isLimited(endpoint),
+      }),
     );
+    const { control } = this.#paths;
     const findService = (id: ServiceId) =>
       this.#state.current?.configuration.services.get(id);
-    this.#placer = this.#disposables.add(
-      new ZonePlacer({
+    const placement = this.#disposables.add(
+      new GatewayPlacement({
         self: host,
+        zone,
         clock,
         logger,
+        random,
         links: this.#links,
         overlay: this.#topology,
         registry: this.#registry,
-        loadTable: board,
-        chooser,
-        localPlacer: this.#disposables.add(new PlacementQueue(clock, chooser)),
         findService,
       }),
     );
+    this.#placer = placement.placer;
     const leavingMarks = this.#disposables.add(
       new LeavingMarks(this.#links, this.#topology, this.#registry),
     );
@@ -203,6 +209,23 @@
       }),
     );
     const limits = this.#limits.endpoints;
+    const answers = new AnswerObserver({ holds, leavingMarks, limits });
+    this.#relay = this.#disposables.add(
+      new GatewayRelay({
+        self: host,
+        clock,
+        logger,
+        metrics,
+        signer,
+        registry: this.#registry,
+        codec: adapter.codec,
+        client: this.#paths.directClient,
+        observer: answers,
+        isLost: (endpoint) => this.#paths.isLost(endpoint),
+        onConnectTimeout: ({ announcement }) =>
+          this.#paths.direct.onOpenFailed(announcement.address, "timed-out"),
+      }),
+    );
     const streamVersions = this.#disposables.add(
       new GatewayStreamVersions({
         clock,
@@ -234,9 +257,9 @@
         codec: adapter.codec,
         client: this.#paths.client,
         registry: this.#registry,
-        loadTable: board,
-        chooser,
-        placer: this.#placer,
+        loadTable: placement.loadTable,
+        chooser: placement.chooser,
+        placer: placement.placer,
         budget: new RetryBudget({
           clock,
           random,
@@ -247,12 +270,12 @@
               remainderRank: hasher.hash32(host) / HASH_RANGE,
             }),
         }),
-        probe: new EndpointProbe(clock, logger, metrics, control, limits),
+        probe: new EndpointProbe(clock, logger, metrics, this.#paths, limits),
         migrator: new RunMigrator(clock, control, limits),
         crashMonitor: this.#quarantine.monitor,
-        leavingMarks,
-        holds: new EndpointHolds(clock, logger, metrics, random),
+        answers,
         limits,
+        checkSilentPath: (address) => this.#paths.checkSilent(address),
         streamVersions: streamVersions.table,
         fingerprint,
       },
@@ -340,6 +363,7 @@
       this.#logger,
       this.#gateway,
       this.#callers,
+      this.#relay,
       this.#activeSettings.stopGraceMs - SHUTDOWN_RESERVE_MS,
     );
     await Promise.race([
@@ -372,6 +396,7 @@
     await Promise.all([
       this.#links.listen(settings.peersAddress),
       this.#callers.listen(settings.callersAddress),
+      settings.relayAddress && this.#relay.listen(settings.relayAddress),
       this.#pageServer(() =>
         Promise.resolve({ status: this.isReady ? 200 : 503, text: "" })
       ).listen(settings.readinessAddress),
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -1,72 +1,210 @@
-/** Composes what a gateway daemon knows of the paths to its endpoints. */
+/**
+ * Composes the paths of a gateway daemon to its endpoints: its own connections,
+ * and peers that pass requests on where these fail.
+ */
 
 import type { Clock } from "../../base/common/clock.ts";
-import type { Address, EndpointId } from "../../base/common/ids.ts";
+import type { Address, HostId, ZoneName } from "../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
-import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import type { EndpointHolds } from "../../features/gateway/common/endpoint_holds.ts";
+import type {
+  EndpointRegistry,
+  RegisteredEndpoint,
+} from "../../features/gateway/common/endpoint_registry.ts";
+import type { EngineControl } from "../../features/gateway/common/engine_control.ts";
 import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
 import {
   type DirectPathChange,
   DirectPaths,
 } from "../../features/paths/common/direct_paths.ts";
+import { FleetPaths } from "../../features/paths/common/fleet_paths.ts";
+import { PathClient } from "../../features/paths/common/path_client.ts";
+import { PathJsonCaller } from "../../features/paths/common/path_json_caller.ts";
+import { PathProber } from "../../features/paths/common/path_prober.ts";
+import {
+  type ChoiceRandom,
+  RelayChooser,
+} from "../../features/paths/common/relay_chooser.ts";
 import type { JsonCaller } from "../../services/http/common/json_caller.ts";
 import { JsonClient } from "../../services/http/node/json_client.ts";
 import type { SocketConnector } from "../../services/http/node/socket_connector.ts";
 import { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
+import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
+import {
+  HttpRelaySender,
+  type RelayPeer,
+} from "../../services/relay/common/relay_sender.ts";
+import type { RelaySigner } from "../../services/relay/common/relay_signer.ts";
 
 /** Dependencies of {@link GatewayPaths}. */
 export interface GatewayPathsServices {
+  readonly self: { readonly host: HostId; readonly zone: ZoneName };
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
+  readonly random: ChoiceRandom;
   readonly registry: EndpointRegistry;
+  readonly links: PeerLinks;
+  readonly overlay: PeerOverlay;
+  readonly signer: RelaySigner;
+  readonly holds: Pick<EndpointHolds, "hold">;
   /** Opens the connections to endpoints. */
   readonly connector: SocketConnector;
+  /** @returns The control of engines, which calls them by a client. */
+  createControl(http: JsonCaller): EngineControl;
+  /** @returns The other hosts that pass requests on. */
+  relayPeers(): readonly RelayPeer[];
+  /** @returns Whether an endpoint names a limit, which probes count against. */
+  isLimited(endpoint: RegisteredEndpoint): boolean;
 }
 
-/** Client for requests to endpoints and the state of the paths to them. */
+/** Clients for requests to endpoints and the state of the paths to them. */
 export class GatewayPaths implements Disposable {
   readonly direct: DirectPaths;
-  readonly client: UndiciPassThroughClient;
-  /** Client for control requests to endpoints. */
-  readonly controlHttp: JsonCaller;
+  /** Client that sends only directly. */
+  readonly directClient: UndiciPassThroughClient;
+  /** Client that chooses the path. */
+  readonly client: PathClient;
+  /** Control of engines, on any path. */
+  readonly control: EngineControl;
   readonly #services: GatewayPathsServices;
+  readonly #prober: PathProber;
   readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the paths. */
   constructor(services: GatewayPathsServices) {
-    const { clock, connector, registry } = services;
+    const { clock, connector, createControl, registry } = services;
     this.#services = services;
     this.direct = new DirectPaths(clock);
-    this.client = new UndiciPassThroughClient(clock, {
+    const fleet = this.#disposables.add(
+      new FleetPaths({
+        ...services,
+        self: services.self.host,
+        direct: this.direct,
+      }),
+    );
+    const chooser = new RelayChooser({
+      clock,
+      random: services.random,
+      zone: services.self.zone,
+      peers: () => services.relayPeers(),
+      hasLost: (host, address) => fleet.hasLost(host, address),
+      zoneOf: (address) => this.#endpointAt(address)?.announcement.zone,
+    });
+    this.directClient = new UndiciPassThroughClient(clock, {
       observer: this.direct,
       connector,
     });
-    this.controlHttp = this.#disposables.add(
+    const directHttp = this.#disposables.add(
+      new JsonClient(clock, undefined, connector),
+    );
+    const probeHttp = this.#disposables.add(
       new JsonClient(clock, undefined, connector),
     );
+    this.#prober = this.#disposables.add(this.#createProber(probeHttp));
+    this.client = this.#createClient(chooser);
+    this.control = createControl(
+      new PathJsonCaller({
+        clock,
+        directCaller: directHttp,
+        pathClient: this.client,
+        chooser,
+        direct: this.direct,
+        groupOf: (address) => this.#groupOf(address),
+        relayInstructions: (address, deadlineMs) => {
+          const endpoint = this.#endpointAt(address)?.id;
+          return endpoint &&
+            { endpoint, purpose: "control", requestId: undefined, deadlineMs };
+        },
+        checkSilent: (address) => this.checkSilent(address),
+      }),
+    );
     this.#disposables.add(
       this.direct.onDidChange((change) => this.#onChanged(change)),
     );
     this.#disposables.add(registry.onDidRetire(({ announcement }) => {
-      this.client.closeIdleConnections(announcement.address);
+      this.directClient.closeIdleConnections(announcement.address);
       this.direct.forget(announcement.address);
     }));
   }
 
-  /** Stops following the registry. */
+  /** @returns Whether this host or a peer may reach an endpoint. */
+  isReachable({ announcement }: RegisteredEndpoint): boolean {
+    return this.client.isReachable(announcement.address);
+  }
+
+  /** @returns Whether this host cannot connect to an endpoint itself. */
+  isLost({ announcement }: RegisteredEndpoint): boolean {
+    return this.direct.isLost(announcement.address);
+  }
+
+  /** Checks a path on which a request got no response. */
+  checkSilent(address: Address): void {
+    if (this.#endpointAt(address)) this.#prober.checkSilent(address);
+  }
+
+  /** Stops probing and sharing. */
   dispose(): void {
     this.#disposables.dispose();
   }
 
-  #onChanged({ address, failure, lostForMs }: DirectPathChange): void {
+  #createClient(chooser: RelayChooser): PathClient {
+    const { clock, holds, metrics, self, signer } = this.#services;
+    const relayClient = new UndiciPassThroughClient(clock);
+    return new PathClient({
+      clock,
+      client: this.directClient,
+      relays: new HttpRelaySender({
+        self: self.host,
+        clock,
+        signer,
+        client: relayClient,
+      }),
+      chooser,
+      direct: this.direct,
+      groupOf: (address) => this.#groupOf(address),
+      probe: (address) => this.#prober.probe(address),
+      onHeld: (address, retryAfterMs) => {
+        const endpoint = this.#endpointAt(address);
+        if (endpoint) holds.hold(endpoint, retryAfterMs);
+      },
+      onRelayed: (result) => metrics.count("requests_relayed", result),
+    });
+  }
+
+  /** @param http - Client that no other requests use. */
+  #createProber(http: JsonClient): PathProber {
+    const { clock, createControl, isLimited } = this.#services;
+    const control = createControl(http);
+    return new PathProber({
+      clock,
+      direct: this.direct,
+      trial: {
+        openConnection: (address) => this.directClient.openConnection(address),
+        requestAnswer: async (address) => {
+          // Only a new connection shows whether the path works.
+          http.closePool(address);
+          const { kind } = await control.checkLiveness(address);
+          return kind === "answered";
+        },
+        mayRequest: (address) => {
+          const endpoint = this.#endpointAt(address);
+          return endpoint !== undefined && !isLimited(endpoint) &&
+            !endpoint.isHeld(clock.monotonicMs());
+        },
+      },
+    });
+  }
+
+  #onChanged({ address, loss, lostForMs }: DirectPathChange): void {
     const { logger, metrics } = this.#services;
-    const endpoint = this.#endpointAt(address);
-    if (failure === undefined) {
+    const endpoint = this.#endpointAt(address)?.id;
+    if (loss === undefined) {
       logger.log("info", "direct-path-back", {
         endpoint,
         address,
@@ -74,14 +212,25 @@
       });
       return;
     }
-    metrics.count("direct_paths_lost", failure);
-    logger.log("warn", "direct-path-lost", { endpoint, address, failure });
+    // Connections opened earlier may no longer carry data.
+    this.directClient.closeIdleConnections(address);
+    metrics.count("direct_paths_lost", loss);
+    logger.log("warn", "direct-path-lost", { endpoint, address, loss });
+  }
+
+  #endpointAt(address: Address): RegisteredEndpoint | undefined {
+    const { registry } = this.#services;
+    return registry.all.find(({ announcement, isPresent }) =>
+      isPresent && announcement.address === address
+    );
   }
 
-  #endpointAt(address: Address): EndpointId | undefined {
+  #groupOf(address: Address): readonly Address[] {
     const { registry } = this.#services;
-    return registry.all.find(({ announcement }) =>
-      announcement.address === address
-    )?.id;
+    const service = this.#endpointAt(address)?.announcement.service;
+    if (service === undefined) return [];
+    return registry.usable(service).map(({ announcement }) =>
+      announcement.address
+    );
   }
 }
--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -28,6 +28,7 @@
 import type { FleetReach } from "../../features/gateway/common/limit_rights.ts";
 import type { RecordRelay } from "../../features/quarantine/common/record_sync.ts";
 import type { MirrorTopology } from "../../services/mirror/common/mirror_sync.ts";
+import type { RelayPeer } from "../../services/relay/common/relay_sender.ts";
 import type { HostChangeListener } from "../common/mirror_change_handler.ts";
 
 /**
@@ -105,6 +106,17 @@
     }));
   }
 
+  /** The other daemons that pass on requests of their peers. */
+  get relayPeers(): readonly RelayPeer[] {
+    const { self } = this.#services;
+    return [...this.#planner.hosts.values()].flatMap(
+      ({ host, relayAddress, zone }) =>
+        host === self.host || relayAddress === undefined
+          ? []
+          : [{ host, relayAddress, zone }],
+    );
+  }
+
   /** Number of registered daemons in the fleet. */
   get fleetSize(): number {
     return this.#planner.hosts.size;
--- a/src/daemon/node/request_drain.ts
+++ b/src/daemon/node/request_drain.ts
@@ -3,6 +3,7 @@
 import { type Clock, sleep } from "../../base/common/clock.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { CallerServer } from "../../services/http/node/caller_server.ts";
+import type { GatewayRelay } from "./gateway_relay.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 
 /**
@@ -24,6 +25,7 @@
  * @param logger - Logs the start and the end of the drain.
  * @param gateway - Refuses what could not end in time.
  * @param callers - Server whose connections are closed as they become idle.
+ * @param relay - Refuses further requests of peers.
  * @param limitMs - Maximum duration in milliseconds.
  */
 export async function drainRequests(
@@ -31,20 +33,23 @@
   logger: Logger,
   gateway: Gateway,
   callers: CallerServer,
+  relay: GatewayRelay,
   limitMs: number,
 ): Promise<void> {
   const startMs = clock.monotonicMs();
   logger.log("info", "drain-started", {
     active: gateway.activeCount,
+    relayed: relay.activeCount,
     limitMs,
   });
   gateway.beginDrain();
+  relay.beginDrain();
   callers.announceConnectionClose();
   await sleep(clock, BALANCER_REMOVAL_DELAY_MS);
   // Responses whose headers were sent before the drain did not announce the
   // close, so their connections stay open.
   callers.closeIdleConnections();
-  while (callers.activeCount > 0) {
+  while (callers.activeCount + relay.activeCount > 0) {
     const tookMs = clock.monotonicMs() - startMs;
     if (tookMs > limitMs) break;
     if (tookMs > limitMs - ADMISSION_CUTOFF_MS) gateway.stopAdmitting();
--- /dev/null
+++ b/src/features/gateway/common/answer_observer.ts
@@ -0,0 +1,57 @@
+/** Applies what the head of an endpoint's answer says of the endpoint. */
+
+import type { EndpointHolds } from "./endpoint_holds.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
+import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import type { ResponseFields } from "./gateway_codec.ts";
+import type { LeavingMarks } from "./leaving_marks.ts";
+
+const HTTP_MISDIRECTED = 421;
+
+/** Dependencies of {@link AnswerObserver}. */
+export interface AnswerObserverServices {
+  readonly holds: Pick<EndpointHolds, "hold">;
+  readonly leavingMarks: Pick<LeavingMarks, "mark">;
+  readonly limits: Pick<EndpointLimits, "observe">;
+}
+
+/** The head of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly fields: ResponseFields;
+  /** Whether it answers the request that was sent last. */
+  readonly isOwn: boolean;
+  /** Monotonic time at which the request was sent, in milliseconds. */
+  readonly sentMs: number;
+}
+
+/** Observes the answers of endpoints. */
+export class AnswerObserver {
+  readonly #services: AnswerObserverServices;
+
+  /** @param services - What answers change. */
+  constructor(services: AnswerObserverServices) {
+    this.#services = services;
+  }
+
+  /**
+   * Applies the head of an answer.
+   *
+   * @param endpoint - The endpoint that was asked.
+   * @param head - What it answered.
+   * @returns Whether the endpoint itself answered. Another process at its
+   * address answers that it is not the one named.
+   */
+  observe(
+    endpoint: RegisteredEndpoint,
+    { status, fields, isOwn, sentMs }: AnswerHead,
+  ): boolean {
+    const { holds, leavingMarks, limits } = this.#services;
+    const { isLeaving, limit, retryAfterMs } = fields;
+    if (retryAfterMs !== undefined) holds.hold(endpoint, retryAfterMs);
+    if (status === HTTP_MISDIRECTED) return false;
+    if (isLeaving) leavingMarks.mark(endpoint, "answer");
+    if (isOwn) limits.observe(endpoint, limit, sentMs);
+    return true;
+  }
+}
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -24,7 +24,11 @@
 import type { EndpointOutcome } from "./endpoint_health.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { ResponseFields } from "./gateway_codec.ts";
-import type { RequestContext } from "./request_context.ts";
+import {
+  CUT_OFF_REASON,
+  CUT_OFF_RETRY_AFTER_MS,
+  type RequestContext,
+} from "./request_context.ts";
 
 /**
  * Responses up to this size, in bytes, are buffered; larger ones are streamed.
@@ -82,6 +86,10 @@
     const { exchange } = context.request;
     let refusedAttempts = 0;
     let lastReason = "no endpoint is available";
+    if (context.isCutOff) {
+      this.#refuse(CUT_OFF_REASON, CUT_OFF_RETRY_AFTER_MS);
+      return;
+    }
     while (!context.hasEnded) {
       // The caller may have left during a wait, when no attempt was in progress.
       if (exchange.hasEnded) {
@@ -184,7 +192,7 @@
   #hasAlternative(endpoint: RegisteredEndpoint): boolean {
     const { services, request, excludedEndpoints } = this.#context;
     const nowMs = services.clock.monotonicMs();
-    return services.registry.usable(request.service.id).some((other) =>
+    return services.registry.reachable(request.service.id).some((other) =>
       other !== endpoint && !excludedEndpoints.has(other.id) &&
       !other.isWithheld(nowMs)
     );
@@ -255,7 +263,7 @@
 
   #canRetryElsewhere(endpoint: RegisteredEndpoint): boolean {
     const { services, request, sentCount, excludedEndpoints } = this.#context;
-    const others = services.registry.usable(request.service.id).filter((
+    const others = services.registry.reachable(request.service.id).filter((
       other,
     ) => other !== endpoint && !excludedEndpoints.has(other.id));
     return others.length > 0 && sentCount + 1 < request.route.maxAttempts;
--- a/src/features/gateway/common/crash_monitor.ts
+++ b/src/features/gateway/common/crash_monitor.ts
@@ -54,6 +54,8 @@
 export interface MonitoredRun {
   /** The request is about to be written to the endpoint. */
   onSent(): void;
+  /** The request was not written after all. */
+  onUnsent(): void;
   /**
    * The endpoint has begun to answer this request.
    *
@@ -187,6 +189,7 @@
         run.startedMs = clock.nowMs();
         state.running.add(run);
       },
+      onUnsent: () => state.running.delete(run),
       onAnswered: (isSuccess) => {
         this.#recordHeard(state);
         this.#recordAnswer(endpoint, run.sentMs);
--- a/src/features/gateway/common/endpoint_chooser.ts
+++ b/src/features/gateway/common/endpoint_chooser.ts
@@ -226,7 +226,7 @@
 
   #usable(criteria: EndpointCriteria): RegisteredEndpoint[] {
     const { excluded, service, softwareVersion } = criteria;
-    return this.#registry.usable(service).filter((endpoint) =>
+    return this.#registry.reachable(service).filter((endpoint) =>
       !excluded.has(endpoint.id) &&
       (softwareVersion === undefined ||
         endpoint.softwareVersion === softwareVersion)
--- a/src/features/gateway/common/endpoint_probe.ts
+++ b/src/features/gateway/common/endpoint_probe.ts
@@ -15,8 +15,19 @@
 /** Lifetime of a result, so that many stalled streams share one probe. */
 const RESULT_TTL_MS = 400;
 
-/** Result of a probe. */
-export type ProbeResult = "alive" | "unreachable";
+/**
+ * Result of a probe. An engine that answers only through peers runs on, but
+ * this host's connections to it carry no data.
+ */
+export type ProbeResult = "alive" | "reached-by-peers" | "unreachable";
+
+/** Paths of this host to engines. */
+export interface EnginePaths {
+  /** Control of engines, on any path. */
+  readonly control: EngineControl;
+  /** @returns Whether this host cannot connect to an engine itself. */
+  isLost(endpoint: RegisteredEndpoint): boolean;
+}
 
 interface CachedProbe {
   readonly startMs: number;
@@ -28,7 +39,7 @@
   readonly #clock: Clock;
   readonly #logger: Logger;
   readonly #metrics: GatewayMetrics;
-  readonly #control: EngineControl;
+  readonly #paths: EnginePaths;
   readonly #limits: EndpointLimits;
   readonly #recentProbes = new Map<RegisteredEndpoint, CachedProbe>();
   readonly #failed = new Emitter<RegisteredEndpoint>();
@@ -40,20 +51,20 @@
    * @param clock - Clock for the lifetime of results.
    * @param logger - Logs engines that do not answer.
    * @param metrics - Counts ejections.
-   * @param control - Reads the reports of engines.
+   * @param paths - Paths to the engines, by which their reports are read.
    * @param limits - Probes count against the limits of their engines.
    */
   constructor(
     clock: Clock,
     logger: Logger,
     metrics: GatewayMetrics,
-    control: EngineControl,
+    paths: EnginePaths,
     limits: EndpointLimits,
   ) {
     this.#clock = clock;
     this.#logger = logger;
     this.#metrics = metrics;
-    this.#control = control;
+    this.#paths = paths;
     this.#limits = limits;
   }
 
@@ -61,7 +72,7 @@
    * Probes an engine, or returns the result of a recent probe.
    *
    * @param endpoint - The endpoint of the engine.
-   * @returns Whether the engine answers on a separate connection.
+   * @returns Whether the engine answers on a separate connection, and whose.
    */
   probe(endpoint: RegisteredEndpoint): Promise<ProbeResult> {
     const nowMs = this.#clock.monotonicMs();
@@ -81,12 +92,14 @@
       // Others use up its rights, which it therefore answers.
       if (offer.kind === "denied") return "alive";
     }
-    const report = await this.#control.readReport(address);
+    const report = await this.#paths.control.readReport(address);
     const failure = leftOf(report);
     this.#clock.setTimer(RESULT_TTL_MS, () => {
       this.#recentProbes.delete(endpoint);
     });
-    if (failure === undefined) return "alive";
+    if (failure === undefined) {
+      return this.#paths.isLost(endpoint) ? "reached-by-peers" : "alive";
+    }
     endpoint.health.eject(this.#clock.monotonicMs());
     this.#metrics.count("endpoints_ejected", "dark");
     this.#logger.log("warn", "endpoint-dark", {
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -111,6 +111,7 @@
 export class EndpointRegistry {
   readonly #clock: Clock;
   readonly #logger: Logger;
+  readonly #isReachable: (endpoint: RegisteredEndpoint) => boolean;
   readonly #endpoints = new Map<EndpointId, RegisteredEndpoint>();
   readonly #retired = new Emitter<RegisteredEndpoint>();
   /** Endpoints that have left although their entry may still exist. */
@@ -130,10 +131,17 @@
   /**
    * @param clock - Clock for the phases of endpoints.
    * @param logger - Logs phase changes.
+   * @param isReachable - Returns whether requests can be sent to an endpoint,
+   * by this host or through a peer.
    */
-  constructor(clock: Clock, logger: Logger) {
+  constructor(
+    clock: Clock,
+    logger: Logger,
+    isReachable: (endpoint: RegisteredEndpoint) => boolean = () => true,
+  ) {
     this.#clock = clock;
     this.#logger = logger;
+    this.#isReachable = isReachable;
   }
 
   /** @returns The registered endpoint with an id. */
@@ -179,6 +187,20 @@
     );
   }
 
+  /**
+   * @returns The endpoints of a service that accept requests and can be
+   * reached.
+   */
+  reachable(service: ServiceId): RegisteredEndpoint[] {
+    return this.usable(service).filter(this.#isReachable);
+  }
+
+  /** @returns Whether a service has endpoints, and none can be reached. */
+  isCutOff(service: ServiceId): boolean {
+    return this.usable(service).length > 0 &&
+      this.reachable(service).length === 0;
+  }
+
   /** Applies an announcement. */
   announce(announcement: EndpointAnnouncement): void {
     const { id } = announcement;
--- a/src/features/gateway/common/engine_control.ts
+++ b/src/features/gateway/common/engine_control.ts
@@ -41,17 +41,19 @@
   /** Any answer counts, also a refusal and that of another service's endpoint. */
   checkLiveness(address: Address): Promise<Liveness>;
   /**
-   * Copies the KV state of a generation to another engine while the generation
-   * continues.
+   * Copies the KV state of a generation to another engine.
    *
    * @param source - Address of the engine that runs the generation.
    * @param target - Address of the engine that receives the copy.
    * @param request - Id of the generation.
+   * @param endsRun - Whether the generation ends at the source; otherwise it
+   * continues there.
    */
   copyRun(
     source: Address,
     target: Address,
     request: RequestId,
+    endsRun: boolean,
   ): AsyncEither<CopyFailure, GenerationCopy>;
   /** Frees a copy that will not be used. */
   freeCopy(source: Address, name: string): Promise<void>;
--- a/src/features/gateway/common/gateway_codec.ts
+++ b/src/features/gateway/common/gateway_codec.ts
@@ -102,6 +102,12 @@
     received: HeaderList,
     fields: OutgoingFields,
   ): string[];
+  /**
+   * @param headers - Headers of a request for an endpoint.
+   * @param remainingMs - Time that is left of the one that they state.
+   * @returns The headers with that time.
+   */
+  withRemainingTime(headers: HeaderList, remainingMs: number): string[];
   readResponseHeaders(status: number, headers: HeaderList): ResponseFields;
   /** @returns Headers of the response for the caller. */
   callerResponseHeaders(received: HeaderList): string[];
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -5,11 +5,7 @@
  * allows it, by prefilling the prompt again.
  */
 
-import type { Disposable } from "../../../base/common/lifecycle.ts";
-import {
-  type HeaderList,
-  withoutHeader,
-} from "../../../services/http/common/header_list.ts";
+import type { HeaderList } from "../../../services/http/common/header_list.ts";
 import type { EndpointChoice, EndpointCriteria } from "./endpoint_chooser.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { Continuation } from "./gateway_codec.ts";
@@ -18,9 +14,14 @@
 import { ContinuationRight } from "./continuation_right.ts";
 import { GenerationBackup } from "./generation_backup.ts";
 import { createCriteria, GenerationPlacement } from "./generation_placement.ts";
-import { GenerationMigration } from "./generation_migration.ts";
+import {
+  GenerationMigration,
+  type MigrationCause,
+} from "./generation_migration.ts";
+import { GenerationFailure } from "./generation_failure.ts";
 import { GenerationMemoryEstimate } from "./generation_memory_estimate.ts";
-import { type ContinuationCause, Handover } from "./handover.ts";
+import { EndpointOutage } from "./endpoint_outage.ts";
+import { type ContinuationCause, Handover, isOutage } from "./handover.ts";
 import { StreamResumption } from "./stream_resumption.ts";
 import { StreamStallMonitor } from "./stream_stall_monitor.ts";
 import { UpstreamAttempt } from "./upstream_attempt.ts";
@@ -32,11 +33,6 @@
 const MAX_REFUSED_ATTEMPTS = 4;
 /** Number of events between two updates of the memory in use. */
 const EVENTS_PER_RESIZE = 16;
-/**
- * Time to wait for an unreachable engine to return, as after a network
- * partition.
- */
-const OUTAGE_TIMEOUT_MS = 8_000;
 
 /** Forwards one generation until it ends. */
 export class GenerationForwarder {
@@ -53,9 +49,8 @@
   readonly #placement: GenerationPlacement;
   readonly #migration: GenerationMigration;
   readonly #right: ContinuationRight;
-  #outageTimer: Disposable | undefined;
-  /** Whether some endpoint may have run the request. */
-  #mayHaveRun = false;
+  readonly #outage: EndpointOutage;
+  readonly #failure: GenerationFailure;
 
   /** @param context - State of the request. */
   constructor(context: RequestContext) {
@@ -64,25 +59,33 @@
     this.#memory = new GenerationMemoryEstimate(request);
     this.#criteria = createCriteria(context, this.#memory.reservedTokens);
     this.#right = new ContinuationRight(context);
+    this.#outage = new EndpointOutage(context, () => {
+      this.#release();
+      this.#failure.fail("the endpoint stayed unreachable");
+    });
     this.#resumption = new StreamResumption(context);
     this.#backup = new GenerationBackup(context, this.#criteria, this.#memory);
     this.#stallMonitor = new StreamStallMonitor(context, {
       attempt: () =>
-        this.#outageTimer || context.hasEnded ? undefined : this.#activeAttempt,
+        this.#outage.isActive || context.hasEnded
+          ? undefined
+          : this.#activeAttempt,
       onStalledConnection: () =>
         void (this.#handover.isPending || this.#continueFromBackup("silent")),
+      onLostPath: () => this.#onLostPath(),
     });
     this.#placement = new GenerationPlacement(context, this.#criteria, {
       onPlaced: (choice) => this.#onPlaced(choice),
-      onRejected: (reason) => this.#failRequest(reason),
+      onRejected: (reason) => this.#failure.fail(reason),
     });
     this.#migration = new GenerationMigration(context, this.#criteria, {
       isRequired: (attempt) => attempt === this.#attempt && !context.hasEnded,
-      onCopied: (endpoint, copyRef) =>
-        this.#continueAt(endpoint, copyRef, "leaving"),
-      onNotCopied: () => void this.#continueFromBackup("leaving"),
+      onCopied: (endpoint, copyRef, cause) =>
+        this.#continueAt(endpoint, copyRef, cause),
+      onNotCopied: (cause) => this.#onNotCopied(cause),
     });
     this.#stream = new CallerStream(context);
+    this.#failure = new GenerationFailure(context, this.#stream);
     this.#handover = new Handover(context, {
       onAccepted: (next) => this.#onAccepted(next),
       onRejected: (cause) => this.#onRejected(cause),
@@ -109,7 +112,10 @@
       services.probe.onDidFail((endpoint) => this.#onUnreachable(endpoint)),
     );
     context.disposables.add(this.#stallMonitor);
-    context.setTimer(context.remainingMs, () => this.#onDeadline());
+    context.setTimer(context.remainingMs, () => {
+      this.#release();
+      this.#failure.failAtDeadline();
+    });
     request.exchange.onDidEnd((end) => {
       if (end === "left") context.finish("caller-left", 0, "caller went away");
     });
@@ -122,8 +128,8 @@
    * only once.
    */
   #startFromPrompt(): void {
-    if (this.#mayHaveRun && !this.#context.canResume) {
-      this.#failRequest("the generation may have run and must not run twice");
+    if (this.#failure.mayHaveRun && !this.#context.canResume) {
+      this.#failure.fail("the generation may have run and must not run twice");
       return;
     }
     this.#placement.start();
@@ -131,9 +137,9 @@
 
   #onPlaced({ endpoint, grant }: EndpointChoice): void {
     // Other runs may have crashed their endpoints while this one waited.
-    if (this.#context.quarantine.refuse(this.#mayHaveRun)) return;
+    if (this.#context.quarantine.refuse(this.#failure.mayHaveRun)) return;
     if (!this.#context.accepts(endpoint)) {
-      this.#failRequest("no endpoint of the stream's version is available");
+      this.#failure.fail("no endpoint of the stream's version is available");
       return;
     }
     const afterEventId = this.#stream.lastEventId;
@@ -185,7 +191,7 @@
 
   #onHead(attempt: UpstreamAttempt, headers: HeaderList): void {
     this.#handover.accept(attempt);
-    this.#mayHaveRun = true;
+    this.#failure.mayHaveRun = true;
     this.#stream.recordHead(headers);
   }
 
@@ -222,8 +228,7 @@
     this.#stallMonitor.markProgress(nowMs);
     const isFirstOfAttempt = !attempt.hasEvents;
     attempt.recordEvent(nowMs);
-    this.#outageTimer?.dispose();
-    this.#outageTimer = undefined;
+    this.#outage.end();
     this.#memory.recordEvent();
     if (this.#memory.eventCount % EVENTS_PER_RESIZE === 0) {
       attempt.resize(this.#memory.reservedTokens);
@@ -254,12 +259,7 @@
   #onRefused(attempt: UpstreamAttempt, reason: string): void {
     this.#handover.reject(attempt, "refused", reason);
     if (attempt !== this.#attempt) return;
-    attempt.recordOutcome("refused");
-    this.#context.log("info", "stream-refused", {
-      endpoint: attempt.endpoint.id,
-      reason,
-      isContinuation: attempt.isContinuation,
-    });
+    attempt.recordRefusal(reason);
     if (attempt.isContinuation && attempt.isFromCopy) {
       this.#rerunOrFail("the copy is not there");
       return;
@@ -267,9 +267,9 @@
     this.#context.excludedEndpoints.add(attempt.endpoint.id);
     if (
       ++this.#refusedAttempts >= MAX_REFUSED_ATTEMPTS ||
-      !this.#context.mayRetry(this.#mayHaveRun)
+      !this.#context.mayRetry(this.#failure.mayHaveRun)
     ) {
-      this.#failRequest(reason);
+      this.#failure.fail(reason);
       return;
     }
     this.#startFromPrompt();
@@ -284,14 +284,8 @@
     this.#handover.reject(attempt, "failed", `status ${code}`);
     if (attempt !== this.#attempt) return;
     attempt.recordOutcome("failed");
-    const { services, request } = this.#context;
-    if (this.#stream.hasStarted) {
-      this.#rerunOrFail(`status ${code}`);
-      return;
-    }
-    const fields = services.codec.callerResponseHeaders(received);
-    request.exchange.reply(code, withoutHeader(fields, "content-length"), body);
-    this.#context.finish("failed-by-endpoint", code, "");
+    if (this.#stream.hasStarted) this.#rerunOrFail(`status ${code}`);
+    else this.#failure.passOn(code, received, body);
   }
 
   #onLost(attempt: UpstreamAttempt, wasSent: boolean, reason: string): void {
@@ -300,7 +294,7 @@
     if (attempt !== this.#attempt) return;
     attempt.abort();
     attempt.recordOutcome(outcome);
-    if (wasSent) this.#mayHaveRun = true;
+    if (wasSent) this.#failure.mayHaveRun = true;
     this.#context.log("warn", "stream-lost", {
       endpoint: attempt.endpoint.id,
       reason,
@@ -347,7 +341,7 @@
   #onRightDenied(cause: ContinuationCause): void {
     if (!this.#activeAttempt) {
       this.#rerunOrFail("the endpoint of the copy cannot be used");
-    } else if (cause === "dark") this.#awaitUnreachableEndpoint();
+    } else if (isOutage(cause)) this.#outage.begin();
   }
 
   #sendContinuation(
@@ -374,8 +368,7 @@
   #onAccepted(next: UpstreamAttempt): void {
     this.#attempt?.abort();
     this.#attempt = next;
-    this.#outageTimer?.dispose();
-    this.#outageTimer = undefined;
+    this.#outage.end();
     this.#stallMonitor.markProgress(this.#context.services.clock.monotonicMs());
   }
 
@@ -384,7 +377,7 @@
     this.#backup.release();
     const attempt = this.#activeAttempt;
     if (!attempt || this.#context.hasEnded) return;
-    if (cause === "dark") this.#awaitUnreachableEndpoint();
+    if (isOutage(cause)) this.#outage.begin();
     if (cause === "leaving" && ++this.#refusedAttempts < MAX_REFUSED_ATTEMPTS) {
       this.#migrate(attempt);
     }
@@ -392,29 +385,16 @@
 
   #rerunOrFail(reason: string): void {
     this.#attempt?.abort();
-    if (!this.#context.canResume || !this.#context.mayRetry(this.#mayHaveRun)) {
-      this.#failRequest(reason);
+    if (
+      !this.#context.canResume ||
+      !this.#context.mayRetry(this.#failure.mayHaveRun)
+    ) {
+      this.#failure.fail(reason);
       return;
     }
     this.#startFromPrompt();
   }
 
-  #failRequest(reason: string): void {
-    if (this.#stream.hasStarted) this.#context.fail(502, "interrupted", reason);
-    else if (this.#mayHaveRun) this.#context.fail(502, "unknown", reason);
-    else {
-      const { placementRetryAfterMs } = this.#context;
-      this.#context.fail(503, "not-run", reason, placementRetryAfterMs);
-    }
-  }
-
-  #onDeadline(): void {
-    const reason = "no complete response before the deadline";
-    this.#release();
-    const outcome = this.#stream.hasStarted ? "interrupted" : "unknown";
-    this.#context.fail(504, outcome, reason);
-  }
-
   #onRetired(endpoint: RegisteredEndpoint): void {
     if (endpoint === this.#backup.endpoint) this.#backup.release();
     const attempt = this.#activeAttempt;
@@ -427,7 +407,28 @@
     if (this.#migration.isRunning || this.#continueFromBackup("leaving")) {
       return;
     }
-    void this.#migration.run(attempt);
+    void this.#migration.run(attempt, "leaving");
+  }
+
+  #onNotCopied(cause: MigrationCause): void {
+    if (this.#continueFromBackup(cause) || cause === "leaving") return;
+    const reason = "the path to the endpoint is lost";
+    if (this.#context.canResume) this.#rerunOrFail(reason);
+    else this.#outage.begin();
+  }
+
+  /**
+   * Goes on elsewhere with a run whose connection carries no data any more
+   * while its endpoint runs on.
+   */
+  #onLostPath(): void {
+    const attempt = this.#activeAttempt;
+    if (!attempt || this.#handover.isPending || this.#right.isPending) return;
+    if (this.#migration.isRunning) return;
+    this.#failure.mayHaveRun = true;
+    if (this.#context.request.service.engine?.canMigrate) {
+      void this.#migration.run(attempt, "cut");
+    } else this.#onNotCopied("cut");
   }
 
   #onUnreachable(endpoint: RegisteredEndpoint): void {
@@ -440,24 +441,12 @@
       this.#onLost(attempt, false, reason);
       return;
     }
-    this.#mayHaveRun = true;
+    this.#failure.mayHaveRun = true;
     this.#context.excludedEndpoints.add(endpoint.id);
     if (this.#handover.onSourceUnreachable()) return;
     if (this.#continueFromBackup("dark")) return;
     if (this.#context.canResume) this.#rerunOrFail(reason);
-    else this.#awaitUnreachableEndpoint();
-  }
-
-  /**
-   * Waits for an unreachable endpoint to return. It may only be partitioned
-   * from this daemon and still run the generation, and nothing else can
-   * continue it.
-   */
-  #awaitUnreachableEndpoint(): void {
-    this.#outageTimer ??= this.#context.setTimer(OUTAGE_TIMEOUT_MS, () => {
-      this.#release();
-      this.#failRequest("the endpoint stayed unreachable");
-    });
+    else this.#outage.begin();
   }
 
   #release(): void {
--- a/src/features/gateway/common/generation_migration.ts
+++ b/src/features/gateway/common/generation_migration.ts
@@ -1,4 +1,7 @@
-/** Moves one generation away from an endpoint that is leaving. */
+/**
+ * Moves one generation away from an endpoint that is leaving, or to which this
+ * host has lost its path.
+ */
 
 import type { EndpointId } from "../../../base/common/ids.ts";
 import type { EndpointCriteria } from "./endpoint_chooser.ts";
@@ -6,13 +9,20 @@
 import type { RequestContext } from "./request_context.ts";
 import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
+/** Why a generation is moved. */
+export type MigrationCause = "leaving" | "cut";
+
 /** Receives the result of a migration. */
 export interface GenerationMigrationListener {
   /** @returns Whether the attempt still runs and is the current one. */
   isRequired(attempt: UpstreamAttempt): boolean;
-  onCopied(endpoint: RegisteredEndpoint, copyRef: string): void;
+  onCopied(
+    endpoint: RegisteredEndpoint,
+    copyRef: string,
+    cause: MigrationCause,
+  ): void;
   /** Called unless the migration is no longer required. */
-  onNotCopied(): void;
+  onNotCopied(cause: MigrationCause): void;
 }
 
 /** Runs at most one migration at a time. */
@@ -43,13 +53,15 @@
   }
 
   /** Copies the state of an attempt to another endpoint, if there is one. */
-  async run(attempt: UpstreamAttempt): Promise<void> {
+  async run(attempt: UpstreamAttempt, cause: MigrationCause): Promise<void> {
     const { services, request } = this.#context;
     if (!request.service.engine?.canMigrate) return;
     this.#isRunning = true;
     const result = await services.migrator.migrate({
       requestId: request.id,
       source: attempt.endpoint,
+      // Its connection carries no data, not even its end.
+      endsAtSource: cause === "cut",
       chooseTarget: (excluded) =>
         this.#chooseTarget(attempt.endpoint.softwareVersion, excluded),
       isRequired: () => this.#listener.isRequired(attempt),
@@ -61,18 +73,21 @@
         this.#context.log("info", "stream-moved", {
           from,
           to: result.endpoint.id,
+          cause,
           tookMs: result.durationMs,
         });
         services.metrics.count("streams_moved");
         if (!this.#context.isQuarantined) {
-          this.#listener.onCopied(result.endpoint, result.copyRef);
+          this.#listener.onCopied(result.endpoint, result.copyRef, cause);
         }
         return;
       case "not-copied": {
         const { reason } = result;
-        this.#context.log("warn", "stream-not-moved", { from, reason });
+        this.#context.log("warn", "stream-not-moved", { from, cause, reason });
         // The backup may have become usable in the meantime.
-        if (this.#listener.isRequired(attempt)) this.#listener.onNotCopied();
+        if (this.#listener.isRequired(attempt)) {
+          this.#listener.onNotCopied(cause);
+        }
       }
     }
   }
--- a/src/features/gateway/common/generation_placement.ts
+++ b/src/features/gateway/common/generation_placement.ts
@@ -5,7 +5,7 @@
 
 import type { Disposable } from "../../../base/common/lifecycle.ts";
 import type { EndpointChoice, EndpointCriteria } from "./endpoint_chooser.ts";
-import type { RequestContext } from "./request_context.ts";
+import { CUT_OFF_REASON, type RequestContext } from "./request_context.ts";
 
 /**
  * Share of the remaining time that a generation may wait for a placement. A
@@ -79,6 +79,11 @@
   /** Starts a search, in place of an earlier one. */
   start(): void {
     const { request, services } = this.#context;
+    if (this.#context.isCutOff) {
+      this.#search = undefined;
+      this.#listener.onRejected(CUT_OFF_REASON);
+      return;
+    }
     const { deadlineMs, route } = request;
     const startedMs = services.clock.monotonicMs();
     const maxWaitMs = Math.min(
--- a/src/features/gateway/common/handover.ts
+++ b/src/features/gateway/common/handover.ts
@@ -18,10 +18,24 @@
 
 /**
  * Reason why a generation continues on another endpoint: its connection broke,
- * its endpoint is unreachable (`dark`), its connection stalled (`silent`) or its
- * endpoint is draining (`leaving`). The values appear in the log and in metrics.
+ * its endpoint is unreachable (`dark`), this host has lost its path to it
+ * (`cut`), its connection stalled (`silent`) or its endpoint is draining
+ * (`leaving`). The values appear in the log and in metrics.
  */
-export type ContinuationCause = "broken" | "dark" | "silent" | "leaving";
+export type ContinuationCause =
+  | "broken"
+  | "dark"
+  | "cut"
+  | "silent"
+  | "leaving";
+
+/**
+ * @param cause - Why a generation was to continue elsewhere.
+ * @returns Whether its endpoint may return and still run it.
+ */
+export function isOutage(cause: ContinuationCause): boolean {
+  return cause === "dark" || cause === "cut";
+}
 
 /** Receives the result of a handover. */
 export interface HandoverListener {
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -10,7 +10,9 @@
   DisposableStore,
 } from "../../../base/common/lifecycle.ts";
 import type {
+  Address,
   EndpointId,
+  HostId,
   RequestId,
   WorkspaceId,
 } from "../../../base/common/ids.ts";
@@ -24,9 +26,11 @@
   PassThroughClient,
   PassThroughExchange,
   PassThroughListener,
+  PassThroughRequest,
 } from "../../../services/http/common/pass_through_client.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
 import type { RetryBudget } from "../../retries/common/retry_budget.ts";
+import type { AnswerObserver } from "./answer_observer.ts";
 import type { EndpointChooser } from "./endpoint_chooser.ts";
 import type { CrashMonitor, RequestContent } from "./crash_monitor.ts";
 import type { EndpointProbe } from "./endpoint_probe.ts";
@@ -46,9 +50,7 @@
   KeyHolder,
 } from "./gateway_configuration.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { EndpointHolds } from "./endpoint_holds.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
-import type { LeavingMarks } from "./leaving_marks.ts";
 import type { LoadTable } from "./load_table.ts";
 import type { GenerationPlacer } from "./placement_queue.ts";
 import { contentOf } from "./request_content.ts";
@@ -75,9 +77,11 @@
   readonly probe: EndpointProbe;
   readonly migrator: RunMigrator;
   readonly crashMonitor: CrashMonitor;
-  readonly leavingMarks: Pick<LeavingMarks, "mark">;
-  readonly holds: EndpointHolds;
+  /** Applies what answers say of their endpoints. */
+  readonly answers: AnswerObserver;
   readonly limits: EndpointLimits;
+  /** Checks the direct path on which a request got no response. */
+  checkSilentPath(address: Address): void;
   readonly streamVersions: StreamVersionTable;
   /** @returns A collision-resistant hash of the parts. */
   fingerprint(parts: readonly (string | Uint8Array)[]): string;
@@ -106,12 +110,16 @@
   | "interrupted"
   | "caller-left";
 
-const HTTP_MISDIRECTED = 421;
 /**
  * Minimum retry delay; a full engine finishes some of its work in this time.
  */
 const FULL_RETRY_AFTER_MS = 400;
 
+/** Why a request is refused when no host reaches an endpoint of its service. */
+export const CUT_OFF_REASON = "no endpoint can be reached";
+/** Retry delay then; lost paths are tried again about each second. */
+export const CUT_OFF_RETRY_AFTER_MS = 1_000;
+
 /** Longer identifiers of parts are replaced by their hash. */
 const MAX_PART_CHARACTERS = 64;
 
@@ -133,6 +141,8 @@
   sentCount = 0;
   /** Number of connections to endpoints that could not be opened for it. */
   #unreachedCount = 0;
+  /** Peer that was asked last to pass the request on. */
+  #latestPeer: HostId | undefined;
   #hasEnded = false;
   #fingerprint: string | undefined;
   #promptParts: readonly string[] | undefined;
@@ -156,10 +166,16 @@
    */
   get placementRetryAfterMs(): number {
     const { recentWaitMs } = this.services.placer;
+    if (this.isCutOff) return CUT_OFF_RETRY_AFTER_MS;
     return this.rights.retryAfterMs ??
       Math.max(FULL_RETRY_AFTER_MS, recentWaitMs);
   }
 
+  /** Whether no endpoint of the service can be reached, on any path. */
+  get isCutOff(): boolean {
+    return this.services.registry.isCutOff(this.request.service.id);
+  }
+
   /** Time until the first byte is due for the route's objective, in ms. */
   get objectiveRemainingMs(): number {
     const { exchange, route } = this.request;
@@ -274,8 +290,7 @@
     fields: GenerationFields,
     sink: PassThroughListener,
   ): PassThroughExchange {
-    const { client, clock, codec, crashMonitor, holds, leavingMarks, limits } =
-      this.services;
+    const { answers, client, clock, codec, crashMonitor } = this.services;
     const { announcement, id } = endpoint;
     const { body, exchange, areKeysConfigured, keyHolder } = this.request;
     const { method, target } = exchange;
@@ -291,8 +306,31 @@
     let wasSent = false;
     let sentMs = 0;
     let isServed = false;
-    const transfer = client.send({ address, method, target, headers, body }, {
+    const request: PassThroughRequest = {
+      address,
+      method,
+      target,
+      headers,
+      body,
+      relay: {
+        endpoint: id,
+        purpose: "request",
+        requestId: this.request.id,
+        deadlineMs: this.request.deadlineMs,
+      },
+    };
+    const transfer = client.send(request, {
       ...sink,
+      onRelayed: (peer) => {
+        this.#latestPeer = peer;
+        sink.onRelayed?.(peer);
+      },
+      onUnsent: () => {
+        wasSent = false;
+        this.sentCount--;
+        run.onUnsent();
+        sink.onUnsent?.();
+      },
       onSent: () => {
         wasSent = true;
         sentMs = clock.monotonicMs();
@@ -302,17 +340,12 @@
       },
       onHead: (status, received) => {
         const fields = codec.readResponseHeaders(status, received);
-        const { isLeaving, isNotRun, retryAfterMs } = fields;
-        if (retryAfterMs !== undefined) holds.hold(endpoint, retryAfterMs);
-        // Another process at the address answers that it is not the one named.
-        if (status !== HTTP_MISDIRECTED) {
+        const isOwn = (fields.requestId ?? this.request.id) === this.request.id;
+        const head = { status, fields, isOwn, sentMs };
+        if (answers.observe(endpoint, head)) {
           run.onAnswered(status >= 200 && status < 300 && fields.isSigned);
-          if (isLeaving) leavingMarks.mark(endpoint, "answer");
-          const isOwn = (fields.requestId ?? this.request.id) ===
-            this.request.id;
-          if (isOwn) limits.observe(endpoint, fields.limit, sentMs);
         }
-        isServed = !isNotRun && status < 500 &&
+        isServed = !fields.isNotRun && status < 500 &&
           !isCloseDelimited(method, status, received);
         sink.onHead(status, received);
       },
@@ -362,6 +395,9 @@
     outcome: EndpointOutcome,
   ): void {
     const { client, clock, logger, metrics } = this.services;
+    if (outcome === "silent") {
+      this.services.checkSilentPath(announcement.address);
+    }
     if (!health.record(outcome, clock.monotonicMs())) return;
     metrics.count("endpoints_ejected", outcome);
     // Connections opened earlier may no longer carry data.
@@ -445,6 +481,7 @@
       workspace: this.request.keyHolder?.workspace,
       sent: this.sentCount,
       unreached: this.#unreachedCount || undefined,
+      via: this.#latestPeer,
       firstMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
       leftMs: Math.round(this.remainingMs),
--- a/src/features/gateway/common/run_migrator.ts
+++ b/src/features/gateway/common/run_migrator.ts
@@ -1,8 +1,8 @@
 /**
- * Copies running generations away from engines that are draining. A run
- * continues while its KV state is copied. The few tokens generated in the
- * meantime are prefilled on the target, which takes less time than a second
- * copy would wait for the link.
+ * Copies running generations away from engines that are draining or that this
+ * host cannot reach. On a draining engine a run continues while its KV state is
+ * copied. The few tokens generated in the meantime are prefilled on the target,
+ * which takes less time than a second copy would wait for the link.
  */
 
 import { type Clock, sleep } from "../../../base/common/clock.ts";
@@ -33,6 +33,8 @@
 export interface MigratableRun {
   readonly requestId: RequestId;
   readonly source: RegisteredEndpoint;
+  /** Whether the run is to end at the source, which this host cannot reach. */
+  readonly endsAtSource: boolean;
   /**
    * @param excluded - Endpoints that were already tried.
    * @returns An endpoint that has capacity for the generation now.
@@ -123,6 +125,7 @@
         source,
         address,
         run.requestId,
+        run.endsAtSource,
       );
       const copy = rightOf(result);
       if (!copy) {
--- a/src/features/gateway/common/stream_stall_monitor.ts
+++ b/src/features/gateway/common/stream_stall_monitor.ts
@@ -31,6 +31,8 @@
   attempt(): UpstreamAttempt | undefined;
   /** The engine answers probes, but its connection carries no data. */
   onStalledConnection(): void;
+  /** The engine runs on, but this host has lost its path to it. */
+  onLostPath(): void;
 }
 
 /** Monitors one stream until it is disposed of. */
@@ -78,10 +80,7 @@
   #check(): void {
     const attempt = this.#stream.attempt();
     if (!attempt || this.#isProbing) return;
-    const limitMs = attempt.hasEvents
-      ? STREAM_STALL_PROBE_MS
-      : FIRST_EVENT_STALL_PROBE_MS;
-    if (this.#stalledMs() >= limitMs) void this.#probe(attempt);
+    if (this.#stalledMs() >= stallLimitMs(attempt)) void this.#probe(attempt);
   }
 
   async #probe(attempt: UpstreamAttempt): Promise<void> {
@@ -89,6 +88,11 @@
     const result = await this.#context.services.probe.probe(attempt.endpoint);
     this.#isProbing = false;
     if (result === "unreachable" || attempt !== this.#stream.attempt()) return;
+    const isStalled = this.#stalledMs() >= stallLimitMs(attempt);
+    if (result === "reached-by-peers" && !attempt.isRelayed && isStalled) {
+      this.#stream.onLostPath();
+      return;
+    }
     if (!attempt.hasEvents || this.#stalledMs() < CONNECTION_STALL_MS) return;
     this.#stream.onStalledConnection();
   }
@@ -97,3 +101,7 @@
     return this.#context.services.clock.monotonicMs() - this.#lastProgressMs;
   }
 }
+
+function stallLimitMs({ hasEvents }: UpstreamAttempt): number {
+  return hasEvents ? STREAM_STALL_PROBE_MS : FIRST_EVENT_STALL_PROBE_MS;
+}
--- a/src/features/gateway/common/upstream_attempt.ts
+++ b/src/features/gateway/common/upstream_attempt.ts
@@ -57,6 +57,7 @@
   #errorBodyBytes = 0;
   #firstEventMs: number | undefined;
   #wasSent = false;
+  #isRelayed = false;
   #isEnded = false;
 
   /** @param options - Parameters of the attempt. */
@@ -77,6 +78,11 @@
     return this.#wasSent;
   }
 
+  /** Whether a peer passes the request on. */
+  get isRelayed(): boolean {
+    return this.#isRelayed;
+  }
+
   /** Whether the attempt has ended. */
   get isEnded(): boolean {
     return this.#isEnded;
@@ -117,9 +123,15 @@
       backupAddress,
       continuation,
     }, {
+      onRelayed: () => {
+        this.#isRelayed = true;
+      },
       onSent: () => {
         this.#wasSent = true;
       },
+      onUnsent: () => {
+        this.#wasSent = false;
+      },
       onHead: (status, received) => this.#onHead(status, received),
       onData: (chunk) => this.#onData(chunk),
       onEnd: () => this.#onEnd(),
@@ -150,6 +162,16 @@
     this.#options.context.recordOutcome(this.endpoint, outcome);
   }
 
+  /** Records that the endpoint proved that it has not run the request. */
+  recordRefusal(reason: string): void {
+    this.recordOutcome("refused");
+    this.#options.context.log("info", "stream-refused", {
+      endpoint: this.endpoint.id,
+      reason,
+      isContinuation: this.isContinuation,
+    });
+  }
+
   /** Closes the connection; the listener receives no further calls. */
   abort(): void {
     this.#isEnded = true;
--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -192,9 +192,13 @@
     const withheld = usableEndpoints.filter((endpoint) =>
       endpoint.isWithheld(nowMs)
     );
+    const reachable = new Set(registry.reachable(criteria.service));
+    const unreachable = usableEndpoints.filter((endpoint) =>
+      !reachable.has(endpoint)
+    );
     return [
       ...criteria.excluded,
-      ...[...avoidedEndpoints, ...withheld].map(({ id }) => id),
+      ...[...avoidedEndpoints, ...withheld, ...unreachable].map(({ id }) => id),
     ];
   }
 
--- a/src/features/paths/common/direct_paths_test.ts
+++ b/src/features/paths/common/direct_paths_test.ts
@@ -25,8 +25,8 @@
     clock.advance(200);
     paths.onOpened(FIRST);
     expect(changes).toEqual([
-      { address: FIRST, failure: "timed-out", lostForMs: 0 },
-      { address: FIRST, failure: undefined, lostForMs: 500 },
+      { address: FIRST, loss: "timed-out", lostForMs: 0 },
+      { address: FIRST, loss: undefined, lostForMs: 500 },
     ]);
     expect(paths.lostAddresses).toEqual([]);
   });
--- /dev/null
+++ b/src/features/paths/common/path_client.ts
@@ -0,0 +1,282 @@
+/**
+ * Sends requests to endpoints directly, or through a peer where this host
+ * cannot connect to the endpoint itself. The caller of the client sees one
+ * request: it moves to another path only while it is proved that the endpoint
+ * has not received it.
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Address, HostId } from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  NOOP_DISPOSABLE,
+} from "../../../base/common/lifecycle.ts";
+import { isStreamed } from "../../../services/http/common/request_body.ts";
+import type {
+  PassThroughClient,
+  PassThroughExchange,
+  PassThroughFailure,
+  PassThroughListener,
+  PassThroughRequest,
+  ProvenConnectionClient,
+} from "../../../services/http/common/pass_through_client.ts";
+import type {
+  RelayableRequest,
+  RelayFailure,
+  RelayPeer,
+  RelaySender,
+} from "../../../services/relay/common/relay_sender.ts";
+import type { DirectPaths } from "./direct_paths.ts";
+import type { RelayChooser } from "./relay_chooser.ts";
+
+/**
+ * Time after which a connection that does not open is given up for a peer, if
+ * there is one. Round trips take a few milliseconds.
+ */
+const CONNECT_PATIENCE_MS = 120;
+/** Peers that are asked for one request, one after the other. */
+const MAX_PEERS = 3;
+/**
+ * Time within which a peer acknowledges a request that it passes on; it opens a
+ * connection first if it has none.
+ */
+const ACKNOWLEDGE_TIMEOUT_MS = 500;
+
+/** Dependencies of {@link PathClient}. */
+export interface PathClientServices {
+  readonly clock: Clock;
+  readonly client: ProvenConnectionClient;
+  readonly relays: RelaySender;
+  readonly chooser: RelayChooser;
+  readonly direct: DirectPaths;
+  /** @returns The addresses of all endpoints of the service at an address. */
+  groupOf(address: Address): readonly Address[];
+  /** Tries a path that is lost or in doubt, in the background. */
+  probe(address: Address): void;
+  /** Called when a peer says for how long an endpoint is to be avoided. */
+  onHeld(address: Address, retryAfterMs: number): void;
+  /** Called with the result of each peer that was asked. */
+  onRelayed(result: string): void;
+}
+
+/** Chooses the path of each request. */
+export class PathClient implements PassThroughClient {
+  readonly #services: PathClientServices;
+
+  /** @param services - Dependencies of the client. */
+  constructor(services: PathClientServices) {
+    this.#services = services;
+  }
+
+  /** {@inheritDoc PassThroughClient.send} */
+  send(
+    request: PassThroughRequest,
+    listener: PassThroughListener,
+  ): PassThroughExchange {
+    const exchange = new PathExchange(this.#services, request, listener);
+    exchange.start();
+    return exchange;
+  }
+
+  /** Sends a request through a peer, whatever the state of the direct path. */
+  sendThroughPeer(
+    request: PassThroughRequest,
+    listener: PassThroughListener,
+  ): PassThroughExchange {
+    const exchange = new PathExchange(this.#services, request, listener);
+    exchange.startThroughPeer();
+    return exchange;
+  }
+
+  /** {@inheritDoc PassThroughClient.closeIdleConnections} */
+  closeIdleConnections(address: Address): void {
+    this.#services.client.closeIdleConnections(address);
+  }
+
+  /** @returns Whether this host or a peer may reach an address. */
+  isReachable(address: Address): boolean {
+    const { chooser, direct } = this.#services;
+    return !direct.isLost(address) || chooser.canReach(address);
+  }
+}
+
+/** One request on its way to one endpoint. */
+class PathExchange implements PassThroughExchange {
+  readonly #services: PathClientServices;
+  readonly #request: PassThroughRequest;
+  readonly #listener: PassThroughListener;
+  readonly #askedPeers = new Set<HostId>();
+  #transfer: PassThroughExchange | undefined;
+  /** Number of the path that is tried now. */
+  #pathNumber = 0;
+  #timer: Disposable = NOOP_DISPOSABLE;
+  #endRelay: () => void = () => undefined;
+  #isSent = false;
+  #isEnded = false;
+
+  constructor(
+    services: PathClientServices,
+    request: PassThroughRequest,
+    listener: PassThroughListener,
+  ) {
+    this.#services = services;
+    this.#request = request;
+    this.#listener = listener;
+  }
+
+  start(): void {
+    const { client, direct, groupOf, probe } = this.#services;
+    const { address } = this.#request;
+    const doubtedSinceMs = direct.doubtedSinceMs(address, groupOf(address));
+    const isDirect = doubtedSinceMs === undefined ||
+      client.hasProvenConnection(address, doubtedSinceMs);
+    if (isDirect) {
+      this.#sendDirectly();
+      return;
+    }
+    probe(address);
+    this.startThroughPeer();
+  }
+
+  startThroughPeer(): void {
+    this.#sendThroughPeer({
+      kind: "not-sent",
+      message: `no path to ${this.#request.address}`,
+    });
+  }
+
+  abort(): void {
+    if (this.#isEnded) return;
+    this.#end();
+    this.#transfer?.abort();
+  }
+
+  resume(): void {
+    this.#transfer?.resume();
+  }
+
+  #sendDirectly(): void {
+    const { client, clock } = this.#services;
+    const pathNumber = ++this.#pathNumber;
+    const isCurrent = () => !this.#isEnded && pathNumber === this.#pathNumber;
+    const transfer = client.send(this.#request, {
+      ...this.#listener,
+      onSent: () => {
+        this.#isSent = true;
+        this.#timer.dispose();
+        this.#listener.onSent?.();
+      },
+      onEnd: () => {
+        this.#end();
+        this.#listener.onEnd();
+      },
+      onFailure: (failure) => {
+        if (isCurrent()) this.#onDirectFailure(failure);
+      },
+    });
+    // The client may have reported a failure already.
+    if (!isCurrent()) return;
+    this.#transfer = transfer;
+    const giveUp = (): void => {
+      if (!isCurrent() || !this.#canAskPeer()) return;
+      this.#services.direct.onOpenFailed(this.#request.address, "timed-out");
+      transfer.abort();
+      const message = `no connection within ${CONNECT_PATIENCE_MS} ms`;
+      this.#onDirectFailure({ kind: "not-sent", message });
+    };
+    if (this.#isSent) return;
+    this.#timer = clock.setTimer(CONNECT_PATIENCE_MS, () => {
+      // After a pause of the process, a connection that was opened in the
+      // meantime is reported first.
+      this.#timer = clock.setTimer(0, giveUp);
+    });
+  }
+
+  #onDirectFailure(failure: PassThroughFailure): void {
+    this.#timer.dispose();
+    if (failure.kind === "not-sent" && this.#canAskPeer()) {
+      this.#sendThroughPeer(failure);
+    } else this.#fail(failure);
+  }
+
+  #canAskPeer(): boolean {
+    const { address, body, relay } = this.#request;
+    if (!relay || this.#askedPeers.size >= MAX_PEERS) return false;
+    if (isStreamed(body) && body.isConsumed) return false;
+    return this.#services.chooser.choose(address, this.#askedPeers) !==
+      undefined;
+  }
+
+  /** @param failure - What is reported if there is no peer to ask. */
+  #sendThroughPeer(failure: PassThroughFailure): void {
+    const { chooser, clock, onRelayed, relays } = this.#services;
+    const { address } = this.#request;
+    const peer = this.#canAskPeer()
+      ? chooser.choose(address, this.#askedPeers)
+      : undefined;
+    if (!peer || !isRelayable(this.#request)) {
+      this.#fail(failure);
+      return;
+    }
+    this.#askedPeers.add(peer.host);
+    const pathNumber = ++this.#pathNumber;
+    const isCurrent = () => !this.#isEnded && pathNumber === this.#pathNumber;
+    this.#endRelay = chooser.begin(peer);
+    this.#timer = clock.setTimer(
+      ACKNOWLEDGE_TIMEOUT_MS,
+      () => chooser.recordUnresponsive(peer),
+    );
+    this.#listener.onRelayed?.(peer.host);
+    const transfer = relays.send(peer, this.#request, {
+      ...this.#listener,
+      onInterim: () => this.#timer.dispose(),
+      onHead: (status, headers) => {
+        this.#timer.dispose();
+        onRelayed("passed-on");
+        chooser.recordSuccess(peer, address);
+        this.#listener.onHead(status, headers);
+      },
+      onEnd: () => {
+        this.#end();
+        this.#listener.onEnd();
+      },
+      onFailure: (relayFailure) => {
+        if (!isCurrent()) return;
+        this.#timer.dispose();
+        this.#endRelay();
+        this.#onRelayFailure(peer, relayFailure);
+      },
+    });
+    if (isCurrent()) this.#transfer = transfer;
+  }
+
+  #onRelayFailure(peer: RelayPeer, failure: RelayFailure): void {
+    const { chooser, onHeld, onRelayed } = this.#services;
+    const { address } = this.#request;
+    const { refusal, retryAfterMs } = failure;
+    onRelayed(refusal ?? failure.kind);
+    if (refusal === undefined || refusal === "stopping" || refusal === "busy") {
+      chooser.recordUnresponsive(peer);
+    } else chooser.recordRefusal(peer, address);
+    if (retryAfterMs !== undefined) onHeld(address, retryAfterMs);
+    if (failure.kind === "not-sent" && refusal !== "held") {
+      this.#sendThroughPeer(failure);
+    } else this.#fail(failure);
+  }
+
+  #fail({ kind, message }: PassThroughFailure): void {
+    if (this.#isEnded) return;
+    this.#end();
+    this.#listener.onFailure({ kind, message });
+  }
+
+  #end(): void {
+    this.#isEnded = true;
+    this.#timer.dispose();
+    this.#endRelay();
+  }
+}
+
+function isRelayable(request: PassThroughRequest): request is RelayableRequest {
+  return request.relay !== undefined;
+}
--- a/src/services/hosts/common/host_entry.ts
+++ b/src/services/hosts/common/host_entry.ts
@@ -26,7 +26,10 @@
   zone: nameSchema.transform((text) => text as ZoneName),
   address: addressSchema,
   capacity: z.number().nonnegative(),
-});
+  relayAddress: addressSchema.optional(),
+}).transform(({ relayAddress, ...host }): FleetHost =>
+  relayAddress === undefined ? host : { ...host, relayAddress }
+);
 
 /** @returns The encoded value of a host entry. */
 export function encodeHostEntry(entry: FleetHost): Uint8Array {
--- a/src/services/http/common/caller_exchange.ts
+++ b/src/services/http/common/caller_exchange.ts
@@ -54,6 +54,9 @@
    */
   readBody(limits: BodyLimits): Promise<BodyResult>;
 
+  /** Tells the caller that its request is being processed. */
+  acknowledge(): void;
+
   /** Sends a complete response. */
   reply(status: number, headers: HeaderList, body: Uint8Array | string): void;
 
--- a/src/services/http/common/json_caller.ts
+++ b/src/services/http/common/json_caller.ts
@@ -31,3 +31,14 @@
     request: JsonRequest,
   ): AsyncEither<string, JsonResponse>;
 }
+
+/** @returns The value, or `undefined` if the text is no JSON. */
+export function parseJsonText(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    // Responses without a body are common; the status code carries the
+    // result.
+    return undefined;
+  }
+}
--- a/src/services/http/common/pass_through_client.ts
+++ b/src/services/http/common/pass_through_client.ts
@@ -3,7 +3,12 @@
  * them.
  */
 
-import type { Address } from "../../../base/common/ids.ts";
+import type {
+  Address,
+  EndpointId,
+  HostId,
+  RequestId,
+} from "../../../base/common/ids.ts";
 import type { HeaderList } from "./header_list.ts";
 import type { RequestBody } from "./request_body.ts";
 
@@ -15,11 +20,33 @@
   readonly target: string;
   readonly headers: HeaderList;
   readonly body: RequestBody;
+  /**
+   * What a peer has to know to pass the request on; without it the request is
+   * only sent by this host itself.
+   */
+  readonly relay?: RelayInstructions;
+}
+
+/** How a peer may pass a request on. */
+export interface RelayInstructions {
+  readonly endpoint: EndpointId;
+  /**
+   * Whether the request is a caller's, which an endpoint that leaves must not
+   * get, or one for its control.
+   */
+  readonly purpose: "request" | "control";
+  /** Id by which the log lines of all hosts are found. */
+  readonly requestId: RequestId | undefined;
+  /** Monotonic time at which the response is due, in milliseconds. */
+  readonly deadlineMs: number;
 }
 
 /** Reason why there is no complete response. */
 export interface PassThroughFailure {
-  /** `not-sent`: no byte of the request left this host. */
+  /**
+   * `not-sent`: no byte of the request left this host, or the peer that was to
+   * pass it on proves that none reached the endpoint.
+   */
   readonly kind: "not-sent" | "broken";
   readonly message: string;
 }
@@ -28,6 +55,15 @@
 export interface PassThroughListener {
   /** Called when the request is about to be written to a connection. */
   onSent?(): void;
+  /**
+   * Called when the peer that was to pass on a request reported as sent proves
+   * that it has not sent it. The request may be sent again afterwards.
+   */
+  onUnsent?(): void;
+  /** Called before `onSent` when a peer is to pass the request on. */
+  onRelayed?(peer: HostId): void;
+  /** Called for each interim response, which has a status below 200. */
+  onInterim?(): void;
   /** Called when the status and the headers have arrived. */
   onHead(status: number, headers: HeaderList): void;
   /**
@@ -73,3 +109,14 @@
    */
   closeIdleConnections(address: Address): void;
 }
+
+/** A client with connections that are known to carry data. */
+export interface ProvenConnectionClient extends PassThroughClient {
+  /**
+   * Returns whether an idle connection to an address exists that has carried a
+   * response since a time.
+   *
+   * @param sinceMs - Monotonic time in milliseconds.
+   */
+  hasProvenConnection(address: Address, sinceMs: number): boolean;
+}
--- a/src/services/http/node/caller_server.ts
+++ b/src/services/http/node/caller_server.ts
@@ -226,6 +226,10 @@
     return readIncomingBody(this.#request, limits);
   }
 
+  acknowledge(): void {
+    if (!this.hasEnded && !this.hasSentHead) this.#response.writeProcessing();
+  }
+
   reply(status: number, headers: HeaderList, body: Uint8Array | string): void {
     if (this.hasEnded || this.hasSentHead) return;
     const sizeBytes = typeof body === "string"
--- a/src/services/http/node/json_client.ts
+++ b/src/services/http/node/json_client.ts
@@ -9,10 +9,11 @@
 import type { Address } from "../../../base/common/ids.ts";
 import type { Disposable } from "../../../base/common/lifecycle.ts";
 import { type AsyncEither, Left, Right } from "../../../base/common/result.ts";
-import type {
-  JsonCaller,
-  JsonRequest,
-  JsonResponse,
+import {
+  type JsonCaller,
+  type JsonRequest,
+  type JsonResponse,
+  parseJsonText,
 } from "../common/json_caller.ts";
 import { ReceiveLimit } from "./receive_limit.ts";
 import {
@@ -96,7 +97,7 @@
         },
       );
       const text = await body.text();
-      return Right({ status: statusCode, headers, body: parseJson(text) });
+      return Right({ status: statusCode, headers, body: parseJsonText(text) });
     } catch (thrown) {
       const reason: unknown = abortController.signal.aborted
         ? abortController.signal.reason
@@ -158,13 +159,3 @@
     }
   }
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    // Responses without a body are common; the status code carries the
-    // result.
-    return undefined;
-  }
-}
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -3,11 +3,13 @@
  * on each connection.
  */
 
+import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 import { Client, type Dispatcher } from "undici";
 import type { Clock } from "../../../base/common/clock.ts";
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import type { Address } from "../../../base/common/ids.ts";
+import { KeptSocket } from "./kept_socket.ts";
 import { ReceiveLimit } from "./receive_limit.ts";
 import {
   type ConnectCallback,
@@ -23,10 +25,10 @@
   ConnectionObserver,
 } from "../common/connection_observer.ts";
 import type {
-  PassThroughClient,
   PassThroughExchange,
   PassThroughListener,
   PassThroughRequest,
+  ProvenConnectionClient,
 } from "../common/pass_through_client.ts";
 
 /** Limits of the connections to endpoints. */
@@ -77,6 +79,11 @@
   receiveLimit: ReceiveLimit | undefined;
   hasSocketError: boolean;
   isOpen: boolean;
+  /** Socket that is being opened. */
+  openingSocket: Socket | undefined;
+  /** Socket that was opened before the first request. */
+  keptSocket: KeptSocket | undefined;
+  isDiscarded: boolean;
   idleSinceMs: number;
 }
 
@@ -84,7 +91,7 @@
  * Keeps a pool of idle connections for each address and reuses the most
  * recently used one first.
  */
-export class UndiciPassThroughClient implements PassThroughClient {
+export class UndiciPassThroughClient implements ProvenConnectionClient {
   readonly #clock: Clock;
   readonly #limits: ConnectionLimits;
   readonly #observer: ConnectionObserver | undefined;
@@ -124,9 +131,46 @@
     return exchange;
   }
 
+  /** {@inheritDoc ProvenConnectionClient.hasProvenConnection} */
+  hasProvenConnection(address: Address, sinceMs: number): boolean {
+    const nowMs = this.#clock.monotonicMs();
+    // The most recently used one is taken first.
+    const connection = this.#idle.get(address)?.at(-1);
+    return connection !== undefined && connection.isOpen &&
+      connection.idleSinceMs >= sinceMs &&
+      nowMs - connection.idleSinceMs < this.#limits.maxIdleMs;
+  }
+
+  /**
+   * Opens a connection and keeps it for the next request.
+   *
+   * @param address - The address to connect to.
+   * @returns Whether it was opened.
+   */
+  openConnection(address: Address): Promise<boolean> {
+    return new Promise((resolve) => {
+      const socket = openSocket(
+        this.#connector,
+        address,
+        this.#limits.connectTimeoutMs,
+        (error, opened) => {
+          if (opened) {
+            this.#observer?.onOpened(address);
+            this.#keep(address, opened);
+          } else {
+            this.#observer?.onOpenFailed(address, toConnectFailure(error));
+          }
+          resolve(opened !== null);
+        },
+      );
+      configure(socket);
+      socket.on("error", () => undefined);
+    });
+  }
+
   /** {@inheritDoc PassThroughClient.closeIdleConnections} */
   closeIdleConnections(address: Address): void {
-    for (const { client } of this.#idle.get(address) ?? []) discard(client);
+    for (const connection of this.#idle.get(address) ?? []) discard(connection);
     this.#idle.delete(address);
   }
 
@@ -159,12 +203,21 @@
       connection = idle.pop()
     ) {
       const isFresh = nowMs - connection.idleSinceMs < this.#limits.maxIdleMs;
-      if (isFresh && connection.isOpen) return connection;
-      discard(connection.client);
+      const isOpen = connection.keptSocket?.isOpen ?? connection.isOpen;
+      if (isFresh && isOpen) return connection;
+      discard(connection);
     }
     return this.#open(address);
   }
 
+  /** Keeps an open socket as an idle connection. */
+  #keep(address: Address, socket: Socket): void {
+    const connection = this.#open(address);
+    connection.keptSocket = new KeptSocket(socket);
+    connection.isOpen = true;
+    this.#addIdle(connection);
+  }
+
   #open(address: Address): PooledConnection {
     this.#openedCount++;
     const client = new Client(`http://${address}`, {
@@ -182,6 +235,9 @@
       receiveLimit: undefined,
       hasSocketError: false,
       isOpen: false,
+      openingSocket: undefined,
+      keptSocket: undefined,
+      isDiscarded: false,
       idleSinceMs: 0,
     };
     client.on("disconnect", () => {
@@ -191,25 +247,42 @@
   }
 
   #connect(connection: PooledConnection, callback: ConnectCallback): void {
-    const { address } = connection;
+    const { address, keptSocket } = connection;
+    if (keptSocket) {
+      connection.keptSocket = undefined;
+      const socket = keptSocket.take();
+      this.#watch(connection, socket);
+      connection.receiveLimit = new ReceiveLimit(socket, MAX_HEAD_BYTES);
+      // undici expects its connector to call back later.
+      queueMicrotask(() => callback(null, socket));
+      return;
+    }
     const socket = openSocket(
       this.#connector,
       address,
       this.#limits.connectTimeoutMs,
       (error, opened) => {
+        connection.openingSocket = undefined;
         if (opened) {
           connection.isOpen = true;
           connection.receiveLimit = new ReceiveLimit(opened, MAX_HEAD_BYTES);
           this.#observer?.onOpened(address);
           callback(null, opened);
         } else {
-          this.#observer?.onOpenFailed(address, toConnectFailure(error));
+          if (!connection.isDiscarded) {
+            this.#observer?.onOpenFailed(address, toConnectFailure(error));
+          }
           callback(error, null);
         }
       },
     );
-    socket.setNoDelay(true);
-    socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
+    connection.openingSocket = socket;
+    configure(socket);
+    this.#watch(connection, socket);
+  }
+
+  /** Follows the errors of the socket of a connection. */
+  #watch(connection: PooledConnection, socket: Socket): void {
     // Registered before undici's own listener, so that this listener runs
     // first.
     socket.on("error", () => {
@@ -224,15 +297,17 @@
 
   #release(connection: PooledConnection): void {
     if (!connection.isOpen || connection.client.destroyed) {
-      discard(connection.client);
-      return;
-    }
+      discard(connection);
+    } else this.#addIdle(connection);
+  }
+
+  #addIdle(connection: PooledConnection): void {
     const idle = this.#idle.get(connection.address) ?? [];
     this.#idle.set(connection.address, idle);
     connection.idleSinceMs = this.#clock.monotonicMs();
     idle.push(connection);
     if (idle.length > this.#limits.maxIdlePerAddress) {
-      discard(idle.shift()!.client);
+      discard(idle.shift()!);
     }
   }
 }
@@ -293,7 +368,7 @@
   abort(): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    discard(this.#connection.client);
+    discard(this.#connection);
   }
 
   resume(): void {
@@ -311,7 +386,7 @@
     if (status < 200) {
       if (++this.#interimCount > MAX_INTERIM_RESPONSES) {
         this.#fail(new Error("interim responses do not end"));
-      }
+      } else this.#listener.onInterim?.();
       return true;
     }
     this.#resume = resume;
@@ -352,7 +427,7 @@
   #fail(thrown: unknown): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    discard(this.#connection.client);
+    discard(this.#connection);
     this.#listener.onFailure({
       kind: this.#isSent ? "broken" : "not-sent",
       message: toErrorMessage(thrown),
@@ -378,7 +453,15 @@
   return CONNECT_FAILURES[error.code ?? ""] ?? "failed";
 }
 
-function discard(client: Client): void {
+function discard(connection: PooledConnection): void {
+  connection.isDiscarded = true;
   // Requests in flight report the failure through their own handlers.
-  client.destroy().catch(() => undefined);
+  connection.client.destroy().catch(() => undefined);
+  connection.openingSocket?.destroy();
+  connection.keptSocket?.dispose();
+}
+
+function configure(socket: Socket): void {
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
 }
--- a/src/services/http/node/undici_pass_through_client_test.ts
+++ b/src/services/http/node/undici_pass_through_client_test.ts
@@ -176,4 +176,39 @@
     expect((await send()).failure).toBe("not-sent");
     await new Promise<void>((resolve) => server.listen(0, resolve));
   });
+
+  describe("with a connection opened ahead", () => {
+    beforeEach(() => {
+      onRequest = (socket) => {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes");
+      };
+    });
+
+    it("sends the next requests on it", async () => {
+      expect(await client.openConnection(address)).toBe(true);
+      expect(client.hasProvenConnection(address, 0)).toBe(true);
+      expect((await send()).text).toBe("yes");
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect((await send()).text).toBe("yes");
+      expect(connections).toHaveLength(1);
+    });
+
+    it("opens another if the server has closed it", async () => {
+      await client.openConnection(address);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      connections[0]!.end();
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect((await send()).text).toBe("yes");
+      expect(connections).toHaveLength(2);
+    });
+
+    it("opens another if the server has sent bytes unasked", async () => {
+      await client.openConnection(address);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      connections[0]!.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      expect((await send()).text).toBe("yes");
+      expect(connections).toHaveLength(2);
+    });
+  });
 });
--- a/src/services/peers/common/link_planner.ts
+++ b/src/services/peers/common/link_planner.ts
@@ -7,7 +7,7 @@
 
 import type { Clock } from "../../../base/common/clock.ts";
 import { type Hasher, rendezvousOrder } from "../../../base/common/hasher.ts";
-import type { HostId, ZoneName } from "../../../base/common/ids.ts";
+import type { Address, HostId, ZoneName } from "../../../base/common/ids.ts";
 import type { PeerAddress, PeerTarget } from "./peer_links.ts";
 
 /** A daemon of the fleet with its capacity as a hub. */
@@ -17,6 +17,11 @@
    * become hubs first.
    */
   readonly capacity: number;
+  /**
+   * Address at which the daemon passes on requests of its peers; hosts of an
+   * earlier version have none.
+   */
+  readonly relayAddress?: Address;
 }
 
 /**
--- a/standins/gateway/fake_caller_exchange.ts
+++ b/standins/gateway/fake_caller_exchange.ts
@@ -72,11 +72,23 @@
     this.#body = request.body;
   }
 
+  /** Whether the caller was told that its request is being processed. */
+  isAcknowledged = false;
+
+  acknowledge(): void {
+    this.isAcknowledged = true;
+  }
+
   /** Status of the response, or 0 before it. */
   get status(): number {
     return this.#status;
   }
 
+  /** Headers of the response. */
+  get responseHeaders(): HeaderList {
+    return this.#responseHeaders;
+  }
+
   /** Body of the response so far. */
   get responseText(): string {
     return this.#responseText;
--- /dev/null
+++ b/standins/gateway/fake_engine_control.ts
@@ -0,0 +1,60 @@
+/** Fake control of engines. */
+
+import type { Address, RequestId } from "../../src/base/common/ids.ts";
+import { type AsyncEither, Left, Right } from "../../src/base/common/result.ts";
+import type {
+  CopyFailure,
+  EngineControl,
+  EngineReport,
+  GenerationCopy,
+  Liveness,
+} from "../../src/features/gateway/common/engine_control.ts";
+
+/** Engine control whose results tests choose. */
+export class FakeEngineControl implements EngineControl {
+  /** Addresses of engines that do not answer a request for a report. */
+  readonly offline = new Set<Address>();
+  readonly copies: { source: Address; target: Address; id: RequestId }[] = [];
+  readonly freedCopies: string[] = [];
+  /** Generations that were to end at their source. */
+  readonly endedRuns: RequestId[] = [];
+  copyFailure: CopyFailure | undefined;
+
+  readReport(address: Address): AsyncEither<string, EngineReport> {
+    if (this.offline.has(address)) return Promise.resolve(Left("no answer"));
+    return Promise.resolve(Right({
+      isDraining: false,
+      shutdownInMs: undefined,
+      bornMs: undefined,
+    }));
+  }
+
+  checkLiveness(address: Address): Promise<Liveness> {
+    return Promise.resolve(
+      this.offline.has(address)
+        ? { kind: "no-answer", detail: "refused" }
+        : { kind: "answered", bornMs: undefined },
+    );
+  }
+
+  copyRun(
+    source: Address,
+    target: Address,
+    id: RequestId,
+    endsRun: boolean,
+  ): AsyncEither<CopyFailure, GenerationCopy> {
+    if (this.copyFailure) return Promise.resolve(Left(this.copyFailure));
+    this.copies.push({ source, target, id });
+    if (endsRun) this.endedRuns.push(id);
+    return Promise.resolve(Right({ name: `h${this.copies.length}` }));
+  }
+
+  freeCopy(_source: Address, name: string): Promise<void> {
+    this.freedCopies.push(name);
+    return Promise.resolve();
+  }
+
+  copyReference(source: Address, name: string): string {
+    return `${source}/${name}`;
+  }
+}
--- a/standins/gateway/fake_gateway_codec.ts
+++ b/standins/gateway/fake_gateway_codec.ts
@@ -11,6 +11,7 @@
   endToEndHeaders,
   type HeaderList,
   headerOf,
+  withoutHeader,
 } from "../../src/services/http/common/header_list.ts";
 
 /** Codec with one short header name for each field. */
@@ -55,6 +56,10 @@
     return headers;
   }
 
+  withRemainingTime(headers: HeaderList, remainingMs: number): string[] {
+    return [...withoutHeader(headers, "left"), "left", String(remainingMs)];
+  }
+
   readResponseHeaders(status: number, headers: HeaderList): ResponseFields {
     const retryAfter = headerOf(headers, "retry-after");
     const limit = headerOf(headers, "limit");
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -9,13 +9,12 @@
   Address,
   EndpointId,
   HostId,
-  RequestId,
   ServiceId,
   WorkspaceId,
   ZoneName,
 } from "../../src/base/common/ids.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
-import { type AsyncEither, Left, Right } from "../../src/base/common/result.ts";
+import { AnswerObserver } from "../../src/features/gateway/common/answer_observer.ts";
 import { EndpointChooser } from "../../src/features/gateway/common/endpoint_chooser.ts";
 import { CrashMonitor } from "../../src/features/gateway/common/crash_monitor.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoint_holds.ts";
@@ -26,13 +25,6 @@
 import { InProcessNetwork } from "../peers/in_process_links.ts";
 import { EndpointProbe } from "../../src/features/gateway/common/endpoint_probe.ts";
 import { EndpointRegistry } from "../../src/features/gateway/common/endpoint_registry.ts";
-import type {
-  CopyFailure,
-  EngineControl,
-  EngineReport,
-  GenerationCopy,
-  Liveness,
-} from "../../src/features/gateway/common/engine_control.ts";
 import { Gateway } from "../../src/features/gateway/common/gateway.ts";
 import type {
   GatewayConfiguration,
@@ -59,6 +51,7 @@
   LogLevel,
 } from "../../src/services/log/common/logger.ts";
 import { FakeEndpoints } from "./fake_endpoints.ts";
+import { FakeEngineControl } from "./fake_engine_control.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
 import { FakeGatewayCodec } from "./fake_gateway_codec.ts";
 
@@ -67,51 +60,6 @@
 export const ZONE = "zone-a" as ZoneName;
 export const KEY = "key-1";
 
-/** Engine control whose results tests choose. */
-export class FakeEngineControl implements EngineControl {
-  /** Addresses of engines that do not answer a request for a report. */
-  readonly offline = new Set<Address>();
-  readonly copies: { source: Address; target: Address; id: RequestId }[] = [];
-  readonly freedCopies: string[] = [];
-  copyFailure: CopyFailure | undefined;
-
-  readReport(address: Address): AsyncEither<string, EngineReport> {
-    if (this.offline.has(address)) return Promise.resolve(Left("no answer"));
-    return Promise.resolve(Right({
-      isDraining: false,
-      shutdownInMs: undefined,
-      bornMs: undefined,
-    }));
-  }
-
-  checkLiveness(address: Address): Promise<Liveness> {
-    return Promise.resolve(
-      this.offline.has(address)
-        ? { kind: "no-answer", detail: "refused" }
-        : { kind: "answered", bornMs: undefined },
-    );
-  }
-
-  copyRun(
-    source: Address,
-    target: Address,
-    id: RequestId,
-  ): AsyncEither<CopyFailure, GenerationCopy> {
-    if (this.copyFailure) return Promise.resolve(Left(this.copyFailure));
-    this.copies.push({ source, target, id });
-    return Promise.resolve(Right({ name: `h${this.copies.length}` }));
-  }
-
-  freeCopy(_source: Address, name: string): Promise<void> {
-    this.freedCopies.push(name);
-    return Promise.resolve();
-  }
-
-  copyReference(source: Address, name: string): string {
-    return `${source}/${name}`;
-  }
-}
-
 /** Records log lines with their fields. */
 export class RecordingLogger implements Logger {
   readonly lines: { level: LogLevel; event: string; fields: LogFields }[] = [];
@@ -262,6 +210,10 @@
     () => this.confirmationAgeMs,
   );
   confirmationAgeMs = 0;
+  /** Addresses to which this host cannot connect itself. */
+  readonly lostPaths = new Set<Address>();
+  /** Addresses whose direct path was to be checked. */
+  readonly silentPaths: Address[] = [];
   readonly gateway: Gateway;
   #requestCount = 0;
 
@@ -324,7 +276,17 @@
         placer: createPlacer?.(this, chooser) ??
           new PlacementQueue(clock, chooser),
         budget: new RetryBudget({ clock, random }),
-        probe: new EndpointProbe(clock, logger, metrics, engineControl, limits),
+        probe: new EndpointProbe(
+          clock,
+          logger,
+          metrics,
+          {
+            control: engineControl,
+            isLost: ({ announcement }) =>
+              this.lostPaths.has(announcement.address),
+          },
+          limits,
+        ),
         migrator: new RunMigrator(clock, engineControl, limits),
         crashMonitor: new CrashMonitor({
           clock,
@@ -345,12 +307,16 @@
             parts: this.promptParts,
           }),
         }),
-        holds: new EndpointHolds(clock, logger, metrics, random),
+        answers: new AnswerObserver({
+          holds: new EndpointHolds(clock, logger, metrics, random),
+          limits,
+          leavingMarks: {
+            mark: ({ id }, reason) => registry.markDraining(id, reason),
+          },
+        }),
         limits,
+        checkSilentPath: (address) => this.silentPaths.push(address),
         streamVersions: this.streamVersions,
-        leavingMarks: {
-          mark: ({ id }, reason) => registry.markDraining(id, reason),
-        },
         fingerprint,
       },
       this.state,
--- /dev/null
+++ b/standins/paths/path_client_test.ts
@@ -0,0 +1,246 @@
+import { ManualClock } from "../../src/base/common/clock.ts";
+import type {
+  Address,
+  EndpointId,
+  HostId,
+  RequestId,
+  ZoneName,
+} from "../../src/base/common/ids.ts";
+import { SeededRandom } from "../../src/base/common/random.ts";
+import { DirectPaths } from "../../src/features/paths/common/direct_paths.ts";
+import { PathClient } from "../../src/features/paths/common/path_client.ts";
+import { RelayChooser } from "../../src/features/paths/common/relay_chooser.ts";
+import type {
+  PassThroughRequest,
+  ProvenConnectionClient,
+} from "../../src/services/http/common/pass_through_client.ts";
+import { FakeStreamedBody } from "../gateway/fake_caller_exchange.ts";
+import { FakeEndpoints } from "../gateway/fake_endpoints.ts";
+import { fakePeer, FakeRelays } from "./fake_relays.ts";
+
+const ADDRESS = "10.0.0.1:80" as Address;
+const GROUP = [ADDRESS, "10.0.0.2:80", "10.0.0.3:80"] as Address[];
+const PATIENCE_MS = 130;
+
+class FakeDirectClient extends FakeEndpoints implements ProvenConnectionClient {
+  /** Monotonic time of the latest response on an idle connection. */
+  provenMs = -Infinity;
+
+  hasProvenConnection(_address: Address, sinceMs: number): boolean {
+    return this.provenMs >= sinceMs;
+  }
+}
+
+describe("PathClient", () => {
+  let clock: ManualClock;
+  let direct: DirectPaths;
+  let endpoints: FakeDirectClient;
+  let relays: FakeRelays;
+  let client: PathClient;
+  let peers = [fakePeer(1), fakePeer(2), fakePeer(3), fakePeer(4)];
+  let lostAt: Set<HostId>;
+  let calls: string[];
+  let held: number[];
+  let probed: Address[];
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    direct = new DirectPaths(clock);
+    endpoints = new FakeDirectClient();
+    relays = new FakeRelays();
+    peers = [fakePeer(1), fakePeer(2), fakePeer(3), fakePeer(4)];
+    lostAt = new Set();
+    calls = [];
+    held = [];
+    probed = [];
+    client = new PathClient({
+      clock,
+      client: endpoints,
+      relays,
+      chooser: new RelayChooser({
+        clock,
+        random: new SeededRandom(1),
+        zone: "zone-a" as ZoneName,
+        peers: () => peers,
+        hasLost: (host) => lostAt.has(host),
+        zoneOf: () => undefined,
+      }),
+      direct,
+      groupOf: () => GROUP,
+      probe: (address) => probed.push(address),
+      onHeld: (_address, retryAfterMs) => held.push(retryAfterMs),
+      onRelayed: () => undefined,
+    });
+  });
+
+  function send(changes: Partial<PassThroughRequest> = {}) {
+    return client.send({
+      address: ADDRESS,
+      method: "POST",
+      target: "/x",
+      headers: [],
+      body: undefined,
+      relay: {
+        endpoint: "e-1" as EndpointId,
+        purpose: "request",
+        requestId: "r-1" as RequestId,
+        deadlineMs: clock.monotonicMs() + 1_000,
+      },
+      ...changes,
+    }, {
+      onRelayed: (peer) => calls.push(`relayed ${peer}`),
+      onSent: () => calls.push("sent"),
+      onUnsent: () => calls.push("unsent"),
+      onHead: (status) => calls.push(`head ${status}`),
+      onData: () => true,
+      onEnd: () => calls.push("end"),
+      onFailure: ({ kind }) => calls.push(`failed ${kind}`),
+    });
+  }
+
+  it("sends directly while the endpoint can be reached, and asks no peer", async () => {
+    send();
+    await clock.advanceAsync(PATIENCE_MS);
+    endpoints.last.respond(200, "ok");
+    expect(calls).toEqual(["sent", "head 200", "end"]);
+    expect(relays.relays).toHaveLength(0);
+  });
+
+  it("asks a peer when the connection is refused", async () => {
+    endpoints.unreachable.add(ADDRESS);
+    send();
+    await clock.advanceAsync(1);
+    relays.last.respond(200, "ok");
+    const { host } = relays.last.peer;
+    expect(calls).toEqual([`relayed ${host}`, "sent", "head 200", "end"]);
+  });
+
+  it("asks a peer when the connection neither opens nor fails, and gives up its own", async () => {
+    endpoints.unresponsive.add(ADDRESS);
+    send();
+    await clock.advanceAsync(PATIENCE_MS);
+    expect(endpoints.last.isAborted).toBe(true);
+    expect(direct.lossOf(ADDRESS)).toBe("timed-out");
+    expect(relays.relays).toHaveLength(1);
+  });
+
+  it("never sends a request anew that was written to the endpoint", async () => {
+    send();
+    await clock.advanceAsync(1);
+    endpoints.last.breakConnection();
+    await clock.advanceAsync(1_000);
+    expect(calls).toEqual(["sent", "failed broken"]);
+    expect(relays.relays).toHaveLength(0);
+  });
+
+  it("never sends a request anew that a peer may have sent", async () => {
+    endpoints.unreachable.add(ADDRESS);
+    send();
+    await clock.advanceAsync(1);
+    relays.last.breakConnection();
+    await clock.advanceAsync(1_000);
+    expect(relays.relays).toHaveLength(1);
+    expect(calls.slice(-2)).toEqual(["sent", "failed broken"]);
+  });
+
+  it("asks further peers while each proves that it has not sent the request", async () => {
+    endpoints.unreachable.add(ADDRESS);
+    send();
+    await clock.advanceAsync(1);
+    relays.last.refuse("unreachable");
+    relays.last.refuse("busy");
+    relays.last.refuse("stopping");
+    expect(new Set(relays.relays.map(({ peer }) => peer.host)).size).toBe(3);
+    expect(calls.filter((call) => call === "sent")).toHaveLength(3);
+    expect(calls.filter((call) => call === "unsent")).toHaveLength(3);
+    expect(calls.at(-1)).toBe("failed not-sent");
+  });
+
+  it("asks no further peer when the endpoint wants no requests", async () => {
+    endpoints.unreachable.add(ADDRESS);
+    send();
+    await clock.advanceAsync(1);
+    relays.last.refuse("held", 700);
+    expect(held).toEqual([700]);
+    expect(relays.relays).toHaveLength(1);
+    expect(calls.at(-1)).toBe("failed not-sent");
+  });
+
+  it("asks a peer at once for a path that is known to be lost, and probes it", async () => {
+    direct.onOpenFailed(ADDRESS, "timed-out");
+    send();
+    expect(relays.relays).toHaveLength(1);
+    expect(endpoints.transfers).toHaveLength(0);
+    expect(probed).toEqual([ADDRESS]);
+  });
+
+  it("doubts the paths to the other endpoints of a service when two are lost and none answers", () => {
+    clock.advance(10);
+    direct.onOpenFailed(GROUP[1]!, "timed-out");
+    direct.onOpenFailed(GROUP[2]!, "timed-out");
+    send();
+    expect(relays.relays).toHaveLength(1);
+    clock.advance(1);
+    direct.onReceived(ADDRESS);
+    send();
+    expect(endpoints.transfers).toHaveLength(1);
+  });
+
+  it("uses a connection that has carried a response since the path was lost", () => {
+    clock.advance(10);
+    direct.onOpenFailed(ADDRESS, "refused");
+    endpoints.provenMs = clock.monotonicMs() - 1;
+    send();
+    expect(endpoints.transfers).toHaveLength(0);
+    endpoints.provenMs = clock.monotonicMs() + 1;
+    send();
+    expect(endpoints.transfers).toHaveLength(1);
+  });
+
+  it("hands no request on whose body has been read from the caller", async () => {
+    const body = new FakeStreamedBody(Buffer.from("large"));
+    body.isConsumed = true;
+    endpoints.unreachable.add(ADDRESS);
+    send({ body });
+    await clock.advanceAsync(1);
+    expect(relays.relays).toHaveLength(0);
+    expect(calls).toEqual(["failed not-sent"]);
+  });
+
+  it("fails at once when no host reaches the endpoint", () => {
+    direct.onOpenFailed(ADDRESS, "refused");
+    for (const { host } of peers) lostAt.add(host);
+    expect(client.isReachable(ADDRESS)).toBe(false);
+    send();
+    expect(calls).toEqual(["failed not-sent"]);
+  });
+
+  it("passes a caller's leaving on to the peer", () => {
+    direct.onOpenFailed(ADDRESS, "refused");
+    const exchange = send();
+    exchange.abort();
+    expect(relays.last.isAborted).toBe(true);
+  });
+
+  it("prefers other peers to one that does not acknowledge", async () => {
+    direct.onOpenFailed(ADDRESS, "refused");
+    peers = [fakePeer(1), fakePeer(2)];
+    send();
+    const { host } = relays.last.peer;
+    await clock.advanceAsync(600);
+    for (let count = 0; count < 5; count++) {
+      send();
+      expect(relays.last.peer.host).not.toBe(host);
+    }
+  });
+
+  it("keeps a peer that acknowledges, however long the endpoint takes", async () => {
+    direct.onOpenFailed(ADDRESS, "refused");
+    peers = [fakePeer(1)];
+    send();
+    relays.last.acknowledge();
+    await clock.advanceAsync(600);
+    send();
+    expect(relays.relays).toHaveLength(2);
+  });
+});
