Take an endpoint that is silent for a second neither for ejected nor for crashed

Hosts ejected it after two calls without a response, took it for dark after one probe of 400 ms and for crashed after one check, and moved its streams; cut hosts recorded crashes of endpoints that others reached. Now a call without a response is held against an endpoint only if it answers on a new connection; otherwise the path is lost until it answers. Verdicts need 1.5 s of unanswered checks, or a refused connection.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -102,7 +102,7 @@
     this.#registry = new EndpointRegistry(
       clock,
       logger,
-      (endpoint) => this.#paths.isReachable(endpoint),
+      (endpoint) => this.#paths.unreachableSinceMs(endpoint),
     );
     this.#readinessLog = new ReadinessLog({
       logger,
@@ -242,6 +242,7 @@
         host,
         registry: this.#registry,
         control,
+        isRefused: (endpoint) => this.#paths.isRefused(endpoint),
         links: this.#links,
         overlay: this.#topology,
         hasher,
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -10,9 +10,11 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { EndpointHolds } from "../../features/gateway/common/endpoint_holds.ts";
+import type { EnginePaths } from "../../features/gateway/common/endpoint_probe.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
+  UnreachableSince,
 } from "../../features/gateway/common/endpoint_registry.ts";
 import type { EngineControl } from "../../features/gateway/common/engine_control.ts";
 import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
@@ -64,7 +66,7 @@
 }
 
 /** Clients for requests to endpoints and the state of the paths to them. */
-export class GatewayPaths implements Disposable {
+export class GatewayPaths implements EnginePaths, Disposable {
   readonly direct: DirectPaths;
   /** Client that sends only directly. */
   readonly directClient: UndiciPassThroughClient;
@@ -101,10 +103,10 @@
       connector,
     });
     const directHttp = this.#disposables.add(
-      new JsonClient(clock, undefined, connector),
+      new JsonClient(clock, undefined, connector, this.direct),
     );
     const probeHttp = this.#disposables.add(
-      new JsonClient(clock, undefined, connector),
+      new JsonClient(clock, undefined, connector, this.direct),
     );
     this.#prober = this.#disposables.add(this.#createProber(probeHttp));
     this.client = this.#createClient(chooser);
@@ -121,7 +123,7 @@
           return endpoint &&
             { endpoint, purpose: "control", requestId: undefined, deadlineMs };
         },
-        checkSilent: (address) => this.checkSilent(address),
+        checkSilent: (address) => void this.checkSilent(address),
       }),
     );
     this.#disposables.add(
@@ -133,19 +135,35 @@
     }));
   }
 
-  /** @returns Whether this host or a peer may reach an endpoint. */
-  isReachable({ announcement }: RegisteredEndpoint): boolean {
-    return this.client.isReachable(announcement.address);
-  }
+  /** Since when neither this host nor a peer reaches an endpoint. */
+  readonly unreachableSinceMs: UnreachableSince = ({ announcement }) =>
+    this.client.unreachableSinceMs(announcement.address);
 
   /** @returns Whether this host cannot connect to an endpoint itself. */
   isLost({ announcement }: RegisteredEndpoint): boolean {
     return this.direct.isLost(announcement.address);
   }
 
-  /** Checks a path on which a request got no response. */
-  checkSilent(address: Address): void {
-    if (this.#endpointAt(address)) this.#prober.checkSilent(address);
+  /** {@inheritDoc EnginePaths.recheck} */
+  recheck({ announcement }: RegisteredEndpoint): Promise<boolean> {
+    return this.#prober.recheck(announcement.address);
+  }
+
+  /** {@inheritDoc EnginePaths.isRefused} */
+  isRefused({ announcement }: RegisteredEndpoint): boolean {
+    const loss = this.direct.lossOf(announcement.address);
+    return loss === "refused" || loss === "reset";
+  }
+
+  /**
+   * Checks a path on which a request got no response.
+   *
+   * @returns Whether the endpoint answers on a new connection.
+   */
+  checkSilent(address: Address): Promise<boolean> {
+    return this.#endpointAt(address)
+      ? this.#prober.checkSilent(address)
+      : Promise.resolve(false);
   }
 
   /** Stops probing and sharing. */
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -50,6 +50,8 @@
  * instead of the request.
  */
 const ENDPOINT_FAULT_RATE = 0.3;
+/** Period at which a call waits for an endpoint that is silent for a moment. */
+const REACH_CHECK_PERIOD_MS = 50;
 /** Retry delay; a full or absent service may have recovered by then. */
 const REFUSED_RETRY_AFTER_MS = 200;
 
@@ -86,10 +88,6 @@
     const { exchange } = context.request;
     let refusedAttempts = 0;
     let lastReason = "no endpoint is available";
-    if (context.isCutOff) {
-      this.#refuse(CUT_OFF_REASON, CUT_OFF_RETRY_AFTER_MS);
-      return;
-    }
     while (!context.hasEnded) {
       // The caller may have left during a wait, when no attempt was in progress.
       if (exchange.hasEnded) {
@@ -100,17 +98,11 @@
       const choice = this.#choose();
       const endpoint = choice?.endpoint ?? context.rights.nextLimitedEndpoint();
       if (!endpoint) {
-        const { withheldForMs } = context.rights;
-        const canWait = withheldForMs !== undefined &&
-          withheldForMs < context.objectiveRemainingMs;
-        if (!canWait) {
-          this.#refuse(lastReason, withheldForMs);
-          return;
-        }
-        await sleep(context.services.clock, withheldForMs);
-        // The endpoints that turned the call away take it now.
-        context.excludedEndpoints.clear();
-        continue;
+        if (await this.#awaitEndpoint()) continue;
+        if (context.isCutOff) {
+          this.#refuse(CUT_OFF_REASON, CUT_OFF_RETRY_AFTER_MS);
+        } else this.#refuse(lastReason, context.rights.withheldForMs);
+        return;
       }
       if (context.services.limits.isLimited(endpoint)) {
         const maxWaitMs = this.#hasAlternative(endpoint)
@@ -177,6 +169,30 @@
     }
   }
 
+  /**
+   * Waits for an endpoint, if one takes the call within the objective: all want
+   * no calls for a time, or are silent for a moment.
+   *
+   * @returns Whether to choose again.
+   */
+  async #awaitEndpoint(): Promise<boolean> {
+    const { excludedEndpoints, objectiveRemainingMs, rights, serviceReach } =
+      this.#context;
+    const { clock } = this.#context.services;
+    if (serviceReach === "silent" && objectiveRemainingMs > 0) {
+      await sleep(clock, REACH_CHECK_PERIOD_MS);
+      return true;
+    }
+    const { withheldForMs } = rights;
+    if (withheldForMs === undefined || withheldForMs >= objectiveRemainingMs) {
+      return false;
+    }
+    await sleep(clock, withheldForMs);
+    // The endpoints that turned the call away take it now.
+    excludedEndpoints.clear();
+    return true;
+  }
+
   #choose(): EndpointChoice | undefined {
     const { services, request, excludedEndpoints } = this.#context;
     const { service } = request;
@@ -455,6 +471,9 @@
 
   #recordOutcome(outcome: EndpointOutcome): void {
     const { health, id } = this.#endpoint;
+    if (outcome === "silent") {
+      void this.#context.recordSilence(this.#endpoint);
+    } else this.#context.recordOutcome(this.#endpoint, outcome);
     if (outcome !== "served") {
       this.#context.log("info", "call-try-failed", {
         endpoint: id,
@@ -463,6 +482,5 @@
         failureRate: Number(health.failureRate.toFixed(2)),
       });
     }
-    this.#context.recordOutcome(this.#endpoint, outcome);
   }
 }
--- a/src/features/gateway/common/crash_monitor.ts
+++ b/src/features/gateway/common/crash_monitor.ts
@@ -5,7 +5,7 @@
  * that answers later never did.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
+import { type Clock, sleep } from "../../../base/common/clock.ts";
 import type { Address, HostId, WorkspaceId } from "../../../base/common/ids.ts";
 import {
   type Disposable,
@@ -46,6 +46,11 @@
   readonly host: HostId;
   readonly registry: EndpointRegistry;
   readonly control: EngineControl;
+  /**
+   * Returns whether an endpoint's host refuses connections, so that no process
+   * listens there.
+   */
+  isRefused(endpoint: RegisteredEndpoint): boolean;
   readonly suspects: SuspectTable;
   readonly prompts: PromptPartMonitor;
 }
@@ -91,6 +96,13 @@
  * lost one.
  */
 const MIN_SILENCE_MS = 300;
+/**
+ * Time without an answer to any check after which an endpoint is taken for
+ * crashed. A sound one may be silent for a second.
+ */
+const MAX_SILENCE_MS = 1_500;
+/** Time between two checks of a silent endpoint. */
+const SILENCE_CHECK_PERIOD_MS = 300;
 const MAX_REMEMBERED_ADDRESSES = 2_000;
 const MAX_SUSPECTED_PROCESSES = 2_000;
 const MAX_OTHER_WORKSPACES = 100;
@@ -280,6 +292,30 @@
       return;
     }
     if (await this.#isAlive(endpoint, state)) return;
+    if (this.#services.isRefused(endpoint)) {
+      this.#recordSuspected(endpoint, lost);
+    } else void this.#awaitSilence(endpoint, state, lost);
+  }
+
+  /** Records a crash unless the endpoint answers again. */
+  async #awaitSilence(
+    endpoint: RegisteredEndpoint,
+    state: ProcessState,
+    lost: LostRun,
+  ): Promise<void> {
+    const { clock, isRefused } = this.#services;
+    while (clock.monotonicMs() - lost.lostMs < MAX_SILENCE_MS) {
+      await sleep(clock, SILENCE_CHECK_PERIOD_MS);
+      if (this.#disposables.isDisposed || state.heardMs > lost.lostMs) return;
+      if (await this.#isAlive(endpoint, state)) return;
+      if (isRefused(endpoint)) break;
+    }
+    this.#recordSuspected(endpoint, lost);
+  }
+
+  #recordSuspected(endpoint: RegisteredEndpoint, lost: LostRun): void {
+    // Another process at the address has confirmed it meanwhile.
+    if (!this.#stateOf(endpoint).lost.includes(lost)) return;
     if (!endpoint.wasLeaving) this.#recordCrash(endpoint, lost, "suspected");
   }
 
--- a/src/features/gateway/common/endpoint_chooser.ts
+++ b/src/features/gateway/common/endpoint_chooser.ts
@@ -181,9 +181,11 @@
       const withheldUntilMs = Math.min(
         ...this.#usable(criteria).map((endpoint) => endpoint.withheldUntilMs),
       );
-      return Number.isFinite(withheldUntilMs)
-        ? { kind: "held", forMs: withheldUntilMs - nowMs }
-        : { kind: "none" };
+      if (Number.isFinite(withheldUntilMs)) {
+        return { kind: "held", forMs: withheldUntilMs - nowMs };
+      }
+      const isSilent = this.#registry.reachOf(criteria.service) === "silent";
+      return isSilent ? { kind: "full" } : { kind: "none" };
     }
     const withCapacity = candidates.filter((candidate) =>
       candidate.endpoint.id !== reserved &&
--- a/src/features/gateway/common/endpoint_probe.ts
+++ b/src/features/gateway/common/endpoint_probe.ts
@@ -14,12 +14,22 @@
 
 /** Lifetime of a result, so that many stalled streams share one probe. */
 const RESULT_TTL_MS = 400;
+/**
+ * Silence from which an engine is taken for unreachable. A sound one may be
+ * silent for a second.
+ */
+const MAX_SILENCE_MS = 1_500;
 
 /**
  * Result of a probe. An engine that answers only through peers runs on, but
- * this host's connections to it carry no data.
+ * this host's connections to it carry no data. One that gave no answer may go
+ * on, and is to be probed again.
  */
-export type ProbeResult = "alive" | "reached-by-peers" | "unreachable";
+export type ProbeResult =
+  | "alive"
+  | "reached-by-peers"
+  | "unanswered"
+  | "unreachable";
 
 /** Paths of this host to engines. */
 export interface EnginePaths {
@@ -27,6 +37,17 @@
   readonly control: EngineControl;
   /** @returns Whether this host cannot connect to an engine itself. */
   isLost(endpoint: RegisteredEndpoint): boolean;
+  /**
+   * Tries a lost path again.
+   *
+   * @returns Whether it has returned.
+   */
+  recheck(endpoint: RegisteredEndpoint): Promise<boolean>;
+  /**
+   * Returns whether the endpoint's host refuses connections, so that no process
+   * listens there.
+   */
+  isRefused(endpoint: RegisteredEndpoint): boolean;
 }
 
 interface CachedProbe {
@@ -42,6 +63,8 @@
   readonly #paths: EnginePaths;
   readonly #limits: EndpointLimits;
   readonly #recentProbes = new Map<RegisteredEndpoint, CachedProbe>();
+  /** Monotonic time at which each engine was last heard, in milliseconds. */
+  readonly #heardMs = new WeakMap<RegisteredEndpoint, number>();
   readonly #failed = new Emitter<RegisteredEndpoint>();
 
   /** Fires when an engine does not answer a probe. */
@@ -72,10 +95,13 @@
    * Probes an engine, or returns the result of a recent probe.
    *
    * @param endpoint - The endpoint of the engine.
+   * @param heardMs - Monotonic time at which the prober last heard of it, in
+   * milliseconds.
    * @returns Whether the engine answers on a separate connection, and whose.
    */
-  probe(endpoint: RegisteredEndpoint): Promise<ProbeResult> {
+  probe(endpoint: RegisteredEndpoint, heardMs: number): Promise<ProbeResult> {
     const nowMs = this.#clock.monotonicMs();
+    this.#recordHeard(endpoint, heardMs);
     // It has answered lately, and wants no requests.
     if (endpoint.isHeld(nowMs)) return Promise.resolve("alive");
     const cached = this.#recentProbes.get(endpoint);
@@ -98,7 +124,15 @@
       this.#recentProbes.delete(endpoint);
     });
     if (failure === undefined) {
-      return this.#paths.isLost(endpoint) ? "reached-by-peers" : "alive";
+      this.#recordHeard(endpoint, this.#clock.monotonicMs());
+      const isOwnPath = !this.#paths.isLost(endpoint) ||
+        await this.#paths.recheck(endpoint);
+      return isOwnPath ? "alive" : "reached-by-peers";
+    }
+    const silentMs = this.#clock.monotonicMs() -
+      (this.#heardMs.get(endpoint) ?? -Infinity);
+    if (silentMs < MAX_SILENCE_MS && !this.#paths.isRefused(endpoint)) {
+      return "unanswered";
     }
     endpoint.health.eject(this.#clock.monotonicMs());
     this.#metrics.count("endpoints_ejected", "dark");
@@ -110,4 +144,9 @@
     this.#failed.fire(endpoint);
     return "unreachable";
   }
+
+  #recordHeard(endpoint: RegisteredEndpoint, atMs: number): void {
+    const earlierMs = this.#heardMs.get(endpoint) ?? -Infinity;
+    this.#heardMs.set(endpoint, Math.max(earlierMs, atMs));
+  }
 }
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -25,6 +25,8 @@
  * seconds.
  */
 const DRAINING_RETENTION_MS = 15_000;
+/** Time for which a sound endpoint may be silent. */
+const MAX_SILENCE_MS = 1_500;
 const MAX_DEPARTED = 1_000;
 /** Reasons for a drain that concern only the entry of an endpoint. */
 const ENTRY_REASONS = new Set(["removed", "missing", "unreadable"]);
@@ -107,11 +109,26 @@
   readonly atMs: number;
 }
 
+/**
+ * Returns since when no host reaches an endpoint, as a monotonic time in
+ * milliseconds, or `undefined` if one does.
+ */
+export type UnreachableSince = (
+  endpoint: RegisteredEndpoint,
+) => number | undefined;
+
+/**
+ * Whether the endpoints of a service can be reached: some are (`reached`), there
+ * are none (`none`), all have been lost only just now (`silent`), or for longer
+ * (`cut-off`).
+ */
+export type ServiceReach = "reached" | "none" | "silent" | "cut-off";
+
 /** Registers the endpoints of all services. */
 export class EndpointRegistry {
   readonly #clock: Clock;
   readonly #logger: Logger;
-  readonly #isReachable: (endpoint: RegisteredEndpoint) => boolean;
+  readonly #unreachableSinceMs: UnreachableSince;
   readonly #endpoints = new Map<EndpointId, RegisteredEndpoint>();
   readonly #retired = new Emitter<RegisteredEndpoint>();
   /** Endpoints that have left although their entry may still exist. */
@@ -131,17 +148,17 @@
   /**
    * @param clock - Clock for the phases of endpoints.
    * @param logger - Logs phase changes.
-   * @param isReachable - Returns whether requests can be sent to an endpoint,
-   * by this host or through a peer.
+   * @param unreachableSinceMs - Returns since when neither this host nor a peer
+   * reaches an endpoint.
    */
   constructor(
     clock: Clock,
     logger: Logger,
-    isReachable: (endpoint: RegisteredEndpoint) => boolean = () => true,
+    unreachableSinceMs: UnreachableSince = () => undefined,
   ) {
     this.#clock = clock;
     this.#logger = logger;
-    this.#isReachable = isReachable;
+    this.#unreachableSinceMs = unreachableSinceMs;
   }
 
   /** @returns The registered endpoint with an id. */
@@ -192,13 +209,23 @@
    * reached.
    */
   reachable(service: ServiceId): RegisteredEndpoint[] {
-    return this.usable(service).filter(this.#isReachable);
+    return this.usable(service).filter((endpoint) =>
+      this.#unreachableSinceMs(endpoint) === undefined
+    );
   }
 
-  /** @returns Whether a service has endpoints, and none can be reached. */
-  isCutOff(service: ServiceId): boolean {
-    return this.usable(service).length > 0 &&
-      this.reachable(service).length === 0;
+  /**
+   * @returns Whether a service has endpoints and none of them can be reached,
+   * or not at present because they may be silent for a moment.
+   */
+  reachOf(service: ServiceId): ServiceReach {
+    const endpoints = this.usable(service);
+    if (endpoints.length === 0) return "none";
+    const sinceMs = endpoints.map(this.#unreachableSinceMs);
+    if (sinceMs.includes(undefined)) return "reached";
+    const latestMs = Math.max(...sinceMs.map((lostMs) => lostMs ?? 0));
+    const lostForMs = this.#clock.monotonicMs() - latestMs;
+    return lostForMs < MAX_SILENCE_MS ? "silent" : "cut-off";
   }
 
   /** Applies an announcement. */
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -38,6 +38,7 @@
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
+  ServiceReach,
 } from "./endpoint_registry.ts";
 import type {
   CallerFields,
@@ -80,8 +81,12 @@
   /** Applies what answers say of their endpoints. */
   readonly answers: AnswerObserver;
   readonly limits: EndpointLimits;
-  /** Checks the direct path on which a request got no response. */
-  checkSilentPath(address: Address): void;
+  /**
+   * Checks the direct path on which a request got no response.
+   *
+   * @returns Whether the endpoint answers on a new connection.
+   */
+  checkSilentPath(address: Address): Promise<boolean>;
   readonly streamVersions: StreamVersionTable;
   /** @returns A collision-resistant hash of the parts. */
   fingerprint(parts: readonly (string | Uint8Array)[]): string;
@@ -171,9 +176,14 @@
       Math.max(FULL_RETRY_AFTER_MS, recentWaitMs);
   }
 
-  /** Whether no endpoint of the service can be reached, on any path. */
+  /** Whether endpoints of the service can be reached, on any path. */
+  get serviceReach(): ServiceReach {
+    return this.services.registry.reachOf(this.request.service.id);
+  }
+
+  /** Whether no endpoint of the service has been reached for some time. */
   get isCutOff(): boolean {
-    return this.services.registry.isCutOff(this.request.service.id);
+    return this.serviceReach === "cut-off";
   }
 
   /** Time until the first byte is due for the route's objective, in ms. */
@@ -395,9 +405,6 @@
     outcome: EndpointOutcome,
   ): void {
     const { client, clock, logger, metrics } = this.services;
-    if (outcome === "silent") {
-      this.services.checkSilentPath(announcement.address);
-    }
     if (!health.record(outcome, clock.monotonicMs())) return;
     metrics.count("endpoints_ejected", outcome);
     // Connections opened earlier may no longer carry data.
@@ -405,6 +412,16 @@
     logger.log("warn", "endpoint-ejected", { endpoint: id, sign: outcome });
   }
 
+  /**
+   * Records a request without a response. Only an endpoint that answers others
+   * meanwhile is at fault; one that is silent altogether may go on.
+   */
+  async recordSilence(endpoint: RegisteredEndpoint): Promise<void> {
+    const { address } = endpoint.announcement;
+    const isAnswering = await this.services.checkSilentPath(address);
+    if (isAnswering) this.recordOutcome(endpoint, "silent");
+  }
+
   /** Records the time of the first response byte. */
   recordFirstByte(): void {
     this.#firstByteMs ??= this.services.clock.monotonicMs();
--- a/src/features/gateway/common/stream_stall_monitor.ts
+++ b/src/features/gateway/common/stream_stall_monitor.ts
@@ -85,9 +85,11 @@
 
   async #probe(attempt: UpstreamAttempt): Promise<void> {
     this.#isProbing = true;
-    const result = await this.#context.services.probe.probe(attempt.endpoint);
+    const { probe } = this.#context.services;
+    const result = await probe.probe(attempt.endpoint, this.#lastProgressMs);
     this.#isProbing = false;
-    if (result === "unreachable" || attempt !== this.#stream.attempt()) return;
+    if (result === "unreachable" || result === "unanswered") return;
+    if (attempt !== this.#stream.attempt()) return;
     const isStalled = this.#stalledMs() >= stallLimitMs(attempt);
     if (result === "reached-by-peers" && !attempt.isRelayed && isStalled) {
       this.#stream.onLostPath();
--- a/src/features/paths/common/direct_paths.ts
+++ b/src/features/paths/common/direct_paths.ts
@@ -65,6 +65,14 @@
     return this.#paths.get(address)?.lost?.loss;
   }
 
+  /**
+   * @returns Since when the path to an address is lost, as a monotonic time in
+   * milliseconds, or `undefined`.
+   */
+  lostSinceMs(address: Address): number | undefined {
+    return this.#paths.get(address)?.lost?.sinceMs;
+  }
+
   /** @returns Whether no new connection to an address can be used. */
   isLost(address: Address): boolean {
     return this.#lost.has(address);
@@ -120,7 +128,13 @@
   }
 
   /** {@inheritDoc ConnectionObserver.onOpenFailed} */
-  onOpenFailed(address: Address, failure: ConnectFailure): void {
+  onOpenFailed(
+    address: Address,
+    failure: ConnectFailure,
+    startedMs = this.#clock.monotonicMs(),
+  ): void {
+    // Something has arrived since the connection was tried.
+    if (this.#pathOf(address).receivedMs > startedMs) return;
     this.#lose(address, failure);
   }
 
--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -93,10 +93,16 @@
     this.#services.client.closeIdleConnections(address);
   }
 
-  /** @returns Whether this host or a peer may reach an address. */
-  isReachable(address: Address): boolean {
+  /**
+   * @returns Since when neither this host nor a peer reaches an address, as a
+   * monotonic time in milliseconds, or `undefined` if one may.
+   */
+  unreachableSinceMs(address: Address): number | undefined {
     const { chooser, direct } = this.#services;
-    return !direct.isLost(address) || chooser.canReach(address);
+    const sinceMs = direct.lostSinceMs(address);
+    return sinceMs === undefined || chooser.canReach(address)
+      ? undefined
+      : sinceMs;
   }
 }
 
--- a/src/features/paths/common/path_prober.ts
+++ b/src/features/paths/common/path_prober.ts
@@ -42,6 +42,8 @@
 interface ProbeState {
   nextMs: number;
   periodMs: number;
+  /** The trial that is running or was the last one. */
+  latest: { readonly startMs: number; readonly isUsable: Promise<boolean> };
   isRunning: boolean;
 }
 
@@ -67,31 +69,42 @@
 
   /** Probes a path that is lost or in doubt, unless that was done lately. */
   probe(address: Address): void {
-    const { clock, direct } = this.#services;
-    const nowMs = clock.monotonicMs();
-    const state = this.#states.get(address) ??
-      { nextMs: nowMs, periodMs: MIN_PERIOD_MS, isRunning: false };
-    this.#states.set(address, state);
-    if (state.isRunning || nowMs < state.nextMs) return;
-    state.nextMs = nowMs + state.periodMs;
-    state.periodMs = Math.min(MAX_PERIOD_MS, state.periodMs * PERIOD_FACTOR);
-    void this.#run(address, state, direct.lossOf(address) === "silent");
+    const nowMs = this.#services.clock.monotonicMs();
+    const state = this.#states.get(address);
+    if (state && (state.isRunning || nowMs < state.nextMs)) return;
+    const periodMs = state
+      ? Math.min(MAX_PERIOD_MS, state.periodMs * PERIOD_FACTOR)
+      : MIN_PERIOD_MS;
+    void this.#start(address, periodMs);
   }
 
   /**
    * Checks a path on which a request got no response, although its connection
    * was open.
+   *
+   * @returns Whether the endpoint answers on a new connection.
    */
-  checkSilent(address: Address): void {
+  checkSilent(address: Address): Promise<boolean> {
     const { clock, direct } = this.#services;
-    if (direct.isLost(address)) return;
-    const nowMs = clock.monotonicMs();
-    const state = this.#states.get(address) ??
-      { nextMs: nowMs, periodMs: MIN_PERIOD_MS, isRunning: false };
-    this.#states.set(address, state);
-    if (state.isRunning || nowMs < state.nextMs) return;
-    state.nextMs = nowMs + MIN_PERIOD_MS;
-    void this.#run(address, state, true);
+    if (direct.isLost(address)) return Promise.resolve(false);
+    const latest = this.#states.get(address)?.latest;
+    const isRecent = latest &&
+      clock.monotonicMs() - latest.startMs < MIN_PERIOD_MS;
+    return isRecent
+      ? latest.isUsable
+      : this.#start(address, MIN_PERIOD_MS, true);
+  }
+
+  /**
+   * Tries a path that is lost again.
+   *
+   * @returns Whether it has returned.
+   */
+  recheck(address: Address): Promise<boolean> {
+    const state = this.#states.get(address);
+    return state?.isRunning
+      ? state.latest.isUsable
+      : this.#start(address, state?.periodMs ?? MIN_PERIOD_MS);
   }
 
   /** Stops all probes. */
@@ -106,19 +119,35 @@
     return lostAddresses.length > 0;
   }
 
-  async #run(
+  /** @returns Whether the path can be used. */
+  #start(
     address: Address,
-    state: ProbeState,
-    needsAnswer: boolean,
-  ): Promise<void> {
+    periodMs: number,
+    needsAnswer = this.#services.direct.lossOf(address) === "silent",
+  ): Promise<boolean> {
+    const startMs = this.#services.clock.monotonicMs();
+    const isUsable = this.#try(address, needsAnswer);
+    const state: ProbeState = {
+      nextMs: startMs + periodMs,
+      periodMs,
+      latest: { startMs, isUsable },
+      isRunning: true,
+    };
+    this.#states.set(address, state);
+    void isUsable.then(() => {
+      state.isRunning = false;
+    });
+    return isUsable;
+  }
+
+  async #try(address: Address, needsAnswer: boolean): Promise<boolean> {
     const { direct, trial } = this.#services;
-    if (needsAnswer && !trial.mayRequest(address)) return;
-    state.isRunning = true;
-    if (needsAnswer) {
-      const isAnswered = await trial.requestAnswer(address);
-      if (isAnswered) direct.onUsable(address);
-      else direct.onSilent(address);
-    } else await trial.openConnection(address);
-    state.isRunning = false;
+    if (!needsAnswer) return trial.openConnection(address);
+    // It has answered lately, and wants no requests.
+    if (!trial.mayRequest(address)) return !direct.isLost(address);
+    const isAnswered = await trial.requestAnswer(address);
+    if (isAnswered) direct.onUsable(address);
+    else direct.onSilent(address);
+    return isAnswered;
   }
 }
--- a/src/services/http/common/connection_observer.ts
+++ b/src/services/http/common/connection_observer.ts
@@ -9,8 +9,18 @@
 export interface ConnectionObserver {
   /** Called when a connection was opened. */
   onOpened(address: Address): void;
-  /** Called when a connection could not be opened. */
-  onOpenFailed(address: Address, failure: ConnectFailure): void;
+  /**
+   * Called when a connection could not be opened.
+   *
+   * @param address - The address that was tried.
+   * @param failure - How it failed.
+   * @param startedMs - Monotonic time at which it was tried, in milliseconds.
+   */
+  onOpenFailed(
+    address: Address,
+    failure: ConnectFailure,
+    startedMs: number,
+  ): void;
   /** Called when a part of a response has arrived on a connection. */
   onReceived(address: Address): void;
 }
--- a/src/services/http/node/json_client.ts
+++ b/src/services/http/node/json_client.ts
@@ -9,6 +9,7 @@
 import type { Address } from "../../../base/common/ids.ts";
 import type { Disposable } from "../../../base/common/lifecycle.ts";
 import { type AsyncEither, Left, Right } from "../../../base/common/result.ts";
+import type { ConnectionObserver } from "../common/connection_observer.ts";
 import {
   type JsonCaller,
   type JsonRequest,
@@ -20,6 +21,7 @@
   createTcpConnector,
   openSocket,
   type SocketConnector,
+  toConnectFailure,
 } from "./socket_connector.ts";
 
 /**
@@ -52,6 +54,9 @@
   readonly #clock: Clock;
   readonly #maxResponseBytes: number;
   readonly #connector: SocketConnector;
+  readonly #observer:
+    | Pick<ConnectionObserver, "onOpened" | "onOpenFailed">
+    | undefined;
   readonly #pools = new Map<Address, { pool: Pool; lastUsedMs: number }>();
 
   /**
@@ -59,15 +64,18 @@
    * @param maxResponseBytes - Maximum size of a response, with its head and its
    * framing. The connection of a larger one is closed.
    * @param connector - Opens the connections.
+   * @param observer - Observes the connections.
    */
   constructor(
     clock: Clock,
     maxResponseBytes: number = DEFAULT_MAX_RESPONSE_BYTES,
     connector: SocketConnector = createTcpConnector(),
+    observer?: Pick<ConnectionObserver, "onOpened" | "onOpenFailed">,
   ) {
     this.#clock = clock;
     this.#maxResponseBytes = maxResponseBytes;
     this.#connector = connector;
+    this.#observer = observer;
   }
 
   /** {@inheritDoc JsonCaller.call} */
@@ -132,13 +140,20 @@
     const pool = new Pool(`http://${address}`, {
       connections: CONNECTIONS_PER_ADDRESS,
       connect: (_options, callback) => {
+        const startedMs = this.#clock.monotonicMs();
         const socket = openSocket(
           this.#connector,
           address,
           CONNECT_TIMEOUT_MS,
           (...outcome) => {
-            const [, opened] = outcome;
-            if (opened) new ReceiveLimit(opened, this.#maxResponseBytes);
+            const [error, opened] = outcome;
+            if (opened) {
+              new ReceiveLimit(opened, this.#maxResponseBytes);
+              this.#observer?.onOpened(address);
+            } else {
+              const failure = toConnectFailure(error);
+              this.#observer?.onOpenFailed(address, failure, startedMs);
+            }
             callback(...outcome);
           },
         );
--- a/src/services/http/node/socket_connector.ts
+++ b/src/services/http/node/socket_connector.ts
@@ -2,11 +2,24 @@
 
 import { connect, type Socket } from "node:net";
 import type { Address } from "../../../base/common/ids.ts";
+import type { ConnectFailure } from "../common/connection_observer.ts";
 import { splitAddress } from "../../settings/common/shared_schemas.ts";
 
 /** Begins to open a connection; the socket reports the result. */
 export type SocketConnector = (address: Address) => Socket;
 
+const CONNECT_FAILURES: Readonly<Record<string, ConnectFailure>> = {
+  ECONNREFUSED: "refused",
+  ECONNRESET: "reset",
+  ETIMEDOUT: "timed-out",
+};
+
+/** @returns How a connection failed, by the error of its socket. */
+export function toConnectFailure(error: NodeJS.ErrnoException): ConnectFailure {
+  if (error instanceof ConnectTimeoutError) return "timed-out";
+  return CONNECT_FAILURES[error.code ?? ""] ?? "failed";
+}
+
 /** Result of opening a connection, in the form that undici expects. */
 export type ConnectCallback = (
   ...outcome: [Error, null] | [null, Socket]
--- a/src/services/http/node/undici_pass_through_client.ts
+++ b/src/services/http/node/undici_pass_through_client.ts
@@ -13,17 +13,14 @@
 import { ReceiveLimit } from "./receive_limit.ts";
 import {
   type ConnectCallback,
-  ConnectTimeoutError,
   createTcpConnector,
   openSocket,
   type SocketConnector,
+  toConnectFailure,
 } from "./socket_connector.ts";
 import { isCloseDelimited } from "../common/header_list.ts";
 import { isStreamed, type StreamedBody } from "../common/request_body.ts";
-import type {
-  ConnectFailure,
-  ConnectionObserver,
-} from "../common/connection_observer.ts";
+import type { ConnectionObserver } from "../common/connection_observer.ts";
 import type {
   PassThroughExchange,
   PassThroughListener,
@@ -148,6 +145,7 @@
    * @returns Whether it was opened.
    */
   openConnection(address: Address): Promise<boolean> {
+    const startedMs = this.#clock.monotonicMs();
     return new Promise((resolve) => {
       const socket = openSocket(
         this.#connector,
@@ -158,7 +156,8 @@
             this.#observer?.onOpened(address);
             this.#keep(address, opened);
           } else {
-            this.#observer?.onOpenFailed(address, toConnectFailure(error));
+            const failure = toConnectFailure(error);
+            this.#observer?.onOpenFailed(address, failure, startedMs);
           }
           resolve(opened !== null);
         },
@@ -257,6 +256,7 @@
       queueMicrotask(() => callback(null, socket));
       return;
     }
+    const startedMs = this.#clock.monotonicMs();
     const socket = openSocket(
       this.#connector,
       address,
@@ -270,7 +270,8 @@
           callback(null, opened);
         } else {
           if (!connection.isDiscarded) {
-            this.#observer?.onOpenFailed(address, toConnectFailure(error));
+            const failure = toConnectFailure(error);
+            this.#observer?.onOpenFailed(address, failure, startedMs);
           }
           callback(error, null);
         }
@@ -442,17 +443,6 @@
   return Readable.from(body.chunks(), { objectMode: false });
 }
 
-const CONNECT_FAILURES: Readonly<Record<string, ConnectFailure>> = {
-  ECONNREFUSED: "refused",
-  ECONNRESET: "reset",
-  ETIMEDOUT: "timed-out",
-};
-
-function toConnectFailure(error: NodeJS.ErrnoException): ConnectFailure {
-  if (error instanceof ConnectTimeoutError) return "timed-out";
-  return CONNECT_FAILURES[error.code ?? ""] ?? "failed";
-}
-
 function discard(connection: PooledConnection): void {
   connection.isDiscarded = true;
   // Requests in flight report the failure through their own handlers.
--- a/standins/gateway/crash_monitor_test.ts
+++ b/standins/gateway/crash_monitor_test.ts
@@ -70,6 +70,27 @@
     expect(served.status).toBe(200);
   });
 
+  it("accuses nobody while an endpoint has been silent for a second only", async () => {
+    await harness.send("/book/x");
+    const address = lastAddress();
+    harness.engineControl.silent.add(address);
+    harness.endpoints.last.breakConnection();
+    await harness.advance(1_200);
+    harness.engineControl.silent.delete(address);
+    await harness.advance(5_000);
+    expect(harness.logger.lastFields("endpoint-crash-recorded"))
+      .toBeUndefined();
+  });
+
+  it("records a crash of an endpoint that stays silent", async () => {
+    await harness.send("/book/x");
+    harness.engineControl.silent.add(lastAddress());
+    harness.endpoints.last.breakConnection();
+    await harness.advance(2_500);
+    expect(harness.logger.lastFields("endpoint-crash-recorded"))
+      .toMatchObject({ evidence: "suspected" });
+  });
+
   it("accuses nobody of endpoints that end at the same time", async () => {
     await harness.send("/book/x");
     await harness.send("/book/x");
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -298,4 +298,25 @@
     await flushPromises();
     expect(exchange.status).toBe(200);
   });
+
+  describe("silence", () => {
+    async function leaveUnanswered(): Promise<void> {
+      await harness.send("/book/x");
+      await harness.advance(1_600);
+    }
+
+    it("ejects an endpoint that answers others but not its calls", async () => {
+      for (let count = 0; count < 8; count++) await leaveUnanswered();
+      expect(harness.logger.lastFields("endpoint-ejected"))
+        .toMatchObject({ sign: "silent" });
+    });
+
+    it("ejects no endpoint that is silent altogether", async () => {
+      for (const { announcement } of harness.registry.all) {
+        harness.engineControl.silent.add(announcement.address);
+      }
+      for (let count = 0; count < 8; count++) await leaveUnanswered();
+      expect(harness.logger.lastFields("endpoint-ejected")).toBeUndefined();
+    });
+  });
 });
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -205,6 +205,59 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("stays with an engine that is silent for a second only", async () => {
+    const { exchange, transfer } = await startDraft();
+    await harness.advance(1_000);
+    const { address } = transfer.request;
+    harness.engineControl.silent.add(address);
+    await harness.advance(1_100);
+    harness.engineControl.silent.delete(address);
+    transfer.event(3);
+    await harness.advance(1_000);
+    transfer.event(4).finish();
+    await flushPromises();
+    expect(harness.endpoints.transfers).toHaveLength(1);
+    expect(exchange.outcome).toBe("answered");
+  });
+
+  it("goes on elsewhere when its engine stays silent", async () => {
+    const { transfer } = await startDraft();
+    await harness.advance(1_000);
+    transfer.event(3);
+    harness.engineControl.silent.add(transfer.request.address);
+    await harness.advance(2_500);
+    expect(harness.endpoints.transfers).toHaveLength(2);
+    expect(harness.logger.lastFields("stream-continued"))
+      .toMatchObject({ cause: "dark" });
+  });
+
+  it("takes its run from an engine to which this host has lost its path", async () => {
+    const { exchange, transfer } = await startDraft();
+    const { address } = transfer.request;
+    harness.lostPaths.add(address);
+    await harness.advance(1_500);
+    expect(harness.engineControl.endedRuns).toHaveLength(1);
+    const next = harness.endpoints.last;
+    expect(next).not.toBe(transfer);
+    expect(next.header("copy")).toBe(`${address}/h1`);
+    next.head(200).event(3).finish();
+    await flushPromises();
+    expect(exchange.outcome).toBe("answered");
+  });
+
+  it("stays with an engine whose path is lost while its own connection carries events", async () => {
+    const { exchange, transfer } = await startDraft();
+    harness.lostPaths.add(transfer.request.address);
+    for (let id = 3; id < 10; id++) {
+      await harness.advance(400);
+      transfer.event(id);
+    }
+    transfer.finish();
+    await flushPromises();
+    expect(harness.endpoints.transfers).toHaveLength(1);
+    expect(exchange.outcome).toBe("answered");
+  });
+
   it("copies a recently started run instead of using a backup that may not be complete", async () => {
     const { transfer, source } = await startDraft();
     harness.registry.markDraining(source.id, "draining");
