Add a case of chunked bodies that run with parts missing

A host that cannot reach the chosen replica asks a peer, which consumes the streamed body, and then sends the rest of it to another replica as the whole.

--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -5,7 +5,7 @@
  */
 
 import { spawn } from "node:child_process";
-import { randomBytes } from "node:crypto";
+import { createHash, randomBytes } from "node:crypto";
 import { mkdirSync, mkdtempSync, openSync, readFileSync } from "node:fs";
 import { rmSync, writeFileSync } from "node:fs";
 import http from "node:http";
@@ -48,6 +48,10 @@
   "again-s": 4.6,
 };
 
+/** @returns A short hash of a body. */
+export const hashOf = (bytes) =>
+  createHash("sha256").update(bytes).digest("hex").slice(0, 16);
+
 /** Waits until a condition holds. */
 export async function until(condition, limitMs, what) {
   const endMs = Date.now() + limitMs;
@@ -319,7 +323,10 @@
     this.server = http.createServer((request, response) => {
       const chunks = [];
       request.on("data", (chunk) => chunks.push(chunk));
-      request.on("end", () => this.#serve(request, response));
+      request.on(
+        "end",
+        () => this.#serve(request, response, Buffer.concat(chunks)),
+      );
     });
     this.server.keepAliveTimeout = 15_000;
     this.server.on("connection", (socket) => {
@@ -340,9 +347,19 @@
     this.#write();
   }
 
+  /** Ends without a word; its entry is removed after three heartbeats. */
+  crash() {
+    clearInterval(this.heartbeat);
+    this.server.close();
+    for (const socket of this.#sockets) socket.destroy();
+    const entry = `servers/${this.id}`;
+    this.removal = setTimeout(() => this.world.store.remove(entry), 3_600);
+  }
+
   /** Exits; its entry is removed. */
   stop() {
     clearInterval(this.heartbeat);
+    clearTimeout(this.removal);
     this.world.store.remove(`servers/${this.id}`);
     this.server.close();
     for (const socket of this.#sockets) socket.destroy();
@@ -361,7 +378,7 @@
     });
   }
 
-  #serve(request, response) {
+  #serve(request, response, body) {
     const leaving = this.#state === "draining" ? { "Server-Leaving": "1" } : {};
     if (request.url === "/api/report") {
       const report = {
@@ -406,6 +423,8 @@
       path: request.url,
       tenant: headers["x-tenant"],
       afterEvent: headers["last-event-id"],
+      bodyBytes: body.length,
+      bodyHash: hashOf(body),
       startMs: this.world.nowMs(),
       end: "running",
     };
@@ -692,13 +711,30 @@
    * @returns The status (0 without a head), the events of a stream, whether the
    * answer is complete, and whether the connection can be used again.
    */
-  async request({ path: target, headers, body = "", method = "POST" }) {
+  async request({
+    path: target,
+    headers,
+    body = "",
+    chunks,
+    method = "POST",
+  }) {
     const lines = [`${method} ${target} HTTP/1.1`];
     for (const [name, value] of Object.entries(headers)) {
       lines.push(`${name}: ${value}`);
     }
-    lines.push(`Content-Length: ${Buffer.byteLength(body)}`, "", body);
-    this.socket.write(lines.join("\r\n"));
+    if (chunks) {
+      lines.push("Transfer-Encoding: chunked", "", "");
+      this.socket.write(lines.join("\r\n"));
+      for (const chunk of chunks) {
+        this.socket.write(`${chunk.length.toString(16)}\r\n`);
+        this.socket.write(chunk);
+        this.socket.write("\r\n");
+      }
+      this.socket.write("0\r\n\r\n");
+    } else {
+      lines.push(`Content-Length: ${Buffer.byteLength(body)}`, "", body);
+      this.socket.write(lines.join("\r\n"));
+    }
     const headEnd = await this.#find("\r\n\r\n");
     if (headEnd < 0) return { status: 0, isComplete: false, text: "" };
     const head = this.#take(headEnd + 4).toString("latin1");
