Add a case of a leaving replica that a restored store brings back

Hosts send requests to a replica that has said that it leaves, 2.5 s after they passed on its answer, against DRAIN.

--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -86,6 +86,8 @@
   #waiting = new Set();
   #lastLease = 100;
   era = 1;
+  /** Whether the store turns all calls away. */
+  isAway = false;
 
   #servers = [];
 
@@ -184,6 +186,10 @@
       };
       response.writeHead(status, headers).end(JSON.stringify(value));
     };
+    if (this.isAway) {
+      reply(503, {});
+      return;
+    }
     const [, , call, id] = url.pathname.split("/");
     const query = url.searchParams;
     const prefix = query.get("prefix") ?? "";
@@ -356,6 +362,18 @@
     this.removal = setTimeout(() => this.world.store.remove(entry), 3_600);
   }
 
+  /**
+   * Leaves without a report: its entry is removed, its answers say so, and it
+   * serves on. A removal that the store has lost is made again.
+   */
+  leave() {
+    clearInterval(this.heartbeat);
+    this.#state = "leaving";
+    const remove = () => this.world.store.remove(`servers/${this.id}`);
+    remove();
+    this.heartbeat = setInterval(remove, 1_200);
+  }
+
   /** Exits; its entry is removed. */
   stop() {
     clearInterval(this.heartbeat);
@@ -379,7 +397,7 @@
   }
 
   #serve(request, response, body) {
-    const leaving = this.#state === "draining" ? { "Server-Leaving": "1" } : {};
+    const leaving = this.#state === "ready" ? {} : { "Server-Leaving": "1" };
     if (request.url === "/api/report") {
       const report = {
         phase: "hybrid",
@@ -391,7 +409,7 @@
         "kv-used": 0,
         "kv-total": 34305,
         handles: 0,
-        state: this.#state,
+        state: this.#state === "ready" ? "ready" : "draining",
       };
       response.writeHead(200, {
         "content-type": "application/json",
@@ -450,6 +468,10 @@
     const { callMs, events, gapMs } = this.plan(request);
     if (callMs !== undefined) {
       timer = setTimeout(() => {
+        if (this.#state !== "ready") {
+          head["Server-Leaving"] = "1";
+          run.saidLeavingMs = this.world.nowMs();
+        }
         response.writeHead(200, { ...head, "content-type": "text/plain" })
           .end(`done ${id}\n`);
       }, callMs);
