Refuse to guess a stream's version from what a new process sees

Cause: a try whose stream is not known goes on if only one version was present within the route's timeout. A process answered that from what it had seen since its start, so that "not known" became "no other". Peers did not help: they stop sharing streams once the older version has left.

Now SoftwareVersionHistory says how far back it knows, and a version that is not known is not guessed. A process learns the versions before it from the store (one entry a service, written when the set changes) and from peers over each new link; a process before which no daemon has served needs neither. Streams are shared until those of the former version are over, so that hosts that start later need not refuse sound ones.

--- a/src/daemon/common/gateway_stream_versions.ts
+++ b/src/daemon/common/gateway_stream_versions.ts
@@ -1,31 +1,89 @@
 /** Composes what a gateway daemon knows of the versions of streams. */
 
-import type { Disposable } from "../../base/common/lifecycle.ts";
+import { type Hasher } from "../../base/common/hasher.ts";
+import type { HostId } from "../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../base/common/lifecycle.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
+import { SoftwareVersionHistory } from "../../features/gateway/common/software_version_history.ts";
+import {
+  createSoftwareVersionArchive,
+  SOFTWARE_VERSION_KEY_PREFIX,
+  SoftwareVersionSync,
+} from "../../features/gateway/common/software_version_sync.ts";
 import {
   StreamVersionSync,
   type StreamVersionSyncServices,
 } from "../../features/gateway/common/stream_version_sync.ts";
 import { StreamVersionTable } from "../../features/gateway/common/stream_versions.ts";
+import { HOST_KEY_PREFIX } from "../../services/hosts/common/host_entry.ts";
+import type { Logger } from "../../services/log/common/logger.ts";
+import type { LeaseStore } from "../../services/mirror/common/revisioned_store.ts";
+import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
+import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 
 /** Dependencies of {@link GatewayStreamVersions}. */
-export type GatewayStreamVersionsServices = Omit<
-  StreamVersionSyncServices,
-  "table"
->;
+export interface GatewayStreamVersionsServices
+  extends Omit<StreamVersionSyncServices, "table" | "history"> {
+  readonly host: HostId;
+  /** Wall-clock time in milliseconds at which this process started. */
+  readonly incarnation: number;
+  readonly logger: Logger;
+  readonly state: ConfigurationState;
+  readonly hasher: Hasher;
+  readonly mirror: StoreMirror;
+  readonly store: LeaseStore;
+  readonly overlay: PeerOverlay;
+}
 
 /** Versions of streams on one gateway daemon. */
 export class GatewayStreamVersions implements Disposable {
   readonly table: StreamVersionTable;
-  readonly #sync: StreamVersionSync;
+  readonly history: SoftwareVersionHistory;
+  readonly #services: GatewayStreamVersionsServices;
+  readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayStreamVersionsServices) {
-    this.table = new StreamVersionTable(services.clock);
-    this.#sync = new StreamVersionSync({ ...services, table: this.table });
+    this.#services = services;
+    const { clock, mirror, registry, state } = services;
+    this.table = new StreamVersionTable(clock);
+    this.history = new SoftwareVersionHistory(clock, registry);
+    const { history, table } = this;
+    this.#disposables.add(state.onDidChange(({ configuration }) => {
+      history.setRoutes(configuration.routes);
+    }));
+    // Before the archive, which reads what the first contents hold.
+    const firstContents = this.#disposables.add(
+      mirror.onDidChange(() => {
+        firstContents.dispose();
+        this.#startObserving();
+      }),
+    );
+    this.#disposables.add(
+      new StreamVersionSync({ ...services, history, table }),
+    );
+    this.#disposables.add(new SoftwareVersionSync({ ...services, history }));
+    this.#disposables.add(
+      createSoftwareVersionArchive({ ...services, history }),
+    );
   }
 
-  /** Stops sharing them with the peers. */
+  /** Stops sharing them with the peers and the store. */
   dispose(): void {
-    this.#sync.dispose();
+    this.#disposables.dispose();
+  }
+
+  #startObserving(): void {
+    const { links, mirror } = this.#services;
+    this.history.startObserving();
+    // Entries of hosts outlast killed processes, those of versions all.
+    const hasPredecessor = links.connectedHosts().length > 0 ||
+      [HOST_KEY_PREFIX, SOFTWARE_VERSION_KEY_PREFIX].some((prefix) =>
+        mirror.itemsWithPrefix(prefix).length > 0
+      );
+    if (!hasPredecessor) this.history.markComplete();
   }
 }
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -5,16 +5,19 @@
  */
 
 import { type Clock, runPeriodically, sleep } from "../../base/common/clock.ts";
-import { toErrorMessage } from "../../base/common/errors.ts";
 import { createHasher, type Hasher } from "../../base/common/hasher.ts";
 import { fingerprint } from "../../base/node/fingerprint.ts";
 import type { ServiceId } from "../../base/common/ids.ts";
-import { DisposableStore } from "../../base/common/lifecycle.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
-import { admissionLimits, retryLimits } from "../common/settings_limits.ts";
+import { admissionLimits } from "../common/settings_limits.ts";
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayPlacement } from "../common/gateway_placement.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
+import { createRetryBudget } from "../common/gateway_retry_budget.ts";
 import { GatewayStreamVersions } from "../common/gateway_stream_versions.ts";
 import { peerLinkCounters } from "../common/peer_link_counters.ts";
 import { ReadinessLog } from "../common/readiness_log.ts";
@@ -40,9 +43,7 @@
 import { EngineReportPoller } from "../../features/gateway/common/engine_report_poller.ts";
 import { RunMigrator } from "../../features/gateway/common/run_migrator.ts";
 import type { ZonePlacer } from "../../features/gateway/common/zone_placer.ts";
-import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
-import { type Page, PageServer } from "../../services/http/node/page_server.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { FleetHost } from "../../services/peers/common/link_planner.ts";
@@ -52,10 +53,9 @@
 const TICK_MS = 100;
 /** Part of the grace period reserved for closing after the drain deadline. */
 const SHUTDOWN_RESERVE_MS = 400;
-const HASH_RANGE = 2 ** 32;
 
 /** A running gateway daemon. */
-export class GatewayDaemon {
+export class GatewayDaemon implements Disposable {
   readonly #settings: GatewayDaemonSettings;
   readonly #clock: Clock;
   readonly #logger: Logger;
@@ -92,7 +92,6 @@
     this.#logger = logger;
     this.#metrics = metrics;
     const { host, zone } = settings;
-    const startedMs = clock.monotonicMs();
     const random = new SeededRandom(hasher.hash32(`${host}${clock.nowMs()}`));
     this.#mirror = new StoreMirror(clock);
     this.#state = new ConfigurationState(
@@ -229,9 +228,17 @@
     const streamVersions = this.#disposables.add(
       new GatewayStreamVersions({
         clock,
+        logger,
+        hasher,
+        host,
+        incarnation,
         links: this.#links,
         relay: this.#topology,
+        overlay: this.#topology,
         registry: this.#registry,
+        mirror: this.#mirror,
+        state: this.#state,
+        store: adapter.store,
       }),
     );
     this.#quarantine = this.#disposables.add(
@@ -261,15 +268,13 @@
         loadTable: placement.loadTable,
         chooser: placement.chooser,
         placer: placement.placer,
-        budget: new RetryBudget({
+        budget: createRetryBudget({
+          host,
           clock,
           random,
-          limits: () =>
-            retryLimits(this.#activeSettings, {
-              fleetSize: this.#topology.largestFleetSize,
-              uptimeMs: clock.monotonicMs() - startedMs,
-              remainderRank: hasher.hash32(host) / HASH_RANGE,
-            }),
+          hasher,
+          settings: () => this.#activeSettings,
+          fleetSize: () => this.#topology.largestFleetSize,
         }),
         probe: new EndpointProbe(clock, logger, metrics, this.#paths, limits),
         migrator: new RunMigrator(clock, control, limits),
@@ -278,6 +283,7 @@
         limits,
         checkSilentPath: (address) => this.#paths.checkSilent(address),
         streamVersions: streamVersions.table,
+        softwareVersions: streamVersions.history,
         fingerprint,
       },
       this.#state,
@@ -371,6 +377,12 @@
       this.#store.withdraw(),
       sleep(this.#clock, SHUTDOWN_RESERVE_MS / 2),
     ]);
+    this.dispose();
+  }
+
+  /** Stops at once and cuts the requests in progress. */
+  dispose(): void {
+    this.#isStopping = true;
     this.#disposables.dispose();
   }
 
@@ -380,12 +392,7 @@
       this.#callers.setLimits(configuration.limits);
     }));
     this.#disposables.add(this.#callers.onDidReceive((exchange) => {
-      this.#gateway.handle(exchange).catch((thrown: unknown) => {
-        this.#logger.log("error", "request-crashed", {
-          detail: toErrorMessage(thrown),
-        });
-        exchange.abort();
-      });
+      void this.#gateway.handle(exchange);
     }));
     this.#disposables.add(
       runPeriodically(this.#clock, TICK_MS, () => {
@@ -393,16 +400,12 @@
         this.#readinessLog.update(this.isReady, this.#isStopping);
       }),
     );
-    const pages = this.#createPages();
+    const pages = this.#disposables.add(this.#createPages());
     await Promise.all([
       this.#links.listen(settings.peersAddress),
       this.#callers.listen(settings.callersAddress),
       settings.relayAddress && this.#relay.listen(settings.relayAddress),
-      this.#pageServer(() =>
-        Promise.resolve({ status: this.isReady ? 200 : 503, text: "" })
-      ).listen(settings.readinessAddress),
-      this.#pageServer((path) => pages.render(path))
-        .listen(settings.metricsAddress),
+      pages.listen(settings.readinessAddress, settings.metricsAddress),
     ]);
     this.#store.start();
     this.#topology.querySeeds();
@@ -410,6 +413,7 @@
 
   #createPages(): GatewayOperatorPages {
     return new GatewayOperatorPages({
+      logger: this.#logger,
       metrics: this.#metrics,
       gateway: this.#gateway,
       crashMonitor: this.#quarantine.monitor,
@@ -429,8 +433,4 @@
       }),
     });
   }
-
-  #pageServer(page: (path: string) => Promise<Page>): PageServer {
-    return this.#disposables.add(new PageServer(this.#logger, page));
-  }
 }
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -1,8 +1,13 @@
 /**
- * Serves the pages at the metrics address of a gateway: Prometheus metrics, and
- * the status for the `ragwort` command line.
+ * Serves the pages of a gateway: its readiness, and at the metrics address
+ * Prometheus metrics and the status for the `ragwort` command line.
  */
 
+import type { Address } from "../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../base/common/lifecycle.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crash_monitor.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
@@ -12,13 +17,15 @@
 import type { GenerationPlacer } from "../../features/gateway/common/placement_queue.ts";
 import type { Gauges } from "../../features/gateway/node/gateway_metrics_text.ts";
 import type { CallerServer } from "../../services/http/node/caller_server.ts";
-import type { Page } from "../../services/http/node/page_server.ts";
+import { type Page, PageServer } from "../../services/http/node/page_server.ts";
+import type { Logger } from "../../services/log/common/logger.ts";
 import type { GatewayPaths } from "./gateway_paths.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
 
 const HTTP_OK = 200;
 const HTTP_NOT_IMPLEMENTED = 501;
+const HTTP_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1_000;
 
 /** Status of a gateway, as shown by `ragwort status`. */
@@ -35,6 +42,7 @@
 
 /** Dependencies of {@link GatewayOperatorPages}. */
 export interface GatewayOperatorPagesServices {
+  readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly gateway: Gateway;
   readonly crashMonitor: CrashMonitor;
@@ -53,15 +61,35 @@
   >;
 }
 
-/** Renders the pages of one gateway. */
-export class GatewayOperatorPages {
+/** Serves the pages of one gateway. */
+export class GatewayOperatorPages implements Disposable {
   readonly #services: GatewayOperatorPagesServices;
+  readonly #disposables = new DisposableStore();
 
   /** @param services - Sources of the metrics and the status. */
   constructor(services: GatewayOperatorPagesServices) {
     this.#services = services;
   }
 
+  /** Starts to serve the readiness and the other pages. */
+  async listen(readiness: Address, metrics: Address): Promise<void> {
+    const { daemonState, logger } = this.#services;
+    const serve = (page: (path: string) => Promise<Page>): PageServer =>
+      this.#disposables.add(new PageServer(logger, page));
+    await Promise.all([
+      serve(() => {
+        const status = daemonState().isReady ? HTTP_OK : HTTP_UNAVAILABLE;
+        return Promise.resolve({ status, text: "" });
+      }).listen(readiness),
+      serve((path) => this.#render(path)).listen(metrics),
+    ]);
+  }
+
+  /** Stops serving. */
+  dispose(): void {
+    this.#disposables.dispose();
+  }
+
   /**
    * Renders a page.
    *
@@ -69,7 +97,7 @@
    * @returns The page, or status 501 for a path that a gateway does not
    *   support.
    */
-  async render(target: string): Promise<Page> {
+  async #render(target: string): Promise<Page> {
     const path = target.split("?", 1)[0];
     if (path === "/metrics") {
       return { status: HTTP_OK, text: await this.#metricsText() };
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -171,27 +171,23 @@
     return [...this.#endpoints.values()];
   }
 
-  /**
-   * @returns The software versions of the endpoints of a service, including
-   * those that leave.
-   */
-  presentVersions(service: ServiceId): ReadonlySet<string> {
-    return new Set(
-      this.all.filter(({ announcement }) => announcement.service === service)
-        .map(({ softwareVersion }) => softwareVersion),
-    );
-  }
-
   /**
    * @param service - A service.
-   * @param sinceMs - Monotonic time in milliseconds.
-   * @returns The software versions whose endpoints were present since then.
+   * @returns The software versions of its endpoints, including those that have
+   * left, and the monotonic time in milliseconds at which an endpoint with the
+   * version was last present.
    */
-  versionsSince(service: ServiceId, sinceMs: number): ReadonlySet<string> {
-    const versions = new Set(this.presentVersions(service));
+  lastPresentMs(service: ServiceId): ReadonlyMap<string, number> {
+    const versions = new Map<string, number>();
     for (const left of this.#leftVersions.values) {
-      if (left.service === service && left.atMs >= sinceMs) {
-        versions.add(left.softwareVersion);
+      if (left.service === service) {
+        versions.set(left.softwareVersion, left.atMs);
+      }
+    }
+    const nowMs = this.#clock.monotonicMs();
+    for (const { announcement, softwareVersion } of this.#endpoints.values()) {
+      if (announcement.service === service) {
+        versions.set(softwareVersion, nowMs);
       }
     }
     return versions;
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -5,6 +5,7 @@
  */
 
 import { type Clock } from "../../../base/common/clock.ts";
+import { toErrorMessage } from "../../../base/common/errors.ts";
 import { type Hasher } from "../../../base/common/hasher.ts";
 import { asId, type RequestId } from "../../../base/common/ids.ts";
 import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
@@ -148,6 +149,17 @@
 
   /** Admits a request, reads its body and starts to forward it. */
   async handle(exchange: CallerExchange): Promise<void> {
+    try {
+      await this.#handle(exchange);
+    } catch (thrown) {
+      this.#services.logger.log("error", "request-crashed", {
+        detail: toErrorMessage(thrown),
+      });
+      exchange.abort();
+    }
+  }
+
+  async #handle(exchange: CallerExchange): Promise<void> {
     this.#activeCount++;
     exchange.onDidEnd(() => this.#activeCount--);
     const fields = this.#services.codec.readCallerHeaders(
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -58,6 +58,7 @@
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
 import type { RunMigrator } from "./run_migrator.ts";
+import type { SoftwareVersionHistory } from "./software_version_history.ts";
 import type { StreamVersionTable } from "./stream_versions.ts";
 
 /** Dependencies of the forwarders. */
@@ -88,6 +89,7 @@
    */
   checkSilentPath(address: Address): Promise<boolean>;
   readonly streamVersions: StreamVersionTable;
+  readonly softwareVersions: SoftwareVersionHistory;
   /** @returns A collision-resistant hash of the parts. */
   fingerprint(parts: readonly (string | Uint8Array)[]): string;
 }
--- /dev/null
+++ b/src/features/gateway/common/software_version_history.ts
@@ -0,0 +1,211 @@
+/**
+ * Knows which software versions of a service may have begun the streams that
+ * callers take up. A process sees only the endpoints that are there after its
+ * start; what was there before, it learns from the store or from its peers.
+ */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import { Emitter } from "../../../base/common/event.ts";
+import type { ServiceId } from "../../../base/common/ids.ts";
+import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { GatewayRoute } from "./gateway_configuration.ts";
+
+/** Lifetime of streams on services that no route is known for. */
+const DEFAULT_LIFETIME_MS = 60_000;
+
+/** Software versions that may have begun the current streams of a service. */
+export interface ServiceVersions {
+  readonly service: ServiceId;
+  readonly versions: readonly {
+    readonly softwareVersion: string;
+    /**
+     * Time since an endpoint with this version was last present, in
+     * milliseconds; 0 if one is.
+     */
+    readonly absentForMs: number;
+  }[];
+}
+
+/** A version whose endpoints left before this process could see them. */
+interface LearnedVersion {
+  /** Monotonic time in milliseconds at which it was last present. */
+  readonly lastPresentMs: number;
+  /**
+   * Whether the time is the latest possible one, as the source states none.
+   */
+  readonly isAssumed: boolean;
+}
+
+/** Software versions of the services, as far back as this process knows. */
+export class SoftwareVersionHistory {
+  readonly #clock: Clock;
+  readonly #registry: EndpointRegistry;
+  readonly #lifetimesMs = new Map<ServiceId, number>();
+  readonly #learned = new Map<ServiceId, Map<string, LearnedVersion>>();
+  readonly #didLearn = new Emitter<ServiceId>();
+  /** Monotonic time since which the endpoints of all services are seen. */
+  #observedSinceMs = Infinity;
+
+  /** Fires when the earlier versions of a service become known. */
+  readonly onDidLearn = this.#didLearn.event;
+
+  /**
+   * @param clock - Clock for the ages of versions.
+   * @param registry - The endpoints that this process sees.
+   */
+  constructor(clock: Clock, registry: EndpointRegistry) {
+    this.#clock = clock;
+    this.#registry = registry;
+  }
+
+  /** Updates how long streams last on each service. */
+  setRoutes(routes: readonly GatewayRoute[]): void {
+    this.#lifetimesMs.clear();
+    for (const { kind, targets, timeoutMs } of routes) {
+      if (kind.kind !== "generation" || !kind.isResumable) continue;
+      for (const { service } of targets) {
+        const longestMs = this.#lifetimesMs.get(service) ?? 0;
+        this.#lifetimesMs.set(service, Math.max(longestMs, timeoutMs));
+      }
+    }
+  }
+
+  /** Records that the registry contains all endpoints from now on. */
+  startObserving(): void {
+    this.#observedSinceMs = Math.min(
+      this.#observedSinceMs,
+      this.#clock.monotonicMs(),
+    );
+  }
+
+  /**
+   * Records that all streams began at versions that the registry contains: no
+   * daemon served before this process, or one that did has reported the
+   * streams of all services with several versions.
+   */
+  markComplete(): void {
+    if (this.#observedSinceMs === -Infinity) return;
+    const unknown = [...this.#lifetimesMs.keys()].filter((service) =>
+      !this.isKnown(service)
+    );
+    this.#observedSinceMs = -Infinity;
+    for (const service of unknown) this.#didLearn.fire(service);
+  }
+
+  /**
+   * @returns Whether all versions are known that may have begun the current
+   * streams of a service.
+   */
+  isKnown(service: ServiceId): boolean {
+    return this.#reachesBackTo(service, this.#lifetimeStartMs(service));
+  }
+
+  /**
+   * @param service - A service.
+   * @param sinceMs - Monotonic time in milliseconds.
+   * @returns The versions whose endpoints were present since then, or
+   * `undefined` if that is not known.
+   */
+  versionsSince(
+    service: ServiceId,
+    sinceMs: number,
+  ): ReadonlySet<string> | undefined {
+    if (!this.#reachesBackTo(service, sinceMs)) return undefined;
+    const lastPresentMs = [...this.#lastPresentMs(service)];
+    return new Set(
+      lastPresentMs.filter(([, atMs]) => atMs >= sinceMs)
+        .map(([softwareVersion]) => softwareVersion),
+    );
+  }
+
+  /**
+   * @returns The versions that may have begun the current streams of a service,
+   * or `undefined` if they are not known.
+   */
+  currentVersions(service: ServiceId): ReadonlySet<string> | undefined {
+    return this.versionsSince(service, this.#lifetimeStartMs(service));
+  }
+
+  /**
+   * @returns Whether the current streams of a service may have begun at
+   * different versions.
+   */
+  mayBeMixed(service: ServiceId): boolean {
+    const versions = this.currentVersions(service);
+    return versions === undefined || versions.size > 1;
+  }
+
+  /** The services whose versions are known. */
+  records(): readonly ServiceVersions[] {
+    const nowMs = this.#clock.monotonicMs();
+    return [...this.#lifetimesMs.keys()].flatMap((service) => {
+      const sinceMs = this.#lifetimeStartMs(service);
+      if (!this.#reachesBackTo(service, sinceMs)) return [];
+      const versions = [...this.#lastPresentMs(service)]
+        .filter(([, atMs]) => atMs >= sinceMs)
+        .map(([softwareVersion, atMs]) => ({
+          softwareVersion,
+          absentForMs: Math.max(0, Math.round(nowMs - atMs)),
+        }));
+      return [{ service, versions }];
+    });
+  }
+
+  /**
+   * Learns from the store which versions there were up to the stop of the
+   * daemons that wrote there. Has no effect if they are known.
+   *
+   * @param service - The service.
+   * @param softwareVersions - Its versions. Endpoints with them may have left
+   * at any time since.
+   */
+  learnStored(service: ServiceId, softwareVersions: readonly string[]): void {
+    if (this.isKnown(service)) return;
+    const present = this.#registry.lastPresentMs(service);
+    const lastPresentMs = this.#clock.monotonicMs();
+    this.#learned.set(
+      service,
+      new Map(
+        softwareVersions.filter((version) => !present.has(version))
+          .map((version) => [version, { lastPresentMs, isAssumed: true }]),
+      ),
+    );
+    this.#didLearn.fire(service);
+  }
+
+  /** Learns the versions that a peer has seen. */
+  learnFromPeer({ service, versions }: ServiceVersions): void {
+    const wasKnown = this.isKnown(service);
+    const nowMs = this.#clock.monotonicMs();
+    const earlier = [...this.#learned.get(service) ?? []];
+    // The peer knows better when a version left.
+    const learned = new Map(earlier.filter(([, { isAssumed }]) => !isAssumed));
+    for (const { softwareVersion, absentForMs } of versions) {
+      const lastPresentMs = Math.max(
+        nowMs - absentForMs,
+        learned.get(softwareVersion)?.lastPresentMs ?? -Infinity,
+      );
+      learned.set(softwareVersion, { lastPresentMs, isAssumed: false });
+    }
+    this.#learned.set(service, learned);
+    if (!wasKnown) this.#didLearn.fire(service);
+  }
+
+  #lifetimeStartMs(service: ServiceId): number {
+    const lifetimeMs = this.#lifetimesMs.get(service) ?? DEFAULT_LIFETIME_MS;
+    return this.#clock.monotonicMs() - lifetimeMs;
+  }
+
+  #reachesBackTo(service: ServiceId, sinceMs: number): boolean {
+    return this.#observedSinceMs <= sinceMs || this.#learned.has(service);
+  }
+
+  #lastPresentMs(service: ServiceId): ReadonlyMap<string, number> {
+    const lastPresentMs = new Map(this.#registry.lastPresentMs(service));
+    for (const [version, learned] of this.#learned.get(service) ?? []) {
+      const seenMs = lastPresentMs.get(version) ?? -Infinity;
+      lastPresentMs.set(version, Math.max(seenMs, learned.lastPresentMs));
+    }
+    return lastPresentMs;
+  }
+}
--- /dev/null
+++ b/src/features/gateway/common/software_version_sync.ts
@@ -0,0 +1,176 @@
+/**
+ * Exchanges with the peers which software versions each service has had, and
+ * keeps them in the store for the case that all daemons stop at once.
+ */
+
+import * as z from "zod";
+import type { Clock } from "../../../base/common/clock.ts";
+import { toErrorMessage } from "../../../base/common/errors.ts";
+import type { ServiceId } from "../../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../base/common/lifecycle.ts";
+import { attempt } from "../../../base/common/result.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import type {
+  PeerChannel,
+  PeerChannelSpec,
+  PeerLinkChange,
+  PeerLinks,
+} from "../../../services/peers/common/peer_links.ts";
+import {
+  RecordArchive,
+  type RecordArchiveServices,
+} from "../../quarantine/common/record_archive.ts";
+import type { SoftwareVersionHistory } from "./software_version_history.ts";
+
+/** Prefix of the keys of the versions of a service. */
+export const SOFTWARE_VERSION_KEY_PREFIX = "ragwort/software-versions/";
+/** Time for which an entry outlasts the last daemon. */
+const ENTRY_LIFETIME_MS = 600_000;
+const MAX_NAME_CHARACTERS = 500;
+const MAX_VERSIONS = 100;
+const MAX_SERVICES_PER_MESSAGE = 100;
+/**
+ * Time by which a peer must have started earlier than this process to know what
+ * was there before. Exceeds the differences between clocks of hosts, and
+ * between the starts of processes that were stopped together.
+ */
+const MIN_PRECEDENCE_MS = 5_000;
+/** Time within which a peer sends its streams over a new link. */
+const STREAM_EXCHANGE_MS = 500;
+
+const name = z.string().max(MAX_NAME_CHARACTERS);
+const serviceName = name.min(1).transform((text) => text as ServiceId);
+
+const messageSchema = z.object({
+  services: z.array(z.object({
+    service: serviceName,
+    versions: z.array(z.object({
+      softwareVersion: name,
+      absentForMs: z.number().nonnegative(),
+    })).max(MAX_VERSIONS).readonly(),
+  })).max(MAX_SERVICES_PER_MESSAGE).readonly(),
+});
+
+type SoftwareVersionMessage = z.infer<typeof messageSchema>;
+
+const SOFTWARE_VERSION_CHANNEL: PeerChannelSpec<SoftwareVersionMessage> = {
+  name: "software-versions.v1",
+  decode: (body) => attempt(() => messageSchema.parse(body), toErrorMessage),
+};
+
+/** Dependencies of a {@link SoftwareVersionSync}. */
+export interface SoftwareVersionSyncServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly links: PeerLinks;
+  /** Wall-clock time in milliseconds at which this process started. */
+  readonly incarnation: number;
+  readonly history: SoftwareVersionHistory;
+}
+
+/** Sends what this daemon knows over each new link, and learns from peers. */
+export class SoftwareVersionSync implements Disposable {
+  readonly #services: SoftwareVersionSyncServices;
+  readonly #channel: PeerChannel<SoftwareVersionMessage>;
+  readonly #disposables = new DisposableStore();
+
+  /** @param services - Dependencies of the exchange. */
+  constructor(services: SoftwareVersionSyncServices) {
+    this.#services = services;
+    const { history, links, logger } = services;
+    this.#channel = this.#disposables.add(
+      links.openChannel(SOFTWARE_VERSION_CHANNEL),
+    );
+    this.#disposables.add(this.#channel.onDidReceive(({ body }) => {
+      for (const record of body.services) history.learnFromPeer(record);
+    }));
+    this.#disposables.add(
+      links.onDidChangeLink((change) => this.#onLinkChanged(change)),
+    );
+    this.#disposables.add(history.onDidLearn((service) => {
+      const versions = history.currentVersions(service) ?? [];
+      logger.log("info", "software-versions-learned", {
+        service,
+        versions: [...versions].join(),
+      });
+    }));
+  }
+
+  /** Stops the exchange. */
+  dispose(): void {
+    this.#disposables.dispose();
+  }
+
+  #onLinkChanged({ host, isUp, peer }: PeerLinkChange): void {
+    if (!isUp || !peer) return;
+    const { clock, history, incarnation, links } = this.#services;
+    if (peer.channels.includes(SOFTWARE_VERSION_CHANNEL.name)) {
+      const records = history.records();
+      for (
+        let start = 0;
+        start < records.length;
+        start += MAX_SERVICES_PER_MESSAGE
+      ) {
+        const services = records.slice(start, start + MAX_SERVICES_PER_MESSAGE);
+        this.#channel.send(host, { services });
+      }
+      return;
+    }
+    // A build without this channel says nothing of a service that has had one
+    // version, and sends the streams of all others as soon as it is linked.
+    if (peer.incarnation > incarnation - MIN_PRECEDENCE_MS) return;
+    this.#disposables.add(clock.setTimer(STREAM_EXCHANGE_MS, () => {
+      if (links.connectedHosts().includes(host)) history.markComplete();
+    }));
+  }
+}
+
+const entrySchema = z.object({
+  service: serviceName,
+  versions: z.array(name).max(MAX_VERSIONS),
+});
+
+/** Versions of a service as the store holds them. */
+type SoftwareVersionEntry = z.infer<typeof entrySchema>;
+
+/** Dependencies of the archive of software versions. */
+export interface SoftwareVersionArchiveServices
+  extends Omit<RecordArchiveServices<SoftwareVersionEntry>, "records"> {
+  readonly history: SoftwareVersionHistory;
+}
+
+/**
+ * Keeps the versions of all services in the store. A service without an entry
+ * is not known to have had one version only.
+ *
+ * @returns The archive, which works until it is disposed.
+ */
+export function createSoftwareVersionArchive(
+  { history, ...services }: SoftwareVersionArchiveServices,
+): RecordArchive<SoftwareVersionEntry> {
+  const { clock, hasher } = services;
+  return new RecordArchive({
+    ...services,
+    records: {
+      keyPrefix: SOFTWARE_VERSION_KEY_PREFIX,
+      subject: "software-versions",
+      list: () =>
+        history.records().map(({ service, versions }) => ({
+          record: {
+            service,
+            versions: versions.map(({ softwareVersion }) => softwareVersion),
+          },
+          untilMs: clock.nowMs() + ENTRY_LIFETIME_MS,
+        })),
+      nameOf: ({ service }) => hasher.hash64Hex(service),
+      parse: (value) => entrySchema.parse(value),
+      merge: ({ service, versions }) => history.learnStored(service, versions),
+      includes: (stored, { versions }) =>
+        stored.versions.length === versions.length &&
+        versions.every((version) => stored.versions.includes(version)),
+    },
+  });
+}
--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/stream_resumption.ts
@@ -26,8 +26,8 @@
 
   /**
    * Refuses a try that takes up a stream, unless an endpoint of the version
-   * that began it accepts requests. While several versions serve, a version
-   * that is not known is not guessed.
+   * that began it accepts requests. A version that is not known is not guessed
+   * unless there was only one.
    *
    * @returns Whether the try was refused.
    */
@@ -71,15 +71,18 @@
 
   /**
    * Returns the version of all endpoints that were present while the stream
-   * may have run, if there is only one.
+   * may have run, if it is known that there is only one.
    */
   #onlyVersion(): string | undefined {
     const { request, services } = this.#context;
-    const { clock, registry } = services;
+    const { clock, softwareVersions } = services;
     const sinceMs = clock.monotonicMs() - request.route.timeoutMs;
-    const versions = registry.versionsSince(request.service.id, sinceMs);
-    if (versions.size === 0) return "";
-    return versions.size === 1 ? [...versions][0] : undefined;
+    const versions = softwareVersions.versionsSince(
+      request.service.id,
+      sinceMs,
+    );
+    if (versions?.size === 0) return "";
+    return versions?.size === 1 ? [...versions][0] : undefined;
   }
 
   #resumedKey(): StreamKey | undefined {
--- a/src/features/gateway/common/stream_version_sync.ts
+++ b/src/features/gateway/common/stream_version_sync.ts
@@ -1,7 +1,7 @@
 /**
- * Shares with the peers at which software version streams began. While all endpoints
- * of a service have one version nothing is sent; when another appears, the
- * streams that have begun until then follow.
+ * Shares with the peers at which software version streams began. While the
+ * streams of a service can only have begun at one version nothing is sent; when
+ * another appears, the streams that have begun until then follow.
  */
 
 import * as z from "zod";
@@ -24,6 +24,7 @@
 } from "../../../services/peers/common/peer_links.ts";
 import type { RecordRelay } from "../../quarantine/common/record_sync.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { SoftwareVersionHistory } from "./software_version_history.ts";
 import type { StreamVersion, StreamVersionTable } from "./stream_versions.ts";
 
 const MAX_NAME_CHARACTERS = 500;
@@ -57,6 +58,7 @@
   readonly links: PeerLinks;
   readonly relay: RecordRelay;
   readonly registry: EndpointRegistry;
+  readonly history: SoftwareVersionHistory;
   readonly table: StreamVersionTable;
 }
 
@@ -67,14 +69,14 @@
   readonly #disposables = new DisposableStore();
   readonly #localChanges = new Set<StreamVersion>();
   readonly #peerChanges = new Set<StreamVersion>();
-  /** Services of which endpoints with several versions were seen. */
+  /** Services whose streams have been shared so far. */
   readonly #mixedServices = new Set<ServiceId>();
   #isScheduled = false;
 
   /** @param services - Dependencies of the synchronization. */
   constructor(services: StreamVersionSyncServices) {
     this.#services = services;
-    const { links, registry, table } = services;
+    const { history, links, registry, table } = services;
     this.#channel = this.#disposables.add(
       links.openChannel(STREAM_VERSION_CHANNEL),
     );
@@ -82,6 +84,7 @@
       this.#channel.onDidReceive(({ body }) => this.#receive(body)),
     );
     this.#disposables.add(table.onDidRecord((stream) => {
+      this.#updateService(stream.service);
       if (this.#mixedServices.has(stream.service)) {
         this.#add(this.#localChanges, stream);
       }
@@ -96,10 +99,13 @@
         this.#updateService(announcement.service)
       ),
     );
+    this.#disposables.add(
+      history.onDidLearn((service) => this.#updateService(service)),
+    );
     this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
       if (!isUp) return;
       const shared = table.streams().filter(({ service }) =>
-        this.#mixedServices.has(service)
+        history.mayBeMixed(service)
       );
       this.#send([host], shared);
     }));
@@ -111,9 +117,8 @@
   }
 
   #updateService(service: ServiceId): void {
-    const { registry, table } = this.#services;
-    const isMixed = registry.presentVersions(service).size > 1;
-    if (!isMixed) {
+    const { history, table } = this.#services;
+    if (!history.mayBeMixed(service)) {
       this.#mixedServices.delete(service);
       return;
     }
--- a/src/features/quarantine/common/prompt_part_sync.ts
+++ b/src/features/quarantine/common/prompt_part_sync.ts
@@ -81,6 +81,7 @@
     ...services,
     records: {
       keyPrefix: PROMPT_PART_KEY_PREFIX,
+      subject: "quarantine",
       list: () =>
         table.listQuarantined().flatMap(({ parts, service, untilMs }) =>
           parts.flatMap((part) => {
--- a/src/features/quarantine/common/record_archive.ts
+++ b/src/features/quarantine/common/record_archive.ts
@@ -38,6 +38,8 @@
 export interface ArchivedRecords<R> {
   /** Prefix of the keys of these records. */
   readonly keyPrefix: string;
+  /** What the records are about; the events in the log begin with it. */
+  readonly subject: string;
   /** @returns The records that the store should have. */
   list(): readonly ArchivedRecord<R>[];
   /** @returns The rest of the key of a record. */
@@ -92,7 +94,10 @@
     const { logger, records } = this.#services;
     this.#decode(value).caseOf({
       Left: (detail) =>
-        logger.log("warn", "quarantine-entry-unreadable", { key, detail }),
+        logger.log("warn", `${records.subject}-entry-unreadable`, {
+          key,
+          detail,
+        }),
       Right: (record) => records.merge(record),
     });
   }
@@ -129,7 +134,7 @@
   }
 
   async #write(key: string, record: R, ttlMs: number): Promise<void> {
-    const { logger, store } = this.#services;
+    const { logger, records, store } = this.#services;
     const value = new TextEncoder().encode(JSON.stringify(record));
     const granted = await store.grantLease(
       Math.max(MIN_LEASE_MS, Math.ceil(ttlMs)),
@@ -140,7 +145,7 @@
       );
     if (!failure) return;
     const { kind, message } = failure;
-    logger.log("warn", "quarantine-not-stored", {
+    logger.log("warn", `${records.subject}-not-stored`, {
       key,
       reason: kind,
       detail: message,
--- a/src/features/quarantine/common/suspect_archive.ts
+++ b/src/features/quarantine/common/suspect_archive.ts
@@ -25,6 +25,7 @@
       ...services,
       records: {
         keyPrefix: SUSPECT_KEY_PREFIX,
+        subject: "quarantine",
         list: () =>
           table.listQuarantined().flatMap(
             ({ fingerprint, untilMs, workspace }) => {
--- a/src/services/peers/common/peer_links.ts
+++ b/src/services/peers/common/peer_links.ts
@@ -77,11 +77,21 @@
   hasWaiting(to: HostId): boolean;
 }
 
+/** What a peer states of its process when a link is established. */
+export interface PeerProcess {
+  /** Wall-clock time in milliseconds at which the process started. */
+  readonly incarnation: number;
+  /** Names of the channels that the process has open. */
+  readonly channels: readonly string[];
+}
+
 /** Notification that a link was established or closed. */
 export interface PeerLinkChange {
   readonly host: HostId;
   readonly isUp: boolean;
   readonly reason: string;
+  /** The process of the peer; absent when the link was closed. */
+  readonly peer?: PeerProcess;
 }
 
 /** Traffic of one channel since the start of the process. */
--- a/src/services/peers/node/peer_link.ts
+++ b/src/services/peers/node/peer_link.ts
@@ -118,7 +118,7 @@
   }
 
   /** The remote peer, once its hello frame was received. */
-  get peer(): PeerIdentity | undefined {
+  get peer(): Hello | undefined {
     return this.#peerHello;
   }
 
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -305,7 +305,8 @@
 
   #onLinkUp(link: PeerLink): void {
     this.#pendingLinks.delete(link);
-    const { host } = link.peer!;
+    const peer = link.peer!;
+    const { host } = peer;
     const current = this.#establishedLinks.get(host);
     if (current && !this.#shouldReplace(link, current)) {
       link.close("a link to this host exists already");
@@ -314,7 +315,7 @@
     this.#establishedLinks.set(host, link);
     this.#dialSchedule.resetBackoff(host);
     if (current) current.close("replaced by a newer link");
-    this.#didChangeLink.fire({ host, isUp: true, reason: "opened" });
+    this.#didChangeLink.fire({ host, isUp: true, reason: "opened", peer });
   }
 
   /**
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -45,6 +45,7 @@
 import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
 import { PromptPartMonitor } from "../../src/features/gateway/common/prompt_part_monitor.ts";
 import { PromptPartTable } from "../../src/features/quarantine/common/prompt_part_table.ts";
+import { SoftwareVersionHistory } from "../../src/features/gateway/common/software_version_history.ts";
 import { StreamVersionTable } from "../../src/features/gateway/common/stream_versions.ts";
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
 import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
@@ -187,6 +188,8 @@
   readonly seed?: number;
   /** Client that replaces the scripted endpoints. */
   readonly client?: PassThroughClient;
+  /** Whether other processes have served before this one. */
+  readonly hasPredecessor?: boolean;
   readonly createPlacer?: (
     harness: GatewayHarness,
     chooser: EndpointChooser,
@@ -208,6 +211,7 @@
   readonly promptParts: PromptPartTable;
   readonly limitTable: LimitTable;
   readonly streamVersions: StreamVersionTable;
+  readonly softwareVersions: SoftwareVersionHistory;
   readonly state = new ConfigurationState(
     this.logger,
     () => this.confirmationAgeMs,
@@ -229,6 +233,11 @@
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
     this.streamVersions = new StreamVersionTable(this.clock);
+    this.softwareVersions = new SoftwareVersionHistory(
+      this.clock,
+      this.registry,
+    );
+    if (!options.hasPredecessor) this.softwareVersions.markComplete();
     this.promptParts = new PromptPartTable(
       this.clock,
       () => this.suspects.listQuarantined().map(({ endpoints }) => endpoints),
@@ -328,6 +337,7 @@
           return Promise.resolve(!engineControl.silent.has(address));
         },
         streamVersions: this.streamVersions,
+        softwareVersions: this.softwareVersions,
         fingerprint,
       },
       this.state,
--- a/standins/peers/in_process_fleet.ts
+++ b/standins/peers/in_process_fleet.ts
@@ -6,11 +6,15 @@
   Address,
   EndpointId,
   HostId,
+  ServiceId,
   ZoneName,
 } from "../../src/base/common/ids.ts";
+import { Left } from "../../src/base/common/result.ts";
 import { GatewayStreamVersions } from "../../src/daemon/common/gateway_stream_versions.ts";
 import { GatewayTopology } from "../../src/daemon/node/gateway_topology.ts";
+import { ConfigurationState } from "../../src/features/gateway/common/configuration_state.ts";
 import { EndpointRegistry } from "../../src/features/gateway/common/endpoint_registry.ts";
+import type { GatewayRoute } from "../../src/features/gateway/common/gateway_configuration.ts";
 import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
 import { LimitRights } from "../../src/features/gateway/common/limit_rights.ts";
 import { LimitTable } from "../../src/features/gateway/common/limit_table.ts";
@@ -23,6 +27,10 @@
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
 import { JsonClient } from "../../src/services/http/node/json_client.ts";
 import { NOOP_LOGGER } from "../../src/services/log/common/logger.ts";
+import type {
+  LeaseStore,
+  StoreCallFailure,
+} from "../../src/services/mirror/common/revisioned_store.ts";
 import { StoreMirror } from "../../src/services/mirror/common/store_mirror.ts";
 import type { FleetHost } from "../../src/services/peers/common/link_planner.ts";
 import {
@@ -32,6 +40,37 @@
 
 /** Endpoint whose load the daemons share. */
 export const ENDPOINT = "engine-1" as EndpointId;
+/** Service whose streams callers may take up. */
+export const STREAM_SERVICE = "llm" as ServiceId;
+/** Longest time that a stream lasts. */
+export const STREAM_TIMEOUT_MS = 20_000;
+
+/** Route of these streams. */
+export const STREAM_ROUTE: GatewayRoute = {
+  name: "streams",
+  host: "app.example",
+  prefix: "/stream/",
+  kind: { kind: "generation", isResumable: true },
+  timeoutMs: STREAM_TIMEOUT_MS,
+  objectiveMs: 1_000,
+  eventGapObjectiveMs: 100,
+  priority: 0,
+  targets: [{ service: STREAM_SERVICE, weight: 1 }],
+  maxAttempts: 2,
+  isPublic: true,
+};
+
+const UNREACHABLE: StoreCallFailure = {
+  kind: "unknown",
+  message: "the store cannot be reached",
+};
+const UNREACHABLE_STORE: LeaseStore = {
+  grantLease: () => Promise.resolve(Left(UNREACHABLE)),
+  renewLease: () => Promise.resolve(Left(UNREACHABLE)),
+  revokeLease: () => Promise.resolve(Left(UNREACHABLE)),
+  putLeased: () => Promise.resolve(Left(UNREACHABLE)),
+};
+
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 
 /**
@@ -64,15 +103,23 @@
       }))
     );
     this.#hosts = new Map(hosts.map((host) => [host.host, host]));
-    for (const host of hosts) this.#start(host);
+    for (const host of hosts) {
+      this.#start(host);
+      this.daemons.get(host.host)!.streamVersions.history.markComplete();
+    }
     for (const { peers } of this.daemons.values()) {
       peers.onHostsChanged(this.#hosts);
     }
   }
 
-  /** Starts a daemon again after it was killed. */
-  restart(host: HostId): void {
+  /**
+   * Starts a daemon again after it was killed.
+   *
+   * @param missingChannels - Channels that its program does not have.
+   */
+  restart(host: HostId, missingChannels: readonly string[] = []): void {
     this.#start(this.#hosts.get(host)!);
+    this.daemons.get(host)!.links.missingChannels = new Set(missingChannels);
     this.daemons.get(host)!.peers.onHostsChanged(this.#hosts);
   }
 
@@ -121,13 +168,14 @@
       for (const { host } of peers) targets.add(host);
       setPeers(peers);
     };
+    const mirror = new StoreMirror(clock);
     const peers = new GatewayTopology({
       clock,
       logger: NOOP_LOGGER,
       hasher: this.#hasher,
       http: new JsonClient(clock),
       links,
-      mirror: new StoreMirror(clock),
+      mirror,
       self,
       seedAddresses: () => [],
     });
@@ -151,10 +199,20 @@
     const registry = new EndpointRegistry(clock, NOOP_LOGGER);
     const streamVersions = new GatewayStreamVersions({
       clock,
+      logger: NOOP_LOGGER,
+      hasher: this.#hasher,
+      host: self.host,
+      incarnation: clock.nowMs(),
       links,
       relay: peers,
+      overlay: peers,
       registry,
+      mirror,
+      state: new ConfigurationState(NOOP_LOGGER, () => Infinity),
+      store: UNREACHABLE_STORE,
     });
+    streamVersions.history.setRoutes([STREAM_ROUTE]);
+    streamVersions.history.startObserving();
     const limitTable = new LimitTable(clock);
     const limitRights = new LimitRights({
       self: self.host,
--- a/standins/peers/in_process_links.ts
+++ b/standins/peers/in_process_links.ts
@@ -13,6 +13,7 @@
   PeerLinkChange,
   PeerLinks,
   PeerMessage,
+  PeerProcess,
   PeerTraffic,
   SendResult,
 } from "../../src/services/peers/common/peer_links.ts";
@@ -85,8 +86,11 @@
   >();
   #peers: readonly PeerAddress[] = [];
   readonly #connected = new Set<HostId>();
+  readonly #incarnation: number;
   #messagesSent = 0;
   #messagesReceived = 0;
+  /** Channels that the program of this host does not have. */
+  missingChannels: ReadonlySet<string> = new Set();
   /** Messages received by channel, with their size as JSON. */
   readonly #channelTraffic = new Map<string, ChannelTraffic>();
   /** Channel whose messages are measured. */
@@ -104,6 +108,15 @@
     this.#network = network;
     this.#host = host;
     this.#clock = clock;
+    this.#incarnation = clock.nowMs();
+  }
+
+  /** The process of this host, as it introduces itself. */
+  get process(): PeerProcess {
+    const channels = [...this.#receivers.keys()].filter((channel) =>
+      !this.missingChannels.has(channel)
+    );
+    return { incarnation: this.#incarnation, channels };
   }
 
   /** {@inheritDoc PeerLinks.connectedHosts} */
@@ -173,7 +186,7 @@
       const isUp = isRequested &&
         this.#network.findReceiver(this.#host, host) === other &&
         this.#network.findReceiver(host, this.#host) === this;
-      this.#setLinkUp(host, isUp);
+      this.#setLinkUp(host, isUp, other);
     }
     for (const host of this.#connected) {
       if (!this.#network.hosts.has(host)) this.#setLinkUp(host, false);
@@ -185,6 +198,7 @@
     this.#clock.setTimer(LINK_DELAY_MS, () => {
       this.#messagesReceived++;
       if (channel === this.measuredChannel) this.#measure(channel, body);
+      if (this.missingChannels.has(channel)) return;
       this.#receivers.get(channel)?.(from, body);
     });
   }
@@ -205,16 +219,22 @@
     this.#didChangeLink.dispose();
   }
 
-  #setLinkUp(host: HostId, isUp: boolean): void {
+  #setLinkUp(host: HostId, isUp: boolean, other?: InProcessPeerLinks): void {
     if (isUp === this.#connected.has(host)) return;
     if (isUp) this.#connected.add(host);
     else this.#connected.delete(host);
-    this.#didChangeLink.fire({ host, isUp, reason: isUp ? "opened" : "cut" });
+    this.#didChangeLink.fire({
+      host,
+      isUp,
+      reason: isUp ? "opened" : "cut",
+      ...(isUp && other && { peer: other.process }),
+    });
   }
 
   #send(to: HostId, channel: string, body: unknown): SendResult {
     const target = this.#network.findReceiver(this.#host, to);
     if (!target || !this.#connected.has(to)) return "not-connected";
+    if (this.missingChannels.has(channel)) return "queued";
     this.#messagesSent++;
     const copy = structuredClone(body);
     // Sending waits for the host's clock: a killed process sends nothing,
--- a/standins/peers/stream_version_sync_test.ts
+++ b/standins/peers/stream_version_sync_test.ts
@@ -3,16 +3,23 @@
   Address,
   EndpointId,
   HostId,
-  ServiceId,
   WorkspaceId,
   ZoneName,
 } from "../../src/base/common/ids.ts";
-import { Fleet } from "./in_process_fleet.ts";
+import {
+  Fleet,
+  STREAM_SERVICE,
+  STREAM_TIMEOUT_MS,
+} from "./in_process_fleet.ts";
 
-const SERVICE = "llm" as ServiceId;
+const SERVICE = STREAM_SERVICE;
 const WORKSPACE = "w" as WorkspaceId;
 const STREAMS_PER_HOST_AND_S = 1;
 const CHANNEL = "stream-versions.v1";
+/** Channel that earlier builds do not have. */
+const HISTORY_CHANNEL = "software-versions.v1";
+/** Time after which an endpoint that drains is forgotten. */
+const RETENTION_MS = 15_100;
 
 describe("versions of streams in a fleet of 90 hosts", () => {
   let hasher: Hasher;
@@ -33,9 +40,13 @@
 
   const hosts = () => [...fleet.daemons.keys()];
 
-  function announce(id: string, softwareVersion: string): void {
-    for (const { registry } of fleet.daemons.values()) {
-      registry.announce({
+  function announce(
+    id: string,
+    softwareVersion: string,
+    at: readonly HostId[] = hosts(),
+  ): void {
+    for (const host of at) {
+      fleet.daemons.get(host)!.registry.announce({
         id: id as EndpointId,
         service: SERVICE,
         address: `127.0.0.1:${id.length}` as Address,
@@ -49,6 +60,21 @@
     }
   }
 
+  async function removeEndpoint(id: string): Promise<void> {
+    for (const { registry } of fleet.daemons.values()) {
+      registry.markDraining(id as EndpointId, "draining");
+    }
+    await fleet.advance(RETENTION_MS);
+    for (const { registry } of fleet.daemons.values()) registry.expirePhases();
+  }
+
+  /** Versions that a host takes for those of the current streams. */
+  const versionsAt = (host: HostId) => {
+    const { history } = fleet.daemons.get(host)!.streamVersions;
+    const versions = history.currentVersions(SERVICE);
+    return versions && [...versions].sort();
+  };
+
   function begin(host: HostId, id: string, leftMs = 6_000): void {
     fleet.daemons.get(host)!.streamVersions.table.record({
       id,
@@ -137,4 +163,95 @@
     expect(perHostAndS).toBeLessThan(100);
     expect(bytesPerHostAndS).toBeLessThan(40_000);
   });
+
+  // Guards against hosts that take the version they see after their start for
+  // the only one there was.
+  it("of the former version are known at hosts that start one after the other after it left", async () => {
+    announce("e2", "v2");
+    begin(hosts()[5]!, "first", 30_000);
+    await fleet.advance(200);
+    await removeEndpoint("e1");
+    announce("e3", "v2");
+    const restarted = hosts().slice(10, 13);
+    for (const host of restarted) {
+      fleet.kill(host);
+      await fleet.advance(500);
+      fleet.restart(host);
+      announce("e2", "v2", [host]);
+      await fleet.advance(1_000);
+    }
+    expect(hostsKnowing("first")).toBe(90);
+    expect(restarted.map(versionsAt)).toEqual(
+      restarted.map(() => ["v1", "v2"]),
+    );
+    // Only as long as streams of the former version may last.
+    await fleet.advance(STREAM_TIMEOUT_MS - 4_000);
+    expect(restarted.map(versionsAt)).toEqual(restarted.map(() => ["v2"]));
+  });
+
+  it("begin at one version for a host that starts much later", async () => {
+    announce("e2", "v2");
+    await removeEndpoint("e1");
+    await fleet.advance(STREAM_TIMEOUT_MS);
+    const started = hosts().at(-1)!;
+    fleet.kill(started);
+    fleet.restart(started);
+    announce("e2", "v2", [started]);
+    expect(versionsAt(started)).toBeUndefined();
+    // As an entry in the store that was written before the version left.
+    fleet.daemons.get(started)!.streamVersions.history.learnStored(
+      SERVICE,
+      ["v1", "v2"],
+    );
+    expect(versionsAt(started)).toEqual(["v1", "v2"]);
+    await fleet.advance(1_000);
+    expect(versionsAt(started)).toEqual(["v2"]);
+  });
+
+  it("have unknown versions after all hosts started again, until streams of before are over", async () => {
+    const all = hosts();
+    for (const host of all) fleet.kill(host);
+    for (const host of all) fleet.restart(host);
+    announce("e2", "v2");
+    await fleet.advance(3_000);
+    expect(new Set(all.map(versionsAt))).toEqual(new Set([undefined]));
+    await fleet.advance(STREAM_TIMEOUT_MS);
+    expect(all.map(versionsAt)).toEqual(all.map(() => ["v2"]));
+  });
+
+  describe("beside hosts of an earlier build", () => {
+    async function restartAllEarlier(): Promise<void> {
+      const all = hosts();
+      for (const host of all) fleet.kill(host);
+      for (const host of all) fleet.restart(host, [HISTORY_CHANNEL]);
+      announce("e1", "v1");
+      await fleet.advance(3_000);
+    }
+
+    async function restartNewest(): Promise<HostId> {
+      const started = hosts().at(-1)!;
+      fleet.kill(started);
+      fleet.restart(started);
+      announce("e2", "v2", [started]);
+      await fleet.advance(1_000);
+      return started;
+    }
+
+    it("are taken from those hosts, which report streams of mixed services only", async () => {
+      await restartAllEarlier();
+      await fleet.advance(10_000);
+      announce("e2", "v2");
+      begin(hosts()[5]!, "first");
+      await fleet.advance(200);
+      const started = await restartNewest();
+      expect(hostsKnowing("first")).toBe(90);
+      expect(versionsAt(started)).toEqual(["v2"]);
+    });
+
+    it("stay unknown if those hosts have only just started, too", async () => {
+      await restartAllEarlier();
+      const started = await restartNewest();
+      expect(versionsAt(started)).toBeUndefined();
+    });
+  });
 });
