Take a request only while its connection can carry the answer

Cause: CallerServer ends the writing side of idle connections, goes on reading, and announced every request that it read. The same for requests that wait behind a response that closes their connection.

Now a request whose connection cannot carry an answer is not announced, the requests of one connection are announced one after the other, and a stopping host keeps a connection open for 500 ms after a response that did not announce the close, so that its caller is served rather than cut off.

--- a/src/daemon/node/request_drain.ts
+++ b/src/daemon/node/request_drain.ts
@@ -17,6 +17,11 @@
  */
 const ADMISSION_CUTOFF_MS = 1_500;
 const CHECK_INTERVAL_MS = 100;
+/**
+ * Time for which a connection stays open after a response that did not announce
+ * its close. A caller that reuses it by then gets its answer, with the close.
+ */
+const REUSE_WINDOW_MS = 500;
 
 /**
  * Waits until no request is in progress, up to a limit.
@@ -48,16 +53,21 @@
   await sleep(clock, BALANCER_REMOVAL_DELAY_MS);
   // Responses whose headers were sent before the drain did not announce the
   // close, so their connections stay open.
-  callers.closeIdleConnections();
-  while (callers.activeCount + relay.activeCount > 0) {
+  callers.closeIdleConnections(REUSE_WINDOW_MS);
+  while (
+    callers.activeCount + relay.activeCount > 0 ||
+    callers.hasRecentlyUsed(REUSE_WINDOW_MS)
+  ) {
     const tookMs = clock.monotonicMs() - startMs;
     if (tookMs > limitMs) break;
     if (tookMs > limitMs - ADMISSION_CUTOFF_MS) gateway.stopAdmitting();
     await sleep(clock, CHECK_INTERVAL_MS);
-    callers.closeIdleConnections();
+    callers.closeIdleConnections(REUSE_WINDOW_MS);
   }
+  callers.closeIdleConnections();
   logger.log("info", "drain-ended", {
     active: gateway.activeCount,
+    unread: callers.unreadCount,
     tookMs: Math.round(clock.monotonicMs() - startMs),
   });
 }
--- a/src/services/http/node/caller_server.ts
+++ b/src/services/http/node/caller_server.ts
@@ -9,7 +9,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as TcpServer, type Socket } from "node:net";
 import type { Clock } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { Address } from "../../../base/common/ids.ts";
@@ -45,17 +45,22 @@
  */
 const UNREAD_BODY_TIMEOUT_MS = 1_000;
 
+/** An open connection of a caller. */
+interface CallerConnection {
+  /** Exchanges without a complete response, the oldest first. */
+  readonly exchanges: NodeCallerExchange[];
+  /** Monotonic time in milliseconds since which there is no exchange. */
+  idleSinceMs: number;
+}
+
 /** Accepts connections of callers and announces their requests. */
 export class CallerServer implements Disposable {
   readonly #clock: Clock;
   readonly #server: Server;
   readonly #didReceive = new Emitter<CallerExchange>();
-  readonly #sockets = new Set<Socket>();
-  /** Exchanges without a complete response. */
-  readonly #exchanges = new Set<CallerExchange>();
-  /** Number of requests without a complete response, by connection. */
-  readonly #activeRequests = new Map<Socket, number>();
+  readonly #connections = new Map<Socket, CallerConnection>();
   #isClosing = false;
+  #unreadCount = 0;
 
   /** Fires for each request whose head has been read. */
   readonly onDidReceive = this.#didReceive.event;
@@ -73,8 +78,16 @@
       this.#onRequest(request, response);
     });
     this.#server.on("connection", (socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
+      const connection: CallerConnection = {
+        exchanges: [],
+        idleSinceMs: this.#clock.monotonicMs(),
+      };
+      this.#connections.set(socket, connection);
+      socket.on("close", () => {
+        this.#connections.delete(socket);
+        // The responses to requests that wait do not notice the close.
+        for (const exchange of [...connection.exchanges]) exchange.settle();
+      });
     });
     this.#server.on("clientError", (_error, socket) => {
       if (socket.writable) {
@@ -85,12 +98,21 @@
 
   /** Number of open connections of callers. */
   get connectionCount(): number {
-    return this.#sockets.size;
+    return this.#connections.size;
   }
 
   /** Number of connections with a request that has no complete response yet. */
   get activeCount(): number {
-    return this.#activeRequests.size;
+    return [...this.#connections.values()]
+      .filter(({ exchanges }) => exchanges.length > 0).length;
+  }
+
+  /**
+   * Number of requests that arrived after the end of their connection was sent,
+   * and were not announced.
+   */
+  get unreadCount(): number {
+    return this.#unreadCount;
   }
 
   /**
@@ -119,47 +141,91 @@
   }
 
   /**
-   * Stops accepting connections and closes connections without an active
-   * request. A repeated call closes the connections that have become idle
-   * since.
+   * Returns whether a connection has become idle so recently that its caller
+   * may be about to send another request.
+   *
+   * @param minIdleMs - Time for which callers reuse a connection, in
+   * milliseconds.
+   */
+  hasRecentlyUsed(minIdleMs: number): boolean {
+    return [...this.#connections.values()].some((connection) =>
+      connection.exchanges.length === 0 && !this.#isIdle(connection, minIdleMs)
+    );
+  }
+
+  /**
+   * Stops accepting connections and closes connections that are idle. A
+   * repeated call closes the connections that have become idle since.
+   *
+   * @param minIdleMs - Time without a request after which a connection is
+   * closed, in milliseconds.
    */
-  closeIdleConnections(): void {
-    if (this.#server.listening) this.#server.close();
-    // The Node.js server does not close connections on which no request has
-    // been sent yet.
-    for (const socket of this.#sockets) {
-      if (!this.#activeRequests.has(socket)) socket.end();
+  closeIdleConnections(minIdleMs = 0): void {
+    // The HTTP server would close all connections that are idle at present.
+    if (this.#server.listening) TcpServer.prototype.close.call(this.#server);
+    for (const [socket, connection] of this.#connections) {
+      if (this.#isIdle(connection, minIdleMs)) socket.end();
     }
   }
 
   /** Stops accepting connections and closes all of them. */
   dispose(): void {
     this.#server.close();
-    for (const exchange of [...this.#exchanges]) exchange.abort();
-    for (const socket of this.#sockets) socket.destroy();
+    const connections = [...this.#connections];
+    for (const [, { exchanges }] of connections) {
+      for (const exchange of [...exchanges]) exchange.abort();
+    }
+    for (const [socket] of connections) socket.destroy();
     this.#didReceive.dispose();
   }
 
+  #isIdle(
+    { exchanges, idleSinceMs }: CallerConnection,
+    minIdleMs: number,
+  ): boolean {
+    return exchanges.length === 0 &&
+      this.#clock.monotonicMs() - idleSinceMs >= minIdleMs;
+  }
+
   #onRequest(request: IncomingMessage, response: ServerResponse): void {
-    const { socket } = request;
-    this.#activeRequests.set(
-      socket,
-      (this.#activeRequests.get(socket) ?? 0) + 1,
-    );
+    const connection = this.#connections.get(request.socket);
+    // No response can follow the end of a connection. A caller whose request
+    // crosses it sees that the request has not been read.
+    if (!connection || !request.socket.writable) {
+      this.#unreadCount++;
+      request.resume();
+      return;
+    }
     const exchange = new NodeCallerExchange(
       request,
       response,
       this.#clock.monotonicMs(),
       () => this.#isClosing,
     );
-    this.#exchanges.add(exchange);
-    exchange.onDidEnd(() => {
-      this.#exchanges.delete(exchange);
-      const remaining = (this.#activeRequests.get(socket) ?? 1) - 1;
-      if (remaining > 0) this.#activeRequests.set(socket, remaining);
-      else this.#activeRequests.delete(socket);
-    });
-    this.#didReceive.fire(exchange);
+    connection.exchanges.push(exchange);
+    exchange.onDidEnd(() => this.#onExchangeEnded(connection, exchange));
+    if (connection.exchanges.length === 1) this.#didReceive.fire(exchange);
+  }
+
+  /**
+   * Announces the next request of the connection. Requests of one connection
+   * are announced one after the other, as any response may close it.
+   */
+  #onExchangeEnded(
+    connection: CallerConnection,
+    exchange: NodeCallerExchange,
+  ): void {
+    const { exchanges } = connection;
+    const wasFirst = exchanges[0] === exchange;
+    exchanges.splice(exchanges.indexOf(exchange), 1);
+    connection.idleSinceMs = this.#clock.monotonicMs();
+    const [next] = exchanges;
+    if (!wasFirst || !next) return;
+    if (next.isAnswerable) this.#didReceive.fire(next);
+    else {
+      this.#unreadCount++;
+      next.settle();
+    }
   }
 }
 
@@ -185,9 +251,7 @@
     this.#response = response;
     this.receivedMs = receivedMs;
     this.#isClosing = isClosing;
-    response.on("close", () => {
-      this.#settle(response.writableFinished ? "answered" : "left");
-    });
+    response.on("close", () => this.settle());
     response.on("finish", () => this.#discardUnreadBody());
     response.on("drain", () => this.#didDrain.fire());
     // The end of the connection is reported by the `close` event of the
@@ -212,6 +276,11 @@
     return this.#end !== undefined;
   }
 
+  /** Whether a response can still be sent on the connection. */
+  get isAnswerable(): boolean {
+    return !this.hasEnded && this.#request.socket.writable;
+  }
+
   get hasSentHead(): boolean {
     return this.#response.headersSent;
   }
@@ -291,8 +360,10 @@
     request.once("close", () => clearTimeout(timer));
   }
 
-  #settle(end: ExchangeEnd): void {
+  /** Ends the exchange, as nothing more can be sent. */
+  settle(): void {
     if (this.#end !== undefined) return;
+    const end = this.#response.writableFinished ? "answered" : "left";
     this.#end = end;
     this.#didEnd.fire(end);
     this.#didEnd.dispose();
--- a/src/services/http/node/caller_server_test.ts
+++ b/src/services/http/node/caller_server_test.ts
@@ -63,6 +63,80 @@
     await until(() => isClosed);
   });
 
+  // Guards against calls that run although their caller cannot be answered.
+  it("does not announce a request that crosses the close of its connection", async () => {
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.reply(200, [], "first");
+    await until(() => received.endsWith("first"));
+    server.closeIdleConnections();
+    socket.write(REQUEST);
+    await until(() => server.unreadCount === 1);
+    await until(() => server.connectionCount === 0);
+    expect(exchanges).toHaveLength(1);
+    expect(received.endsWith("first")).toBe(true);
+  });
+
+  it("keeps a connection open that has just become idle, and announces the close with the next response", async () => {
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.reply(200, [], "first");
+    await until(() => received.endsWith("first"));
+    server.announceConnectionClose();
+    server.closeIdleConnections(60_000);
+    expect(server.hasRecentlyUsed(60_000)).toBe(true);
+    expect(server.hasRecentlyUsed(0)).toBe(false);
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 2);
+    exchanges[1]!.reply(200, [], "second");
+    await until(() => received.endsWith("second"));
+    expect(received.toLowerCase().match(/connection: close/g)).toHaveLength(1);
+    await until(() => server.connectionCount === 0);
+  });
+
+  it("announces the requests of one connection one after the other", async () => {
+    socket.write(REQUEST + REQUEST);
+    await until(() => exchanges.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(exchanges).toHaveLength(1);
+    exchanges[0]!.reply(200, [], "first");
+    await until(() => exchanges.length === 2);
+    exchanges[1]!.reply(200, [], "second");
+    await until(() => received.endsWith("second"));
+    expect(server.activeCount).toBe(0);
+  });
+
+  it.each([
+    ["announces the close", false],
+    ["has no length", true],
+  ])(
+    "does not announce a request behind a response that %s",
+    async (_what, isCloseDelimited) => {
+      socket.write(REQUEST + REQUEST);
+      await until(() => exchanges.length === 1);
+      if (!isCloseDelimited) server.announceConnectionClose();
+      exchanges[0]!.sendHead(200, [], isCloseDelimited);
+      exchanges[0]!.write(Buffer.from("first"));
+      exchanges[0]!.end();
+      await until(() => server.connectionCount === 0);
+      expect(exchanges).toHaveLength(1);
+      expect(server.unreadCount).toBe(1);
+      expect(server.activeCount).toBe(0);
+    },
+  );
+
+  it("forgets a request that waits when its caller leaves", async () => {
+    socket.write(REQUEST + REQUEST);
+    await until(() => exchanges.length === 1);
+    let end: string | undefined;
+    exchanges[0]!.onDidEnd((how) => end = how);
+    socket.destroy();
+    await until(() => server.connectionCount === 0);
+    expect(end).toBe("left");
+    expect(exchanges).toHaveLength(1);
+    expect(server.activeCount).toBe(0);
+  });
+
   it("sends connection: close with each response after the shutdown was announced", async () => {
     server.announceConnectionClose();
     socket.write(REQUEST);
