Begin a request on a stopping host only if it can end before the host

Cause: admission during a stop went by kind. Streams that can be resumed and all calls were accepted until 1.5 s before the end, however long they may take; a body being read or a generation waiting for an endpoint was not looked at again; streams that cannot be resumed were refused even if they end in time.

Now PlannedStop compares the deadline of a request with the end of the host, before its body is read, after it and before it is first sent. While balancers still send new callers, calls and resumable streams are begun if they end in time by the objectives of their route. What is refused gets 503 at once, has not run, and another host takes it.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -4,7 +4,7 @@
  * codec, the engine client and the document decoders.
  */
 
-import { type Clock, runPeriodically, sleep } from "../../base/common/clock.ts";
+import { type Clock, runPeriodically } from "../../base/common/clock.ts";
 import { createHasher, type Hasher } from "../../base/common/hasher.ts";
 import { fingerprint } from "../../base/node/fingerprint.ts";
 import type { ServiceId } from "../../base/common/ids.ts";
@@ -40,6 +40,7 @@
 import { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
 import { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import { LeavingMarks } from "../../features/gateway/common/leaving_marks.ts";
+import { PlannedStop } from "../../features/gateway/common/planned_stop.ts";
 import { EngineReportPoller } from "../../features/gateway/common/engine_report_poller.ts";
 import { RunMigrator } from "../../features/gateway/common/run_migrator.ts";
 import type { ZonePlacer } from "../../features/gateway/common/zone_placer.ts";
@@ -284,6 +285,7 @@
         checkSilentPath: (address) => this.#paths.checkSilent(address),
         streamVersions: streamVersions.table,
         softwareVersions: streamVersions.history,
+        stop: new PlannedStop(clock),
         fingerprint,
       },
       this.#state,
@@ -366,17 +368,16 @@
     if (this.#isStopping) return;
     this.#isStopping = true;
     await drainRequests(
-      this.#clock,
-      this.#logger,
-      this.#gateway,
-      this.#callers,
-      this.#relay,
+      {
+        clock: this.#clock,
+        logger: this.#logger,
+        gateway: this.#gateway,
+        callers: this.#callers,
+        relay: this.#relay,
+      },
       this.#activeSettings.stopGraceMs - SHUTDOWN_RESERVE_MS,
     );
-    await Promise.race([
-      this.#store.withdraw(),
-      sleep(this.#clock, SHUTDOWN_RESERVE_MS / 2),
-    ]);
+    await this.#store.withdraw(SHUTDOWN_RESERVE_MS / 2);
     this.dispose();
   }
 
--- a/src/daemon/node/gateway_store.ts
+++ b/src/daemon/node/gateway_store.ts
@@ -3,7 +3,7 @@
  * with its peers, and the entry by which they find this host.
  */
 
-import type { Clock } from "../../base/common/clock.ts";
+import { type Clock, sleep } from "../../base/common/clock.ts";
 import { type Hasher } from "../../base/common/hasher.ts";
 import {
   type Disposable,
@@ -46,6 +46,7 @@
 export class GatewayStore implements Disposable {
   readonly #watcher: StoreWatcher;
   readonly #hostLease: HostLease;
+  readonly #clock: Clock;
   readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the parts. */
@@ -53,6 +54,7 @@
     const { adapter, clock, hasher, links, logger, mirror, self, topology } =
       services;
     const { store } = adapter;
+    this.#clock = clock;
     this.#disposables.add(
       new MirrorSync(clock, logger, links, mirror, topology),
     );
@@ -93,9 +95,16 @@
     void this.#hostLease.run();
   }
 
-  /** Removes the entry of this host. */
-  withdraw(): Promise<void> {
-    return this.#hostLease.withdraw();
+  /**
+   * Removes the entry of this host.
+   *
+   * @param limitMs - Time to wait for the store at most, in milliseconds.
+   */
+  async withdraw(limitMs: number): Promise<void> {
+    await Promise.race([
+      this.#hostLease.withdraw(),
+      sleep(this.#clock, limitMs),
+    ]);
   }
 
   /** Stops all parts. */
--- a/src/daemon/node/request_drain.ts
+++ b/src/daemon/node/request_drain.ts
@@ -11,11 +11,6 @@
  * longer ready.
  */
 const BALANCER_REMOVAL_DELAY_MS = 2_600;
-/**
- * Time before the drain deadline in which no request is admitted; a call takes
- * up to 1 s.
- */
-const ADMISSION_CUTOFF_MS = 1_500;
 const CHECK_INTERVAL_MS = 100;
 /**
  * Time for which a connection stays open after a response that did not announce
@@ -23,22 +18,26 @@
  */
 const REUSE_WINDOW_MS = 500;
 
+/** What a drain acts on. */
+export interface DrainServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Refuses requests that would outlast the drain. */
+  readonly gateway: Gateway;
+  /** Server whose connections are closed as they become idle. */
+  readonly callers: CallerServer;
+  /** Refuses further requests of peers. */
+  readonly relay: GatewayRelay;
+}
+
 /**
  * Waits until no request is in progress, up to a limit.
  *
- * @param clock - Clock for the limit.
- * @param logger - Logs the start and the end of the drain.
- * @param gateway - Refuses what could not end in time.
- * @param callers - Server whose connections are closed as they become idle.
- * @param relay - Refuses further requests of peers.
+ * @param services - What the drain acts on.
  * @param limitMs - Maximum duration in milliseconds.
  */
 export async function drainRequests(
-  clock: Clock,
-  logger: Logger,
-  gateway: Gateway,
-  callers: CallerServer,
-  relay: GatewayRelay,
+  { callers, clock, gateway, logger, relay }: DrainServices,
   limitMs: number,
 ): Promise<void> {
   const startMs = clock.monotonicMs();
@@ -47,7 +46,11 @@
     relayed: relay.activeCount,
     limitMs,
   });
-  gateway.beginDrain();
+  gateway.stop.begin({
+    lenientUntilMs: startMs + BALANCER_REMOVAL_DELAY_MS,
+    // The drain ends up to one check after its limit, never before.
+    endMs: startMs + limitMs,
+  });
   relay.beginDrain();
   callers.announceConnectionClose();
   await sleep(clock, BALANCER_REMOVAL_DELAY_MS);
@@ -60,10 +63,10 @@
   ) {
     const tookMs = clock.monotonicMs() - startMs;
     if (tookMs > limitMs) break;
-    if (tookMs > limitMs - ADMISSION_CUTOFF_MS) gateway.stopAdmitting();
     await sleep(clock, CHECK_INTERVAL_MS);
     callers.closeIdleConnections(REUSE_WINDOW_MS);
   }
+  gateway.stop.end();
   callers.closeIdleConnections();
   logger.log("info", "drain-ended", {
     active: gateway.activeCount,
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -94,7 +94,7 @@
         context.finish("caller-left", 0, "caller went away");
         return;
       }
-      if (context.quarantine.refuse(this.#mayHaveRun)) return;
+      if (context.refuseBeforeSend(this.#mayHaveRun)) return;
       const choice = this.#choose();
       const endpoint = choice?.endpoint ?? context.rights.nextLimitedEndpoint();
       if (!endpoint) {
@@ -116,7 +116,7 @@
         }
         if (!isGranted || !endpoint.isUsable) continue;
         if (exchange.hasEnded) continue;
-        if (context.quarantine.refuse(this.#mayHaveRun)) return;
+        if (context.refuseBeforeSend(this.#mayHaveRun)) return;
       }
       const previousSentCount = context.sentCount;
       const result = await this.#attempt(endpoint);
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -13,10 +13,13 @@
 import { CallForwarder } from "./call_forwarder.ts";
 import type { CallerFields } from "./gateway_codec.ts";
 import type { GatewayRoute, KeyHolder } from "./gateway_configuration.ts";
+import { deadlineOf, type PlannedStop } from "./planned_stop.ts";
 import {
   type AdmittedRequest,
   type GatewayServices,
   RequestContext,
+  STOPPING_REASON,
+  STOPPING_RETRY_AFTER_MS,
 } from "./request_context.ts";
 import type {
   ActiveConfiguration,
@@ -25,11 +28,6 @@
 import { selectTarget } from "./route_table.ts";
 import { GenerationForwarder } from "./generation_forwarder.ts";
 
-/**
- * Timeout of a request whose caller states none; the longest that callers
- * usually set.
- */
-const DEFAULT_CALLER_TIMEOUT_MS = 60_000;
 /**
  * Retry delay while the configuration is missing or its confirmation is too
  * old.
@@ -48,11 +46,6 @@
  */
 const MAX_BUFFERED_CALL_BODY_BYTES = 262_144;
 
-/**
- * Retry delay while this host stops; another host can take the request at once.
- */
-const STOPPING_RETRY_AFTER_MS = 50;
-
 /** Admission limits of one daemon. */
 export interface GatewayLimits {
   /**
@@ -77,6 +70,13 @@
   readonly retryAfterMs?: number;
 }
 
+/** Refusal while this host stops. */
+const STOPPING: Refusal = {
+  status: 503,
+  reason: STOPPING_REASON,
+  retryAfterMs: STOPPING_RETRY_AFTER_MS,
+};
+
 /** Request body, read in full or up to the size from which it is streamed. */
 interface ReceivedBody {
   readonly body: RequestBody;
@@ -102,8 +102,6 @@
   readonly #limits: () => GatewayLimits;
   readonly #hasher: Hasher;
   #bodyBytesInUse = 0;
-  #isDraining = false;
-  #isAdmissionStopped = false;
   #activeCount = 0;
 
   /**
@@ -131,20 +129,9 @@
     return this.#activeCount;
   }
 
-  /**
-   * Refuses new generations that cannot be resumed, as they would be
-   * interrupted when this host stops. Callers can retry on another host.
-   */
-  beginDrain(): void {
-    this.#isDraining = true;
-  }
-
-  /**
-   * Refuses all new requests, as they could not complete before this host
-   * stops.
-   */
-  stopAdmitting(): void {
-    this.#isAdmissionStopped = true;
+  /** The planned stop of this host. */
+  get stop(): PlannedStop {
+    return this.#services.stop;
   }
 
   /** Admits a request, reads its body and starts to forward it. */
@@ -173,6 +160,11 @@
     const { configuration } = admission.activeConfiguration;
     const { maxBodyBytes } = configuration.limits;
     const isGeneration = admission.route.kind.kind === "generation";
+    // A host that stops does not read on what it cannot serve.
+    const stopping = this.#services.stop.onDidProgress(() => {
+      if (this.#mayBegin(exchange, fields, admission.route)) return;
+      this.#refuse(exchange, fields, STOPPING);
+    });
     const read = await exchange.readBody({
       maxBytes: maxBodyBytes,
       // A generation may have to continue on another endpoint, which needs the
@@ -181,6 +173,8 @@
         ? maxBodyBytes
         : MAX_BUFFERED_CALL_BODY_BYTES,
     });
+    stopping.dispose();
+    if (exchange.hasSentHead) return;
     switch (read.kind) {
       case "left":
         return;
@@ -240,7 +234,7 @@
     exchange.onDidEnd(() => {
       this.#bodyBytesInUse -= bufferedBytes;
     });
-    const timeoutMs = fields.timeoutMs ?? DEFAULT_CALLER_TIMEOUT_MS;
+    const { receivedMs } = exchange;
     const request: AdmittedRequest = {
       id,
       exchange,
@@ -250,10 +244,10 @@
       keyHolder,
       areKeysConfigured: configuration.keys !== undefined,
       body,
-      deadlineMs: exchange.receivedMs + Math.min(timeoutMs, route.timeoutMs),
+      deadlineMs: deadlineOf({ receivedMs, fields, route }),
     };
     const context = new RequestContext(this.#services, request);
-    if (context.quarantine.refuse(false)) return;
+    if (context.refuseBeforeSend(false)) return;
     switch (route.kind.kind) {
       case "generation":
         new GenerationForwarder(context).start();
@@ -265,9 +259,6 @@
   }
 
   #admit(exchange: CallerExchange, fields: CallerFields): Admission {
-    if (this.#isAdmissionStopped) {
-      return refusedAdmission(503, "this host stops", STOPPING_RETRY_AFTER_MS);
-    }
     const activeConfiguration = this.#state.current;
     if (!activeConfiguration) {
       return refusedAdmission(
@@ -296,9 +287,8 @@
         : refusedAdmission(404, "no route");
     }
     const { keys } = activeConfiguration.configuration;
-    const { kind } = route;
-    if (this.#isDraining && kind.kind === "generation" && !kind.isResumable) {
-      return refusedAdmission(503, "this host stops", STOPPING_RETRY_AFTER_MS);
+    if (!this.#mayBegin(exchange, fields, route)) {
+      return { kind: "refused", refusal: STOPPING };
     }
     if (!keys || route.isPublic) {
       return {
@@ -337,6 +327,17 @@
     };
   }
 
+  #mayBegin(
+    { receivedMs }: CallerExchange,
+    fields: CallerFields,
+    route: GatewayRoute,
+  ): boolean {
+    const services = this.#state.current?.configuration.services;
+    const [target] = route.targets;
+    const service = target && services?.get(target.service);
+    return this.#services.stop.mayBegin({ receivedMs, fields, route, service });
+  }
+
   #refuse(
     exchange: CallerExchange,
     fields: CallerFields,
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -112,6 +112,9 @@
       services.probe.onDidFail((endpoint) => this.#onUnreachable(endpoint)),
     );
     context.disposables.add(this.#stallMonitor);
+    context.disposables.add(services.stop.onDidProgress(() => {
+      if (!this.#attempt) context.refuseIfStopping();
+    }));
     context.setTimer(context.remainingMs, () => {
       this.#release();
       this.#failure.failAtDeadline();
@@ -137,7 +140,7 @@
 
   #onPlaced({ endpoint, grant }: EndpointChoice): void {
     // Other runs may have crashed their endpoints while this one waited.
-    if (this.#context.quarantine.refuse(this.#failure.mayHaveRun)) return;
+    if (this.#context.refuseBeforeSend(this.#failure.mayHaveRun)) return;
     if (!this.#context.accepts(endpoint)) {
       this.#failure.fail("no endpoint of the stream's version is available");
       return;
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -55,6 +55,7 @@
 import type { LoadTable } from "./load_table.ts";
 import type { GenerationPlacer } from "./placement_queue.ts";
 import { contentOf } from "./request_content.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
 import type { RunMigrator } from "./run_migrator.ts";
@@ -90,6 +91,7 @@
   checkSilentPath(address: Address): Promise<boolean>;
   readonly streamVersions: StreamVersionTable;
   readonly softwareVersions: SoftwareVersionHistory;
+  readonly stop: PlannedStop;
   /** @returns A collision-resistant hash of the parts. */
   fingerprint(parts: readonly (string | Uint8Array)[]): string;
 }
@@ -127,6 +129,11 @@
 /** Retry delay then; lost paths are tried again about each second. */
 export const CUT_OFF_RETRY_AFTER_MS = 1_000;
 
+/** Why a request is refused that would outlast this host. */
+export const STOPPING_REASON = "this host stops";
+/** Retry delay then; another host can take the request at once. */
+export const STOPPING_RETRY_AFTER_MS = 50;
+
 /** Longer identifiers of parts are replaced by their hash. */
 const MAX_PART_CHARACTERS = 64;
 
@@ -268,6 +275,35 @@
     return this.request.keyHolder?.priority ?? this.request.route.priority;
   }
 
+  /**
+   * Refuses the request before it is sent, if it crashes endpoints or if this
+   * host stops before it can end.
+   *
+   * @param mayHaveRun - Whether some endpoint may have run the request.
+   * @returns Whether the request was refused.
+   */
+  refuseBeforeSend(mayHaveRun: boolean): boolean {
+    return this.quarantine.refuse(mayHaveRun) ||
+      !mayHaveRun && this.refuseIfStopping();
+  }
+
+  /**
+   * Refuses a request that was never sent if this host stops before it can end.
+   * Must not be called while an attempt is in progress.
+   *
+   * @returns Whether the request was refused.
+   */
+  refuseIfStopping(): boolean {
+    const { exchange, fields, route, service } = this.request;
+    const { receivedMs } = exchange;
+    if (
+      this.sentCount > 0 ||
+      this.services.stop.mayBegin({ receivedMs, fields, route, service })
+    ) return false;
+    this.fail(503, "not-run", STOPPING_REASON, STOPPING_RETRY_AFTER_MS);
+    return true;
+  }
+
   /**
    * Requests permission to send the request again.
    *
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -45,6 +45,7 @@
 import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
 import { PromptPartMonitor } from "../../src/features/gateway/common/prompt_part_monitor.ts";
 import { PromptPartTable } from "../../src/features/quarantine/common/prompt_part_table.ts";
+import { PlannedStop } from "../../src/features/gateway/common/planned_stop.ts";
 import { SoftwareVersionHistory } from "../../src/features/gateway/common/software_version_history.ts";
 import { StreamVersionTable } from "../../src/features/gateway/common/stream_versions.ts";
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
@@ -212,6 +213,7 @@
   readonly limitTable: LimitTable;
   readonly streamVersions: StreamVersionTable;
   readonly softwareVersions: SoftwareVersionHistory;
+  readonly stop: PlannedStop;
   readonly state = new ConfigurationState(
     this.logger,
     () => this.confirmationAgeMs,
@@ -232,6 +234,7 @@
     this.registry = new EndpointRegistry(this.clock, this.logger);
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
+    this.stop = new PlannedStop(this.clock);
     this.streamVersions = new StreamVersionTable(this.clock);
     this.softwareVersions = new SoftwareVersionHistory(
       this.clock,
@@ -338,6 +341,7 @@
         },
         streamVersions: this.streamVersions,
         softwareVersions: this.softwareVersions,
+        stop: this.stop,
         fingerprint,
       },
       this.state,
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -57,7 +57,7 @@
     });
 
     it("starts no generation on a host that is stopping", async () => {
-      harness.gateway.beginDrain();
+      harness.stop.begin({ lenientUntilMs: 2_600, endMs: 7_600 });
       const refused = await harness.send("/draft/x");
       expect(refused.status).toBe(503);
       expect(Number(refused.responseHeader("retry-after"))).toBeLessThan(0.2);
@@ -67,7 +67,7 @@
   });
 
   it("admits nothing in the last phase of a stop", async () => {
-    harness.gateway.stopAdmitting();
+    harness.stop.end();
     const refused = await harness.send("/book/x");
     expect(refused.status).toBe(503);
     expect(harness.endpoints.transfers).toHaveLength(0);
