Keep the versions of services in the store without a lease

An outage of the store in which leases expire took the entries of hosts and of software versions along. Daemons that all started after it found neither, took themselves for the first ones, and guessed the version of streams again.

The entry of a service is written without a lease: it is one small entry a service, rewritten when its set of versions changes, and costs one call less.

--- a/src/features/gateway/common/software_version_sync.ts
+++ b/src/features/gateway/common/software_version_sync.ts
@@ -27,8 +27,6 @@
 
 /** Prefix of the keys of the versions of a service. */
 export const SOFTWARE_VERSION_KEY_PREFIX = "ragwort/software-versions/";
-/** Time for which an entry outlasts the last daemon. */
-const ENTRY_LIFETIME_MS = 600_000;
 const MAX_NAME_CHARACTERS = 500;
 const MAX_VERSIONS = 100;
 const MAX_SERVICES_PER_MESSAGE = 100;
@@ -143,15 +141,15 @@
 }
 
 /**
- * Keeps the versions of all services in the store. A service without an entry
- * is not known to have had one version only.
+ * Keeps the versions of all services in the store, one entry each, without a
+ * lease. A service without an entry is not known to have had one version only.
  *
  * @returns The archive, which works until it is disposed.
  */
 export function createSoftwareVersionArchive(
   { history, ...services }: SoftwareVersionArchiveServices,
 ): RecordArchive<SoftwareVersionEntry> {
-  const { clock, hasher } = services;
+  const { hasher } = services;
   return new RecordArchive({
     ...services,
     records: {
@@ -163,7 +161,7 @@
             service,
             versions: versions.map(({ softwareVersion }) => softwareVersion),
           },
-          untilMs: clock.nowMs() + ENTRY_LIFETIME_MS,
+          untilMs: undefined,
         })),
       nameOf: ({ service }) => hasher.hash64Hex(service),
       parse: (value) => entrySchema.parse(value),
--- a/src/features/quarantine/common/record_archive.ts
+++ b/src/features/quarantine/common/record_archive.ts
@@ -12,12 +12,19 @@
   type Disposable,
   DisposableStore,
 } from "../../../base/common/lifecycle.ts";
-import { attempt, type Either, leftOf } from "../../../base/common/result.ts";
+import {
+  type AsyncEither,
+  attempt,
+  type Either,
+  leftOf,
+  Right,
+} from "../../../base/common/result.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
-import type {
-  LeaseStore,
-  StoreCallFailure,
-  StoreItem,
+import {
+  type LeaseStore,
+  NO_LEASE,
+  type StoreCallFailure,
+  type StoreItem,
 } from "../../../services/mirror/common/revisioned_store.ts";
 import type { StoreMirror } from "../../../services/mirror/common/store_mirror.ts";
 import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
@@ -30,8 +37,11 @@
 /** Record to keep in the store. */
 export interface ArchivedRecord<R> {
   readonly record: R;
-  /** Wall-clock time in milliseconds up to which it is kept. */
-  readonly untilMs: number;
+  /**
+   * Wall-clock time in milliseconds up to which it is kept; `undefined` if it
+   * has to outlast an outage in which leases expire.
+   */
+  readonly untilMs: number | undefined;
 }
 
 /** Records of one kind and how they are stored. */
@@ -119,7 +129,8 @@
       if (owner !== host || sinceWriteMs < REWRITE_DELAY_MS) continue;
       if (this.#isStored(key, record)) continue;
       this.#writtenMs.set(key, nowMs);
-      void this.#write(key, record, untilMs - clock.nowMs());
+      const ttlMs = untilMs && untilMs - clock.nowMs();
+      void this.#write(key, record, ttlMs);
     }
   }
 
@@ -133,16 +144,16 @@
     });
   }
 
-  async #write(key: string, record: R, ttlMs: number): Promise<void> {
+  async #write(
+    key: string,
+    record: R,
+    ttlMs: number | undefined,
+  ): Promise<void> {
     const { logger, records, store } = this.#services;
     const value = new TextEncoder().encode(JSON.stringify(record));
-    const granted = await store.grantLease(
-      Math.max(MIN_LEASE_MS, Math.ceil(ttlMs)),
-    );
-    const failure: StoreCallFailure | undefined = leftOf(granted) ??
-      leftOf(
-        await store.putLeased(key, value, granted.unsafeCoerce().lease),
-      );
+    const lease = await this.#grantLease(ttlMs);
+    const failure: StoreCallFailure | undefined = leftOf(lease) ??
+      leftOf(await store.putLeased(key, value, lease.unsafeCoerce()));
     if (!failure) return;
     const { kind, message } = failure;
     logger.log("warn", `${records.subject}-not-stored`, {
@@ -152,6 +163,16 @@
     });
   }
 
+  async #grantLease(
+    ttlMs: number | undefined,
+  ): AsyncEither<StoreCallFailure, number> {
+    if (ttlMs === undefined) return Right(NO_LEASE);
+    const granted = await this.#services.store.grantLease(
+      Math.max(MIN_LEASE_MS, Math.ceil(ttlMs)),
+    );
+    return granted.map(({ lease }) => lease);
+  }
+
   #decode(bytes: Uint8Array): Either<string, R> {
     return attempt(
       () =>
--- a/src/services/mirror/common/revisioned_store.ts
+++ b/src/services/mirror/common/revisioned_store.ts
@@ -64,6 +64,9 @@
   ): AsyncEither<StoreCallFailure, WatchResult>;
 }
 
+/** Lease of a key that does not end by itself. */
+export const NO_LEASE = 0;
+
 /** Writes keys that exist only as long as their owner renews a lease. */
 export interface LeaseStore {
   grantLease(ttlMs: number): AsyncEither<StoreCallFailure, LeaseGrant>;
--- a/standins/mirror/software_version_archive_test.ts
+++ b/standins/mirror/software_version_archive_test.ts
@@ -132,6 +132,13 @@
       .toEqual(daemons.map(() => ["v2"]));
   });
 
+  it("outlasts an outage of the store in which leases expire", async () => {
+    deployment.store.expireAllLeases();
+    await startAnew();
+    expect(daemons.map(({ versions }) => versions()))
+      .toEqual(daemons.map(() => ["v1", "v2"]));
+  });
+
   it("has one entry, which changes when a version comes or its streams are over", async () => {
     expect(deployment.entries()).toHaveLength(1);
     const { revision } = deployment.store;
