Split the attempt through one peer from the choice of paths

RelayAttempt holds what belongs to one peer: the acknowledgement, the body that is held back, and what a failure proves. A request whose body is still being read is refused, and logged, only once when a host stops.

--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -162,6 +162,7 @@
     const isGeneration = admission.route.kind.kind === "generation";
     // A host that stops does not read on what it cannot serve.
     const stopping = this.#services.stop.onDidProgress(() => {
+      if (exchange.hasSentHead) return;
       if (this.#mayBegin(exchange, fields, admission.route)) return;
       this.#refuse(exchange, fields, STOPPING);
     });
--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -27,7 +27,7 @@
   RelaySender,
 } from "../../../services/relay/common/relay_sender.ts";
 import type { DirectPaths } from "./direct_paths.ts";
-import { HeldBody } from "./held_body.ts";
+import { RelayAttempt } from "./relay_attempt.ts";
 import type { RelayChooser } from "./relay_chooser.ts";
 
 /**
@@ -37,13 +37,6 @@
 const CONNECT_PATIENCE_MS = 120;
 /** Peers that are asked for one request, one after the other. */
 const MAX_PEERS = 3;
-/**
- * Time within which a peer acknowledges a request that it passes on; it opens a
- * connection first if it has none.
- */
-const ACKNOWLEDGE_TIMEOUT_MS = 500;
-/** The same for a request whose body is held back; its head is sent first. */
-const HELD_ACKNOWLEDGE_TIMEOUT_MS = 1_000;
 
 /** Dependencies of {@link PathClient}. */
 export interface PathClientServices {
@@ -230,72 +223,38 @@
     this.#askedPeers.add(peer.host);
     const pathNumber = ++this.#pathNumber;
     const isCurrent = () => !this.#isEnded && pathNumber === this.#pathNumber;
-    const { body } = this.#request;
-    const held = isStreamed(body) ? new HeldBody(body) : undefined;
     const endRelay = chooser.begin(peer);
+    const attempt = new RelayAttempt({
+      clock,
+      relays,
+      peer,
+      request: this.#request,
+      listener: {
+        ...this.#listener,
+        onUnacknowledged: () => chooser.recordUnresponsive(peer),
+        onHead: (status, headers) => {
+          onRelayed("passed-on");
+          chooser.recordSuccess(peer, address);
+          this.#listener.onHead(status, headers);
+        },
+        onEnd: () => {
+          this.#end();
+          this.#listener.onEnd();
+        },
+        onFailure: (relayFailure) => {
+          if (!isCurrent()) return;
+          endRelay();
+          this.#onRelayFailure(peer, relayFailure);
+        },
+      },
+    });
     this.#endRelay = () => {
-      held?.cancel();
+      attempt.dispose();
       endRelay();
     };
-    let wasSent = false;
-    let isAnswered = false;
-    const fail = (relayFailure: RelayFailure): void => {
-      if (!isCurrent()) return;
-      this.#timer.dispose();
-      this.#endRelay();
-      const isIncomplete = held && !held.isConsumed && !isAnswered;
-      if (relayFailure.kind === "broken" && isIncomplete) {
-        // The endpoint has no complete body, and cannot get it any more.
-        if (wasSent) this.#listener.onUnsent?.();
-        this.#onRelayFailure(peer, { ...relayFailure, kind: "not-sent" });
-      } else this.#onRelayFailure(peer, relayFailure);
-    };
-    this.#timer = held
-      ? clock.setTimer(HELD_ACKNOWLEDGE_TIMEOUT_MS, () => {
-        this.#transfer?.abort();
-        const message = "the peer does not acknowledge the request";
-        fail({
-          kind: "broken",
-          message,
-          refusal: undefined,
-          retryAfterMs: undefined,
-        });
-      })
-      : clock.setTimer(
-        ACKNOWLEDGE_TIMEOUT_MS,
-        () => chooser.recordUnresponsive(peer),
-      );
     this.#listener.onRelayed?.(peer.host);
-    const request = held ? { ...this.#request, body: held } : this.#request;
-    const transfer = relays.send(peer, request, {
-      ...this.#listener,
-      onSent: () => {
-        wasSent = true;
-        this.#listener.onSent?.();
-      },
-      onUnsent: () => {
-        wasSent = false;
-        this.#listener.onUnsent?.();
-      },
-      onInterim: () => {
-        this.#timer.dispose();
-        held?.release();
-      },
-      onHead: (status, headers) => {
-        isAnswered = true;
-        this.#timer.dispose();
-        held?.release();
-        onRelayed("passed-on");
-        chooser.recordSuccess(peer, address);
-        this.#listener.onHead(status, headers);
-      },
-      onEnd: () => {
-        this.#end();
-        this.#listener.onEnd();
-      },
-      onFailure: fail,
-    });
-    if (isCurrent()) this.#transfer = transfer;
+    this.#transfer = attempt;
+    attempt.start();
   }
 
   #onRelayFailure(peer: RelayPeer, failure: RelayFailure): void {
