--- a/src/features/gateway/common/planned_stop.ts
+++ b/src/features/gateway/common/planned_stop.ts
@@ -33,7 +33,7 @@
   readonly receivedMs: number;
   readonly fields: Pick<CallerFields, "timeoutMs" | "prompt">;
   readonly route: GatewayRoute;
-  /** Its service, if it is known by now. */
+  /** Its service, if the configuration has it. */
   readonly service?: GatewayService | undefined;
 }
 
--- a/src/features/paths/common/relay_attempt.ts
+++ b/src/features/paths/common/relay_attempt.ts
@@ -30,7 +30,7 @@
 
 /** Receives the response that the peer passes back. */
 export interface RelayAttemptListener extends RelayListener {
-  /** Called when the peer has not acknowledged a request that goes on. */
+  /** Called when the peer exceeds the time to acknowledge; the request continues. */
   onUnacknowledged(): void;
 }
 
--- a/src/services/http/common/request_body.ts
+++ b/src/services/http/common/request_body.ts
@@ -20,7 +20,7 @@
   readonly isTooLarge: boolean;
   /**
    * Reads the body with backpressure, the head first. Must not be called once
-   * the body is consumed. A reader that began earlier fails when it goes on.
+   * the body is consumed. A new reader makes the next read of earlier ones fail.
    *
    * @returns The bytes of the body.
    */
