Let tests cut a host from its peers and the store

A fleet in a test can now put proxies before a host's link server and before the store as that host sees it. Links are opened from the host's own address, as connections to endpoints are, so that a proxy can tell the hosts apart; the choice of peers and the messages are unchanged.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -49,6 +49,7 @@
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { FleetHost } from "../../services/peers/common/link_planner.ts";
 import { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
+import { splitAddress } from "../../services/settings/common/shared_schemas.ts";
 import { HmacRelaySigner } from "../../services/relay/node/hmac_relay_signer.ts";
 
 const TICK_MS = 100;
@@ -118,6 +119,7 @@
         self: { host, zone, incarnation },
         secret: adapter.peerSecret,
         seed: hasher.hash32(host),
+        localIp: splitAddress(settings.peersAddress).ip,
         createDiscoveryResponse: () => this.#topology.formatHostList(),
         ...peerLinkCounters(metrics),
       }),
--- a/src/services/peers/node/ws_peer_links.ts
+++ b/src/services/peers/node/ws_peer_links.ts
@@ -63,6 +63,11 @@
   /** Seed of the random jitter of dial attempts. */
   readonly seed: number;
   readonly tls?: PeerTls | undefined;
+  /**
+   * Address from which links are opened, on a host that has several; the system
+   * chooses one if absent.
+   */
+  readonly localIp?: string;
   /**
    * Returns the response body for `PEER_DISCOVERY_PATH`. A peer that starts
    * while the store is unavailable reads it to find the other daemons.
@@ -264,10 +269,11 @@
   }
 
   #dial({ host, address }: PeerAddress): void {
-    const { tls } = this.#options;
+    const { localIp, tls } = this.#options;
     const scheme = tls ? "wss" : "ws";
     const socket = new WebSocket(`${scheme}://${address}${PEER_LINK_PATH}`, {
       ...tls?.clientOptions(host),
+      ...(localIp !== undefined && { localAddress: localIp }),
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
     });
--- /dev/null
+++ b/standins/network/host_partition.ts
@@ -0,0 +1,81 @@
+/**
+ * The links between one host, its peers and the store. Cuts the host from all or
+ * some of them, while callers and endpoints still reach it.
+ */
+
+import type { Address } from "../../src/base/common/ids.ts";
+import type { Disposable } from "../../src/base/common/lifecycle.ts";
+import { FaultProxy, type ProxyFault } from "./fault_proxy.ts";
+
+const SILENCE: ProxyFault = { kind: "silence", isOneWay: false };
+
+/** Proxies in front of a host's link server and of the store as it sees it. */
+export class HostPartition implements Disposable {
+  readonly #ip: string;
+  readonly #peerProxy: FaultProxy;
+  readonly #storeProxy: FaultProxy;
+  /** Address at which the peers of the host reach it. */
+  readonly peersAddress: Address;
+  /** Address at which the host reaches the store. */
+  readonly storeAddress: Address;
+
+  private constructor(
+    ip: string,
+    peer: { readonly proxy: FaultProxy; readonly address: Address },
+    store: { readonly proxy: FaultProxy; readonly address: Address },
+  ) {
+    this.#ip = ip;
+    this.#peerProxy = peer.proxy;
+    this.#storeProxy = store.proxy;
+    this.peersAddress = peer.address;
+    this.storeAddress = store.address;
+  }
+
+  /**
+   * @param ip - Address from which the host opens links.
+   * @param peersAddress - Address at which it listens for its peers.
+   * @param storeAddress - Address of the store.
+   */
+  static async create(
+    ip: string,
+    peersAddress: Address,
+    storeAddress: Address,
+  ): Promise<HostPartition> {
+    const peer = new FaultProxy(peersAddress);
+    const store = new FaultProxy(storeAddress);
+    return new HostPartition(
+      ip,
+      { proxy: peer, address: await peer.listen() },
+      { proxy: store, address: await store.listen() },
+    );
+  }
+
+  /** Cuts the host from the store; by default no data passes. */
+  cutFromStore(fault: ProxyFault = SILENCE): void {
+    this.#storeProxy.setFault(fault);
+  }
+
+  /** Ends the cut from the store. */
+  rejoinStore(): void {
+    this.#storeProxy.setFault({ kind: "none" });
+    this.#storeProxy.resetConnections();
+  }
+
+  /** Cuts this host and another one from each other, silently. */
+  cutFrom(other: HostPartition): void {
+    this.#peerProxy.cutSource(other.#ip, "silent");
+    other.#peerProxy.cutSource(this.#ip, "silent");
+  }
+
+  /** Ends the cut between this host and another one. */
+  rejoin(other: HostPartition): void {
+    this.#peerProxy.cutSource(other.#ip, undefined);
+    other.#peerProxy.cutSource(this.#ip, undefined);
+  }
+
+  /** Closes all connections. */
+  dispose(): void {
+    this.#peerProxy.close();
+    this.#storeProxy.close();
+  }
+}
