Log what the version of a resumed stream rests on

Cause: a try that takes up a stream left no trace of why the host chose the version: because it knows the stream, or because it knows one version of the service only.

Change: one line for each such try (stream-resumed) with the source of the decision, the versions known and the age of the view, and a counter by source. No change of logic.

--- a/src/daemon/common/gateway_stream_versions.ts
+++ b/src/daemon/common/gateway_stream_versions.ts
@@ -50,7 +50,11 @@
     this.#services = services;
     const { clock, mirror, registry, state } = services;
     this.table = new StreamVersionTable(clock);
-    this.history = new SoftwareVersionHistory(clock, registry);
+    this.history = new SoftwareVersionHistory(
+      clock,
+      registry,
+      () => mirror.confirmationAgeMs,
+    );
     const { history, table } = this;
     this.#disposables.add(state.onDidChange(({ configuration }) => {
       history.setRoutes(configuration.routes);
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -37,6 +37,7 @@
   | "requests_refused_as_crashing"
   | "prompt_parts_quarantined"
   | "resumptions_refused"
+  | "streams_resumed"
   | "peer_messages_refused"
   | "peer_messages_failed"
   | "peer_transfers_aborted"
--- a/src/features/gateway/common/software_version_history.ts
+++ b/src/features/gateway/common/software_version_history.ts
@@ -40,6 +40,7 @@
 export class SoftwareVersionHistory {
   readonly #clock: Clock;
   readonly #registry: EndpointRegistry;
+  readonly #viewAgeMs: () => number;
   readonly #lifetimesMs = new Map<ServiceId, number>();
   readonly #learned = new Map<ServiceId, Map<string, LearnedVersion>>();
   readonly #didLearn = new Emitter<ServiceId>();
@@ -52,10 +53,25 @@
   /**
    * @param clock - Clock for the ages of versions.
    * @param registry - The endpoints that this process sees.
+   * @param viewAgeMs - Returns the time in milliseconds since the contents of
+   * the registry were last confirmed to be current.
    */
-  constructor(clock: Clock, registry: EndpointRegistry) {
+  constructor(
+    clock: Clock,
+    registry: EndpointRegistry,
+    viewAgeMs: () => number = () => 0,
+  ) {
     this.#clock = clock;
     this.#registry = registry;
+    this.#viewAgeMs = viewAgeMs;
+  }
+
+  /**
+   * Time since the endpoints that this process sees were last confirmed to be
+   * all there are, in milliseconds.
+   */
+  get viewAgeMs(): number {
+    return this.#viewAgeMs();
   }
 
   /** Updates how long streams last on each service. */
--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/stream_resumption.ts
@@ -38,6 +38,7 @@
     const key = this.#resumedKey();
     const known = key && services.streamVersions.versionOf(key);
     const version = known ?? this.#onlyVersion();
+    this.#logDecision(version, known === undefined ? "service" : "stream");
     if (version === undefined) {
       return this.#refuse("the software version of the stream is not known");
     }
@@ -85,6 +86,25 @@
     return versions?.size === 1 ? [...versions][0] : undefined;
   }
 
+  #logDecision(
+    softwareVersion: string | undefined,
+    source: "stream" | "service",
+  ): void {
+    const { request, services } = this.#context;
+    const { metrics, softwareVersions } = services;
+    const { resumeAfterEventId, resumedRequestId } = request.fields;
+    const versions = softwareVersions.currentVersions(request.service.id);
+    if (softwareVersion !== undefined) metrics.count("streams_resumed", source);
+    this.#context.log("info", "stream-resumed", {
+      resumes: resumedRequestId,
+      afterEvent: resumeAfterEventId,
+      softwareVersion,
+      source,
+      versions: versions && [...versions].join(),
+      viewAgeMs: Math.round(softwareVersions.viewAgeMs),
+    });
+  }
+
   #resumedKey(): StreamKey | undefined {
     const { resumedRequestId } = this.#context.request.fields;
     return resumedRequestId ? this.#keyOf(resumedRequestId) : undefined;
