Confirm the view of the endpoints before it stands for a stream's version

Cause: a host that does not know a stream took the version that it sees for the only one the service has had. Nothing asked how old that view is: on a host that was cut from the store and its peers, or whose updates are late, a version that appeared since is not there.

Change: the version comes from positive knowledge wherever it can. Hosts report all resumable streams, also while a service has one version, and a try for a stream that is not known waits 150 ms for the report that may be on its way. A store that does not answer leaves the version unknown, and the try is refused as not run.

Replaced: "are sent once a second version appears, and not before" demanded the silence that is part of the fault. In its place streams must reach all 90 hosts while there is one version, must not be sent a second time, and the bounds on messages and bytes hold with one version, too. A refusal of an unknown stream may now take the 150 ms.

A removal that is applied twice no longer lets a mirror claim older removals than it has.

--- a/src/daemon/common/gateway_stream_versions.ts
+++ b/src/daemon/common/gateway_stream_versions.ts
@@ -7,6 +7,7 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
 import { SoftwareVersionHistory } from "../../features/gateway/common/software_version_history.ts";
 import {
   createSoftwareVersionArchive,
@@ -20,21 +21,26 @@
 import { StreamVersionTable } from "../../features/gateway/common/stream_versions.ts";
 import { HOST_KEY_PREFIX } from "../../services/hosts/common/host_entry.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
-import type { LeaseStore } from "../../services/mirror/common/revisioned_store.ts";
+import { MirrorConfirmation } from "../../services/mirror/common/mirror_confirmation.ts";
+import type {
+  LeaseStore,
+  RevisionedStore,
+} from "../../services/mirror/common/revisioned_store.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 
 /** Dependencies of {@link GatewayStreamVersions}. */
 export interface GatewayStreamVersionsServices
-  extends Omit<StreamVersionSyncServices, "table" | "history"> {
+  extends Omit<StreamVersionSyncServices, "table"> {
   readonly host: HostId;
   /** Wall-clock time in milliseconds at which this process started. */
   readonly incarnation: number;
   readonly logger: Logger;
   readonly state: ConfigurationState;
+  readonly registry: EndpointRegistry;
   readonly hasher: Hasher;
   readonly mirror: StoreMirror;
-  readonly store: LeaseStore;
+  readonly store: LeaseStore & RevisionedStore;
   readonly overlay: PeerOverlay;
 }
 
@@ -48,12 +54,12 @@
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayStreamVersionsServices) {
     this.#services = services;
-    const { clock, mirror, registry, state } = services;
+    const { clock, mirror, registry, state, store } = services;
     this.table = new StreamVersionTable(clock);
     this.history = new SoftwareVersionHistory(
       clock,
       registry,
-      () => mirror.confirmationAgeMs,
+      new MirrorConfirmation(clock, store, mirror),
     );
     const { history, table } = this;
     this.#disposables.add(state.onDidChange(({ configuration }) => {
@@ -66,9 +72,7 @@
         this.#startObserving();
       }),
     );
-    this.#disposables.add(
-      new StreamVersionSync({ ...services, history, table }),
-    );
+    this.#disposables.add(new StreamVersionSync({ ...services, table }));
     this.#disposables.add(new SoftwareVersionSync({ ...services, history }));
     this.#disposables.add(
       createSoftwareVersionArchive({ ...services, history }),
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -177,7 +177,6 @@
         isLimited: (endpoint) => this.#limits.endpoints.isLimited(endpoint),
       }),
     );
-    const { control } = this.#paths;
     const findService = (id: ServiceId) =>
       this.#state.current?.configuration.services.get(id);
     const placement = this.#disposables.add(
@@ -251,7 +250,7 @@
         metrics,
         host,
         registry: this.#registry,
-        control,
+        control: this.#paths.control,
         isRefused: (endpoint) => this.#paths.isRefused(endpoint),
         links: this.#links,
         overlay: this.#topology,
@@ -280,7 +279,7 @@
           fleetSize: () => this.#topology.largestFleetSize,
         }),
         probe: new EndpointProbe(clock, logger, metrics, this.#paths, limits),
-        migrator: new RunMigrator(clock, control, limits),
+        migrator: new RunMigrator(clock, this.#paths.control, limits),
         crashMonitor: this.#quarantine.monitor,
         answers,
         limits,
@@ -305,7 +304,7 @@
         limits,
         this.#topology,
         this.#registry,
-        control,
+        this.#paths.control,
         ({ announcement }) =>
           findService(announcement.service)?.engine !== undefined,
       ),
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -123,7 +123,7 @@
       if (end === "left") context.finish("caller-left", 0, "caller went away");
     });
     request.exchange.onDidDrain(() => this.#attempt?.resume());
-    if (!this.#resumption.refuse()) this.#startFromPrompt();
+    this.#resumption.prepare(() => this.#startFromPrompt());
   }
 
   /**
--- a/src/features/gateway/common/software_version_history.ts
+++ b/src/features/gateway/common/software_version_history.ts
@@ -26,6 +26,18 @@
   }[];
 }
 
+/** How current this process's view of the endpoints is. */
+export interface EndpointView {
+  /** Time since the view was last confirmed, in milliseconds. */
+  readonly ageMs: number;
+  /**
+   * Updates the view.
+   *
+   * @returns Whether it has all changes that were made before this call.
+   */
+  confirm(): Promise<boolean>;
+}
+
 /** A version whose endpoints left before this process could see them. */
 interface LearnedVersion {
   /** Monotonic time in milliseconds at which it was last present. */
@@ -40,7 +52,7 @@
 export class SoftwareVersionHistory {
   readonly #clock: Clock;
   readonly #registry: EndpointRegistry;
-  readonly #viewAgeMs: () => number;
+  readonly #view: EndpointView;
   readonly #lifetimesMs = new Map<ServiceId, number>();
   readonly #learned = new Map<ServiceId, Map<string, LearnedVersion>>();
   readonly #didLearn = new Emitter<ServiceId>();
@@ -53,17 +65,16 @@
   /**
    * @param clock - Clock for the ages of versions.
    * @param registry - The endpoints that this process sees.
-   * @param viewAgeMs - Returns the time in milliseconds since the contents of
-   * the registry were last confirmed to be current.
+   * @param view - How current the registry is.
    */
   constructor(
     clock: Clock,
     registry: EndpointRegistry,
-    viewAgeMs: () => number = () => 0,
+    view: EndpointView,
   ) {
     this.#clock = clock;
     this.#registry = registry;
-    this.#viewAgeMs = viewAgeMs;
+    this.#view = view;
   }
 
   /**
@@ -71,7 +82,16 @@
    * all there are, in milliseconds.
    */
   get viewAgeMs(): number {
-    return this.#viewAgeMs();
+    return this.#view.ageMs;
+  }
+
+  /**
+   * Updates the registry with all endpoints that there were before this call.
+   *
+   * @returns Whether it has them; false if that cannot be found out.
+   */
+  confirmView(): Promise<boolean> {
+    return this.#view.confirm();
   }
 
   /** Updates how long streams last on each service. */
@@ -117,15 +137,11 @@
   }
 
   /**
-   * @param service - A service.
-   * @param sinceMs - Monotonic time in milliseconds.
-   * @returns The versions whose endpoints were present since then, or
-   * `undefined` if that is not known.
+   * @returns The versions that may have begun the current streams of a service,
+   * or `undefined` if they are not known.
    */
-  versionsSince(
-    service: ServiceId,
-    sinceMs: number,
-  ): ReadonlySet<string> | undefined {
+  currentVersions(service: ServiceId): ReadonlySet<string> | undefined {
+    const sinceMs = this.#lifetimeStartMs(service);
     if (!this.#reachesBackTo(service, sinceMs)) return undefined;
     const lastPresentMs = [...this.#lastPresentMs(service)];
     return new Set(
@@ -134,23 +150,6 @@
     );
   }
 
-  /**
-   * @returns The versions that may have begun the current streams of a service,
-   * or `undefined` if they are not known.
-   */
-  currentVersions(service: ServiceId): ReadonlySet<string> | undefined {
-    return this.versionsSince(service, this.#lifetimeStartMs(service));
-  }
-
-  /**
-   * @returns Whether the current streams of a service may have begun at
-   * different versions.
-   */
-  mayBeMixed(service: ServiceId): boolean {
-    const versions = this.currentVersions(service);
-    return versions === undefined || versions.size > 1;
-  }
-
   /** The services whose versions are known. */
   records(): readonly ServiceVersions[] {
     const nowMs = this.#clock.monotonicMs();
--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/stream_resumption.ts
@@ -10,11 +10,23 @@
 
 /** Retry delay; endpoints of the version may be back by then. */
 const RETRY_AFTER_MS = 1_000;
+/** Time within which hosts report the streams that they begin to all others. */
+const REPORT_DELAY_MS = 150;
 /** Time after its deadline for which the version of a stream is kept. */
 const EXPIRY_MARGIN_MS = 1_000;
 /** Workspace of requests on routes without keys. */
 const PUBLIC_WORKSPACE = "" as WorkspaceId;
 
+/** At which version a stream goes on, and what that rests on. */
+interface FoundVersion {
+  readonly softwareVersion: string;
+  /**
+   * `stream`: a host reported the stream. `service`: the service had no other
+   * version while the stream may have begun.
+   */
+  readonly source: "stream" | "service";
+}
+
 /** Version of one stream across the tries of its caller. */
 export class StreamResumption {
   readonly #context: RequestContext;
@@ -25,32 +37,44 @@
   }
 
   /**
-   * Refuses a try that takes up a stream, unless an endpoint of the version
-   * that began it accepts requests. A version that is not known is not guessed
-   * unless there was only one.
+   * Prepares the first run. A try that takes up a stream is refused unless an
+   * endpoint of the version that began it accepts requests; a version that is
+   * not known is not guessed unless there was only one.
    *
-   * @returns Whether the try was refused.
+   * @param onReady - Called when the run may start.
    */
-  refuse(): boolean {
+  prepare(onReady: () => void): void {
+    if (this.#context.request.fields.resumeAfterEventId) {
+      void this.#takeUp(onReady);
+    } else onReady();
+  }
+
+  async #takeUp(onReady: () => void): Promise<void> {
     const context = this.#context;
     const { request, services } = context;
-    if (!request.fields.resumeAfterEventId) return false;
     const key = this.#resumedKey();
     const known = key && services.streamVersions.versionOf(key);
-    const version = known ?? this.#onlyVersion();
-    this.#logDecision(version, known === undefined ? "service" : "stream");
-    if (version === undefined) {
-      return this.#refuse("the software version of the stream is not known");
+    const found: FoundVersion | undefined = known === undefined
+      ? await this.#findVersion(key)
+      : { softwareVersion: known, source: "stream" };
+    if (context.hasEnded) return;
+    this.#logDecision(found);
+    if (!found) {
+      this.#refuse("the software version of the stream is not known");
+      return;
     }
+    const version = found.softwareVersion;
     context.softwareVersion = version;
     const { registry } = services;
     const isServed = registry.usable(request.service.id).some((endpoint) =>
       context.accepts(endpoint)
     );
-    if (isServed) return false;
-    return this.#refuse(
-      `no endpoint with the stream's software version ${version} accepts requests`,
-    );
+    if (isServed) onReady();
+    else {
+      this.#refuse(
+        `no endpoint with the stream's software version ${version} accepts requests`,
+      );
+    }
   }
 
   /** Records that an endpoint has begun or continued the stream. */
@@ -71,35 +95,61 @@
   }
 
   /**
-   * Returns the version of all endpoints that were present while the stream
-   * may have run, if it is known that there is only one.
+   * Finds the version of a stream that was not known when the try arrived: its
+   * host reports it only just now, or it is certain that there is one version.
+   */
+  async #findVersion(
+    key: StreamKey | undefined,
+  ): Promise<FoundVersion | undefined> {
+    const reported = key && this.#awaitReport(key);
+    const only = this.#findOnlyVersion();
+    return await Promise.race([reported ?? only, only]) ??
+      await reported ?? await only;
+  }
+
+  async #awaitReport(key: StreamKey): Promise<FoundVersion | undefined> {
+    const { streamVersions } = this.#context.services;
+    const softwareVersion = await streamVersions.awaitVersionOf(
+      key,
+      REPORT_DELAY_MS,
+    );
+    if (softwareVersion === undefined) return undefined;
+    return { softwareVersion, source: "stream" };
+  }
+
+  /**
+   * Returns the version of all endpoints that were present while the stream may
+   * have run, if there is only one. The store is read first: another version may
+   * have begun the stream that this host has not seen.
    */
+  async #findOnlyVersion(): Promise<FoundVersion | undefined> {
+    if (this.#onlyVersion() === undefined) return undefined;
+    const { softwareVersions } = this.#context.services;
+    if (!await softwareVersions.confirmView()) return undefined;
+    const softwareVersion = this.#onlyVersion();
+    if (softwareVersion === undefined) return undefined;
+    return { softwareVersion, source: "service" };
+  }
+
   #onlyVersion(): string | undefined {
     const { request, services } = this.#context;
-    const { clock, softwareVersions } = services;
-    const sinceMs = clock.monotonicMs() - request.route.timeoutMs;
-    const versions = softwareVersions.versionsSince(
-      request.service.id,
-      sinceMs,
-    );
+    const { softwareVersions } = services;
+    const versions = softwareVersions.currentVersions(request.service.id);
     if (versions?.size === 0) return "";
     return versions?.size === 1 ? [...versions][0] : undefined;
   }
 
-  #logDecision(
-    softwareVersion: string | undefined,
-    source: "stream" | "service",
-  ): void {
+  #logDecision(found: FoundVersion | undefined): void {
     const { request, services } = this.#context;
     const { metrics, softwareVersions } = services;
     const { resumeAfterEventId, resumedRequestId } = request.fields;
     const versions = softwareVersions.currentVersions(request.service.id);
-    if (softwareVersion !== undefined) metrics.count("streams_resumed", source);
+    if (found) metrics.count("streams_resumed", found.source);
     this.#context.log("info", "stream-resumed", {
       resumes: resumedRequestId,
       afterEvent: resumeAfterEventId,
-      softwareVersion,
-      source,
+      softwareVersion: found?.softwareVersion,
+      source: found?.source,
       versions: versions && [...versions].join(),
       viewAgeMs: Math.round(softwareVersions.viewAgeMs),
     });
@@ -119,9 +169,8 @@
     };
   }
 
-  #refuse(reason: string): true {
+  #refuse(reason: string): void {
     this.#context.services.metrics.count("resumptions_refused");
     this.#context.fail(503, "not-run", reason, RETRY_AFTER_MS);
-    return true;
   }
 }
--- a/src/features/gateway/common/stream_version_sync.ts
+++ b/src/features/gateway/common/stream_version_sync.ts
@@ -1,7 +1,7 @@
 /**
- * Shares with the peers at which software version streams began. While the
- * streams of a service can only have begun at one version nothing is sent; when
- * another appears, the streams that have begun until then follow.
+ * Shares with the peers at which software version streams began, also while a
+ * service has one version only: a host that cannot see a second one must still
+ * know which streams may go on at the first.
  */
 
 import * as z from "zod";
@@ -23,8 +23,6 @@
   PeerLinks,
 } from "../../../services/peers/common/peer_links.ts";
 import type { RecordRelay } from "../../quarantine/common/record_sync.ts";
-import type { EndpointRegistry } from "./endpoint_registry.ts";
-import type { SoftwareVersionHistory } from "./software_version_history.ts";
 import type { StreamVersion, StreamVersionTable } from "./stream_versions.ts";
 
 const MAX_NAME_CHARACTERS = 500;
@@ -57,8 +55,6 @@
   readonly clock: Clock;
   readonly links: PeerLinks;
   readonly relay: RecordRelay;
-  readonly registry: EndpointRegistry;
-  readonly history: SoftwareVersionHistory;
   readonly table: StreamVersionTable;
 }
 
@@ -69,45 +65,23 @@
   readonly #disposables = new DisposableStore();
   readonly #localChanges = new Set<StreamVersion>();
   readonly #peerChanges = new Set<StreamVersion>();
-  /** Services whose streams have been shared so far. */
-  readonly #mixedServices = new Set<ServiceId>();
   #isScheduled = false;
 
   /** @param services - Dependencies of the synchronization. */
   constructor(services: StreamVersionSyncServices) {
     this.#services = services;
-    const { history, links, registry, table } = services;
+    const { links, table } = services;
     this.#channel = this.#disposables.add(
       links.openChannel(STREAM_VERSION_CHANNEL),
     );
     this.#disposables.add(
       this.#channel.onDidReceive(({ body }) => this.#receive(body)),
     );
-    this.#disposables.add(table.onDidRecord((stream) => {
-      this.#updateService(stream.service);
-      if (this.#mixedServices.has(stream.service)) {
-        this.#add(this.#localChanges, stream);
-      }
-    }));
-    this.#disposables.add(
-      registry.onDidAdd(({ announcement }) =>
-        this.#updateService(announcement.service)
-      ),
-    );
-    this.#disposables.add(
-      registry.onDidRetire(({ announcement }) =>
-        this.#updateService(announcement.service)
-      ),
-    );
     this.#disposables.add(
-      history.onDidLearn((service) => this.#updateService(service)),
+      table.onDidRecord((stream) => this.#add(this.#localChanges, stream)),
     );
     this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
-      if (!isUp) return;
-      const shared = table.streams().filter(({ service }) =>
-        history.mayBeMixed(service)
-      );
-      this.#send([host], shared);
+      if (isUp) this.#send([host], table.streams());
     }));
   }
 
@@ -116,19 +90,6 @@
     this.#disposables.dispose();
   }
 
-  #updateService(service: ServiceId): void {
-    const { history, table } = this.#services;
-    if (!history.mayBeMixed(service)) {
-      this.#mixedServices.delete(service);
-      return;
-    }
-    if (this.#mixedServices.has(service)) return;
-    this.#mixedServices.add(service);
-    for (const stream of table.streams()) {
-      if (stream.service === service) this.#add(this.#localChanges, stream);
-    }
-  }
-
   #receive({ streams }: StreamVersionMessage): void {
     const { clock, table } = this.#services;
     const nowMs = clock.monotonicMs();
--- a/src/features/gateway/common/stream_versions.ts
+++ b/src/features/gateway/common/stream_versions.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
+import { DisposableStore } from "../../../base/common/lifecycle.ts";
 
 /** A stream that has begun, under the id of the try that began it. */
 export interface StreamVersion {
@@ -32,6 +33,7 @@
   readonly #clock: Clock;
   readonly #streams = new BoundedMap<string, StreamVersion>(MAX_STREAMS);
   readonly #didRecord = new Emitter<StreamVersion>();
+  readonly #didAdd = new Emitter<StreamVersion>();
 
   /** Fires when a stream of this daemon has begun. */
   readonly onDidRecord = this.#didRecord.event;
@@ -56,6 +58,34 @@
     return stream.softwareVersion;
   }
 
+  /**
+   * Waits until a stream becomes known, which its host may have reported only
+   * just now.
+   *
+   * @param key - The stream.
+   * @param timeoutMs - Time to wait at most, in milliseconds.
+   * @returns The version at which it began, or `undefined` after that time.
+   */
+  awaitVersionOf(
+    key: StreamKey,
+    timeoutMs: number,
+  ): Promise<string | undefined> {
+    const awaited = toMapKey(key);
+    return new Promise((resolve) => {
+      const settle = (softwareVersion: string | undefined): void => {
+        disposables.dispose();
+        resolve(softwareVersion);
+      };
+      const disposables = new DisposableStore();
+      disposables.add(this.#didAdd.event((stream) => {
+        if (toMapKey(stream) === awaited) settle(stream.softwareVersion);
+      }));
+      disposables.add(
+        this.#clock.setTimer(timeoutMs, () => settle(undefined)),
+      );
+    });
+  }
+
   /** Records that a stream of this daemon has begun or continued. */
   record(stream: StreamVersion): void {
     if (stream.id.length > MAX_ID_CHARACTERS) return;
@@ -72,6 +102,7 @@
     const key = toMapKey(stream);
     const known = this.#streams.get(key);
     this.#streams.set(key, stream);
+    this.#didAdd.fire(stream);
     return known?.softwareVersion !== stream.softwareVersion;
   }
 }
--- a/src/services/mirror/common/store_mirror.ts
+++ b/src/services/mirror/common/store_mirror.ts
@@ -296,7 +296,10 @@
     if (current && current.revision >= revision) return;
     this.#removals.push(removal);
     if (this.#removals.length > MAX_RETAINED_REMOVALS) {
-      this.#removalsCompleteSince = this.#removals.shift()!.revision;
+      this.#removalsCompleteSince = Math.max(
+        this.#removalsCompleteSince,
+        this.#removals.shift()!.revision,
+      );
     }
     if (this.#items.delete(key)) this.#forget(key);
   }
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -213,6 +213,10 @@
   readonly limitTable: LimitTable;
   readonly streamVersions: StreamVersionTable;
   readonly softwareVersions: SoftwareVersionHistory;
+  /** Whether the registry can be confirmed to contain all endpoints. */
+  canConfirmView = true;
+  /** Called when the registry is to be confirmed. */
+  onConfirmView: () => void = () => undefined;
   readonly stop: PlannedStop;
   readonly state = new ConfigurationState(
     this.logger,
@@ -239,7 +243,11 @@
     this.softwareVersions = new SoftwareVersionHistory(
       this.clock,
       this.registry,
+      { ageMs: 0, confirm: () => this.#confirmView() },
     );
+    this.state.onDidChange(({ configuration }) => {
+      this.softwareVersions.setRoutes(configuration.routes);
+    });
     if (!options.hasPredecessor) this.softwareVersions.markComplete();
     this.promptParts = new PromptPartTable(
       this.clock,
@@ -354,6 +362,11 @@
     );
   }
 
+  #confirmView(): Promise<boolean> {
+    this.onConfirmView();
+    return Promise.resolve(this.canConfirmView);
+  }
+
   /** @returns A harness with an active configuration. */
   static async create(
     options: GatewayHarnessOptions = {},
--- a/standins/gateway/stream_version_test.ts
+++ b/standins/gateway/stream_version_test.ts
@@ -1,8 +1,11 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
-import type { EndpointId } from "../../src/base/common/ids.ts";
+import type { EndpointId, WorkspaceId } from "../../src/base/common/ids.ts";
 import { ENGINE, GatewayHarness, KEY, ZONE } from "./gateway_harness.ts";
 
+const WORKSPACE = "w" as WorkspaceId;
 const RETRY_AFTER = "1.00";
+/** Time within which hosts report the streams that they begin. */
+const REPORT_DELAY_MS = 150;
 
 describe("generations before endpoints of two software versions", () => {
   let harness: GatewayHarness;
@@ -109,11 +112,77 @@
     });
     const resumed = ["key", KEY, "after", "2", "resumes", "first"];
     const refused = await harness.send("/check/x", resumed);
+    await harness.advance(REPORT_DELAY_MS);
     expect(refused.status).toBe(503);
     expect(refused.responseHeader("retry-after")).toBe(RETRY_AFTER);
     expect(harness.endpoints.transfers).toHaveLength(0);
   });
 
+  it("go on at the version that their host reports just after they are taken up", async () => {
+    const resumed = ["key", KEY, "after", "2", "resumes", "first"];
+    await harness.send("/check/x", resumed);
+    await harness.advance(REPORT_DELAY_MS - 10);
+    expect(harness.endpoints.transfers).toHaveLength(0);
+    harness.streamVersions.add({
+      id: "first",
+      workspace: WORKSPACE,
+      service: ENGINE,
+      softwareVersion: "v2",
+      expiresMs: 60_000,
+    });
+    await flushPromises();
+    expect(lastEndpoint().softwareVersion).toBe("v2");
+  });
+
+  it("run nowhere when their caller leaves before their version is known", async () => {
+    const resumed = ["key", KEY, "after", "2", "resumes", "first"];
+    const exchange = await harness.send("/check/x", resumed);
+    exchange.disconnect();
+    await harness.advance(REPORT_DELAY_MS);
+    expect(harness.endpoints.transfers).toHaveLength(0);
+  });
+
+  describe("while this host sees one version only", () => {
+    const resumed = ["key", KEY, "after", "2"];
+
+    beforeEach(async () => {
+      harness = await GatewayHarness.create();
+      announce(1, "v1");
+    });
+
+    it("go on if there is certainly no other", async () => {
+      await harness.send("/check/x", resumed);
+      expect(harness.endpoints.transfers).toHaveLength(1);
+    });
+
+    it("are refused if another may have appeared unseen", async () => {
+      harness.canConfirmView = false;
+      const refused = await harness.send("/check/x", resumed);
+      expect(refused.status).toBe(503);
+      expect(refused.responseHeader("retry-after")).toBe(RETRY_AFTER);
+      expect(harness.endpoints.transfers).toHaveLength(0);
+    });
+
+    it("are refused if the store shows another one when it is read for them", async () => {
+      harness.onConfirmView = () => announce(2, "v2");
+      expect((await harness.send("/check/x", resumed)).status).toBe(503);
+      expect(harness.endpoints.transfers).toHaveLength(0);
+    });
+
+    it("go on if they are known, also when the store does not answer", async () => {
+      harness.canConfirmView = false;
+      harness.streamVersions.add({
+        id: "first",
+        workspace: WORKSPACE,
+        service: ENGINE,
+        softwareVersion: "v1",
+        expiresMs: 60_000,
+      });
+      await harness.send("/check/x", [...resumed, "resumes", "first"]);
+      expect(harness.endpoints.transfers).toHaveLength(1);
+    });
+  });
+
   it("are refused when a second version left while they may have run", async () => {
     harness = await GatewayHarness.create();
     announce(1, "v1");
--- a/standins/mirror/software_version_archive_test.ts
+++ b/standins/mirror/software_version_archive_test.ts
@@ -14,6 +14,7 @@
   createSoftwareVersionArchive,
   SOFTWARE_VERSION_KEY_PREFIX,
 } from "../../src/features/gateway/common/software_version_sync.ts";
+import { MirrorConfirmation } from "../../src/services/mirror/common/mirror_confirmation.ts";
 import { StoreMirror } from "../../src/services/mirror/common/store_mirror.ts";
 import { RecordingLogger } from "../gateway/gateway_harness.ts";
 import { STREAM_ROUTE, STREAM_TIMEOUT_MS } from "../peers/in_process_fleet.ts";
@@ -33,7 +34,11 @@
     const mirror = new StoreMirror(clock);
     const logger = new RecordingLogger();
     const registry = new EndpointRegistry(clock, logger);
-    const history = new SoftwareVersionHistory(clock, registry);
+    const history = new SoftwareVersionHistory(
+      clock,
+      registry,
+      new MirrorConfirmation(clock, store, mirror),
+    );
     history.setRoutes([STREAM_ROUTE]);
     history.startObserving();
     const archive = createSoftwareVersionArchive({
--- a/standins/peers/in_process_fleet.ts
+++ b/standins/peers/in_process_fleet.ts
@@ -1,6 +1,6 @@
 /** A fleet of daemons in one process, with its overlay and its shared state. */
 
-import { ManualClock } from "../../src/base/common/clock.ts";
+import { ManualClock, runPeriodically } from "../../src/base/common/clock.ts";
 import type { Hasher } from "../../src/base/common/hasher.ts";
 import type {
   Address,
@@ -9,6 +9,8 @@
   ServiceId,
   ZoneName,
 } from "../../src/base/common/ids.ts";
+import type { Disposable } from "../../src/base/common/lifecycle.ts";
+import { timestampNow } from "../../src/base/common/timestamp.ts";
 import { Left } from "../../src/base/common/result.ts";
 import { GatewayStreamVersions } from "../../src/daemon/common/gateway_stream_versions.ts";
 import { GatewayTopology } from "../../src/daemon/node/gateway_topology.ts";
@@ -29,6 +31,7 @@
 import { NOOP_LOGGER } from "../../src/services/log/common/logger.ts";
 import type {
   LeaseStore,
+  RevisionedStore,
   StoreCallFailure,
 } from "../../src/services/mirror/common/revisioned_store.ts";
 import { StoreMirror } from "../../src/services/mirror/common/store_mirror.ts";
@@ -64,13 +67,19 @@
   kind: "unknown",
   message: "the store cannot be reached",
 };
-const UNREACHABLE_STORE: LeaseStore = {
+const UNREACHABLE_STORE: LeaseStore & RevisionedStore = {
+  list: () => Promise.resolve(Left(UNREACHABLE)),
+  watch: () => Promise.resolve(Left(UNREACHABLE)),
   grantLease: () => Promise.resolve(Left(UNREACHABLE)),
   renewLease: () => Promise.resolve(Left(UNREACHABLE)),
   revokeLease: () => Promise.resolve(Left(UNREACHABLE)),
   putLeased: () => Promise.resolve(Left(UNREACHABLE)),
 };
 
+const STORE_REVISION = 1;
+/** Interval at which the daemons read the store. */
+const VIEW_INTERVAL_MS = 500;
+
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 
 /**
@@ -83,6 +92,8 @@
   readonly daemons = new Map<HostId, FleetDaemon>();
   /** Hosts to which each daemon has ever requested a link. */
   readonly dialTargets = new Map<HostId, Set<HostId>>();
+  /** Hosts that read the store no more. */
+  readonly hostsWithOldView = new Set<HostId>();
   readonly #hasher: Hasher;
   readonly #hosts: ReadonlyMap<HostId, FleetHost>;
 
@@ -148,6 +159,7 @@
   /** Ends a daemon without notice. */
   kill(host: HostId): void {
     const daemon = this.daemons.get(host)!;
+    daemon.viewTimer.dispose();
     daemon.exchange.dispose();
     daemon.suspectSync.dispose();
     daemon.promptPartSync.dispose();
@@ -169,6 +181,13 @@
       setPeers(peers);
     };
     const mirror = new StoreMirror(clock);
+    const confirmView = (): void => {
+      if (!this.hostsWithOldView.has(self.host)) {
+        mirror.applyChanges([], STORE_REVISION, timestampNow(clock));
+      }
+    };
+    confirmView();
+    const viewTimer = runPeriodically(clock, VIEW_INTERVAL_MS, confirmView);
     const peers = new GatewayTopology({
       clock,
       logger: NOOP_LOGGER,
@@ -226,6 +245,7 @@
       table: limitTable,
     });
     this.daemons.set(self.host, {
+      viewTimer,
       limitTable,
       limitRights,
       links,
@@ -244,6 +264,7 @@
 
 /** One daemon of a fleet. */
 export interface FleetDaemon {
+  readonly viewTimer: Disposable;
   readonly limitTable: LimitTable;
   readonly limitRights: LimitRights;
   readonly links: InProcessPeerLinks;
--- a/standins/peers/stream_version_sync_test.ts
+++ b/standins/peers/stream_version_sync_test.ts
@@ -110,13 +110,17 @@
     expect(hostsKnowing("first")).toBe(89);
   });
 
-  it("are sent once a second version appears, and not before", async () => {
-    begin(hosts()[5]!, "first");
-    await fleet.advance(500);
-    expect(messagesReceived()).toBe(0);
-    announce("e2", "v2");
+  // Guards against hosts that cannot tell a stream of the one version that they
+  // see from one of a version that they have not seen.
+  it("reach all hosts while there is one version, and are sent once", async () => {
+    const served = hosts()[5]!;
+    begin(served, "first");
     await fleet.advance(200);
     expect(hostsKnowing("first")).toBe(90);
+    const sent = messagesReceived();
+    announce("e2", "v2");
+    await fleet.advance(1_000);
+    expect(messagesReceived()).toBe(sent);
   });
 
   it("reach a host that has just started, and are forgotten after the deadline", async () => {
@@ -144,25 +148,28 @@
     expect(messagesReceived()).toBe(before);
   });
 
-  it("cost a host few messages and bytes while two versions serve", async () => {
-    announce("e2", "v2");
-    await fleet.advance(100);
-    const seconds = 5;
-    for (let step = 0; step < seconds * 90 * STREAMS_PER_HOST_AND_S; step++) {
-      begin(hosts()[step % 90]!, `00112233${step}aabbccdd`);
-      await fleet.advance(1_000 / 90 / STREAMS_PER_HOST_AND_S);
-    }
-    const perHostAndS = messagesReceived() / 90 / seconds;
-    const bytes = [...fleet.daemons.values()].reduce(
-      (sum, { links }) =>
-        sum + (links.traffic().channels.get(CHANNEL)?.bytesReceived ?? 0),
-      0,
-    );
-    const bytesPerHostAndS = bytes / 90 / seconds;
-    expect(perHostAndS).toBeGreaterThan(1);
-    expect(perHostAndS).toBeLessThan(100);
-    expect(bytesPerHostAndS).toBeLessThan(40_000);
-  });
+  it.each([["one version serves", ["v1"]], ["two versions serve", ["v2"]]])(
+    "cost a host few messages and bytes while %s",
+    async (_when, [softwareVersion]) => {
+      announce("e2", softwareVersion!);
+      await fleet.advance(100);
+      const seconds = 5;
+      for (let step = 0; step < seconds * 90 * STREAMS_PER_HOST_AND_S; step++) {
+        begin(hosts()[step % 90]!, `00112233${step}aabbccdd`);
+        await fleet.advance(1_000 / 90 / STREAMS_PER_HOST_AND_S);
+      }
+      const perHostAndS = messagesReceived() / 90 / seconds;
+      const bytes = [...fleet.daemons.values()].reduce(
+        (sum, { links }) =>
+          sum + (links.traffic().channels.get(CHANNEL)?.bytesReceived ?? 0),
+        0,
+      );
+      const bytesPerHostAndS = bytes / 90 / seconds;
+      expect(perHostAndS).toBeGreaterThan(1);
+      expect(perHostAndS).toBeLessThan(100);
+      expect(bytesPerHostAndS).toBeLessThan(40_000);
+    },
+  );
 
   // Guards against hosts that take the version they see after their start for
   // the only one there was.
