Learn the software versions anew after an interrupted view

What callers saw: a second version of a service came and went while a host was cut from the store and its peers.

Cause: the history of versions assumed that a process sees all that happens from its start on. A listing, or the contents of a peer, replace what was there; endpoints that came and went in between are never seen. Class: unknown taken for "no".

Change: a mirror reports when its contents were replaced by newer ones, and how much time lies between. Beyond 3 s, which is less than entries of endpoints exist, the history starts over as after a start of the process: the versions until then come from the entries in the store, also those that did not change, or from peers; until then, or for as long as streams last, they are unknown. A version in an entry counts as present until now even if this host has seen it leave before. A host whose view is older than 3 s no longer tells others which versions there were.

Earlier builds send and store what they did; no message or entry has changed.

--- a/src/daemon/common/gateway_stream_versions.ts
+++ b/src/daemon/common/gateway_stream_versions.ts
@@ -8,7 +8,10 @@
 } from "../../base/common/lifecycle.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
-import { SoftwareVersionHistory } from "../../features/gateway/common/software_version_history.ts";
+import {
+  MAX_VIEW_AGE_MS,
+  SoftwareVersionHistory,
+} from "../../features/gateway/common/software_version_history.ts";
 import {
   createSoftwareVersionArchive,
   SOFTWARE_VERSION_KEY_PREFIX,
@@ -54,7 +57,7 @@
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayStreamVersionsServices) {
     this.#services = services;
-    const { clock, mirror, registry, state, store } = services;
+    const { clock, logger, mirror, registry, state, store } = services;
     this.table = new StreamVersionTable(clock);
     this.history = new SoftwareVersionHistory(
       clock,
@@ -74,9 +77,17 @@
     );
     this.#disposables.add(new StreamVersionSync({ ...services, table }));
     this.#disposables.add(new SoftwareVersionSync({ ...services, history }));
-    this.#disposables.add(
+    const archive = this.#disposables.add(
       createSoftwareVersionArchive({ ...services, history }),
     );
+    this.#disposables.add(mirror.onDidSkipChanges((skippedMs) => {
+      if (skippedMs <= MAX_VIEW_AGE_MS) return;
+      logger.log("info", "software-versions-unseen", {
+        skippedMs: Math.round(skippedMs),
+      });
+      history.restartObserving();
+      archive.readStored();
+    }));
   }
 
   /** Stops sharing them with the peers and the store. */
--- a/src/features/gateway/common/software_version_history.ts
+++ b/src/features/gateway/common/software_version_history.ts
@@ -13,6 +13,12 @@
 /** Lifetime of streams on services that no route is known for. */
 const DEFAULT_LIFETIME_MS = 60_000;
 
+/**
+ * Entries of endpoints stay in the store for longer than this, so that a view
+ * which is not older has missed none.
+ */
+export const MAX_VIEW_AGE_MS = 3_000;
+
 /** Software versions that may have begun the current streams of a service. */
 export interface ServiceVersions {
   readonly service: ServiceId;
@@ -55,6 +61,8 @@
   readonly #view: EndpointView;
   readonly #lifetimesMs = new Map<ServiceId, number>();
   readonly #learned = new Map<ServiceId, Map<string, LearnedVersion>>();
+  /** Services whose versions of before the observation were learned. */
+  readonly #completed = new Set<ServiceId>();
   readonly #didLearn = new Emitter<ServiceId>();
   /** Monotonic time since which the endpoints of all services are seen. */
   #observedSinceMs = Infinity;
@@ -114,6 +122,15 @@
     );
   }
 
+  /**
+   * Records that endpoints may have come and gone unseen. As after the start of
+   * the process, the versions until now have to be learned.
+   */
+  restartObserving(): void {
+    this.#observedSinceMs = this.#clock.monotonicMs();
+    this.#completed.clear();
+  }
+
   /**
    * Records that all streams began at versions that the registry contains: no
    * daemon served before this process, or one that did has reported the
@@ -176,15 +193,12 @@
    */
   learnStored(service: ServiceId, softwareVersions: readonly string[]): void {
     if (this.isKnown(service)) return;
-    const present = this.#registry.lastPresentMs(service);
+    const learned = new Map(this.#learned.get(service));
     const lastPresentMs = this.#clock.monotonicMs();
-    this.#learned.set(
-      service,
-      new Map(
-        softwareVersions.filter((version) => !present.has(version))
-          .map((version) => [version, { lastPresentMs, isAssumed: true }]),
-      ),
-    );
+    for (const version of softwareVersions) {
+      learned.set(version, { lastPresentMs, isAssumed: true });
+    }
+    this.#complete(service, learned);
     this.#didLearn.fire(service);
   }
 
@@ -202,17 +216,25 @@
       );
       learned.set(softwareVersion, { lastPresentMs, isAssumed: false });
     }
-    this.#learned.set(service, learned);
+    this.#complete(service, learned);
     if (!wasKnown) this.#didLearn.fire(service);
   }
 
+  #complete(
+    service: ServiceId,
+    learned: Map<string, LearnedVersion>,
+  ): void {
+    this.#learned.set(service, learned);
+    this.#completed.add(service);
+  }
+
   #lifetimeStartMs(service: ServiceId): number {
     const lifetimeMs = this.#lifetimesMs.get(service) ?? DEFAULT_LIFETIME_MS;
     return this.#clock.monotonicMs() - lifetimeMs;
   }
 
   #reachesBackTo(service: ServiceId, sinceMs: number): boolean {
-    return this.#observedSinceMs <= sinceMs || this.#learned.has(service);
+    return this.#observedSinceMs <= sinceMs || this.#completed.has(service);
   }
 
   #lastPresentMs(service: ServiceId): ReadonlyMap<string, number> {
--- a/src/features/gateway/common/software_version_sync.ts
+++ b/src/features/gateway/common/software_version_sync.ts
@@ -23,7 +23,10 @@
   RecordArchive,
   type RecordArchiveServices,
 } from "../../quarantine/common/record_archive.ts";
-import type { SoftwareVersionHistory } from "./software_version_history.ts";
+import {
+  MAX_VIEW_AGE_MS,
+  type SoftwareVersionHistory,
+} from "./software_version_history.ts";
 
 /** Prefix of the keys of the versions of a service. */
 export const SOFTWARE_VERSION_KEY_PREFIX = "ragwort/software-versions/";
@@ -106,7 +109,10 @@
     if (!isUp || !peer) return;
     const { clock, history, incarnation, links } = this.#services;
     if (peer.channels.includes(SOFTWARE_VERSION_CHANNEL.name)) {
-      const records = history.records();
+      // What an old view contains says nothing of the versions since.
+      const records = history.viewAgeMs > MAX_VIEW_AGE_MS
+        ? []
+        : history.records();
       for (
         let start = 0;
         start < records.length;
--- a/src/features/quarantine/common/record_archive.ts
+++ b/src/features/quarantine/common/record_archive.ts
@@ -95,6 +95,14 @@
     );
   }
 
+  /** Reads all records of the mirror, also those that have not changed. */
+  readStored(): void {
+    const { mirror, records } = this.#services;
+    for (const item of mirror.itemsWithPrefix(records.keyPrefix)) {
+      this.#read(item);
+    }
+  }
+
   /** Stops reading and writing. */
   dispose(): void {
     this.#disposables.dispose();
--- a/src/services/mirror/common/store_mirror.ts
+++ b/src/services/mirror/common/store_mirror.ts
@@ -62,6 +62,7 @@
   readonly #items = new Map<string, StoreItem>();
   readonly #didChange = new Emitter<readonly MirrorChange[]>();
   readonly #didChangeEra = new Emitter<number>();
+  readonly #didSkipChanges = new Emitter<number>();
   #revision = 0;
   #removals: KeyRemoval[] = [];
   /** Revision since which `#removals` is complete. */
@@ -79,6 +80,13 @@
   /** Fires with the era when the contents come from a later era than before. */
   readonly onDidChangeEra = this.#didChangeEra.event;
 
+  /**
+   * Fires after the contents have been replaced by newer ones, with the time in
+   * milliseconds between the two. Items that were created and removed in that
+   * time have not been seen.
+   */
+  readonly onDidSkipChanges = this.#didSkipChanges.event;
+
   /** @param clock - Clock for the ages of confirmations and failures. */
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -145,12 +153,14 @@
     requestedAt: Timestamp,
   ): void {
     const keys = new Set(items.map(({ key }) => key));
+    const skippedMs = this.#skippedMs(revision, requestedAt);
     this.#enterEraOf(revision);
     this.#recordDisruption(this.#lastStoreFailure);
     this.#putNewer(items);
     this.#removeUnlisted(keys, revision);
     this.#commitRevision(revision);
     this.#confirm(requestedAt);
+    this.#reportSkipped(skippedMs);
   }
 
   /**
@@ -227,6 +237,10 @@
     if (snapshot.revision < this.#revision) return true;
     const patchedItems = this.#applyPatches(snapshot.patchedItems ?? []);
     if (!patchedItems) return false;
+    const skippedMs = this.#skippedMs(
+      snapshot.revision,
+      timestampBefore(requestedAt, snapshot.ageMs),
+    );
     this.#enterEraOf(snapshot.revision);
     if (Number.isFinite(snapshot.sinceTroubleMs)) {
       const failedAt = timestampBefore(requestedAt, snapshot.sinceTroubleMs);
@@ -241,9 +255,30 @@
     if (Number.isFinite(snapshot.ageMs)) {
       this.#confirm(timestampBefore(requestedAt, snapshot.ageMs));
     }
+    this.#reportSkipped(skippedMs);
     return true;
   }
 
+  /** @returns Whether the contents were confirmed at a time or later. */
+  isConfirmedSince(at: Timestamp): boolean {
+    return this.confirmationAgeMs <= ageMs(this.#clock, at);
+  }
+
+  /**
+   * @returns The time in milliseconds between the contents and their
+   * replacement by those of a revision; 0 if no change lies between them.
+   */
+  #skippedMs(revision: number, at: Timestamp): number {
+    if (this.#revision === 0 || revision === this.#revision) return 0;
+    const { confirmationAgeMs } = this;
+    if (!Number.isFinite(confirmationAgeMs)) return 0;
+    return confirmationAgeMs - ageMs(this.#clock, at);
+  }
+
+  #reportSkipped(skippedMs: number): void {
+    if (skippedMs > 0) this.#didSkipChanges.fire(skippedMs);
+  }
+
   /** @returns The items, or `undefined` if a patch has another base. */
   #applyPatches(
     patchedItems: readonly PatchedItem[],
--- a/standins/mirror/mirror_test.ts
+++ b/standins/mirror/mirror_test.ts
@@ -39,6 +39,70 @@
   return { clock, store, mirror, watcher };
 }
 
+describe("a mirror that is replaced by newer contents", () => {
+  const clock = new ManualClock();
+  const item = (key: string, revision: number) => ({
+    key,
+    value: new Uint8Array(),
+    revision,
+  });
+
+  function createMirror() {
+    const mirror = new StoreMirror(clock);
+    const skippedMs: number[] = [];
+    mirror.onDidSkipChanges((durationMs) => skippedMs.push(durationMs));
+    mirror.applyListing([item("a", 1)], 1, timestampNow(clock));
+    return { mirror, skippedMs };
+  }
+
+  it("reports the time in which changes may have been missed", () => {
+    const { mirror, skippedMs } = createMirror();
+    expect(skippedMs).toEqual([]);
+    clock.advance(4_000);
+    const requestedAt = timestampNow(clock);
+    clock.advance(50);
+    mirror.applyListing([item("a", 1)], 5, requestedAt);
+    expect(skippedMs).toEqual([4_000]);
+  });
+
+  it("reports the same for contents of a peer", () => {
+    const { mirror: source } = createMirror();
+    const { mirror, skippedMs } = createMirror();
+    clock.advance(4_000);
+    source.applyChanges([], 5, timestampNow(clock));
+    clock.advance(300);
+    mirror.applySnapshot(source.snapshotSince(1), timestampNow(clock));
+    expect(skippedMs).toEqual([4_000]);
+  });
+
+  it("reports nothing when nothing has changed, or when all changes are watched", () => {
+    const { mirror, skippedMs } = createMirror();
+    clock.advance(4_000);
+    mirror.applyListing([item("a", 1)], 1, timestampNow(clock));
+    clock.advance(4_000);
+    mirror.applyChanges([], 7, timestampNow(clock));
+    expect(skippedMs).toEqual([]);
+  });
+
+  it("keeps no gap in its removals when changes are applied twice", () => {
+    const { mirror } = createMirror();
+    const removals = Array.from({ length: 300 }, (_, index) => ({
+      kind: "removed" as const,
+      key: `k${index}`,
+      revision: index + 2,
+    }));
+    mirror.applyChanges(removals, 400, timestampNow(clock));
+    mirror.applyChanges(removals.slice(0, 200), 400, timestampNow(clock));
+    for (const since of [50, 100, 250]) {
+      const { keys, removals: sent } = mirror.snapshotSince(since);
+      const missing = removals.filter(({ key, revision }) =>
+        revision > since && !sent.some((removal) => removal.key === key)
+      );
+      expect(keys ?? missing.map(({ key }) => key)).toEqual(keys ?? []);
+    }
+  });
+});
+
 describe("StoreWatcher", () => {
   it("applies changes and removals", async () => {
     const { clock, store, mirror } = startWatcher();
--- a/standins/mirror/software_version_archive_test.ts
+++ b/standins/mirror/software_version_archive_test.ts
@@ -169,6 +169,32 @@
       .toEqual(daemons.map(() => undefined));
   });
 
+  // Guards against a view that skipped changes and is taken for a whole one.
+  it("tells a daemon whose view was interrupted which versions it may have missed", async () => {
+    const { archive, history, refresh, versions } = daemons[0]!;
+    const entry = { service: SERVICE, versions: ["v1", "v2"] };
+    deployment.store.put(deployment.entries()[0]!, JSON.stringify(entry));
+    await refresh();
+    expect(versions()).toEqual(["v1"]);
+    history.restartObserving();
+    expect(versions()).toBeUndefined();
+    archive.readStored();
+    expect(versions()).toEqual(["v1", "v2"]);
+    await runArchives(STREAM_TIMEOUT_MS + WRITE_MS);
+    expect(versions()).toEqual(["v1"]);
+  });
+
+  it("leaves a daemon whose view was interrupted without knowledge if there is no entry", async () => {
+    deployment.store.remove(deployment.entries()[0]!);
+    const { archive, history, refresh, versions } = daemons[0]!;
+    await refresh();
+    history.restartObserving();
+    archive.readStored();
+    expect(versions()).toBeUndefined();
+    await deployment.clock.advanceAsync(STREAM_TIMEOUT_MS);
+    expect(versions()).toEqual(["v1"]);
+  });
+
   it("reads an entry of a later build, which has further fields", async () => {
     const entry = { service: SERVICE, versions: ["v1"], later: { a: 1 } };
     deployment.store.put(deployment.entries()[0]!, JSON.stringify(entry));
--- a/standins/peers/stream_version_sync_test.ts
+++ b/standins/peers/stream_version_sync_test.ts
@@ -171,6 +171,19 @@
     },
   );
 
+  // Guards against a host that takes the old view of a peer for a current one.
+  it("have unknown versions at a host that starts beside peers with an old view", async () => {
+    for (const host of hosts()) fleet.hostsWithOldView.add(host);
+    await fleet.advance(4_000);
+    const started = hosts().at(-1)!;
+    fleet.kill(started);
+    fleet.hostsWithOldView.delete(started);
+    fleet.restart(started);
+    announce("e1", "v1", [started]);
+    await fleet.advance(1_000);
+    expect(versionsAt(started)).toBeUndefined();
+  });
+
   // Guards against hosts that take the version they see after their start for
   // the only one there was.
   it("of the former version are known at hosts that start one after the other after it left", async () => {
