Remember a stream's version for as long as its caller waits

Cause: the entry of a stream ended with the try that began it, at the timeout of the route, while callers may take a stream up until their own deadline.

Change: the entry lasts until the caller's deadline, ten minutes at most.

Evidence: the new test fails without the change (the second try runs nowhere) and passes with it.

--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/stream_resumption.ts
@@ -12,6 +12,8 @@
 const RETRY_AFTER_MS = 1_000;
 /** Time within which hosts report the streams that they begin to all others. */
 const REPORT_DELAY_MS = 150;
+/** Longer ones are taken for this. */
+const MAX_CALLER_TIMEOUT_MS = 600_000;
 /** Time after its deadline for which the version of a stream is kept. */
 const EXPIRY_MARGIN_MS = 1_000;
 /** Workspace of requests on routes without keys. */
@@ -90,10 +92,20 @@
     services.streamVersions.record({
       ...key,
       softwareVersion,
-      expiresMs: request.deadlineMs + EXPIRY_MARGIN_MS,
+      expiresMs: this.#callerDeadlineMs() + EXPIRY_MARGIN_MS,
     });
   }
 
+  /**
+   * Returns the monotonic time in milliseconds until which the caller may take
+   * the stream up. It may wait for longer than the route lets one try last.
+   */
+  #callerDeadlineMs(): number {
+    const { deadlineMs, exchange, fields } = this.#context.request;
+    const timeoutMs = Math.min(fields.timeoutMs ?? 0, MAX_CALLER_TIMEOUT_MS);
+    return Math.max(deadlineMs, exchange.receivedMs + timeoutMs);
+  }
+
   /**
    * Finds the version of a stream that was not known when the try arrived: its
    * host reports it only just now, or it is certain that there is one version.
--- a/standins/gateway/stream_version_test.ts
+++ b/standins/gateway/stream_version_test.ts
@@ -118,6 +118,25 @@
     expect(harness.endpoints.transfers).toHaveLength(0);
   });
 
+  it("go on at their version after the timeout of their route, while their caller waits", async () => {
+    const caller = ["key", KEY, "timeout", "90000"];
+    const exchange = await harness.send("/check/x", caller);
+    harness.endpoints.last.head(200).event(1);
+    const { requestId } = harness.endpoints.last.request.relay!;
+    const { softwareVersion } = lastEndpoint();
+    await harness.advance(60_000);
+    expect(exchange.outcome).toBe("broken-off");
+    await harness.send("/check/x", [
+      ...caller,
+      "after",
+      "1",
+      "resumes",
+      requestId!,
+    ]);
+    expect(lastEndpoint().softwareVersion).toBe(softwareVersion);
+    expect(harness.endpoints.transfers).toHaveLength(2);
+  });
+
   it("go on at the version that their host reports just after they are taken up", async () => {
     const resumed = ["key", KEY, "after", "2", "resumes", "first"];
     await harness.send("/check/x", resumed);
