Keep the lifetime of streams when a configuration shortens their route

Cause: how long the versions of a service are remembered followed the route's current timeout.

Change: StreamLifetimes keeps the longer time until the last streams of the former route are over, and forgets it then, however often the configuration changes.

--- a/src/features/gateway/common/software_version_history.ts
+++ b/src/features/gateway/common/software_version_history.ts
@@ -9,9 +9,7 @@
 import type { ServiceId } from "../../../base/common/ids.ts";
 import type { EndpointRegistry } from "./endpoint_registry.ts";
 import type { GatewayRoute } from "./gateway_configuration.ts";
-
-/** Lifetime of streams on services that no route is known for. */
-const DEFAULT_LIFETIME_MS = 60_000;
+import { StreamLifetimes } from "./stream_lifetimes.ts";
 
 /**
  * Entries of endpoints stay in the store for longer than this, so that a view
@@ -59,7 +57,7 @@
   readonly #clock: Clock;
   readonly #registry: EndpointRegistry;
   readonly #view: EndpointView;
-  readonly #lifetimesMs = new Map<ServiceId, number>();
+  readonly #lifetimes: StreamLifetimes;
   readonly #learned = new Map<ServiceId, Map<string, LearnedVersion>>();
   /** Services whose versions of before the observation were learned. */
   readonly #completed = new Set<ServiceId>();
@@ -81,6 +79,7 @@
     view: EndpointView,
   ) {
     this.#clock = clock;
+    this.#lifetimes = new StreamLifetimes(clock);
     this.#registry = registry;
     this.#view = view;
   }
@@ -104,14 +103,7 @@
 
   /** Updates how long streams last on each service. */
   setRoutes(routes: readonly GatewayRoute[]): void {
-    this.#lifetimesMs.clear();
-    for (const { kind, targets, timeoutMs } of routes) {
-      if (kind.kind !== "generation" || !kind.isResumable) continue;
-      for (const { service } of targets) {
-        const longestMs = this.#lifetimesMs.get(service) ?? 0;
-        this.#lifetimesMs.set(service, Math.max(longestMs, timeoutMs));
-      }
-    }
+    this.#lifetimes.setRoutes(routes);
   }
 
   /** Records that the registry contains all endpoints from now on. */
@@ -138,7 +130,7 @@
    */
   markComplete(): void {
     if (this.#observedSinceMs === -Infinity) return;
-    const unknown = [...this.#lifetimesMs.keys()].filter((service) =>
+    const unknown = this.#lifetimes.services.filter((service) =>
       !this.isKnown(service)
     );
     this.#observedSinceMs = -Infinity;
@@ -170,7 +162,7 @@
   /** The services whose versions are known. */
   records(): readonly ServiceVersions[] {
     const nowMs = this.#clock.monotonicMs();
-    return [...this.#lifetimesMs.keys()].flatMap((service) => {
+    return this.#lifetimes.services.flatMap((service) => {
       const sinceMs = this.#lifetimeStartMs(service);
       if (!this.#reachesBackTo(service, sinceMs)) return [];
       const versions = [...this.#lastPresentMs(service)]
@@ -229,8 +221,7 @@
   }
 
   #lifetimeStartMs(service: ServiceId): number {
-    const lifetimeMs = this.#lifetimesMs.get(service) ?? DEFAULT_LIFETIME_MS;
-    return this.#clock.monotonicMs() - lifetimeMs;
+    return this.#clock.monotonicMs() - this.#lifetimes.lifetimeMs(service);
   }
 
   #reachesBackTo(service: ServiceId, sinceMs: number): boolean {
