Send answers without a length on in chunks

Cause: the framing of the endpoint's answer was mirrored, so that the end of the caller's connection was that of the answer. The kernel ends the connections of a killed process as after a complete answer, and only whole events are written.

Such answers now go on in chunks, so that the missing last chunk shows the break; answers to calls that were received as a whole get a length. Completeness is claimed no more than before: by HTTP an answer that ends with its connection counts as complete, and one that the endpoint resets is broken off, as before. Only callers with HTTP/1.0 get an answer that ends with their connection, and a reset when it breaks off; until now such a caller saw a plain end when an answer in chunks broke off.

--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -12,7 +12,6 @@
 import {
   hasNoBody,
   type HeaderList,
-  isCloseDelimited,
   withoutHeader,
 } from "../../../services/http/common/header_list.ts";
 import { isStreamed } from "../../../services/http/common/request_body.ts";
@@ -247,13 +246,7 @@
     const { services, request } = this.#context;
     const { exchange } = request;
     const responseHeaders = services.codec.callerResponseHeaders(headers);
-    if (isCloseDelimited(exchange.method, status, headers)) {
-      // Its completeness is unknown, so the framing towards the caller must not
-      // claim it.
-      exchange.sendHead(status, responseHeaders, true);
-      for (const chunk of chunks) exchange.write(chunk);
-      exchange.end();
-    } else if (hasNoBody(exchange.method, status)) {
+    if (hasNoBody(exchange.method, status)) {
       exchange.sendHead(status, responseHeaders);
       exchange.end();
     } else {
@@ -403,7 +396,6 @@
     exchange.sendHead(
       head.status,
       codec.callerResponseHeaders(head.headers),
-      isCloseDelimited(exchange.method, head.status, head.headers),
     );
     exchange.onDidDrain(() => this.#transfer?.resume());
     const chunks = this.#chunks.splice(0);
--- a/src/features/gateway/common/caller_stream.ts
+++ b/src/features/gateway/common/caller_stream.ts
@@ -36,8 +36,7 @@
   }
 
   /**
-   * Whether the stream has no framing other than the end of the caller's
-   * connection.
+   * Whether the first run has no framing other than the end of its connection.
    */
   get isEndedByClose(): boolean {
     return this.#isEndedByClose;
@@ -77,7 +76,7 @@
     this.#hasStarted = true;
     this.#isEndedByClose = isCloseDelimited(exchange.method, 200, received);
     const head = services.codec.callerResponseHeaders(received);
-    exchange.sendHead(200, head, this.#isEndedByClose);
+    exchange.sendHead(200, head);
   }
 
   /**
--- a/src/services/http/common/caller_exchange.ts
+++ b/src/services/http/common/caller_exchange.ts
@@ -61,16 +61,12 @@
   reply(status: number, headers: HeaderList, body: Uint8Array | string): void;
 
   /**
-   * Sends the head of a response whose body follows in parts.
-   *
-   * @param isCloseDelimited - Whether the response ends with the connection, so
-   * that the caller cannot tell whether it is complete.
+   * Sends the head of a response whose body follows in parts. A response
+   * without a length is sent in chunks if the caller's HTTP version has them:
+   * when this process is killed, its connections end as after a complete
+   * response.
    */
-  sendHead(
-    status: number,
-    headers: HeaderList,
-    isCloseDelimited?: boolean,
-  ): void;
+  sendHead(status: number, headers: HeaderList): void;
 
   /**
    * @returns Whether more data may be written now; otherwise the writer has to
--- a/src/services/http/node/caller_server.ts
+++ b/src/services/http/node/caller_server.ts
@@ -24,7 +24,7 @@
   CallerLimits,
   ExchangeEnd,
 } from "../common/caller_exchange.ts";
-import type { HeaderList } from "../common/header_list.ts";
+import { type HeaderList, headerOf } from "../common/header_list.ts";
 import { readIncomingBody } from "./incoming_body.ts";
 import { listenAt } from "./listen.ts";
 
@@ -309,17 +309,10 @@
     this.#response.end(body);
   }
 
-  sendHead(
-    status: number,
-    headers: HeaderList,
-    isCloseDelimited = false,
-  ): void {
+  sendHead(status: number, headers: HeaderList): void {
     if (this.hasEnded || this.hasSentHead) return;
-    if (isCloseDelimited) {
-      this.#isCloseDelimited = true;
-      this.#response.useChunkedEncodingByDefault = false;
-      this.#response.shouldKeepAlive = false;
-    }
+    this.#isCloseDelimited = !this.#response.useChunkedEncodingByDefault &&
+      headerOf(headers, "content-length") === undefined;
     this.#writeHead(status, headers);
     this.#response.flushHeaders();
   }
@@ -335,7 +328,7 @@
 
   abort(): void {
     const { socket } = this.#request;
-    // Without framing, only a reset marks the response as incomplete.
+    // HTTP/1.0 has no chunks; only a reset marks the response as incomplete.
     if (this.#isCloseDelimited && !this.hasEnded) socket.resetAndDestroy();
     else this.#response.destroy();
   }
--- a/src/services/http/node/caller_server_test.ts
+++ b/src/services/http/node/caller_server_test.ts
@@ -6,6 +6,8 @@
 import { CallerServer } from "./caller_server.ts";
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const HTTP_1_0_REQUEST =
+  "GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n";
 
 describe("CallerServer", () => {
   let server: CallerServer;
@@ -107,15 +109,15 @@
   });
 
   it.each([
-    ["announces the close", false],
-    ["has no length", true],
+    ["announces the close", REQUEST],
+    ["has neither a length nor chunks", HTTP_1_0_REQUEST],
   ])(
     "does not announce a request behind a response that %s",
-    async (_what, isCloseDelimited) => {
-      socket.write(REQUEST + REQUEST);
+    async (_what, request) => {
+      socket.write(request + request);
       await until(() => exchanges.length === 1);
-      if (!isCloseDelimited) server.announceConnectionClose();
-      exchanges[0]!.sendHead(200, [], isCloseDelimited);
+      if (request === REQUEST) server.announceConnectionClose();
+      exchanges[0]!.sendHead(200, []);
       exchanges[0]!.write(Buffer.from("first"));
       exchanges[0]!.end();
       await until(() => server.connectionCount === 0);
@@ -146,12 +148,24 @@
     expect(received.toLowerCase()).toContain("connection: close");
   });
 
-  it("ends a close-delimited response by closing, without framing headers", async () => {
+  it("shows the end of a response without a length", async () => {
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.sendHead(200, []);
+    exchanges[0]!.write(Buffer.from("part"));
+    await until(() => received.includes("part"));
+    expect(received.toLowerCase()).toContain("transfer-encoding: chunked");
+    expect(received.endsWith("0\r\n\r\n")).toBe(false);
+    exchanges[0]!.end();
+    await until(() => received.endsWith("0\r\n\r\n"));
+  });
+
+  it("ends a response by closing, without framing headers, for a caller with HTTP/1.0", async () => {
     let hasEnded = false;
     socket.on("end", () => hasEnded = true);
-    socket.write(REQUEST);
+    socket.write(HTTP_1_0_REQUEST);
     await until(() => exchanges.length === 1);
-    exchanges[0]!.sendHead(200, [], true);
+    exchanges[0]!.sendHead(200, []);
     exchanges[0]!.write(Buffer.from("maybe"));
     exchanges[0]!.end();
     await until(() => hasEnded);
@@ -160,6 +174,19 @@
     expect(received.endsWith("maybe")).toBe(true);
   });
 
+  it("resets the connection when a response without framing is aborted", async () => {
+    let error: NodeJS.ErrnoException | undefined;
+    socket.on("error", (reset) => error = reset);
+    socket.write(HTTP_1_0_REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.sendHead(200, []);
+    exchanges[0]!.write(Buffer.from("part"));
+    await until(() => received.endsWith("part"));
+    exchanges[0]!.abort();
+    await until(() => error !== undefined);
+    expect(error?.code).toBe("ECONNRESET");
+  });
+
   it("closes the connection when a partial response is aborted", async () => {
     let isClosed = false;
     socket.on("close", () => isClosed = true);
--- a/standins/gateway/fake_caller_exchange.ts
+++ b/standins/gateway/fake_caller_exchange.ts
@@ -59,7 +59,6 @@
   #status = 0;
   #responseHeaders: HeaderList = [];
   #responseText = "";
-  #isEndedByClose = false;
   #end: ExchangeEnd | "broken-off" | undefined;
   readonly onDidEnd = this.#ended.event;
   readonly onDidDrain = this.#drained.event;
@@ -100,14 +99,6 @@
     return this.#end;
   }
 
-  /**
-   * Whether the response is framed only by the end of the connection, which
-   * does not show that it is complete.
-   */
-  get isEndedByClose(): boolean {
-    return this.#isEndedByClose;
-  }
-
   get hasEnded(): boolean {
     return this.#end !== undefined;
   }
@@ -145,9 +136,8 @@
     this.end();
   }
 
-  sendHead(status: number, headers: HeaderList, isEndedByClose = false): void {
+  sendHead(status: number, headers: HeaderList): void {
     if (this.hasSentHead) throw new Error("a response was already started");
-    this.#isEndedByClose = isEndedByClose;
     this.#status = status;
     this.#responseHeaders = headers;
   }
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -218,16 +218,16 @@
       expect(exchange.status).toBe(502);
     });
 
-    it("does not frame a response without a length as complete", async () => {
+    it("passes on a response without a length only if its connection ends plainly", async () => {
       const exchange = await harness.send("/book/x");
-      harness.endpoints.last.respond(200, "maybe short");
+      harness.endpoints.last.respond(200, "whole");
       await flushPromises();
-      expect(exchange.isEndedByClose).toBe(true);
-      const framed = await harness.send("/book/x");
-      const headers = ["x-response-stamp", "s", "content-length", "5"];
-      harness.endpoints.last.respond(200, "whole", headers);
+      expect([exchange.status, exchange.responseText]).toEqual([200, "whole"]);
+      const broken = await harness.send("/book/x");
+      harness.endpoints.last.head(200).data("part").breakConnection();
       await flushPromises();
-      expect(framed.isEndedByClose).toBe(false);
+      expect(broken.status).toBe(502);
+      expect(broken.responseText).not.toContain("part");
     });
 
     it("abandons an unresponsive endpoint for a read, but not for a booking", async () => {
