Join runs of a stream only where the ids of events show that they fit

- After an event without an id, or with one that is no number, another run was asked to go on after the last number, or from the start, and what it repeated was passed on again.
- A continuation that leaves events out was passed on if a comment came first.
- Ids beyond 2^53 that differ in the last digit counted as the same, and the later event was dropped.
"Infinity" or "1e1" as `Last-Event-Id` was taken for a number, with which all or the first events of the run were dropped.
- A run that ended before the last event that the caller has, so that all of its events were dropped, ended the stream as complete.

Cause: the tracker read ids as floating-point numbers, treated an event without one as always in order, and did not tell an earlier event from the last one.

Ids are now whole numbers of any size. A run that another one cannot fit is not continued, but may complete; comments change nothing. The end of a run that is behind the caller is not the end of the stream.

Streams whose ids have gaps, comments, repeats and continuations without further events go on as before, which the others guard.

--- a/src/features/gateway/common/caller_stream.ts
+++ b/src/features/gateway/common/caller_stream.ts
@@ -11,6 +11,7 @@
   DeliveredEventTracker,
   type EventOrder,
 } from "./delivered_event_tracker.ts";
+import type { EventFrame } from "./event_frame_splitter.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
@@ -44,6 +45,11 @@
     return this.#events.lastId;
   }
 
+  /** Whether another run can continue after the last event that was sent. */
+  get canContinue(): boolean {
+    return this.#events.canContinue;
+  }
+
   /**
    * Keeps the response head of the first run. It is not sent before the first
    * event, so that another run can still start.
@@ -55,12 +61,13 @@
   /**
    * Classifies an event relative to those already sent.
    *
-   * @param id - Id of the next event of a run.
-   * @param isFirstOfRun - Whether it is the first event of that run.
+   * @param event - The next event of a run.
+   * @param isFirstOfRun - Whether no event of that run with a number was
+   * written.
    * @returns The position of the event; only `next` may be written.
    */
-  classifyEvent(id: string | undefined, isFirstOfRun: boolean): EventOrder {
-    return this.#events.classify(id, isFirstOfRun);
+  classifyEvent(event: EventFrame, isFirstOfRun: boolean): EventOrder {
+    return this.#events.classify(event, isFirstOfRun);
   }
 
   /** Sends the response head. */
@@ -97,7 +104,7 @@
    * @returns Why the stream is not complete, or `undefined` if it is.
    */
   incompleteReason(
-    { eventSplitter, isEndedByClose }: UpstreamAttempt,
+    { eventSplitter, isBehind, isEndedByClose }: UpstreamAttempt,
     isStopped: boolean,
   ): string | undefined {
     if (eventSplitter.pendingBytes > 0) {
@@ -106,7 +113,7 @@
     if (isEndedByClose && (isStopped || !this.#isEndedByClose)) {
       return "the end of the stream is not verifiable";
     }
-    return undefined;
+    return isBehind ? "the run ended before the last event sent" : undefined;
   }
 
   /** Ends the stream as complete. */
--- a/src/features/gateway/common/delivered_event_tracker.ts
+++ b/src/features/gateway/common/delivered_event_tracker.ts
@@ -3,23 +3,30 @@
  * of one generation.
  */
 
+import type { EventFrame } from "./event_frame_splitter.ts";
+
 /** Position of an event relative to those already delivered. */
 export type EventOrder =
   | "next"
+  /** It is the last delivered event again. */
+  | "repeated"
   /**
-   * The event was already delivered; a run that continues another may repeat
-   * events.
+   * An earlier event again; a run that continues another may repeat events.
    */
-  | "repeated"
+  | "behind"
   /** Events before this one are missing. */
   | "gap";
 
+/** Ids of events are increasing numbers of any size. */
+const EVENT_NUMBER_PATTERN = /^\d{1,40}$/;
+
 /** Keeps the order of events across the runs that make up one stream. */
 export class DeliveredEventTracker {
   #lastId: string | undefined;
-  #lastNumber: number;
+  #lastNumber: bigint | undefined;
   /** Whether the ids of all events so far were consecutive. */
   #areIdsConsecutive = true;
+  #canContinue = true;
 
   /**
    * @param resumeAfter - Id of the event after which the caller resumes, if
@@ -27,8 +34,7 @@
    */
   constructor(resumeAfter: string | undefined) {
     this.#lastId = resumeAfter;
-    const number = Number(resumeAfter ?? NaN);
-    this.#lastNumber = Number.isNaN(number) ? -Infinity : number;
+    this.#lastNumber = parseEventNumber(resumeAfter);
   }
 
   /** Id of the last delivered event, after which another run continues. */
@@ -36,23 +42,46 @@
     return this.#lastId;
   }
 
+  /**
+   * Whether another run can continue: it cannot after an event without a number,
+   * which it would repeat.
+   */
+  get canContinue(): boolean {
+    return this.#canContinue;
+  }
+
   /**
    * Classifies the next event.
    *
-   * @param id - Id of the event; ids are increasing numbers.
-   * @param isFirstOfRun - Whether it is the first event of a run.
+   * @param event - The event; ids are increasing numbers.
+   * @param isFirstOfRun - Whether no event of its run with a number was
+   * delivered.
    * @returns The position of the event; only `next` may be delivered.
    */
-  classify(id: string | undefined, isFirstOfRun: boolean): EventOrder {
-    const number = id === undefined ? NaN : Number(id);
-    if (Number.isNaN(number)) return "next";
-    if (number <= this.#lastNumber) return "repeated";
-    const isConsecutive = number === this.#lastNumber + 1 ||
-      this.#lastNumber === -Infinity;
+  classify(
+    { id, hasData }: Pick<EventFrame, "id" | "hasData">,
+    isFirstOfRun: boolean,
+  ): EventOrder {
+    const number = parseEventNumber(id);
+    if (number === undefined) {
+      if (hasData) this.#canContinue = false;
+      return "next";
+    }
+    const last = this.#lastNumber;
+    if (last !== undefined && number <= last) {
+      return number === last ? "repeated" : "behind";
+    }
+    const isConsecutive = last === undefined || number === last + 1n;
     if (!isConsecutive && isFirstOfRun && this.#areIdsConsecutive) return "gap";
     if (!isConsecutive) this.#areIdsConsecutive = false;
     this.#lastNumber = number;
     this.#lastId = id;
+    this.#canContinue = true;
     return "next";
   }
 }
+
+function parseEventNumber(id: string | undefined): bigint | undefined {
+  const text = id?.trim() ?? "";
+  return EVENT_NUMBER_PATTERN.test(text) ? BigInt(text) : undefined;
+}
--- a/src/features/gateway/common/event_frame_splitter.ts
+++ b/src/features/gateway/common/event_frame_splitter.ts
@@ -9,6 +9,8 @@
   readonly bytes: Uint8Array;
   /** Value of the `id` field, if there is one. */
   readonly id: string | undefined;
+  /** Whether it has a `data` field; without one it is only a comment. */
+  readonly hasData: boolean;
 }
 
 const LINE_FEED = 10;
@@ -42,7 +44,7 @@
       const end = findEventEnd(this.#pending, start);
       if (end < 0) break;
       const bytes = this.#pending.subarray(start, end);
-      frames.push({ bytes, id: readEventId(bytes) });
+      frames.push({ bytes, ...readFields(bytes) });
       start = end;
     }
     // Copied so that a few bytes do not keep the whole chunk's buffer alive.
@@ -66,8 +68,8 @@
   return -1;
 }
 
-function readEventId(bytes: Buffer): string | undefined {
+function readFields(bytes: Buffer): Omit<EventFrame, "bytes"> {
   const text = bytes.toString("latin1");
   const match = /(?:^|\n)id: ?([^\r\n]*)/.exec(text);
-  return match?.[1];
+  return { id: match?.[1], hasData: /(?:^|\n)data[:\r\n]/.test(text) };
 }
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -8,6 +8,7 @@
 import type { HeaderList } from "../../../services/http/common/header_list.ts";
 import type { EndpointChoice, EndpointCriteria } from "./endpoint_chooser.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import type { EventFrame } from "./event_frame_splitter.ts";
 import type { Continuation } from "./gateway_codec.ts";
 import type { RequestContext } from "./request_context.ts";
 import { CallerStream } from "./caller_stream.ts";
@@ -203,18 +204,16 @@
     let isWritable = true;
     for (const frame of attempt.eventSplitter.push(chunk)) {
       if (attempt !== this.#attempt || this.#context.hasEnded) break;
-      isWritable = this.#deliver(attempt, frame.bytes, frame.id) && isWritable;
+      isWritable = this.#deliver(attempt, frame) && isWritable;
     }
     return isWritable;
   }
 
-  #deliver(
-    attempt: UpstreamAttempt,
-    bytes: Uint8Array,
-    id: string | undefined,
-  ): boolean {
-    const order = this.#stream.classifyEvent(id, !attempt.hasEvents);
-    if (order === "repeated") return true;
+  #deliver(attempt: UpstreamAttempt, frame: EventFrame): boolean {
+    const { bytes, id } = frame;
+    const order = this.#stream.classifyEvent(frame, !attempt.hasNumberedEvents);
+    if (id !== undefined) attempt.isBehind = order === "behind";
+    if (order === "repeated" || order === "behind") return true;
     if (order === "gap") {
       this.#onLost(attempt, true, "events are missing from the continuation");
       return true;
@@ -230,7 +229,7 @@
     const gapMs = nowMs - this.#stallMonitor.lastProgressMs;
     this.#stallMonitor.markProgress(nowMs);
     const isFirstOfAttempt = !attempt.hasEvents;
-    attempt.recordEvent(nowMs);
+    attempt.recordEvent(nowMs, id !== undefined);
     this.#outage.end();
     this.#memory.recordEvent();
     if (this.#memory.eventCount % EVENTS_PER_RESIZE === 0) {
@@ -337,8 +336,9 @@
     const source = this.#attempt;
     const isStale = () => this.#attempt !== source || this.#handover.isPending;
     this.#right.take(endpoint, isStale, (isGranted) => {
-      if (isGranted) this.#sendContinuation(endpoint, copyRef, cause);
-      else this.#onRightDenied(cause);
+      if (isGranted && this.#stream.canContinue) {
+        this.#sendContinuation(endpoint, copyRef, cause);
+      } else this.#onRightDenied(cause);
     });
   }
 
@@ -390,7 +390,7 @@
   #rerunOrFail(reason: string): void {
     this.#attempt?.abort();
     if (
-      !this.#context.canResume ||
+      !this.#context.canResume || !this.#stream.canContinue ||
       !this.#context.mayRetry(this.#failure.mayHaveRun)
     ) {
       this.#failure.fail(reason);
--- a/src/features/gateway/common/upstream_attempt.ts
+++ b/src/features/gateway/common/upstream_attempt.ts
@@ -48,6 +48,8 @@
   readonly #options: UpstreamAttemptOptions;
   /** Splits the response into events. */
   readonly eventSplitter = new EventFrameSplitter();
+  /** Whether its latest event precedes the last one that the caller has. */
+  isBehind = false;
   #transfer: PassThroughExchange | undefined;
   #status = 0;
   #headers: HeaderList = [];
@@ -55,6 +57,7 @@
   #errorBody: Uint8Array[] = [];
   #errorBodyBytes = 0;
   #firstEventMs: number | undefined;
+  #hasNumberedEvents = false;
   #wasSent = false;
   #isRelayed = false;
   #isEnded = false;
@@ -92,6 +95,11 @@
     return this.#firstEventMs !== undefined;
   }
 
+  /** Whether an event with an id was delivered. */
+  get hasNumberedEvents(): boolean {
+    return this.#hasNumberedEvents;
+  }
+
   /** @returns Time since the first event in milliseconds, or 0 before it. */
   streamingMs(nowMs: number): number {
     return this.#firstEventMs === undefined ? 0 : nowMs - this.#firstEventMs;
@@ -140,9 +148,15 @@
     });
   }
 
-  /** Records that an event of this attempt was delivered. */
-  recordEvent(nowMs: number): void {
+  /**
+   * Records that an event of this attempt was delivered.
+   *
+   * @param nowMs - Monotonic time in milliseconds.
+   * @param isNumbered - Whether it has an id.
+   */
+  recordEvent(nowMs: number, isNumbered: boolean): void {
     this.#firstEventMs ??= nowMs;
+    this.#hasNumberedEvents ||= isNumbered;
     this.#options.claim.markPrefilled();
   }
 
--- a/standins/gateway/joined_run_test.ts
+++ b/standins/gateway/joined_run_test.ts
@@ -26,6 +26,8 @@
 
   const idsOf = ({ responseText }: FakeCallerExchange) =>
     [...responseText.matchAll(/id: ?(\S+)\n/g)].map(([, id]) => id).join();
+  const piecesOf = ({ responseText }: FakeCallerExchange) =>
+    [...responseText.matchAll(/data: (\S+)\n/g)].map(([, data]) => data).join();
 
   /** Starts a stream that has brought some events, then breaks. */
   async function startBroken(events: readonly string[], target = "/check/x") {
@@ -87,6 +89,48 @@
     expect(exchange.outcome).not.toBe("answered");
   });
 
+  it.each(["/check/x", "/draft/x"])(
+    "are not joined where the last event that was delivered has no id, on %s",
+    async (target) => {
+      const events = ["data: a\n\n", "data: b\n\n"];
+      const { exchange, next, transfer } = await startBroken(events, target);
+      if (next !== transfer) await run(next, [...events, "data: c\n\n"]);
+      expect(piecesOf(exchange)).toBe("a,b");
+      expect(exchange.outcome).toBe("broken-off");
+    },
+  );
+
+  it.each(["/check/x", "/draft/x"])(
+    "are not joined where an event without id follows the last one with an id, on %s",
+    async (target) => {
+      const events = [...numbered(1), "data: a\n\n"];
+      const { exchange, next, transfer } = await startBroken(events, target);
+      if (next !== transfer) await run(next, ["data: a\n\n", ...numbered(2)]);
+      expect(piecesOf(exchange)).toBe("e1,a");
+      expect(exchange.outcome).toBe("broken-off");
+    },
+  );
+
+  it.each(["/check/x", "/draft/x"])(
+    "are not joined where ids are no numbers, on %s",
+    async (target) => {
+      const { exchange, next, transfer } = await startBroken(
+        numbered("x1", "x2"),
+        target,
+      );
+      if (next !== transfer) await run(next, numbered("x1", "x2", "x3"));
+      expect(idsOf(exchange)).toBe("x1,x2");
+      expect(exchange.outcome).toBe("broken-off");
+    },
+  );
+
+  it("are not joined where a comment precedes an event that leaves others out", async () => {
+    const { exchange, next } = await startBroken(numbered(1));
+    await run(next, [": wait\n\n", ...numbered(3)]);
+    expect(idsOf(exchange)).toBe("1");
+    expect(exchange.outcome).not.toBe("answered");
+  });
+
   it("go on after a comment without id", async () => {
     const { exchange, next } = await startBroken([
       ...numbered(1),
@@ -97,6 +141,31 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("lose no event whose id is beyond the exact range of numbers", async () => {
+    const ids = ["9007199254740992", "9007199254740993", "9007199254740994"];
+    const { exchange, next } = await startBroken(numbered(...ids.slice(0, 2)));
+    await run(next, numbered(...ids.slice(1)));
+    expect(idsOf(exchange)).toBe(ids.join());
+  });
+
+  it.each(["0", "1", "abc", " 3 ", "999", "-1", "Infinity", "1e1", "0x3", ""])(
+    "that a caller takes up after %p keep every event of their run",
+    async (after) => {
+      const headers = ["key", KEY, "after", after];
+      const exchange = await harness.send("/check/x", headers);
+      await run(harness.endpoints.last, numbered(4, 5, 6));
+      const isWhole = idsOf(exchange) === "4,5,6";
+      expect(isWhole || exchange.outcome !== "answered").toBe(true);
+    },
+  );
+
+  it("do not end as complete where a continuation ends before the last event that was delivered", async () => {
+    const { exchange, next } = await startBroken(numbered(1, 2, 3));
+    await run(next, [...numbered(1, 2), ": end\n\n"]);
+    expect(idsOf(exchange)).toBe("1,2,3");
+    expect(exchange.outcome).not.toBe("answered");
+  });
+
   it("end where a continuation has no further event", async () => {
     const { exchange, next } = await startBroken(numbered(1, 2, 3));
     await run(next, []);
