Do not promise the length of a stream's first run

Where an endpoint states the length of a stream and the stream goes on elsewhere or brings an event again that is dropped, the answer had another length than its head said: the caller waits for bytes that never come, or takes what follows on its connection for them.

Cause: the head of the first run was passed on with its content-length. Streams now go on in chunks; a run that is shorter than its length is a break, as before.

Evidence: two cases in standins/gateway/joined_run_test.ts fail before and pass. No deployment was seen to state the length of streams.

--- a/src/features/gateway/common/caller_stream.ts
+++ b/src/features/gateway/common/caller_stream.ts
@@ -6,6 +6,7 @@
 import {
   type HeaderList,
   isCloseDelimited,
+  withoutHeader,
 } from "../../../services/http/common/header_list.ts";
 import {
   DeliveredEventTracker,
@@ -78,7 +79,8 @@
     this.#hasStarted = true;
     this.#isEndedByClose = isCloseDelimited(exchange.method, 200, received);
     const head = services.codec.callerResponseHeaders(received);
-    exchange.sendHead(200, head);
+    // Other runs may bring further events.
+    exchange.sendHead(200, withoutHeader(head, "content-length"));
   }
 
   /**
--- a/standins/gateway/joined_run_test.ts
+++ b/standins/gateway/joined_run_test.ts
@@ -166,6 +166,23 @@
     expect(exchange.outcome).not.toBe("answered");
   });
 
+  // The length of the first run need not be that of the stream.
+  it.each(["/check/x", "/draft/x"])(
+    "do not promise the length of their first run, on %s",
+    async (target) => {
+      const exchange = await harness.send(target);
+      const headers = ["X-Response-Stamp", "stamp", "content-length", "90"];
+      harness.endpoints.last.head(200, headers).event(1);
+      await harness.advance(800);
+      harness.endpoints.last.breakConnection();
+      await flushPromises();
+      await run(harness.endpoints.last, numbered(2, 3, 4, 5));
+      expect(idsOf(exchange)).toBe("1,2,3,4,5");
+      expect(exchange.outcome).toBe("answered");
+      expect(exchange.responseHeader("content-length")).toBeUndefined();
+    },
+  );
+
   it("end where a continuation has no further event", async () => {
     const { exchange, next } = await startBroken(numbered(1, 2, 3));
     await run(next, []);
