Decline placements for a version that the placer does not know

A stream whose version serves was refused or broken off with "no endpoint is available" when the daemon that places for the zone had not seen an endpoint of that version yet, or no more, although the daemon of the stream had.

Cause: a placer declined only when it knew no endpoint of the service at all; an endpoint of the version that it does not know was taken for none.

It now declines, and the other daemon places locally by its own view, as for a service that is not loaded yet.

Evidence: a new test in standins/gateway/zone_placer_test.ts, two gateways with different views, fails before (the exchange has ended) and passes.

--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/zone_placer.ts
@@ -312,9 +312,14 @@
     const { loadTable, chooser, clock, localPlacer } = this.#services;
     const { number, unreadTokens: prefillTokens } = ask;
     const service = this.#services.findService(ask.service);
-    const usableEndpoints = this.#services.registry.usable(ask.service);
-    // A daemon that has just started may not have loaded them yet.
-    if (!service || usableEndpoints.length === 0) {
+    const { softwareVersion } = ask;
+    const isKnown = this.#services.registry.usable(ask.service).some(
+      (endpoint) =>
+        softwareVersion === undefined ||
+        endpoint.softwareVersion === softwareVersion,
+    );
+    // The other daemon may have loaded them already.
+    if (!service || !isKnown) {
       this.#channel.send(from, { kind: "declined", number });
       return;
     }
@@ -326,7 +331,7 @@
       service: ask.service,
       memoryTokens: ask.memoryTokens,
       excluded: new Set(ask.excluded),
-      softwareVersion: ask.softwareVersion,
+      softwareVersion,
       ignoresHolds: true,
     };
     let isAnswered = false;
--- a/standins/gateway/zone_placer_test.ts
+++ b/standins/gateway/zone_placer_test.ts
@@ -1,6 +1,12 @@
 import { flushPromises, ManualClock } from "../../src/base/common/clock.ts";
 import { InProcessNetwork } from "../peers/in_process_links.ts";
-import { configuration, ENGINE, GatewayHarness } from "./gateway_harness.ts";
+import type { EndpointId, WorkspaceId } from "../../src/base/common/ids.ts";
+import {
+  configuration,
+  ENGINE,
+  GatewayHarness,
+  KEY,
+} from "./gateway_harness.ts";
 import { createZonePlacer, PLACER_HOST } from "./zone_placer_fixture.ts";
 
 /** Large enough for one draft of the harness, too small for two. */
@@ -171,6 +177,28 @@
     expect(exchange.hasEnded).toBe(false);
   });
 
+  it("places locally while no engine with the stream's version is registered at the placer", async () => {
+    requester.registry.announce({
+      ...requester.registry.all[0]!.announcement,
+      id: `${ENGINE}-3` as EndpointId,
+      address: requester.addressOf(3),
+      softwareVersion: "v2",
+    });
+    requester.streamVersions.add({
+      id: "first",
+      workspace: "w" as WorkspaceId,
+      service: ENGINE,
+      softwareVersion: "v2",
+      expiresMs: clock.monotonicMs() + 60_000,
+    });
+    const resumed = ["key", KEY, "after", "2", "resumes", "first"];
+    const exchange = await requester.send("/check/x", resumed);
+    await clock.advanceAsync(5);
+    expect(exchange.hasEnded).toBe(false);
+    expect(requester.endpoints.transfers.map(({ request }) => request.address))
+      .toEqual([requester.addressOf(3)]);
+  });
+
   it("is not granted an engine that it has ejected", async () => {
     const [bad, good] = requester.registry.all;
     placerHarness.loadTable.claim(good!.id, 20_000, 0);
