--- a/standins/gateway/joined_run_test.ts
+++ b/standins/gateway/joined_run_test.ts
@@ -74,6 +74,35 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("take nothing from a run that sends on after another has taken over", async () => {
+    const { exchange, next, transfer } = await startBroken(
+      numbered(1, 2),
+      "/draft/x",
+    );
+    next.head(200, CHUNKED_HEADERS).event(3);
+    transfer.isAborted = false;
+    transfer.event(3).event(4).finish();
+    await flushPromises();
+    expect(exchange.hasEnded).toBe(false);
+    next.event(4).event(5).finish();
+    await flushPromises();
+    expect(idsOf(exchange)).toBe("1,2,3,4,5");
+  });
+
+  it("stay apart while a caller's first try still runs beside the second one", async () => {
+    const first = await harness.send("/check/x");
+    const earlier = harness.endpoints.last.head(200, CHUNKED_HEADERS);
+    earlier.event(1).event(2);
+    const headers = ["key", KEY, "after", "2", "resumes", "r1"];
+    const second = await harness.send("/check/x", headers);
+    const later = harness.endpoints.last.head(200, CHUNKED_HEADERS);
+    later.event(3);
+    earlier.event(3).event(4).finish();
+    later.event(4).finish();
+    await flushPromises();
+    expect([idsOf(first), idsOf(second)]).toEqual(["1,2,3,4", "3,4"]);
+  });
+
   it("go on where the ids of events have gaps", async () => {
     const { exchange, next } = await startBroken(numbered(2, 4, 6));
     expect(next.header("continue-after")).toBe("6");
