Lose a run only once when several events that do not fit arrive together

A stream that could go on was broken off, or used up the retries of several, when a continuation that leaves events out sent more than one of them at a time and no endpoint had room at once.

Cause: the events of a chunk were examined until another attempt had taken over. While one was waited for, each further event counted as another loss: logged, held against the endpoint, and paid from the attempts and the retry budget.

Evidence: "are repeated once where events that do not fit arrive together" in standins/gateway/joined_run_test.ts fails before (6 losses instead of 2) and passes.

--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -203,7 +203,7 @@
     if (attempt !== this.#attempt) return true;
     let isWritable = true;
     for (const frame of attempt.eventSplitter.push(chunk)) {
-      if (attempt !== this.#attempt || this.#context.hasEnded) break;
+      if (attempt !== this.#activeAttempt || this.#context.hasEnded) break;
       isWritable = this.#deliver(attempt, frame) && isWritable;
     }
     return isWritable;
--- a/standins/gateway/joined_run_test.ts
+++ b/standins/gateway/joined_run_test.ts
@@ -7,6 +7,7 @@
   engineService,
   GatewayHarness,
   KEY,
+  ROUTES,
 } from "./gateway_harness.ts";
 
 const CHUNKED_HEADERS = [
@@ -67,6 +68,26 @@
     expect(exchange.outcome).not.toBe("answered");
   });
 
+  it("are repeated once where events that do not fit arrive together", async () => {
+    const routes = ROUTES.map((route) => ({ ...route, maxAttempts: 4 }));
+    harness.state.apply(configuration(2, { routes }), 2);
+    const { exchange, next } = await startBroken(numbered(1));
+    const claims = harness.registry.all.map(({ id }) =>
+      harness.loadTable.claim(id, 34_000, 0)
+    );
+    next.head(200, CHUNKED_HEADERS).data(numbered(3, 4, 5, 6, 7).join(""));
+    await harness.advance(100);
+    const lost = harness.logger.lines.filter(({ event }) =>
+      event === "stream-lost"
+    );
+    expect(lost).toHaveLength(2);
+    for (const claim of claims) claim.dispose();
+    await harness.advance(100);
+    await run(harness.endpoints.last, numbered(2, 3));
+    expect(idsOf(exchange)).toBe("1,2,3");
+    expect(exchange.outcome).toBe("answered");
+  });
+
   it("drop what comes again in the middle of a run", async () => {
     const { exchange, next } = await startBroken(numbered(1, 2));
     await run(next, numbered(3, 4, 3, 4, 5));
