End the search for an endpoint when a run goes on from a copy

One stream ran at two endpoints at a time: its repeat waited for room when the copy of the run completed, the stream went on from the copy, and the repeat was sent as well as soon as there was room. The run from the copy was neither read any more nor ended.

Cause: a search went on after an attempt had started without it.

Evidence: "go on once where a copy completes while a repeat waits for room" in standins/gateway/joined_run_test.ts fails before (two requests in progress) and passes.

--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -156,6 +156,7 @@
     continuation: Continuation | undefined,
     grant?: EndpointChoice["grant"],
   ): void {
+    this.#placement.cancel();
     const attempt = this.#createAttempt(endpoint, continuation, grant);
     this.#attempt = attempt;
     this.#stallMonitor.markProgress(this.#context.services.clock.monotonicMs());
--- a/src/features/gateway/common/generation_placement.ts
+++ b/src/features/gateway/common/generation_placement.ts
@@ -94,6 +94,12 @@
     this.#continue(this.#search);
   }
 
+  /** Ends a search whose result is no longer required. */
+  cancel(): void {
+    this.#search = undefined;
+    this.#queued?.dispose();
+  }
+
   #continue(search: Search): void {
     this.#queued?.dispose();
     const limited = this.#context.rights.nextLimitedEndpoint();
--- a/standins/gateway/joined_run_test.ts
+++ b/standins/gateway/joined_run_test.ts
@@ -41,6 +41,18 @@
     return { exchange, next: harness.endpoints.last, transfer };
   }
 
+  /** @returns A function that lets copies complete, which wait until then. */
+  function holdCopies(): () => void {
+    let finish = (): void => undefined;
+    const held = new Promise<void>((resolve) => finish = resolve);
+    const copyRun = harness.engineControl.copyRun.bind(harness.engineControl);
+    harness.engineControl.copyRun = async (...run) => {
+      await held;
+      return copyRun(...run);
+    };
+    return finish;
+  }
+
   const numbered = (...ids: (number | string)[]) =>
     ids.map((id) => `id: ${id}\ndata: e${id}\n\n`);
 
@@ -95,6 +107,32 @@
     expect(exchange.outcome).toBe("answered");
   });
 
+  it("go on once where a copy completes while a repeat waits for room", async () => {
+    const exchange = await harness.send("/check/x");
+    const transfer = harness.endpoints.last.head(200, CHUNKED_HEADERS);
+    transfer.event(1);
+    const claims = harness.registry.all.map(({ id }) =>
+      harness.loadTable.claim(id, 34_000, 0)
+    );
+    const finishCopy = holdCopies();
+    const source = harness.registry.all.find(({ announcement }) =>
+      announcement.address === transfer.request.address
+    )!;
+    harness.registry.markDraining(source.id, "draining");
+    transfer.breakConnection();
+    await harness.advance(100);
+    finishCopy();
+    await flushPromises();
+    for (const claim of claims) claim.dispose();
+    await harness.advance(100);
+    const running = harness.endpoints.transfers.filter(({ isAborted }) =>
+      !isAborted
+    );
+    expect(running).toHaveLength(1);
+    await run(running[0]!, numbered(2, 3));
+    expect(idsOf(exchange)).toBe("1,2,3");
+  });
+
   it("take nothing from a run that sends on after another has taken over", async () => {
     const { exchange, next, transfer } = await startBroken(
       numbered(1, 2),
@@ -254,13 +292,7 @@
       const transfer = harness.endpoints.last.head(200).event(1).event(2);
       const { address } = transfer.request;
       harness.lostPaths.add(address);
-      let finishCopy = (): void => undefined;
-      const copied = new Promise<void>((resolve) => finishCopy = resolve);
-      const copyRun = harness.engineControl.copyRun.bind(harness.engineControl);
-      harness.engineControl.copyRun = async (...run) => {
-        await copied;
-        return copyRun(...run);
-      };
+      const finishCopy = holdCopies();
       await harness.advance(1_500);
       endOf(transfer);
       await flushPromises();
