--- a/src/features/gateway/common/caller_stream.ts
+++ b/src/features/gateway/common/caller_stream.ts
@@ -6,12 +6,15 @@
 import {
   type HeaderList,
   isCloseDelimited,
+  withoutHeader,
 } from "../../../services/http/common/header_list.ts";
 import {
   DeliveredEventTracker,
   type EventOrder,
 } from "./delivered_event_tracker.ts";
+import type { EventFrame } from "./event_frame_splitter.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
 /** Writes events to the caller, each exactly once and in order. */
 export class CallerStream {
@@ -20,6 +23,7 @@
   /** Response head of the first run; it is sent with the first event. */
   #head: HeaderList | undefined;
   #hasStarted = false;
+  /** Whether the end of the first run is that of its connection. */
   #isEndedByClose = false;
 
   /** @param context - State of the request. */
@@ -35,14 +39,6 @@
     return this.#hasStarted;
   }
 
-  /**
-   * Whether the stream has no framing other than the end of the caller's
-   * connection.
-   */
-  get isEndedByClose(): boolean {
-    return this.#isEndedByClose;
-  }
-
   /**
    * Id of the last event sent to the caller, after which another run continues.
    */
@@ -50,6 +46,11 @@
     return this.#events.lastId;
   }
 
+  /** Whether another run can continue after the last event that was sent. */
+  get canContinue(): boolean {
+    return this.#events.canContinue;
+  }
+
   /**
    * Keeps the response head of the first run. It is not sent before the first
    * event, so that another run can still start.
@@ -61,12 +62,13 @@
   /**
    * Classifies an event relative to those already sent.
    *
-   * @param id - Id of the next event of a run.
-   * @param isFirstOfRun - Whether it is the first event of that run.
+   * @param event - The next event of a run.
+   * @param isFirstOfRun - Whether no event of that run with a number was
+   * written.
    * @returns The position of the event; only `next` may be written.
    */
-  classifyEvent(id: string | undefined, isFirstOfRun: boolean): EventOrder {
-    return this.#events.classify(id, isFirstOfRun);
+  classifyEvent(event: EventFrame, isFirstOfRun: boolean): EventOrder {
+    return this.#events.classify(event, isFirstOfRun);
   }
 
   /** Sends the response head. */
@@ -77,7 +79,8 @@
     this.#hasStarted = true;
     this.#isEndedByClose = isCloseDelimited(exchange.method, 200, received);
     const head = services.codec.callerResponseHeaders(received);
-    exchange.sendHead(200, head, this.#isEndedByClose);
+    // Other runs may bring further events.
+    exchange.sendHead(200, withoutHeader(head, "content-length"));
   }
 
   /**
@@ -97,6 +100,24 @@
     return this.#context.request.exchange.write(bytes);
   }
 
+  /**
+   * @param run - A run that has ended without an error.
+   * @param isStopped - Whether it may have ended because it was to be stopped.
+   * @returns Why the stream is not complete, or `undefined` if it is.
+   */
+  incompleteReason(
+    { eventSplitter, isBehind, isEndedByClose }: UpstreamAttempt,
+    isStopped: boolean,
+  ): string | undefined {
+    if (eventSplitter.pendingBytes > 0) {
+      return "the stream ended within an event";
+    }
+    if (isEndedByClose && (isStopped || !this.#isEndedByClose)) {
+      return "the end of the stream is not verifiable";
+    }
+    return isBehind ? "the run ended before the last event sent" : undefined;
+  }
+
   /** Ends the stream as complete. */
   end(): void {
     if (!this.#hasStarted) this.start();
