Leave removals to the regular updates when the view is confirmed

What callers saw, in tests: just after the store had been away for a second, fresh streams were refused with 503 at two of three hosts, although their endpoints served.

Cause: the read for one stream applied removals at a host that does not watch the store. Such a host knows of no failure of the store, so that entries which lapsed in the outage counted as removed at once. Also, an answer that came late could bring back an item that the regular updates had removed since.

Change: the read adds only items that are newer than the mirror's revision. Removals come with the next update, which knows of failures. If an item of the answer was removed again, the view counts as not confirmed. The time that a mirror may have missed changes is now its age when it is replaced, which is never too short. A listener that fails no longer ends the reads for good.

--- a/src/services/mirror/common/mirror_confirmation.ts
+++ b/src/services/mirror/common/mirror_confirmation.ts
@@ -8,7 +8,7 @@
 import type { RevisionedStore } from "./revisioned_store.ts";
 import type { StoreMirror } from "./store_mirror.ts";
 
-/** Bounds the calls of all hosts together, however many decisions wait. */
+/** Bounds the calls of this host, however many decisions wait. */
 const MIN_READ_INTERVAL_MS = 100;
 /** The store answers at once, with the changes that there are. */
 const WATCH_WAIT_MS = 1;
@@ -40,9 +40,10 @@
   }
 
   /**
-   * Updates the mirror with all changes that the store made before this call.
+   * Adds all items to the mirror that were written before this call.
    *
-   * @returns Whether the mirror has them; false if the store did not answer.
+   * @returns Whether the mirror has them; false if the store did not answer, or
+   * if some were removed again meanwhile.
    */
   confirm(): Promise<boolean> {
     this.#nextRead ??= this.#readAfter(this.#lastRead);
@@ -56,7 +57,7 @@
     if (waitMs > 0) await sleep(this.#clock, waitMs);
     // A read that has begun says nothing of what happens after its start.
     this.#nextRead = undefined;
-    this.#lastRead = this.#read();
+    this.#lastRead = this.#read().catch(() => false);
     return this.#lastRead;
   }
 
@@ -69,7 +70,8 @@
     return result.caseOf({
       Left: () => false,
       Right: ({ changes, revision }) => {
-        mirror.applyChanges(changes, revision, sentAt);
+        if (changes.length > 0) return mirror.addAhead(changes);
+        mirror.applyChanges([], revision, sentAt);
         return true;
       },
     });
--- a/src/services/mirror/common/store_mirror.ts
+++ b/src/services/mirror/common/store_mirror.ts
@@ -81,9 +81,9 @@
   readonly onDidChangeEra = this.#didChangeEra.event;
 
   /**
-   * Fires after the contents have been replaced by newer ones, with the time in
-   * milliseconds between the two. Items that were created and removed in that
-   * time have not been seen.
+   * Fires after the contents have been replaced by newer ones, with the longest
+   * possible time in milliseconds between the two. Items that were created and
+   * removed in that time have not been seen.
    */
   readonly onDidSkipChanges = this.#didSkipChanges.event;
 
@@ -153,7 +153,7 @@
     requestedAt: Timestamp,
   ): void {
     const keys = new Set(items.map(({ key }) => key));
-    const skippedMs = this.#skippedMs(revision, requestedAt);
+    const skippedMs = this.#skippedMs(revision);
     this.#enterEraOf(revision);
     this.#recordDisruption(this.#lastStoreFailure);
     this.#putNewer(items);
@@ -187,6 +187,28 @@
     this.#confirm(requestedAt);
   }
 
+  /**
+   * Adds items of changes that are not applied yet. Removals are left to the
+   * regular updates, which know of failures of the store.
+   *
+   * @param changes - Changes since the revision of the contents or an earlier
+   * one.
+   * @returns Whether all items that were written still exist.
+   */
+  addAhead(changes: readonly ItemChange[]): boolean {
+    const next = changes.filter(({ revision }) => revision > this.#revision);
+    const latest = new Map(next.map((change) => [change.key, change]));
+    for (const change of latest.values()) {
+      if (change.kind !== "put") continue;
+      const { key, value, revision } = change;
+      this.#putNewer([{ key, value, revision }]);
+    }
+    this.#commitRevision(this.#revision);
+    return next.every(({ key, kind }) =>
+      kind === "removed" || latest.get(key)?.kind === "put"
+    );
+  }
+
   /**
    * Creates a snapshot for another mirror.
    *
@@ -237,10 +259,7 @@
     if (snapshot.revision < this.#revision) return true;
     const patchedItems = this.#applyPatches(snapshot.patchedItems ?? []);
     if (!patchedItems) return false;
-    const skippedMs = this.#skippedMs(
-      snapshot.revision,
-      timestampBefore(requestedAt, snapshot.ageMs),
-    );
+    const skippedMs = this.#skippedMs(snapshot.revision);
     this.#enterEraOf(snapshot.revision);
     if (Number.isFinite(snapshot.sinceTroubleMs)) {
       const failedAt = timestampBefore(requestedAt, snapshot.sinceTroubleMs);
@@ -259,20 +278,13 @@
     return true;
   }
 
-  /** @returns Whether the contents were confirmed at a time or later. */
-  isConfirmedSince(at: Timestamp): boolean {
-    return this.confirmationAgeMs <= ageMs(this.#clock, at);
-  }
-
   /**
-   * @returns The time in milliseconds between the contents and their
-   * replacement by those of a revision; 0 if no change lies between them.
+   * @returns The time in milliseconds in which changes may be missed when the
+   * contents are replaced now by those of a revision.
    */
-  #skippedMs(revision: number, at: Timestamp): number {
+  #skippedMs(revision: number): number {
     if (this.#revision === 0 || revision === this.#revision) return 0;
-    const { confirmationAgeMs } = this;
-    if (!Number.isFinite(confirmationAgeMs)) return 0;
-    return confirmationAgeMs - ageMs(this.#clock, at);
+    return this.confirmationAgeMs;
   }
 
   #reportSkipped(skippedMs: number): void {
@@ -331,10 +343,7 @@
     if (current && current.revision >= revision) return;
     this.#removals.push(removal);
     if (this.#removals.length > MAX_RETAINED_REMOVALS) {
-      this.#removalsCompleteSince = Math.max(
-        this.#removalsCompleteSince,
-        this.#removals.shift()!.revision,
-      );
+      this.#removalsCompleteSince = this.#removals.shift()!.revision;
     }
     if (this.#items.delete(key)) this.#forget(key);
   }
