--- a/src/features/gateway/common/software_version_history.ts
+++ b/src/features/gateway/common/software_version_history.ts
@@ -35,9 +35,9 @@
   /** Time since the view was last confirmed, in milliseconds. */
   readonly ageMs: number;
   /**
-   * Updates the view.
+   * Adds what is new.
    *
-   * @returns Whether it has all changes that were made before this call.
+   * @returns Whether the view has all that was announced before this call.
    */
   confirm(): Promise<boolean>;
 }
@@ -93,7 +93,7 @@
   }
 
   /**
-   * Updates the registry with all endpoints that there were before this call.
+   * Adds all endpoints to the registry that were announced before this call.
    *
    * @returns Whether it has them; false if that cannot be found out.
    */
@@ -108,6 +108,8 @@
 
   /** Records that the registry contains all endpoints from now on. */
   startObserving(): void {
+    // What a peer reported earlier does not reach up to now.
+    this.#completed.clear();
     this.#observedSinceMs = Math.min(
       this.#observedSinceMs,
       this.#clock.monotonicMs(),
--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/stream_resumption.ts
@@ -3,6 +3,7 @@
  * up after an earlier try, and remembers at which version streams begin.
  */
 
+import { sleep } from "../../../base/common/clock.ts";
 import type { WorkspaceId } from "../../../base/common/ids.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -12,6 +13,8 @@
 const RETRY_AFTER_MS = 1_000;
 /** Time within which hosts report the streams that they begin to all others. */
 const REPORT_DELAY_MS = 150;
+/** Time for which a try waits until the view of the endpoints is confirmed. */
+const MAX_VIEW_WAIT_MS = 500;
 /** Longer ones are taken for this. */
 const MAX_CALLER_TIMEOUT_MS = 600_000;
 /** Time after its deadline for which the version of a stream is kept. */
@@ -136,8 +139,12 @@
    */
   async #findOnlyVersion(): Promise<FoundVersion | undefined> {
     if (this.#onlyVersion() === undefined) return undefined;
-    const { softwareVersions } = this.#context.services;
-    if (!await softwareVersions.confirmView()) return undefined;
+    const { clock, softwareVersions } = this.#context.services;
+    const isConfirmed = await Promise.race([
+      softwareVersions.confirmView(),
+      sleep(clock, MAX_VIEW_WAIT_MS).then(() => false),
+    ]);
+    if (!isConfirmed) return undefined;
     const softwareVersion = this.#onlyVersion();
     if (softwareVersion === undefined) return undefined;
     return { softwareVersion, source: "service" };
--- a/src/features/gateway/common/stream_versions.ts
+++ b/src/features/gateway/common/stream_versions.ts
@@ -8,7 +8,6 @@
 import type { Clock } from "../../../base/common/clock.ts";
 import { Emitter } from "../../../base/common/event.ts";
 import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
-import { DisposableStore } from "../../../base/common/lifecycle.ts";
 
 /** A stream that has begun, under the id of the try that began it. */
 export interface StreamVersion {
@@ -33,7 +32,8 @@
   readonly #clock: Clock;
   readonly #streams = new BoundedMap<string, StreamVersion>(MAX_STREAMS);
   readonly #didRecord = new Emitter<StreamVersion>();
-  readonly #didAdd = new Emitter<StreamVersion>();
+  /** Called when a stream becomes known, by its key in the map. */
+  readonly #waiting = new Map<string, Set<(softwareVersion: string) => void>>();
 
   /** Fires when a stream of this daemon has begun. */
   readonly onDidRecord = this.#didRecord.event;
@@ -70,19 +70,18 @@
     key: StreamKey,
     timeoutMs: number,
   ): Promise<string | undefined> {
-    const awaited = toMapKey(key);
+    const mapKey = toMapKey(key);
+    const waiting = this.#waiting.get(mapKey) ?? new Set();
+    this.#waiting.set(mapKey, waiting);
     return new Promise((resolve) => {
       const settle = (softwareVersion: string | undefined): void => {
-        disposables.dispose();
+        timer.dispose();
+        waiting.delete(settle);
+        if (waiting.size === 0) this.#waiting.delete(mapKey);
         resolve(softwareVersion);
       };
-      const disposables = new DisposableStore();
-      disposables.add(this.#didAdd.event((stream) => {
-        if (toMapKey(stream) === awaited) settle(stream.softwareVersion);
-      }));
-      disposables.add(
-        this.#clock.setTimer(timeoutMs, () => settle(undefined)),
-      );
+      const timer = this.#clock.setTimer(timeoutMs, () => settle(undefined));
+      waiting.add(settle);
     });
   }
 
@@ -102,7 +101,9 @@
     const key = toMapKey(stream);
     const known = this.#streams.get(key);
     this.#streams.set(key, stream);
-    this.#didAdd.fire(stream);
+    for (const settle of this.#waiting.get(key) ?? []) {
+      settle(stream.softwareVersion);
+    }
     return known?.softwareVersion !== stream.softwareVersion;
   }
 }
