Let stand-ins cut single hosts in more ways

The store's stand-in could be busy for all hosts only, and a partition gave no access to its proxy to the store.

Change: a fault proxy can open its connections from a given address, as a partition's proxy to the store now does from the host's, so that the store's stand-in can answer single hosts with a fault (clientFaults). A partition can also cut the links that peers have opened to its host, whatever address they came from.

--- a/standins/network/fault_proxy.ts
+++ b/standins/network/fault_proxy.ts
@@ -41,15 +41,21 @@
 /** Forwards connections to one address and injects faults. */
 export class FaultProxy {
   readonly #target: Address;
+  readonly #localIp: string | undefined;
   readonly #server = createServer((client) => this.#accept(client));
   readonly #connections = new Set<ProxiedConnection>();
   readonly #sourceCuts = new Map<string, SourceCut>();
   #fault: ProxyFault = { kind: "none" };
   #disturbedMs = 0;
 
-  /** @param target - Address of the server. */
-  constructor(target: Address) {
+  /**
+   * @param target - Address of the server.
+   * @param localIp - Address from which connections to the server are opened;
+   * the system chooses one if absent.
+   */
+  constructor(target: Address, localIp?: string) {
     this.#target = target;
+    this.#localIp = localIp;
   }
 
   /**
@@ -120,7 +126,12 @@
       return;
     }
     const { ip, port } = splitAddress(this.#target);
-    const server = connect({ host: ip, port });
+    const localIp = this.#localIp;
+    const server = connect({
+      host: ip,
+      port,
+      ...(localIp !== undefined && { localAddress: localIp }),
+    });
     const connection: ProxiedConnection = {
       source,
       client,
--- a/standins/network/host_partition.ts
+++ b/standins/network/host_partition.ts
@@ -42,7 +42,7 @@
     storeAddress: Address,
   ): Promise<HostPartition> {
     const peer = new FaultProxy(peersAddress);
-    const store = new FaultProxy(storeAddress);
+    const store = new FaultProxy(storeAddress, ip);
     return new HostPartition(
       ip,
       { proxy: peer, address: await peer.listen() },
@@ -50,6 +50,11 @@
     );
   }
 
+  /** Proxy between the host and the store. */
+  get storeProxy(): FaultProxy {
+    return this.#storeProxy;
+  }
+
   /** Cuts the host from the store; by default no data passes. */
   cutFromStore(fault: ProxyFault = SILENCE): void {
     this.#storeProxy.setFault(fault);
@@ -61,6 +66,16 @@
     this.#storeProxy.resetConnections();
   }
 
+  /** Cuts the links that its peers have opened to this host, silently. */
+  cutLinksOfPeers(): void {
+    this.#peerProxy.setFault(SILENCE);
+  }
+
+  /** Ends the cut of the links that peers open. */
+  rejoinPeers(): void {
+    this.#peerProxy.setFault({ kind: "none" });
+  }
+
   /** Cuts this host and another one from each other, silently. */
   cutFrom(other: HostPartition): void {
     this.#peerProxy.cutSource(other.#ip, "silent");
