Cut hosts in the soak while another software version appears

Change: two faults. "release" starts endpoints of another version, serves both for a time and drains the others; versions may go back, releases may overlap, and after most of them one version serves alone for 8 s. "isolate" cuts one daemon, or those of a zone, from the store and the peers, the store alone, the peers alone, or all links of the fleet, with a store that is silent in one direction, busy or resetting for these daemons only, or suspends them; a release begins meanwhile, none, one, half or all of the others are killed, and the cut heals after 1 to 6 s. Until then, more streams begin, and more are taken up at the cut daemons. Callers try up to three times to take a stream up. Each daemon's links go through a proxy of its own.

The soak prints how many tries took streams up, how many were refused, and each mixed stream, also those that are too few for a violation.

--- a/soak/caller_pool.ts
+++ b/soak/caller_pool.ts
@@ -24,6 +24,16 @@
 };
 /** Events of a check after which its caller closes the connection. */
 const CHECK_BREAK_EVENTS = 8;
+/** Tries that take one stream up. */
+const MAX_TAKE_UPS = 3;
+const MAX_TAKE_UP_GAP_MS = 500;
+/** Status of refusals that another daemon may not repeat. */
+const REFUSED_STATUS = 503;
+/**
+ * Share of take-ups that are sent to preferred daemons, and of requests that are
+ * checks while there are some.
+ */
+const PREFERRED_SHARE = 0.6;
 /** Time between two tainted requests, in milliseconds. */
 const TAINTED_GAP_MS = 300;
 const TAINTED_KINDS = ["book", "draft"] as const;
@@ -48,6 +58,7 @@
 export class CallerPool {
   readonly #random: SeededRandom;
   readonly #daemons: readonly DaemonProcess[];
+  readonly #preferredDaemons: () => readonly DaemonProcess[];
   readonly #invariants: InvariantChecker;
   readonly #gapMs: number;
   // Connections are reused until the daemon process ends.
@@ -60,17 +71,21 @@
    * @param daemons - Daemons that receive the requests.
    * @param invariants - Checker that records each request and its result.
    * @param gapMs - Time between the requests of a caller, in milliseconds.
+   * @param preferredDaemons - Returns daemons at which more streams are taken up
+   * than at others. While there are some, more streams begin.
    */
   constructor(
     random: SeededRandom,
     daemons: readonly DaemonProcess[],
     invariants: InvariantChecker,
     gapMs: number,
+    preferredDaemons: () => readonly DaemonProcess[] = () => [],
   ) {
     this.#random = random;
     this.#daemons = daemons;
     this.#invariants = invariants;
     this.#gapMs = gapMs;
+    this.#preferredDaemons = preferredDaemons;
   }
 
   /**
@@ -98,7 +113,7 @@
   async #runCaller(): Promise<void> {
     while (!this.#isStopping) {
       const daemon = this.#pick(this.#daemons);
-      const kind = this.#pick(REQUEST_KINDS);
+      const kind = this.#pickKind();
       const key = this.#pick([...WORKSPACE_BY_KEY.keys()]);
       const id = `q-${++this.#requestCount}`;
       const sentMs = Date.now();
@@ -121,31 +136,57 @@
     }
   }
 
-  /** Breaks a stream off after some events and takes it up at another daemon. */
+  /**
+   * Breaks a stream off after some events and takes it up at other daemons until
+   * it is complete.
+   */
   async #sendAndTakeUp(
     daemon: DaemonProcess,
     first: SentRequest,
   ): Promise<void> {
     const path = REQUEST_PATHS.check;
-    const begun = await this.#send(daemon, first, path, "", {
+    first.result = await this.#send(daemon, first, path, "", {
       breakAfterEvents: CHECK_BREAK_EVENTS,
     });
-    first.result = begun;
-    const lastEvent = [...begun.text.matchAll(/id: (\d+)\n[^\n]*\n\n/g)].at(-1);
-    if (begun.kind === "answered" || !lastEvent) return;
-    const other = this.#pick(this.#daemons);
-    const again: SentRequest = {
-      ...first,
-      id: `q-${++this.#requestCount}`,
-      daemon: other.options.name,
-      sentMs: Date.now(),
-      afterEvent: Number(lastEvent[1]),
-      result: undefined,
-    };
-    this.#recordSent(again, "llm");
-    again.result = await this.#send(other, again, path, "", {
-      headers: { "Last-Event-Id": lastEvent[1]!, "Resumes": first.id },
-    });
+    let { result } = first;
+    let lastEvent = lastEventOf(result);
+    if (result.kind === "answered") return;
+    for (let tryCount = 0; tryCount < MAX_TAKE_UPS; tryCount++) {
+      if (lastEvent === undefined) return;
+      const other = this.#pickForTakeUp();
+      const again: SentRequest = {
+        ...first,
+        id: `q-${++this.#requestCount}`,
+        daemon: other.options.name,
+        sentMs: Date.now(),
+        afterEvent: lastEvent,
+        result: undefined,
+      };
+      this.#recordSent(again, "llm");
+      result = await this.#send(other, again, path, "", {
+        headers: { "Last-Event-Id": String(lastEvent), "Resumes": first.id },
+      });
+      again.result = result;
+      const isRefused = result.kind === "answered" &&
+        result.status === REFUSED_STATUS;
+      if (result.kind === "answered" && !isRefused) return;
+      lastEvent = lastEventOf(result) ?? lastEvent;
+      await wait(this.#random.float() * MAX_TAKE_UP_GAP_MS);
+    }
+  }
+
+  #pickKind(): (typeof REQUEST_KINDS)[number] {
+    const hasPreferred = this.#preferredDaemons().length > 0;
+    const isCheck = hasPreferred && this.#random.float() < PREFERRED_SHARE;
+    return isCheck ? "check" : this.#pick(REQUEST_KINDS);
+  }
+
+  #pickForTakeUp(): DaemonProcess {
+    const preferred = this.#preferredDaemons();
+    const isPreferred = this.#random.float() < PREFERRED_SHARE;
+    return this.#pick(
+      isPreferred && preferred.length > 0 ? preferred : this.#daemons,
+    );
   }
 
   /** Sends different requests that share a part that crashes endpoints. */
@@ -253,3 +294,9 @@
     return choices[Math.floor(this.#random.float() * choices.length)]!;
   }
 }
+
+/** @returns The number of the last complete event of a stream. */
+function lastEventOf({ text }: RequestResult): number | undefined {
+  const last = [...text.matchAll(/id: (\d+)\n[^\n]*\n\n/g)].at(-1);
+  return last && Number(last[1]);
+}
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,7 +7,9 @@
 import type { SeededRandom } from "../src/base/common/random.ts";
 import type { StoreFault } from "../platform/standins/metadata_store_server.ts";
 import type { ProxyFault } from "../standins/network/fault_proxy.ts";
+import { HostIsolation } from "./host_isolation.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
+import { Releases } from "./releases.ts";
 import type { SoakDeployment } from "./soak_deployment.ts";
 
 const MAX_FAULT_DURATION_MS = 3_000;
@@ -38,11 +40,23 @@
   "limit",
   "kill-all",
   "big-config",
+  "release",
+  "isolate",
 ] as const;
 
 /** Name of a fault. */
 export type FaultName = (typeof FAULT_NAMES)[number];
 
+/**
+ * @param names - Faults that a soak chooses from.
+ * @returns The software versions of the first endpoints. Two of them serve side
+ * by side unless releases bring others.
+ */
+export function firstVersions(names: readonly FaultName[]): readonly string[] {
+  const hasReleases = names.includes("release") || names.includes("isolate");
+  return hasReleases ? ["v1"] : ["v1", "v2"];
+}
+
 type FaultAction = (deployment: SoakDeployment, random: SeededRandom) => string;
 
 /** Injects faults into a deployment until it is stopped. */
@@ -52,6 +66,8 @@
   readonly #invariants: InvariantChecker;
   readonly #log: (line: string) => void;
   readonly #names: readonly FaultName[];
+  readonly #releases: Releases;
+  readonly #isolation: HostIsolation;
   #isStopping = false;
 
   /**
@@ -73,6 +89,13 @@
     this.#invariants = invariants;
     this.#log = log;
     this.#names = names;
+    this.#releases = new Releases(deployment, random, firstVersions(names));
+    this.#isolation = new HostIsolation(
+      deployment,
+      random,
+      this.#releases,
+      log,
+    );
   }
 
   /** Injects faults until stopped, then waits until all faults have ended. */
@@ -114,6 +137,10 @@
         "big-config",
         (deployment) => this.#writeLargeConfigurations(deployment),
       ],
+      ["release", () => this.#releases.beginUnlessQuiet()],
+      ["release", () => this.#releases.beginUnlessQuiet()],
+      ["isolate", () => this.#isolation.begin()],
+      ["isolate", () => this.#isolation.begin()],
     ];
     return named.filter(([name]) => this.#names.includes(name))
       .map(([, action]) => action);
@@ -126,6 +153,7 @@
 
   async #awaitRecovery(): Promise<void> {
     await wait(MAX_FAULT_DURATION_MS);
+    this.#isolation.end();
     for (const daemon of this.#deployment.daemons) {
       daemon.resume();
       daemon.start();
@@ -148,10 +176,10 @@
 
   #injectStoreConnectionFault(deployment: SoakDeployment): string {
     const index = Math.floor(
-      this.#random.float() * deployment.storeProxies.length,
+      this.#random.float() * deployment.partitions.length,
     );
     return `store connection ${index} ${
-      this.#injectProxyFault(deployment.storeProxies[index]!)
+      this.#injectProxyFault(deployment.partitions[index]!.storeProxy)
     }`;
   }
 
@@ -215,7 +243,7 @@
       return `crash ${name}`;
     }
     deployment.drainEndpoint(endpoint, 1_500 + this.#random.float() * 1_000);
-    void deployment.addEndpoint(service);
+    void deployment.addReplacement(endpoint);
     return `drain ${name}`;
   }
 
@@ -238,7 +266,7 @@
       return "no endpoint leaves";
     }
     replica.isLeaving = true;
-    void deployment.addEndpoint(service);
+    void deployment.addReplacement(endpoint);
     setTimeout(() => {
       const isPresent = deployment.endpoints.includes(endpoint);
       if (isPresent) deployment.drainEndpoint(endpoint, DRAIN_MS);
--- a/soak/invariant_checker.ts
+++ b/soak/invariant_checker.ts
@@ -47,6 +47,20 @@
   wasCut(): boolean;
 }
 
+/** Tries that took streams up after earlier tries, by their results. */
+export interface TakeUpCounts {
+  sent: number;
+  /** Answered with all remaining events. */
+  completed: number;
+  /** Refused, as the version is not known or not served. */
+  refusedForVersion: number;
+  /** Refused with another status or reason. */
+  refusedOtherwise: number;
+}
+
+/** Text of refusals that are due to the software version of a stream. */
+const VERSION_REFUSAL = "software version";
+
 /** Endpoints on which one request may run, as its route says. */
 export const MAX_ATTEMPTS = 2;
 
@@ -93,6 +107,26 @@
     ).length;
   }
 
+  /** @returns What became of the streams that callers took up. */
+  takeUpCounts(): TakeUpCounts {
+    const counts: TakeUpCounts = {
+      sent: 0,
+      completed: 0,
+      refusedForVersion: 0,
+      refusedOtherwise: 0,
+    };
+    for (const { afterEvent, result } of this.#sent.values()) {
+      if (afterEvent === undefined) continue;
+      counts.sent++;
+      if (result?.kind !== "answered") continue;
+      if (result.status === 200) counts.completed++;
+      else if (result.text.includes(VERSION_REFUSAL)) {
+        counts.refusedForVersion++;
+      } else counts.refusedOtherwise++;
+    }
+    return counts;
+  }
+
   /** @returns The daemon to which a request was sent. */
   daemonOf(id: string): string | undefined {
     return this.#sent.get(id)?.daemon;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -8,6 +8,7 @@
 import { runSoak } from "./soak_run.ts";
 
 const PROGRAM_PATH = "target/ragwortd-platform.cjs";
+const LOG_FOLDER = "soak-logs";
 const FIRST_PORT = 17_000;
 const EXIT_VIOLATIONS = 1;
 
@@ -28,6 +29,12 @@
 cli.option("--faults <names>", `Faults to inject, of ${FAULT_NAMES.join()}`, {
   default: FAULT_NAMES.join(),
 });
+cli.option("--program <path>", "Built program of the daemons", {
+  default: PROGRAM_PATH,
+});
+cli.option("--logs <path>", "Folder for the logs of each seed", {
+  default: LOG_FOLDER,
+});
 cli.help();
 const { options } = cli.parse();
 
@@ -47,15 +54,21 @@
       faults,
       gapMs: Number(options["gap"]),
       firstPort: Number(options["port"]),
-      programPath: PROGRAM_PATH,
-      folder: `soak-logs/${seed}`,
+      programPath: String(options["program"]),
+      folder: `${String(options["logs"])}/${seed}`,
     });
     const { sentCount, servedCount, restartCount, violations } = result;
     const { crashCount, limitCount, mostRepeats, resumedCount } = result;
+    const { mixedStreams, takeUps } = result;
     const verdict = violations.length === 0 ? "kept" : "BROKEN";
     console.log(
       `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed, ${limitCount} limits named, ${resumedCount} streams went on, at most ${mostRepeats} repeats in 10 s`,
     );
+    const { completed, refusedForVersion, refusedOtherwise } = takeUps;
+    console.log(
+      `  ${takeUps.sent} tries took streams up: ${completed} completed, ${refusedForVersion} refused for the version, ${refusedOtherwise} otherwise; ${mixedStreams.length} streams mixed`,
+    );
+    for (const stream of mixedStreams) console.log(`  mixed: ${stream}`);
     for (const violation of violations) console.log(`  ${violation}`);
     if (violations.length > 0) process.exitCode = EXIT_VIOLATIONS;
   }
--- a/soak/restart_series.ts
+++ b/soak/restart_series.ts
@@ -44,6 +44,7 @@
     folder: "soak-logs/restart-series",
     daemonCount: Number(options["daemons"]),
     firstPort: Number(options["port"]),
+    versions: ["v1", "v2"],
     invariants,
   });
   await deployment.start();
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -19,7 +19,9 @@
 } from "../platform/store_documents.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { createConfiguration } from "./soak_configuration.ts";
+import { HOST_KEY_PREFIX } from "../src/services/hosts/common/host_entry.ts";
 import { FaultProxy } from "../standins/network/fault_proxy.ts";
+import { HostPartition } from "../standins/network/host_partition.ts";
 import type { StoreCopy } from "../standins/mirror/fake_revisioned_store.ts";
 import { type EndpointArrival, MAX_PART_CRASHES } from "./endpoint_rules.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
@@ -55,6 +57,8 @@
 export interface SoakEndpoint {
   readonly service: "app" | "llm";
   readonly name: string;
+  /** Software version that it announces. */
+  readonly version: string;
   replica: ReplicaServer;
   /** Identifies the current process of the endpoint. */
   process: string;
@@ -72,6 +76,8 @@
   readonly daemonCount: number;
   /** First port of the daemons. */
   readonly firstPort: number;
+  /** Software versions of the first endpoints, in turn. */
+  readonly versions: readonly string[];
   readonly invariants: InvariantChecker;
 }
 
@@ -82,7 +88,12 @@
   readonly storeServer = new MetadataStoreServer(new SystemClock());
   readonly endpoints: SoakEndpoint[] = [];
   readonly daemons: DaemonProcess[] = [];
-  readonly storeProxies: FaultProxy[] = [];
+  /** The links of each daemon to its peers and the store. */
+  readonly partitions: HostPartition[] = [];
+  /** Daemons that are cut off, at which callers take up more streams. */
+  isolatedDaemons: readonly DaemonProcess[] = [];
+  /** Software version of replacements, if the version they replace has left. */
+  replacementVersion: string | undefined;
   #configurationVersion = 0;
   #configurationText = "";
   /** Current entries of the endpoints, by their names. */
@@ -102,29 +113,39 @@
 
   /** Starts all components; daemons may become ready later. */
   async start(): Promise<void> {
-    const { folder, daemonCount, programPath } = this.#options;
+    const { folder, daemonCount, programPath, versions } = this.#options;
     await this.#assertPortsAreFree();
     await rm(folder, { recursive: true, force: true });
     await mkdir(folder, { recursive: true });
     const storeAddress = await this.storeServer.listen();
     this.writeConfiguration();
-    for (const service of ["app", "app", "llm", "llm", "llm", "llm"] as const) {
-      await this.addEndpoint(service);
+    const services = ["app", "app", "llm", "llm", "llm", "llm"] as const;
+    for (const [index, service] of services.entries()) {
+      await this.addEndpoint(service, versions[index % versions.length]!);
     }
     const seeds = [0, 1, 2].filter((index) => index < daemonCount)
       .map((index) =>
         `${this.#getIp(index)}:${this.#getPort(index) + 2}` as Address
       );
     for (let index = 0; index < daemonCount; index++) {
-      const proxy = new FaultProxy(storeAddress);
-      this.storeProxies.push(proxy);
+      const name = `host-${index}`;
+      const ip = this.#getIp(index);
+      const port = this.#getPort(index);
+      const partition = await HostPartition.create(
+        ip,
+        `${ip}:${port + 2}` as Address,
+        storeAddress,
+      );
+      this.partitions.push(partition);
+      const { peersAddress } = partition;
+      this.storeServer.addresses.set(`${HOST_KEY_PREFIX}${name}`, peersAddress);
       const daemon = new DaemonProcess(
         {
-          name: `host-${index}`,
-          ip: this.#getIp(index),
+          name,
+          ip,
           zone: ZONES[index % ZONES.length]!,
-          port: this.#getPort(index),
-          storeAddress: await proxy.listen(),
+          port,
+          storeAddress: partition.storeAddress,
           seeds,
         },
         programPath,
@@ -169,18 +190,25 @@
       proxy.close();
       replica.dispose();
     }
-    for (const proxy of this.storeProxies) proxy.close();
+    for (const partition of this.partitions) partition.dispose();
     this.storeServer.dispose();
   }
 
-  /** Starts an endpoint and adds it to the store. */
-  async addEndpoint(service: "app" | "llm"): Promise<void> {
+  /** Starts an endpoint of a software version and adds it to the store. */
+  async addEndpoint(service: "app" | "llm", version: string): Promise<void> {
     const name = `${service}-${++this.#endpointCount}`;
-    const endpoint = { service, name, ...await this.#startReplica(name) };
+    const started = await this.#startReplica(name, version);
+    const endpoint = { service, name, version, ...started };
     this.endpoints.push(endpoint);
     this.#writeEndpointEntry(endpoint, "ready");
   }
 
+  /** Adds an endpoint in the place of one that leaves. */
+  addReplacement({ service, version }: SoakEndpoint): Promise<void> {
+    const newVersion = service === "llm" ? this.replacementVersion : undefined;
+    return this.addEndpoint(service, newVersion ?? version);
+  }
+
   /**
    * Drains an endpoint and stops it afterwards.
    *
@@ -201,7 +229,8 @@
   async restartEndpoint(endpoint: SoakEndpoint): Promise<void> {
     endpoint.proxy.close();
     endpoint.replica.dispose();
-    Object.assign(endpoint, await this.#startReplica(endpoint.name));
+    const { name, version } = endpoint;
+    Object.assign(endpoint, await this.#startReplica(name, version));
     this.#writeEndpointEntry(endpoint, "ready");
   }
 
@@ -256,7 +285,8 @@
 
   async #startReplica(
     name: string,
-  ): Promise<Omit<SoakEndpoint, "service" | "name">> {
+    version: string,
+  ): Promise<Omit<SoakEndpoint, "service" | "name" | "version">> {
     const { invariants } = this.#options;
     const service = name.startsWith("app") ? "app" : "llm";
     const replica = new ReplicaServer(name);
@@ -275,7 +305,9 @@
       if (service === "app") return;
       invariants.versionRules.recordRun({
         stream: String(headers["resumes"] ?? id),
-        version: versionOf(name),
+        request: id,
+        daemon: invariants.daemonOf(id),
+        version,
         goesOn: headers["last-event-id"] !== undefined ||
           headers["kv-from"] !== undefined,
       });
@@ -348,19 +380,19 @@
     await wait(CRASH_RETURN_MS);
     if (this.#isStopped) return;
     this.#removeEndpointEntry(name);
-    await this.addEndpoint(crashed!.service);
+    await this.addReplacement(crashed!);
   }
 
   #writeEndpointEntry(
     endpoint: SoakEndpoint,
     state: "ready" | "draining",
   ): void {
-    const { service, name, address, startedMs } = endpoint;
+    const { service, name, version, address, startedMs } = endpoint;
     const entry = {
       service,
       address,
       "zone": ZONES[0],
-      "version": versionOf(name),
+      version,
       "slots": 8,
       state,
       "cold-left-ms": 0,
@@ -377,11 +409,6 @@
   }
 }
 
-/** Endpoints have one of two software versions in turn. */
-function versionOf(name: string): string {
-  return Number(name.split("-")[1]) % 2 === 0 ? "v2" : "v1";
-}
-
 function isTainted(headers: IncomingHttpHeaders): boolean {
   const parts = String(headers["x-prompt-prefix"] ?? "").split(",");
   return parts.slice(0, -1).some((part) =>
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -8,8 +8,13 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { SeededRandom } from "../src/base/common/random.ts";
 import { CallerPool } from "./caller_pool.ts";
-import { FaultInjector, type FaultName } from "./faults.ts";
-import { InvariantChecker } from "./invariant_checker.ts";
+import {
+  FAULT_NAMES,
+  FaultInjector,
+  type FaultName,
+  firstVersions,
+} from "./faults.ts";
+import { InvariantChecker, type TakeUpCounts } from "./invariant_checker.ts";
 import {
   DRAFT_EVENT_COUNT,
   MAX_REVOCATION_MS,
@@ -50,6 +55,9 @@
   readonly limitCount: number;
   /** Number of streams that went on after events of another run. */
   readonly resumedCount: number;
+  readonly takeUps: TakeUpCounts;
+  /** One line per stream that holds events of two software versions. */
+  readonly mixedStreams: readonly string[];
   /** Most repeats of one service in any 10 s. */
   readonly mostRepeats: number;
 }
@@ -62,12 +70,17 @@
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, seconds, daemonCount, callerCount, folder } = options;
+  const faults = options.faults ?? FAULT_NAMES;
   const invariants = new InvariantChecker(
     WORKSPACE_BY_KEY,
     MAX_REVOCATION_MS,
     DRAFT_EVENT_COUNT,
   );
-  const deployment = new SoakDeployment({ ...options, invariants });
+  const deployment = new SoakDeployment({
+    ...options,
+    versions: firstVersions(faults),
+    invariants,
+  });
   await deployment.start();
   await wait(STARTUP_MS);
   const events: string[] = [];
@@ -79,13 +92,14 @@
     (line) => {
       events.push(`${Date.now() - startMs} ms  ${line}`);
     },
-    options.faults,
+    faults,
   );
   const callers = new CallerPool(
     new SeededRandom(seed + 1),
     deployment.daemons,
     invariants,
     options.gapMs,
+    () => deployment.isolatedDaemons,
   );
   const callersStopped = callers.run(callerCount);
   const faultsStopped = faultInjector.run();
@@ -119,6 +133,8 @@
     servedCount: invariants.servedCount(),
     crashCount: invariants.endpointRules.crashCount,
     resumedCount: invariants.versionRules.resumedCount,
+    takeUps: invariants.takeUpCounts(),
+    mixedStreams: invariants.versionRules.mixedStreams,
     limitCount: invariants.limitRules.limitCount,
     mostRepeats: invariants.retryRules.mostRepeats,
     restartCount:
--- a/soak/version_rules.ts
+++ b/soak/version_rules.ts
@@ -4,6 +4,10 @@
 export interface StreamRun {
   /** Id of the first try of its caller. */
   readonly stream: string;
+  /** Id of the try that it belongs to. */
+  readonly request: string;
+  /** Daemon that received the try. */
+  readonly daemon: string | undefined;
   readonly version: string;
   /** Whether it continues after events of another run. */
   readonly goesOn: boolean;
@@ -15,7 +19,8 @@
 /** Records runs and finds streams that hold events of two versions. */
 export class VersionRules {
   readonly #versions = new Map<string, string>();
-  readonly #mixed = new Set<string>();
+  /** What is known of mixed streams, by their ids. */
+  readonly #mixed = new Map<string, string>();
   #resumedCount = 0;
 
   /** Number of runs that went on after another one. */
@@ -23,21 +28,30 @@
     return this.#resumedCount;
   }
 
+  /** The mixed streams, also if they are too few for a violation. */
+  get mixedStreams(): readonly string[] {
+    return [...this.#mixed.values()];
+  }
+
   /** Records a run that an endpoint starts. */
-  recordRun({ goesOn, stream, version }: StreamRun): void {
+  recordRun({ daemon, goesOn, request, stream, version }: StreamRun): void {
     const begun = this.#versions.get(stream);
     if (!goesOn || begun === undefined) {
       this.#versions.set(stream, version);
       return;
     }
     this.#resumedCount++;
-    if (begun !== version) this.#mixed.add(stream);
+    if (begun === version || this.#mixed.has(stream)) return;
+    const text = `${stream} of ${begun}, on with ${version} as ${request} at ${
+      daemon ?? "no daemon"
+    }`;
+    this.#mixed.set(stream, text);
   }
 
   /** @returns One line per violation. */
   findViolations(): readonly string[] {
     if (this.#mixed.size <= MAX_MIXED) return [];
-    const streams = [...this.#mixed].join(", ");
+    const streams = [...this.#mixed.keys()].join(", ");
     return [`order: streams went on at another version: ${streams}`];
   }
 }
