Let no link of the soak pass by the proxies

Cause: a daemon that starts asks the seeds for the hosts, and each seed lists itself with the address that it listens at.

Change: the seeds of a soak are servers of its own. They pass on what the daemons list, with the addresses of the proxies.

--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -23,6 +23,7 @@
 import { FaultProxy } from "../standins/network/fault_proxy.ts";
 import { HostPartition } from "../standins/network/host_partition.ts";
 import type { StoreCopy } from "../standins/mirror/fake_revisioned_store.ts";
+import { SeedServer } from "./seed_server.ts";
 import { type EndpointArrival, MAX_PART_CRASHES } from "./endpoint_rules.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 
@@ -44,6 +45,7 @@
 /** Killed processes exit within a few milliseconds. */
 const EXIT_POLL_INTERVAL_MS = 20;
 const PORTS_PER_DAEMON = 10;
+const SEED_COUNT = 3;
 /**
  * Concurrent soaks must differ in the thousands of their first port, which select
  * their loopback addresses.
@@ -90,6 +92,7 @@
   readonly daemons: DaemonProcess[] = [];
   /** The links of each daemon to its peers and the store. */
   readonly partitions: HostPartition[] = [];
+  readonly #seeds: SeedServer[] = [];
   /** Daemons that are cut off, at which callers take up more streams. */
   isolatedDaemons: readonly DaemonProcess[] = [];
   /** Software version of replacements, if the version they replace has left. */
@@ -123,17 +126,14 @@
     for (const [index, service] of services.entries()) {
       await this.addEndpoint(service, versions[index % versions.length]!);
     }
-    const seeds = [0, 1, 2].filter((index) => index < daemonCount)
-      .map((index) =>
-        `${this.#getIp(index)}:${this.#getPort(index) + 2}` as Address
-      );
+    const seeds = await this.#startSeeds();
     for (let index = 0; index < daemonCount; index++) {
       const name = `host-${index}`;
       const ip = this.#getIp(index);
       const port = this.#getPort(index);
       const partition = await HostPartition.create(
         ip,
-        `${ip}:${port + 2}` as Address,
+        this.#getPeersAddress(index),
         storeAddress,
       );
       this.partitions.push(partition);
@@ -146,7 +146,7 @@
           zone: ZONES[index % ZONES.length]!,
           port,
           storeAddress: partition.storeAddress,
-          seeds,
+          seeds: seeds.filter((_, seed) => seed !== index),
         },
         programPath,
         folder,
@@ -191,6 +191,7 @@
       replica.dispose();
     }
     for (const partition of this.partitions) partition.dispose();
+    for (const seed of this.#seeds) seed.dispose();
     this.storeServer.dispose();
   }
 
@@ -258,6 +259,19 @@
     this.storeServer.store.put(CONFIGURATION_KEY, text);
   }
 
+  /** Links to addresses that the daemons state themselves cannot be cut. */
+  #startSeeds(): Promise<Address[]> {
+    const count = Math.min(SEED_COUNT, this.#options.daemonCount);
+    return Promise.all(Array.from({ length: count }, (_, index) => {
+      const seed = new SeedServer(
+        this.#getPeersAddress(index),
+        (host) => this.storeServer.addresses.get(`${HOST_KEY_PREFIX}${host}`),
+      );
+      this.#seeds.push(seed);
+      return seed.listen();
+    }));
+  }
+
   /** Two soaks that share ports would serve each other's callers. */
   async #assertPortsAreFree(): Promise<void> {
     for (let index = 0; index < this.#options.daemonCount; index++) {
@@ -274,6 +288,10 @@
     }
   }
 
+  #getPeersAddress(index: number): Address {
+    return `${this.#getIp(index)}:${this.#getPort(index) + 2}` as Address;
+  }
+
   #getPort(index: number): number {
     return this.#firstPort + index * PORTS_PER_DAEMON;
   }
