Withdraw versions during a cut, and leave the cut hosts alive

Cause: of the others that are killed beside a cut, the hosts of the cut were not left out, as they were compared by identity of records made anew; with "all" nobody was left that knew one version only. A version always stayed after its release, and callers came back within half a second. The soak itself ended with an error when requests had crashed all endpoints and a fault wanted one.

Change: the cut hosts are left out. In three of ten cuts the version that appears is withdrawn 0.5 to 1.5 s later, endpoints and entries at once; one caller in five comes back for its stream up to 4 s later. Half of the cuts part hosts from the store and other hosts at once. Links end when a cut heals, as those through a proxy never speak again.

A check was wrong under cuts: "budget: ... crashed endpoints again" counts crashes that all daemons must know of, and excuses a daemon for 3 s after its start or suspension, as it hears of the crashes of others from its peers.

--- a/soak/caller_pool.ts
+++ b/soak/caller_pool.ts
@@ -27,6 +27,9 @@
 /** Tries that take one stream up. */
 const MAX_TAKE_UPS = 3;
 const MAX_TAKE_UP_GAP_MS = 500;
+/** Share of the callers that wait before they take a stream up. */
+const LATE_SHARE = 0.2;
+const MAX_LATE_MS = 4_000;
 /** Status of refusals that another daemon may not repeat. */
 const REFUSED_STATUS = 503;
 /**
@@ -151,6 +154,9 @@
     let { result } = first;
     let lastEvent = lastEventOf(result);
     if (result.kind === "answered") return;
+    if (this.#random.float() < LATE_SHARE) {
+      await wait(this.#random.float() * MAX_LATE_MS);
+    }
     for (let tryCount = 0; tryCount < MAX_TAKE_UPS; tryCount++) {
       if (lastEvent === undefined) return;
       const other = this.#pickForTakeUp();
--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -35,6 +35,8 @@
   #stopRequestedMs: number | undefined;
   #startCount = 0;
   #disturbedMs = 0;
+  #isSeparated = false;
+  #rejoinedMs = 0;
   readonly #ownEnds: string[] = [];
 
   /**
@@ -72,6 +74,21 @@
     return this.#isPaused ? Date.now() : this.#disturbedMs;
   }
 
+  /**
+   * Wall-clock time of the latest disturbance, or of the latest time at which
+   * the daemon could not reach all of its peers, in milliseconds.
+   */
+  get separatedMs(): number {
+    const rejoinedMs = this.#isSeparated ? Date.now() : this.#rejoinedMs;
+    return Math.max(this.disturbedMs, rejoinedMs);
+  }
+
+  /** Sets whether the network keeps the daemon from reaching its peers. */
+  set isSeparated(isSeparated: boolean) {
+    this.#isSeparated = isSeparated;
+    this.#rejoinedMs = Date.now();
+  }
+
   /** Ends of the process that no signal asked for. */
   get ownEnds(): readonly string[] {
     return this.#ownEnds;
--- a/soak/endpoint_rules.ts
+++ b/soak/endpoint_rules.ts
@@ -11,6 +11,11 @@
   readonly atMs: number;
   /** Time since the daemon was disturbed, in milliseconds. */
   readonly calmMs: number;
+  /**
+   * Time for which the daemon has been in touch with its peers, undisturbed, in
+   * milliseconds.
+   */
+  readonly contactMs: number;
 }
 
 /** Time in milliseconds that a daemon has after a disturbance or a crash. */
@@ -41,13 +46,11 @@
   readonly #noticesMs = new Map<string, number>();
   readonly #holds = new Map<string, Hold>();
   readonly #violations = new Set<string>();
+  #crashCount = 0;
 
   /** Number of endpoints that were crashed by a request. */
   get crashCount(): number {
-    return [...this.#crashTimesMs.values()].reduce(
-      (sum, times) => sum + times.length,
-      0,
-    );
+    return this.#crashCount;
   }
 
   /**
@@ -59,15 +62,18 @@
    */
   recordCrash(
     content: string,
-    { atMs, calmMs }: EndpointArrival,
+    { atMs, contactMs }: EndpointArrival,
     maxCrashes = MAX_CRASHES,
   ): void {
+    this.#crashCount++;
     const times = this.#crashTimesMs.get(content) ?? [];
     this.#crashTimesMs.set(content, times);
     const knownMs = times[maxCrashes - 1];
-    times.push(atMs);
+    // What a daemon sees that is cut from its peers, the others cannot know.
+    if (contactMs > 0) times.push(atMs);
     const isLate = knownMs !== undefined && atMs > knownMs + CONTACT_MS;
-    if (!isLate || calmMs < CONTACT_MS) return;
+    // What crashed the endpoints of others is told by peers.
+    if (!isLate || contactMs < CONTACT_MS) return;
     const count = (this.#lateRetries.get(content) ?? 0) + 1;
     this.#lateRetries.set(content, count);
     if (count > MAX_RETRIES) {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -103,7 +103,13 @@
     const faultActions = this.#faultActions();
     while (!this.#isStopping) {
       const faultAction = this.#pick(faultActions);
-      this.#log(faultAction(this.#deployment, this.#random));
+      // Requests may have crashed all endpoints within a moment.
+      const hasEndpoints = this.#deployment.endpoints.length > 0;
+      this.#log(
+        hasEndpoints
+          ? faultAction(this.#deployment, this.#random)
+          : "no endpoint is left for a moment",
+      );
       await wait(this.#random.float() * MAX_FAULT_GAP_MS);
       for (const daemon of this.#deployment.daemons) daemon.start();
     }
--- a/soak/host_isolation.ts
+++ b/soak/host_isolation.ts
@@ -11,10 +11,13 @@
 import type { Releases } from "./releases.ts";
 import type { SoakDeployment } from "./soak_deployment.ts";
 
-/** What hosts are cut from, and how. */
+/** What hosts are cut from, and how; frequent ones are listed again. */
 const ISOLATION_KINDS = [
+  "store-and-peers",
+  "store-and-peers",
   "store-and-peers",
   "store-and-all-links",
+  "store-and-all-links",
   "store",
   "peers",
   "store-one-way",
@@ -33,6 +36,8 @@
 /** Callers give up after 8 s, and no host sleeps for that long. */
 const MAX_PAUSE_MS = 2_500;
 const MAX_RELEASE_DELAY_MS = 300;
+/** Share of the versions that appear during a cut and leave before its end. */
+const WITHDRAWN_SHARE = 0.3;
 const MIN_KILL_DELAY_MS = 300;
 const MAX_KILL_DELAY_MS = 1_500;
 const MAX_KILL_GAP_MS = 200;
@@ -83,12 +88,15 @@
     const kind = this.#pick(ISOLATION_KINDS);
     const killKind = this.#pick(KILL_KINDS);
     const isolated = this.#pickHosts();
-    const others = this.#hosts().filter((host) => !isolated.includes(host));
+    const daemons = isolated.map(({ daemon }) => daemon);
+    const others = this.#hosts().filter(({ daemon }) =>
+      !daemons.includes(daemon)
+    );
     const maxCutMs = kind === "pause" ? MAX_PAUSE_MS : MAX_CUT_MS;
     const cutMs = MIN_CUT_MS + random.float() * (maxCutMs - MIN_CUT_MS);
     this.#cut(kind, isolated, others);
-    this.#deployment.isolatedDaemons = isolated.map(({ daemon }) => daemon);
-    const names = isolated.map(({ daemon }) => daemon.options.name).join();
+    this.#deployment.isolatedDaemons = daemons;
+    const names = daemons.map(({ options }) => options.name).join();
     this.#heal = () => {
       this.#heal = undefined;
       this.#reconnect(kind, isolated, others);
@@ -99,9 +107,12 @@
     setTimeout(() => {
       if (this.#heal === heal) heal();
     }, cutMs);
+    const isWithdrawn = random.float() < WITHDRAWN_SHARE;
     const releaseDelayMs = random.float() * MAX_RELEASE_DELAY_MS;
     setTimeout(() => {
-      if (this.#heal === heal) this.#log(this.#releases.begin());
+      if (this.#heal !== heal) return;
+      const releases = this.#releases;
+      this.#log(isWithdrawn ? releases.beginWithdrawn() : releases.begin());
     }, releaseDelayMs);
     void this.#killInSeries(this.#pickVictims(killKind, others));
     return `isolate ${names} (${kind}) for ${
@@ -149,8 +160,10 @@
           daemon.pause();
       }
     }
+    const separated = separatedHosts(kind, isolated, this.#hosts());
+    for (const { daemon } of separated) daemon.isSeparated = true;
     if (kind !== "store-and-all-links") return;
-    for (const { partition } of this.#hosts()) partition.cutLinksOfPeers();
+    for (const { partition } of separated) partition.cutLinksOfPeers();
   }
 
   #reconnect(
@@ -176,9 +189,18 @@
         case "pause":
           daemon.resume();
       }
-      for (const other of others) partition.rejoin(other.partition);
     }
-    for (const { partition } of this.#hosts()) partition.rejoinPeers();
+    for (
+      const { daemon, partition } of separatedHosts(
+        kind,
+        isolated,
+        this.#hosts(),
+      )
+    ) {
+      daemon.isSeparated = false;
+      partition.rejoinPeers();
+      for (const other of others) partition.endLinks(other.partition);
+    }
   }
 
   async #killInSeries(victims: readonly SoakHost[]): Promise<void> {
@@ -237,6 +259,27 @@
   }
 }
 
+/** @returns The hosts that cannot reach all of their peers. */
+function separatedHosts(
+  kind: IsolationKind,
+  isolated: readonly SoakHost[],
+  hosts: readonly SoakHost[],
+): readonly SoakHost[] {
+  switch (kind) {
+    case "store-and-peers":
+    case "peers":
+      return isolated;
+    case "store-and-all-links":
+      return hosts;
+    case "store":
+    case "store-one-way":
+    case "store-busy":
+    case "store-reset":
+    case "pause":
+      return [];
+  }
+}
+
 function cutFromPeers(
   partition: HostPartition,
   isolated: readonly SoakHost[],
--- a/soak/releases.ts
+++ b/soak/releases.ts
@@ -19,6 +19,9 @@
 const SINGLE_VERSION_SHARE = 0.6;
 const RETURN_SHARE = 0.35;
 const OVERLAP_SHARE = 0.4;
+/** Time for which a version serves that is withdrawn. */
+const MIN_TRIAL_MS = 500;
+const MAX_TRIAL_MS = 1_500;
 
 /** Starts releases and ends those that have begun. */
 export class Releases {
@@ -86,6 +89,29 @@
     } ms`;
   }
 
+  /**
+   * Starts endpoints of a version that none has had before. They end together
+   * soon, without notice, and their entries with them.
+   *
+   * @returns What was done.
+   */
+  beginWithdrawn(): string {
+    const version = this.#addVersion();
+    const trialMs = MIN_TRIAL_MS +
+      this.#random.float() * (MAX_TRIAL_MS - MIN_TRIAL_MS);
+    const deployment = this.#deployment;
+    for (let index = 0; index < MAX_ENDPOINTS; index++) {
+      void deployment.addEndpoint(SERVICE, version);
+    }
+    setTimeout(() => {
+      const tried = deployment.endpoints.filter((endpoint) =>
+        endpoint.service === SERVICE && endpoint.version === version
+      );
+      for (const endpoint of tried) deployment.removeEndpoint(endpoint);
+    }, trialMs);
+    return `try ${version} for ${Math.round(trialMs)} ms`;
+  }
+
   /** The endpoints of the latest release stay, also if it is another one. */
   #end(version: string, isSingleAfter: boolean): void {
     this.#unfinishedCount--;
@@ -110,6 +136,10 @@
     const isReturn = this.#random.float() < RETURN_SHARE;
     const choice = Math.floor(this.#random.float() * earlier.length);
     if (isReturn && earlier.length > 0) return earlier[choice]!;
+    return this.#addVersion();
+  }
+
+  #addVersion(): string {
     const version = `v${this.#versions.length + 1}`;
     this.#versions.push(version);
     return version;
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -226,6 +226,14 @@
     }, drainMs);
   }
 
+  /** Ends an endpoint without notice, and its entry at once. */
+  removeEndpoint(endpoint: SoakEndpoint): void {
+    this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
+    this.#removeEndpointEntry(endpoint.name);
+    endpoint.proxy.close();
+    endpoint.replica.dispose();
+  }
+
   /** Stops an endpoint without notice and starts it again under its name. */
   async restartEndpoint(endpoint: SoakEndpoint): Promise<void> {
     endpoint.proxy.close();
@@ -384,6 +392,7 @@
       daemon: daemon.options.name,
       atMs,
       calmMs: atMs - daemon.disturbedMs,
+      contactMs: atMs - daemon.separatedMs,
     };
   }
 
--- a/standins/network/host_partition.ts
+++ b/standins/network/host_partition.ts
@@ -71,9 +71,13 @@
     this.#peerProxy.setFault(SILENCE);
   }
 
-  /** Ends the cut of the links that peers open. */
+  /**
+   * Ends the cut of the links that peers open. All links that they have opened
+   * end, so that they open others.
+   */
   rejoinPeers(): void {
     this.#peerProxy.setFault({ kind: "none" });
+    this.#peerProxy.resetConnections();
   }
 
   /** Cuts this host and another one from each other, silently. */
@@ -88,6 +92,13 @@
     other.#peerProxy.cutSource(this.#ip, undefined);
   }
 
+  /** Ends the links between this host and another one. */
+  endLinks(other: HostPartition): void {
+    this.#peerProxy.cutSource(other.#ip, "reset");
+    other.#peerProxy.cutSource(this.#ip, "reset");
+    this.rejoin(other);
+  }
+
   /** Closes all connections. */
   dispose(): void {
     this.#peerProxy.close();
