Let soaks of large fleets begin when their daemons are ready

Cause: 60 daemons take 12 to 15 s to start beside other jobs, and longer after all are killed at once. All checks had the same empty body. What crashed endpoints while a check ran was suspected in each of them, so that 1,401 were refused in the next such run.

Change: the load begins when all daemons say that they are ready, after a minute at the latest. Of the daemons that are killed beside a cut there are at most twelve. Each check has a body of its own, which its later tries repeat.

--- a/soak/caller_pool.ts
+++ b/soak/caller_pool.ts
@@ -148,7 +148,7 @@
     first: SentRequest,
   ): Promise<void> {
     const path = REQUEST_PATHS.check;
-    first.result = await this.#send(daemon, first, path, "", {
+    first.result = await this.#send(daemon, first, path, first.id, {
       breakAfterEvents: CHECK_BREAK_EVENTS,
     });
     let { result } = first;
@@ -169,7 +169,7 @@
         result: undefined,
       };
       this.#recordSent(again, "llm");
-      result = await this.#send(other, again, path, "", {
+      result = await this.#send(other, again, path, first.id, {
         headers: { "Last-Event-Id": String(lastEvent), "Resumes": first.id },
       });
       again.result = result;
--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -176,6 +176,18 @@
     }, SHUTDOWN_GRACE_MS).unref();
   }
 
+  /** @returns Whether the daemon says that it can serve. */
+  async isReady(): Promise<boolean> {
+    const { ip, port } = this.options;
+    try {
+      const response = await fetch(`http://${ip}:${port + 1}/`);
+      await response.body?.cancel();
+      return response.ok;
+    } catch {
+      return false;
+    }
+  }
+
   /** Sends SIGKILL. */
   kill(): void {
     this.#child?.kill("SIGKILL");
--- a/soak/host_isolation.ts
+++ b/soak/host_isolation.ts
@@ -41,6 +41,8 @@
 const MIN_KILL_DELAY_MS = 300;
 const MAX_KILL_DELAY_MS = 1_500;
 const MAX_KILL_GAP_MS = 200;
+/** More daemons do not start again soon on one machine. */
+const MAX_VICTIMS = 12;
 /** Share of the cuts that part several hosts from the others, as a zone cut. */
 const GROUP_SHARE = 0.25;
 const MIN_DAEMONS_FOR_GROUP = 4;
@@ -114,7 +116,8 @@
       const releases = this.#releases;
       this.#log(isWithdrawn ? releases.beginWithdrawn() : releases.begin());
     }, releaseDelayMs);
-    void this.#killInSeries(this.#pickVictims(killKind, others));
+    const victims = this.#pickVictims(killKind, others);
+    void this.#killInSeries(victims.slice(0, MAX_VICTIMS));
     return `isolate ${names} (${kind}) for ${
       Math.round(cutMs)
     } ms, kill ${killKind} of the others`;
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -8,6 +8,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { SeededRandom } from "../src/base/common/random.ts";
 import { CallerPool } from "./caller_pool.ts";
+import type { DaemonProcess } from "./daemon_process.ts";
 import {
   FAULT_NAMES,
   FaultInjector,
@@ -23,8 +24,11 @@
 } from "./soak_deployment.ts";
 
 const CHECK_INTERVAL_MS = 250;
-/** Time in milliseconds that the daemons get to become ready. */
+/** Time in milliseconds that ready daemons get to link up. */
 const STARTUP_MS = 2_000;
+/** Large fleets take long to start on one machine. */
+const MAX_READY_MS = 60_000;
+const READY_POLL_INTERVAL_MS = 500;
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -83,6 +87,10 @@
   });
   await deployment.start();
   await wait(STARTUP_MS);
+  if (!await areReady(deployment.daemons)) {
+    await awaitReady(deployment.daemons);
+    await wait(STARTUP_MS);
+  }
   const events: string[] = [];
   const startMs = Date.now();
   const faultInjector = new FaultInjector(
@@ -142,3 +150,16 @@
       daemonCount,
   };
 }
+
+async function areReady(daemons: readonly DaemonProcess[]): Promise<boolean> {
+  const states = await Promise.all(daemons.map((daemon) => daemon.isReady()));
+  return states.every((isReady) => isReady);
+}
+
+/** The soak begins without those that are not ready in time. */
+async function awaitReady(daemons: readonly DaemonProcess[]): Promise<void> {
+  const endMs = Date.now() + MAX_READY_MS;
+  while (Date.now() < endMs && !await areReady(daemons)) {
+    await wait(READY_POLL_INTERVAL_MS);
+  }
+}
