--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -19,8 +19,11 @@
 } from "../platform/store_documents.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { createConfiguration } from "./soak_configuration.ts";
+import { HOST_KEY_PREFIX } from "../src/services/hosts/common/host_entry.ts";
 import { FaultProxy } from "../standins/network/fault_proxy.ts";
+import { HostPartition } from "../standins/network/host_partition.ts";
 import type { StoreCopy } from "../standins/mirror/fake_revisioned_store.ts";
+import { SeedServer } from "./seed_server.ts";
 import { type EndpointArrival, MAX_PART_CRASHES } from "./endpoint_rules.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 
@@ -42,6 +45,7 @@
 /** Killed processes exit within a few milliseconds. */
 const EXIT_POLL_INTERVAL_MS = 20;
 const PORTS_PER_DAEMON = 10;
+const SEED_COUNT = 3;
 /**
  * Concurrent soaks must differ in the thousands of their first port, which select
  * their loopback addresses.
@@ -55,6 +59,8 @@
 export interface SoakEndpoint {
   readonly service: "app" | "llm";
   readonly name: string;
+  /** Software version that it announces. */
+  readonly version: string;
   replica: ReplicaServer;
   /** Identifies the current process of the endpoint. */
   process: string;
@@ -72,6 +78,8 @@
   readonly daemonCount: number;
   /** First port of the daemons. */
   readonly firstPort: number;
+  /** Software versions of the first endpoints, in turn. */
+  readonly versions: readonly string[];
   readonly invariants: InvariantChecker;
 }
 
@@ -82,7 +90,13 @@
   readonly storeServer = new MetadataStoreServer(new SystemClock());
   readonly endpoints: SoakEndpoint[] = [];
   readonly daemons: DaemonProcess[] = [];
-  readonly storeProxies: FaultProxy[] = [];
+  /** The links of each daemon to its peers and the store. */
+  readonly partitions: HostPartition[] = [];
+  readonly #seeds: SeedServer[] = [];
+  /** Daemons that are cut off, at which callers take up more streams. */
+  isolatedDaemons: readonly DaemonProcess[] = [];
+  /** Software version of replacements, if the version they replace has left. */
+  replacementVersion: string | undefined;
   #configurationVersion = 0;
   #configurationText = "";
   /** Current entries of the endpoints, by their names. */
@@ -102,30 +116,37 @@
 
   /** Starts all components; daemons may become ready later. */
   async start(): Promise<void> {
-    const { folder, daemonCount, programPath } = this.#options;
+    const { folder, daemonCount, programPath, versions } = this.#options;
     await this.#assertPortsAreFree();
     await rm(folder, { recursive: true, force: true });
     await mkdir(folder, { recursive: true });
     const storeAddress = await this.storeServer.listen();
     this.writeConfiguration();
-    for (const service of ["app", "app", "llm", "llm", "llm", "llm"] as const) {
-      await this.addEndpoint(service);
+    const services = ["app", "app", "llm", "llm", "llm", "llm"] as const;
+    for (const [index, service] of services.entries()) {
+      await this.addEndpoint(service, versions[index % versions.length]!);
     }
-    const seeds = [0, 1, 2].filter((index) => index < daemonCount)
-      .map((index) =>
-        `${this.#getIp(index)}:${this.#getPort(index) + 2}` as Address
-      );
+    const seeds = await this.#startSeeds();
     for (let index = 0; index < daemonCount; index++) {
-      const proxy = new FaultProxy(storeAddress);
-      this.storeProxies.push(proxy);
+      const name = `host-${index}`;
+      const ip = this.#getIp(index);
+      const port = this.#getPort(index);
+      const partition = await HostPartition.create(
+        ip,
+        this.#getPeersAddress(index),
+        storeAddress,
+      );
+      this.partitions.push(partition);
+      const { peersAddress } = partition;
+      this.storeServer.addresses.set(`${HOST_KEY_PREFIX}${name}`, peersAddress);
       const daemon = new DaemonProcess(
         {
-          name: `host-${index}`,
-          ip: this.#getIp(index),
+          name,
+          ip,
           zone: ZONES[index % ZONES.length]!,
-          port: this.#getPort(index),
-          storeAddress: await proxy.listen(),
-          seeds,
+          port,
+          storeAddress: partition.storeAddress,
+          seeds: seeds.filter((_, seed) => seed !== index),
         },
         programPath,
         folder,
@@ -169,18 +190,26 @@
       proxy.close();
       replica.dispose();
     }
-    for (const proxy of this.storeProxies) proxy.close();
+    for (const partition of this.partitions) partition.dispose();
+    for (const seed of this.#seeds) seed.dispose();
     this.storeServer.dispose();
   }
 
-  /** Starts an endpoint and adds it to the store. */
-  async addEndpoint(service: "app" | "llm"): Promise<void> {
+  /** Starts an endpoint of a software version and adds it to the store. */
+  async addEndpoint(service: "app" | "llm", version: string): Promise<void> {
     const name = `${service}-${++this.#endpointCount}`;
-    const endpoint = { service, name, ...await this.#startReplica(name) };
+    const started = await this.#startReplica(name, version);
+    const endpoint = { service, name, version, ...started };
     this.endpoints.push(endpoint);
     this.#writeEndpointEntry(endpoint, "ready");
   }
 
+  /** Adds an endpoint in the place of one that leaves. */
+  addReplacement({ service, version }: SoakEndpoint): Promise<void> {
+    const newVersion = service === "llm" ? this.replacementVersion : undefined;
+    return this.addEndpoint(service, newVersion ?? version);
+  }
+
   /**
    * Drains an endpoint and stops it afterwards.
    *
@@ -197,11 +226,20 @@
     }, drainMs);
   }
 
+  /** Ends an endpoint without notice, and its entry at once. */
+  removeEndpoint(endpoint: SoakEndpoint): void {
+    this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
+    this.#removeEndpointEntry(endpoint.name);
+    endpoint.proxy.close();
+    endpoint.replica.dispose();
+  }
+
   /** Stops an endpoint without notice and starts it again under its name. */
   async restartEndpoint(endpoint: SoakEndpoint): Promise<void> {
     endpoint.proxy.close();
     endpoint.replica.dispose();
-    Object.assign(endpoint, await this.#startReplica(endpoint.name));
+    const { name, version } = endpoint;
+    Object.assign(endpoint, await this.#startReplica(name, version));
     this.#writeEndpointEntry(endpoint, "ready");
   }
 
@@ -229,6 +267,19 @@
     this.storeServer.store.put(CONFIGURATION_KEY, text);
   }
 
+  /** Links to addresses that the daemons state themselves cannot be cut. */
+  #startSeeds(): Promise<Address[]> {
+    const count = Math.min(SEED_COUNT, this.#options.daemonCount);
+    return Promise.all(Array.from({ length: count }, (_, index) => {
+      const seed = new SeedServer(
+        this.#getPeersAddress(index),
+        (host) => this.storeServer.addresses.get(`${HOST_KEY_PREFIX}${host}`),
+      );
+      this.#seeds.push(seed);
+      return seed.listen();
+    }));
+  }
+
   /** Two soaks that share ports would serve each other's callers. */
   async #assertPortsAreFree(): Promise<void> {
     for (let index = 0; index < this.#options.daemonCount; index++) {
@@ -245,6 +296,10 @@
     }
   }
 
+  #getPeersAddress(index: number): Address {
+    return `${this.#getIp(index)}:${this.#getPort(index) + 2}` as Address;
+  }
+
   #getPort(index: number): number {
     return this.#firstPort + index * PORTS_PER_DAEMON;
   }
@@ -256,7 +311,8 @@
 
   async #startReplica(
     name: string,
-  ): Promise<Omit<SoakEndpoint, "service" | "name">> {
+    version: string,
+  ): Promise<Omit<SoakEndpoint, "service" | "name" | "version">> {
     const { invariants } = this.#options;
     const service = name.startsWith("app") ? "app" : "llm";
     const replica = new ReplicaServer(name);
@@ -275,7 +331,9 @@
       if (service === "app") return;
       invariants.versionRules.recordRun({
         stream: String(headers["resumes"] ?? id),
-        version: versionOf(name),
+        request: id,
+        daemon: invariants.daemonOf(id),
+        version,
         goesOn: headers["last-event-id"] !== undefined ||
           headers["kv-from"] !== undefined,
       });
@@ -334,6 +392,7 @@
       daemon: daemon.options.name,
       atMs,
       calmMs: atMs - daemon.disturbedMs,
+      contactMs: atMs - daemon.separatedMs,
     };
   }
 
@@ -348,19 +407,19 @@
     await wait(CRASH_RETURN_MS);
     if (this.#isStopped) return;
     this.#removeEndpointEntry(name);
-    await this.addEndpoint(crashed!.service);
+    await this.addReplacement(crashed!);
   }
 
   #writeEndpointEntry(
     endpoint: SoakEndpoint,
     state: "ready" | "draining",
   ): void {
-    const { service, name, address, startedMs } = endpoint;
+    const { service, name, version, address, startedMs } = endpoint;
     const entry = {
       service,
       address,
       "zone": ZONES[0],
-      "version": versionOf(name),
+      version,
       "slots": 8,
       state,
       "cold-left-ms": 0,
@@ -377,11 +436,6 @@
   }
 }
 
-/** Endpoints have one of two software versions in turn. */
-function versionOf(name: string): string {
-  return Number(name.split("-")[1]) % 2 === 0 ? "v2" : "v1";
-}
-
 function isTainted(headers: IncomingHttpHeaders): boolean {
   const parts = String(headers["x-prompt-prefix"] ?? "").split(",");
   return parts.slice(0, -1).some((part) =>
