--- a/soak/main.ts
+++ b/soak/main.ts
@@ -32,6 +32,10 @@
 cli.option("--program <path>", "Built program of the daemons", {
   default: PROGRAM_PATH,
 });
+cli.option(
+  "--other-program <path>",
+  "Built program of every second daemon, as in an upgrade",
+);
 cli.option("--logs <path>", "Folder for the logs of each seed", {
   default: LOG_FOLDER,
 });
@@ -55,6 +59,7 @@
       gapMs: Number(options["gap"]),
       firstPort: Number(options["port"]),
       programPath: String(options["program"]),
+      otherProgramPath: String(options["otherProgram"] ?? options["program"]),
       folder: `${String(options["logs"])}/${seed}`,
     });
     const { sentCount, servedCount, restartCount, violations } = result;
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -74,6 +74,8 @@
 /** Options of a soak deployment. */
 export interface SoakDeploymentOptions {
   readonly programPath: string;
+  /** Path of the program of every second daemon; the same by default. */
+  readonly otherProgramPath?: string;
   readonly folder: string;
   readonly daemonCount: number;
   /** First port of the daemons. */
@@ -117,6 +119,10 @@
   /** Starts all components; daemons may become ready later. */
   async start(): Promise<void> {
     const { folder, daemonCount, programPath, versions } = this.#options;
+    const programPaths = [
+      programPath,
+      this.#options.otherProgramPath ?? programPath,
+    ];
     await this.#assertPortsAreFree();
     await rm(folder, { recursive: true, force: true });
     await mkdir(folder, { recursive: true });
@@ -148,7 +154,7 @@
           storeAddress: partition.storeAddress,
           seeds: seeds.filter((_, seed) => seed !== index),
         },
-        programPath,
+        programPaths[index % programPaths.length]!,
         folder,
       );
       daemon.writeSettings(MAX_REVOCATION_MS);
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -43,6 +43,8 @@
   readonly faults?: readonly FaultName[];
   /** Path of the built daemon program. */
   readonly programPath: string;
+  /** Path of the program of every second daemon; the same by default. */
+  readonly otherProgramPath?: string;
   /** Path of the folder for settings, logs and the list of events. */
   readonly folder: string;
 }
