Say two comments in plain terms

Comments only: the built program is the same to the byte before and after (sha256 of target/ragwortd-platform.cjs). Format, lint and types pass; tests were not run again.

--- a/soak/endpoint_rules.ts
+++ b/soak/endpoint_rules.ts
@@ -72,7 +72,7 @@
     // What a daemon sees that is cut from its peers, the others cannot know.
     if (contactMs > 0) times.push(atMs);
     const isLate = knownMs !== undefined && atMs > knownMs + CONTACT_MS;
-    // What crashed the endpoints of others is told by peers.
+    // A daemon learns of crashes at other daemons from its peers only.
     if (!isLate || contactMs < CONTACT_MS) return;
     const count = (this.#lateRetries.get(content) ?? 0) + 1;
     this.#lateRetries.set(content, count);
--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/stream_resumption.ts
@@ -22,7 +22,7 @@
 /** Workspace of requests on routes without keys. */
 const PUBLIC_WORKSPACE = "" as WorkspaceId;
 
-/** At which version a stream goes on, and what that rests on. */
+/** Version at which a stream goes on, and the evidence for it. */
 interface FoundVersion {
   readonly softwareVersion: string;
   /**
