Log which answers had neither a length nor chunks

request-ended said only that a request was served, so that an answer cut short by the end of its endpoint could not be told from a whole one, nor from one of two versions. No logic is changed.

--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -162,6 +162,8 @@
   #promptParts: readonly string[] | undefined;
   #crashCheck: Promise<void> | undefined;
   #firstByteMs: number | undefined;
+  /** Whether the latest response had no framing but the end of its connection. */
+  #isCloseDelimited = false;
 
   /**
    * @param services - Dependencies of the forwarders.
@@ -394,8 +396,8 @@
         if (answers.observe(endpoint, head)) {
           run.onAnswered(status >= 200 && status < 300 && fields.isSigned);
         }
-        isServed = !fields.isNotRun && status < 500 &&
-          !isCloseDelimited(method, status, received);
+        this.#isCloseDelimited = isCloseDelimited(method, status, received);
+        isServed = !fields.isNotRun && status < 500 && !this.#isCloseDelimited;
         sink.onHead(status, received);
       },
       onData: (chunk) => {
@@ -538,6 +540,7 @@
       sent: this.sentCount,
       unreached: this.#unreachedCount || undefined,
       via: this.#latestPeer,
+      closeDelimited: this.#isCloseDelimited || undefined,
       firstMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
       leftMs: Math.round(this.remainingMs),
