End an answer without a length only when its endpoint has outlived it

Callers got streams that looked complete before their last event, and calls with half of their body: an endpoint that ends closes its connections as after a complete answer, and the absence of a reset was taken for completeness.

Cause: UndiciPassThroughClient reported the end of the connection as the end of the answer. Now VerifyingClient and PathClient pass such an end on only when the process has answered a question that was asked after it, on the path on which the answer came (EndpointSurvival). A peer that passes an answer on says that it verifies the end; with an earlier build, the asking host verifies it through that peer. A run that was to be stopped at its source stays in doubt, also after the source has not answered.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -174,7 +174,7 @@
         connector: adapter.connector,
         createControl: (http) => adapter.createControl(http),
         relayPeers: () => this.#topology.relayPeers,
-        isLimited: (endpoint) => this.#limits.endpoints.isLimited(endpoint),
+        limits: () => this.#limits.endpoints,
       }),
     );
     const findService = (id: ServiceId) =>
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -151,7 +151,7 @@
       active_requests: services.gateway.activeCount,
       waiting_generations: services.queue.length,
       caller_connections: services.callers.connectionCount,
-      endpoint_connections_opened: services.paths.directClient.openedCount,
+      endpoint_connections_opened: services.paths.openedCount,
       endpoints: services.registry.all.length,
       lost_direct_paths: services.paths.direct.lostAddresses.length,
       limited_endpoints: services.limitRights.list().length,
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -10,12 +10,17 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { EndpointHolds } from "../../features/gateway/common/endpoint_holds.ts";
+import type { EndpointLimits } from "../../features/gateway/common/endpoint_limits.ts";
 import type { EnginePaths } from "../../features/gateway/common/endpoint_probe.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
   UnreachableSince,
 } from "../../features/gateway/common/endpoint_registry.ts";
+import {
+  EndpointSurvival,
+  type LivenessQuestion,
+} from "../../features/gateway/common/endpoint_survival.ts";
 import type { EngineControl } from "../../features/gateway/common/engine_control.ts";
 import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
 import {
@@ -30,7 +35,11 @@
   type ChoiceRandom,
   RelayChooser,
 } from "../../features/paths/common/relay_chooser.ts";
+import { RelayedJsonCaller } from "../../features/paths/common/relayed_json_caller.ts";
+import type { EndCheck } from "../../features/paths/common/verified_response.ts";
+import { VerifyingClient } from "../../features/paths/common/verifying_client.ts";
 import type { JsonCaller } from "../../services/http/common/json_caller.ts";
+import type { RelayInstructions } from "../../services/http/common/pass_through_client.ts";
 import { JsonClient } from "../../services/http/node/json_client.ts";
 import type { SocketConnector } from "../../services/http/node/socket_connector.ts";
 import { UndiciPassThroughClient } from "../../services/http/node/undici_pass_through_client.ts";
@@ -39,6 +48,7 @@
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 import {
   HttpRelaySender,
+  type RelayableRequest,
   type RelayPeer,
 } from "../../services/relay/common/relay_sender.ts";
 import type { RelaySigner } from "../../services/relay/common/relay_signer.ts";
@@ -61,21 +71,23 @@
   createControl(http: JsonCaller): EngineControl;
   /** @returns The other hosts that pass requests on. */
   relayPeers(): readonly RelayPeer[];
-  /** @returns Whether an endpoint names a limit, which probes count against. */
-  isLimited(endpoint: RegisteredEndpoint): boolean;
+  /** Limits of the endpoints, which probes count against. */
+  limits(): Pick<EndpointLimits, "isLimited" | "take">;
 }
 
 /** Clients for requests to endpoints and the state of the paths to them. */
 export class GatewayPaths implements EnginePaths, Disposable {
   readonly direct: DirectPaths;
   /** Client that sends only directly. */
-  readonly directClient: UndiciPassThroughClient;
+  readonly directClient: VerifyingClient;
   /** Client that chooses the path. */
   readonly client: PathClient;
   /** Control of engines, on any path. */
   readonly control: EngineControl;
   readonly #services: GatewayPathsServices;
+  readonly #connections: UndiciPassThroughClient;
   readonly #prober: PathProber;
+  readonly #survival: EndpointSurvival;
   readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the paths. */
@@ -98,10 +110,14 @@
       hasLost: (host, address) => fleet.hasLost(host, address),
       zoneOf: (address) => this.#endpointAt(address)?.announcement.zone,
     });
-    this.directClient = new UndiciPassThroughClient(clock, {
+    this.#connections = new UndiciPassThroughClient(clock, {
       observer: this.direct,
       connector,
     });
+    this.directClient = new VerifyingClient(
+      this.#connections,
+      (address) => this.#createEndCheck(this.#endpointAt(address)),
+    );
     const directHttp = this.#disposables.add(
       new JsonClient(clock, undefined, connector, this.direct),
     );
@@ -110,22 +126,26 @@
     );
     this.#prober = this.#disposables.add(this.#createProber(probeHttp));
     this.client = this.#createClient(chooser);
-    this.control = createControl(
-      new PathJsonCaller({
-        clock,
-        directCaller: directHttp,
-        pathClient: this.client,
-        chooser,
-        direct: this.direct,
-        groupOf: (address) => this.#groupOf(address),
-        relayInstructions: (address, deadlineMs) => {
-          const endpoint = this.#endpointAt(address)?.id;
-          return endpoint &&
-            { endpoint, purpose: "control", requestId: undefined, deadlineMs };
-        },
-        checkSilent: (address) => void this.checkSilent(address),
-      }),
-    );
+    const controlHttp = new PathJsonCaller({
+      clock,
+      directCaller: directHttp,
+      pathClient: this.client,
+      chooser,
+      direct: this.direct,
+      groupOf: (address) => this.#groupOf(address),
+      relayInstructions: (address, deadlineMs) =>
+        this.#instructPeers(address, deadlineMs),
+      checkSilent: (address) => void this.checkSilent(address),
+    });
+    this.control = createControl(controlHttp);
+    this.#survival = new EndpointSurvival({
+      ...services,
+      askDirectly: askBy(createControl(directHttp)),
+      askThroughPeers: askBy(createControl(controlHttp.throughPeer)),
+      // A refused connection may also be lost, but not one that is reset.
+      isRefused: ({ announcement }) =>
+        this.direct.lossOf(announcement.address) === "refused",
+    });
     this.#disposables.add(
       this.direct.onDidChange((change) => this.#onChanged(change)),
     );
@@ -166,6 +186,11 @@
       : Promise.resolve(false);
   }
 
+  /** Number of connections to endpoints that this host has opened. */
+  get openedCount(): number {
+    return this.#connections.openedCount;
+  }
+
   /** Stops probing and sharing. */
   dispose(): void {
     this.#disposables.dispose();
@@ -177,6 +202,8 @@
     return new PathClient({
       clock,
       client: this.directClient,
+      createRelayCheck: (peer, request) =>
+        this.#createRelayCheck(peer, request),
       relays: new HttpRelaySender({
         self: self.host,
         clock,
@@ -197,13 +224,13 @@
 
   /** @param http - Client that no other requests use. */
   #createProber(http: JsonClient): PathProber {
-    const { clock, createControl, isLimited } = this.#services;
+    const { clock, createControl, limits } = this.#services;
     const control = createControl(http);
     return new PathProber({
       clock,
       direct: this.direct,
       trial: {
-        openConnection: (address) => this.directClient.openConnection(address),
+        openConnection: (address) => this.#connections.openConnection(address),
         requestAnswer: async (address) => {
           // Only a new connection shows whether the path works.
           http.closePool(address);
@@ -212,7 +239,7 @@
         },
         mayRequest: (address) => {
           const endpoint = this.#endpointAt(address);
-          return endpoint !== undefined && !isLimited(endpoint) &&
+          return endpoint !== undefined && !limits().isLimited(endpoint) &&
             !endpoint.isHeld(clock.monotonicMs());
         },
       },
@@ -236,6 +263,47 @@
     logger.log("warn", "direct-path-lost", { endpoint, address, loss });
   }
 
+  /**
+   * @param endpoint - The process that writes the response; without one, its
+   * end cannot be verified.
+   * @param askOnPath - Asks on the path of the response, if it is not direct.
+   */
+  #createEndCheck(
+    endpoint: RegisteredEndpoint | undefined,
+    askOnPath?: LivenessQuestion,
+  ): EndCheck {
+    return async () => {
+      const survival = endpoint
+        ? await this.#survival.check(endpoint, askOnPath)
+        : "unknown";
+      return survival === "outlived"
+        ? undefined
+        : `the connection ended with the response, the endpoint is ${survival}`;
+    };
+  }
+
+  #createRelayCheck(peer: RelayPeer, { relay }: RelayableRequest): EndCheck {
+    const { clock, createControl, registry } = this.#services;
+    const control = createControl(
+      new RelayedJsonCaller(
+        clock,
+        (address, deadlineMs) => this.#instructPeers(address, deadlineMs),
+        (request, listener) => this.client.sendThrough(peer, request, listener),
+      ),
+    );
+    return this.#createEndCheck(registry.get(relay.endpoint), askBy(control));
+  }
+
+  /** @returns What peers have to know to pass a control request on. */
+  #instructPeers(
+    address: Address,
+    deadlineMs: number,
+  ): RelayInstructions | undefined {
+    const endpoint = this.#endpointAt(address)?.id;
+    return endpoint &&
+      { endpoint, purpose: "control", requestId: undefined, deadlineMs };
+  }
+
   #endpointAt(address: Address): RegisteredEndpoint | undefined {
     const { registry } = this.#services;
     return registry.all.find(({ announcement, isPresent }) =>
@@ -252,3 +320,7 @@
     );
   }
 }
+
+function askBy(control: EngineControl): LivenessQuestion {
+  return ({ announcement }) => control.checkLiveness(announcement.address);
+}
--- a/src/features/gateway/common/caller_stream.ts
+++ b/src/features/gateway/common/caller_stream.ts
@@ -5,7 +5,6 @@
 
 import {
   type HeaderList,
-  isCloseDelimited,
   withoutHeader,
 } from "../../../services/http/common/header_list.ts";
 import {
@@ -23,8 +22,6 @@
   /** Response head of the first run; it is sent with the first event. */
   #head: HeaderList | undefined;
   #hasStarted = false;
-  /** Whether the end of the first run is that of its connection. */
-  #isEndedByClose = false;
 
   /** @param context - State of the request. */
   constructor(context: RequestContext) {
@@ -77,7 +74,6 @@
     const received = this.#head ?? [];
     const { exchange } = request;
     this.#hasStarted = true;
-    this.#isEndedByClose = isCloseDelimited(exchange.method, 200, received);
     const head = services.codec.callerResponseHeaders(received);
     // Other runs may bring further events.
     exchange.sendHead(200, withoutHeader(head, "content-length"));
@@ -112,7 +108,7 @@
     if (eventSplitter.pendingBytes > 0) {
       return "the stream ended within an event";
     }
-    if (isEndedByClose && (isStopped || !this.#isEndedByClose)) {
+    if (isEndedByClose && isStopped) {
       return "the end of the stream is not verifiable";
     }
     return isBehind ? "the run ended before the last event sent" : undefined;
--- a/src/features/gateway/common/engine_control.ts
+++ b/src/features/gateway/common/engine_control.ts
@@ -20,6 +20,10 @@
     readonly kind: "answered";
     /** Wall-clock start time of the process, if it is reported. */
     readonly bornMs: number | undefined;
+    /** Whether the process is leaving; absent if it does not say. */
+    readonly isDraining?: boolean;
+    /** Time until it shuts down in milliseconds, if it is known. */
+    readonly shutdownInMs?: number | undefined;
   }
   | { readonly kind: "no-answer"; readonly detail: string };
 
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -29,6 +29,7 @@
   | "requests_relayed"
   | "relays_ended"
   | "relays_refused"
+  | "response_ends_checked"
   | "limits_changed"
   | "limit_rights"
   | "crashes_recorded"
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -244,8 +244,8 @@
 
   #onEnd(attempt: UpstreamAttempt): void {
     if (attempt !== this.#attempt) return;
-    const { isStoppingRun } = this.#migration;
-    const reason = this.#stream.incompleteReason(attempt, isStoppingRun);
+    const isStopped = this.#migration.mayHaveStopped(attempt);
+    const reason = this.#stream.incompleteReason(attempt, isStopped);
     if (reason !== undefined) {
       this.#onLost(attempt, true, reason);
       return;
@@ -308,7 +308,9 @@
     if (wasSent) {
       if (this.#continueFromBackup("broken")) return;
       // The run goes on from the copy for which it is stopped.
-      if (this.#migration.isStoppingRun && !this.#context.isQuarantined) return;
+      const isBeingCopied = this.#migration.isRunning &&
+        this.#migration.mayHaveStopped(attempt);
+      if (isBeingCopied && !this.#context.isQuarantined) return;
       this.#rerunOrFail(reason);
       return;
     }
--- a/src/features/gateway/common/generation_migration.ts
+++ b/src/features/gateway/common/generation_migration.ts
@@ -31,7 +31,8 @@
   readonly #criteria: EndpointCriteria;
   readonly #listener: GenerationMigrationListener;
   #isRunning = false;
-  #isStoppingRun = false;
+  /** Attempts whose runs were to be stopped at their source. */
+  readonly #stoppedAttempts = new WeakSet<UpstreamAttempt>();
 
   /**
    * @param context - State of the request.
@@ -54,11 +55,12 @@
   }
 
   /**
-   * Whether the migration in progress stops the run at its source, which ends
-   * the connection of the run as if it were complete.
+   * Returns whether an attempt may have been stopped at its source, which ends
+   * its connection as if the run were complete. A source that has not answered
+   * may still stop it.
    */
-  get isStoppingRun(): boolean {
-    return this.#isStoppingRun;
+  mayHaveStopped(attempt: UpstreamAttempt): boolean {
+    return this.#stoppedAttempts.has(attempt);
   }
 
   /** Copies the state of an attempt to another endpoint, if there is one. */
@@ -66,18 +68,18 @@
     const { services, request } = this.#context;
     if (!request.service.engine?.canMigrate) return;
     this.#isRunning = true;
-    this.#isStoppingRun = cause === "cut";
+    // Its connection carries no data, not even its end.
+    const endsAtSource = cause === "cut";
+    if (endsAtSource) this.#stoppedAttempts.add(attempt);
     const result = await services.migrator.migrate({
       requestId: request.id,
       source: attempt.endpoint,
-      // Its connection carries no data, not even its end.
-      endsAtSource: this.#isStoppingRun,
+      endsAtSource,
       chooseTarget: (excluded) =>
         this.#chooseTarget(attempt.endpoint.softwareVersion, excluded),
       isRequired: () => this.#listener.isRequired(attempt),
     });
     this.#isRunning = false;
-    this.#isStoppingRun = false;
     const from = attempt.endpoint.id;
     switch (result.kind) {
       case "copied":
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -397,7 +397,7 @@
           run.onAnswered(status >= 200 && status < 300 && fields.isSigned);
         }
         this.#isCloseDelimited = isCloseDelimited(method, status, received);
-        isServed = !fields.isNotRun && status < 500 && !this.#isCloseDelimited;
+        isServed = !fields.isNotRun && status < 500;
         sink.onHead(status, received);
       },
       onData: (chunk) => {
--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -29,6 +29,7 @@
 import type { DirectPaths } from "./direct_paths.ts";
 import { RelayAttempt } from "./relay_attempt.ts";
 import type { RelayChooser } from "./relay_chooser.ts";
+import { type EndCheck, VerifiedResponse } from "./verified_response.ts";
 
 /**
  * Time after which a connection that does not open is given up for a peer, if
@@ -53,6 +54,11 @@
   onHeld(address: Address, retryAfterMs: number): void;
   /** Called with the result of each peer that was asked. */
   onRelayed(result: string): void;
+  /**
+   * Creates the check for the end of a response that a peer passes back without
+   * having verified its end.
+   */
+  createRelayCheck(peer: RelayPeer, request: RelayableRequest): EndCheck;
 }
 
 /** Chooses the path of each request. */
@@ -74,6 +80,15 @@
     return exchange;
   }
 
+  /** Sends a request through one peer. */
+  sendThrough(
+    peer: RelayPeer,
+    request: RelayableRequest,
+    listener: PassThroughListener,
+  ): PassThroughExchange {
+    return this.#services.relays.send(peer, request, listener);
+  }
+
   /** Sends a request through a peer, whatever the state of the direct path. */
   sendThroughPeer(
     request: PassThroughRequest,
@@ -224,6 +239,18 @@
     const pathNumber = ++this.#pathNumber;
     const isCurrent = () => !this.#isEnded && pathNumber === this.#pathNumber;
     const endRelay = chooser.begin(peer);
+    const response = new VerifiedResponse(
+      this.#request.method,
+      {
+        onHead: (status, headers) => this.#listener.onHead(status, headers),
+        onEnd: () => {
+          this.#end();
+          this.#listener.onEnd();
+        },
+        onFailure: (endFailure) => this.#fail(endFailure),
+      },
+      this.#services.createRelayCheck(peer, this.#request),
+    );
     const attempt = new RelayAttempt({
       clock,
       relays,
@@ -235,12 +262,10 @@
         onHead: (status, headers) => {
           onRelayed("passed-on");
           chooser.recordSuccess(peer, address);
-          this.#listener.onHead(status, headers);
-        },
-        onEnd: () => {
-          this.#end();
-          this.#listener.onEnd();
+          response.onHead(status, headers);
         },
+        onEndVerified: () => response.onEndVerified(),
+        onEnd: () => response.onEnd(),
         onFailure: (relayFailure) => {
           if (!isCurrent()) return;
           endRelay();
@@ -249,6 +274,7 @@
       },
     });
     this.#endRelay = () => {
+      response.cancel();
       attempt.dispose();
       endRelay();
     };
--- a/src/features/paths/common/path_json_caller.ts
+++ b/src/features/paths/common/path_json_caller.ts
@@ -5,25 +5,18 @@
 
 import type { Clock } from "../../../base/common/clock.ts";
 import type { Address } from "../../../base/common/ids.ts";
-import {
-  type AsyncEither,
-  type Either,
-  Left,
-  Right,
-} from "../../../base/common/result.ts";
-import {
-  type JsonCaller,
-  type JsonRequest,
-  type JsonResponse,
-  parseJsonText,
-} from "../../../services/http/common/json_caller.ts";
-import type { HeaderList } from "../../../services/http/common/header_list.ts";
+import type { AsyncEither, Either } from "../../../base/common/result.ts";
 import type {
-  PassThroughExchange,
-  RelayInstructions,
-} from "../../../services/http/common/pass_through_client.ts";
+  JsonCaller,
+  JsonRequest,
+  JsonResponse,
+} from "../../../services/http/common/json_caller.ts";
 import type { DirectPaths } from "./direct_paths.ts";
 import type { PathClient } from "./path_client.ts";
+import {
+  RelayedJsonCaller,
+  type RelayInstructor,
+} from "./relayed_json_caller.ts";
 import type { RelayChooser } from "./relay_chooser.ts";
 
 /**
@@ -31,8 +24,6 @@
  * endpoint answers control requests within a few milliseconds.
  */
 const HEDGE_DELAY_MS = 120;
-/** Maximum size of a response, without its head. */
-const MAX_RESPONSE_BYTES = 1_048_576;
 
 /** Dependencies of {@link PathJsonCaller}. */
 export interface PathJsonCallerServices {
@@ -45,21 +36,26 @@
   /** @returns The addresses of all endpoints of the service at an address. */
   groupOf(address: Address): readonly Address[];
   /** @returns What peers have to know, or `undefined` without an endpoint. */
-  relayInstructions(
-    address: Address,
-    deadlineMs: number,
-  ): RelayInstructions | undefined;
+  readonly relayInstructions: RelayInstructor;
   /** Checks a path on which a control request got no answer. */
   checkSilent(address: Address): void;
 }
 
 /** JSON client that chooses between the direct path and peers. */
 export class PathJsonCaller implements JsonCaller {
+  /** Sends requests through any peer, whatever the state of the direct path. */
+  readonly throughPeer: JsonCaller;
   readonly #services: PathJsonCallerServices;
 
   /** @param services - Dependencies of the client. */
   constructor(services: PathJsonCallerServices) {
     this.#services = services;
+    const { clock, pathClient, relayInstructions } = services;
+    this.throughPeer = new RelayedJsonCaller(
+      clock,
+      relayInstructions,
+      (request, listener) => pathClient.sendThroughPeer(request, listener),
+    );
   }
 
   /** {@inheritDoc JsonCaller.call} */
@@ -131,86 +127,6 @@
     request: JsonRequest,
     timeoutMs: number,
   ): AsyncEither<string, JsonResponse> {
-    const { clock, pathClient, relayInstructions } = this.#services;
-    const deadlineMs = clock.monotonicMs() + timeoutMs;
-    const relay = relayInstructions(address, deadlineMs);
-    if (!relay) return Promise.resolve(Left(`no endpoint at ${address}`));
-    const { body, method, target } = request;
-    const headers = ["host", address];
-    if (body !== undefined) headers.push("content-type", "application/json");
-    return new Promise((resolve) => {
-      const response = new CollectedResponse();
-      const sent: { exchange?: PassThroughExchange } = {};
-      let isSettled = false;
-      const settle = (answer: Either<string, JsonResponse>): void => {
-        if (isSettled) return;
-        isSettled = true;
-        timer.dispose();
-        resolve(answer);
-      };
-      const giveUp = (reason: string): void => {
-        settle(Left(reason));
-        sent.exchange?.abort();
-      };
-      const timer = clock.setTimer(
-        timeoutMs,
-        () => giveUp(`no answer through a peer within ${timeoutMs} ms`),
-      );
-      sent.exchange = pathClient.sendThroughPeer({
-        address,
-        method,
-        target,
-        headers,
-        body: body === undefined
-          ? undefined
-          : new TextEncoder().encode(JSON.stringify(body)),
-        relay,
-      }, {
-        onHead: (status, received) => response.setHead(status, received),
-        onData: (chunk) => {
-          if (!response.add(chunk)) {
-            giveUp(`the response is larger than ${MAX_RESPONSE_BYTES} bytes`);
-          }
-          return true;
-        },
-        onEnd: () => settle(Right(response.toJson())),
-        onFailure: ({ message }) => settle(Left(message)),
-      });
-    });
-  }
-}
-
-/** A response while its parts arrive. */
-class CollectedResponse {
-  #status = 0;
-  #headers: Record<string, string> = {};
-  readonly #chunks: Uint8Array[] = [];
-  #sizeBytes = 0;
-
-  setHead(status: number, headers: HeaderList): void {
-    this.#status = status;
-    for (let index = 0; index + 1 < headers.length; index += 2) {
-      this.#headers[headers[index]!.toLowerCase()] = headers[index + 1]!;
-    }
-  }
-
-  /** @returns Whether the response is small enough so far. */
-  add(chunk: Uint8Array): boolean {
-    this.#chunks.push(chunk);
-    this.#sizeBytes += chunk.byteLength;
-    return this.#sizeBytes <= MAX_RESPONSE_BYTES;
-  }
-
-  toJson(): JsonResponse {
-    const decoder = new TextDecoder();
-    const text =
-      this.#chunks.map((chunk) => decoder.decode(chunk, { stream: true })).join(
-        "",
-      ) + decoder.decode();
-    return {
-      status: this.#status,
-      headers: this.#headers,
-      body: parseJsonText(text),
-    };
+    return this.throughPeer.call(address, { ...request, timeoutMs });
   }
 }
--- /dev/null
+++ b/src/features/paths/common/verified_response.ts
@@ -0,0 +1,76 @@
+/**
+ * Passes the end of a response on only when it is verified. The end of a
+ * response that has neither a length nor chunks is that of its connection, and
+ * a process that ends closes its connections in the same way.
+ */
+
+import {
+  type HeaderList,
+  isCloseDelimited,
+} from "../../../services/http/common/header_list.ts";
+import type { PassThroughListener } from "../../../services/http/common/pass_through_client.ts";
+
+/**
+ * Verifies the end of a response.
+ *
+ * @returns Why it is not verified, or `undefined` if it is.
+ */
+export type EndCheck = () => Promise<string | undefined>;
+
+/** A response whose end is verified before it is passed on. */
+export class VerifiedResponse {
+  readonly #method: string;
+  readonly #listener: Pick<
+    PassThroughListener,
+    "onHead" | "onEnd" | "onFailure"
+  >;
+  readonly #check: EndCheck;
+  #isVerifiedByPeer = false;
+  #isCloseDelimited = false;
+  #isCancelled = false;
+
+  /**
+   * @param method - Method of the request.
+   * @param listener - Receives the response.
+   * @param check - Verifies the end of a response that only the closing of its
+   * connection marks.
+   */
+  constructor(
+    method: string,
+    listener: Pick<PassThroughListener, "onHead" | "onEnd" | "onFailure">,
+    check: EndCheck,
+  ) {
+    this.#method = method;
+    this.#listener = listener;
+    this.#check = check;
+  }
+
+  /** The peer that passes the response on verifies its end. */
+  onEndVerified(): void {
+    this.#isVerifiedByPeer = true;
+  }
+
+  /** The head of the response has arrived. */
+  onHead(status: number, headers: HeaderList): void {
+    this.#isCloseDelimited = isCloseDelimited(this.#method, status, headers);
+    this.#listener.onHead(status, headers);
+  }
+
+  /** The response has ended according to its framing. */
+  onEnd(): void {
+    if (this.#isCloseDelimited && !this.#isVerifiedByPeer) void this.#verify();
+    else this.#listener.onEnd();
+  }
+
+  /** Makes no further calls of the listener. */
+  cancel(): void {
+    this.#isCancelled = true;
+  }
+
+  async #verify(): Promise<void> {
+    const reason = await this.#check();
+    if (this.#isCancelled) return;
+    if (reason === undefined) this.#listener.onEnd();
+    else this.#listener.onFailure({ kind: "broken", message: reason });
+  }
+}
--- /dev/null
+++ b/src/features/paths/common/verifying_client.ts
@@ -0,0 +1,60 @@
+/** Client whose responses end only when their end is verified. */
+
+import type { Address } from "../../../base/common/ids.ts";
+import type {
+  PassThroughExchange,
+  PassThroughListener,
+  PassThroughRequest,
+  ProvenConnectionClient,
+} from "../../../services/http/common/pass_through_client.ts";
+import { type EndCheck, VerifiedResponse } from "./verified_response.ts";
+
+/** Verifies the ends of the responses of another client. */
+export class VerifyingClient implements ProvenConnectionClient {
+  readonly #client: ProvenConnectionClient;
+  readonly #createCheck: (address: Address) => EndCheck;
+
+  /**
+   * @param client - The client that sends the requests.
+   * @param createCheck - Creates the check for the response of the process that
+   * is at an address now.
+   */
+  constructor(
+    client: ProvenConnectionClient,
+    createCheck: (address: Address) => EndCheck,
+  ) {
+    this.#client = client;
+    this.#createCheck = createCheck;
+  }
+
+  /** {@inheritDoc PassThroughClient.send} */
+  send(
+    request: PassThroughRequest,
+    listener: PassThroughListener,
+  ): PassThroughExchange {
+    const check = this.#createCheck(request.address);
+    const response = new VerifiedResponse(request.method, listener, check);
+    const exchange = this.#client.send(request, {
+      ...listener,
+      onHead: (status, headers) => response.onHead(status, headers),
+      onEnd: () => response.onEnd(),
+    });
+    return {
+      abort: () => {
+        response.cancel();
+        exchange.abort();
+      },
+      resume: () => exchange.resume(),
+    };
+  }
+
+  /** {@inheritDoc PassThroughClient.closeIdleConnections} */
+  closeIdleConnections(address: Address): void {
+    this.#client.closeIdleConnections(address);
+  }
+
+  /** {@inheritDoc ProvenConnectionClient.hasProvenConnection} */
+  hasProvenConnection(address: Address, sinceMs: number): boolean {
+    return this.#client.hasProvenConnection(address, sinceMs);
+  }
+}
--- a/src/services/http/common/pass_through_client.ts
+++ b/src/services/http/common/pass_through_client.ts
@@ -73,7 +73,11 @@
    * until `resume` is called.
    */
   onData(chunk: Uint8Array): boolean;
-  /** Called when the response is complete according to its framing. */
+  /**
+   * Called when the response is complete according to its framing. A client for
+   * the responses of endpoints calls it only after the endpoint has outlived a
+   * response that has no framing but the end of its connection.
+   */
   onEnd(): void;
   /** Called when the request failed or the response is incomplete. */
   onFailure(failure: PassThroughFailure): void;
--- a/src/services/relay/common/relay_protocol.ts
+++ b/src/services/relay/common/relay_protocol.ts
@@ -75,6 +75,9 @@
 const REFUSAL_HEADER = `${PREFIX}refusal`;
 const RETRY_AFTER_HEADER = `${PREFIX}retry-after-ms`;
 const FRAMING_HEADER = `${PREFIX}framing`;
+const END_HEADER = `${PREFIX}end`;
+/** The peer passes the end on only when it has verified it. */
+const END_VERIFIED = "verified";
 
 const REFUSALS: readonly RelayRefusal[] = [
   "forbidden",
@@ -198,9 +201,22 @@
     "passed-on",
     FRAMING_HEADER,
     framingOf(method, status, received),
+    END_HEADER,
+    END_VERIFIED,
   ];
 }
 
+/**
+ * @param received - The headers of a response that a peer passes back.
+ * @returns Whether the end of the response is that of the endpoint's. Earlier
+ * builds do not say so, and pass on the end of any connection; a response
+ * without chunks may also end with the process of the peer.
+ */
+export function isEndVerified(received: HeaderList): boolean {
+  return headerOf(received, END_HEADER) === END_VERIFIED &&
+    headerOf(received, "transfer-encoding") !== undefined;
+}
+
 /** @returns The headers of a response of the peer's own. */
 export function encodeRelayFailure(
   result: Exclude<RelayResult, { kind: "passed-on" }>,
--- a/src/services/relay/common/relay_sender.ts
+++ b/src/services/relay/common/relay_sender.ts
@@ -14,6 +14,7 @@
   decodeRelayResult,
   encodeRelayRequest,
   endpointHeadersOf,
+  isEndVerified,
   type RelayFields,
   relayProofText,
   type RelayRefusal,
@@ -37,6 +38,8 @@
 
 /** Receives the response that a peer passes back. */
 export interface RelayListener extends Omit<PassThroughListener, "onFailure"> {
+  /** Called before `onHead` if the peer verifies the end of the response. */
+  onEndVerified?(): void;
   onFailure(failure: RelayFailure): void;
 }
 
@@ -135,6 +138,7 @@
     // Whatever else answers at the address may have acted on the request.
     this.#result = decodeRelayResult(received) ?? { kind: "broken" };
     if (this.#result.kind !== "passed-on") return;
+    if (isEndVerified(received)) this.#listener.onEndVerified?.();
     this.#listener.onHead(status, endpointHeadersOf(received));
   }
 
