--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -142,7 +142,7 @@
       ...services,
       askDirectly: askBy(createControl(directHttp)),
       askThroughPeers: askBy(createControl(controlHttp.throughPeer)),
-      // A refused connection may also be lost, but not one that is reset.
+      // A connection that is reset may be one too many for a living process.
       isRefused: ({ announcement }) =>
         this.direct.lossOf(announcement.address) === "refused",
     });
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -308,9 +308,7 @@
     if (wasSent) {
       if (this.#continueFromBackup("broken")) return;
       // The run goes on from the copy for which it is stopped.
-      const isBeingCopied = this.#migration.isRunning &&
-        this.#migration.mayHaveStopped(attempt);
-      if (isBeingCopied && !this.#context.isQuarantined) return;
+      if (this.#migration.isStopping(attempt)) return;
       this.#rerunOrFail(reason);
       return;
     }
--- a/src/features/gateway/common/generation_migration.ts
+++ b/src/features/gateway/common/generation_migration.ts
@@ -63,6 +63,15 @@
     return this.#stoppedAttempts.has(attempt);
   }
 
+  /**
+   * Whether the migration in progress stops an attempt at its source, so that
+   * the generation can go on from the copy.
+   */
+  isStopping(attempt: UpstreamAttempt): boolean {
+    return this.#isRunning && this.mayHaveStopped(attempt) &&
+      !this.#context.isQuarantined;
+  }
+
   /** Copies the state of an attempt to another endpoint, if there is one. */
   async run(attempt: UpstreamAttempt, cause: MigrationCause): Promise<void> {
     const { services, request } = this.#context;
--- a/standins/paths/fake_relays.ts
+++ b/standins/paths/fake_relays.ts
@@ -33,8 +33,9 @@
     this.#listener.onInterim?.();
   }
 
-  /** The peer passes a complete response back. */
+  /** The peer passes a complete response back, whose end it has verified. */
   respond(status: number, text: string): void {
+    this.#listener.onEndVerified?.();
     this.#listener.onHead(status, ["X-Response-Stamp", "stamp"]);
     this.#listener.onData(Buffer.from(text));
     this.#listener.onEnd();
