Look the endpoint up only for answers whose end needs a check

The check was created with each request, which searched all endpoints, and an endpoint that the registry forgets while a long answer goes on could not have been asked. It is created when the head of an answer without framing arrives. Tests of ended endpoints, of hosts that are cut and of paths pass.

--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -226,12 +226,14 @@
 
   /** @param failure - What is reported if there is no peer to ask. */
   #sendThroughPeer(failure: PassThroughFailure): void {
-    const { chooser, clock, onRelayed, relays } = this.#services;
-    const { address } = this.#request;
+    const { chooser, clock, createRelayCheck, onRelayed, relays } =
+      this.#services;
+    const request = this.#request;
+    const { address } = request;
     const peer = this.#canAskPeer()
       ? chooser.choose(address, this.#askedPeers)
       : undefined;
-    if (!peer || !isRelayable(this.#request)) {
+    if (!peer || !isRelayable(request)) {
       this.#fail(failure);
       return;
     }
@@ -240,7 +242,7 @@
     const isCurrent = () => !this.#isEnded && pathNumber === this.#pathNumber;
     const endRelay = chooser.begin(peer);
     const response = new VerifiedResponse(
-      this.#request.method,
+      request.method,
       {
         onHead: (status, headers) => this.#listener.onHead(status, headers),
         onEnd: () => {
@@ -249,13 +251,13 @@
         },
         onFailure: (endFailure) => this.#fail(endFailure),
       },
-      this.#services.createRelayCheck(peer, this.#request),
+      () => createRelayCheck(peer, request),
     );
     const attempt = new RelayAttempt({
       clock,
       relays,
       peer,
-      request: this.#request,
+      request,
       listener: {
         ...this.#listener,
         onUnacknowledged: () => chooser.recordUnresponsive(peer),
--- a/src/features/paths/common/verified_response.ts
+++ b/src/features/paths/common/verified_response.ts
@@ -24,25 +24,26 @@
     PassThroughListener,
     "onHead" | "onEnd" | "onFailure"
   >;
-  readonly #check: EndCheck;
+  readonly #createCheck: () => EndCheck;
   #isVerifiedByPeer = false;
-  #isCloseDelimited = false;
+  /** Check for the end; `undefined` where the framing marks the end. */
+  #check: EndCheck | undefined;
   #isCancelled = false;
 
   /**
    * @param method - Method of the request.
    * @param listener - Receives the response.
-   * @param check - Verifies the end of a response that only the closing of its
-   * connection marks.
+   * @param createCheck - Creates the check for a response whose end only the
+   * closing of its connection marks, while the process that writes it is known.
    */
   constructor(
     method: string,
     listener: Pick<PassThroughListener, "onHead" | "onEnd" | "onFailure">,
-    check: EndCheck,
+    createCheck: () => EndCheck,
   ) {
     this.#method = method;
     this.#listener = listener;
-    this.#check = check;
+    this.#createCheck = createCheck;
   }
 
   /** The peer that passes the response on verifies its end. */
@@ -52,13 +53,15 @@
 
   /** The head of the response has arrived. */
   onHead(status: number, headers: HeaderList): void {
-    this.#isCloseDelimited = isCloseDelimited(this.#method, status, headers);
+    if (
+      isCloseDelimited(this.#method, status, headers) && !this.#isVerifiedByPeer
+    ) this.#check = this.#createCheck();
     this.#listener.onHead(status, headers);
   }
 
   /** The response has ended according to its framing. */
   onEnd(): void {
-    if (this.#isCloseDelimited && !this.#isVerifiedByPeer) void this.#verify();
+    if (this.#check) void this.#verify(this.#check);
     else this.#listener.onEnd();
   }
 
@@ -67,8 +70,8 @@
     this.#isCancelled = true;
   }
 
-  async #verify(): Promise<void> {
-    const reason = await this.#check();
+  async #verify(check: EndCheck): Promise<void> {
+    const reason = await check();
     if (this.#isCancelled) return;
     if (reason === undefined) this.#listener.onEnd();
     else this.#listener.onFailure({ kind: "broken", message: reason });
--- a/src/features/paths/common/verifying_client.ts
+++ b/src/features/paths/common/verifying_client.ts
@@ -32,8 +32,12 @@
     request: PassThroughRequest,
     listener: PassThroughListener,
   ): PassThroughExchange {
-    const check = this.#createCheck(request.address);
-    const response = new VerifiedResponse(request.method, listener, check);
+    const { address, method } = request;
+    const response = new VerifiedResponse(
+      method,
+      listener,
+      () => this.#createCheck(address),
+    );
     const exchange = this.#client.send(request, {
       ...listener,
       onHead: (status, headers) => response.onHead(status, headers),
