Do not break whole answers of endpoints that must not or cannot be asked

- The process is found by the id that the request names, not by its address.
- What must not be asked now does not count as silent; the check waits, asks once a hold, and ends with the response that it is for.
- An answer to any request sent after the end shows the same, and is free.
- Where the own path gives no answer, peers are asked; their answer counts if its start time is known.
- Silence needs three unanswered questions, also after a pause of the host.
- Copies of runs do not delay the questions to an endpoint that leaves.
- Only the coding 'chunked' counts as framing.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -210,7 +210,8 @@
       }),
     );
     const limits = this.#limits.endpoints;
-    const answers = new AnswerObserver({ holds, leavingMarks, limits });
+    const paths = this.#paths;
+    const answers = new AnswerObserver({ holds, leavingMarks, limits, paths });
     this.#relay = this.#disposables.add(
       new GatewayRelay({
         self: host,
@@ -222,9 +223,8 @@
         codec: adapter.codec,
         client: this.#paths.directClient,
         observer: answers,
-        isLost: (endpoint) => this.#paths.isLost(endpoint),
-        onConnectTimeout: ({ announcement }) =>
-          this.#paths.direct.onOpenFailed(announcement.address, "timed-out"),
+        isLost: (endpoint) => paths.isLost(endpoint),
+        onConnectTimeout: (endpoint) => paths.recordTimeout(endpoint),
       }),
     );
     const streamVersions = this.#disposables.add(
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -87,6 +87,7 @@
   readonly #services: GatewayPathsServices;
   readonly #connections: UndiciPassThroughClient;
   readonly #prober: PathProber;
+  /** Verifies the ends of responses that end with their connection. */
   readonly #survival: EndpointSurvival;
   readonly #disposables = new DisposableStore();
 
@@ -116,7 +117,7 @@
     });
     this.directClient = new VerifyingClient(
       this.#connections,
-      (address) => this.#createEndCheck(this.#endpointAt(address)),
+      (endpoint) => this.#createEndCheck(registry.get(endpoint)),
     );
     const directHttp = this.#disposables.add(
       new JsonClient(clock, undefined, connector, this.direct),
@@ -138,9 +139,17 @@
       checkSilent: (address) => void this.checkSilent(address),
     });
     this.control = createControl(controlHttp);
+    // Copies of runs may use up the other connections to one that leaves.
+    const leavingHttp = this.#disposables.add(
+      new JsonClient(clock, undefined, connector, this.direct),
+    );
+    const [ask, askLeaving] = [directHttp, leavingHttp].map((http) =>
+      askBy(createControl(http))
+    );
     this.#survival = new EndpointSurvival({
       ...services,
-      askDirectly: askBy(createControl(directHttp)),
+      askDirectly: (endpoint) =>
+        (endpoint.wasLeaving ? askLeaving! : ask!)(endpoint),
       askThroughPeers: askBy(createControl(controlHttp.throughPeer)),
       // A connection that is reset may be one too many for a living process.
       isRefused: ({ announcement }) =>
@@ -164,6 +173,16 @@
     return this.direct.isLost(announcement.address);
   }
 
+  /** Records that a connection to an endpoint did not open in time. */
+  recordTimeout({ announcement }: RegisteredEndpoint): void {
+    this.direct.onOpenFailed(announcement.address, "timed-out");
+  }
+
+  /** {@inheritDoc EndpointSurvival.recordAnswer} */
+  recordAnswer(endpoint: RegisteredEndpoint, sentMs: number): void {
+    this.#survival.recordAnswer(endpoint, sentMs);
+  }
+
   /** {@inheritDoc EnginePaths.recheck} */
   recheck({ announcement }: RegisteredEndpoint): Promise<boolean> {
     return this.#prober.recheck(announcement.address);
@@ -272,9 +291,9 @@
     endpoint: RegisteredEndpoint | undefined,
     askOnPath?: LivenessQuestion,
   ): EndCheck {
-    return async () => {
+    return async (isCancelled) => {
       const survival = endpoint
-        ? await this.#survival.check(endpoint, askOnPath)
+        ? await this.#survival.check({ endpoint, askOnPath, isCancelled })
         : "unknown";
       return survival === "outlived"
         ? undefined
@@ -284,14 +303,20 @@
 
   #createRelayCheck(peer: RelayPeer, { relay }: RelayableRequest): EndCheck {
     const { clock, createControl, registry } = this.#services;
+    const { endpoint } = relay;
     const control = createControl(
       new RelayedJsonCaller(
         clock,
-        (address, deadlineMs) => this.#instructPeers(address, deadlineMs),
+        (_address, deadlineMs) => ({
+          endpoint,
+          purpose: "control",
+          requestId: undefined,
+          deadlineMs,
+        }),
         (request, listener) => this.client.sendThrough(peer, request, listener),
       ),
     );
-    return this.#createEndCheck(registry.get(relay.endpoint), askBy(control));
+    return this.#createEndCheck(registry.get(endpoint), askBy(control));
   }
 
   /** @returns What peers have to know to pass a control request on. */
@@ -306,7 +331,8 @@
 
   #endpointAt(address: Address): RegisteredEndpoint | undefined {
     const { registry } = this.#services;
-    return registry.all.find(({ announcement, isPresent }) =>
+    // An address may be used again while its previous endpoint is still listed.
+    return registry.all.findLast(({ announcement, isPresent }) =>
       isPresent && announcement.address === address
     );
   }
--- a/src/features/gateway/common/answer_observer.ts
+++ b/src/features/gateway/common/answer_observer.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointHolds } from "./endpoint_holds.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
+import type { EndpointSurvival } from "./endpoint_survival.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { ResponseFields } from "./gateway_codec.ts";
 import type { LeavingMarks } from "./leaving_marks.ts";
@@ -13,6 +14,7 @@
   readonly holds: Pick<EndpointHolds, "hold">;
   readonly leavingMarks: Pick<LeavingMarks, "mark">;
   readonly limits: Pick<EndpointLimits, "observe">;
+  readonly paths: Pick<EndpointSurvival, "recordAnswer">;
 }
 
 /** The head of an answer. */
@@ -46,10 +48,11 @@
     endpoint: RegisteredEndpoint,
     { status, fields, isOwn, sentMs }: AnswerHead,
   ): boolean {
-    const { holds, leavingMarks, limits } = this.#services;
+    const { holds, leavingMarks, limits, paths } = this.#services;
     const { isLeaving, limit, retryAfterMs } = fields;
     if (retryAfterMs !== undefined) holds.hold(endpoint, retryAfterMs);
     if (status === HTTP_MISDIRECTED) return false;
+    if (isOwn) paths.recordAnswer(endpoint, sentMs);
     if (isLeaving) leavingMarks.mark(endpoint, "answer");
     if (isOwn) limits.observe(endpoint, limit, sentMs);
     return true;
--- a/src/features/gateway/common/endpoint_survival.ts
+++ b/src/features/gateway/common/endpoint_survival.ts
@@ -14,6 +14,8 @@
 
 /** Time without any answer after which an end is given up as unverified. */
 const MAX_SILENCE_MS = 1_500;
+/** Questions that have to stay unanswered, also after a pause of this host. */
+const MIN_UNANSWERED = 3;
 /** Time between two questions to a process that has not answered. */
 const RETRY_PERIOD_MS = 50;
 /**
@@ -40,7 +42,25 @@
   /** Another process answers at its address. */
   | "replaced"
   /** It has not answered in time. */
-  | "silent";
+  | "silent"
+  /** The response is not needed any more. */
+  | "cancelled";
+
+/** What one question has shown. */
+type Reply =
+  | Liveness
+  /** The question must not be asked now. */
+  | { readonly kind: "not-asked" };
+
+/** A response whose end is checked. */
+export interface EndedResponse {
+  /** The process that wrote it. */
+  readonly endpoint: RegisteredEndpoint;
+  /** Asks on the path on which it came, if that was not the direct one. */
+  readonly askOnPath?: LivenessQuestion | undefined;
+  /** @returns Whether the response is not needed any more. */
+  isCancelled(): boolean;
+}
 
 /** Dependencies of {@link EndpointSurvival}. */
 export interface EndpointSurvivalServices {
@@ -49,7 +69,7 @@
   readonly metrics: GatewayMetrics;
   /** Asks on the path on which this host sends requests itself. */
   readonly askDirectly: LivenessQuestion;
-  /** Asks through any peer, for an endpoint that wants nothing from this host. */
+  /** Asks through any peer. */
   readonly askThroughPeers: LivenessQuestion;
   /** @returns Whether the endpoint's host refuses connections. */
   isRefused(endpoint: RegisteredEndpoint): boolean;
@@ -57,42 +77,52 @@
   readonly limits: () => Pick<EndpointLimits, "isLimited" | "take">;
 }
 
-/** Questions to one endpoint; each is shared by those who wait for it. */
-interface Questions {
-  current: Promise<Liveness>;
-  next: Promise<Liveness> | undefined;
+/** What is known of one process. */
+interface ProcessState {
+  /** Question in progress; its answer is not one to a later end. */
+  current: Promise<Reply> | undefined;
+  /** Question for the ends that came meanwhile. */
+  next: Promise<Reply> | undefined;
+  /** Latest start of a request that the process has answered. */
+  answeredSentMs: number;
+  /** End of the hold during which it was asked. */
+  askedHoldUntilMs: number;
 }
 
 /** Asks endpoints whether they have outlived their answers. */
 export class EndpointSurvival {
   readonly #services: EndpointSurvivalServices;
-  readonly #questions = new WeakMap<RegisteredEndpoint, Questions>();
+  readonly #states = new WeakMap<RegisteredEndpoint, ProcessState>();
 
   /** @param services - Dependencies of the check. */
   constructor(services: EndpointSurvivalServices) {
     this.#services = services;
   }
 
+  /**
+   * Records that a process has answered a request, whatever the answer.
+   *
+   * @param sentMs - Monotonic time in milliseconds at which the request was
+   * sent.
+   */
+  recordAnswer(endpoint: RegisteredEndpoint, sentMs: number): void {
+    const state = this.#stateOf(endpoint);
+    state.answeredSentMs = Math.max(state.answeredSentMs, sentMs);
+  }
+
   /**
    * Checks the process of an endpoint after the end of its response.
    *
-   * @param endpoint - The process that wrote the response.
-   * @param askOnPath - Asks on the path on which the response came, if that was
-   * not the direct one.
    * @returns What became of the process.
    */
-  async check(
-    endpoint: RegisteredEndpoint,
-    askOnPath?: LivenessQuestion,
-  ): Promise<Survival> {
+  async check(response: EndedResponse): Promise<Survival> {
     const { clock, logger, metrics } = this.#services;
     const endedMs = clock.monotonicMs();
-    const ask = askOnPath ?? ((asked) => this.#askShared(asked));
-    const survival = await this.#await(endpoint, endedMs, ask);
+    const survival = await this.#await(response, endedMs);
     metrics.count("response_ends_checked", survival);
-    if (survival !== "outlived") {
+    if (survival !== "outlived" && survival !== "cancelled") {
       logger.log("warn", "response-end-unverified", {
-        endpoint: endpoint.id,
+        endpoint: response.endpoint.id,
         survival,
         tookMs: Math.round(clock.monotonicMs() - endedMs),
       });
@@ -100,62 +130,106 @@
     return survival;
   }
 
-  async #await(
-    endpoint: RegisteredEndpoint,
-    endedMs: number,
-    ask: LivenessQuestion,
-  ): Promise<Survival> {
-    const { clock, isRefused } = this.#services;
-    for (;;) {
-      const liveness = await ask(endpoint);
+  async #await(response: EndedResponse, endedMs: number): Promise<Survival> {
+    const { endpoint } = response;
+    const { clock } = this.#services;
+    let unansweredCount = 0;
+    while (!response.isCancelled()) {
+      const reply = await this.#ask(response);
       const elapsedMs = clock.monotonicMs() - endedMs;
-      switch (liveness.kind) {
+      if (this.#stateOf(endpoint).answeredSentMs > endedMs) return "outlived";
+      switch (reply.kind) {
         case "answered":
-          if (isOtherProcess(endpoint, liveness.bornMs)) return "replaced";
-          if (!isAboutToStop(endpoint, liveness) || elapsedMs >= SETTLE_MS) {
+          if (isOtherProcess(endpoint, reply.bornMs)) return "replaced";
+          if (!isAboutToStop(endpoint, reply) || elapsedMs >= SETTLE_MS) {
             return "outlived";
           }
           break;
-        case "no-answer":
-          if (isRefused(endpoint)) return "refused";
+        case "no-answer": {
+          unansweredCount++;
+          const verdict = await this.#judgeSilence(response);
+          if (verdict) return verdict;
+          const isOver = elapsedMs >= MAX_SILENCE_MS;
+          if (isOver && unansweredCount >= MIN_UNANSWERED) return "silent";
+          break;
+        }
+        case "not-asked":
       }
-      if (elapsedMs >= MAX_SILENCE_MS) return "silent";
       await sleep(clock, RETRY_PERIOD_MS);
     }
+    return "cancelled";
   }
 
-  /** @returns The answer to a question that is asked from now on. */
-  #askShared(endpoint: RegisteredEndpoint): Promise<Liveness> {
-    const questions = this.#questions.get(endpoint);
-    if (questions) {
-      questions.next ??= questions.current.then(() => this.#start(endpoint));
-      return questions.next;
+  /**
+   * Asks peers about a process that has not answered this host, which may be
+   * cut from it while its connections live on.
+   */
+  async #judgeSilence(
+    { askOnPath, endpoint }: EndedResponse,
+  ): Promise<Survival | undefined> {
+    if (askOnPath) return undefined;
+    const { askThroughPeers, isRefused } = this.#services;
+    // Later, the path may have been lost and found again.
+    const wasRefused = isRefused(endpoint);
+    const reply = await askThroughPeers(endpoint);
+    const bornMs = reply.kind === "answered" ? reply.bornMs : undefined;
+    // On another path, only the start time shows which process answers.
+    if (bornMs !== undefined) {
+      return isOtherProcess(endpoint, bornMs) ? "replaced" : "outlived";
     }
-    return this.#start(endpoint);
+    return wasRefused ? "refused" : undefined;
   }
 
-  #start(endpoint: RegisteredEndpoint): Promise<Liveness> {
-    const questions: Questions = {
-      current: this.#ask(endpoint),
-      next: undefined,
-    };
-    this.#questions.set(endpoint, questions);
-    void questions.current.then(() => {
-      if (!questions.next) this.#questions.delete(endpoint);
+  /** @returns The reply to a question that is asked from now on. */
+  #ask({ askOnPath, endpoint }: EndedResponse): Promise<Reply> {
+    if (askOnPath) return askOnPath(endpoint);
+    const state = this.#stateOf(endpoint);
+    if (!state.current) return this.#start(endpoint, state);
+    state.next ??= state.current.then(() => this.#start(endpoint, state));
+    return state.next;
+  }
+
+  #start(endpoint: RegisteredEndpoint, state: ProcessState): Promise<Reply> {
+    const question = this.#askDirectly(endpoint, state);
+    state.current = question;
+    state.next = undefined;
+    void question.then(() => {
+      if (state.current === question && !state.next) state.current = undefined;
     });
-    return questions.current;
+    return question;
   }
 
-  async #ask(endpoint: RegisteredEndpoint): Promise<Liveness> {
+  async #askDirectly(
+    endpoint: RegisteredEndpoint,
+    state: ProcessState,
+  ): Promise<Reply> {
     const { askDirectly, askThroughPeers, clock, limits } = this.#services;
     if (limits().isLimited(endpoint)) {
       const offer = await limits().take(endpoint, MAX_RIGHT_WAIT_MS);
-      if (offer.kind === "denied") {
-        return { kind: "no-answer", detail: "its limit is used up" };
-      }
+      if (offer.kind === "denied") return { kind: "not-asked" };
+    }
+    if (!endpoint.isHeld(clock.monotonicMs())) return askDirectly(endpoint);
+    // A few requests may still reach an endpoint that wants none.
+    if (state.askedHoldUntilMs < endpoint.heldUntilMs) {
+      state.askedHoldUntilMs = endpoint.heldUntilMs;
+      return askDirectly(endpoint);
+    }
+    const reply = await askThroughPeers(endpoint);
+    return reply.kind === "answered" ? reply : { kind: "not-asked" };
+  }
+
+  #stateOf(endpoint: RegisteredEndpoint): ProcessState {
+    let state = this.#states.get(endpoint);
+    if (!state) {
+      state = {
+        current: undefined,
+        next: undefined,
+        answeredSentMs: -Infinity,
+        askedHoldUntilMs: -Infinity,
+      };
+      this.#states.set(endpoint, state);
     }
-    const isHeld = endpoint.isHeld(clock.monotonicMs());
-    return (isHeld ? askThroughPeers : askDirectly)(endpoint);
+    return state;
   }
 }
 
--- a/src/features/gateway/common/relay_gate.ts
+++ b/src/features/gateway/common/relay_gate.ts
@@ -238,6 +238,7 @@
     this.#exchange.onDidEnd(() => this.#end());
     this.#transfer = client.send({
       address: fields.address,
+      endpoint: fields.endpoint,
       method,
       target,
       headers: fields.purpose === "request"
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -359,6 +359,7 @@
     let isServed = false;
     const request: PassThroughRequest = {
       address,
+      endpoint: id,
       method,
       target,
       headers,
--- a/src/features/paths/common/verified_response.ts
+++ b/src/features/paths/common/verified_response.ts
@@ -13,9 +13,12 @@
 /**
  * Verifies the end of a response.
  *
+ * @param isCancelled - Returns whether the response is not needed any more.
  * @returns Why it is not verified, or `undefined` if it is.
  */
-export type EndCheck = () => Promise<string | undefined>;
+export type EndCheck = (
+  isCancelled: () => boolean,
+) => Promise<string | undefined>;
 
 /** A response whose end is verified before it is passed on. */
 export class VerifiedResponse {
@@ -71,7 +74,7 @@
   }
 
   async #verify(check: EndCheck): Promise<void> {
-    const reason = await check();
+    const reason = await check(() => this.#isCancelled);
     if (this.#isCancelled) return;
     if (reason === undefined) this.#listener.onEnd();
     else this.#listener.onFailure({ kind: "broken", message: reason });
--- a/src/features/paths/common/verifying_client.ts
+++ b/src/features/paths/common/verifying_client.ts
@@ -1,6 +1,6 @@
 /** Client whose responses end only when their end is verified. */
 
-import type { Address } from "../../../base/common/ids.ts";
+import type { Address, EndpointId } from "../../../base/common/ids.ts";
 import type {
   PassThroughExchange,
   PassThroughListener,
@@ -12,16 +12,15 @@
 /** Verifies the ends of the responses of another client. */
 export class VerifyingClient implements ProvenConnectionClient {
   readonly #client: ProvenConnectionClient;
-  readonly #createCheck: (address: Address) => EndCheck;
+  readonly #createCheck: (endpoint: EndpointId) => EndCheck;
 
   /**
    * @param client - The client that sends the requests.
-   * @param createCheck - Creates the check for the response of the process that
-   * is at an address now.
+   * @param createCheck - Creates the check for a response of an endpoint.
    */
   constructor(
     client: ProvenConnectionClient,
-    createCheck: (address: Address) => EndCheck,
+    createCheck: (endpoint: EndpointId) => EndCheck,
   ) {
     this.#client = client;
     this.#createCheck = createCheck;
@@ -32,11 +31,12 @@
     request: PassThroughRequest,
     listener: PassThroughListener,
   ): PassThroughExchange {
-    const { address, method } = request;
+    const { endpoint, method } = request;
+    if (endpoint === undefined) return this.#client.send(request, listener);
     const response = new VerifiedResponse(
       method,
       listener,
-      () => this.#createCheck(address),
+      () => this.#createCheck(endpoint),
     );
     const exchange = this.#client.send(request, {
       ...listener,
--- a/src/services/http/common/header_list.ts
+++ b/src/services/http/common/header_list.ts
@@ -104,6 +104,9 @@
   headers: HeaderList,
 ): boolean {
   if (hasNoBody(method, status)) return false;
-  return headerOf(headers, "content-length") === undefined &&
-    headerOf(headers, "transfer-encoding") === undefined;
+  const encodings = headerOf(headers, "transfer-encoding");
+  // Only chunks mark the end of a response; other codings do not.
+  return encodings === undefined
+    ? headerOf(headers, "content-length") === undefined
+    : !/(^|,)\s*chunked\s*$/i.test(encodings);
 }
--- a/src/services/http/common/pass_through_client.ts
+++ b/src/services/http/common/pass_through_client.ts
@@ -20,6 +20,11 @@
   readonly target: string;
   readonly headers: HeaderList;
   readonly body: RequestBody;
+  /**
+   * Endpoint whose process has to outlive a response that ends with its
+   * connection; without one, such a response ends like any other.
+   */
+  readonly endpoint?: EndpointId;
   /**
    * What a peer has to know to pass the request on; without it the request is
    * only sent by this host itself.
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -341,6 +341,7 @@
           leavingMarks: {
             mark: ({ id }, reason) => registry.markDraining(id, reason),
           },
+          paths: { recordAnswer: () => undefined },
         }),
         limits,
         checkSilentPath: (address) => {
--- a/standins/gateway/relay_gate_test.ts
+++ b/standins/gateway/relay_gate_test.ts
@@ -83,6 +83,7 @@
         holds: { hold: (_endpoint, forMs) => heldMs.push(forMs) },
         leavingMarks: { mark: (endpoint) => leavingMarks.push(endpoint) },
         limits: { observe: () => undefined },
+        paths: { recordAnswer: () => undefined },
       }),
       isLost: () => isLost,
       onConnectTimeout: (endpoint) => connectTimeouts.push(endpoint),
