Take the head of a refusal without a length for its proof

A refusal with a time to stay away, whose body has neither a length nor chunks, was answered with 502 after 1.6 s and counted as a lost run: the check of its end could not ask an endpoint that wants no requests. The head proves that the request was not run, so that the response ends there, as its connection is closed in any case.

--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -400,6 +400,12 @@
         this.#isCloseDelimited = isCloseDelimited(method, status, received);
         isServed = !fields.isNotRun && status < 500;
         sink.onHead(status, received);
+        // The head proves the refusal; nothing shows the end of its body.
+        const isRefused = fields.isNotRun && isOwn && status !== 400;
+        if (isRefused && this.#isCloseDelimited) {
+          exchangeWithEndpoint.abort();
+          sink.onEnd();
+        }
       },
       onData: (chunk) => {
         run.onData();
@@ -424,13 +430,14 @@
         sink.onFailure(failure);
       },
     });
-    return {
+    const exchangeWithEndpoint = {
       abort: () => {
         run.onEnded();
         transfer.abort();
       },
       resume: () => transfer.resume(),
     };
+    return exchangeWithEndpoint;
   }
 
   /**
