Test how the survival of an endpoint is verified

Cause: EndpointSurvival had no tests of its own.

Change: endpoint_survival_test.ts, on a manual clock: what each answer means, silence of a second and silence to the end, that a question in flight at the end is never taken as the answer, endpoints that leave, that have a limit or are held.

--- /dev/null
+++ b/src/features/gateway/common/endpoint_survival_test.ts
@@ -0,0 +1,394 @@
+import { flushPromises, ManualClock } from "../../../base/common/clock.ts";
+import type {
+  Address,
+  EndpointId,
+  ServiceId,
+  ZoneName,
+} from "../../../base/common/ids.ts";
+import { NOOP_LOGGER } from "../../../services/log/common/logger.ts";
+import { RegisteredEndpoint } from "./endpoint_registry.ts";
+import {
+  EndpointSurvival,
+  type LivenessQuestion,
+  type Survival,
+} from "./endpoint_survival.ts";
+import type { Liveness } from "./engine_control.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import type { RightOffer } from "./right_schedule.ts";
+
+const BORN_MS = 1_000;
+/** A sound process may send nothing for this time. */
+const SILENCE_MS = 1_000;
+/** An end is given up within this time. */
+const MAX_CHECK_MS = 2_000;
+const ANSWERED: Liveness = { kind: "answered", bornMs: BORN_MS };
+const NO_ANSWER: Liveness = { kind: "no-answer", detail: "timed out" };
+
+/** A question that was asked and is not answered yet. */
+interface Question {
+  readonly path: "direct" | "peers" | "same";
+  readonly atMs: number;
+  answeredMs: number | undefined;
+  readonly answer: (liveness: Liveness) => Promise<void>;
+}
+
+/** A check in progress. */
+interface Check {
+  survival: Survival | undefined;
+  endedMs: number | undefined;
+}
+
+describe("EndpointSurvival", () => {
+  let clock: ManualClock;
+  let endpoint: RegisteredEndpoint;
+  let survival: EndpointSurvival;
+  let questions: Question[];
+  let isRefused: boolean;
+  let isLimited: boolean;
+  let offers: RightOffer[];
+  let metrics: GatewayMetrics;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    endpoint = createEndpoint(BORN_MS);
+    questions = [];
+    isRefused = false;
+    isLimited = false;
+    offers = [];
+    metrics = new GatewayMetrics();
+    survival = new EndpointSurvival({
+      clock,
+      logger: NOOP_LOGGER,
+      metrics,
+      askDirectly: askOn("direct"),
+      askThroughPeers: askOn("peers"),
+      isRefused: () => isRefused,
+      limits: () => ({
+        isLimited: () => isLimited,
+        take: () => Promise.resolve(offers.shift()!),
+      }),
+    });
+  });
+
+  function createEndpoint(bornMs: number): RegisteredEndpoint {
+    return new RegisteredEndpoint({
+      id: "e-1" as EndpointId,
+      service: "s" as ServiceId,
+      address: "10.0.0.1:80" as Address,
+      zone: "z" as ZoneName,
+      slots: 4,
+      bornMs,
+      isDraining: false,
+      warmUpRemainingMs: 0,
+    }, clock.monotonicMs());
+  }
+
+  function askOn(path: Question["path"]): LivenessQuestion {
+    return () =>
+      new Promise((resolve) => {
+        const question: Question = {
+          path,
+          atMs: clock.monotonicMs(),
+          answeredMs: undefined,
+          answer: async (liveness) => {
+            question.answeredMs = clock.monotonicMs();
+            resolve(liveness);
+            await flushPromises();
+          },
+        };
+        questions.push(question);
+      });
+  }
+
+  async function check(askOnPath?: LivenessQuestion): Promise<Check> {
+    const started: Check = { survival: undefined, endedMs: undefined };
+    void survival.check(endpoint, askOnPath).then((result) => {
+      started.survival = result;
+      started.endedMs = clock.monotonicMs();
+    });
+    await flushPromises();
+    return started;
+  }
+
+  /** Answers each question that is asked within some time after a delay. */
+  async function answerFor(
+    durationMs: number,
+    delayMs: number,
+    liveness: (atMs: number) => Liveness,
+  ): Promise<void> {
+    const endMs = clock.monotonicMs() + durationMs;
+    let answered = 0;
+    while (clock.monotonicMs() < endMs) {
+      await clock.advanceAsync(10);
+      while (answered < questions.length) {
+        const question = questions[answered]!;
+        if (clock.monotonicMs() < question.atMs + delayMs) break;
+        answered++;
+        await question.answer(liveness(question.atMs));
+      }
+    }
+  }
+
+  it("is outlived at the first answer, without waiting", async () => {
+    const checked = await check();
+    await clock.advanceAsync(3);
+    expect(checked.survival).toBeUndefined();
+    await questions[0]!.answer(ANSWERED);
+    expect(checked).toEqual({ survival: "outlived", endedMs: 3 });
+    expect(questions.map(({ path }) => path)).toEqual(["direct"]);
+    expect(metrics.counters.get("response_ends_checked:outlived")).toBe(1);
+  });
+
+  it("is given up at once where nothing listens any more", async () => {
+    const checked = await check();
+    isRefused = true;
+    await questions[0]!.answer(NO_ANSWER);
+    expect(checked).toEqual({ survival: "refused", endedMs: 0 });
+  });
+
+  it.each([["later", BORN_MS + 1], ["earlier", BORN_MS - 1]])(
+    "is not taken for outlived when a process with a %s start time answers",
+    async (_which, bornMs) => {
+      const checked = await check();
+      await questions[0]!.answer({ kind: "answered", bornMs });
+      expect(checked.survival).toBe("replaced");
+    },
+  );
+
+  // An absent value is unknown, and never "another one".
+  it.each<[string, number, number | undefined]>([
+    ["the answer states no start time", BORN_MS, undefined],
+    ["the entry has no start time", 0, BORN_MS],
+    ["neither has a start time", 0, undefined],
+  ])("is not taken for replaced where %s", async (_where, known, answered) => {
+    endpoint = createEndpoint(known);
+    const checked = await check();
+    await questions[0]!.answer({ kind: "answered", bornMs: answered });
+    expect(checked.survival).toBe("outlived");
+  });
+
+  it("is not given up while a sound process is silent for a second", async () => {
+    const checked = await check();
+    const wakesMs = SILENCE_MS;
+    await answerFor(
+      MAX_CHECK_MS,
+      400,
+      (atMs) => atMs + 400 >= wakesMs ? ANSWERED : NO_ANSWER,
+    );
+    expect(checked.survival).toBe("outlived");
+    expect(checked.endedMs).toBeGreaterThanOrEqual(wakesMs);
+  });
+
+  it("is not taken for outlived when the process is silent to the end", async () => {
+    const checked = await check();
+    await answerFor(MAX_CHECK_MS + 500, 400, () => NO_ANSWER);
+    expect(checked.survival).toBe("silent");
+    expect(checked.endedMs).toBeGreaterThan(SILENCE_MS);
+    expect(checked.endedMs).toBeLessThanOrEqual(MAX_CHECK_MS);
+  });
+
+  it("is not taken for outlived by a process that is silent and then refused or replaced", async () => {
+    const refused = await check();
+    await answerFor(900, 400, () => NO_ANSWER);
+    isRefused = true;
+    await answerFor(500, 400, () => NO_ANSWER);
+    expect(refused.survival).toBe("refused");
+    isRefused = false;
+    const replaced = await check();
+    const fromMs = clock.monotonicMs();
+    await answerFor(
+      1_000,
+      200,
+      (atMs) =>
+        atMs > fromMs ? { kind: "answered", bornMs: BORN_MS + 1 } : NO_ANSWER,
+    );
+    expect(replaced.survival).toBe("replaced");
+  });
+
+  describe("ends that come together", () => {
+    // The process may have answered just before it ended.
+    it("are not verified by a question that was in flight when they came", async () => {
+      const first = await check();
+      await clock.advanceAsync(5);
+      const second = await check();
+      expect(questions).toHaveLength(1);
+      await questions[0]!.answer(ANSWERED);
+      expect([first.survival, second.survival]).toEqual([
+        "outlived",
+        undefined,
+      ]);
+      expect(questions.map(({ atMs }) => atMs)).toEqual([0, 5]);
+      isRefused = true;
+      await questions[1]!.answer(NO_ANSWER);
+      expect(second.survival).toBe("refused");
+    });
+
+    it("share the next question", async () => {
+      await check();
+      const later = [await check(), await check(), await check()];
+      await questions[0]!.answer(ANSWERED);
+      expect(questions).toHaveLength(2);
+      await questions[1]!.answer(ANSWERED);
+      expect(later.map((one) => one.survival)).toEqual([
+        "outlived",
+        "outlived",
+        "outlived",
+      ]);
+      expect(questions).toHaveLength(2);
+    });
+
+    it("each get an answer to a question asked after them, whenever they come", async () => {
+      const checks: { readonly check: Check; readonly askedBefore: number }[] =
+        [];
+      let answered = 0;
+      for (let step = 0; step < 60; step++) {
+        const askedBefore = questions.length;
+        checks.push({ check: await check(), askedBefore });
+        await clock.advanceAsync(1);
+        if (step % 7 === 6) await questions[answered++]!.answer(ANSWERED);
+      }
+      while (answered < questions.length) {
+        await questions[answered++]!.answer(ANSWERED);
+      }
+      for (const { check, askedBefore } of checks) {
+        expect(check.survival).toBe("outlived");
+        const { answeredMs } = questions[askedBefore]!;
+        expect(check.endedMs).toBeGreaterThanOrEqual(answeredMs!);
+      }
+      expect(questions.length).toBeLessThan(checks.length / 4);
+    });
+
+    it("of two processes at one address do not share a question", async () => {
+      const first = await check();
+      endpoint = createEndpoint(BORN_MS + 1);
+      const second = await check();
+      expect(questions).toHaveLength(2);
+      await questions[0]!.answer({ kind: "answered", bornMs: BORN_MS + 1 });
+      await questions[1]!.answer({ kind: "answered", bornMs: BORN_MS + 1 });
+      expect([first.survival, second.survival]).toEqual([
+        "replaced",
+        "outlived",
+      ]);
+    });
+
+    it("are checked anew after earlier ones", async () => {
+      const first = await check();
+      await questions[0]!.answer(ANSWERED);
+      await clock.advanceAsync(1);
+      const second = await check();
+      expect(first.survival).toBe("outlived");
+      expect(second.survival).toBeUndefined();
+      expect(questions).toHaveLength(2);
+    });
+  });
+
+  describe("of a process that leaves", () => {
+    const leaving = (shutdownInMs?: number): Liveness => ({
+      kind: "answered",
+      bornMs: BORN_MS,
+      isDraining: true,
+      shutdownInMs,
+    });
+
+    it.each([["in 40 ms", 40], ["at a time that is not known", undefined]])(
+      "is not taken for outlived at once when it stops %s",
+      async (_when, shutdownInMs) => {
+        const checked = await check();
+        await questions[0]!.answer(leaving(shutdownInMs));
+        expect(checked.survival).toBeUndefined();
+        await clock.advanceAsync(60);
+        expect(questions).toHaveLength(2);
+        isRefused = true;
+        await questions[1]!.answer(NO_ANSWER);
+        expect(checked.survival).toBe("refused");
+      },
+    );
+
+    it("is outlived soon when it answers again", async () => {
+      const checked = await check();
+      await questions[0]!.answer(leaving(40));
+      await clock.advanceAsync(60);
+      await questions[1]!.answer(leaving(1));
+      expect(checked.survival).toBe("outlived");
+      expect(checked.endedMs).toBeLessThanOrEqual(100);
+    });
+
+    it("is outlived at once when it stops in seconds", async () => {
+      const checked = await check();
+      await questions[0]!.answer(leaving(1_700));
+      expect(checked).toEqual({ survival: "outlived", endedMs: 0 });
+    });
+
+    it("is asked again when only its entry said that it leaves", async () => {
+      endpoint.wasLeaving = true;
+      const checked = await check();
+      await questions[0]!.answer(ANSWERED);
+      expect(checked.survival).toBeUndefined();
+      await clock.advanceAsync(60);
+      await questions[1]!.answer(ANSWERED);
+      expect(checked.survival).toBe("outlived");
+    });
+
+    it("is not asked again when neither says so", async () => {
+      const checked = await check();
+      await questions[0]!.answer({ ...ANSWERED, isDraining: false });
+      expect(checked.survival).toBe("outlived");
+    });
+  });
+
+  describe("of an endpoint with a limit", () => {
+    const denied: RightOffer = {
+      kind: "denied",
+      freeInMs: 300,
+      retryAfterMs: 300,
+    };
+    const granted: RightOffer = { kind: "granted", waitMs: 0 };
+
+    beforeEach(() => {
+      isLimited = true;
+    });
+
+    it("takes a right for its question", async () => {
+      offers = [granted];
+      const checked = await check();
+      await questions[0]!.answer(ANSWERED);
+      expect(checked.survival).toBe("outlived");
+      expect(offers).toEqual([]);
+    });
+
+    it("asks only with a right, and as soon as there is one", async () => {
+      offers = [denied, denied, granted];
+      const checked = await check();
+      expect(questions).toEqual([]);
+      await clock.advanceAsync(200);
+      expect(questions).toHaveLength(1);
+      await questions[0]!.answer(ANSWERED);
+      expect(checked.survival).toBe("outlived");
+    });
+
+    it("is not taken for outlived when there is none", async () => {
+      offers = Array.from({ length: 100 }, () => denied);
+      const checked = await check();
+      await clock.advanceAsync(MAX_CHECK_MS);
+      expect(questions).toEqual([]);
+      expect(checked.survival).toBe("silent");
+    });
+  });
+
+  it("is asked through peers while the endpoint wants nothing from this host", async () => {
+    endpoint.heldUntilMs = clock.monotonicMs() + 500;
+    const checked = await check();
+    expect(questions.map(({ path }) => path)).toEqual(["peers"]);
+    await questions[0]!.answer(ANSWERED);
+    expect(checked.survival).toBe("outlived");
+  });
+
+  it("is asked on the path of the answer where that was not the direct one", async () => {
+    const checked = await check(askOn("same"));
+    const other = await check(askOn("same"));
+    expect(questions.map(({ path }) => path)).toEqual(["same", "same"]);
+    await questions[0]!.answer(ANSWERED);
+    expect(checked.survival).toBe("outlived");
+    expect(other.survival).toBeUndefined();
+  });
+});
