--- a/standins/network/fault_proxy.ts
+++ b/standins/network/fault_proxy.ts
@@ -107,6 +107,15 @@
     for (const connection of this.#connections) reset(connection);
   }
 
+  /** Ends all open connections as the server does after a whole response. */
+  endConnections(): void {
+    this.#disturbedMs = Date.now();
+    for (const { client, server } of this.#connections) {
+      client.end();
+      server.destroy();
+    }
+  }
+
   /** Stops accepting connections and closes the open ones. */
   close(): void {
     this.#disturbedMs = Date.now();
