Take no endpoint for ready again that has said it leaves

Cause: an endpoint whose entry was removed became ready again when the entry showed up with another sequence than the last, also a lower one, as in a store that comes back from a copy. What the endpoint said itself in its answers was ignored once its entry was gone.

Change: a statement of the endpoint itself (answer, report, draining entry, mark of a peer) makes a drain final for the process, also when its entry went first, and is shared as before. A removed entry counts as written again only with a sequence above the highest that was seen, or without any. The messages between hosts are unchanged.

The daemon test and five of the new unit tests fail on the code before.

--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoint_registry.ts
@@ -47,7 +47,7 @@
    * endpoint are used up.
    */
   limitedUntilMs = -Infinity;
-  /** Sequence of the latest announcement. */
+  /** Highest sequence that was announced, if any was. */
   lastSequence: number | undefined;
   /** Whether the endpoint was known to leave, even if it is removed by now. */
   wasLeaving = false;
@@ -95,6 +95,15 @@
     return nowMs < this.withheldUntilMs;
   }
 
+  /**
+   * Whether the endpoint has stated itself that it leaves, so that its process
+   * accepts no requests again whatever its entry says.
+   */
+  get hasSaidLeaving(): boolean {
+    const { phase } = this;
+    return phase.kind === "draining" && !ENTRY_REASONS.has(phase.reason);
+  }
+
   /** Whether the endpoint may still be working on earlier requests. */
   get isPresent(): boolean {
     return this.phase.kind !== "removed";
@@ -236,11 +245,12 @@
       endpoint = undefined;
     }
     endpoint ??= this.#add(announcement);
-    const { phase } = endpoint;
+    const { lastSequence, phase } = endpoint;
+    const { sequence } = announcement;
     // A store that was restored from a copy holds entries that were removed.
-    const isRestored = announcement.sequence !== undefined &&
-      announcement.sequence === endpoint.lastSequence;
-    endpoint.lastSequence = announcement.sequence;
+    const isRestored = sequence !== undefined && lastSequence !== undefined &&
+      sequence <= lastSequence;
+    if (!isRestored) endpoint.lastSequence = sequence ?? lastSequence;
     if (announcement.isDraining) this.markDraining(id, "draining");
     else if (phase.kind === "missing") endpoint.phase = { kind: "ready" };
     else if (
@@ -283,10 +293,18 @@
 
   /**
    * Stops new requests to an endpoint; it completes the requests that it runs.
+   * If only its entry said so before, a statement of its own makes this final.
+   *
+   * @param id - Id of the endpoint.
+   * @param reason - What says that the endpoint leaves.
    */
   markDraining(id: EndpointId, reason: string): void {
     const endpoint = this.#endpoints.get(id);
-    if (!endpoint || !endpoint.isUsable) return;
+    if (!endpoint) return;
+    if (!endpoint.isUsable) {
+      this.#confirmDraining(endpoint, reason);
+      return;
+    }
     endpoint.phase = {
       kind: "draining",
       sinceMs: this.#clock.monotonicMs(),
@@ -321,6 +339,14 @@
     }
   }
 
+  #confirmDraining(endpoint: RegisteredEndpoint, reason: string): void {
+    const { hasSaidLeaving, id, phase } = endpoint;
+    if (phase.kind !== "draining" || hasSaidLeaving) return;
+    if (ENTRY_REASONS.has(reason)) return;
+    endpoint.phase = { ...phase, reason };
+    this.#logger.log("info", "endpoint-leaving", { endpoint: id, reason });
+  }
+
   #add(announcement: EndpointAnnouncement): RegisteredEndpoint {
     const { address, bornMs, id, service, softwareVersion, zone } =
       announcement;
--- a/src/features/gateway/common/endpoint_registry_test.ts
+++ b/src/features/gateway/common/endpoint_registry_test.ts
@@ -118,6 +118,53 @@
     expect(registry.usable(SERVICE)).toHaveLength(1);
   });
 
+  it("does not take an older entry in a restored store for a return", () => {
+    registry.announce(announcement({ sequence: 7 }));
+    registry.withdraw(ID, CALM);
+    registry.announce(announcement({ sequence: 5 }));
+    registry.announce(announcement({ sequence: 6 }));
+    registry.announce(announcement({ sequence: 7 }));
+    expect(registry.usable(SERVICE)).toEqual([]);
+    registry.announce(announcement({ sequence: 8 }));
+    expect(registry.usable(SERVICE)).toHaveLength(1);
+  });
+
+  it("uses a lapsed endpoint again whose entry has no sequence", () => {
+    registry.announce(announcement({ sequence: 7 }));
+    registry.withdraw(ID, CALM);
+    registry.announce(announcement());
+    expect(registry.usable(SERVICE)).toHaveLength(1);
+  });
+
+  it.each(["answer", "report", "reported by a peer"])(
+    "never uses an endpoint again that says it leaves after its entry was removed, by %s",
+    (reason) => {
+      registry.withdraw(ID, CALM);
+      registry.markDraining(ID, reason);
+      for (const sequence of [undefined, 5, 8]) {
+        registry.announce(announcement({ sequence }));
+        expect(registry.usable(SERVICE)).toEqual([]);
+      }
+      clock.advance(20_000);
+      registry.expirePhases();
+      expect(registry.get(ID)).toBeUndefined();
+      registry.announce(announcement({ sequence: 9 }));
+      expect(registry.usable(SERVICE)).toEqual([]);
+      expect(left).toEqual([ID]);
+      registry.announce(announcement({ bornMs: 2 }));
+      expect(registry.usable(SERVICE)).toHaveLength(1);
+    },
+  );
+
+  it("never uses an endpoint again that writes after its removal that it drains", () => {
+    registry.withdraw(ID, CALM);
+    registry.announce(announcement({ isDraining: true, sequence: 8 }));
+    registry.announce(announcement({ sequence: 5 }));
+    registry.announce(announcement({ sequence: 9 }));
+    expect(registry.usable(SERVICE)).toEqual([]);
+    expect(left).toEqual([ID]);
+  });
+
   it("never uses a draining endpoint again within one process", () => {
     registry.announce(announcement({ isDraining: true }));
     registry.announce(announcement());
--- a/src/features/gateway/common/leaving_marks.ts
+++ b/src/features/gateway/common/leaving_marks.ts
@@ -84,16 +84,17 @@
   }
 
   /**
-   * Marks an endpoint, unless it is known to leave.
+   * Marks an endpoint, unless it is known to have said that it leaves. The
+   * removal of its entry alone does not count, as the entry may come back.
    *
    * @param endpoint - The endpoint that is about to leave.
    * @param reason - Source of the mark, for the log.
    */
   mark(
-    { announcement, id, isUsable }: RegisteredEndpoint,
+    { announcement, hasSaidLeaving, id, isPresent }: RegisteredEndpoint,
     reason: string,
   ): void {
-    if (!isUsable) return;
+    if (!isPresent || hasSaidLeaving) return;
     const mark = { endpoint: id, bornMs: announcement.bornMs };
     this.#marks.set(id, mark);
     this.#registry.markDraining(id, reason);
@@ -106,7 +107,7 @@
   }
 
   #apply(endpoint: RegisteredEndpoint | undefined): void {
-    if (!endpoint?.isUsable) return;
+    if (!endpoint) return;
     const { bornMs, id } = endpoint.announcement;
     if (this.#marks.get(id)?.bornMs !== bornMs) return;
     this.#registry.markDraining(id, "reported by a peer");
