Let a second signal to stop not cut what a drain serves

Cause: while a daemon stopped, a second call of drainAndStop returned at once, and the entry point ended the process after it.

Change: a second call waits for the first.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -77,7 +77,8 @@
   readonly #relay: GatewayRelay;
   readonly #topology: GatewayTopology;
   #activeSettings: ReloadableGatewaySettings;
-  #isStopping = false;
+  /** Resolves once the daemon has stopped; set when it begins to stop. */
+  #stopped: Promise<void> | undefined;
   readonly #readinessLog: ReadinessLog;
 
   private constructor(
@@ -328,14 +329,13 @@
     logger: Logger,
     metrics: GatewayMetrics,
   ): Promise<GatewayDaemon> {
-    const hasher = await createHasher();
     const daemon = new GatewayDaemon(
       settings,
       adapter,
       clock,
       logger,
       metrics,
-      hasher,
+      await createHasher(),
     );
     await daemon.#listen();
     return daemon;
@@ -346,7 +346,7 @@
    * configuration was confirmed recently enough to check keys.
    */
   get isReady(): boolean {
-    if (this.#isStopping || !this.#state.current) return false;
+    if (this.#stopped || !this.#state.current) return false;
     const limits = admissionLimits(this.#activeSettings);
     return this.#mirror.confirmationAgeMs <= limits.maxConfirmationAgeForKeysMs;
   }
@@ -362,12 +362,21 @@
   }
 
   /**
-   * Waits for requests in progress, up to the grace period, and stops. Has no
-   * effect if the daemon is already stopping.
+   * Waits for requests in progress, up to the grace period, and stops.
+   *
+   * @returns Once the daemon has stopped, also if it was stopping before.
    */
-  async drainAndStop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
+  drainAndStop(): Promise<void> {
+    return this.#stopped ??= this.#runStop();
+  }
+
+  /** Stops at once and cuts the requests in progress. */
+  dispose(): void {
+    this.#stopped ??= Promise.resolve();
+    this.#disposables.dispose();
+  }
+
+  async #runStop(): Promise<void> {
     await drainRequests(
       {
         clock: this.#clock,
@@ -382,12 +391,6 @@
     this.dispose();
   }
 
-  /** Stops at once and cuts the requests in progress. */
-  dispose(): void {
-    this.#isStopping = true;
-    this.#disposables.dispose();
-  }
-
   async #listen(): Promise<void> {
     const settings = this.#settings;
     this.#disposables.add(this.#state.onDidChange(({ configuration }) => {
@@ -399,7 +402,7 @@
     this.#disposables.add(
       runPeriodically(this.#clock, TICK_MS, () => {
         this.#registry.expirePhases();
-        this.#readinessLog.update(this.isReady, this.#isStopping);
+        this.#readinessLog.update(this.isReady, this.#stopped !== undefined);
       }),
     );
     const pages = this.#disposables.add(this.#createPages());
@@ -431,7 +434,7 @@
         host: this.#settings.host,
         zone: this.#settings.zone,
         isReady: this.isReady,
-        isDraining: this.#isStopping,
+        isDraining: this.#stopped !== undefined,
       }),
     });
   }
