Tell log lines from warnings of Node in the test of operators

Change: loggers write to an output that can be set, by default standard error. The test reads each line that they write there, skips none, and requires that no log line appears on standard error beside it. Secrets are looked for in both. The test is as strict as before about what the loggers write; it writes a line that is no log line to standard error itself, so that the fault shows at each run.

--- a/src/services/log/node/debug_logger.ts
+++ b/src/services/log/node/debug_logger.ts
@@ -1,6 +1,6 @@
 /**
  * Logger based on the `debug` library. Writes one JSON object per line to
- * standard error.
+ * standard error, unless another output is set.
  */
 
 import debug from "debug";
@@ -11,6 +11,13 @@
 /** The line is passed as an argument so that `%` in it is not interpreted. */
 const FORMAT = "%s";
 
+/** Receives whole lines, each with its line break. */
+export interface LineOutput {
+  write(line: string): unknown;
+}
+
+let output: LineOutput = process.stderr;
+
 /** Writes each line with the `debug` namespace `ragwort:<level>`. */
 export class DebugLogger implements Logger {
   readonly #clock: Clock;
@@ -46,7 +53,7 @@
   // The library adds its prefix to the format argument, which is ignored here.
   // The line is the second argument and is not modified.
   writer.log = (_format: unknown, line: unknown) => {
-    process.stderr.write(`${String(line)}\n`);
+    output.write(`${String(line)}\n`);
   };
   return writer;
 }
@@ -59,3 +66,12 @@
 export function enableLogLevels(levels: readonly LogLevel[]): void {
   debug.enable(levels.map((level) => `${NAMESPACE}:${level}`).join(","));
 }
+
+/**
+ * Sets where all loggers write.
+ *
+ * @param newOutput - Receives the lines; standard error if omitted.
+ */
+export function setLogOutput(newOutput: LineOutput = process.stderr): void {
+  output = newOutput;
+}
--- a/standins/demo/operators_test.ts
+++ b/standins/demo/operators_test.ts
@@ -2,7 +2,10 @@
 import { asId, type TeamName } from "../../src/base/common/ids.ts";
 import { rightOf } from "../../src/base/common/result.ts";
 import { writeDocument } from "../../src/features/configuration/common/configuration_writer.ts";
-import { enableLogLevels } from "../../src/services/log/node/debug_logger.ts";
+import {
+  enableLogLevels,
+  setLogOutput,
+} from "../../src/services/log/node/debug_logger.ts";
 import { EtcdStoreClient } from "../../src/services/store/node/etcd_store_client.ts";
 import { book, createStreamRecord, streamChat } from "./demo_caller.ts";
 import {
@@ -16,6 +19,8 @@
 describe("the operator interface of a deployment", () => {
   const deployment = new DemoDeployment();
   const logLines: string[] = [];
+  /** Everything else on standard error, such as warnings of Node. */
+  const otherOutput: string[] = [];
 
   async function fetchOperatorPage(path: string, key = DEMO_OPERATOR_KEY) {
     const response = await request(
@@ -27,8 +32,9 @@
 
   beforeAll(async () => {
     enableLogLevels(["info", "warn", "error"]);
-    jest.spyOn(process.stderr, "write").mockImplementation((line) => {
-      logLines.push(String(line));
+    setLogOutput({ write: (line) => logLines.push(line) });
+    jest.spyOn(process.stderr, "write").mockImplementation((text) => {
+      otherOutput.push(String(text));
       return true;
     });
     await deployment.start();
@@ -47,6 +53,7 @@
   afterAll(async () => {
     await deployment.stop();
     jest.restoreAllMocks();
+    setLogOutput();
     enableLogLevels([]);
   });
 
@@ -108,6 +115,7 @@
   });
 
   it("writes log lines as JSON objects without bodies and secrets", () => {
+    process.stderr.write("(node:1) Warning: this is no log line\n");
     expect(logLines.length).toBeGreaterThan(3);
     for (const line of logLines) {
       expect(JSON.parse(line)).toMatchObject({
@@ -116,7 +124,8 @@
         event: expect.stringMatching(/^[a-z-]+$/),
       });
     }
-    const all = logLines.join("");
+    expect(otherOutput.filter((text) => text.includes('"event"'))).toEqual([]);
+    const all = [...logLines, ...otherOutput].join("");
     for (const secret of [SECRET_TEXT, DEMO_API_KEY, DEMO_OPERATOR_KEY]) {
       expect(all).not.toContain(secret);
     }
