Let other hubs complete the entry of a service's versions

Only one hub wrote the entry of a service's versions.

The other hubs now write the entry in turn, each 1.5 s after the one before, if it lacks a version that they or a peer have seen, and only while their view is current. The store accepts such a write only if the entry still has the revision that the hub has read ("expect-rev"); a revision of an earlier era is never sent. What was only read there is not written again. Records of quarantines are written by their owner alone, as before.

The form of the entry has not changed.

--- a/src/features/gateway/common/software_version_sync.ts
+++ b/src/features/gateway/common/software_version_sync.ts
@@ -159,6 +159,7 @@
   return new RecordArchive({
     ...services,
     records: {
+      writers: "any",
       keyPrefix: SOFTWARE_VERSION_KEY_PREFIX,
       subject: "software-versions",
       list: () =>
@@ -172,9 +173,13 @@
       nameOf: ({ service }) => hasher.hash64Hex(service),
       parse: (value) => entrySchema.parse(value),
       merge: ({ service, versions }) => history.learnStored(service, versions),
-      includes: (stored, { versions }) =>
-        stored.versions.length === versions.length &&
-        versions.every((version) => stored.versions.includes(version)),
+      // What was read there need not be written again.
+      includes: (stored, { service }) =>
+        history.witnessedVersions(service).every((version) =>
+          stored.versions.includes(version)
+        ),
+      hasOutdated: (stored, { versions }) =>
+        stored.versions.some((version) => !versions.includes(version)),
     },
   });
 }
--- a/src/features/quarantine/common/prompt_part_sync.ts
+++ b/src/features/quarantine/common/prompt_part_sync.ts
@@ -80,6 +80,7 @@
   return new RecordArchive({
     ...services,
     records: {
+      writers: "owner",
       keyPrefix: PROMPT_PART_KEY_PREFIX,
       subject: "quarantine",
       list: () =>
--- a/src/features/quarantine/common/record_archive.ts
+++ b/src/features/quarantine/common/record_archive.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps records in the store, so that they outlast a stop of all daemons at
- * once. One of the linked hubs writes each record; all daemons read them from
- * their mirrors.
+ * once. One of the linked hubs writes each record, or another one that the store
+ * does not turn away; all daemons read them from their mirrors.
  */
 
 import { type Clock, runPeriodically } from "../../../base/common/clock.ts";
@@ -18,6 +18,7 @@
   type Either,
   leftOf,
   Right,
+  rightOf,
 } from "../../../base/common/result.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
 import {
@@ -33,6 +34,10 @@
 const MIN_LEASE_MS = 10_000;
 /** A written record reaches the mirror well within this time. */
 const REWRITE_DELAY_MS = 3_000;
+/** Time after which the next hub writes a record that the store lacks. */
+const TAKEOVER_STEP_MS = 1_500;
+/** Age above which a hub's view does not show what others have written. */
+const MAX_TAKEOVER_VIEW_AGE_MS = 3_000;
 
 /** Record to keep in the store. */
 export interface ArchivedRecord<R> {
@@ -44,8 +49,16 @@
   readonly untilMs: number | undefined;
 }
 
+/**
+ * Hubs that may write a record. `owner`: the first by its key. `any`: the others
+ * too, one after the other, if the store still lacks what they know. No write
+ * replaces a record that the hub has not merged.
+ */
+export type RecordWriters = "owner" | "any";
+
 /** Records of one kind and how they are stored. */
 export interface ArchivedRecords<R> {
+  readonly writers: RecordWriters;
   /** Prefix of the keys of these records. */
   readonly keyPrefix: string;
   /** What the records are about; the events in the log begin with it. */
@@ -60,6 +73,11 @@
   merge(record: R): void;
   /** @returns Whether a stored record has all that this one has. */
   includes(stored: R, record: R): boolean;
+  /**
+   * @returns Whether a stored record has parts that are over, which its owner
+   * removes.
+   */
+  hasOutdated?(stored: R, record: R): boolean;
 }
 
 /** Dependencies of a {@link RecordArchive}. */
@@ -80,6 +98,8 @@
   readonly #disposables = new DisposableStore();
   /** Monotonic time of the latest write of each key, in milliseconds. */
   readonly #writtenMs = new Map<string, number>();
+  /** Monotonic time since which the store lacks a record, in milliseconds. */
+  readonly #lackingSinceMs = new Map<string, number>();
 
   /** @param services - Dependencies of the archive. */
   constructor(services: RecordArchiveServices<R>) {
@@ -125,31 +145,71 @@
     const listed = records.list();
     if (listed.length === 0) {
       this.#writtenMs.clear();
+      this.#lackingSinceMs.clear();
       return;
     }
     if (!overlay.isHub) return;
     const nowMs = clock.monotonicMs();
     const hubs = [host, ...overlay.linkedHubs()];
+    const keys = new Set<string>();
     for (const { record, untilMs } of listed) {
       const key = `${records.keyPrefix}${records.nameOf(record)}`;
+      keys.add(key);
       const sinceWriteMs = nowMs - (this.#writtenMs.get(key) ?? -Infinity);
-      const [owner] = rendezvousOrder(hasher, key, hubs);
-      if (owner !== host || sinceWriteMs < REWRITE_DELAY_MS) continue;
-      if (this.#isStored(key, record)) continue;
+      const rank = rendezvousOrder(hasher, key, hubs).indexOf(host);
+      const isDue = this.#isWriteDue(key, record, rank);
+      if (!isDue || sinceWriteMs < REWRITE_DELAY_MS) continue;
       this.#writtenMs.set(key, nowMs);
+      this.#lackingSinceMs.delete(key);
       const ttlMs = untilMs && untilMs - clock.nowMs();
       void this.#write(key, record, ttlMs);
     }
+    for (const key of this.#lackingSinceMs.keys()) {
+      if (!keys.has(key)) this.#lackingSinceMs.delete(key);
+    }
   }
 
-  #isStored(key: string, record: R): boolean {
+  /**
+   * @param key - Key of the record.
+   * @param record - The record as this host knows it.
+   * @param rank - Number of linked hubs that are to write the record first.
+   */
+  #isWriteDue(key: string, record: R, rank: number): boolean {
+    const { clock, mirror, records } = this.#services;
+    const stored = this.#stored(key);
+    if (stored !== undefined && records.includes(stored, record)) {
+      this.#lackingSinceMs.delete(key);
+      return rank === 0 && records.hasOutdated?.(stored, record) === true;
+    }
+    const nowMs = clock.monotonicMs();
+    const sinceMs = this.#lackingSinceMs.get(key) ?? nowMs;
+    this.#lackingSinceMs.set(key, sinceMs);
+    switch (records.writers) {
+      case "owner":
+        return rank === 0;
+      case "any":
+        if (rank === 0) return true;
+        // Another hub may have written it unseen.
+        if (mirror.confirmationAgeMs > MAX_TAKEOVER_VIEW_AGE_MS) return false;
+        return nowMs - sinceMs >= rank * TAKEOVER_STEP_MS;
+    }
+  }
+
+  /** Returns the readable record that the mirror has. */
+  #stored(key: string): R | undefined {
+    const item = this.#services.mirror.get(key);
+    return item && rightOf(this.#decode(item.value));
+  }
+
+  /** Returns the revision that the store must have for a write. */
+  #expectedRevision(key: string): number | undefined {
     const { mirror, records } = this.#services;
-    const item = mirror.get(key);
-    if (!item) return false;
-    return this.#decode(item.value).caseOf({
-      Left: () => false,
-      Right: (stored) => records.includes(stored, record),
-    });
+    switch (records.writers) {
+      case "owner":
+        return undefined;
+      case "any":
+        return mirror.get(key)?.revision ?? 0;
+    }
   }
 
   async #write(
@@ -159,9 +219,17 @@
   ): Promise<void> {
     const { logger, records, store } = this.#services;
     const value = new TextEncoder().encode(JSON.stringify(record));
+    const expectedRevision = this.#expectedRevision(key);
     const lease = await this.#grantLease(ttlMs);
     const failure: StoreCallFailure | undefined = leftOf(lease) ??
-      leftOf(await store.putLeased(key, value, lease.unsafeCoerce()));
+      leftOf(
+        await store.putLeased(
+          key,
+          value,
+          lease.unsafeCoerce(),
+          expectedRevision,
+        ),
+      );
     if (!failure) return;
     const { kind, message } = failure;
     logger.log("warn", `${records.subject}-not-stored`, {
--- a/src/features/quarantine/common/suspect_archive.ts
+++ b/src/features/quarantine/common/suspect_archive.ts
@@ -24,6 +24,7 @@
     this.#archive = new RecordArchive({
       ...services,
       records: {
+        writers: "owner",
         keyPrefix: SUSPECT_KEY_PREFIX,
         subject: "quarantine",
         list: () =>
--- a/src/services/mirror/common/revisioned_store.ts
+++ b/src/services/mirror/common/revisioned_store.ts
@@ -75,10 +75,20 @@
    */
   renewLease(lease: number): AsyncEither<StoreCallFailure, void>;
   revokeLease(lease: number): AsyncEither<StoreCallFailure, void>;
+  /**
+   * Writes a key.
+   *
+   * @param key - The key.
+   * @param value - Its new value.
+   * @param lease - Lease of the key, or {@link NO_LEASE}.
+   * @param expectedRevision - Revision that the key must have, 0 if it must not
+   * exist; fails with `refused` otherwise. `undefined` accepts any.
+   */
   putLeased(
     key: string,
     value: Uint8Array,
     lease: number,
+    expectedRevision?: number,
   ): AsyncEither<StoreCallFailure, void>;
 }
 
--- a/standins/mirror/fake_revisioned_store.ts
+++ b/standins/mirror/fake_revisioned_store.ts
@@ -76,6 +76,11 @@
     return this.#revision;
   }
 
+  /** @returns The revision of a key; 0 if it does not exist. */
+  revisionOf(key: string): number {
+    return this.#items.get(key)?.revision ?? 0;
+  }
+
   put(key: string, text: string): void {
     const value = new TextEncoder().encode(text);
     const item = { key, value, revision: ++this.#revision };
@@ -175,7 +180,16 @@
     key: string,
     value: Uint8Array,
     lease: number,
+    expectedRevision?: number,
   ): AsyncEither<StoreCallFailure, void> {
+    const isExpected = expectedRevision === undefined ||
+      expectedRevision === this.revisionOf(key);
+    if (!this.failure && !isExpected) {
+      this.callCount++;
+      return Promise.resolve(
+        Left({ kind: "refused", message: "the key has another revision" }),
+      );
+    }
     return this.#answer(() => {
       this.put(key, new TextDecoder().decode(value));
       this.#leases.get(lease)?.add(key);
