Read what came and went while a host was cut from the store

A host that was cut for a moment listed the store when it reached it again. A listing does not show a version that came and went meanwhile; gaps below 3 s counted as none, and longer ones were filled from the entry of the versions, which may be older than that version.

After it has listed the store again, the host now reads the changes since the contents of its mirror and applies those, if the contents are no older than 10 s; the listing is applied only if the store has lost them or the contents are older. That is one call more after each interruption. An endpoint that came and went in one such read drains at once, and is not taken for one whose entry lapsed in an outage.

--- a/src/daemon/common/mirror_change_handler.ts
+++ b/src/daemon/common/mirror_change_handler.ts
@@ -92,14 +92,18 @@
 
   /** Applies a batch of changes of the mirror. */
   #apply(changes: readonly MirrorChange[]): void {
-    const { decoder, peers } = this.#services;
+    const { decoder, peers, registry } = this.#services;
     const { configurationKey, endpointPrefix } = decoder;
     const hosts = new Map<HostId, FleetHost | undefined>();
+    /** Endpoints that this host sees for the first time. */
+    const added = new Set<EndpointId>();
     for (const change of changes) {
       const { key } = change;
       if (key === configurationKey) this.#applyConfiguration(change);
       else if (key.startsWith(endpointPrefix)) {
-        this.#applyEndpoint(key.slice(endpointPrefix.length), change);
+        const endpoint = key.slice(endpointPrefix.length) as EndpointId;
+        if (!registry.get(endpoint)) added.add(endpoint);
+        this.#applyEndpoint(endpoint, change, added.has(endpoint));
       } else if (key.startsWith(HOST_KEY_PREFIX)) {
         const host = key.slice(HOST_KEY_PREFIX.length) as HostId;
         const entry = change.item && this.#decodeHost(key, change.item);
@@ -124,15 +128,19 @@
     });
   }
 
-  #applyEndpoint(id: string, { item }: MirrorChange): void {
+  #applyEndpoint(
+    endpoint: EndpointId,
+    { item }: MirrorChange,
+    isNew: boolean,
+  ): void {
     const { decoder, logger, mirror, registry } = this.#services;
-    const endpoint = id as EndpointId;
     if (!item) {
-      registry.withdraw(endpoint, mirror.sinceDisruptionMs);
+      // One that came and went unseen may only have begun streams.
+      registry.withdraw(endpoint, isNew ? Infinity : mirror.sinceDisruptionMs);
       return;
     }
     const { revision } = item;
-    decoder.decodeAnnouncement(id, item.value).caseOf({
+    decoder.decodeAnnouncement(endpoint, item.value).caseOf({
       Left: (detail) => {
         logger.log("warn", "announcement-unreadable", {
           endpoint,
--- a/src/services/mirror/common/store_watcher.ts
+++ b/src/services/mirror/common/store_watcher.ts
@@ -1,10 +1,11 @@
 /**
- * Keeps a mirror up to date with the store. Recovers from store outages and
- * from compacted history by listing the store again.
+ * Keeps a mirror up to date with the store. Recovers from store outages by
+ * reading the changes that it missed, or else by listing the store again.
  */
 
 import { type Clock, sleep } from "../../../base/common/clock.ts";
 import { type Disposable } from "../../../base/common/lifecycle.ts";
+import { leftOf } from "../../../base/common/result.ts";
 import { timestampNow } from "../../../base/common/timestamp.ts";
 import type { Logger } from "../../log/common/logger.ts";
 import type { RevisionedStore, StoreCallFailure } from "./revisioned_store.ts";
@@ -23,6 +24,13 @@
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 600;
 const ROLE_CHECK_INTERVAL_MS = 250;
+/**
+ * Age of the contents up to which the missed changes are read. Those of a longer
+ * time are many times as large as a listing.
+ */
+const MAX_REPLAY_AGE_MS = 10_000;
+/** The store answers at once, with the changes that there are. */
+const REPLAY_WAIT_MS = 1;
 
 /** Dependencies of {@link StoreWatcher}. */
 export interface StoreWatcherServices {
@@ -34,7 +42,10 @@
   readonly shouldWatch: () => boolean;
 }
 
-/** Lists the store once, then watches it; lists again after every failure. */
+/**
+ * Lists the store once, then watches it; lists again after every failure, unless
+ * the store still has the changes since.
+ */
 export class StoreWatcher implements Disposable {
   readonly #services: StoreWatcherServices;
   #isDisposed = false;
@@ -71,19 +82,40 @@
     const { clock, store, mirror, logger } = this.#services;
     const sentAt = timestampNow(clock);
     const listing = await store.list("");
-    return listing.caseOf<StoreCallFailure | undefined>({
-      Left: (failure) => failure,
-      Right: ({ items, revision }) => {
-        if (this.#isDisposed) return undefined;
-        mirror.applyListing(items, revision, sentAt);
-        logger.log("info", "store-listed", {
-          revision,
-          items: items.length,
-          failures: this.#failureCount,
-        });
-        this.#hasListed = true;
-        this.#failureCount = 0;
-        return undefined;
+    const failure = leftOf(listing);
+    if (failure) return failure;
+    const { items, revision } = listing.unsafeCoerce();
+    const isReplayed = await this.#replay();
+    if (this.#isDisposed) return undefined;
+    if (!isReplayed) mirror.applyListing(items, revision, sentAt);
+    logger.log("info", "store-listed", {
+      revision,
+      items: items.length,
+      failures: this.#failureCount,
+      isReplayed,
+    });
+    this.#hasListed = true;
+    this.#failureCount = 0;
+    return undefined;
+  }
+
+  /**
+   * Applies the changes since the contents of the mirror, of which a listing
+   * does not show what was created and removed again.
+   *
+   * @returns Whether the store had them.
+   */
+  async #replay(): Promise<boolean> {
+    const { clock, mirror, store } = this.#services;
+    const isEmpty = mirror.revision === 0;
+    if (isEmpty || mirror.confirmationAgeMs > MAX_REPLAY_AGE_MS) return false;
+    const sentAt = timestampNow(clock);
+    const result = await store.watch("", mirror.revision, REPLAY_WAIT_MS);
+    return result.caseOf({
+      Left: () => false,
+      Right: ({ changes, revision }) => {
+        if (!this.#isDisposed) mirror.applyChanges(changes, revision, sentAt);
+        return true;
       },
     });
   }
--- a/standins/mirror/mirror_test.ts
+++ b/standins/mirror/mirror_test.ts
@@ -136,6 +136,59 @@
     expect(readText(mirror, "b")).toBe("2");
   });
 
+  // Guards against an interruption in which something came and went unseen.
+  it("shows what was created and removed again while the store did not answer", async () => {
+    const { clock, store, mirror } = startWatcher();
+    await clock.advanceAsync(20);
+    const changes: string[] = [];
+    mirror.onDidChange((batch) => {
+      for (const { key, item } of batch) {
+        changes.push(`${key} ${item ? "put" : "removed"}`);
+      }
+    });
+    const skippedMs: number[] = [];
+    mirror.onDidSkipChanges((durationMs) => skippedMs.push(durationMs));
+    store.failure = UNAVAILABLE;
+    await clock.advanceAsync(4_000);
+    store.put("a", "1");
+    store.remove("a");
+    store.put("b", "1");
+    store.failure = undefined;
+    await clock.advanceAsync(1_500);
+    expect(changes).toEqual(["a put", "a removed", "b put"]);
+    expect(skippedMs).toEqual([]);
+    expect(mirror.revision).toBe(store.revision);
+  });
+
+  it("does not read the changes of a long time, which it reports as skipped", async () => {
+    const { clock, store, mirror } = startWatcher();
+    await clock.advanceAsync(20);
+    const skippedMs: number[] = [];
+    mirror.onDidSkipChanges((durationMs) => skippedMs.push(durationMs));
+    store.failure = UNAVAILABLE;
+    await clock.advanceAsync(11_000);
+    store.put("a", "1");
+    store.failure = undefined;
+    await clock.advanceAsync(1_500);
+    expect(readText(mirror, "a")).toBe("1");
+    expect(skippedMs).toHaveLength(1);
+  });
+
+  it("reports what it skipped if the store has lost the changes", async () => {
+    const { clock, store, mirror } = startWatcher();
+    await clock.advanceAsync(20);
+    const skippedMs: number[] = [];
+    mirror.onDidSkipChanges((durationMs) => skippedMs.push(durationMs));
+    store.failure = UNAVAILABLE;
+    await clock.advanceAsync(4_000);
+    store.put("a", "1");
+    store.compact();
+    store.failure = undefined;
+    await clock.advanceAsync(1_500);
+    expect(readText(mirror, "a")).toBe("1");
+    expect(skippedMs).toHaveLength(1);
+  });
+
   it("keeps the confirmation age below 1.8 seconds while nothing changes", async () => {
     const { clock, mirror } = startWatcher();
     await clock.advanceAsync(100);
