Write the versions of a service to the store as soon as one appears

The entry of the versions was written at the next of two checks in a second, and at the earliest 3 s after the write before.

The entry is now written 20 ms after an endpoint is added, so that versions that appear together take one write, and again without a delay once the mirror shows the write before. The number of writes stays one for each change. Quarantines are written as before.

--- a/src/daemon/common/gateway_stream_versions.ts
+++ b/src/daemon/common/gateway_stream_versions.ts
@@ -80,6 +80,7 @@
     const archive = this.#disposables.add(
       createSoftwareVersionArchive({ ...services, history }),
     );
+    this.#disposables.add(registry.onDidAdd(() => archive.checkSoon()));
     this.#disposables.add(mirror.onDidSkipChanges((skippedMs) => {
       if (skippedMs <= MAX_VIEW_AGE_MS) return;
       logger.log("info", "software-versions-unseen", {
--- a/src/features/quarantine/common/record_archive.ts
+++ b/src/features/quarantine/common/record_archive.ts
@@ -31,6 +31,8 @@
 import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
 
 const CHECK_PERIOD_MS = 500;
+/** Changes that come together are written together. */
+const PROMPT_CHECK_DELAY_MS = 20;
 const MIN_LEASE_MS = 10_000;
 /** A written record reaches the mirror well within this time. */
 const REWRITE_DELAY_MS = 3_000;
@@ -92,14 +94,22 @@
   readonly records: ArchivedRecords<R>;
 }
 
+/** The latest write of a record. */
+interface RecordWrite {
+  /** Monotonic time in milliseconds. */
+  readonly atMs: number;
+  /** Revision that the mirror had; 0 if it had none. */
+  readonly revision: number;
+}
+
 /** Stores the records of one kind and reads those of other daemons. */
 export class RecordArchive<R> implements Disposable {
   readonly #services: RecordArchiveServices<R>;
   readonly #disposables = new DisposableStore();
-  /** Monotonic time of the latest write of each key, in milliseconds. */
-  readonly #writtenMs = new Map<string, number>();
+  readonly #writes = new Map<string, RecordWrite>();
   /** Monotonic time since which the store lacks a record, in milliseconds. */
   readonly #lackingSinceMs = new Map<string, number>();
+  #pendingCheck: Disposable | undefined;
 
   /** @param services - Dependencies of the archive. */
   constructor(services: RecordArchiveServices<R>) {
@@ -123,8 +133,19 @@
     }
   }
 
+  /** Writes what is missing soon, rather than at the next regular time. */
+  checkSoon(): void {
+    if (this.#disposables.isDisposed) return;
+    const { clock } = this.#services;
+    this.#pendingCheck ??= clock.setTimer(PROMPT_CHECK_DELAY_MS, () => {
+      this.#pendingCheck = undefined;
+      this.#writeMissing();
+    });
+  }
+
   /** Stops reading and writing. */
   dispose(): void {
+    this.#pendingCheck?.dispose();
     this.#disposables.dispose();
   }
 
@@ -144,7 +165,7 @@
     const { clock, host, hasher, overlay, records } = this.#services;
     const listed = records.list();
     if (listed.length === 0) {
-      this.#writtenMs.clear();
+      this.#writes.clear();
       this.#lackingSinceMs.clear();
       return;
     }
@@ -155,11 +176,10 @@
     for (const { record, untilMs } of listed) {
       const key = `${records.keyPrefix}${records.nameOf(record)}`;
       keys.add(key);
-      const sinceWriteMs = nowMs - (this.#writtenMs.get(key) ?? -Infinity);
       const rank = rendezvousOrder(hasher, key, hubs).indexOf(host);
       const isDue = this.#isWriteDue(key, record, rank);
-      if (!isDue || sinceWriteMs < REWRITE_DELAY_MS) continue;
-      this.#writtenMs.set(key, nowMs);
+      if (!isDue || this.#isWriteAwaited(key)) continue;
+      this.#writes.set(key, { atMs: nowMs, revision: this.#revisionOf(key) });
       this.#lackingSinceMs.delete(key);
       const ttlMs = untilMs && untilMs - clock.nowMs();
       void this.#write(key, record, ttlMs);
@@ -195,6 +215,25 @@
     }
   }
 
+  /** Returns whether the mirror may not show the latest write yet. */
+  #isWriteAwaited(key: string): boolean {
+    const { clock, records } = this.#services;
+    const write = this.#writes.get(key);
+    if (!write || clock.monotonicMs() - write.atMs >= REWRITE_DELAY_MS) {
+      return false;
+    }
+    switch (records.writers) {
+      case "owner":
+        return true;
+      case "any":
+        return this.#revisionOf(key) === write.revision;
+    }
+  }
+
+  #revisionOf(key: string): number {
+    return this.#services.mirror.get(key)?.revision ?? 0;
+  }
+
   /** Returns the readable record that the mirror has. */
   #stored(key: string): R | undefined {
     const item = this.#services.mirror.get(key);
@@ -203,12 +242,11 @@
 
   /** Returns the revision that the store must have for a write. */
   #expectedRevision(key: string): number | undefined {
-    const { mirror, records } = this.#services;
-    switch (records.writers) {
+    switch (this.#services.records.writers) {
       case "owner":
         return undefined;
       case "any":
-        return mirror.get(key)?.revision ?? 0;
+        return this.#revisionOf(key);
     }
   }
 
--- a/standins/mirror/software_version_archive_test.ts
+++ b/standins/mirror/software_version_archive_test.ts
@@ -174,6 +174,24 @@
       .toEqual(daemons.map(() => ["v2"]));
   });
 
+  // Guards against an entry that is written only after streams have begun.
+  it("names versions as soon as they appear, with one write for those that appear together", async () => {
+    const { clock, storedVersions, writes } = deployment;
+    writes.length = 0;
+    for (const added of [["v2", "v3"], ["v4"]]) {
+      for (const { announce, archive } of daemons) {
+        for (const version of added) {
+          announce(`e-${version}`, version);
+          archive.checkSoon();
+        }
+      }
+      await clock.advanceAsync(20);
+      for (const { refresh } of daemons) await refresh();
+    }
+    expect(await storedVersions()).toEqual(["v1,v2,v3,v4"]);
+    expect(writes).toHaveLength(2);
+  });
+
   it("outlasts an outage of the store in which leases expire", async () => {
     deployment.store.expireAllLeases();
     await startAnew();
