Believe peers only where the start times of both processes are known

A host that an endpoint does not answer asks peers, whose endpoint may be another process at the address. Without a start time in the entry, any answer counted as that of the process that wrote the response.

--- a/src/features/gateway/common/endpoint_survival.ts
+++ b/src/features/gateway/common/endpoint_survival.ts
@@ -25,6 +25,8 @@
 const SETTLE_MS = 50;
 /** Announced time to the stop from which the process is not about to stop. */
 const MIN_STOP_MS = 500;
+/** Start time of a process whose entry states none. */
+const NO_START_TIME = 0;
 /** Longest wait for the right to ask an endpoint with a limit. */
 const MAX_RIGHT_WAIT_MS = 500;
 
@@ -169,12 +171,14 @@
   ): Promise<Survival | undefined> {
     if (askOnPath) return undefined;
     const { askThroughPeers, isRefused } = this.#services;
-    // Later, the path may have been lost and found again.
+    // The state of the path may change while peers are asked.
     const wasRefused = isRefused(endpoint);
     const reply = await askThroughPeers(endpoint);
     const bornMs = reply.kind === "answered" ? reply.bornMs : undefined;
-    // On another path, only the start time shows which process answers.
-    if (bornMs !== undefined) {
+    // On another path, only start times show which process answers.
+    if (
+      bornMs !== undefined && endpoint.announcement.bornMs !== NO_START_TIME
+    ) {
       return isOtherProcess(endpoint, bornMs) ? "replaced" : "outlived";
     }
     return wasRefused ? "refused" : undefined;
@@ -238,8 +242,8 @@
   bornMs: number | undefined,
 ): boolean {
   const knownMs = announcement.bornMs;
-  // An entry without a start time has 0.
-  return bornMs !== undefined && knownMs !== 0 && bornMs !== knownMs;
+  return bornMs !== undefined && knownMs !== NO_START_TIME &&
+    bornMs !== knownMs;
 }
 
 function isAboutToStop(
--- a/src/features/gateway/common/endpoint_survival_test.ts
+++ b/src/features/gateway/common/endpoint_survival_test.ts
@@ -426,6 +426,14 @@
       expect(checked.survival).toBe("outlived");
     });
 
+    it("is not taken for outlived when its entry has no start time", async () => {
+      endpoint = createEndpoint(0);
+      const checked = await check();
+      await questions[0]!.answer(NO_ANSWER);
+      await questions[1]!.answer(ANSWERED);
+      expect(checked.survival).toBe("refused");
+    });
+
     it("is not taken for outlived when peers are answered without a start time", async () => {
       const checked = await check();
       await questions[0]!.answer(NO_ANSWER);
