Log what shows whether a refused request has run

The log could not tell the three hypotheses apart: it named neither what a peer had said that did not pass a request on, nor an answer that promises without proof, nor how many sends, refusals and withdrawals a refused request had.

relay-failed, answer-unproven, and unsent and refused in request-ended say it.

--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -216,7 +216,7 @@
   }
 
   #createClient(chooser: RelayChooser): PathClient {
-    const { clock, holds, metrics, self, signer } = this.#services;
+    const { clock, holds, logger, metrics, self, signer } = this.#services;
     const relayClient = new UndiciPassThroughClient(clock);
     return new PathClient({
       clock,
@@ -238,6 +238,13 @@
         if (endpoint) holds.hold(endpoint, retryAfterMs);
       },
       onRelayed: (result) => metrics.count("requests_relayed", result),
+      onRelayFailed: ({ relay, tookMs, ...failed }) =>
+        logger.log("info", "relay-failed", {
+          request: relay.requestId,
+          endpoint: relay.endpoint,
+          ...failed,
+          tookMs: Math.round(tookMs),
+        }),
     });
   }
 
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -58,6 +58,7 @@
 import type { PlannedStop } from "./planned_stop.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
+import { RunEvidence } from "./run_evidence.ts";
 import type { RunMigrator } from "./run_migrator.ts";
 import type { SoftwareVersionHistory } from "./software_version_history.ts";
 import type { StreamVersionTable } from "./stream_versions.ts";
@@ -151,8 +152,8 @@
   softwareVersion: string | undefined;
   /** Disposed of when the request ends. */
   readonly disposables = new DisposableStore();
-  /** Number of times that the request was written to an endpoint. */
-  sentCount = 0;
+  /** What is known of its runs. */
+  readonly evidence: RunEvidence;
   /** Number of connections to endpoints that could not be opened for it. */
   #unreachedCount = 0;
   /** Peer that was asked last to pass the request on. */
@@ -172,6 +173,7 @@
   constructor(services: GatewayServices, request: AdmittedRequest) {
     this.services = services;
     this.request = request;
+    this.evidence = new RunEvidence(request.id, services.logger);
     this.rights = new RequestRights(this);
     this.quarantine = new RequestQuarantine(this);
   }
@@ -264,6 +266,11 @@
     return isStreamed(this.request.body);
   }
 
+  /** Number of times that the request was written to an endpoint. */
+  get sentCount(): number {
+    return this.evidence.sentCount;
+  }
+
   /** Whether the request has ended. */
   get hasEnded(): boolean {
     return this.#hasEnded;
@@ -379,14 +386,14 @@
       },
       onUnsent: () => {
         wasSent = false;
-        this.sentCount--;
+        this.evidence.recordUnsent();
         run.onUnsent();
         sink.onUnsent?.();
       },
       onSent: () => {
         wasSent = true;
         sentMs = clock.monotonicMs();
-        this.sentCount++;
+        this.evidence.recordSent();
         run.onSent();
         sink.onSent?.();
       },
@@ -394,6 +401,7 @@
         const fields = codec.readResponseHeaders(status, received);
         const isOwn = (fields.requestId ?? this.request.id) === this.request.id;
         const head = { status, fields, isOwn, sentMs };
+        this.evidence.recordAnswer(endpoint, status, fields);
         if (answers.observe(endpoint, head)) {
           run.onAnswered(status >= 200 && status < 300 && fields.isSigned);
         }
@@ -546,6 +554,8 @@
       service: service.id,
       workspace: this.request.keyHolder?.workspace,
       sent: this.sentCount,
+      unsent: this.evidence.unsentCount || undefined,
+      refused: this.evidence.refusedCount || undefined,
       unreached: this.#unreachedCount || undefined,
       via: this.#latestPeer,
       closeDelimited: this.#isCloseDelimited || undefined,
--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -19,6 +19,7 @@
   PassThroughListener,
   PassThroughRequest,
   ProvenConnectionClient,
+  RelayInstructions,
 } from "../../../services/http/common/pass_through_client.ts";
 import type {
   RelayableRequest,
@@ -39,6 +40,20 @@
 /** Peers that are asked for one request, one after the other. */
 const MAX_PEERS = 3;
 
+/** A request for which there is no complete response through a peer. */
+export interface FailedRelay {
+  readonly peer: HostId;
+  readonly relay: RelayInstructions;
+  /** What the peer said; `broken` if nothing proves that it sent nothing. */
+  readonly result: string;
+  /** Why the peer did not send it, or how the connection to it ended. */
+  readonly message: string;
+  /** Whether the peer had said that it sends the request. */
+  readonly wasAcknowledged: boolean;
+  /** Time since the peer was asked, in milliseconds. */
+  readonly tookMs: number;
+}
+
 /** Dependencies of {@link PathClient}. */
 export interface PathClientServices {
   readonly clock: Clock;
@@ -54,6 +69,8 @@
   onHeld(address: Address, retryAfterMs: number): void;
   /** Called with the result of each peer that was asked. */
   onRelayed(result: string): void;
+  /** Called when there is no complete response through a peer. */
+  onRelayFailed(failed: FailedRelay): void;
   /**
    * Creates the check for the end of a response that a peer passes back without
    * having verified its end.
@@ -226,8 +243,14 @@
 
   /** @param failure - What is reported if there is no peer to ask. */
   #sendThroughPeer(failure: PassThroughFailure): void {
-    const { chooser, clock, createRelayCheck, onRelayed, relays } =
-      this.#services;
+    const {
+      chooser,
+      clock,
+      createRelayCheck,
+      onRelayed,
+      onRelayFailed,
+      relays,
+    } = this.#services;
     const request = this.#request;
     const { address } = request;
     const peer = this.#canAskPeer()
@@ -241,6 +264,7 @@
     const pathNumber = ++this.#pathNumber;
     const isCurrent = () => !this.#isEnded && pathNumber === this.#pathNumber;
     const endRelay = chooser.begin(peer);
+    const askedMs = clock.monotonicMs();
     const response = new VerifiedResponse(
       request.method,
       {
@@ -271,6 +295,14 @@
         onFailure: (relayFailure) => {
           if (!isCurrent()) return;
           endRelay();
+          onRelayFailed({
+            peer: peer.host,
+            relay: request.relay,
+            result: relayFailure.refusal ?? relayFailure.kind,
+            message: relayFailure.message,
+            wasAcknowledged: attempt.isAcknowledged,
+            tookMs: clock.monotonicMs() - askedMs,
+          });
           this.#onRelayFailure(peer, relayFailure);
         },
       },
--- a/src/features/paths/common/relay_attempt.ts
+++ b/src/features/paths/common/relay_attempt.ts
@@ -51,6 +51,7 @@
   #timer: Disposable = NOOP_DISPOSABLE;
   #wasSent = false;
   #isAnswered = false;
+  #isAcknowledged = false;
   #isEnded = false;
 
   /** @param options - The request, the peer and the listener. */
@@ -60,6 +61,11 @@
     this.#heldBody = isStreamed(body) ? new HeldBody(body) : undefined;
   }
 
+  /** Whether the peer has said that it sends the request. */
+  get isAcknowledged(): boolean {
+    return this.#isAcknowledged;
+  }
+
   /** Sends the request. */
   start(): void {
     const { clock, listener, peer, relays, request } = this.#options;
@@ -106,6 +112,7 @@
   }
 
   #onAcknowledged(): void {
+    this.#isAcknowledged = true;
     this.#timer.dispose();
     this.#heldBody?.release();
   }
--- a/standins/paths/path_client_test.ts
+++ b/standins/paths/path_client_test.ts
@@ -70,6 +70,7 @@
       probe: (address) => probed.push(address),
       onHeld: (_address, retryAfterMs) => held.push(retryAfterMs),
       onRelayed: () => undefined,
+      onRelayFailed: () => undefined,
       createRelayCheck: () => () => Promise.resolve(undefined),
     });
   });
--- a/standins/paths/relayed_end_test.ts
+++ b/standins/paths/relayed_end_test.ts
@@ -84,6 +84,7 @@
       probe: () => undefined,
       onHeld: () => undefined,
       onRelayed: () => undefined,
+      onRelayFailed: () => undefined,
       createRelayCheck: (peer, { relay }) => () =>
         new Promise((resolve) => {
           checks.push({
