Promise callers only what is proved of each send of a request

Callers of requests that may run once got 503, or 408, although an endpoint had begun: uploads through a peer whose acknowledgement was lost, that broke off or that said itself that the request was sent; and calls and streams whose endpoint answered with a refusal that names no request, with both a failure of its own and X-Not-Executed, or with 408 (streams).

Cause: the absence of a complete body at the endpoint, and statements that are not about the request, were taken for the statement that it has not run. Three places decided this, each in its own way.

Now each send counts as a run until a proof takes it back (RunEvidence): of the peer that sent nothing, or of the endpoint, in an answer that names the request.

--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -16,7 +16,6 @@
 import { deadlineOf, type PlannedStop } from "./planned_stop.ts";
 import {
   type AdmittedRequest,
-  type GatewayServices,
   RequestContext,
   STOPPING_REASON,
   STOPPING_RETRY_AFTER_MS,
@@ -26,6 +25,7 @@
   ConfigurationState,
 } from "./configuration_state.ts";
 import { selectTarget } from "./route_table.ts";
+import type { GatewayServices } from "./gateway_services.ts";
 import { GenerationForwarder } from "./generation_forwarder.ts";
 
 /**
@@ -248,7 +248,7 @@
       deadlineMs: deadlineOf({ receivedMs, fields, route }),
     };
     const context = new RequestContext(this.#services, request);
-    if (context.refuseBeforeSend(false)) return;
+    if (context.refuseBeforeSend()) return;
     switch (route.kind.kind) {
       case "generation":
         new GenerationForwarder(context).start();
--- /dev/null
+++ b/src/features/gateway/common/gateway_services.ts
@@ -0,0 +1,55 @@
+/** Dependencies shared by the forwarders of calls and generations. */
+
+import type { Clock } from "../../../base/common/clock.ts";
+import type { Address } from "../../../base/common/ids.ts";
+import type { PassThroughClient } from "../../../services/http/common/pass_through_client.ts";
+import type { Logger } from "../../../services/log/common/logger.ts";
+import type { RetryBudget } from "../../retries/common/retry_budget.ts";
+import type { AnswerObserver } from "./answer_observer.ts";
+import type { EndpointChooser } from "./endpoint_chooser.ts";
+import type { CrashMonitor } from "./crash_monitor.ts";
+import type { EndpointProbe } from "./endpoint_probe.ts";
+import type { EndpointRegistry } from "./endpoint_registry.ts";
+import type { GatewayCodec } from "./gateway_codec.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
+import type { LoadTable } from "./load_table.ts";
+import type { GenerationPlacer } from "./placement_queue.ts";
+import type { PlannedStop } from "./planned_stop.ts";
+import type { RunMigrator } from "./run_migrator.ts";
+import type { SoftwareVersionHistory } from "./software_version_history.ts";
+import type { StreamVersionTable } from "./stream_versions.ts";
+
+/** Dependencies of the forwarders. */
+export interface GatewayServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+  readonly codec: GatewayCodec;
+  readonly client: PassThroughClient;
+  readonly registry: EndpointRegistry;
+  readonly loadTable: LoadTable;
+  readonly chooser: EndpointChooser;
+  readonly budget: RetryBudget;
+  /**
+   * Assigns endpoints to generations and queues those that wait for capacity.
+   */
+  readonly placer: GenerationPlacer;
+  readonly probe: EndpointProbe;
+  readonly migrator: RunMigrator;
+  readonly crashMonitor: CrashMonitor;
+  /** Applies what answers say of their endpoints. */
+  readonly answers: AnswerObserver;
+  readonly limits: EndpointLimits;
+  /**
+   * Checks the direct path on which a request got no response.
+   *
+   * @returns Whether the endpoint answers on a new connection.
+   */
+  checkSilentPath(address: Address): Promise<boolean>;
+  readonly streamVersions: StreamVersionTable;
+  readonly softwareVersions: SoftwareVersionHistory;
+  readonly stop: PlannedStop;
+  /** @returns A collision-resistant hash of the parts. */
+  fingerprint(parts: readonly (string | Uint8Array)[]): string;
+}
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generation_forwarder.ts
@@ -132,7 +132,7 @@
    * only once.
    */
   #startFromPrompt(): void {
-    if (this.#failure.mayHaveRun && !this.#context.canResume) {
+    if (this.#context.evidence.mayHaveRun && !this.#context.canResume) {
       this.#failure.fail("the generation may have run and must not run twice");
       return;
     }
@@ -141,7 +141,7 @@
 
   #onPlaced({ endpoint, grant }: EndpointChoice): void {
     // Other runs may have crashed their endpoints while this one waited.
-    if (this.#context.refuseBeforeSend(this.#failure.mayHaveRun)) return;
+    if (this.#context.refuseBeforeSend()) return;
     if (!this.#context.accepts(endpoint)) {
       this.#failure.fail("no endpoint of the stream's version is available");
       return;
@@ -196,7 +196,6 @@
 
   #onHead(attempt: UpstreamAttempt, headers: HeaderList): void {
     this.#handover.accept(attempt);
-    this.#failure.mayHaveRun = true;
     this.#stream.recordHead(headers);
   }
 
@@ -268,7 +267,7 @@
     this.#context.excludedEndpoints.add(attempt.endpoint.id);
     if (
       ++this.#refusedAttempts >= MAX_REFUSED_ATTEMPTS ||
-      !this.#context.mayRetry(this.#failure.mayHaveRun)
+      !this.#context.mayRetry(this.#context.evidence.mayHaveRun)
     ) {
       this.#failure.fail(reason);
       return;
@@ -295,7 +294,6 @@
     if (attempt !== this.#attempt) return;
     attempt.abort();
     attempt.recordOutcome(outcome);
-    if (wasSent) this.#failure.mayHaveRun = true;
     this.#context.log("warn", "stream-lost", {
       endpoint: attempt.endpoint.id,
       reason,
@@ -392,7 +390,7 @@
     this.#attempt?.abort();
     if (
       !this.#context.canResume || !this.#stream.canContinue ||
-      !this.#context.mayRetry(this.#failure.mayHaveRun)
+      !this.#context.mayRetry(this.#context.evidence.mayHaveRun)
     ) {
       this.#failure.fail(reason);
       return;
@@ -431,7 +429,6 @@
     const attempt = this.#activeAttempt;
     if (!attempt || this.#handover.isPending || this.#right.isPending) return;
     if (this.#migration.isRunning) return;
-    this.#failure.mayHaveRun = true;
     if (this.#context.request.service.engine?.canMigrate) {
       void this.#migration.run(attempt, "cut");
     } else this.#onNotCopied("cut");
@@ -447,7 +444,6 @@
       this.#onLost(attempt, false, reason);
       return;
     }
-    this.#failure.mayHaveRun = true;
     this.#context.excludedEndpoints.add(endpoint.id);
     if (this.#handover.onSourceUnreachable()) return;
     if (this.#continueFromBackup("dark")) return;
--- a/src/features/gateway/common/run_evidence.ts
+++ b/src/features/gateway/common/run_evidence.ts
@@ -2,13 +2,15 @@
 
 import type { RequestId } from "../../../base/common/ids.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
+import { type AnswerVerdict, judgeAnswer } from "./answer_verdict.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { ResponseFields } from "./gateway_codec.ts";
 
-/** Statuses that tell a caller that its request has not run and never will. */
-const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
-/** Sends of one request and the statements about them. */
+/**
+ * Counts the sends of a request and the proofs that they did not lead to a run.
+ * Each send may have led to one until it is proved that it did not: by the peer
+ * that sent nothing, or by the endpoint that refused the request.
+ */
 export class RunEvidence {
   readonly #request: RequestId;
   readonly #logger: Logger;
@@ -25,6 +27,11 @@
     this.#logger = logger;
   }
 
+  /** Whether some endpoint may have run the request, or may still run it. */
+  get mayHaveRun(): boolean {
+    return this.sentCount > this.#refusedCount;
+  }
+
   /**
    * Number of times that the request was written to an endpoint, or to a peer
    * that has not proved that it sent nothing.
@@ -38,7 +45,7 @@
     return this.#unsentCount;
   }
 
-  /** Number of endpoints that stated that they have not run the request. */
+  /** Number of endpoints that proved that they have not run the request. */
   get refusedCount(): number {
     return this.#refusedCount;
   }
@@ -53,21 +60,35 @@
     this.#unsentCount++;
   }
 
-  /** Records the head of an answer, and logs a refusal without proof. */
+  /**
+   * Records the head of the answer to the latest send, and logs one that proves
+   * nothing.
+   *
+   * @returns What the answer proves.
+   */
   recordAnswer(
     { id }: RegisteredEndpoint,
     status: number,
-    { isNotRun, requestId }: ResponseFields,
-  ): void {
-    if (isNotRun) this.#refusedCount++;
-    const isNamed = requestId === this.#request;
-    if (isNotRun ? isNamed : !PROMISING_STATUSES.has(status)) return;
-    this.#logger.log("warn", "answer-unproven", {
-      request: this.#request,
-      endpoint: id,
-      status,
-      statesNotRun: isNotRun,
-      names: requestId ?? "none",
-    });
+    fields: ResponseFields,
+  ): AnswerVerdict {
+    const verdict = judgeAnswer(this.#request, status, fields);
+    switch (verdict) {
+      case "refused":
+      case "invalid":
+        this.#refusedCount++;
+        break;
+      case "foreign":
+      case "unproven":
+        this.#logger.log("warn", "answer-unproven", {
+          request: this.#request,
+          endpoint: id,
+          status,
+          statesNotRun: fields.isNotRun,
+          names: fields.requestId ?? "none",
+        });
+        break;
+      case "answered":
+    }
+    return verdict;
   }
 }
--- a/src/features/paths/common/held_body.ts
+++ b/src/features/paths/common/held_body.ts
@@ -1,7 +1,6 @@
 /**
  * Holds a streamed body back after its head until a peer has a connection to
- * the endpoint. Until then the request cannot have run, as its body is not
- * complete, and the body can be sent again.
+ * the endpoint, so that a peer that has none does not use the body up.
  */
 
 import type { StreamedBody } from "../../../services/http/common/request_body.ts";
--- a/src/features/paths/common/relay_attempt.ts
+++ b/src/features/paths/common/relay_attempt.ts
@@ -1,7 +1,8 @@
 /**
  * One request to one peer that is to pass it on. A streamed body is held back
- * after its head until the peer has acknowledged the request; if that fails,
- * the endpoint cannot have run it, and the body can be sent again.
+ * after its head until the peer has acknowledged the request, so that it goes
+ * whole to another peer if this one proves that it has sent nothing. Without
+ * that proof the endpoint may have begun: it may work on a part of the body.
  */
 
 import type { Clock } from "../../../base/common/clock.ts";
@@ -49,8 +50,6 @@
   readonly #heldBody: HeldBody | undefined;
   #transfer: PassThroughExchange | undefined;
   #timer: Disposable = NOOP_DISPOSABLE;
-  #wasSent = false;
-  #isAnswered = false;
   #isAcknowledged = false;
   #isEnded = false;
 
@@ -77,17 +76,8 @@
     const sent = heldBody ? { ...request, body: heldBody } : request;
     this.#transfer = relays.send(peer, sent, {
       ...listener,
-      onSent: () => {
-        this.#wasSent = true;
-        listener.onSent?.();
-      },
-      onUnsent: () => {
-        this.#wasSent = false;
-        listener.onUnsent?.();
-      },
       onInterim: () => this.#onAcknowledged(),
       onHead: (status, headers) => {
-        this.#isAnswered = true;
         this.#onAcknowledged();
         listener.onHead(status, headers);
       },
@@ -134,17 +124,6 @@
   #fail(failure: RelayFailure): void {
     if (this.#isEnded) return;
     this.dispose();
-    const { listener } = this.#options;
-    if (failure.kind === "broken" && this.#isIncomplete) {
-      // The endpoint has no complete body, and cannot get it any more.
-      if (this.#wasSent) listener.onUnsent?.();
-      listener.onFailure({ ...failure, kind: "not-sent" });
-    } else listener.onFailure(failure);
-  }
-
-  /** Whether only the head of the body has left this host. */
-  get #isIncomplete(): boolean {
-    const heldBody = this.#heldBody;
-    return heldBody !== undefined && !heldBody.isConsumed && !this.#isAnswered;
+    this.#options.listener.onFailure(failure);
   }
 }
--- a/standins/gateway/fake_endpoints.ts
+++ b/standins/gateway/fake_endpoints.ts
@@ -39,9 +39,19 @@
   }
 
   /**
-   * Sends a response head, with the signature unless other headers are given.
+   * Sends a response head, with the signature unless other headers are given,
+   * and with the id of the request unless they hold one.
    */
   head(status: number, headers: readonly string[] = SIGNED_HEADERS): this {
+    const id = this.header("id");
+    const named = id === undefined || headers.includes("id")
+      ? headers
+      : [...headers, "id", id];
+    return this.headAsGiven(status, named);
+  }
+
+  /** Sends a response head with no other headers. */
+  headAsGiven(status: number, headers: readonly string[]): this {
     if (!this.isAborted) this.#sink.onHead(status, headers);
     return this;
   }
--- /dev/null
+++ b/standins/gateway/run_evidence_test.ts
@@ -0,0 +1,63 @@
+import type { EndpointId, RequestId } from "../../src/base/common/ids.ts";
+import { RecordingLogger } from "./gateway_harness.ts";
+import type { RegisteredEndpoint } from "../../src/features/gateway/common/endpoint_registry.ts";
+import type { ResponseFields } from "../../src/features/gateway/common/gateway_codec.ts";
+import { RunEvidence } from "../../src/features/gateway/common/run_evidence.ts";
+
+const REQUEST = "r-1" as RequestId;
+const ENDPOINT = { id: "e-1" as EndpointId } as RegisteredEndpoint;
+const REFUSAL: ResponseFields = {
+  isNotRun: true,
+  requestId: REQUEST,
+  isSigned: false,
+  retryAfterMs: undefined,
+  isLeaving: false,
+  limit: { kind: "none" },
+};
+
+describe("RunEvidence", () => {
+  let logger: RecordingLogger;
+  let evidence: RunEvidence;
+
+  beforeEach(() => {
+    logger = new RecordingLogger();
+    evidence = new RunEvidence(REQUEST, logger);
+  });
+
+  it("needs no proof for what was never sent", () => {
+    expect(evidence.mayHaveRun).toBe(false);
+  });
+
+  it("needs a proof for each send", () => {
+    evidence.recordSent();
+    expect(evidence.mayHaveRun).toBe(true);
+    evidence.recordAnswer(ENDPOINT, 503, REFUSAL);
+    expect(evidence.mayHaveRun).toBe(false);
+    evidence.recordSent();
+    evidence.recordSent();
+    evidence.recordUnsent();
+    expect(evidence.mayHaveRun).toBe(true);
+    evidence.recordAnswer(ENDPOINT, 429, REFUSAL);
+    expect(evidence.mayHaveRun).toBe(false);
+  });
+
+  it("is not made up for by the refusal of another send", () => {
+    evidence.recordSent();
+    evidence.recordSent();
+    evidence.recordAnswer(ENDPOINT, 503, REFUSAL);
+    expect(evidence.mayHaveRun).toBe(true);
+  });
+
+  it("takes no answer for a proof that names no request, and logs it", () => {
+    evidence.recordSent();
+    evidence.recordAnswer(ENDPOINT, 503, { ...REFUSAL, requestId: undefined });
+    expect(evidence.mayHaveRun).toBe(true);
+    expect(logger.lastFields("answer-unproven")).toMatchObject({
+      request: REQUEST,
+      endpoint: "e-1",
+      status: 503,
+      statesNotRun: true,
+      names: "none",
+    });
+  });
+});
