Write no error where the answer to an earlier request is due

A caller whose later request on a connection could not be parsed, or was not received in time, got 400 as the answer to the request before it, which went on running, or in the middle of a stream.

Cause: the server wrote the error to the connection without looking at what was due there. Now the connection ends after the answers to earlier requests, and an answer that has begun is broken off. 400 stays the answer where the request in error is the one that is due.

--- a/src/services/http/node/caller_server.ts
+++ b/src/services/http/node/caller_server.ts
@@ -51,6 +51,8 @@
   readonly exchanges: NodeCallerExchange[];
   /** Monotonic time in milliseconds since which there is no exchange. */
   idleSinceMs: number;
+  /** Whether a request cannot be read; the answers to earlier ones follow. */
+  isMalformed: boolean;
 }
 
 /** Accepts connections of callers and announces their requests. */
@@ -81,6 +83,7 @@
       const connection: CallerConnection = {
         exchanges: [],
         idleSinceMs: this.#clock.monotonicMs(),
+        isMalformed: false,
       };
       this.#connections.set(socket, connection);
       socket.on("close", () => {
@@ -90,9 +93,7 @@
       });
     });
     this.#server.on("clientError", (_error, socket) => {
-      if (socket.writable) {
-        socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
-      } else socket.destroy();
+      this.#onMalformed(socket as Socket);
     });
   }
 
@@ -200,13 +201,25 @@
       request,
       response,
       this.#clock.monotonicMs(),
-      () => this.#isClosing,
+      () => this.#isClosing || connection.isMalformed,
     );
     connection.exchanges.push(exchange);
     exchange.onDidEnd(() => this.#onExchangeEnded(connection, exchange));
     if (connection.exchanges.length === 1) this.#didReceive.fire(exchange);
   }
 
+  /** A request is malformed, or was not received in time. */
+  #onMalformed(socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    const current = connection?.exchanges[0];
+    if (connection && current?.isReceived) {
+      // The caller would take the error for the answer that is due.
+      connection.isMalformed = true;
+    } else if (socket.writable && !current?.hasSentHead) {
+      socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
+    } else socket.destroy();
+  }
+
   /**
    * Announces the next request of the connection. Requests of one connection
    * are announced one after the other, as any response may close it.
@@ -276,6 +289,11 @@
     return this.#end !== undefined;
   }
 
+  /** Whether the whole request has been received. */
+  get isReceived(): boolean {
+    return this.#request.complete;
+  }
+
   /** Whether a response can still be sent on the connection. */
   get isAnswerable(): boolean {
     return !this.hasEnded && this.#request.socket.writable;
--- a/src/services/http/node/caller_server_test.ts
+++ b/src/services/http/node/caller_server_test.ts
@@ -6,6 +6,8 @@
 import { CallerServer } from "./caller_server.ts";
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const CHUNKED_REQUEST =
+  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 const HTTP_1_0_REQUEST =
   "GET / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n";
 
@@ -297,6 +299,31 @@
     await until(() => isClosed);
   });
 
+  // Guards against an error that its caller takes for an answer in progress.
+  it("writes no error of a later request where the answer to an earlier one is due", async () => {
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    socket.write("no request\r\n\r\n");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(received).toBe("");
+    expect(exchanges[0]!.hasEnded).toBe(false);
+    exchanges[0]!.reply(200, [], "first");
+    await until(() => server.connectionCount === 0);
+    expect(received.match(/HTTP\/1.1 \d+/g)).toEqual(["HTTP/1.1 200"]);
+    expect(received.endsWith("first")).toBe(true);
+  });
+
+  it("writes no error into an answer that has begun before its request was read", async () => {
+    socket.write(CHUNKED_REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.sendHead(200, []);
+    exchanges[0]!.write(Buffer.from("part"));
+    await until(() => received.includes("part"));
+    socket.write("no chunk\r\n");
+    await until(() => server.connectionCount === 0);
+    expect(received.match(/HTTP\/1.1 \d+/g)).toEqual(["HTTP/1.1 200"]);
+  });
+
   it("responds with 400 to a malformed request, such as one with two body lengths", async () => {
     socket.write(
       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n" +
