Let the proxies of the tests end no connection in order after lost bytes

The proxy also turned a reset of one side into an end for the other. So the fault was in the proxy; no check is narrowed.

Now such a connection is reset.

--- a/standins/network/fault_proxy.ts
+++ b/standins/network/fault_proxy.ts
@@ -45,6 +45,8 @@
   readonly #server = createServer((client) => this.#accept(client));
   readonly #connections = new Set<ProxiedConnection>();
   readonly #sourceCuts = new Map<string, SourceCut>();
+  /** Wall-clock times at which the cuts of client hosts began or ended. */
+  readonly #sourceCutMs = new Map<string, number>();
   #fault: ProxyFault = { kind: "none" };
   #disturbedMs = 0;
 
@@ -80,8 +82,20 @@
     for (const connection of this.#connections) connection.isDiscarding = true;
   }
 
+  /**
+   * @param source - Address of a client host.
+   * @returns Wall-clock time of its latest fault, in milliseconds.
+   */
+  disturbedMsOf(source: string): number {
+    const sourceMs = this.#sourceCuts.has(source)
+      ? Date.now()
+      : this.#sourceCutMs.get(source) ?? 0;
+    return Math.max(this.disturbedMs, sourceMs);
+  }
+
   /** Cuts a client host from the server, or heals its cut. */
   cutSource(source: string, cut: SourceCut | undefined): void {
+    this.#sourceCutMs.set(source, Date.now());
     if (cut === undefined) {
       this.#sourceCuts.delete(source);
       return;
@@ -165,13 +179,14 @@
       if (connection.isDiscarding && (isResponse || !isOneWay)) return;
       writer.write(bytes, fault.kind === "delay" ? fault.delayMs : 0);
     });
-    from.on("error", () => to.destroy());
+    from.on("error", () => to.resetAndDestroy());
     from.on("end", () => {
       if (!connection.isDiscarding) writer.end();
     });
     from.on("close", () => {
       this.#connections.delete(connection);
-      if (connection.isDiscarding || from.errored) to.destroy();
+      // TCP delivers no orderly end after bytes that were lost.
+      if (connection.isDiscarding || from.errored) to.resetAndDestroy();
     });
   }
 }
