Play lost acknowledgements, uploads and untrue promises in the soak

The soak could not show the incident: its daemons had no port for requests of peers, so that none was passed on, no body was over 262,144 bytes, endpoints counted a run only with the whole body, refused always with proof, and nothing waited for runs after the last refusal.

New faults: cut-host (a host from all endpoints, also new ones), uploads (400 KB without a length) and unproven-answers (3 % of the runs answer with a promise that proves nothing). A run counts from its begin for TWICE and REFUSED, and runs are recorded for 2.5 s after the last answer. The part that observes endpoints is a file of its own.

--- a/soak/answer_shapes.ts
+++ b/soak/answer_shapes.ts
@@ -3,6 +3,7 @@
 import { SeededRandom } from "../src/base/common/random.ts";
 import type {
   ReceivedRequest,
+  UnprovenAnswerEffect,
   UnsizedEffect,
 } from "../platform/standins/replica_server.ts";
 
@@ -10,6 +11,10 @@
 const UNSIZED_SHARE = 0.4;
 const HALF_TIME_MS = 20;
 const FILLER_BYTES = 2_000;
+/** Share of the runs whose endpoints promise that they have not run. */
+const UNPROVEN_SHARE = 0.03;
+/** Larger than what hosts read before they pass a body on. */
+const UPLOAD_BYTES = 400_000;
 /** Share of the drafts that all have the same body. */
 const POPULAR_SHARE = 0.2;
 /** Events of most streams, which last about half a second. */
@@ -61,6 +66,50 @@
   };
 }
 
+/** Answers that promise that a request has not run, and prove nothing. */
+const UNPROVEN_ANSWERS: readonly Omit<UnprovenAnswerEffect, "kind">[] = [
+  { status: 503, headers: { "X-Not-Executed": "1" }, isFollowed: true },
+  { status: 429, headers: { "X-Not-Executed": "1" }, isFollowed: false },
+  {
+    status: 503,
+    headers: { "X-Not-Executed": "1", "X-Request-Id": "other" },
+    isFollowed: true,
+  },
+  { status: 421, headers: {}, isFollowed: true },
+  { status: 408, headers: {}, isFollowed: false },
+  { status: 429, headers: {}, isFollowed: false },
+  { status: 503, headers: {}, isFollowed: false },
+];
+
+/**
+ * @param seed - Seed of the soak.
+ * @param endpoint - Name of the endpoint.
+ * @param id - Id of the request.
+ * @returns An answer of an endpoint that runs the request and promises that it
+ * has not, or `undefined` for most.
+ */
+export function unprovenAnswerOf(
+  seed: number,
+  endpoint: string,
+  id: string,
+): UnprovenAnswerEffect | undefined {
+  const random = new SeededRandom(hash(`${seed} promise ${endpoint} ${id}`));
+  if (random.float() >= UNPROVEN_SHARE) return undefined;
+  const answer = UNPROVEN_ANSWERS[random.int(0, UNPROVEN_ANSWERS.length - 1)]!;
+  const isNamed = Object.keys(answer.headers).length > 0 ||
+    answer.status === 421;
+  return {
+    kind: "unproven-answer",
+    ...answer,
+    headers: isNamed ? answer.headers : { "X-Request-Id": id },
+  };
+}
+
+/** @returns The body of an upload, which is passed on while it arrives. */
+export function uploadBodyOf(id: string): string {
+  return `${id} ${"u".repeat(UPLOAD_BYTES)}`;
+}
+
 /** @returns Whether a text is the whole answer to a call. */
 export function isWholeCall(text: string, body: string): boolean {
   const [endpoint, ...parts] = text.split(":");
--- a/soak/caller_pool.ts
+++ b/soak/caller_pool.ts
@@ -7,22 +7,27 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { SeededRandom } from "../src/base/common/random.ts";
 import type { DaemonProcess } from "./daemon_process.ts";
-import type {
-  InvariantChecker,
-  RequestResult,
-  SentRequest,
+import {
+  bodyOf,
+  type InvariantChecker,
+  type RequestResult,
+  type SentRequest,
 } from "./invariant_checker.ts";
 import type { SoakService } from "./retry_rules.ts";
-import { isPopularDraft } from "./answer_shapes.ts";
-import { CRASHING_PART, WORKSPACE_BY_KEY } from "./soak_deployment.ts";
+import { CRASHING_PART } from "./endpoint_observer.ts";
+import { WORKSPACE_BY_KEY } from "./soak_deployment.ts";
 
 const REQUEST_KINDS = ["book", "read", "draft", "check"] as const;
 const REQUEST_PATHS = {
   book: "/book/x",
+  upload: "/book/x",
   read: "/read/x",
   draft: "/stream/x",
   check: "/again/stream/x",
 };
+/** Share of the requests that are uploads, if there are any. */
+const UPLOAD_SHARE = 0.06;
+const UPLOAD_CHUNK_CHARACTERS = 60_000;
 /** Events of a check after which its caller closes the connection. */
 const CHECK_BREAK_EVENTS = 8;
 /** Tries that take one stream up. */
@@ -66,6 +71,7 @@
   readonly #invariants: InvariantChecker;
   readonly #gapMs: number;
   readonly #sendsCrashing: boolean;
+  readonly #sendsUploads: boolean;
   // Connections are reused until the daemon process ends.
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 200 });
   #isStopping = false;
@@ -80,6 +86,8 @@
    * than at others. While there are some, more streams begin.
    * @param sendsCrashing - Whether further callers send requests that crash
    * endpoints.
+   * @param sendsUploads - Whether some calls have large bodies without a declared
+   * length.
    */
   constructor(
     random: SeededRandom,
@@ -88,6 +96,7 @@
     gapMs: number,
     preferredDaemons: () => readonly DaemonProcess[] = () => [],
     sendsCrashing = true,
+    sendsUploads = true,
   ) {
     this.#random = random;
     this.#daemons = daemons;
@@ -95,6 +104,7 @@
     this.#gapMs = gapMs;
     this.#preferredDaemons = preferredDaemons;
     this.#sendsCrashing = sendsCrashing;
+    this.#sendsUploads = sendsUploads;
   }
 
   /**
@@ -141,11 +151,10 @@
       };
       const isStream = kind === "draft" || kind === "check";
       this.#recordSent(sent, isStream ? "llm" : "app");
-      const isPopular = kind === "draft" && isPopularDraft(id);
-      const body = isPopular ? "" : id;
       if (kind === "check") await this.#sendAndTakeUp(daemon, sent);
       else {
-        sent.result = await this.#send(daemon, sent, REQUEST_PATHS[kind], body);
+        const path = REQUEST_PATHS[kind];
+        sent.result = await this.#send(daemon, sent, path, bodyOf(sent));
       }
       await wait(this.#gapMs);
     }
@@ -193,7 +202,10 @@
     }
   }
 
-  #pickKind(): (typeof REQUEST_KINDS)[number] {
+  #pickKind(): keyof typeof REQUEST_PATHS {
+    if (this.#sendsUploads && this.#random.float() < UPLOAD_SHARE) {
+      return "upload";
+    }
     const hasPreferred = this.#preferredDaemons().length > 0;
     const isCheck = hasPreferred && this.#random.float() < PREFERRED_SHARE;
     return isCheck ? "check" : this.#pick(REQUEST_KINDS);
@@ -312,7 +324,14 @@
         isByCaller = true;
         request.destroy();
       });
-      request.end(body);
+      for (let at = 0; at < body.length; at += UPLOAD_CHUNK_CHARACTERS) {
+        const isLast = at + UPLOAD_CHUNK_CHARACTERS >= body.length;
+        const chunk = body.slice(at, at + UPLOAD_CHUNK_CHARACTERS);
+        // With one write the length is declared.
+        if (isLast) request.end(chunk);
+        else request.write(chunk);
+      }
+      if (body === "") request.end();
     });
   }
 
--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -22,6 +22,9 @@
  */
 export const SHUTDOWN_GRACE_MS = 6_000;
 
+/** Offset of the port at which peers ask to pass requests on. */
+const RELAY_PORT_OFFSET = 3;
+
 const PEER_SECRET = "soak";
 
 /** Starts, pauses, stops and kills one daemon and no other process. */
@@ -116,6 +119,8 @@
         ready: `${ip}:${port + 1}`,
         control: `${ip}:${port + 2}`,
       },
+      // The first port takes the requests of peers.
+      "port-range": [port + RELAY_PORT_OFFSET],
       seeds,
       "limits": { "memory-mb": 200 },
       "bounds": {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -6,7 +6,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { SeededRandom } from "../src/base/common/random.ts";
 import type { StoreFault } from "../platform/standins/metadata_store_server.ts";
-import type { ProxyFault } from "../standins/network/fault_proxy.ts";
+import type { ProxyFault, SourceCut } from "../standins/network/fault_proxy.ts";
 import { HostIsolation } from "./host_isolation.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 import { Releases } from "./releases.ts";
@@ -47,8 +47,11 @@
   "isolate",
   "spot",
   "remove",
-  // Sent by callers, from the start to the end.
+  "cut-host",
+  // From the start to the end.
   "crashing-requests",
+  "uploads",
+  "unproven-answers",
 ] as const;
 
 /** Name of a fault. */
@@ -157,6 +160,8 @@
       ["spot", (deployment) => this.#endAtShortNotice(deployment)],
       ["spot", (deployment) => this.#endAtShortNotice(deployment)],
       ["remove", (deployment) => this.#removeEndpoint(deployment)],
+      ["cut-host", (deployment) => this.#cutHost(deployment)],
+      ["cut-host", (deployment) => this.#cutHost(deployment)],
     ];
     return named.filter(([name]) => this.#names.includes(name))
       .map(([, action]) => action);
@@ -239,6 +244,17 @@
     return `${signal} ${daemon.options.name}`;
   }
 
+  /** Cuts a daemon from all endpoints, which its peers still reach. */
+  #cutHost(deployment: SoakDeployment): string {
+    const daemon = this.#pick(deployment.daemons);
+    const cut = this.#pick<SourceCut>(["silent", "reset", "refuse-new"]);
+    this.#applyTemporarily(
+      () => deployment.cutFromEndpoints(daemon, cut),
+      () => deployment.cutFromEndpoints(daemon, undefined),
+    );
+    return `cut ${daemon.options.name} from all endpoints (${cut})`;
+  }
+
   #killAll(deployment: SoakDeployment): string {
     for (const daemon of deployment.daemons) daemon.kill();
     return "kill all";
--- a/soak/invariant_checker.ts
+++ b/soak/invariant_checker.ts
@@ -4,7 +4,12 @@
  */
 
 import { type AnswerCounts, AnswerRules } from "./answer_rules.ts";
-import { eventCountOf, isPopularDraft, isWholeCall } from "./answer_shapes.ts";
+import {
+  eventCountOf,
+  isPopularDraft,
+  isWholeCall,
+  uploadBodyOf,
+} from "./answer_shapes.ts";
 import { EndpointRules } from "./endpoint_rules.ts";
 import { LimitRules } from "./limit_rules.ts";
 import { RetryRules } from "./retry_rules.ts";
@@ -35,7 +40,14 @@
    * A poison crashes each endpoint that runs it, a tainted request has a part in
    * its prompt that does; a check is a stream that its caller may take up again.
    */
-  readonly kind: "book" | "read" | "draft" | "check" | "poison" | "tainted";
+  readonly kind:
+    | "book"
+    | "upload"
+    | "read"
+    | "draft"
+    | "check"
+    | "poison"
+    | "tainted";
   readonly daemon: string;
   readonly key: string;
   readonly sentMs: number;
@@ -87,6 +99,8 @@
   readonly versionRules = new VersionRules();
   readonly #sent = new Map<string, SentRequest>();
   readonly #runs = new Map<string, RecordedRun[]>();
+  /** Endpoints that began to work on requests, before their bodies. */
+  readonly #begunAt = new Map<string, string[]>();
   readonly #revokedMs = new Map<string, number>();
   readonly #workspaceByKey: ReadonlyMap<string, string>;
   readonly #maxRevocationMs: number;
@@ -116,6 +130,13 @@
     ).length;
   }
 
+  /** @returns The number of requests that were refused with a promise. */
+  refusedCount(): number {
+    return [...this.#sent.values()].filter(({ result }) =>
+      result?.kind === "answered" && NOT_RUN_STATUSES.has(result.status)
+    ).length;
+  }
+
   /** @returns What became of the streams that callers took up. */
   takeUpCounts(): TakeUpCounts {
     const counts: TakeUpCounts = {
@@ -162,6 +183,11 @@
     runs.push(run);
   }
 
+  /** Records that an endpoint begins to work on a request. */
+  recordBegin(id: string, endpoint: string): void {
+    this.#begunAt.set(id, [...this.#begunAt.get(id) ?? [], endpoint]);
+  }
+
   recordRevocation(key: string, atMs: number): void {
     this.#revokedMs.set(key, atMs);
   }
@@ -204,18 +230,15 @@
       return `budget: ran on ${answeredRuns.length} endpoints`;
     }
     const mayRepeat = kind === "read" || kind === "check";
-    if (!mayRepeat && initialRuns.length > 1) {
-      return `twice: started at ${
-        initialRuns.map(({ endpoint }) => endpoint).join()
-      }`;
+    const begunAt = this.#begunAt.get(id) ?? [];
+    if (!mayRepeat && Math.max(begunAt.length, initialRuns.length) > 1) {
+      return `twice: started at ${begunAt.join()}`;
     }
     const workspace = this.#workspaceByKey.get(key);
     if (runs.some((run) => run.workspace !== workspace)) {
       return "unasked: run for another workspace";
     }
-    const sentBody = kind === "draft" && isPopularDraft(id)
-      ? ""
-      : request.firstTry;
+    const sentBody = bodyOf(request);
     if (runs.some(({ body }) => body !== sentBody)) {
       return "unasked: run with another body";
     }
@@ -233,11 +256,11 @@
     }
     if (!looksComplete) return undefined;
     const isRefused = NOT_RUN_STATUSES.has(result.status);
-    if (isRefused && !mayRepeat && runs.length > 0) {
+    if (isRefused && !mayRepeat && runs.length + begunAt.length > 0) {
       return `refused with ${result.status}, but was run`;
     }
     if (result.status !== 200 || isStream) return undefined;
-    return isWholeCall(result.text, id)
+    return isWholeCall(result.text, sentBody)
       ? undefined
       : `mixed: got ${abbreviate(result.text)} at ${sentMs}`;
   }
@@ -261,6 +284,12 @@
   }
 }
 
+/** @returns The body that a caller sends. */
+export function bodyOf({ firstTry, id, kind }: SentRequest): string {
+  if (kind === "upload") return uploadBodyOf(id);
+  return kind === "draft" && isPopularDraft(id) ? "" : firstTry;
+}
+
 const MAX_SHOWN_CHARACTERS = 120;
 
 function abbreviate(text: string): string {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -69,6 +69,9 @@
     console.log(
       `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed, ${limitCount} limits named, ${resumedCount} streams went on, at most ${mostRepeats} repeats in 10 s`,
     );
+    console.log(
+      `  ${result.relayedCount} passed on by peers, ${result.refusedCount} refused with a promise`,
+    );
     const { completed, refusedForVersion, refusedOtherwise } = takeUps;
     console.log(
       `  ${takeUps.sent} tries took streams up: ${completed} completed, ${refusedForVersion} refused for the version, ${refusedOtherwise} otherwise; ${mixedStreams.length} streams mixed`,
--- a/soak/restart_series.ts
+++ b/soak/restart_series.ts
@@ -44,6 +44,7 @@
     firstPort: Number(options["port"]),
     seed: Number(options["seed"]),
     versions: ["v1", "v2"],
+    hasUnprovenAnswers: true,
     invariants,
   });
   await deployment.start();
--- a/soak/soak_configuration.ts
+++ b/soak/soak_configuration.ts
@@ -77,7 +77,7 @@
     ],
     limits: {
       "max-header-bytes": 16_384,
-      "max-body-bytes": 100_000,
+      "max-body-bytes": 1_000_000,
       "header-timeout-ms": 3_000,
       "idle-timeout-ms": 15_000,
     },
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -4,7 +4,6 @@
  */
 
 import { mkdir, rm } from "node:fs/promises";
-import type { IncomingHttpHeaders } from "node:http";
 import { createServer } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import { StepError } from "../src/base/common/errors.ts";
@@ -12,7 +11,6 @@
 import { SystemClock } from "../src/base/node/system_clock.ts";
 import type { Address } from "../src/base/common/ids.ts";
 import { MetadataStoreServer } from "../platform/standins/metadata_store_server.ts";
-import { eventCountOf, streamOf, unsizedEffectOf } from "./answer_shapes.ts";
 import { MemoryNetwork, RunMemory } from "../platform/standins/run_memory.ts";
 import { ReplicaServer } from "../platform/standins/replica_server.ts";
 import {
@@ -22,11 +20,11 @@
 import { DaemonProcess } from "./daemon_process.ts";
 import { createConfiguration } from "./soak_configuration.ts";
 import { HOST_KEY_PREFIX } from "../src/services/hosts/common/host_entry.ts";
-import { FaultProxy } from "../standins/network/fault_proxy.ts";
+import { FaultProxy, type SourceCut } from "../standins/network/fault_proxy.ts";
 import { HostPartition } from "../standins/network/host_partition.ts";
 import type { StoreCopy } from "../standins/mirror/fake_revisioned_store.ts";
 import { SeedServer } from "./seed_server.ts";
-import { type EndpointArrival, MAX_PART_CRASHES } from "./endpoint_rules.ts";
+import { EndpointObserver } from "./endpoint_observer.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
 
 /** Time in milliseconds within which a revoked API key must be refused. */
@@ -38,9 +36,6 @@
   ["key-c", "workspace-b"],
 ]);
 
-/** Part of prompts that crashes each endpoint that begins to answer it. */
-export const CRASHING_PART = "7a1d";
-
 const ZONES = ["zone-a", "zone-b"];
 /** Killed processes exit within a few milliseconds. */
 const EXIT_POLL_INTERVAL_MS = 20;
@@ -84,6 +79,8 @@
   readonly seed: number;
   /** Software versions of the first endpoints, in turn. */
   readonly versions: readonly string[];
+  /** Whether some endpoints promise that they have not run what they have. */
+  readonly hasUnprovenAnswers: boolean;
   readonly invariants: InvariantChecker;
 }
 
@@ -97,9 +94,12 @@
   /** The links of each daemon to its peers and the store. */
   readonly partitions: HostPartition[] = [];
   readonly #seeds: SeedServer[] = [];
+  readonly #observer: EndpointObserver;
   readonly #memories = new MemoryNetwork();
   /** Daemons that are cut off, at which callers take up more streams. */
   isolatedDaemons: readonly DaemonProcess[] = [];
+  /** How daemons are cut from all endpoints, also from new ones. */
+  readonly #cuts = new Map<DaemonProcess, SourceCut>();
   /** Software version of replacements, if the version they replace has left. */
   replacementVersion: string | undefined;
   #configurationVersion = 0;
@@ -117,6 +117,11 @@
   constructor(options: SoakDeploymentOptions) {
     this.#options = options;
     this.#firstPort = options.firstPort;
+    this.#observer = new EndpointObserver({
+      ...options,
+      daemons: this.daemons,
+      onCrash: (name) => void this.#replaceCrashed(name),
+    });
   }
 
   /** Starts all components; daemons may become ready later. */
@@ -261,6 +266,15 @@
     this.#writeEndpointEntry(endpoint, "ready");
   }
 
+  /** Cuts a daemon from all endpoints, or ends its cut. */
+  cutFromEndpoints(daemon: DaemonProcess, cut: SourceCut | undefined): void {
+    if (cut) this.#cuts.set(daemon, cut);
+    else this.#cuts.delete(daemon);
+    for (const { proxy } of this.endpoints) {
+      proxy.cutSource(daemon.options.ip, cut);
+    }
+  }
+
   /** Writes the next configuration version, without the revoked API keys. */
   writeConfiguration(): void {
     this.#configurationVersion++;
@@ -331,72 +345,15 @@
     name: string,
     version: string,
   ): Promise<Omit<SoakEndpoint, "service" | "name" | "version">> {
-    const { invariants, seed } = this.#options;
     const service = name.startsWith("app") ? "app" : "llm";
     const process = `${name}@${++this.#startCount}`;
     const replica = new ReplicaServer(name);
-    replica.eventCountOf = (request) => eventCountOf(streamOf(request));
-    replica.onRun = ({ id, headers, body }) => {
-      const atMs = Date.now();
-      invariants.recordRun({
-        id,
-        endpoint: name,
-        atMs,
-        isContinuation: headers["kv-from"] !== undefined,
-        body,
-        workspace: headers["x-tenant"]?.toString(),
-        wasCut: () => proxy.disturbedMs >= atMs,
-      });
-      if (service === "app") return;
-      invariants.versionRules.recordRun({
-        stream: String(headers["resumes"] ?? id),
-        request: id,
-        daemon: invariants.daemonOf(id),
-        version,
-        goesOn: headers["last-event-id"] !== undefined ||
-          headers["kv-from"] !== undefined,
-      });
-    };
-    replica.onArrival = ({ id, headers }) => {
-      const given = headers["x-deadline-ms"];
-      invariants.retryRules.recordArrival({
-        id,
-        service,
-        atMs: Date.now(),
-        isContinuation: headers["kv-from"] !== undefined,
-        givenMs: given === undefined ? undefined : Number(given),
-      });
-      this.#recordArrival(replica, process, id);
-    };
-    const wasDisturbed = (sinceMs: number): boolean =>
-      proxy.disturbedMs >= sinceMs ||
-      this.daemons.some(({ separatedMs }) => separatedMs >= sinceMs);
-    replica.effectOf = ({ body, headers, id }) => {
-      if (isPoison(body) || isTainted(headers)) {
-        return { kind: "crash", afterEvents: 0 };
-      }
-      const unsized = unsizedEffectOf(seed, name, id);
-      if (!unsized) return { kind: "none" };
-      const begun = { request: id, process, wasDisturbed };
-      invariants.answerRules.recordBegin(begun);
-      return unsized;
-    };
-    replica.onAnswerEnd = ({ id }, isWhole) =>
-      invariants.answerRules.recordEnd(process, id, isWhole);
-    replica.onContinued = (_, { kind }) =>
-      invariants.answerRules.recordMove(kind);
-    replica.onCrash = ({ body, headers, id }) => {
-      invariants.answerRules.recordProcessEnd(process);
-      const arrival = this.#arrivalOf(process, id);
-      const { endpointRules } = invariants;
-      if (arrival && isTainted(headers)) {
-        const content = `part ${CRASHING_PART} at ${service}`;
-        endpointRules.recordCrash(content, arrival, MAX_PART_CRASHES);
-      } else if (arrival) endpointRules.recordCrash(body, arrival);
-      void this.#replaceCrashed(name);
-    };
     const proxy = new FaultProxy(await replica.listen());
+    this.#observer.observe({ replica, proxy, process, service, version });
     const address = await proxy.listen();
+    for (const [daemon, cut] of this.#cuts) {
+      proxy.cutSource(daemon.options.ip, cut);
+    }
     if (service === "llm") {
       replica.memory = new RunMemory(address, this.#memories);
     }
@@ -410,34 +367,6 @@
     replica.dispose();
   }
 
-  #recordArrival(replica: ReplicaServer, process: string, id: string): void {
-    const { endpointRules, limitRules } = this.#options.invariants;
-    const arrival = this.#arrivalOf(process, id);
-    if (!arrival) return;
-    limitRules.recordArrival(arrival);
-    endpointRules.recordArrival(arrival);
-    if (replica.isLeaving) endpointRules.recordNotice(arrival);
-    if (replica.retryAfter !== undefined) {
-      endpointRules.recordHold(arrival, Number(replica.retryAfter) * 1_000);
-    }
-  }
-
-  #arrivalOf(endpoint: string, id: string): EndpointArrival | undefined {
-    const daemonName = this.#options.invariants.daemonOf(id);
-    const daemon = this.daemons.find(({ options }) =>
-      options.name === daemonName
-    );
-    if (!daemon) return undefined;
-    const atMs = Date.now();
-    return {
-      endpoint,
-      daemon: daemon.options.name,
-      atMs,
-      calmMs: atMs - daemon.disturbedMs,
-      contactMs: atMs - daemon.separatedMs,
-    };
-  }
-
   /** Replaces an endpoint that a request has crashed by one of a new name. */
   async #replaceCrashed(name: string): Promise<void> {
     const index = this.endpoints.findIndex((endpoint) =>
@@ -477,14 +406,3 @@
     this.storeServer.store.remove(`${ENDPOINT_PREFIX}${name}`);
   }
 }
-
-function isTainted(headers: IncomingHttpHeaders): boolean {
-  const parts = String(headers["x-prompt-prefix"] ?? "").split(",");
-  return parts.slice(0, -1).some((part) =>
-    part.startsWith(`${CRASHING_PART}:`)
-  );
-}
-
-function isPoison(body: string): boolean {
-  return body.startsWith("poison ");
-}
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -3,7 +3,7 @@
  * guarantees of the system are checked continuously.
  */
 
-import { writeFileSync } from "node:fs";
+import { readdirSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as wait } from "node:timers/promises";
 import { SeededRandom } from "../src/base/common/random.ts";
@@ -24,6 +24,8 @@
 } from "./soak_deployment.ts";
 
 const CHECK_INTERVAL_MS = 250;
+/** Time after the last answer in which requests may still reach endpoints. */
+const LATE_RUN_MS = 2_500;
 /** Time in milliseconds that ready daemons get to link up. */
 const STARTUP_MS = 2_000;
 /** Large fleets take long to start on one machine. */
@@ -67,6 +69,10 @@
   readonly mixedStreams: readonly string[];
   /** Most repeats of one service in any 10 s. */
   readonly mostRepeats: number;
+  /** Number of requests that daemons passed on for their peers. */
+  readonly relayedCount: number;
+  /** Number of requests that were refused with a promise. */
+  readonly refusedCount: number;
 }
 
 /**
@@ -85,6 +91,7 @@
   const deployment = new SoakDeployment({
     ...options,
     versions: firstVersions(faults),
+    hasUnprovenAnswers: faults.includes("unproven-answers"),
     invariants,
   });
   await deployment.start();
@@ -111,6 +118,7 @@
     options.gapMs,
     () => deployment.isolatedDaemons,
     faults.includes("crashing-requests"),
+    faults.includes("uploads"),
   );
   const callersStopped = callers.run(callerCount);
   const faultsStopped = faultInjector.run();
@@ -134,7 +142,8 @@
   await faultsStopped;
   callers.stop();
   await callersStopped;
-  await wait(CHECK_INTERVAL_MS * 2);
+  // Requests that were refused may still run.
+  await wait(LATE_RUN_MS);
   clearInterval(checkTimer);
   await deployment.stop();
   writeFileSync(join(folder, "series.txt"), `${events.join("\n")}\n`);
@@ -149,12 +158,23 @@
     mixedStreams: invariants.versionRules.mixedStreams,
     limitCount: invariants.limitRules.limitCount,
     mostRepeats: invariants.retryRules.mostRepeats,
+    relayedCount: countRelayed(folder),
+    refusedCount: invariants.refusedCount(),
     restartCount:
       deployment.daemons.reduce((sum, { startCount }) => sum + startCount, 0) -
       daemonCount,
   };
 }
 
+function countRelayed(folder: string): number {
+  const logs = readdirSync(folder).filter((name) => name.endsWith(".log"));
+  return logs.reduce((count, name) => {
+    const text = readFileSync(join(folder, name), "utf8");
+    const passedOn = text.match(/"relay-ended".*"result":"passed-on"/g);
+    return count + (passedOn?.length ?? 0);
+  }, 0);
+}
+
 async function areReady(daemons: readonly DaemonProcess[]): Promise<boolean> {
   const states = await Promise.all(daemons.map((daemon) => daemon.isReady()));
   return states.every((isReady) => isReady);
