--- a/src/services/http/node/caller_server_test.ts
+++ b/src/services/http/node/caller_server_test.ts
@@ -5,6 +5,8 @@
 import type { CallerExchange } from "../common/caller_exchange.ts";
 import { CallerServer } from "./caller_server.ts";
 
+/** Time within which a connection closes; shorter than any idle timeout. */
+const CLOSE_MS = 500;
 const REQUEST = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 const CHUNKED_REQUEST =
   "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -313,6 +315,21 @@
     expect(received.endsWith("first")).toBe(true);
   });
 
+  it("closes a connection after a stream during which a later request is malformed", async () => {
+    socket.write(REQUEST);
+    await until(() => exchanges.length === 1);
+    exchanges[0]!.sendHead(200, []);
+    exchanges[0]!.write(Buffer.from("event"));
+    await until(() => received.includes("event"));
+    socket.write("no request\r\n\r\n");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(exchanges[0]!.hasEnded).toBe(false);
+    exchanges[0]!.end();
+    await until(() => received.endsWith("0\r\n\r\n"));
+    await new Promise((resolve) => setTimeout(resolve, CLOSE_MS));
+    expect(server.connectionCount).toBe(0);
+  });
+
   it("writes no error into an answer that has begun before its request was read", async () => {
     socket.write(CHUNKED_REQUEST);
     await until(() => exchanges.length === 1);
