--- a/standins/network/host_partition.ts
+++ b/standins/network/host_partition.ts
@@ -11,7 +11,8 @@
 
 /** Proxies in front of a host's link server and of the store as it sees it. */
 export class HostPartition implements Disposable {
-  readonly #ip: string;
+  /** Address from which the host connects. */
+  readonly ip: string;
   readonly #peerProxy: FaultProxy;
   readonly #storeProxy: FaultProxy;
   /** Address at which the peers of the host reach it. */
@@ -24,7 +25,7 @@
     peer: { readonly proxy: FaultProxy; readonly address: Address },
     store: { readonly proxy: FaultProxy; readonly address: Address },
   ) {
-    this.#ip = ip;
+    this.ip = ip;
     this.#peerProxy = peer.proxy;
     this.#storeProxy = store.proxy;
     this.peersAddress = peer.address;
@@ -82,20 +83,20 @@
 
   /** Cuts this host and another one from each other, silently. */
   cutFrom(other: HostPartition): void {
-    this.#peerProxy.cutSource(other.#ip, "silent");
-    other.#peerProxy.cutSource(this.#ip, "silent");
+    this.#peerProxy.cutSource(other.ip, "silent");
+    other.#peerProxy.cutSource(this.ip, "silent");
   }
 
   /** Ends the cut between this host and another one. */
   rejoin(other: HostPartition): void {
-    this.#peerProxy.cutSource(other.#ip, undefined);
-    other.#peerProxy.cutSource(this.#ip, undefined);
+    this.#peerProxy.cutSource(other.ip, undefined);
+    other.#peerProxy.cutSource(this.ip, undefined);
   }
 
   /** Ends the links between this host and another one. */
   endLinks(other: HostPartition): void {
-    this.#peerProxy.cutSource(other.#ip, "reset");
-    other.#peerProxy.cutSource(this.#ip, "reset");
+    this.#peerProxy.cutSource(other.ip, "reset");
+    other.#peerProxy.cutSource(this.ip, "reset");
     this.rejoin(other);
   }
 
