End the process of the soak itself, which Node may never do

Cause: the event loop was over. A stack of the process shows Node 20.19 in FreeEnvironment, Environment::CleanupHandles and uv_run, which wait busily for handles that are being closed. Nothing of ours runs there. The demo and the series of restarts end by process.exit, which does not go there; the soak ended by itself.

Change: the soak ends by process.exit with the same exit codes.

The hang was not reproduced: three short soaks on the code before, one after the other, ended by themselves.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -87,6 +87,9 @@
     for (const violation of violations) console.log(`  ${violation}`);
     if (violations.length > 0) process.exitCode = EXIT_VIOLATIONS;
   }
+  // Node.js may wait forever, busily, for handles that it closes after the end
+  // of the event loop.
+  process.exit();
 }
 
 function parseFaults(text: string): readonly FaultName[] {
