Close a connection after its last answer when a later request is malformed

Change: the connection ends with the last exchange before the malformed one. Result: its test in caller_server_test.ts, which was passed over, passes.

--- a/src/services/http/node/caller_server.ts
+++ b/src/services/http/node/caller_server.ts
@@ -204,7 +204,13 @@
       () => this.#isClosing || connection.isMalformed,
     );
     connection.exchanges.push(exchange);
-    exchange.onDidEnd(() => this.#onExchangeEnded(connection, exchange));
+    const { socket } = request;
+    exchange.onDidEnd(() => {
+      this.#onExchangeEnded(connection, exchange);
+      // The answers to the requests before the malformed one have been sent.
+      const isOver = connection.exchanges.length === 0;
+      if (connection.isMalformed && isOver) socket.end();
+    });
     if (connection.exchanges.length === 1) this.#didReceive.fire(exchange);
   }
 
