State the era of the store in entries of software versions

Change: entries state the era in which they were complete. An entry of another era, or without one, leaves an unknown service unknown.

--- a/src/features/gateway/common/software_version_sync.ts
+++ b/src/features/gateway/common/software_version_sync.ts
@@ -12,6 +12,7 @@
   DisposableStore,
 } from "../../../base/common/lifecycle.ts";
 import { attempt } from "../../../base/common/result.ts";
+import { eraOf } from "../../../services/mirror/common/store_revision.ts";
 import type { Logger } from "../../../services/log/common/logger.ts";
 import type {
   PeerChannel,
@@ -135,9 +136,14 @@
 const entrySchema = z.object({
   service: serviceName,
   versions: z.array(name).max(MAX_VERSIONS),
+  era: z.number().nonnegative().optional(),
 });
 
-/** Versions of a service as the store holds them. */
+/**
+ * Versions of a service as the store holds them, with the era of the store in
+ * which they were all that there were. Without an era, it is not known whether
+ * the store has been restored from a copy since.
+ */
 type SoftwareVersionEntry = z.infer<typeof entrySchema>;
 
 /** Dependencies of the archive of software versions. */
@@ -148,15 +154,18 @@
 
 /**
  * Keeps the versions of all services in the store, one entry each, without a
- * lease. A service without an entry is not known to have had one version only.
+ * lease. A service without an entry is not known to have had one version only,
+ * nor is one whose entry is of an earlier era: a store that is restored from a
+ * copy lacks what came and went since.
  *
  * @returns The archive, which works until it is disposed.
  */
 export function createSoftwareVersionArchive(
   { history, ...services }: SoftwareVersionArchiveServices,
 ): RecordArchive<SoftwareVersionEntry> {
-  const { hasher } = services;
-  return new RecordArchive({
+  const { hasher, mirror } = services;
+  const currentEra = (): number => eraOf(mirror.revision);
+  return new RecordArchive<SoftwareVersionEntry>({
     ...services,
     records: {
       writers: "any",
@@ -167,14 +176,19 @@
           record: {
             service,
             versions: versions.map(({ softwareVersion }) => softwareVersion),
+            era: currentEra(),
           },
           untilMs: undefined,
         })),
       nameOf: ({ service }) => hasher.hash64Hex(service),
       parse: (value) => entrySchema.parse(value),
-      merge: ({ service, versions }) => history.learnStored(service, versions),
+      merge: ({ era, service, versions }) => {
+        if (era !== currentEra() && !history.isKnown(service)) return;
+        history.learnStored(service, versions);
+      },
       // What was read there need not be written again.
-      includes: (stored, { service }) =>
+      includes: (stored, { era, service }) =>
+        stored.era === era &&
         history.witnessedVersions(service).every((version) =>
           stored.versions.includes(version)
         ),
--- a/standins/mirror/software_version_archive_test.ts
+++ b/standins/mirror/software_version_archive_test.ts
@@ -227,7 +227,7 @@
   // Guards against a view that skipped changes and is taken for a whole one.
   it("tells a daemon whose view was interrupted which versions it may have missed", async () => {
     const { archive, history, refresh, versions } = daemons[0]!;
-    const entry = { service: SERVICE, versions: ["v1", "v2"] };
+    const entry = { service: SERVICE, versions: ["v1", "v2"], era: 0 };
     deployment.store.put(deployment.entries()[0]!, JSON.stringify(entry));
     await refresh();
     expect(versions()).toEqual(["v1", "v2"]);
@@ -336,12 +336,31 @@
   });
 
   it("reads an entry of a later build, which has further fields", async () => {
-    const entry = { service: SERVICE, versions: ["v1"], later: { a: 1 } };
+    const entry = { service: SERVICE, versions: ["v1"], era: 0, later: 1 };
     deployment.store.put(deployment.entries()[0]!, JSON.stringify(entry));
     await startAnew();
     expect(daemons[0]!.versions()).toEqual(["v1", "v2"]);
   });
 
+  it.each([
+    ["an earlier era of the store", { era: 3 }],
+    ["a build that states no era", {}],
+  ])("leaves a service unknown whose entry is of %s", async (_origin, era) => {
+    const entry = { service: SERVICE, versions: ["v1"], ...era };
+    deployment.store.put(deployment.entries()[0]!, JSON.stringify(entry));
+    await startAnew();
+    expect(daemons[0]!.versions()).toBeUndefined();
+  });
+
+  it("completes the entry of a build that states no era", async () => {
+    const entry = { service: SERVICE, versions: ["v1"] };
+    const [key] = deployment.entries();
+    deployment.store.put(key!, JSON.stringify(entry));
+    await runArchives(TAKEOVER_MS);
+    await startAnew();
+    expect(daemons[0]!.versions()).toEqual(["v1", "v2"]);
+  });
+
   it("leaves a service unknown whose entry cannot be read", async () => {
     deployment.store.put(deployment.entries()[0]!, '{"service":"llm"}');
     await startAnew();
