Give away the places of brittle endpoints from one hub

Cause: an endpoint that states how many requests it can turn away in a second falls over above that. No host sees the sum over all hosts. Nothing changes for endpoints that do not state it.

--- a/src/cli/node/commands/limits.ts
+++ b/src/cli/node/commands/limits.ts
@@ -1,6 +1,7 @@
-/** `ragwort limits`: lists the endpoints that name a limit. */
+/** `ragwort limits`: lists the endpoints that name a limit or are brittle. */
 
 import { rightOf } from "../../../base/common/result.ts";
+import type { ListedBrittle } from "../../../features/brittle/common/room_permits.ts";
 import type { ListedLimit } from "../../../features/gateway/common/limit_rights.ts";
 import { formatTable } from "../../common/text_table.ts";
 import {
@@ -22,9 +23,26 @@
   "denied",
 ];
 
+const BRITTLE_HEADERS = [
+  "endpoint",
+  "bears/s",
+  "known to",
+  "granter",
+  "places taken",
+];
+
 interface LimitsResponse {
   readonly host: string;
   readonly limits: readonly ListedLimit[];
+  /** Absent from daemons of an earlier version. */
+  readonly brittle?: readonly ListedBrittle[];
+}
+
+/** A brittle endpoint as all daemons reported it. */
+interface ReportedBrittle extends Omit<ListedBrittle, "granter"> {
+  readonly hosts: readonly string[];
+  /** Hosts that have given away places, which normally is one. */
+  readonly granters: readonly string[];
 }
 
 /** A limit as all daemons reported it. */
@@ -38,7 +56,7 @@
 export const addLimitsCommand: AddCommand = (cli, shell) => {
   cli.command(
     "limits",
-    "List endpoints that name a limit, and who grants the rights to send",
+    "List endpoints that name a limit or are brittle, and who grants what",
   )
     .example("ragwort limits --daemons 10.0.0.1:9464,10.0.0.2:9464")
     .action((options: GlobalOptions) => shell.run(options, listLimits));
@@ -58,10 +76,25 @@
     String(limit.granted),
     String(limit.denied),
   ]);
-  const text = rows.length === 0
-    ? "no endpoint names a limit"
-    : formatTable([COLUMN_HEADERS, ...rows]).join("\n");
-  printResult(context, { limits }, text);
+  const brittle = mergeBrittle(
+    answers.flatMap(({ result }) => rightOf(result) ?? []),
+  );
+  const brittleRows = brittle.map((endpoint) => [
+    endpoint.endpoint,
+    String(endpoint.rejectionsPerS),
+    String(endpoint.hosts.length),
+    endpoint.granters.join(", "),
+    String(endpoint.taken),
+  ]);
+  const text = [
+    ...rows.length === 0
+      ? ["no endpoint names a limit"]
+      : formatTable([COLUMN_HEADERS, ...rows]),
+    ...brittleRows.length === 0
+      ? ["no endpoint is brittle"]
+      : ["", ...formatTable([BRITTLE_HEADERS, ...brittleRows])],
+  ].join("\n");
+  printResult(context, { limits, brittle }, text);
   const areAllReachable = reportFailedDaemons(context, answers);
   return areAllReachable ? EXIT_CODES.ok : EXIT_CODES.unreachable;
 }
@@ -83,3 +116,22 @@
   }
   return [...merged.values()];
 }
+
+function mergeBrittle(
+  responses: readonly LimitsResponse[],
+): ReportedBrittle[] {
+  const merged = new Map<string, ReportedBrittle>();
+  for (const { host, brittle = [] } of responses) {
+    for (const { endpoint, rejectionsPerS, taken } of brittle) {
+      const known = merged.get(endpoint);
+      merged.set(endpoint, {
+        endpoint,
+        rejectionsPerS,
+        hosts: [...known?.hosts ?? [], host],
+        granters: [...known?.granters ?? [], ...taken > 0 ? [host] : []],
+        taken: (known?.taken ?? 0) + taken,
+      });
+    }
+  }
+  return [...merged.values()];
+}
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -208,6 +208,7 @@
         overlay: this.#topology,
         reach: this.#topology,
         registry: this.#registry,
+        loadTable: placement.loadTable,
       }),
     );
     const limits = this.#limits.endpoints;
@@ -224,8 +225,7 @@
         codec: adapter.codec,
         client: this.#paths.directClient,
         observer: answers,
-        isLost: (endpoint) => paths.isLost(endpoint),
-        onConnectTimeout: (endpoint) => paths.recordTimeout(endpoint),
+        paths,
       }),
     );
     const streamVersions = this.#disposables.add(
@@ -423,6 +423,7 @@
       gateway: this.#gateway,
       crashMonitor: this.#quarantine.monitor,
       limitRights: this.#limits.rights,
+      roomPermits: this.#limits.rooms,
       queue: this.#placer,
       callers: this.#callers,
       paths: this.#paths,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -8,6 +8,7 @@
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
+import type { RoomPermits } from "../../features/brittle/common/room_permits.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crash_monitor.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
@@ -47,6 +48,7 @@
   readonly gateway: Gateway;
   readonly crashMonitor: CrashMonitor;
   readonly limitRights: LimitRights;
+  readonly roomPermits: RoomPermits;
   readonly queue: GenerationPlacer;
   readonly callers: CallerServer;
   readonly paths: GatewayPaths;
@@ -116,7 +118,9 @@
     if (path === "/limits") {
       const { host } = this.#services.daemonState();
       const limits = this.#services.limitRights.list();
-      return { status: HTTP_OK, text: JSON.stringify({ host, limits }) };
+      const brittle = this.#services.roomPermits.list();
+      const text = JSON.stringify({ host, limits, brittle });
+      return { status: HTTP_OK, text };
     }
     const error =
       `a gateway has no ${path}; it serves /status, /metrics, /quarantine and /limits, ` +
@@ -155,6 +159,7 @@
       endpoints: services.registry.all.length,
       lost_direct_paths: services.paths.direct.lostAddresses.length,
       limited_endpoints: services.limitRights.list().length,
+      brittle_endpoints: services.roomPermits.list().length,
       quarantined_requests: services.crashMonitor.list().length,
       peers: services.links.connectedHosts().length,
       peer_bytes_sent: traffic.bytesSent,
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -22,6 +22,7 @@
   type LivenessQuestion,
 } from "../../features/gateway/common/endpoint_survival.ts";
 import type { EngineControl } from "../../features/gateway/common/engine_control.ts";
+import type { OwnPaths } from "../../features/gateway/common/relay_gate.ts";
 import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
 import {
   type DirectPathChange,
@@ -76,7 +77,7 @@
 }
 
 /** Clients for requests to endpoints and the state of the paths to them. */
-export class GatewayPaths implements EnginePaths, Disposable {
+export class GatewayPaths implements EnginePaths, OwnPaths, Disposable {
   readonly direct: DirectPaths;
   /** Client that sends only directly. */
   readonly directClient: VerifyingClient;
@@ -173,7 +174,7 @@
     return this.direct.isLost(announcement.address);
   }
 
-  /** Records that a connection to an endpoint did not open in time. */
+  /** {@inheritDoc OwnPaths.recordTimeout} */
   recordTimeout({ announcement }: RegisteredEndpoint): void {
     this.direct.onOpenFailed(announcement.address, "timed-out");
   }
--- a/src/features/gateway/common/answer_observer.ts
+++ b/src/features/gateway/common/answer_observer.ts
@@ -13,7 +13,7 @@
 export interface AnswerObserverServices {
   readonly holds: Pick<EndpointHolds, "hold">;
   readonly leavingMarks: Pick<LeavingMarks, "mark">;
-  readonly limits: Pick<EndpointLimits, "observe">;
+  readonly limits: Pick<EndpointLimits, "observe" | "observeBrittleness">;
   readonly paths: Pick<EndpointSurvival, "recordAnswer">;
 }
 
@@ -49,12 +49,15 @@
     { status, fields, isOwn, sentMs }: AnswerHead,
   ): boolean {
     const { holds, leavingMarks, limits, paths } = this.#services;
-    const { isLeaving, limit, retryAfterMs } = fields;
+    const { brittleness, isLeaving, limit, retryAfterMs } = fields;
     if (retryAfterMs !== undefined) holds.hold(endpoint, retryAfterMs);
     if (status === HTTP_MISDIRECTED) return false;
     if (isOwn) paths.recordAnswer(endpoint, sentMs);
     if (isLeaving) leavingMarks.mark(endpoint, "answer");
-    if (isOwn) limits.observe(endpoint, limit, sentMs);
+    if (isOwn) {
+      limits.observe(endpoint, limit, sentMs);
+      limits.observeBrittleness(endpoint, brittleness, sentMs);
+    }
     return true;
   }
 }
--- a/src/features/gateway/common/call_forwarder.ts
+++ b/src/features/gateway/common/call_forwarder.ts
@@ -108,7 +108,7 @@
         } else this.#refuse(lastReason, context.rights.withheldForMs);
         return;
       }
-      if (context.services.limits.isLimited(endpoint)) {
+      if (context.rights.isNeeded(endpoint)) {
         const maxWaitMs = this.#hasAlternative(endpoint)
           ? 0
           : context.rights.patienceMs(context.objectiveRemainingMs);
--- a/src/features/gateway/common/continuation_right.ts
+++ b/src/features/gateway/common/continuation_right.ts
@@ -37,12 +37,12 @@
     isStale: () => boolean,
     onSettled: (isGranted: boolean) => void,
   ): void {
-    const { rights, services } = this.#context;
+    const { rights } = this.#context;
     if (!this.#context.accepts(endpoint)) {
       onSettled(false);
       return;
     }
-    if (!services.limits.isLimited(endpoint)) {
+    if (!rights.isNeeded(endpoint)) {
       onSettled(true);
       return;
     }
--- a/src/features/gateway/common/endpoint_limits.ts
+++ b/src/features/gateway/common/endpoint_limits.ts
@@ -1,8 +1,16 @@
 /**
  * Limits of the registered endpoints, as requests meet them: what answers say,
- * and the rights that are needed to send.
+ * the rights that are needed to send, and the places at brittle endpoints.
  */
 
+import type {
+  BrittleTable,
+  NamedBrittleness,
+} from "../../brittle/common/brittle_table.ts";
+import type {
+  PermitOffer,
+  RoomPermits,
+} from "../../brittle/common/room_permits.ts";
 import type { Clock } from "../../../base/common/clock.ts";
 import {
   type Disposable,
@@ -22,6 +30,8 @@
   readonly registry: EndpointRegistry;
   readonly table: LimitTable;
   readonly rights: Pick<LimitRights, "isLimited" | "take">;
+  readonly brittle: Pick<BrittleTable, "observe">;
+  readonly rooms: Pick<RoomPermits, "isNeeded" | "take" | "recordRejection">;
 }
 
 /** Applies the limits that endpoints name. */
@@ -85,6 +95,51 @@
     return offer;
   }
 
+  /**
+   * Applies what an answer says of rejections that the endpoint cannot bear.
+   *
+   * @param endpoint - The endpoint that answered.
+   * @param named - What the answer says.
+   * @param sentMs - Monotonic time in milliseconds at which the request was
+   * sent.
+   */
+  observeBrittleness(
+    endpoint: RegisteredEndpoint,
+    named: NamedBrittleness | undefined,
+    sentMs: number,
+  ): void {
+    if (named) {
+      this.#services.brittle.observe(processOf(endpoint), named, sentMs);
+    }
+  }
+
+  /** @returns Whether a place is needed to send a request to an endpoint. */
+  needsRoom(endpoint: RegisteredEndpoint): boolean {
+    return this.#services.rooms.isNeeded(processOf(endpoint));
+  }
+
+  /**
+   * Takes a place for one request at a brittle endpoint.
+   *
+   * @param endpoint - The endpoint to send to.
+   * @param leaseMs - Time that the request takes at most, in milliseconds.
+   */
+  takeRoom(
+    endpoint: RegisteredEndpoint,
+    leaseMs: number,
+  ): Promise<PermitOffer> {
+    const { slots } = endpoint.announcement;
+    return this.#services.rooms.take(
+      { ...processOf(endpoint), slots },
+      leaseMs,
+    );
+  }
+
+  /** Records that a brittle endpoint turned a request away without a place. */
+  recordRejection(endpoint: RegisteredEndpoint): void {
+    this.#services.rooms.recordRejection(processOf(endpoint));
+  }
+
   /** Stops following changes. */
   dispose(): void {
     this.#disposables.dispose();
--- a/src/features/gateway/common/engine_control.ts
+++ b/src/features/gateway/common/engine_control.ts
@@ -1,6 +1,7 @@
 /** Control operations of engines, in addition to answering requests. */
 
 import type { Address, RequestId } from "../../../base/common/ids.ts";
+import type { NamedBrittleness } from "../../brittle/common/brittle_table.ts";
 import type { NamedLimit } from "./limit_table.ts";
 import type { AsyncEither } from "../../../base/common/result.ts";
 
@@ -12,6 +13,7 @@
   /** Wall-clock start time of the process, if the engine reports it. */
   readonly bornMs: number | undefined;
   readonly limit?: NamedLimit;
+  readonly brittleness?: NamedBrittleness;
 }
 
 /** Whether anything answers at the address of an endpoint. */
--- a/src/features/gateway/common/engine_report_poller.ts
+++ b/src/features/gateway/common/engine_report_poller.ts
@@ -122,6 +122,7 @@
         const isDraining = read.isDraining || read.shutdownInMs !== undefined;
         if (isOtherProcess) return;
         this.#limits.observe(endpoint, read.limit, sentMs);
+        this.#limits.observeBrittleness(endpoint, read.brittleness, sentMs);
         if (!isDraining || !endpoint.isUsable) return;
         this.#leavingMarks.mark(endpoint, "report");
       },
--- a/src/features/gateway/common/gateway_codec.ts
+++ b/src/features/gateway/common/gateway_codec.ts
@@ -9,6 +9,7 @@
   WorkspaceId,
 } from "../../../base/common/ids.ts";
 import type { Address } from "../../../base/common/ids.ts";
+import type { NamedBrittleness } from "../../brittle/common/brittle_table.ts";
 import type { NamedLimit } from "./limit_table.ts";
 import type { HeaderList } from "../../../services/http/common/header_list.ts";
 
@@ -87,6 +88,8 @@
   readonly isLeaving?: boolean;
   /** What the answer says of the endpoint's limit; nothing if absent. */
   readonly limit?: NamedLimit;
+  /** What the answer says of rejections that its endpoint cannot bear. */
+  readonly brittleness?: NamedBrittleness;
   /**
    * Time for which the endpoint wants no further requests from this host, in
    * milliseconds, if it turned this one away and stated a valid time.
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/gateway_metrics.ts
@@ -32,6 +32,7 @@
   | "response_ends_checked"
   | "limits_changed"
   | "limit_rights"
+  | "room_permits"
   | "crashes_recorded"
   | "crashes_refuted"
   | "requests_quarantined"
--- a/src/features/gateway/common/generation_placement.ts
+++ b/src/features/gateway/common/generation_placement.ts
@@ -114,7 +114,7 @@
   #queue(search: Search): void {
     const { canResume, disposables, priority, request, services } =
       this.#context;
-    const { clock, limits, placer } = services;
+    const { clock, placer } = services;
     const { exchange, fields, route, service } = request;
     this.#queued = disposables.add(placer.add({
       criteria: this.#criteria,
@@ -129,7 +129,7 @@
         const { endpoint } = choice;
         // Another daemon that chose it does not know of holds of this one.
         if (endpoint.isWithheld(clock.monotonicMs())) this.#continue(search);
-        else if (limits.isLimited(endpoint)) {
+        else if (this.#context.rights.isNeeded(endpoint)) {
           void this.#takeRight(search, choice, 0);
         } else this.#complete(search, choice);
       },
--- a/src/features/gateway/common/limit_rights.ts
+++ b/src/features/gateway/common/limit_rights.ts
@@ -21,6 +21,7 @@
   PeerLinks,
 } from "../../../services/peers/common/peer_links.ts";
 import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
+import { PeerQuestions } from "../../../services/peers/common/peer_questions.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import { LIMIT_CHANNEL, type LimitMessage } from "./limit_messages.ts";
 import type {
@@ -66,10 +67,6 @@
   readonly denied: number;
 }
 
-/** Time for the answer of another host; a round trip takes 2 to 10 ms. */
-const ASK_TIMEOUT_MS = 150;
-/** Time for which a host that did not answer is not asked again. */
-const UNRESPONSIVE_MS = 1_000;
 /** A right that is used later than this after its time may be in excess. */
 const MAX_LATENESS_MS = 500;
 /** From a daemon to a hub of its zone, and from there to the granter. */
@@ -91,14 +88,13 @@
   readonly #granted = new BoundedMap<string, GrantedRights>(MAX_SCHEDULES);
   /** Rights of this host alone, for when the granter does not answer. */
   readonly #ownShares = new BoundedMap<string, RightSchedule>(MAX_SCHEDULES);
-  readonly #pending = new Map<number, (offer: RightOffer) => void>();
-  readonly #unresponsiveUntilMs = new Map<HostId, number>();
-  #nextNumber = 0;
+  readonly #questions: PeerQuestions<RightOffer>;
 
   /** @param services - Dependencies of the rights. */
   constructor(services: LimitRightsServices) {
     this.#services = services;
-    const { links, table } = services;
+    const { clock, links, table } = services;
+    this.#questions = new PeerQuestions(clock);
     this.#channel = this.#disposables.add(links.openChannel(LIMIT_CHANNEL));
     this.#disposables.add(
       this.#channel.onDidReceive(({ from, body }) =>
@@ -110,7 +106,7 @@
     );
     this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
       if (!isUp) return;
-      this.#unresponsiveUntilMs.delete(host);
+      this.#questions.forgive(host);
       const { records } = table;
       if (records.length > 0) {
         this.#channel.send(host, { kind: "limits", records });
@@ -181,7 +177,7 @@
         void this.#answer(from, message);
         return;
       case "offered":
-        this.#pending.get(message.number)?.(message.offer);
+        this.#questions.settle(message.number, message.offer);
     }
   }
 
@@ -207,7 +203,6 @@
     const current = table.get(record) ?? record;
     const offer = await this.#ask(granter, {
       kind: "asked",
-      number: this.#nextNumber++,
       record: current,
       maxWaitMs,
       hops: hops + 1,
@@ -239,33 +234,22 @@
   }
 
   /** @returns The offer, or `undefined` if the host does not answer. */
-  async #ask(
+  #ask(
     host: HostId,
-    message: LimitMessage & { kind: "asked" },
+    message: Omit<LimitMessage & { kind: "asked" }, "number">,
   ): Promise<RightOffer | undefined> {
-    const { clock, logger, metrics } = this.#services;
-    const nowMs = clock.monotonicMs();
-    if (nowMs < (this.#unresponsiveUntilMs.get(host) ?? 0)) return undefined;
-    if (this.#channel.send(host, message) !== "queued") return undefined;
-    const { number } = message;
-    return new Promise((resolve) => {
-      const timer = clock.setTimer(ASK_TIMEOUT_MS, () => {
-        this.#pending.delete(number);
-        const untilMs = clock.monotonicMs() + UNRESPONSIVE_MS;
-        this.#unresponsiveUntilMs.set(host, untilMs);
+    const { logger, metrics } = this.#services;
+    return this.#questions.ask(
+      host,
+      (number) => this.#channel.send(host, { ...message, number }),
+      () => {
         metrics.count("limit_rights", "unanswered");
         logger.log("warn", "limit-granter-silent", {
           endpoint: message.record.endpoint,
           peer: host,
         });
-        resolve(undefined);
-      });
-      this.#pending.set(number, (offer) => {
-        timer.dispose();
-        this.#pending.delete(number);
-        resolve(offer);
-      });
-    });
+      },
+    );
   }
 
   /**
--- a/src/features/gateway/common/relay_gate.ts
+++ b/src/features/gateway/common/relay_gate.ts
@@ -66,10 +66,15 @@
   /** Client that sends only directly. */
   readonly client: PassThroughClient;
   readonly observer: AnswerObserver;
+  readonly paths: OwnPaths;
+}
+
+/** Paths of this host to endpoints. */
+export interface OwnPaths {
   /** @returns Whether this host cannot connect to an endpoint itself. */
   isLost(endpoint: RegisteredEndpoint): boolean;
-  /** Called when a connection to an endpoint does not open in time. */
-  onConnectTimeout(endpoint: RegisteredEndpoint): void;
+  /** Records that a connection to an endpoint did not open in time. */
+  recordTimeout(endpoint: RegisteredEndpoint): void;
 }
 
 /** Why a request is not passed on. */
@@ -141,7 +146,7 @@
     exchange: CallerExchange,
     { fields, proof }: ReceivedRelay,
   ): Either<Refusal, RegisteredEndpoint> {
-    const { clock, isLost, registry, self, signer } = this.#services;
+    const { clock, paths, registry, self, signer } = this.#services;
     const { method, target } = exchange;
     const proofText = relayProofText(fields, method, target);
     if (fields.to !== self || !signer.verify(proofText, proof)) {
@@ -165,7 +170,7 @@
       const retryAfterMs = endpoint.heldUntilMs - nowMs;
       return Left({ refusal: "held", retryAfterMs });
     }
-    if (isLost(endpoint)) return Left({ refusal: "unreachable" });
+    if (paths.isLost(endpoint)) return Left({ refusal: "unreachable" });
     return Right(endpoint);
   }
 
@@ -231,7 +236,7 @@
       // A connection that was opened while the process paused comes first.
       this.#connectTimer = clock.setTimer(0, () => {
         this.#transfer?.abort();
-        this.#services.onConnectTimeout(this.#endpoint);
+        this.#services.paths.recordTimeout(this.#endpoint);
         this.#fail({ kind: "not-sent", message: "no connection in time" });
       });
     });
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/request_context.ts
@@ -72,6 +72,7 @@
  */
 const FULL_RETRY_AFTER_MS = 400;
 
+const HTTP_UNAVAILABLE = 503;
 /** Why a request is refused when no host reaches an endpoint of its service. */
 export const CUT_OFF_REASON = "no endpoint can be reached";
 /** Retry delay then; lost paths are tried again about each second. */
@@ -313,6 +314,7 @@
     });
     const { address } = announcement;
     const run = crashMonitor.watchRun(this, endpoint);
+    const room = this.rights.useRoom(endpoint);
     let wasSent = false;
     let sentMs = 0;
     let isServed = false;
@@ -361,6 +363,10 @@
         this.#isCloseDelimited = isCloseDelimited(method, status, received);
         isServed = verdict === "answered" && status < 500;
         isRefused = verdict === "refused";
+        if (isRefused && status === HTTP_UNAVAILABLE) {
+          if (room) room.release(true);
+          else this.services.limits.recordRejection(endpoint);
+        }
         sink.onHead(status, received, verdict);
         // The head proves the refusal; nothing shows the end of its body.
         if (isRefused && this.#isCloseDelimited) {
@@ -373,11 +379,13 @@
         return sink.onData(chunk);
       },
       onEnd: () => {
+        room?.release(false);
         if (isServed) run.onCompleted();
         else run.onEnded();
         sink.onEnd();
       },
       onFailure: (failure) => {
+        room?.release(false);
         if (failure.kind === "not-sent") this.#unreachedCount++;
         if (wasSent && !isRefused) {
           this.log("warn", "run-lost", {
@@ -393,6 +401,7 @@
     });
     const exchangeWithEndpoint = {
       abort: () => {
+        room?.release(false);
         run.onEnded();
         transfer.abort();
       },
@@ -509,6 +518,7 @@
   finish(outcome: RequestOutcome, status: number, reason: string): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
+    this.rights.releaseRoom();
     this.disposables.dispose();
     const { clock, metrics } = this.services;
     const { exchange, route, service } = this.request;
--- a/src/features/gateway/common/request_rights.ts
+++ b/src/features/gateway/common/request_rights.ts
@@ -1,8 +1,11 @@
 /**
- * The rights of one request to be sent: it waits for one where that is useful,
- * and is refused with the time to come back otherwise.
+ * The rights of one request to be sent, and its places at brittle endpoints: it
+ * waits for them where that is useful, and is refused with the time to come back
+ * otherwise.
  */
 
+import { sleep } from "../../../base/common/clock.ts";
+import type { RoomPermit } from "../../brittle/common/room_permits.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
 import type { RequestContext } from "./request_context.ts";
 
@@ -11,11 +14,17 @@
  * may have changed by then.
  */
 const MAX_WAIT_MS = 2_000;
+/** Shortest hint to a caller that found no place. */
+const MIN_ROOM_RETRY_AFTER_MS = 200;
 
 /** Rights of one request. */
 export class RequestRights {
   readonly #context: RequestContext;
   #deniedRetryAfterMs: number | undefined;
+  /** Place that was taken and not used yet. */
+  #room:
+    | { readonly endpoint: RegisteredEndpoint; readonly permit: RoomPermit }
+    | undefined;
 
   /** @param context - State of the request. */
   constructor(context: RequestContext) {
@@ -62,9 +71,15 @@
     return Math.min(MAX_WAIT_MS, dueInMs * shareOfTime);
   }
 
+  /** @returns Whether something must be taken before sending to an endpoint. */
+  isNeeded(endpoint: RegisteredEndpoint): boolean {
+    const { limits } = this.#context.services;
+    return limits.isLimited(endpoint) || limits.needsRoom(endpoint);
+  }
+
   /**
-   * Takes the right to send the request to an endpoint, if one is needed, and
-   * waits until it may be sent.
+   * Takes the right to send the request to an endpoint, and a place there, if
+   * they are needed, and waits until it may be sent.
    *
    * @param endpoint - The endpoint to send to.
    * @param maxWaitMs - Longest useful wait in milliseconds.
@@ -75,9 +90,13 @@
     maxWaitMs: number,
   ): Promise<boolean> {
     const { limits } = this.#context.services;
-    if (!limits.isLimited(endpoint)) return true;
+    this.releaseRoom();
+    const hasRoom = !limits.needsRoom(endpoint) ||
+      await this.#takeRoom(endpoint, maxWaitMs);
+    if (!hasRoom || !limits.isLimited(endpoint)) return hasRoom;
     const offer = await limits.take(endpoint, maxWaitMs);
     if (offer.kind === "granted") return true;
+    this.releaseRoom();
     this.#deniedRetryAfterMs = offer.retryAfterMs;
     this.#context.log("info", "right-denied", {
       endpoint: endpoint.id,
@@ -96,7 +115,7 @@
    */
   nextLimitedEndpoint(): RegisteredEndpoint | undefined {
     const { services, request, excludedEndpoints } = this.#context;
-    const { clock, limits, registry } = services;
+    const { clock, registry } = services;
     const nowMs = clock.monotonicMs();
     const endpoints = registry.usable(request.service.id)
       .filter((endpoint) =>
@@ -106,9 +125,71 @@
       return undefined;
     }
     const limited = endpoints.filter((endpoint) =>
-      !endpoint.isHeld(nowMs) && limits.isLimited(endpoint)
+      !endpoint.isHeld(nowMs) && this.isNeeded(endpoint)
     );
     limited.sort((left, right) => left.limitedUntilMs - right.limitedUntilMs);
     return limited[0];
   }
+
+  /**
+   * Uses the place that was taken for a request that is about to be sent.
+   *
+   * @param endpoint - The endpoint that is sent to.
+   * @returns The place, to be returned when the endpoint is done with it.
+   */
+  useRoom(endpoint: RegisteredEndpoint): RoomPermit | undefined {
+    const room = this.#room;
+    if (room?.endpoint !== endpoint) return undefined;
+    this.#room = undefined;
+    return room.permit;
+  }
+
+  /** Returns the place that was not used. */
+  releaseRoom(): void {
+    this.#room?.permit.release(false);
+    this.#room = undefined;
+  }
+
+  async #takeRoom(
+    endpoint: RegisteredEndpoint,
+    maxWaitMs: number,
+  ): Promise<boolean> {
+    const { clock, limits } = this.#context.services;
+    const startMs = clock.monotonicMs();
+    for (;;) {
+      const offer = await limits.takeRoom(endpoint, this.#context.remainingMs);
+      if (offer.kind === "granted") {
+        if (this.#context.hasEnded) offer.permit.release(false);
+        else this.#room = { endpoint, permit: offer.permit };
+        return !this.#context.hasEnded;
+      }
+      const nowMs = clock.monotonicMs();
+      const { freeInMs } = offer;
+      if (
+        this.#context.hasEnded || nowMs - startMs + freeInMs > maxWaitMs
+      ) {
+        this.#onRoomDenied(endpoint, freeInMs, maxWaitMs);
+        return false;
+      }
+      await sleep(clock, freeInMs);
+    }
+  }
+
+  #onRoomDenied(
+    endpoint: RegisteredEndpoint,
+    freeInMs: number,
+    maxWaitMs: number,
+  ): void {
+    const nowMs = this.#context.services.clock.monotonicMs();
+    endpoint.limitedUntilMs = Math.max(
+      endpoint.limitedUntilMs,
+      nowMs + freeInMs,
+    );
+    this.#deniedRetryAfterMs = Math.max(freeInMs, MIN_ROOM_RETRY_AFTER_MS);
+    this.#context.log("info", "room-denied", {
+      endpoint: endpoint.id,
+      maxWaitMs: Math.round(maxWaitMs),
+      freeInMs: Math.round(freeInMs),
+    });
+  }
 }
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -49,6 +49,9 @@
 import { SoftwareVersionHistory } from "../../src/features/gateway/common/software_version_history.ts";
 import { StreamVersionTable } from "../../src/features/gateway/common/stream_versions.ts";
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
+import { BrittleTable } from "../../src/features/brittle/common/brittle_table.ts";
+import { RoomPermits } from "../../src/features/brittle/common/room_permits.ts";
+import type { PeerOverlay } from "../../src/services/peers/common/peer_overlay.ts";
 import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
 import type {
   LogFields,
@@ -198,6 +201,14 @@
 }
 
 const HOST = "host-1" as HostId;
+const LONE_OVERLAY: PeerOverlay = {
+  onDidChangeHomeHub: () => NOOP_DISPOSABLE,
+  isHub: true,
+  homeHub: () => undefined,
+  zoneHubFor: () => HOST,
+  linkedHubs: () => [],
+  linkedLeaves: () => [],
+};
 
 /** A gateway with its dependencies. */
 export class GatewayHarness {
@@ -265,27 +276,27 @@
       ZONE,
     );
     this.limitTable = new LimitTable(clock);
+    const peers = {
+      self: HOST,
+      clock,
+      logger,
+      hasher,
+      links: new InProcessNetwork().addHost(HOST, clock),
+      overlay: LONE_OVERLAY,
+      reach: { fleetSize: 1, reachableShare: 1 },
+    };
+    const brittle = new BrittleTable(clock);
     const limits = new EndpointLimits({
       clock,
       registry,
       table: this.limitTable,
-      rights: new LimitRights({
-        self: HOST,
-        clock,
-        logger,
-        metrics,
-        hasher,
-        links: new InProcessNetwork().addHost(HOST, clock),
-        overlay: {
-          onDidChangeHomeHub: () => NOOP_DISPOSABLE,
-          isHub: true,
-          homeHub: () => undefined,
-          zoneHubFor: () => HOST,
-          linkedHubs: () => [],
-          linkedLeaves: () => [],
-        },
-        reach: { fleetSize: 1, reachableShare: 1 },
-        table: this.limitTable,
+      rights: new LimitRights({ ...peers, metrics, table: this.limitTable }),
+      brittle,
+      rooms: new RoomPermits({
+        ...peers,
+        table: brittle,
+        reportedRuns: (endpoint) => loadTable.totalUsage(endpoint).runs,
+        count: (event) => metrics.count("room_permits", event),
       }),
     });
     this.gateway = new Gateway(
--- a/standins/gateway/relay_gate_test.ts
+++ b/standins/gateway/relay_gate_test.ts
@@ -82,11 +82,16 @@
       observer: new AnswerObserver({
         holds: { hold: (_endpoint, forMs) => heldMs.push(forMs) },
         leavingMarks: { mark: (endpoint) => leavingMarks.push(endpoint) },
-        limits: { observe: () => undefined },
+        limits: {
+          observe: () => undefined,
+          observeBrittleness: () => undefined,
+        },
         paths: { recordAnswer: () => undefined },
       }),
-      isLost: () => isLost,
-      onConnectTimeout: (endpoint) => connectTimeouts.push(endpoint),
+      paths: {
+        isLost: () => isLost,
+        recordTimeout: (endpoint) => connectTimeouts.push(endpoint),
+      },
     });
   });
 
--- a/standins/peers/in_process_fleet.ts
+++ b/standins/peers/in_process_fleet.ts
@@ -18,6 +18,8 @@
 import { EndpointRegistry } from "../../src/features/gateway/common/endpoint_registry.ts";
 import type { GatewayRoute } from "../../src/features/gateway/common/gateway_configuration.ts";
 import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
+import { BrittleTable } from "../../src/features/brittle/common/brittle_table.ts";
+import { RoomPermits } from "../../src/features/brittle/common/room_permits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limit_rights.ts";
 import { LimitTable } from "../../src/features/gateway/common/limit_table.ts";
 import { LoadTable } from "../../src/features/gateway/common/load_table.ts";
@@ -165,6 +167,7 @@
     daemon.promptPartSync.dispose();
     daemon.streamVersions.dispose();
     daemon.limitRights.dispose();
+    daemon.roomPermits.dispose();
     daemon.peers.dispose();
     this.daemons.delete(host);
     this.network.removeHost(host);
@@ -244,10 +247,25 @@
       reach: peers,
       table: limitTable,
     });
+    const brittleTable = new BrittleTable(clock);
+    const roomPermits = new RoomPermits({
+      self: self.host,
+      clock,
+      logger: NOOP_LOGGER,
+      hasher: this.#hasher,
+      links,
+      overlay: peers,
+      reach: peers,
+      table: brittleTable,
+      reportedRuns: (endpoint) => board.totalUsage(endpoint).runs,
+      count: () => undefined,
+    });
     this.daemons.set(self.host, {
       viewTimer,
       limitTable,
       limitRights,
+      brittleTable,
+      roomPermits,
       links,
       peers,
       board,
@@ -267,6 +285,8 @@
   readonly viewTimer: Disposable;
   readonly limitTable: LimitTable;
   readonly limitRights: LimitRights;
+  readonly brittleTable: BrittleTable;
+  readonly roomPermits: RoomPermits;
   readonly links: InProcessPeerLinks;
   readonly peers: GatewayTopology;
   readonly board: LoadTable;
