--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,6 +18,32 @@
   }))
 );
 
+/** Areas of the gateway from the lowest to the highest, as the layers above. */
+const GATEWAY_AREAS = [
+  "configuration",
+  "metrics",
+  "endpoints",
+  "limits",
+  "protocol",
+  "monitoring",
+  "load",
+  "placement",
+  "crashes",
+  "versions",
+  "relay",
+  "requests",
+  "calls",
+  "generations",
+].map((area) => `src/features/gateway/common/${area}`);
+
+const areaZones = GATEWAY_AREAS.flatMap((target, index) => [
+  { target: `./${target}`, from: "./src/features/gateway/common/gateway.ts" },
+  ...GATEWAY_AREAS.slice(index + 1).map((from) => ({
+    target: `./${target}`,
+    from: `./${from}`,
+  })),
+]);
+
 /** Programs outside the daemon are never imported by it. */
 const outsideZones = ["platform", "soak", "standins", "scenarios", "bench"].map(
   (from) => ({
@@ -45,7 +71,7 @@
     rules: {
       "tsdoc/syntax": "error",
       "import-x/no-restricted-paths": ["error", {
-        zones: [...layerZones, ...outsideZones],
+        zones: [...layerZones, ...areaZones, ...outsideZones],
       }],
       "@typescript-eslint/switch-exhaustiveness-check": "error",
       "@typescript-eslint/no-floating-promises": "error",
--- a/src/cli/node/commands/limits.ts
+++ b/src/cli/node/commands/limits.ts
@@ -2,7 +2,7 @@
 
 import { rightOf } from "../../../base/common/result.ts";
 import type { ListedBrittle } from "../../../features/brittle/common/room_permits.ts";
-import type { ListedLimit } from "../../../features/gateway/common/limit_rights.ts";
+import type { ListedLimit } from "../../../features/gateway/common/limits/limit_rights.ts";
 import { formatTable } from "../../common/text_table.ts";
 import {
   type CliContext,
--- a/src/daemon/common/gateway_endpoint_limits.ts
+++ b/src/daemon/common/gateway_endpoint_limits.ts
@@ -9,14 +9,14 @@
 } from "../../base/common/lifecycle.ts";
 import { BrittleTable } from "../../features/brittle/common/brittle_table.ts";
 import { RoomPermits } from "../../features/brittle/common/room_permits.ts";
-import { EndpointLimits } from "../../features/gateway/common/endpoint_limits.ts";
-import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import { EndpointLimits } from "../../features/gateway/common/limits/endpoint_limits.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import {
   LimitRights,
   type LimitRightsServices,
-} from "../../features/gateway/common/limit_rights.ts";
-import { LimitTable } from "../../features/gateway/common/limit_table.ts";
-import type { LoadTable } from "../../features/gateway/common/load_table.ts";
+} from "../../features/gateway/common/limits/limit_rights.ts";
+import { LimitTable } from "../../features/gateway/common/limits/limit_table.ts";
+import type { LoadTable } from "../../features/gateway/common/load/load_table.ts";
 
 /** Dependencies of {@link GatewayEndpointLimits}. */
 export interface GatewayEndpointLimitsServices
--- a/src/daemon/common/gateway_placement.ts
+++ b/src/daemon/common/gateway_placement.ts
@@ -8,14 +8,14 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { ZoneName } from "../../base/common/ids.ts";
-import { EndpointChooser } from "../../features/gateway/common/endpoint_chooser.ts";
-import { LoadTable } from "../../features/gateway/common/load_table.ts";
-import { LoadTableSync } from "../../features/gateway/common/load_table_sync.ts";
-import { PlacementQueue } from "../../features/gateway/common/placement_queue.ts";
+import { EndpointChooser } from "../../features/gateway/common/placement/endpoint_chooser.ts";
+import { LoadTable } from "../../features/gateway/common/load/load_table.ts";
+import { LoadTableSync } from "../../features/gateway/common/load/load_table_sync.ts";
+import { PlacementQueue } from "../../features/gateway/common/placement/placement_queue.ts";
 import {
   ZonePlacer,
   type ZonePlacerServices,
-} from "../../features/gateway/common/zone_placer.ts";
+} from "../../features/gateway/common/placement/zone_placer.ts";
 import type { RandomSource } from "../../features/dispatch/common/group_dispatcher.ts";
 
 /** Dependencies of {@link GatewayPlacement}. */
--- a/src/daemon/common/gateway_quarantine.ts
+++ b/src/daemon/common/gateway_quarantine.ts
@@ -12,8 +12,8 @@
 import {
   CrashMonitor,
   type CrashMonitorServices,
-} from "../../features/gateway/common/crash_monitor.ts";
-import { PromptPartMonitor } from "../../features/gateway/common/prompt_part_monitor.ts";
+} from "../../features/gateway/common/crashes/crash_monitor.ts";
+import { PromptPartMonitor } from "../../features/gateway/common/crashes/prompt_part_monitor.ts";
 import {
   createPromptPartArchive,
   PromptPartSync,
--- a/src/daemon/common/gateway_stream_versions.ts
+++ b/src/daemon/common/gateway_stream_versions.ts
@@ -6,22 +6,22 @@
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
-import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
-import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import {
   MAX_VIEW_AGE_MS,
   SoftwareVersionHistory,
-} from "../../features/gateway/common/software_version_history.ts";
+} from "../../features/gateway/common/versions/software_version_history.ts";
 import {
   createSoftwareVersionArchive,
   SOFTWARE_VERSION_KEY_PREFIX,
   SoftwareVersionSync,
-} from "../../features/gateway/common/software_version_sync.ts";
+} from "../../features/gateway/common/versions/software_version_sync.ts";
 import {
   StreamVersionSync,
   type StreamVersionSyncServices,
-} from "../../features/gateway/common/stream_version_sync.ts";
-import { StreamVersionTable } from "../../features/gateway/common/stream_versions.ts";
+} from "../../features/gateway/common/versions/stream_version_sync.ts";
+import { StreamVersionTable } from "../../features/gateway/common/versions/stream_versions.ts";
 import { HOST_KEY_PREFIX } from "../../services/hosts/common/host_entry.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import { MirrorConfirmation } from "../../services/mirror/common/mirror_confirmation.ts";
--- a/src/daemon/common/mirror_change_handler.ts
+++ b/src/daemon/common/mirror_change_handler.ts
@@ -10,11 +10,11 @@
 import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
 import type { EndpointId, HostId } from "../../base/common/ids.ts";
 import { type Either, rightOf } from "../../base/common/result.ts";
-import type { EndpointAnnouncement } from "../../features/gateway/common/endpoint_announcement.ts";
-import { KeptConfiguration } from "../../features/gateway/common/kept_configuration.ts";
-import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
-import type { GatewayConfiguration } from "../../features/gateway/common/gateway_configuration.ts";
-import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
+import type { EndpointAnnouncement } from "../../features/gateway/common/endpoints/endpoint_announcement.ts";
+import { KeptConfiguration } from "../../features/gateway/common/configuration/kept_configuration.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
+import type { GatewayConfiguration } from "../../features/gateway/common/configuration/gateway_configuration.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import {
   decodeHostEntry,
   HOST_KEY_PREFIX,
--- a/src/daemon/common/peer_link_counters.ts
+++ b/src/daemon/common/peer_link_counters.ts
@@ -1,6 +1,6 @@
 /** Counts what goes wrong on the links of a gateway. */
 
-import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
+import type { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
 import type { PeerLinkObserver } from "../../services/peers/common/peer_links.ts";
 
 /**
--- a/src/daemon/common/readiness_log.ts
+++ b/src/daemon/common/readiness_log.ts
@@ -1,7 +1,7 @@
 /** Logs when a gateway daemon becomes ready or stops to be. */
 
-import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
-import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -17,7 +17,7 @@
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayPlacement } from "../common/gateway_placement.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
-import { createRetryBudget } from "../common/gateway_retry_budget.ts";
+import { createGateway } from "../common/gateway_factory.ts";
 import { GatewayStreamVersions } from "../common/gateway_stream_versions.ts";
 import { peerLinkCounters } from "../common/peer_link_counters.ts";
 import { ReadinessLog } from "../common/readiness_log.ts";
@@ -32,18 +32,15 @@
 import { GatewayStore } from "./gateway_store.ts";
 import { GatewayTopology } from "./gateway_topology.ts";
 import { drainRequests } from "./request_drain.ts";
-import { AnswerObserver } from "../../features/gateway/common/answer_observer.ts";
-import { EndpointHolds } from "../../features/gateway/common/endpoint_holds.ts";
-import { EndpointProbe } from "../../features/gateway/common/endpoint_probe.ts";
-import { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import { AnswerObserver } from "../../features/gateway/common/monitoring/answer_observer.ts";
+import { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
+import { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
-import { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
-import { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
-import { LeavingMarks } from "../../features/gateway/common/leaving_marks.ts";
-import { PlannedStop } from "../../features/gateway/common/planned_stop.ts";
-import { EngineReportPoller } from "../../features/gateway/common/engine_report_poller.ts";
-import { RunMigrator } from "../../features/gateway/common/run_migrator.ts";
-import type { ZonePlacer } from "../../features/gateway/common/zone_placer.ts";
+import { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
+import { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import { LeavingMarks } from "../../features/gateway/common/endpoints/leaving_marks.ts";
+import { EngineReportPoller } from "../../features/gateway/common/monitoring/engine_report_poller.ts";
+import type { ZonePlacer } from "../../features/gateway/common/placement/zone_placer.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
@@ -260,40 +257,26 @@
         mirror: this.#mirror,
       }),
     );
-    this.#gateway = new Gateway(
-      {
-        clock,
-        logger,
-        metrics,
-        codec: adapter.codec,
-        client: this.#paths.client,
-        registry: this.#registry,
-        loadTable: placement.loadTable,
-        chooser: placement.chooser,
-        placer: placement.placer,
-        budget: createRetryBudget({
-          host,
-          clock,
-          random,
-          hasher,
-          settings: () => this.#activeSettings,
-          fleetSize: () => this.#topology.largestFleetSize,
-        }),
-        probe: new EndpointProbe(clock, logger, metrics, this.#paths, limits),
-        migrator: new RunMigrator(clock, this.#paths.control, limits),
-        crashMonitor: this.#quarantine.monitor,
-        answers,
-        limits,
-        checkSilentPath: (address) => this.#paths.checkSilent(address),
-        streamVersions: streamVersions.table,
-        softwareVersions: streamVersions.history,
-        stop: new PlannedStop(clock),
-        fingerprint,
-      },
-      this.#state,
-      () => admissionLimits(this.#activeSettings),
+    this.#gateway = createGateway({
+      self: host,
+      clock,
+      logger,
+      metrics,
+      random,
       hasher,
-    );
+      codec: adapter.codec,
+      fingerprint,
+      state: this.#state,
+      registry: this.#registry,
+      placement,
+      paths: this.#paths,
+      crashMonitor: this.#quarantine.monitor,
+      answers,
+      limits,
+      streamVersions,
+      settings: () => this.#activeSettings,
+      fleetSize: () => this.#topology.largestFleetSize,
+    });
     this.#callers = this.#disposables.add(new CallerServer(clock));
     this.#disposables.add(
       new EngineReportPoller(
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -9,13 +9,13 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { RoomPermits } from "../../features/brittle/common/room_permits.ts";
-import type { CrashMonitor } from "../../features/gateway/common/crash_monitor.ts";
-import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
-import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
-import type { LimitRights } from "../../features/gateway/common/limit_rights.ts";
-import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
-import type { GenerationPlacer } from "../../features/gateway/common/placement_queue.ts";
+import type { LimitRights } from "../../features/gateway/common/limits/limit_rights.ts";
+import type { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
+import type { GenerationPlacer } from "../../features/gateway/common/placement/placement_queue.ts";
 import type { Gauges } from "../../features/gateway/node/gateway_metrics_text.ts";
 import type { CallerServer } from "../../services/http/node/caller_server.ts";
 import { type Page, PageServer } from "../../services/http/node/page_server.ts";
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -9,21 +9,21 @@
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
-import type { EndpointHolds } from "../../features/gateway/common/endpoint_holds.ts";
-import type { EndpointLimits } from "../../features/gateway/common/endpoint_limits.ts";
-import type { EnginePaths } from "../../features/gateway/common/endpoint_probe.ts";
+import type { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
+import type { EndpointLimits } from "../../features/gateway/common/limits/endpoint_limits.ts";
+import type { EnginePaths } from "../../features/gateway/common/monitoring/endpoint_probe.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
   UnreachableSince,
-} from "../../features/gateway/common/endpoint_registry.ts";
+} from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import {
   EndpointSurvival,
   type LivenessQuestion,
-} from "../../features/gateway/common/endpoint_survival.ts";
-import type { EngineControl } from "../../features/gateway/common/engine_control.ts";
-import type { OwnPaths } from "../../features/gateway/common/relay_gate.ts";
-import type { GatewayMetrics } from "../../features/gateway/common/gateway_metrics.ts";
+} from "../../features/gateway/common/monitoring/endpoint_survival.ts";
+import type { EngineControl } from "../../features/gateway/common/protocol/engine_control.ts";
+import type { OwnPaths } from "../../features/gateway/common/relay/relay_gate.ts";
+import type { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
 import {
   type DirectPathChange,
   DirectPaths,
--- a/src/daemon/node/gateway_platform_adapter.ts
+++ b/src/daemon/node/gateway_platform_adapter.ts
@@ -1,7 +1,7 @@
 /** Contract between a gateway daemon and the adapter of its platform. */
 
-import type { EngineControl } from "../../features/gateway/common/engine_control.ts";
-import type { GatewayCodec } from "../../features/gateway/common/gateway_codec.ts";
+import type { EngineControl } from "../../features/gateway/common/protocol/engine_control.ts";
+import type { GatewayCodec } from "../../features/gateway/common/protocol/gateway_codec.ts";
 import type { JsonCaller } from "../../services/http/common/json_caller.ts";
 import type { JsonClient } from "../../services/http/node/json_client.ts";
 import type { SocketConnector } from "../../services/http/node/socket_connector.ts";
--- a/src/daemon/node/gateway_relay.ts
+++ b/src/daemon/node/gateway_relay.ts
@@ -6,7 +6,7 @@
 import {
   RelayGate,
   type RelayGateServices,
-} from "../../features/gateway/common/relay_gate.ts";
+} from "../../features/gateway/common/relay/relay_gate.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
 
 /** Longer than peers keep idle connections. */
--- a/src/daemon/node/gateway_store.ts
+++ b/src/daemon/node/gateway_store.ts
@@ -9,8 +9,8 @@
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
-import type { ConfigurationState } from "../../features/gateway/common/configuration_state.ts";
-import type { EndpointRegistry } from "../../features/gateway/common/endpoint_registry.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import {
   encodeHostEntry,
   HOST_KEY_PREFIX,
--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -25,7 +25,7 @@
 import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 import { PEER_DISCOVERY_PATH } from "../../services/peers/node/peer_server.ts";
-import type { FleetReach } from "../../features/gateway/common/limit_rights.ts";
+import type { FleetReach } from "../../features/gateway/common/limits/limit_rights.ts";
 import type { RecordRelay } from "../../features/quarantine/common/record_sync.ts";
 import type { MirrorTopology } from "../../services/mirror/common/mirror_sync.ts";
 import type { RelayPeer } from "../../services/relay/common/relay_sender.ts";
--- a/src/features/gateway/common/configuration_state.ts
+++ b/src/features/gateway/common/configuration/configuration_state.ts
@@ -3,8 +3,8 @@
  * confirmed to be the newest.
  */
 
-import { Emitter } from "../../../base/common/event.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import type { GatewayConfiguration } from "./gateway_configuration.ts";
 import { RouteTable } from "./route_table.ts";
 
--- a/src/features/gateway/common/gateway_configuration.ts
+++ b/src/features/gateway/common/configuration/gateway_configuration.ts
@@ -3,8 +3,8 @@
  * them as one versioned document.
  */
 
-import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
-import type { CallerLimits } from "../../../services/http/common/caller_exchange.ts";
+import type { ServiceId, WorkspaceId } from "../../../../base/common/ids.ts";
+import type { CallerLimits } from "../../../../services/http/common/caller_exchange.ts";
 
 /** Kind of requests on a route, which decides what may be retried. */
 export type RouteKind =
--- a/src/features/gateway/common/kept_configuration.ts
+++ b/src/features/gateway/common/configuration/kept_configuration.ts
@@ -5,19 +5,19 @@
  * meanwhile gets the later version from its peers.
  */
 
-import type { Either } from "../../../base/common/result.ts";
-import { Left, Right } from "../../../base/common/result.ts";
-import type { HostId } from "../../../base/common/ids.ts";
+import type { Either } from "../../../../base/common/result.ts";
+import { Left, Right } from "../../../../base/common/result.ts";
+import type { HostId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+} from "../../../../base/common/lifecycle.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import type {
   PeerChannel,
   PeerChannelSpec,
   PeerLinks,
-} from "../../../services/peers/common/peer_links.ts";
+} from "../../../../services/peers/common/peer_links.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { GatewayConfiguration } from "./gateway_configuration.ts";
 
--- a/src/features/gateway/common/route_table.ts
+++ b/src/features/gateway/common/configuration/route_table.ts
@@ -1,6 +1,6 @@
 /** Matches requests to routes and selects the target service of a route. */
 
-import type { ServiceId } from "../../../base/common/ids.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
 import type { GatewayRoute } from "./gateway_configuration.ts";
 
 /** Routes by host name, longest prefix first. */
--- a/src/features/gateway/common/route_table_test.ts
+++ b/src/features/gateway/common/configuration/route_table_test.ts
@@ -1,4 +1,4 @@
-import type { ServiceId } from "../../../base/common/ids.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
 import type { GatewayRoute } from "./gateway_configuration.ts";
 import { RouteTable, selectTarget } from "./route_table.ts";
 
--- a/src/features/gateway/common/crash_monitor.ts
+++ b/src/features/gateway/common/crashes/crash_monitor.ts
@@ -5,25 +5,29 @@
  * that answers later never did.
  */
 
-import { type Clock, sleep } from "../../../base/common/clock.ts";
-import type { Address, HostId, WorkspaceId } from "../../../base/common/ids.ts";
+import { type Clock, sleep } from "../../../../base/common/clock.ts";
+import type {
+  Address,
+  HostId,
+  WorkspaceId,
+} from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
-import type { CrashEvidence } from "../../quarantine/common/endpoint_crash.ts";
+} from "../../../../base/common/lifecycle.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
+import type { CrashEvidence } from "../../../quarantine/common/endpoint_crash.ts";
 import type {
   QuarantinedRequest,
   SuspectChange,
   SuspectTable,
-} from "../../quarantine/common/suspect_table.ts";
+} from "../../../quarantine/common/suspect_table.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
-} from "./endpoint_registry.ts";
-import type { EngineControl } from "./engine_control.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+} from "../endpoints/endpoint_registry.ts";
+import type { EngineControl } from "../protocol/engine_control.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type {
   MonitoredPrompt,
   PromptPartMonitor,
--- a/src/features/gateway/common/prompt_part_monitor.ts
+++ b/src/features/gateway/common/crashes/prompt_part_monitor.ts
@@ -4,28 +4,31 @@
  * and lived.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import { type Hasher, rendezvousOrder } from "../../../base/common/hasher.ts";
-import type { HostId, ServiceId } from "../../../base/common/ids.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import {
+  type Hasher,
+  rendezvousOrder,
+} from "../../../../base/common/hasher.ts";
+import type { HostId, ServiceId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
   toDisposable,
-} from "../../../base/common/lifecycle.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
-import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
-import type { CrashReport } from "../../quarantine/common/endpoint_crash.ts";
+} from "../../../../base/common/lifecycle.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
+import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
+import type { CrashReport } from "../../../quarantine/common/endpoint_crash.ts";
 import type {
   PartTransition,
   PromptPartTable,
   QuarantinedParts,
-} from "../../quarantine/common/prompt_part_table.ts";
-import { softwareVersionOf } from "./endpoint_announcement.ts";
+} from "../../../quarantine/common/prompt_part_table.ts";
+import { softwareVersionOf } from "../endpoints/endpoint_announcement.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
-} from "./endpoint_registry.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+} from "../endpoints/endpoint_registry.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 
 /** Dependencies of a {@link PromptPartMonitor}. */
 export interface PromptPartMonitorServices {
--- a/src/features/gateway/common/endpoint_announcement.ts
+++ b/src/features/gateway/common/endpoints/endpoint_announcement.ts
@@ -8,7 +8,7 @@
   EndpointId,
   ServiceId,
   ZoneName,
-} from "../../../base/common/ids.ts";
+} from "../../../../base/common/ids.ts";
 
 /** Description that an endpoint publishes of itself. */
 export interface EndpointAnnouncement {
--- a/src/features/gateway/common/endpoint_holds.ts
+++ b/src/features/gateway/common/endpoints/endpoint_holds.ts
@@ -3,11 +3,11 @@
  * how long they want no more from this host.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import type { RandomSource } from "../../dispatch/common/group_dispatcher.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import type { RandomSource } from "../../../dispatch/common/group_dispatcher.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 
 /** Longer times are shortened, so that a wrong one does not last. */
 const MAX_HOLD_MS = 120_000;
--- a/src/features/gateway/common/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoints/endpoint_registry.ts
@@ -4,11 +4,11 @@
  * their responses.
  */
 
-import { BoundedMap } from "../../../base/common/bounded_map.ts";
-import type { Clock } from "../../../base/common/clock.ts";
-import { Emitter } from "../../../base/common/event.ts";
-import type { EndpointId, ServiceId } from "../../../base/common/ids.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+import { BoundedMap } from "../../../../base/common/bounded_map.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import type { EndpointId, ServiceId } from "../../../../base/common/ids.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import {
   type EndpointAnnouncement,
   type EndpointPhase,
--- a/src/features/gateway/common/endpoint_registry_test.ts
+++ b/src/features/gateway/common/endpoints/endpoint_registry_test.ts
@@ -1,11 +1,11 @@
-import { ManualClock } from "../../../base/common/clock.ts";
+import { ManualClock } from "../../../../base/common/clock.ts";
 import type {
   Address,
   EndpointId,
   ServiceId,
   ZoneName,
-} from "../../../base/common/ids.ts";
-import { NOOP_LOGGER } from "../../../services/log/common/logger.ts";
+} from "../../../../base/common/ids.ts";
+import { NOOP_LOGGER } from "../../../../services/log/common/logger.ts";
 import type { EndpointAnnouncement } from "./endpoint_announcement.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 
--- a/src/features/gateway/common/leaving_marks.ts
+++ b/src/features/gateway/common/endpoints/leaving_marks.ts
@@ -3,19 +3,19 @@
  * shares the marks with the peers.
  */
 
-import { BoundedMap } from "../../../base/common/bounded_map.ts";
-import type { EndpointId } from "../../../base/common/ids.ts";
+import { BoundedMap } from "../../../../base/common/bounded_map.ts";
+import type { EndpointId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
-import { Left, Right } from "../../../base/common/result.ts";
+} from "../../../../base/common/lifecycle.ts";
+import { Left, Right } from "../../../../base/common/result.ts";
 import type {
   PeerChannel,
   PeerChannelSpec,
   PeerLinks,
-} from "../../../services/peers/common/peer_links.ts";
-import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
+} from "../../../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -10,23 +10,26 @@
 import { asId, type RequestId } from "../../../base/common/ids.ts";
 import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
 import type { RequestBody } from "../../../services/http/common/request_body.ts";
-import { CallForwarder } from "./call_forwarder.ts";
-import type { CallerFields } from "./gateway_codec.ts";
-import type { GatewayRoute, KeyHolder } from "./gateway_configuration.ts";
-import { deadlineOf, type PlannedStop } from "./planned_stop.ts";
+import { CallForwarder } from "./calls/call_forwarder.ts";
+import type { CallerFields } from "./protocol/gateway_codec.ts";
+import type {
+  GatewayRoute,
+  KeyHolder,
+} from "./configuration/gateway_configuration.ts";
+import { deadlineOf, type PlannedStop } from "./requests/planned_stop.ts";
 import {
   type AdmittedRequest,
   RequestContext,
   STOPPING_REASON,
   STOPPING_RETRY_AFTER_MS,
-} from "./request_context.ts";
+} from "./requests/request_context.ts";
 import type {
   ActiveConfiguration,
   ConfigurationState,
-} from "./configuration_state.ts";
-import { selectTarget } from "./route_table.ts";
-import type { GatewayServices } from "./gateway_services.ts";
-import { GenerationForwarder } from "./generation_forwarder.ts";
+} from "./configuration/configuration_state.ts";
+import { selectTarget } from "./configuration/route_table.ts";
+import type { GatewayServices } from "./requests/gateway_services.ts";
+import { GenerationForwarder } from "./generations/generation_forwarder.ts";
 
 /**
  * Retry delay while the configuration is missing or its confirmation is too
--- a/src/features/gateway/common/caller_stream.ts
+++ b/src/features/gateway/common/generations/caller_stream.ts
@@ -6,13 +6,13 @@
 import {
   type HeaderList,
   withoutHeader,
-} from "../../../services/http/common/header_list.ts";
+} from "../../../../services/http/common/header_list.ts";
 import {
   DeliveredEventTracker,
   type EventOrder,
 } from "./delivered_event_tracker.ts";
 import type { EventFrame } from "./event_frame_splitter.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
 /** Writes events to the caller, each exactly once and in order. */
--- a/src/features/gateway/common/continuation_right.ts
+++ b/src/features/gateway/common/generations/continuation_right.ts
@@ -4,8 +4,8 @@
  * limit.
  */
 
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 
 /** Longest wait of a continuation for the right to send to its endpoint. */
 const MAX_CONTINUATION_WAIT_MS = 2_000;
--- a/src/features/gateway/common/endpoint_outage.ts
+++ b/src/features/gateway/common/generations/endpoint_outage.ts
@@ -3,8 +3,8 @@
  * be partitioned from this daemon and still run the generation.
  */
 
-import type { Disposable } from "../../../base/common/lifecycle.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { Disposable } from "../../../../base/common/lifecycle.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 
 /** Time to wait for an endpoint, as after a network partition. */
 const OUTAGE_TIMEOUT_MS = 8_000;
--- a/src/features/gateway/common/generation_backup.ts
+++ b/src/features/gateway/common/generations/generation_backup.ts
@@ -3,11 +3,14 @@
  * another engine keeps up to date while the generation runs.
  */
 
-import type { EndpointChoice, EndpointCriteria } from "./endpoint_chooser.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { RequestContext } from "./request_context.ts";
+import type {
+  EndpointChoice,
+  EndpointCriteria,
+} from "../placement/endpoint_chooser.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 import type { GenerationMemoryEstimate } from "./generation_memory_estimate.ts";
-import type { BackupClaim } from "./load_table.ts";
+import type { BackupClaim } from "../load/load_table.ts";
 
 /**
  * Time after the first event from which the backup holds the prompt; the KV
--- a/src/features/gateway/common/generation_failure.ts
+++ b/src/features/gateway/common/generations/generation_failure.ts
@@ -6,9 +6,9 @@
 import {
   type HeaderList,
   withoutHeader,
-} from "../../../services/http/common/header_list.ts";
+} from "../../../../services/http/common/header_list.ts";
 import type { CallerStream } from "./caller_stream.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 
 /** Failure of one generation. */
 export class GenerationFailure {
--- a/src/features/gateway/common/generation_forwarder.ts
+++ b/src/features/gateway/common/generations/generation_forwarder.ts
@@ -5,12 +5,15 @@
  * allows it, by prefilling the prompt again.
  */
 
-import type { HeaderList } from "../../../services/http/common/header_list.ts";
-import type { EndpointChoice, EndpointCriteria } from "./endpoint_chooser.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import type { HeaderList } from "../../../../services/http/common/header_list.ts";
+import type {
+  EndpointChoice,
+  EndpointCriteria,
+} from "../placement/endpoint_chooser.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import type { EventFrame } from "./event_frame_splitter.ts";
-import type { Continuation } from "./gateway_codec.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { Continuation } from "../protocol/gateway_codec.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 import { CallerStream } from "./caller_stream.ts";
 import { ContinuationRight } from "./continuation_right.ts";
 import { GenerationBackup } from "./generation_backup.ts";
--- a/src/features/gateway/common/generation_migration.ts
+++ b/src/features/gateway/common/generations/generation_migration.ts
@@ -3,10 +3,10 @@
  * host has lost its path.
  */
 
-import type { EndpointId } from "../../../base/common/ids.ts";
-import type { EndpointCriteria } from "./endpoint_chooser.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { EndpointId } from "../../../../base/common/ids.ts";
+import type { EndpointCriteria } from "../placement/endpoint_chooser.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
 /** Why a generation is moved. */
--- a/src/features/gateway/common/generation_placement.ts
+++ b/src/features/gateway/common/generations/generation_placement.ts
@@ -3,9 +3,15 @@
  * takes the right to send to it where it names a limit.
  */
 
-import type { Disposable } from "../../../base/common/lifecycle.ts";
-import type { EndpointChoice, EndpointCriteria } from "./endpoint_chooser.ts";
-import { CUT_OFF_REASON, type RequestContext } from "./request_context.ts";
+import type { Disposable } from "../../../../base/common/lifecycle.ts";
+import type {
+  EndpointChoice,
+  EndpointCriteria,
+} from "../placement/endpoint_chooser.ts";
+import {
+  CUT_OFF_REASON,
+  type RequestContext,
+} from "../requests/request_context.ts";
 
 /**
  * Share of the remaining time that a generation may wait for a placement. A
--- a/src/features/gateway/common/handover.ts
+++ b/src/features/gateway/common/generations/handover.ts
@@ -4,10 +4,10 @@
  * refusal does not interrupt the stream.
  */
 
-import type { Disposable } from "../../../base/common/lifecycle.ts";
-import type { EndpointOutcome } from "./endpoint_health.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { RequestContext } from "./request_context.ts";
+import type { Disposable } from "../../../../base/common/lifecycle.ts";
+import type { EndpointOutcome } from "../endpoints/endpoint_health.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
 /**
--- a/src/features/gateway/common/stream_resumption.ts
+++ b/src/features/gateway/common/generations/stream_resumption.ts
@@ -3,11 +3,11 @@
  * up after an earlier try, and remembers at which version streams begin.
  */
 
-import { sleep } from "../../../base/common/clock.ts";
-import type { WorkspaceId } from "../../../base/common/ids.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { RequestContext } from "./request_context.ts";
-import type { StreamKey } from "./stream_versions.ts";
+import { sleep } from "../../../../base/common/clock.ts";
+import type { WorkspaceId } from "../../../../base/common/ids.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { RequestContext } from "../requests/request_context.ts";
+import type { StreamKey } from "../versions/stream_versions.ts";
 
 /** Retry delay; endpoints of the version may be back by then. */
 const RETRY_AFTER_MS = 1_000;
--- a/src/features/gateway/common/stream_stall_monitor.ts
+++ b/src/features/gateway/common/generations/stream_stall_monitor.ts
@@ -3,9 +3,9 @@
  * engine or only the connection has failed.
  */
 
-import { runPeriodically } from "../../../base/common/clock.ts";
-import type { Disposable } from "../../../base/common/lifecycle.ts";
-import type { RequestContext } from "./request_context.ts";
+import { runPeriodically } from "../../../../base/common/clock.ts";
+import type { Disposable } from "../../../../base/common/lifecycle.ts";
+import type { RequestContext } from "../requests/request_context.ts";
 import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
 /**
--- a/src/features/gateway/common/upstream_attempt.ts
+++ b/src/features/gateway/common/generations/upstream_attempt.ts
@@ -6,16 +6,16 @@
 import {
   type HeaderList,
   isCloseDelimited,
-} from "../../../services/http/common/header_list.ts";
-import type { PassThroughExchange } from "../../../services/http/common/pass_through_client.ts";
-import type { Address } from "../../../base/common/ids.ts";
-import type { EndpointOutcome } from "./endpoint_health.ts";
-import type { AnswerVerdict } from "./answer_verdict.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+} from "../../../../services/http/common/header_list.ts";
+import type { PassThroughExchange } from "../../../../services/http/common/pass_through_client.ts";
+import type { Address } from "../../../../base/common/ids.ts";
+import type { EndpointOutcome } from "../endpoints/endpoint_health.ts";
+import type { AnswerVerdict } from "../protocol/answer_verdict.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import { EventFrameSplitter } from "./event_frame_splitter.ts";
-import type { Continuation } from "./gateway_codec.ts";
-import type { RequestContext } from "./request_context.ts";
-import type { UsageClaim } from "./load_table.ts";
+import type { Continuation } from "../protocol/gateway_codec.ts";
+import type { RequestContext } from "../requests/request_context.ts";
+import type { UsageClaim } from "../load/load_table.ts";
 
 /** Maximum size of the body of an error response in bytes. */
 const MAX_ERROR_BODY_BYTES = 65_536;
--- a/src/features/gateway/common/endpoint_limits.ts
+++ b/src/features/gateway/common/limits/endpoint_limits.ts
@@ -6,20 +6,20 @@
 import type {
   BrittleTable,
   NamedBrittleness,
-} from "../../brittle/common/brittle_table.ts";
+} from "../../../brittle/common/brittle_table.ts";
 import type {
   PermitOffer,
   RoomPermits,
-} from "../../brittle/common/room_permits.ts";
-import type { Clock } from "../../../base/common/clock.ts";
+} from "../../../brittle/common/room_permits.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
+} from "../../../../base/common/lifecycle.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
-} from "./endpoint_registry.ts";
+} from "../endpoints/endpoint_registry.ts";
 import type { LimitRights } from "./limit_rights.ts";
 import type { LimitedProcess, LimitTable, NamedLimit } from "./limit_table.ts";
 import type { RightOffer } from "./right_schedule.ts";
--- a/src/features/gateway/common/limit_messages.ts
+++ b/src/features/gateway/common/limits/limit_messages.ts
@@ -1,8 +1,8 @@
 /** Messages by which daemons share the limits of endpoints and the rights. */
 
-import type { EndpointId } from "../../../base/common/ids.ts";
-import { type Either, Left, Right } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
+import type { EndpointId } from "../../../../base/common/ids.ts";
+import { type Either, Left, Right } from "../../../../base/common/result.ts";
+import type { PeerChannelSpec } from "../../../../services/peers/common/peer_links.ts";
 import type { LimitRecord } from "./limit_table.ts";
 import type { RightOffer } from "./right_schedule.ts";
 
--- a/src/features/gateway/common/limit_rights.ts
+++ b/src/features/gateway/common/limits/limit_rights.ts
@@ -7,22 +7,25 @@
  * equal share.
  */
 
-import { BoundedMap } from "../../../base/common/bounded_map.ts";
-import { type Clock, sleep } from "../../../base/common/clock.ts";
-import { type Hasher, rendezvousOrder } from "../../../base/common/hasher.ts";
-import type { EndpointId, HostId } from "../../../base/common/ids.ts";
+import { BoundedMap } from "../../../../base/common/bounded_map.ts";
+import { type Clock, sleep } from "../../../../base/common/clock.ts";
+import {
+  type Hasher,
+  rendezvousOrder,
+} from "../../../../base/common/hasher.ts";
+import type { EndpointId, HostId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+} from "../../../../base/common/lifecycle.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import type {
   PeerChannel,
   PeerLinks,
-} from "../../../services/peers/common/peer_links.ts";
-import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
-import { PeerQuestions } from "../../../services/peers/common/peer_questions.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+} from "../../../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
+import { PeerQuestions } from "../../../../services/peers/common/peer_questions.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import { LIMIT_CHANNEL, type LimitMessage } from "./limit_messages.ts";
 import type {
   LimitChange,
--- a/src/features/gateway/common/limit_table.ts
+++ b/src/features/gateway/common/limits/limit_table.ts
@@ -3,10 +3,10 @@
  * Records of different daemons can be merged in any order.
  */
 
-import { BoundedMap } from "../../../base/common/bounded_map.ts";
-import type { Clock } from "../../../base/common/clock.ts";
-import { Emitter } from "../../../base/common/event.ts";
-import type { EndpointId } from "../../../base/common/ids.ts";
+import { BoundedMap } from "../../../../base/common/bounded_map.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import type { EndpointId } from "../../../../base/common/ids.ts";
 
 /** What an answer says of its endpoint's limit. */
 export type NamedLimit =
--- a/src/features/gateway/common/limit_table_test.ts
+++ b/src/features/gateway/common/limits/limit_table_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
-import { ManualClock } from "../../../base/common/clock.ts";
-import type { EndpointId } from "../../../base/common/ids.ts";
+import { ManualClock } from "../../../../base/common/clock.ts";
+import type { EndpointId } from "../../../../base/common/ids.ts";
 import {
   type LimitRecord,
   LimitTable,
--- a/src/features/gateway/common/load_message.ts
+++ b/src/features/gateway/common/load/load_message.ts
@@ -3,10 +3,10 @@
  * collect their rows.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import type { EndpointId, HostId } from "../../../base/common/ids.ts";
-import { type Either, Left, Right } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import type { EndpointId, HostId } from "../../../../base/common/ids.ts";
+import { type Either, Left, Right } from "../../../../base/common/result.ts";
+import type { PeerChannelSpec } from "../../../../services/peers/common/peer_links.ts";
 import type { UsageRow } from "./load_table.ts";
 
 /** Rows of one daemon. */
--- a/src/features/gateway/common/load_table.ts
+++ b/src/features/gateway/common/load/load_table.ts
@@ -4,13 +4,13 @@
  * the endpoint's own report shows it.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import { Emitter } from "../../../base/common/event.ts";
-import type { EndpointId, HostId } from "../../../base/common/ids.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import type { EndpointId, HostId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   toDisposable,
-} from "../../../base/common/lifecycle.ts";
+} from "../../../../base/common/lifecycle.ts";
 
 /** Resources in use on an endpoint. */
 export interface EndpointUsage {
--- a/src/features/gateway/common/load_table_sync.ts
+++ b/src/features/gateway/common/load/load_table_sync.ts
@@ -5,17 +5,17 @@
  * origin, which stops it from circulating.
  */
 
-import { type Clock, runPeriodically } from "../../../base/common/clock.ts";
-import type { EndpointId, HostId } from "../../../base/common/ids.ts";
+import { type Clock, runPeriodically } from "../../../../base/common/clock.ts";
+import type { EndpointId, HostId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
+} from "../../../../base/common/lifecycle.ts";
 import type {
   PeerChannel,
   PeerLinks,
-} from "../../../services/peers/common/peer_links.ts";
-import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
+} from "../../../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
 import type { LoadTable } from "./load_table.ts";
 import {
   LOAD_CHANNEL,
--- a/src/features/gateway/common/gateway_metrics.ts
+++ b/src/features/gateway/common/metrics/gateway_metrics.ts
@@ -1,9 +1,9 @@
 /** Counters and histograms of the gateway, exported by the metrics page. */
 
-import type { ServiceId } from "../../../base/common/ids.ts";
-import { LogHistogram } from "../../../services/metrics/common/log_histogram.ts";
-import type { GatewayRoute } from "./gateway_configuration.ts";
-import type { RequestOutcome } from "./request_context.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
+import { LogHistogram } from "../../../../services/metrics/common/log_histogram.ts";
+import type { GatewayRoute } from "../configuration/gateway_configuration.ts";
+import type { RequestOutcome } from "./request_outcome.ts";
 
 /** Histogram resolution: a tenth of a millisecond. */
 const HISTOGRAM_UNITS_PER_MS = 10;
--- a/src/features/gateway/common/answer_observer.ts
+++ b/src/features/gateway/common/monitoring/answer_observer.ts
@@ -1,11 +1,11 @@
 /** Applies what the head of an endpoint's answer says of the endpoint. */
 
-import type { EndpointHolds } from "./endpoint_holds.ts";
-import type { EndpointLimits } from "./endpoint_limits.ts";
+import type { EndpointHolds } from "../endpoints/endpoint_holds.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
 import type { EndpointSurvival } from "./endpoint_survival.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { ResponseFields } from "./gateway_codec.ts";
-import type { LeavingMarks } from "./leaving_marks.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { ResponseFields } from "../protocol/gateway_codec.ts";
+import type { LeavingMarks } from "../endpoints/leaving_marks.ts";
 
 const HTTP_MISDIRECTED = 421;
 
--- a/src/features/gateway/common/endpoint_probe.ts
+++ b/src/features/gateway/common/monitoring/endpoint_probe.ts
@@ -3,14 +3,14 @@
  * respond.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import { Emitter } from "../../../base/common/event.ts";
-import { leftOf } from "../../../base/common/result.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
-import type { EngineControl } from "./engine_control.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { EndpointLimits } from "./endpoint_limits.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import { leftOf } from "../../../../base/common/result.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
+import type { EngineControl } from "../protocol/engine_control.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 
 /** Lifetime of a result, so that many stalled streams share one probe. */
 const RESULT_TTL_MS = 400;
--- a/src/features/gateway/common/endpoint_survival.ts
+++ b/src/features/gateway/common/monitoring/endpoint_survival.ts
@@ -5,12 +5,12 @@
  * after the end shows that the process itself has ended the response.
  */
 
-import { type Clock, sleep } from "../../../base/common/clock.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
-import type { EndpointLimits } from "./endpoint_limits.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { Liveness } from "./engine_control.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+import { type Clock, sleep } from "../../../../base/common/clock.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { Liveness } from "../protocol/engine_control.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 
 /** Time without any answer after which an end is given up as unverified. */
 const MAX_SILENCE_MS = 1_500;
--- a/src/features/gateway/common/endpoint_survival_test.ts
+++ b/src/features/gateway/common/monitoring/endpoint_survival_test.ts
@@ -1,20 +1,20 @@
-import { flushPromises, ManualClock } from "../../../base/common/clock.ts";
+import { flushPromises, ManualClock } from "../../../../base/common/clock.ts";
 import type {
   Address,
   EndpointId,
   ServiceId,
   ZoneName,
-} from "../../../base/common/ids.ts";
-import { NOOP_LOGGER } from "../../../services/log/common/logger.ts";
-import { RegisteredEndpoint } from "./endpoint_registry.ts";
+} from "../../../../base/common/ids.ts";
+import { NOOP_LOGGER } from "../../../../services/log/common/logger.ts";
+import { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import {
   EndpointSurvival,
   type LivenessQuestion,
   type Survival,
 } from "./endpoint_survival.ts";
-import type { Liveness } from "./engine_control.ts";
-import { GatewayMetrics } from "./gateway_metrics.ts";
-import type { RightOffer } from "./right_schedule.ts";
+import type { Liveness } from "../protocol/engine_control.ts";
+import { GatewayMetrics } from "../metrics/gateway_metrics.ts";
+import type { RightOffer } from "../limits/right_schedule.ts";
 
 const BORN_MS = 1_000;
 /** A sound process may send nothing for this time. */
--- a/src/features/gateway/common/engine_report_poller.ts
+++ b/src/features/gateway/common/monitoring/engine_report_poller.ts
@@ -4,22 +4,25 @@
  * this is the only source of that information.
  */
 
-import { type Clock, runPeriodically } from "../../../base/common/clock.ts";
-import { type Hasher, rendezvousOrder } from "../../../base/common/hasher.ts";
-import type { HostId } from "../../../base/common/ids.ts";
+import { type Clock, runPeriodically } from "../../../../base/common/clock.ts";
+import {
+  type Hasher,
+  rendezvousOrder,
+} from "../../../../base/common/hasher.ts";
+import type { HostId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
-import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
+} from "../../../../base/common/lifecycle.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
+import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
-} from "./endpoint_registry.ts";
-import type { EngineControl } from "./engine_control.ts";
-import type { EndpointLimits } from "./endpoint_limits.ts";
-import type { LeavingMarks } from "./leaving_marks.ts";
+} from "../endpoints/endpoint_registry.ts";
+import type { EngineControl } from "../protocol/engine_control.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
+import type { LeavingMarks } from "../endpoints/leaving_marks.ts";
 
 /**
  * Period of the polls. Reports lag by some hundred milliseconds anyway, and
--- a/src/features/gateway/common/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -3,20 +3,20 @@
  * a generation, by the usage and the health of all candidates.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
 import type {
   EndpointId,
   HostId,
   ServiceId,
   ZoneName,
-} from "../../../base/common/ids.ts";
-import type { RandomSource } from "../../dispatch/common/group_dispatcher.ts";
+} from "../../../../base/common/ids.ts";
+import type { RandomSource } from "../../../dispatch/common/group_dispatcher.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
-} from "./endpoint_registry.ts";
-import type { GatewayService } from "./gateway_configuration.ts";
-import type { EndpointUsage, LoadTable } from "./load_table.ts";
+} from "../endpoints/endpoint_registry.ts";
+import type { GatewayService } from "../configuration/gateway_configuration.ts";
+import type { EndpointUsage, LoadTable } from "../load/load_table.ts";
 
 /**
  * Cost of an endpoint in another zone for a call, as a share of an endpoint's
--- a/src/features/gateway/common/placement_message.ts
+++ b/src/features/gateway/common/placement/placement_message.ts
@@ -4,10 +4,10 @@
  */
 
 import * as z from "zod";
-import type { EndpointId, ServiceId } from "../../../base/common/ids.ts";
-import { Left, Right } from "../../../base/common/result.ts";
-import type { PeerChannelSpec } from "../../../services/peers/common/peer_links.ts";
-import { idSchema } from "../../../services/settings/common/shared_schemas.ts";
+import type { EndpointId, ServiceId } from "../../../../base/common/ids.ts";
+import { Left, Right } from "../../../../base/common/result.ts";
+import type { PeerChannelSpec } from "../../../../services/peers/common/peer_links.ts";
+import { idSchema } from "../../../../services/settings/common/shared_schemas.ts";
 
 /** Request numbers are assigned by the requesting daemon. */
 const requestNumber = { number: z.number() };
--- a/src/features/gateway/common/placement_queue.ts
+++ b/src/features/gateway/common/placement/placement_queue.ts
@@ -12,18 +12,18 @@
  * as not run.
  */
 
-import { type Clock, PeriodicTask } from "../../../base/common/clock.ts";
+import { type Clock, PeriodicTask } from "../../../../base/common/clock.ts";
 import {
   type Disposable,
   toDisposable,
-} from "../../../base/common/lifecycle.ts";
-import type { EndpointId } from "../../../base/common/ids.ts";
+} from "../../../../base/common/lifecycle.ts";
+import type { EndpointId } from "../../../../base/common/ids.ts";
 import type {
   EndpointChoice,
   EndpointChooser,
   EndpointCriteria,
 } from "./endpoint_chooser.ts";
-import type { GatewayService } from "./gateway_configuration.ts";
+import type { GatewayService } from "../configuration/gateway_configuration.ts";
 
 /** A generation that requires a placement. */
 export interface PlacementRequest {
--- a/src/features/gateway/common/zone_placer.ts
+++ b/src/features/gateway/common/placement/zone_placer.ts
@@ -6,27 +6,27 @@
  * locally while no daemon answers for its zone.
  */
 
-import { type Clock, PeriodicTask } from "../../../base/common/clock.ts";
+import { type Clock, PeriodicTask } from "../../../../base/common/clock.ts";
 import type {
   EndpointId,
   HostId,
   ServiceId,
-} from "../../../base/common/ids.ts";
+} from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
   toDisposable,
-} from "../../../base/common/lifecycle.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+} from "../../../../base/common/lifecycle.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import type {
   PeerChannel,
   PeerLinks,
-} from "../../../services/peers/common/peer_links.ts";
-import type { PeerOverlay } from "../../../services/peers/common/peer_overlay.ts";
+} from "../../../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
 import type { EndpointChooser, EndpointCriteria } from "./endpoint_chooser.ts";
-import type { EndpointRegistry } from "./endpoint_registry.ts";
-import type { GatewayService } from "./gateway_configuration.ts";
-import type { LoadTable } from "./load_table.ts";
+import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
+import type { GatewayService } from "../configuration/gateway_configuration.ts";
+import type { LoadTable } from "../load/load_table.ts";
 import {
   PLACEMENT_CHANNEL,
   type PlacementAsk,
--- a/src/features/gateway/common/answer_verdict.ts
+++ b/src/features/gateway/common/protocol/answer_verdict.ts
@@ -4,7 +4,7 @@
  * alone.
  */
 
-import type { RequestId } from "../../../base/common/ids.ts";
+import type { RequestId } from "../../../../base/common/ids.ts";
 import type { ResponseFields } from "./gateway_codec.ts";
 
 /** What an answer proves. */
--- a/src/features/gateway/common/answer_verdict_test.ts
+++ b/src/features/gateway/common/protocol/answer_verdict_test.ts
@@ -1,4 +1,4 @@
-import type { RequestId } from "../../../base/common/ids.ts";
+import type { RequestId } from "../../../../base/common/ids.ts";
 import { type AnswerVerdict, judgeAnswer } from "./answer_verdict.ts";
 import type { ResponseFields } from "./gateway_codec.ts";
 
--- a/src/features/gateway/common/engine_control.ts
+++ b/src/features/gateway/common/protocol/engine_control.ts
@@ -1,9 +1,9 @@
 /** Control operations of engines, in addition to answering requests. */
 
-import type { Address, RequestId } from "../../../base/common/ids.ts";
-import type { NamedBrittleness } from "../../brittle/common/brittle_table.ts";
-import type { NamedLimit } from "./limit_table.ts";
-import type { AsyncEither } from "../../../base/common/result.ts";
+import type { Address, RequestId } from "../../../../base/common/ids.ts";
+import type { NamedBrittleness } from "../../../brittle/common/brittle_table.ts";
+import type { NamedLimit } from "../limits/limit_table.ts";
+import type { AsyncEither } from "../../../../base/common/result.ts";
 
 /** Report of an engine; its values lag by some hundred milliseconds. */
 export interface EngineReport {
--- a/src/features/gateway/common/gateway_codec.ts
+++ b/src/features/gateway/common/protocol/gateway_codec.ts
@@ -7,11 +7,11 @@
   EndpointId,
   RequestId,
   WorkspaceId,
-} from "../../../base/common/ids.ts";
-import type { Address } from "../../../base/common/ids.ts";
-import type { NamedBrittleness } from "../../brittle/common/brittle_table.ts";
-import type { NamedLimit } from "./limit_table.ts";
-import type { HeaderList } from "../../../services/http/common/header_list.ts";
+} from "../../../../base/common/ids.ts";
+import type { Address } from "../../../../base/common/ids.ts";
+import type { NamedBrittleness } from "../../../brittle/common/brittle_table.ts";
+import type { NamedLimit } from "../limits/limit_table.ts";
+import type { HeaderList } from "../../../../services/http/common/header_list.ts";
 
 /** Size of a generation's prompt and output. */
 export interface PromptSize {
--- a/src/features/gateway/common/relay_gate.ts
+++ b/src/features/gateway/common/relay/relay_gate.ts
@@ -4,21 +4,21 @@
  * the peer has chosen; all decisions about the request stay with the peer.
  */
 
-import { type Clock, sleep } from "../../../base/common/clock.ts";
-import type { HostId } from "../../../base/common/ids.ts";
+import { type Clock, sleep } from "../../../../base/common/clock.ts";
+import type { HostId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   NOOP_DISPOSABLE,
-} from "../../../base/common/lifecycle.ts";
-import { type Either, Left, Right } from "../../../base/common/result.ts";
-import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
+} from "../../../../base/common/lifecycle.ts";
+import { type Either, Left, Right } from "../../../../base/common/result.ts";
+import type { CallerExchange } from "../../../../services/http/common/caller_exchange.ts";
 import type {
   PassThroughClient,
   PassThroughExchange,
   PassThroughFailure,
-} from "../../../services/http/common/pass_through_client.ts";
-import type { RequestBody } from "../../../services/http/common/request_body.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+} from "../../../../services/http/common/pass_through_client.ts";
+import type { RequestBody } from "../../../../services/http/common/request_body.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import {
   decodeRelayRequest,
   encodeRelayFailure,
@@ -26,15 +26,15 @@
   type ReceivedRelay,
   relayProofText,
   type RelayRefusal,
-} from "../../../services/relay/common/relay_protocol.ts";
-import type { RelaySigner } from "../../../services/relay/common/relay_signer.ts";
-import type { AnswerObserver } from "./answer_observer.ts";
+} from "../../../../services/relay/common/relay_protocol.ts";
+import type { RelaySigner } from "../../../../services/relay/common/relay_signer.ts";
+import type { AnswerObserver } from "../monitoring/answer_observer.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
-} from "./endpoint_registry.ts";
-import type { GatewayCodec } from "./gateway_codec.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
+} from "../endpoints/endpoint_registry.ts";
+import type { GatewayCodec } from "../protocol/gateway_codec.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 
 /** Bodies up to this size are read before they are passed on, in bytes. */
 const MAX_BUFFERED_BODY_BYTES = 262_144;
--- a/src/features/gateway/common/gateway_services.ts
+++ b/src/features/gateway/common/requests/gateway_services.ts
@@ -1,24 +1,24 @@
 /** Dependencies shared by the forwarders of calls and generations. */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import type { Address } from "../../../base/common/ids.ts";
-import type { PassThroughClient } from "../../../services/http/common/pass_through_client.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
-import type { RetryBudget } from "../../retries/common/retry_budget.ts";
-import type { AnswerObserver } from "./answer_observer.ts";
-import type { EndpointChooser } from "./endpoint_chooser.ts";
-import type { CrashMonitor } from "./crash_monitor.ts";
-import type { EndpointProbe } from "./endpoint_probe.ts";
-import type { EndpointRegistry } from "./endpoint_registry.ts";
-import type { GatewayCodec } from "./gateway_codec.ts";
-import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { EndpointLimits } from "./endpoint_limits.ts";
-import type { LoadTable } from "./load_table.ts";
-import type { GenerationPlacer } from "./placement_queue.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import type { Address } from "../../../../base/common/ids.ts";
+import type { PassThroughClient } from "../../../../services/http/common/pass_through_client.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
+import type { RetryBudget } from "../../../retries/common/retry_budget.ts";
+import type { AnswerObserver } from "../monitoring/answer_observer.ts";
+import type { EndpointChooser } from "../placement/endpoint_chooser.ts";
+import type { CrashMonitor } from "../crashes/crash_monitor.ts";
+import type { EndpointProbe } from "../monitoring/endpoint_probe.ts";
+import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
+import type { GatewayCodec } from "../protocol/gateway_codec.ts";
+import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
+import type { LoadTable } from "../load/load_table.ts";
+import type { GenerationPlacer } from "../placement/placement_queue.ts";
 import type { PlannedStop } from "./planned_stop.ts";
 import type { RunMigrator } from "./run_migrator.ts";
-import type { SoftwareVersionHistory } from "./software_version_history.ts";
-import type { StreamVersionTable } from "./stream_versions.ts";
+import type { SoftwareVersionHistory } from "../versions/software_version_history.ts";
+import type { StreamVersionTable } from "../versions/stream_versions.ts";
 
 /** Dependencies of the forwarders. */
 export interface GatewayServices {
--- a/src/features/gateway/common/planned_stop.ts
+++ b/src/features/gateway/common/requests/planned_stop.ts
@@ -4,10 +4,13 @@
  * another host at once instead of being cut off later.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import { Emitter } from "../../../base/common/event.ts";
-import type { CallerFields } from "./gateway_codec.ts";
-import type { GatewayRoute, GatewayService } from "./gateway_configuration.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import type { CallerFields } from "../protocol/gateway_codec.ts";
+import type {
+  GatewayRoute,
+  GatewayService,
+} from "../configuration/gateway_configuration.ts";
 
 /**
  * Timeout of a request whose caller states none; the longest that callers
--- a/src/features/gateway/common/request_content.ts
+++ b/src/features/gateway/common/requests/request_content.ts
@@ -1,6 +1,6 @@
 /** Content of a request, by which its repetitions are recognized. */
 
-import { isStreamed } from "../../../services/http/common/request_body.ts";
+import { isStreamed } from "../../../../services/http/common/request_body.ts";
 import type { AdmittedRequest } from "./request_context.ts";
 
 /**
--- a/src/features/gateway/common/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -7,40 +7,47 @@
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
+} from "../../../../base/common/lifecycle.ts";
 import type {
   EndpointId,
   HostId,
   RequestId,
   WorkspaceId,
-} from "../../../base/common/ids.ts";
-import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
+} from "../../../../base/common/ids.ts";
+import type { CallerExchange } from "../../../../services/http/common/caller_exchange.ts";
 import {
   type HeaderList,
   isCloseDelimited,
-} from "../../../services/http/common/header_list.ts";
+} from "../../../../services/http/common/header_list.ts";
 import {
   isStreamed,
   type RequestBody,
-} from "../../../services/http/common/request_body.ts";
+} from "../../../../services/http/common/request_body.ts";
 import type {
   PassThroughExchange,
   PassThroughListener,
   PassThroughRequest,
-} from "../../../services/http/common/pass_through_client.ts";
-import type { RequestContent } from "./crash_monitor.ts";
-import type { EndpointOutcome } from "./endpoint_health.ts";
-import type { RegisteredEndpoint, ServiceReach } from "./endpoint_registry.ts";
-import type { CallerFields, GenerationFields } from "./gateway_codec.ts";
+} from "../../../../services/http/common/pass_through_client.ts";
+import type { RequestContent } from "../crashes/crash_monitor.ts";
+import type { EndpointOutcome } from "../endpoints/endpoint_health.ts";
+import type {
+  RegisteredEndpoint,
+  ServiceReach,
+} from "../endpoints/endpoint_registry.ts";
+import type {
+  CallerFields,
+  GenerationFields,
+} from "../protocol/gateway_codec.ts";
 import type {
   GatewayRoute,
   GatewayService,
   KeyHolder,
-} from "./gateway_configuration.ts";
+} from "../configuration/gateway_configuration.ts";
 import { contentOf } from "./request_content.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
-import type { AnswerVerdict } from "./answer_verdict.ts";
+import type { AnswerVerdict } from "../protocol/answer_verdict.ts";
+import type { RequestOutcome } from "../metrics/request_outcome.ts";
 import { RunEvidence } from "./run_evidence.ts";
 import type { GatewayServices } from "./gateway_services.ts";
 
@@ -58,15 +65,6 @@
   readonly deadlineMs: number;
 }
 
-/** Outcome of a request, as it appears in the log and in the metrics. */
-export type RequestOutcome =
-  | "served"
-  | "failed-by-endpoint"
-  | "not-run"
-  | "unknown"
-  | "interrupted"
-  | "caller-left";
-
 /**
  * Minimum retry delay; a full engine finishes some of its work in this time.
  */
--- a/src/features/gateway/common/request_quarantine.ts
+++ b/src/features/gateway/common/requests/request_quarantine.ts
@@ -3,8 +3,11 @@
  * a part of its prompt.
  */
 
-import type { QuarantinedRequest } from "../../quarantine/common/suspect_table.ts";
-import type { PromptProbe, PromptRefusal } from "./prompt_part_monitor.ts";
+import type { QuarantinedRequest } from "../../../quarantine/common/suspect_table.ts";
+import type {
+  PromptProbe,
+  PromptRefusal,
+} from "../crashes/prompt_part_monitor.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /** Time after which the probe of a part has usually ended. */
--- a/src/features/gateway/common/request_rights.ts
+++ b/src/features/gateway/common/requests/request_rights.ts
@@ -4,9 +4,9 @@
  * otherwise.
  */
 
-import { sleep } from "../../../base/common/clock.ts";
-import type { RoomPermit } from "../../brittle/common/room_permits.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import { sleep } from "../../../../base/common/clock.ts";
+import type { RoomPermit } from "../../../brittle/common/room_permits.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /**
--- a/src/features/gateway/common/run_evidence.ts
+++ b/src/features/gateway/common/requests/run_evidence.ts
@@ -1,10 +1,10 @@
 /** What is known of the runs of one request: its sends, and what became of them. */
 
-import type { RequestId } from "../../../base/common/ids.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
-import { type AnswerVerdict, judgeAnswer } from "./answer_verdict.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
-import type { ResponseFields } from "./gateway_codec.ts";
+import type { RequestId } from "../../../../base/common/ids.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
+import { type AnswerVerdict, judgeAnswer } from "../protocol/answer_verdict.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import type { ResponseFields } from "../protocol/gateway_codec.ts";
 
 /**
  * Counts the sends of a request and the proofs that they did not lead to a run.
--- a/src/features/gateway/common/run_migrator.ts
+++ b/src/features/gateway/common/requests/run_migrator.ts
@@ -5,12 +5,12 @@
  * which takes less time than a second copy would wait for the link.
  */
 
-import { type Clock, sleep } from "../../../base/common/clock.ts";
-import type { EndpointId, RequestId } from "../../../base/common/ids.ts";
-import { leftOf, rightOf } from "../../../base/common/result.ts";
-import type { EndpointLimits } from "./endpoint_limits.ts";
-import type { EngineControl } from "./engine_control.ts";
-import type { RegisteredEndpoint } from "./endpoint_registry.ts";
+import { type Clock, sleep } from "../../../../base/common/clock.ts";
+import type { EndpointId, RequestId } from "../../../../base/common/ids.ts";
+import { leftOf, rightOf } from "../../../../base/common/result.ts";
+import type { EndpointLimits } from "../limits/endpoint_limits.ts";
+import type { EngineControl } from "../protocol/engine_control.ts";
+import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 
 /** Result of a migration. */
 export type MigrationResult =
--- a/src/features/gateway/common/software_version_history.ts
+++ b/src/features/gateway/common/versions/software_version_history.ts
@@ -4,11 +4,11 @@
  * start; what was there before, it learns from the store or from its peers.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import { Emitter } from "../../../base/common/event.ts";
-import type { ServiceId } from "../../../base/common/ids.ts";
-import type { EndpointRegistry } from "./endpoint_registry.ts";
-import type { GatewayRoute } from "./gateway_configuration.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
+import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
+import type { GatewayRoute } from "../configuration/gateway_configuration.ts";
 import { StreamLifetimes } from "./stream_lifetimes.ts";
 
 /**
--- a/src/features/gateway/common/software_version_sync.ts
+++ b/src/features/gateway/common/versions/software_version_sync.ts
@@ -4,26 +4,26 @@
  */
 
 import * as z from "zod";
-import type { Clock } from "../../../base/common/clock.ts";
-import { toErrorMessage } from "../../../base/common/errors.ts";
-import type { ServiceId } from "../../../base/common/ids.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { toErrorMessage } from "../../../../base/common/errors.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
-import { attempt } from "../../../base/common/result.ts";
-import { eraOf } from "../../../services/mirror/common/store_revision.ts";
-import type { Logger } from "../../../services/log/common/logger.ts";
+} from "../../../../base/common/lifecycle.ts";
+import { attempt } from "../../../../base/common/result.ts";
+import { eraOf } from "../../../../services/mirror/common/store_revision.ts";
+import type { Logger } from "../../../../services/log/common/logger.ts";
 import type {
   PeerChannel,
   PeerChannelSpec,
   PeerLinkChange,
   PeerLinks,
-} from "../../../services/peers/common/peer_links.ts";
+} from "../../../../services/peers/common/peer_links.ts";
 import {
   RecordArchive,
   type RecordArchiveServices,
-} from "../../quarantine/common/record_archive.ts";
+} from "../../../quarantine/common/record_archive.ts";
 import {
   MAX_VIEW_AGE_MS,
   type SoftwareVersionHistory,
--- a/src/features/gateway/common/stream_lifetimes.ts
+++ b/src/features/gateway/common/versions/stream_lifetimes.ts
@@ -3,9 +3,9 @@
  * those under which current streams may have begun.
  */
 
-import type { Clock } from "../../../base/common/clock.ts";
-import type { ServiceId } from "../../../base/common/ids.ts";
-import type { GatewayRoute } from "./gateway_configuration.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
+import type { GatewayRoute } from "../configuration/gateway_configuration.ts";
 
 /** Lifetime of streams on services that no route is known for. */
 const DEFAULT_LIFETIME_MS = 60_000;
--- a/src/features/gateway/common/stream_lifetimes_test.ts
+++ b/src/features/gateway/common/versions/stream_lifetimes_test.ts
@@ -1,6 +1,6 @@
-import { ManualClock } from "../../../base/common/clock.ts";
-import type { ServiceId } from "../../../base/common/ids.ts";
-import type { GatewayRoute } from "./gateway_configuration.ts";
+import { ManualClock } from "../../../../base/common/clock.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
+import type { GatewayRoute } from "../configuration/gateway_configuration.ts";
 import { StreamLifetimes } from "./stream_lifetimes.ts";
 
 const SERVICE = "llm" as ServiceId;
--- a/src/features/gateway/common/stream_version_sync.ts
+++ b/src/features/gateway/common/versions/stream_version_sync.ts
@@ -5,24 +5,24 @@
  */
 
 import * as z from "zod";
-import type { Clock } from "../../../base/common/clock.ts";
-import { toErrorMessage } from "../../../base/common/errors.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { toErrorMessage } from "../../../../base/common/errors.ts";
 import type {
   HostId,
   ServiceId,
   WorkspaceId,
-} from "../../../base/common/ids.ts";
+} from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
-} from "../../../base/common/lifecycle.ts";
-import { attempt } from "../../../base/common/result.ts";
+} from "../../../../base/common/lifecycle.ts";
+import { attempt } from "../../../../base/common/result.ts";
 import type {
   PeerChannel,
   PeerChannelSpec,
   PeerLinks,
-} from "../../../services/peers/common/peer_links.ts";
-import type { RecordRelay } from "../../quarantine/common/record_sync.ts";
+} from "../../../../services/peers/common/peer_links.ts";
+import type { RecordRelay } from "../../../quarantine/common/record_sync.ts";
 import type { StreamVersion, StreamVersionTable } from "./stream_versions.ts";
 
 const MAX_NAME_CHARACTERS = 500;
--- a/src/features/gateway/common/stream_versions.ts
+++ b/src/features/gateway/common/versions/stream_versions.ts
@@ -4,10 +4,10 @@
  * together, and endpoints do not check it.
  */
 
-import { BoundedMap } from "../../../base/common/bounded_map.ts";
-import type { Clock } from "../../../base/common/clock.ts";
-import { Emitter } from "../../../base/common/event.ts";
-import type { ServiceId, WorkspaceId } from "../../../base/common/ids.ts";
+import { BoundedMap } from "../../../../base/common/bounded_map.ts";
+import type { Clock } from "../../../../base/common/clock.ts";
+import { Emitter } from "../../../../base/common/event.ts";
+import type { ServiceId, WorkspaceId } from "../../../../base/common/ids.ts";
 
 /** A stream that has begun, under the id of the try that began it. */
 export interface StreamVersion {
--- a/src/features/gateway/node/gateway_metrics_text.ts
+++ b/src/features/gateway/node/gateway_metrics_text.ts
@@ -9,7 +9,7 @@
 import type {
   GatewayMetrics,
   GatewaySeries,
-} from "../common/gateway_metrics.ts";
+} from "../common/metrics/gateway_metrics.ts";
 
 const MS_PER_SECOND = 1_000;
 
--- a/standins/gateway/crash_monitor_test.ts
+++ b/standins/gateway/crash_monitor_test.ts
@@ -1,6 +1,7 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import { SIGNED_HEADERS } from "./fake_endpoints.ts";
-import { APP, ENGINE, GatewayHarness } from "./gateway_harness.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { APP, ENGINE } from "./harness_configuration.ts";
 
 const ENDPOINT_COUNT = 6;
 
--- a/standins/gateway/endpoint_holds_test.ts
+++ b/standins/gateway/endpoint_holds_test.ts
@@ -1,6 +1,7 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import { NOT_RUN_HEADERS } from "./fake_endpoints.ts";
-import { APP, ENGINE, GatewayHarness } from "./gateway_harness.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { APP, ENGINE } from "./harness_configuration.ts";
 
 describe("an endpoint that turns requests away for a time", () => {
   let harness: GatewayHarness;
--- a/standins/gateway/fake_engine_control.ts
+++ b/standins/gateway/fake_engine_control.ts
@@ -8,7 +8,7 @@
   EngineReport,
   GenerationCopy,
   Liveness,
-} from "../../src/features/gateway/common/engine_control.ts";
+} from "../../src/features/gateway/common/protocol/engine_control.ts";
 
 /** Engine control whose results tests choose. */
 export class FakeEngineControl implements EngineControl {
--- a/standins/gateway/fake_gateway_codec.ts
+++ b/standins/gateway/fake_gateway_codec.ts
@@ -6,7 +6,7 @@
   GatewayCodec,
   OutgoingFields,
   ResponseFields,
-} from "../../src/features/gateway/common/gateway_codec.ts";
+} from "../../src/features/gateway/common/protocol/gateway_codec.ts";
 import {
   endToEndHeaders,
   type HeaderList,
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -10,44 +10,37 @@
   EndpointId,
   HostId,
   ServiceId,
-  WorkspaceId,
-  ZoneName,
 } from "../../src/base/common/ids.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
-import { AnswerObserver } from "../../src/features/gateway/common/answer_observer.ts";
-import { EndpointChooser } from "../../src/features/gateway/common/endpoint_chooser.ts";
-import { CrashMonitor } from "../../src/features/gateway/common/crash_monitor.ts";
-import { EndpointHolds } from "../../src/features/gateway/common/endpoint_holds.ts";
-import { EndpointLimits } from "../../src/features/gateway/common/endpoint_limits.ts";
-import { LimitRights } from "../../src/features/gateway/common/limit_rights.ts";
-import { LimitTable } from "../../src/features/gateway/common/limit_table.ts";
+import { AnswerObserver } from "../../src/features/gateway/common/monitoring/answer_observer.ts";
+import { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
+import { CrashMonitor } from "../../src/features/gateway/common/crashes/crash_monitor.ts";
+import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
+import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
+import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
+import { LimitTable } from "../../src/features/gateway/common/limits/limit_table.ts";
 import { NOOP_DISPOSABLE } from "../../src/base/common/lifecycle.ts";
 import { InProcessNetwork } from "../peers/in_process_links.ts";
-import { EndpointProbe } from "../../src/features/gateway/common/endpoint_probe.ts";
+import { EndpointProbe } from "../../src/features/gateway/common/monitoring/endpoint_probe.ts";
 import {
   EndpointRegistry,
   type RegisteredEndpoint,
-} from "../../src/features/gateway/common/endpoint_registry.ts";
+} from "../../src/features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../src/features/gateway/common/gateway.ts";
-import type {
-  GatewayConfiguration,
-  GatewayRoute,
-  GatewayService,
-} from "../../src/features/gateway/common/gateway_configuration.ts";
-import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
-import { ConfigurationState } from "../../src/features/gateway/common/configuration_state.ts";
-import { LoadTable } from "../../src/features/gateway/common/load_table.ts";
+import { GatewayMetrics } from "../../src/features/gateway/common/metrics/gateway_metrics.ts";
+import { ConfigurationState } from "../../src/features/gateway/common/configuration/configuration_state.ts";
+import { LoadTable } from "../../src/features/gateway/common/load/load_table.ts";
 import {
   type GenerationPlacer,
   PlacementQueue,
-} from "../../src/features/gateway/common/placement_queue.ts";
-import { RunMigrator } from "../../src/features/gateway/common/run_migrator.ts";
+} from "../../src/features/gateway/common/placement/placement_queue.ts";
+import { RunMigrator } from "../../src/features/gateway/common/requests/run_migrator.ts";
 import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
-import { PromptPartMonitor } from "../../src/features/gateway/common/prompt_part_monitor.ts";
+import { PromptPartMonitor } from "../../src/features/gateway/common/crashes/prompt_part_monitor.ts";
 import { PromptPartTable } from "../../src/features/quarantine/common/prompt_part_table.ts";
-import { PlannedStop } from "../../src/features/gateway/common/planned_stop.ts";
-import { SoftwareVersionHistory } from "../../src/features/gateway/common/software_version_history.ts";
-import { StreamVersionTable } from "../../src/features/gateway/common/stream_versions.ts";
+import { PlannedStop } from "../../src/features/gateway/common/requests/planned_stop.ts";
+import { SoftwareVersionHistory } from "../../src/features/gateway/common/versions/software_version_history.ts";
+import { StreamVersionTable } from "../../src/features/gateway/common/versions/stream_versions.ts";
 import { SuspectTable } from "../../src/features/quarantine/common/suspect_table.ts";
 import { BrittleTable } from "../../src/features/brittle/common/brittle_table.ts";
 import { RoomPermits } from "../../src/features/brittle/common/room_permits.ts";
@@ -58,16 +51,12 @@
   Logger,
   LogLevel,
 } from "../../src/services/log/common/logger.ts";
+import { APP, configuration, KEY, ZONE } from "./harness_configuration.ts";
 import { FakeEndpoints } from "./fake_endpoints.ts";
 import { FakeEngineControl } from "./fake_engine_control.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
 import { FakeGatewayCodec } from "./fake_gateway_codec.ts";
 
-export const APP = "app" as ServiceId;
-export const ENGINE = "engine" as ServiceId;
-export const ZONE = "zone-a" as ZoneName;
-export const KEY = "key-1";
-
 /** Records log lines with their fields. */
 export class RecordingLogger implements Logger {
   readonly lines: { level: LogLevel; event: string; fields: LogFields }[] = [];
@@ -82,108 +71,6 @@
   }
 }
 
-const BASE_ROUTE: GatewayRoute = {
-  name: "route",
-  host: "app.example",
-  prefix: "/",
-  kind: { kind: "idempotent" },
-  timeoutMs: 1_500,
-  objectiveMs: 150,
-  eventGapObjectiveMs: 180,
-  priority: 1,
-  targets: [{ service: APP, weight: 1 }],
-  maxAttempts: 2,
-  isPublic: false,
-};
-
-const GENERATION_ROUTE: Partial<GatewayRoute> = {
-  targets: [{ service: ENGINE, weight: 1 }],
-  timeoutMs: 39_000,
-  objectiveMs: 1_800,
-};
-
-/**
- * Routes of the harness: idempotent and non-idempotent calls, generations with
- * and without resumption, and a public route.
- */
-export const ROUTES: readonly GatewayRoute[] = [
-  { ...BASE_ROUTE, name: "read", prefix: "/read/" },
-  {
-    ...BASE_ROUTE,
-    name: "book",
-    prefix: "/book/",
-    kind: { kind: "non-idempotent" },
-    maxAttempts: 1,
-  },
-  {
-    ...BASE_ROUTE,
-    ...GENERATION_ROUTE,
-    name: "draft",
-    prefix: "/draft/",
-    kind: { kind: "generation", isResumable: false },
-    maxAttempts: 1,
-  },
-  {
-    ...BASE_ROUTE,
-    ...GENERATION_ROUTE,
-    name: "check",
-    prefix: "/check/",
-    kind: { kind: "generation", isResumable: true },
-  },
-  {
-    ...BASE_ROUTE,
-    ...GENERATION_ROUTE,
-    name: "short",
-    prefix: "/short/",
-    kind: { kind: "generation", isResumable: false },
-    timeoutMs: 6_000,
-    objectiveMs: 1_500,
-    priority: 2,
-    maxAttempts: 1,
-  },
-  { ...BASE_ROUTE, name: "open", prefix: "/open/", isPublic: true },
-];
-
-/** @returns The engine service with a given memory per engine. */
-export function engineService(memoryTokens = 34_000): GatewayService {
-  return {
-    id: ENGINE,
-    maxConnections: 100,
-    engine: {
-      slots: 24,
-      memoryTokens,
-      tokensPerEvent: 4,
-      canMigrate: true,
-      canBackUp: true,
-    },
-  };
-}
-
-/** @returns A configuration with the routes of the harness. */
-export function configuration(
-  version: number,
-  changes: Partial<GatewayConfiguration> = {},
-): GatewayConfiguration {
-  return {
-    version,
-    routes: ROUTES,
-    services: new Map([
-      [APP, { id: APP, maxConnections: 100, engine: undefined }],
-      [ENGINE, engineService()],
-    ]),
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-    keys: new Map([
-      [KEY, { workspace: "w" as WorkspaceId, priority: undefined }],
-    ]),
-    ...changes,
-  };
-}
-
 /** Parts of a harness that a test may replace. */
 export interface GatewayHarnessOptions {
   /** Clock shared by several gateways. */
--- a/standins/gateway/gateway_test.ts
+++ b/standins/gateway/gateway_test.ts
@@ -1,7 +1,8 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import type { FakeStreamedBody } from "./fake_caller_exchange.ts";
 import { NOT_RUN_HEADERS, readWhole } from "./fake_endpoints.ts";
-import { APP, configuration, GatewayHarness, KEY } from "./gateway_harness.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { APP, configuration, KEY } from "./harness_configuration.ts";
 
 describe("Gateway", () => {
   let harness: GatewayHarness;
--- a/standins/gateway/generation_test.ts
+++ b/standins/gateway/generation_test.ts
@@ -1,11 +1,11 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import { NOT_RUN_HEADERS } from "./fake_endpoints.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
 import {
   configuration,
   ENGINE,
   engineService,
-  GatewayHarness,
-} from "./gateway_harness.ts";
+} from "./harness_configuration.ts";
 
 describe("generations", () => {
   let harness: GatewayHarness;
--- a/standins/gateway/joined_run_test.ts
+++ b/standins/gateway/joined_run_test.ts
@@ -1,14 +1,14 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import type { FakeCallerExchange } from "./fake_caller_exchange.ts";
 import type { FakeTransfer } from "./fake_endpoints.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
 import {
   configuration,
   ENGINE,
   engineService,
-  GatewayHarness,
   KEY,
   ROUTES,
-} from "./gateway_harness.ts";
+} from "./harness_configuration.ts";
 
 const CHUNKED_HEADERS = [
   "X-Response-Stamp",
--- a/standins/gateway/load_simulation.ts
+++ b/standins/gateway/load_simulation.ts
@@ -11,11 +11,11 @@
   NOOP_DISPOSABLE,
 } from "../../src/base/common/lifecycle.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
-import type { EndpointChooser } from "../../src/features/gateway/common/endpoint_chooser.ts";
+import type { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import type {
   GenerationPlacer,
   PlacementRequest,
-} from "../../src/features/gateway/common/placement_queue.ts";
+} from "../../src/features/gateway/common/placement/placement_queue.ts";
 import type {
   PassThroughClient,
   PassThroughExchange,
@@ -27,13 +27,13 @@
 import { FakeTransfer } from "./fake_endpoints.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
 import { createZonePlacer } from "./zone_placer_fixture.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
 import {
   configuration,
   ENGINE,
   engineService,
-  GatewayHarness,
   KEY,
-} from "./gateway_harness.ts";
+} from "./harness_configuration.ts";
 
 /** Parameters of a simulated load. */
 export interface LoadOptions {
--- a/standins/gateway/outlasting_stream_test.ts
+++ b/standins/gateway/outlasting_stream_test.ts
@@ -1,12 +1,12 @@
 import type { EndpointId } from "../../src/base/common/ids.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
 import {
   configuration,
   ENGINE,
-  GatewayHarness,
   KEY,
   ROUTES,
   ZONE,
-} from "./gateway_harness.ts";
+} from "./harness_configuration.ts";
 
 /** Time within which hosts report the streams that they begin. */
 const REPORT_DELAY_MS = 150;
--- a/standins/gateway/placement_queue_test.ts
+++ b/standins/gateway/placement_queue_test.ts
@@ -1,13 +1,8 @@
 import { SeededRandom } from "../../src/base/common/random.ts";
-import { EndpointChooser } from "../../src/features/gateway/common/endpoint_chooser.ts";
-import { PlacementQueue } from "../../src/features/gateway/common/placement_queue.ts";
-import {
-  ENGINE,
-  engineService,
-  GatewayHarness,
-  KEY,
-  ZONE,
-} from "./gateway_harness.ts";
+import { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
+import { PlacementQueue } from "../../src/features/gateway/common/placement/placement_queue.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { ENGINE, engineService, KEY, ZONE } from "./harness_configuration.ts";
 
 const MEMORY_TOKENS = 34_000;
 
--- a/standins/gateway/planned_stop_test.ts
+++ b/standins/gateway/planned_stop_test.ts
@@ -1,6 +1,7 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import type { FakeCallerExchange } from "./fake_caller_exchange.ts";
-import { APP, ENGINE, GatewayHarness, KEY } from "./gateway_harness.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { APP, ENGINE, KEY } from "./harness_configuration.ts";
 
 const LENIENT_FOR_MS = 2_600;
 const LIMIT_MS = 7_600;
--- a/standins/gateway/prompt_part_test.ts
+++ b/standins/gateway/prompt_part_test.ts
@@ -1,7 +1,8 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import { QUARANTINE_DURATION_MS } from "../../src/features/quarantine/common/endpoint_crash.ts";
 import { NOT_RUN_HEADERS } from "./fake_endpoints.ts";
-import { ENGINE, GatewayHarness, KEY } from "./gateway_harness.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { ENGINE, KEY } from "./harness_configuration.ts";
 
 const ENDPOINT_COUNT = 8;
 
--- a/standins/gateway/relay_gate_test.ts
+++ b/standins/gateway/relay_gate_test.ts
@@ -7,13 +7,13 @@
   ServiceId,
   ZoneName,
 } from "../../src/base/common/ids.ts";
-import { AnswerObserver } from "../../src/features/gateway/common/answer_observer.ts";
+import { AnswerObserver } from "../../src/features/gateway/common/monitoring/answer_observer.ts";
 import {
   EndpointRegistry,
   type RegisteredEndpoint,
-} from "../../src/features/gateway/common/endpoint_registry.ts";
-import { GatewayMetrics } from "../../src/features/gateway/common/gateway_metrics.ts";
-import { RelayGate } from "../../src/features/gateway/common/relay_gate.ts";
+} from "../../src/features/gateway/common/endpoints/endpoint_registry.ts";
+import { GatewayMetrics } from "../../src/features/gateway/common/metrics/gateway_metrics.ts";
+import { RelayGate } from "../../src/features/gateway/common/relay/relay_gate.ts";
 import {
   decodeRelayResult,
   encodeRelayRequest,
--- a/standins/gateway/run_evidence_test.ts
+++ b/standins/gateway/run_evidence_test.ts
@@ -1,8 +1,8 @@
 import type { EndpointId, RequestId } from "../../src/base/common/ids.ts";
 import { RecordingLogger } from "./gateway_harness.ts";
-import type { RegisteredEndpoint } from "../../src/features/gateway/common/endpoint_registry.ts";
-import type { ResponseFields } from "../../src/features/gateway/common/gateway_codec.ts";
-import { RunEvidence } from "../../src/features/gateway/common/run_evidence.ts";
+import type { RegisteredEndpoint } from "../../src/features/gateway/common/endpoints/endpoint_registry.ts";
+import type { ResponseFields } from "../../src/features/gateway/common/protocol/gateway_codec.ts";
+import { RunEvidence } from "../../src/features/gateway/common/requests/run_evidence.ts";
 
 const REQUEST = "r-1" as RequestId;
 const ENDPOINT = { id: "e-1" as EndpointId } as RegisteredEndpoint;
--- a/standins/gateway/stopped_run_test.ts
+++ b/standins/gateway/stopped_run_test.ts
@@ -1,14 +1,14 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import { Left } from "../../src/base/common/result.ts";
-import type { CopyFailure } from "../../src/features/gateway/common/engine_control.ts";
+import type { CopyFailure } from "../../src/features/gateway/common/protocol/engine_control.ts";
 import type { FakeTransfer } from "./fake_endpoints.ts";
 import type { FakeCallerExchange } from "./fake_caller_exchange.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
 import {
   configuration,
   ENGINE,
   engineService,
-  GatewayHarness,
-} from "./gateway_harness.ts";
+} from "./harness_configuration.ts";
 
 const CHUNKED_HEADERS = [
   "X-Response-Stamp",
--- a/standins/gateway/stream_version_test.ts
+++ b/standins/gateway/stream_version_test.ts
@@ -1,6 +1,7 @@
 import { flushPromises } from "../../src/base/common/clock.ts";
 import type { EndpointId, WorkspaceId } from "../../src/base/common/ids.ts";
-import { ENGINE, GatewayHarness, KEY, ZONE } from "./gateway_harness.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { ENGINE, KEY, ZONE } from "./harness_configuration.ts";
 
 const WORKSPACE = "w" as WorkspaceId;
 const RETRY_AFTER = "1.00";
--- a/standins/gateway/zone_placer_fixture.ts
+++ b/standins/gateway/zone_placer_fixture.ts
@@ -4,9 +4,9 @@
  */
 
 import type { HostId } from "../../src/base/common/ids.ts";
-import type { EndpointChooser } from "../../src/features/gateway/common/endpoint_chooser.ts";
-import { PlacementQueue } from "../../src/features/gateway/common/placement_queue.ts";
-import { ZonePlacer } from "../../src/features/gateway/common/zone_placer.ts";
+import type { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
+import { PlacementQueue } from "../../src/features/gateway/common/placement/placement_queue.ts";
+import { ZonePlacer } from "../../src/features/gateway/common/placement/zone_placer.ts";
 import type { PeerOverlay } from "../../src/services/peers/common/peer_overlay.ts";
 import type { InProcessNetwork } from "../peers/in_process_links.ts";
 import type { GatewayHarness } from "./gateway_harness.ts";
--- a/standins/gateway/zone_placer_test.ts
+++ b/standins/gateway/zone_placer_test.ts
@@ -1,12 +1,8 @@
 import { flushPromises, ManualClock } from "../../src/base/common/clock.ts";
 import { InProcessNetwork } from "../peers/in_process_links.ts";
 import type { EndpointId, WorkspaceId } from "../../src/base/common/ids.ts";
-import {
-  configuration,
-  ENGINE,
-  GatewayHarness,
-  KEY,
-} from "./gateway_harness.ts";
+import { GatewayHarness } from "./gateway_harness.ts";
+import { configuration, ENGINE, KEY } from "./harness_configuration.ts";
 import { createZonePlacer, PLACER_HOST } from "./zone_placer_fixture.ts";
 
 /** Large enough for one draft of the harness, too small for two. */
--- a/standins/mirror/software_version_archive_test.ts
+++ b/standins/mirror/software_version_archive_test.ts
@@ -9,12 +9,12 @@
   ZoneName,
 } from "../../src/base/common/ids.ts";
 import { Left } from "../../src/base/common/result.ts";
-import { EndpointRegistry } from "../../src/features/gateway/common/endpoint_registry.ts";
-import { SoftwareVersionHistory } from "../../src/features/gateway/common/software_version_history.ts";
+import { EndpointRegistry } from "../../src/features/gateway/common/endpoints/endpoint_registry.ts";
+import { SoftwareVersionHistory } from "../../src/features/gateway/common/versions/software_version_history.ts";
 import {
   createSoftwareVersionArchive,
   SOFTWARE_VERSION_KEY_PREFIX,
-} from "../../src/features/gateway/common/software_version_sync.ts";
+} from "../../src/features/gateway/common/versions/software_version_sync.ts";
 import { MirrorConfirmation } from "../../src/services/mirror/common/mirror_confirmation.ts";
 import type { LeaseStore } from "../../src/services/mirror/common/revisioned_store.ts";
 import { StoreMirror } from "../../src/services/mirror/common/store_mirror.ts";
--- a/standins/peers/leaving_marks_test.ts
+++ b/standins/peers/leaving_marks_test.ts
@@ -7,8 +7,8 @@
   ZoneName,
 } from "../../src/base/common/ids.ts";
 import { NOOP_DISPOSABLE } from "../../src/base/common/lifecycle.ts";
-import { EndpointRegistry } from "../../src/features/gateway/common/endpoint_registry.ts";
-import { LeavingMarks } from "../../src/features/gateway/common/leaving_marks.ts";
+import { EndpointRegistry } from "../../src/features/gateway/common/endpoints/endpoint_registry.ts";
+import { LeavingMarks } from "../../src/features/gateway/common/endpoints/leaving_marks.ts";
 import { NOOP_LOGGER } from "../../src/services/log/common/logger.ts";
 import { InProcessNetwork } from "./in_process_links.ts";
 
