Log the longest gap between two events of each stream

Cause: streams that are late because of a gap and not of their first event could not be told apart: nothing said where the gap arose. Change: request-ended has the longest gap, its endpoint, whether the stream went on there from another run, and the load of the endpoint known here. Result: not measured; the fields are what the next measurement needs.

--- a/src/features/gateway/common/requests/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -84,6 +84,19 @@
 /** Longer identifiers of parts are replaced by their hash. */
 const MAX_PART_CHARACTERS = 64;
 
+/** Time between two events of a stream, with what preceded the later one. */
+export interface EventGap {
+  readonly gapMs: number;
+  /** Endpoint of the later event. */
+  readonly endpoint: EndpointId;
+  /** Whether the later event is the first one of another run. */
+  readonly isHandover: boolean;
+  /** Prompt tokens that the endpoint had yet to prefill, as known here. */
+  readonly pendingPrefillTokens: number;
+  readonly runs: number;
+  readonly memoryTokens: number;
+}
+
 /** Receives the answer of an endpoint, with what its head proves. */
 export interface AnswerListener extends Omit<PassThroughListener, "onHead"> {
   /** Called when the status and the headers have arrived. */
@@ -115,6 +128,8 @@
   #promptParts: readonly string[] | undefined;
   #crashCheck: Promise<void> | undefined;
   #firstByteMs: number | undefined;
+  /** Longest gap between two events of the stream. */
+  longestGap: EventGap | undefined;
   /** Whether the latest response had no framing but the end of its connection. */
   #isCloseDelimited = false;
 
@@ -196,6 +211,11 @@
       this.softwareVersion === softwareVersion;
   }
 
+  /** Longest time between two events of the stream so far, in milliseconds. */
+  get longestGapMs(): number {
+    return this.longestGap?.gapMs ?? 0;
+  }
+
   /** Time until the response is due, in milliseconds. */
   get remainingMs(): number {
     return this.request.deadlineMs - this.services.clock.monotonicMs();
@@ -542,6 +562,22 @@
       firstMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
       leftMs: Math.round(this.remainingMs),
+      ...gapFields(this.longestGap),
     });
   }
 }
+
+/** @returns The fields of the log line for the longest gap of a stream. */
+function gapFields(
+  gap: EventGap | undefined,
+): Readonly<Record<string, string | number | boolean>> {
+  if (!gap) return {};
+  return {
+    gapMs: Math.round(gap.gapMs),
+    gapEndpoint: gap.endpoint,
+    gapHandover: gap.isHandover,
+    gapRuns: gap.runs,
+    gapMemoryTokens: Math.round(gap.memoryTokens),
+    gapPendingPrefillTokens: gap.pendingPrefillTokens,
+  };
+}
