--- a/src/features/gateway/common/generations/caller_stream.ts
+++ b/src/features/gateway/common/generations/caller_stream.ts
@@ -84,11 +84,13 @@
    *
    * @param bytes - A complete event.
    * @param gapMs - Time since the previous event, in milliseconds.
+   * @param run - The run that the event belongs to.
    * @returns Whether the caller can accept more data now.
    */
-  write(bytes: Uint8Array, gapMs: number): boolean {
+  write(bytes: Uint8Array, gapMs: number, run: UpstreamAttempt): boolean {
     if (this.#hasStarted) {
       this.#context.services.metrics.eventGapMs.record(gapMs);
+      if (gapMs > this.#context.longestGapMs) this.#recordGap(gapMs, run);
     } else {
       this.#context.recordFirstByte();
       this.start();
@@ -96,6 +98,24 @@
     return this.#context.request.exchange.write(bytes);
   }
 
+  #recordGap(
+    gapMs: number,
+    { endpoint: { id }, hasOneEvent }: UpstreamAttempt,
+  ): void {
+    const { loadTable } = this.#context.services;
+    const { memoryTokens, pendingPrefillTokens, runs } = loadTable.totalUsage(
+      id,
+    );
+    this.#context.longestGap = {
+      gapMs,
+      endpoint: id,
+      isHandover: hasOneEvent,
+      pendingPrefillTokens,
+      runs,
+      memoryTokens,
+    };
+  }
+
   /**
    * @param run - A run that has ended without an error.
    * @param isStopped - Whether it may have ended because it was to be stopped.
--- a/src/features/gateway/common/generations/generation_forwarder.ts
+++ b/src/features/gateway/common/generations/generation_forwarder.ts
@@ -239,34 +239,11 @@
       attempt.resize(this.#memory.reservedTokens);
       this.#backup.resize();
     }
-    if (this.#stream.hasStarted) {
-      this.#recordGap(attempt, gapMs, isFirstOfAttempt);
-    }
-    const isWritable = this.#stream.write(bytes, gapMs);
+    const isWritable = this.#stream.write(bytes, gapMs, attempt);
     if (isFirstOfAttempt && !attempt.endpoint.isUsable) this.#migrate(attempt);
     return isWritable;
   }
 
-  #recordGap(
-    { endpoint: { id } }: UpstreamAttempt,
-    gapMs: number,
-    isHandover: boolean,
-  ): void {
-    if (gapMs <= this.#context.longestGapMs) return;
-    const { loadTable } = this.#context.services;
-    const { memoryTokens, pendingPrefillTokens, runs } = loadTable.totalUsage(
-      id,
-    );
-    this.#context.longestGap = {
-      gapMs,
-      endpoint: id,
-      isHandover,
-      pendingPrefillTokens,
-      runs,
-      memoryTokens,
-    };
-  }
-
   #onEnd(attempt: UpstreamAttempt): void {
     if (attempt !== this.#attempt) return;
     const isStopped = this.#migration.mayHaveStopped(attempt);
--- a/src/features/gateway/common/generations/upstream_attempt.ts
+++ b/src/features/gateway/common/generations/upstream_attempt.ts
@@ -59,6 +59,7 @@
   #errorBodyBytes = 0;
   #firstEventMs: number | undefined;
   #hasNumberedEvents = false;
+  #hasOneEvent = false;
   #wasSent = false;
   #isRelayed = false;
   #isEnded = false;
@@ -96,6 +97,11 @@
     return this.#firstEventMs !== undefined;
   }
 
+  /** Whether exactly one event of this attempt was delivered. */
+  get hasOneEvent(): boolean {
+    return this.#hasOneEvent;
+  }
+
   /** Whether an event with an id was delivered. */
   get hasNumberedEvents(): boolean {
     return this.#hasNumberedEvents;
@@ -159,6 +165,7 @@
    * @param isNumbered - Whether it has an id.
    */
   recordEvent(nowMs: number, isNumbered: boolean): void {
+    this.#hasOneEvent = this.#firstEventMs === undefined;
     this.#firstEventMs ??= nowMs;
     this.#hasNumberedEvents ||= isNumbered;
     this.#options.claim.markPrefilled();
--- a/src/features/gateway/common/requests/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -43,6 +43,7 @@
   GatewayService,
   KeyHolder,
 } from "../configuration/gateway_configuration.ts";
+import { type EventGap, gapFields } from "./event_gap.ts";
 import { contentOf } from "./request_content.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
@@ -84,19 +85,6 @@
 /** Longer identifiers of parts are replaced by their hash. */
 const MAX_PART_CHARACTERS = 64;
 
-/** Time between two events of a stream, with what preceded the later one. */
-export interface EventGap {
-  readonly gapMs: number;
-  /** Endpoint of the later event. */
-  readonly endpoint: EndpointId;
-  /** Whether the later event is the first one of another run. */
-  readonly isHandover: boolean;
-  /** Prompt tokens that the endpoint had yet to prefill, as known here. */
-  readonly pendingPrefillTokens: number;
-  readonly runs: number;
-  readonly memoryTokens: number;
-}
-
 /** Receives the answer of an endpoint, with what its head proves. */
 export interface AnswerListener extends Omit<PassThroughListener, "onHead"> {
   /** Called when the status and the headers have arrived. */
@@ -566,18 +554,3 @@
     });
   }
 }
-
-/** @returns The fields of the log line for the longest gap of a stream. */
-function gapFields(
-  gap: EventGap | undefined,
-): Readonly<Record<string, string | number | boolean>> {
-  if (!gap) return {};
-  return {
-    gapMs: Math.round(gap.gapMs),
-    gapEndpoint: gap.endpoint,
-    gapHandover: gap.isHandover,
-    gapRuns: gap.runs,
-    gapMemoryTokens: Math.round(gap.memoryTokens),
-    gapPendingPrefillTokens: gap.pendingPrefillTokens,
-  };
-}
