Claim memory at the target before a generation is moved

Change: while generations wait for room, the daemon that places for the zone chooses the target, before all that wait; otherwise this host does, as before. The memory is claimed while the copy is made.

--- a/src/features/gateway/common/generations/generation_forwarder.ts
+++ b/src/features/gateway/common/generations/generation_forwarder.ts
@@ -22,6 +22,7 @@
   GenerationMigration,
   type MigrationCause,
 } from "./generation_migration.ts";
+import { MigrationTargets } from "./migration_target.ts";
 import { GenerationFailure } from "./generation_failure.ts";
 import { GenerationMemoryEstimate } from "./generation_memory_estimate.ts";
 import { EndpointOutage } from "./endpoint_outage.ts";
@@ -82,10 +83,10 @@
       onPlaced: (choice) => this.#onPlaced(choice),
       onRejected: (reason) => this.#failure.fail(reason),
     });
-    this.#migration = new GenerationMigration(context, this.#criteria, {
+    const targets = new MigrationTargets(context, this.#criteria, this.#memory);
+    this.#migration = new GenerationMigration(context, targets, {
       isRequired: (attempt) => attempt === this.#attempt && !context.hasEnded,
-      onCopied: (endpoint, copyRef, cause) =>
-        this.#continueAt(endpoint, copyRef, cause),
+      onCopied: (...copy) => this.#continueAt(...copy),
       onNotCopied: (cause) => this.#onNotCopied(cause),
     });
     this.#stream = new CallerStream(context);
--- a/src/features/gateway/common/generations/generation_migration.ts
+++ b/src/features/gateway/common/generations/generation_migration.ts
@@ -3,10 +3,9 @@
  * host has lost its path.
  */
 
-import type { EndpointId } from "../../../../base/common/ids.ts";
-import type { EndpointCriteria } from "../placement/endpoint_chooser.ts";
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import type { RequestContext } from "../requests/request_context.ts";
+import type { MigrationTargets } from "./migration_target.ts";
 import type { UpstreamAttempt } from "./upstream_attempt.ts";
 
 /** Why a generation is moved. */
@@ -28,7 +27,7 @@
 /** Runs at most one migration at a time. */
 export class GenerationMigration {
   readonly #context: RequestContext;
-  readonly #criteria: EndpointCriteria;
+  readonly #targets: MigrationTargets;
   readonly #listener: GenerationMigrationListener;
   #isRunning = false;
   /** Attempts whose runs were to be stopped at their source. */
@@ -36,16 +35,16 @@
 
   /**
    * @param context - State of the request.
-   * @param criteria - Requirements of the generation.
+   * @param targets - Chooses the engines to which the generation is copied.
    * @param listener - Receives the result.
    */
   constructor(
     context: RequestContext,
-    criteria: EndpointCriteria,
+    targets: MigrationTargets,
     listener: GenerationMigrationListener,
   ) {
     this.#context = context;
-    this.#criteria = criteria;
+    this.#targets = targets;
     this.#listener = listener;
   }
 
@@ -84,8 +83,8 @@
       requestId: request.id,
       source: attempt.endpoint,
       endsAtSource,
-      chooseTarget: (excluded) =>
-        this.#chooseTarget(attempt.endpoint.softwareVersion, excluded),
+      reserveTarget: (excluded) =>
+        this.#targets.reserve(attempt.endpoint.softwareVersion, excluded),
       isRequired: () => this.#listener.isRequired(attempt),
     });
     this.#isRunning = false;
@@ -113,13 +112,4 @@
       }
     }
   }
-
-  #chooseTarget(
-    softwareVersion: string,
-    excluded: ReadonlySet<EndpointId>,
-  ): RegisteredEndpoint | undefined {
-    const { services, request } = this.#context;
-    const criteria = { ...this.#criteria, excluded, softwareVersion };
-    return services.chooser.choose(criteria, request.service)?.endpoint;
-  }
 }
--- a/src/features/gateway/common/requests/run_migrator.ts
+++ b/src/features/gateway/common/requests/run_migrator.ts
@@ -7,6 +7,7 @@
 
 import { type Clock, sleep } from "../../../../base/common/clock.ts";
 import type { EndpointId, RequestId } from "../../../../base/common/ids.ts";
+import type { Disposable } from "../../../../base/common/lifecycle.ts";
 import { leftOf, rightOf } from "../../../../base/common/result.ts";
 import type { EndpointLimits } from "../limits/endpoint_limits.ts";
 import type { EngineControl } from "../protocol/engine_control.ts";
@@ -29,6 +30,13 @@
     readonly areTargetsFull: boolean;
   };
 
+/** Engine to which a run is copied. */
+export interface MigrationTarget {
+  readonly endpoint: RegisteredEndpoint;
+  /** Claim on its memory; disposed of when the copy is complete or refused. */
+  readonly claim: Disposable;
+}
+
 /** A generation to be migrated. */
 export interface MigratableRun {
   readonly requestId: RequestId;
@@ -37,11 +45,12 @@
   readonly endsAtSource: boolean;
   /**
    * @param excluded - Endpoints that were already tried.
-   * @returns An endpoint that has capacity for the generation now.
+   * @returns An endpoint for the generation, with its memory claimed. It is
+   * known at once unless generations wait for room.
    */
-  chooseTarget(
+  reserveTarget(
     excluded: ReadonlySet<EndpointId>,
-  ): RegisteredEndpoint | undefined;
+  ): MigrationTarget | undefined | Promise<MigrationTarget | undefined>;
   /**
    * Returns whether the migration is still required; the run may have ended in
    * the meantime.
@@ -117,9 +126,15 @@
         }
       }
       if (!run.isRequired()) return notCopied("no longer required");
-      const endpoint = run.chooseTarget(excluded);
-      if (!endpoint) break;
+      const reserved = run.reserveTarget(excluded);
+      const target = reserved instanceof Promise ? await reserved : reserved;
+      if (!target) break;
+      const { claim, endpoint } = target;
       excluded.add(endpoint.id);
+      if (!run.isRequired()) {
+        claim.dispose();
+        return notCopied("no longer required");
+      }
       const { address } = endpoint.announcement;
       const result = await this.#control.copyRun(
         source,
@@ -127,6 +142,7 @@
         run.requestId,
         run.endsAtSource,
       );
+      claim.dispose();
       const copy = rightOf(result);
       if (!copy) {
         const failure = leftOf(result)!;
