Weigh endpoints by reported load and learned speed

Cause: endpoints of one service work at different speeds, and a slow one was filled like the others. Hosts did not read the load that endpoints report.

Change: X-Replica-Load is decoded and passed on by AnswerObserver, also from relayed answers. EndpointPaces keeps the latest load of each process and learns its speed relative to the median of its service from event gaps, first events and response times. Hosts share learned speeds through the channel pace.v1; load.v2 is unchanged. EndpointChooser weighs memory, batch and pending prefill tokens by the relative time, chooses calls by expected completion where a pace is reported, and chooses among nearly equal endpoints by two draws. Without reports and deviations the costs and the random draws are as before.

The effect on a load is not measured yet.

--- a/src/daemon/common/gateway_factory.ts
+++ b/src/daemon/common/gateway_factory.ts
@@ -71,6 +71,7 @@
       client: paths.client,
       registry: services.registry,
       loadTable: placement.loadTable,
+      paces: placement.paces,
       chooser: placement.chooser,
       placer: placement.placer,
       budget: createRetryBudget({
--- a/src/daemon/common/gateway_placement.ts
+++ b/src/daemon/common/gateway_placement.ts
@@ -9,8 +9,11 @@
 } from "../../base/common/lifecycle.ts";
 import type { ZoneName } from "../../base/common/ids.ts";
 import { EndpointChooser } from "../../features/gateway/common/placement/endpoint_chooser.ts";
+import { EndpointPaces } from "../../features/gateway/common/load/endpoint_pace.ts";
+import { EndpointPaceSync } from "../../features/gateway/common/load/endpoint_pace_sync.ts";
 import { LoadTable } from "../../features/gateway/common/load/load_table.ts";
 import { LoadTableSync } from "../../features/gateway/common/load/load_table_sync.ts";
+import type { EndpointChooserSettings } from "../../features/gateway/common/placement/paced_choice.ts";
 import { PlacementQueue } from "../../features/gateway/common/placement/placement_queue.ts";
 import {
   ZonePlacer,
@@ -23,11 +26,14 @@
   extends Omit<ZonePlacerServices, "loadTable" | "chooser" | "localPlacer"> {
   readonly zone: ZoneName;
   readonly random: RandomSource;
+  /** @returns The current settings of the choice; the defaults if absent. */
+  readonly chooserSettings?: () => EndpointChooserSettings;
 }
 
 /** Choice of endpoints on one gateway daemon. */
 export class GatewayPlacement implements Disposable {
   readonly loadTable: LoadTable;
+  readonly paces: EndpointPaces;
   readonly chooser: EndpointChooser;
   readonly placer: ZonePlacer;
   readonly #disposables = new DisposableStore();
@@ -40,12 +46,19 @@
     this.#disposables.add(
       new LoadTableSync(self, clock, links, overlay, loadTable),
     );
+    const paces = new EndpointPaces(clock, loadTable);
+    this.paces = paces;
+    this.#disposables.add(
+      new EndpointPaceSync({ clock, links, overlay, paces, registry }),
+    );
     const chooser = new EndpointChooser(
       clock,
       registry,
       loadTable,
       random,
       zone,
+      paces,
+      services.chooserSettings,
     );
     this.chooser = chooser;
     const localPlacer = this.#disposables.add(
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -210,7 +210,14 @@
     );
     const limits = this.#limits.endpoints;
     const paths = this.#paths;
-    const answers = new AnswerObserver({ holds, leavingMarks, limits, paths });
+    const loads = placement.paces;
+    const answers = new AnswerObserver({
+      holds,
+      leavingMarks,
+      limits,
+      loads,
+      paths,
+    });
     this.#relay = this.#disposables.add(
       new GatewayRelay({
         self: host,
--- a/src/features/gateway/common/calls/call_attempt.ts
+++ b/src/features/gateway/common/calls/call_attempt.ts
@@ -56,6 +56,9 @@
   #claim: Disposable = NOOP_DISPOSABLE;
   #transfer: PassThroughExchange | undefined;
   #head: ReceivedHead | undefined;
+  /** Monotonic time at which the call was sent, in milliseconds. */
+  #sentMs: number | undefined;
+  #isRelayed = false;
   #bufferedBytes = 0;
   #isStreaming = false;
   #isSettled = false;
@@ -95,6 +98,12 @@
       );
     }
     this.#transfer = context.send(this.#endpoint, {}, {
+      onSent: () => {
+        this.#sentMs = services.clock.monotonicMs();
+      },
+      onRelayed: () => {
+        this.#isRelayed = true;
+      },
       onHead: (status, headers, verdict) =>
         this.#onHead({ status, headers, verdict }),
       onData: (chunk) => this.#onData(chunk),
@@ -140,6 +149,19 @@
       return;
     }
     this.#context.recordFirstByte();
+    this.#recordResponseTime(head);
+  }
+
+  #recordResponseTime({ status, verdict }: ReceivedHead): void {
+    const { isBodyStreamed, request, services } = this.#context;
+    // The speed of engines is learned from generations. A caller causes the
+    // delays of a streamed body, and a peer adds time of its own.
+    if (this.#sentMs === undefined || isBodyStreamed || this.#isRelayed) return;
+    if (request.service.engine || verdict !== "answered" || status >= 500) {
+      return;
+    }
+    const elapsedMs = services.clock.monotonicMs() - this.#sentMs;
+    services.paces.recordResponseTime(this.#endpoint, elapsedMs);
   }
 
   #onData(chunk: Uint8Array): boolean {
--- a/src/features/gateway/common/generations/generation_placement.ts
+++ b/src/features/gateway/common/generations/generation_placement.ts
@@ -166,6 +166,9 @@
       endpoint: choice.endpoint.id,
       placer: choice.grant?.placer,
       cost: Number(choice.cost.toFixed(2)),
+      speed: Number(
+        (1 / services.paces.relativeTime(choice.endpoint)).toFixed(2),
+      ),
       candidates: choice.candidates,
       memoryTokens: this.#criteria.memoryTokens,
       waitedMs: Math.round(services.clock.monotonicMs() - search.startedMs),
--- a/src/features/gateway/common/generations/upstream_attempt.ts
+++ b/src/features/gateway/common/generations/upstream_attempt.ts
@@ -12,6 +12,7 @@
 import type { EndpointOutcome } from "../endpoints/endpoint_health.ts";
 import type { AnswerVerdict } from "../protocol/answer_verdict.ts";
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import { StreamPaceSampler } from "./stream_pace_sampler.ts";
 import { EventFrameSplitter } from "./event_frame_splitter.ts";
 import type { Continuation } from "../protocol/gateway_codec.ts";
 import type { RequestContext } from "../requests/request_context.ts";
@@ -51,6 +52,7 @@
   readonly eventSplitter = new EventFrameSplitter();
   /** Whether its latest event precedes the last one that the caller has. */
   isBehind = false;
+  readonly #paceSampler: StreamPaceSampler;
   #transfer: PassThroughExchange | undefined;
   #status = 0;
   #headers: HeaderList = [];
@@ -66,6 +68,8 @@
   /** @param options - Parameters of the attempt. */
   constructor(options: UpstreamAttemptOptions) {
     this.#options = options;
+    const { context, endpoint } = options;
+    this.#paceSampler = new StreamPaceSampler(context.services, endpoint);
   }
 
   /** Endpoint of the attempt. */
@@ -136,6 +140,7 @@
       },
       onSent: () => {
         this.#wasSent = true;
+        this.#recordPromptSent();
       },
       onUnsent: () => {
         this.#wasSent = false;
@@ -162,6 +167,7 @@
     this.#firstEventMs ??= nowMs;
     this.#hasNumberedEvents ||= isNumbered;
     this.#options.claim.markPrefilled();
+    this.#paceSampler.recordEvent(nowMs);
   }
 
   /** Updates the memory that the run requires, in tokens. */
@@ -196,6 +202,15 @@
     this.#options.claim.dispose();
   }
 
+  #recordPromptSent(): void {
+    const { request, services } = this.#options.context;
+    const { promptParts } = request.fields;
+    // Shared parts may be cached there, a copy is not prefilled, and a peer
+    // adds time of its own.
+    if (promptParts.length > 0 || this.isFromCopy || this.#isRelayed) return;
+    this.#paceSampler.recordPromptSent(services.clock.monotonicMs());
+  }
+
   #onHead(status: number, headers: HeaderList, verdict: AnswerVerdict): void {
     if (this.#isEnded) return;
     this.#status = status;
@@ -219,6 +234,7 @@
     if (this.#isEnded) return true;
     if (this.#status === 200) {
       const canContinue = this.#options.listener.onData(chunk);
+      if (!canContinue) this.#paceSampler.interrupt();
       if (this.eventSplitter.pendingBytes > MAX_EVENT_BYTES) {
         this.#transfer?.abort();
         this.#fail(true, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
--- /dev/null
+++ b/src/features/gateway/common/load/endpoint_pace_sync.ts
@@ -0,0 +1,178 @@
+/**
+ * Shares the learned speeds of endpoints with the peers: a host sees an
+ * endpoint only now and then, while the host that places for a zone must know.
+ * Leaves report to their home hub; a hub tells the other hubs what it and its
+ * leaves have measured, and its leaves all that it knows. Only changes are
+ * sent, as bytes between zones are expensive.
+ */
+
+import { type Clock, runPeriodically } from "../../../../base/common/clock.ts";
+import type { EndpointId, HostId } from "../../../../base/common/ids.ts";
+import {
+  type Disposable,
+  DisposableStore,
+} from "../../../../base/common/lifecycle.ts";
+import { type Either, Left, Right } from "../../../../base/common/result.ts";
+import type {
+  PeerChannel,
+  PeerChannelSpec,
+  PeerLinks,
+} from "../../../../services/peers/common/peer_links.ts";
+import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
+import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
+import {
+  deviation,
+  type EndpointPaces,
+  type PaceAudience,
+  type PaceReport,
+} from "./endpoint_pace.ts";
+
+/** Period of the messages; none is sent without a change. */
+const SEND_PERIOD_MS = 500;
+/** Changes up to this factor are not sent. */
+const MIN_SENT_DEVIATION = 1.2;
+/** Deviations are repeated this often, as receivers forget them. */
+const REPEAT_PERIOD_MS = 2_000;
+const PERCENT = 100;
+
+/** Channel for the speeds. Daemons of earlier versions do not open it. */
+export const PACE_CHANNEL: PeerChannelSpec<readonly PaceReport[]> = {
+  name: "pace.v1",
+  encode: (reports) => [
+    reports.map(({ endpoint, bornMs, relativeTime, reportsPace }) => [
+      endpoint,
+      bornMs,
+      Math.round(relativeTime * PERCENT),
+      reportsPace,
+    ]),
+  ],
+  decode: decodeReports,
+};
+
+/** Dependencies of {@link EndpointPaceSync}. */
+export interface EndpointPaceSyncServices {
+  readonly clock: Clock;
+  readonly links: PeerLinks;
+  readonly overlay: PeerOverlay;
+  readonly paces: EndpointPaces;
+  readonly registry: Pick<EndpointRegistry, "get">;
+}
+
+/** What an audience was last told of an endpoint process. */
+interface SentReport {
+  readonly bornMs: number;
+  readonly relativeTime: number;
+  readonly sentMs: number;
+}
+
+/** Synchronizes the paces of one daemon. */
+export class EndpointPaceSync implements Disposable {
+  readonly #services: EndpointPaceSyncServices;
+  readonly #channel: PeerChannel<readonly PaceReport[]>;
+  readonly #disposables = new DisposableStore();
+  readonly #sent: Readonly<Record<PaceAudience, Map<EndpointId, SentReport>>> =
+    { hubs: new Map(), leaves: new Map() };
+
+  /** @param services - Dependencies of the synchronization. */
+  constructor(services: EndpointPaceSyncServices) {
+    this.#services = services;
+    const { clock, links, overlay } = services;
+    this.#channel = this.#disposables.add(links.openChannel(PACE_CHANNEL));
+    this.#disposables.add(this.#channel.onDidReceive(({ from, body }) => {
+      this.#apply(from, body);
+    }));
+    this.#disposables.add(links.onDidChangeLink(({ isUp }) => {
+      if (isUp) this.#forgetSent();
+    }));
+    this.#disposables.add(
+      overlay.onDidChangeHomeHub(() => this.#forgetSent()),
+    );
+    this.#disposables.add(
+      runPeriodically(clock, SEND_PERIOD_MS, () => this.#sendChanges()),
+    );
+  }
+
+  /** Stops the synchronization. */
+  dispose(): void {
+    this.#disposables.dispose();
+  }
+
+  #apply(from: HostId, reports: readonly PaceReport[]): void {
+    const { overlay, paces, registry } = this.#services;
+    const isHub = from === overlay.homeHub() ||
+      overlay.linkedHubs().includes(from);
+    for (const report of reports) {
+      const endpoint = registry.get(report.endpoint);
+      if (!endpoint) continue;
+      paces.applyReport(report, endpoint, isHub ? "hubs" : "leaves");
+    }
+  }
+
+  /** The next message holds all deviations, for a peer that knows none. */
+  #forgetSent(): void {
+    this.#sent.hubs.clear();
+    this.#sent.leaves.clear();
+  }
+
+  #sendChanges(): void {
+    const { overlay } = this.#services;
+    const home = overlay.homeHub();
+    this.#sendTo(home === undefined ? overlay.linkedHubs() : [home], "hubs");
+    if (home === undefined) this.#sendTo(overlay.linkedLeaves(), "leaves");
+  }
+
+  #sendTo(hosts: readonly HostId[], audience: PaceAudience): void {
+    if (hosts.length === 0) return;
+    const { clock, paces, registry } = this.#services;
+    const nowMs = clock.monotonicMs();
+    const sent = this.#sent[audience];
+    for (const id of sent.keys()) if (!registry.get(id)) sent.delete(id);
+    const changes = paces.freshReports(audience).filter((report) =>
+      isDue(report, sent.get(report.endpoint), nowMs)
+    );
+    if (changes.length === 0) return;
+    for (const { bornMs, endpoint, relativeTime } of changes) {
+      sent.set(endpoint, { bornMs, relativeTime, sentMs: nowMs });
+    }
+    this.#channel.multicast(hosts, changes);
+  }
+}
+
+function isDue(
+  { bornMs, relativeTime }: PaceReport,
+  sent: SentReport | undefined,
+  nowMs: number,
+): boolean {
+  const previous = sent?.bornMs === bornMs ? sent.relativeTime : 1;
+  if (deviation(relativeTime / previous) > MIN_SENT_DEVIATION) return true;
+  return deviation(relativeTime) > MIN_SENT_DEVIATION &&
+    nowMs - (sent?.sentMs ?? -Infinity) >= REPEAT_PERIOD_MS;
+}
+
+function decodeReports(body: unknown): Either<string, readonly PaceReport[]> {
+  const rows: unknown = Array.isArray(body) ? body[0] : undefined;
+  if (!Array.isArray(rows)) return Left("the message has no list of rows");
+  const reports: PaceReport[] = [];
+  for (const row of rows as unknown[]) {
+    const report = decodeReport(row);
+    if (!report) return Left("a row is malformed");
+    reports.push(report);
+  }
+  return Right(reports);
+}
+
+/** Reads a row; figures that a later version appends are ignored. */
+function decodeReport(row: unknown): PaceReport | undefined {
+  if (!Array.isArray(row)) return undefined;
+  const [endpoint, bornMs, percent, reportsPace] = row as unknown[];
+  const isValid = typeof endpoint === "string" && typeof bornMs === "number" &&
+    typeof percent === "number" && percent > 0 && Number.isFinite(percent) &&
+    typeof reportsPace === "boolean";
+  if (!isValid) return undefined;
+  return {
+    endpoint: endpoint as EndpointId,
+    bornMs,
+    relativeTime: percent / PERCENT,
+    reportsPace,
+  };
+}
--- a/src/features/gateway/common/load/load_table.ts
+++ b/src/features/gateway/common/load/load_table.ts
@@ -222,6 +222,14 @@
     return total;
   }
 
+  /**
+   * @returns Tokens of prompts without a first event yet on an endpoint, as
+   * {@link LoadTable.totalUsage} has them; cheap enough for each event.
+   */
+  pendingPrefillTokens(endpoint: EndpointId): number {
+    return this.#totals.get(endpoint)?.pendingPrefillTokens ?? 0;
+  }
+
   #removeExpiredPeers(): void {
     const nowMs = this.#clock.monotonicMs();
     // Runs for each endpoint of each choice, while peers rarely expire.
--- a/src/features/gateway/common/monitoring/answer_observer.ts
+++ b/src/features/gateway/common/monitoring/answer_observer.ts
@@ -4,17 +4,32 @@
 import type { EndpointLimits } from "../limits/endpoint_limits.ts";
 import type { EndpointSurvival } from "./endpoint_survival.ts";
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
-import type { ResponseFields } from "../protocol/gateway_codec.ts";
+import type {
+  ReportedLoad,
+  ResponseFields,
+} from "../protocol/gateway_codec.ts";
 import type { LeavingMarks } from "../endpoints/leaving_marks.ts";
 
 const HTTP_MISDIRECTED = 421;
 
+/** Receives the loads that endpoints report. */
+export interface LoadObserver {
+  /**
+   * Records a load.
+   *
+   * @param endpoint - The endpoint that reported it.
+   * @param load - Its load at the time of the answer.
+   */
+  recordLoad(endpoint: RegisteredEndpoint, load: ReportedLoad): void;
+}
+
 /** Dependencies of {@link AnswerObserver}. */
 export interface AnswerObserverServices {
   readonly holds: Pick<EndpointHolds, "hold">;
   readonly leavingMarks: Pick<LeavingMarks, "mark">;
   readonly limits: Pick<EndpointLimits, "observe" | "observeBrittleness">;
   readonly paths: Pick<EndpointSurvival, "recordAnswer">;
+  readonly loads: LoadObserver;
 }
 
 /** The head of an answer. */
@@ -48,13 +63,14 @@
     endpoint: RegisteredEndpoint,
     { status, fields, isOwn, sentMs }: AnswerHead,
   ): boolean {
-    const { holds, leavingMarks, limits, paths } = this.#services;
-    const { brittleness, isLeaving, limit, retryAfterMs } = fields;
+    const { holds, leavingMarks, limits, loads, paths } = this.#services;
+    const { brittleness, isLeaving, limit, load, retryAfterMs } = fields;
     if (retryAfterMs !== undefined) holds.hold(endpoint, retryAfterMs);
     if (status === HTTP_MISDIRECTED) return false;
     if (isOwn) paths.recordAnswer(endpoint, sentMs);
     if (isLeaving) leavingMarks.mark(endpoint, "answer");
     if (isOwn) {
+      if (load) loads.recordLoad(endpoint, load);
       limits.observe(endpoint, limit, sentMs);
       limits.observeBrittleness(endpoint, brittleness, sentMs);
     }
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -16,7 +16,14 @@
   RegisteredEndpoint,
 } from "../endpoints/endpoint_registry.ts";
 import type { GatewayService } from "../configuration/gateway_configuration.ts";
+import { EndpointPaces } from "../load/endpoint_pace.ts";
 import type { EndpointUsage, LoadTable } from "../load/load_table.ts";
+import {
+  callCompletionCost,
+  chooseNearlyCheapest,
+  DEFAULT_CHOOSER_SETTINGS,
+  type EndpointChooserSettings,
+} from "./paced_choice.ts";
 
 /**
  * Cost of an endpoint in another zone for a call, as a share of an endpoint's
@@ -126,6 +133,8 @@
   readonly #loadTable: LoadTable;
   readonly #random: RandomSource;
   readonly #zone: ZoneName;
+  readonly #paces: EndpointPaces;
+  readonly #settings: () => EndpointChooserSettings;
 
   /**
    * @param clock - Clock for ejections and cold starts.
@@ -133,6 +142,8 @@
    * @param loadTable - Usage of the endpoints by all daemons.
    * @param random - Breaks ties.
    * @param zone - Availability zone of this daemon.
+   * @param paces - Loads and speeds of the endpoints; none are known if absent.
+   * @param settings - Returns the current settings; the defaults if absent.
    */
   constructor(
     clock: Clock,
@@ -140,12 +151,16 @@
     loadTable: LoadTable,
     random: RandomSource,
     zone: ZoneName,
+    paces = new EndpointPaces(clock, loadTable),
+    settings = (): EndpointChooserSettings => DEFAULT_CHOOSER_SETTINGS,
   ) {
     this.#clock = clock;
     this.#registry = registry;
     this.#loadTable = loadTable;
     this.#random = random;
     this.#zone = zone;
+    this.#paces = paces;
+    this.#settings = settings;
   }
 
   /**
@@ -262,16 +277,19 @@
     criteria: EndpointCriteria,
     service: GatewayService,
   ): EndpointChoice | undefined {
-    let best: RegisteredEndpoint | undefined;
-    let bestCost = Infinity;
-    for (const candidate of candidates) {
-      const cost = this.#costOf(candidate, criteria, service);
-      if (cost >= bestCost) continue;
-      best = candidate.endpoint;
-      bestCost = cost;
-    }
-    if (!best) return undefined;
-    return { endpoint: best, cost: bestCost, candidates: candidates.length };
+    const costs = candidates.map((candidate) =>
+      this.#costOf(candidate, criteria, service)
+    );
+    if (costs.length === 0) return undefined;
+    const isPaced = candidates.some(({ endpoint }) =>
+      this.#paces.reportsPace(endpoint) ||
+      this.#paces.relativeTime(endpoint) !== 1
+    );
+    const index = isPaced
+      ? chooseNearlyCheapest(costs, this.#random)
+      : costs.indexOf(Math.min(...costs));
+    const { endpoint } = candidates[index]!;
+    return { endpoint, cost: costs[index]!, candidates: candidates.length };
   }
 
   /**
@@ -327,14 +345,23 @@
     if (this.#isCold(endpoint)) cost += COLD_COST;
     const batchFill = (usage.runs + 1) / announcement.slots;
     const { engine } = service;
+    if (!engine && this.#paces.reportsPace(endpoint)) {
+      const settings = this.#settings();
+      return cost +
+        callCompletionCost(this.#paces, endpoint, isLocal, settings);
+    }
     if (!engine) return cost + batchFill + (isLocal ? 0 : CALL_CROSS_ZONE_COST);
+    // A slow endpoint costs as much with less work, so that each gets work in
+    // proportion to its speed.
+    const relativeTime = this.#paces.relativeTime(endpoint);
     const usedTokens = usage.memoryTokens +
       usage.backupTokens * BACKUP_MEMORY_WEIGHT +
       criteria.memoryTokens;
     const memoryFill = usedTokens / engine.memoryTokens;
-    cost += memoryFill + batchFill * BATCH_WEIGHT;
+    cost += (memoryFill + batchFill * BATCH_WEIGHT) * relativeTime;
     cost += Math.max(0, memoryFill - 1) * MEMORY_OVERCOMMIT_WEIGHT;
-    cost += usage.pendingPrefillTokens / FULL_COST_PREFILL_TOKENS;
+    cost += usage.pendingPrefillTokens / FULL_COST_PREFILL_TOKENS *
+      relativeTime;
     return cost + (isLocal ? 0 : GENERATION_CROSS_ZONE_COST);
   }
 }
--- a/src/features/gateway/common/protocol/gateway_codec.ts
+++ b/src/features/gateway/common/protocol/gateway_codec.ts
@@ -76,6 +76,21 @@
   readonly areKeysConfigured: boolean;
 }
 
+/** Load that an endpoint reports of itself. */
+export interface ReportedLoad {
+  /** Requests that occupy a slot. */
+  readonly running: number;
+  /** Requests that wait for a slot. */
+  readonly waiting: number;
+  /** Requests that can run at the same time; positive. */
+  readonly slots: number;
+  /**
+   * Time that work currently takes there, in percent of its usual time; absent
+   * if the endpoint does not report it.
+   */
+  readonly pacePercent?: number;
+}
+
 /** Fields of an endpoint's response headers. */
 export interface ResponseFields {
   /** Whether the endpoint states that it has not run the request. */
@@ -90,6 +105,8 @@
   readonly limit?: NamedLimit;
   /** What the answer says of rejections that its endpoint cannot bear. */
   readonly brittleness?: NamedBrittleness;
+  /** Load of the endpoint, if it reports a valid one. */
+  readonly load?: ReportedLoad | undefined;
   /**
    * Time for which the endpoint wants no further requests from this host, in
    * milliseconds, if it turned this one away and stated a valid time.
--- a/src/features/gateway/common/requests/gateway_services.ts
+++ b/src/features/gateway/common/requests/gateway_services.ts
@@ -13,6 +13,7 @@
 import type { GatewayCodec } from "../protocol/gateway_codec.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import type { EndpointLimits } from "../limits/endpoint_limits.ts";
+import type { EndpointPaces } from "../load/endpoint_pace.ts";
 import type { LoadTable } from "../load/load_table.ts";
 import type { GenerationPlacer } from "../placement/placement_queue.ts";
 import type { PlannedStop } from "./planned_stop.ts";
@@ -29,6 +30,7 @@
   readonly client: PassThroughClient;
   readonly registry: EndpointRegistry;
   readonly loadTable: LoadTable;
+  readonly paces: EndpointPaces;
   readonly chooser: EndpointChooser;
   readonly budget: RetryBudget;
   /**
--- a/standins/gateway/fake_gateway_codec.ts
+++ b/standins/gateway/fake_gateway_codec.ts
@@ -63,6 +63,7 @@
   readResponseHeaders(status: number, headers: HeaderList): ResponseFields {
     const retryAfter = headerOf(headers, "retry-after");
     const limit = headerOf(headers, "limit");
+    const load = headerOf(headers, "load")?.split(",").map(Number);
     return {
       retryAfterMs: status === 503 && retryAfter !== undefined
         ? Number(retryAfter) * 1_000
@@ -74,6 +75,12 @@
         : { kind: "named", requestsPerS: Number(limit) },
       isLeaving: headerOf(headers, "leaving") !== undefined,
       isSigned: headerOf(headers, "x-response-stamp") !== undefined,
+      load: load && {
+        running: load[0]!,
+        waiting: load[1]!,
+        slots: load[2]!,
+        ...(load[3] !== undefined && { pacePercent: load[3] }),
+      },
     };
   }
 
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -29,6 +29,7 @@
 import { Gateway } from "../../src/features/gateway/common/gateway.ts";
 import { GatewayMetrics } from "../../src/features/gateway/common/metrics/gateway_metrics.ts";
 import { ConfigurationState } from "../../src/features/gateway/common/configuration/configuration_state.ts";
+import { EndpointPaces } from "../../src/features/gateway/common/load/endpoint_pace.ts";
 import { LoadTable } from "../../src/features/gateway/common/load/load_table.ts";
 import {
   type GenerationPlacer,
@@ -106,6 +107,7 @@
   readonly metrics = new GatewayMetrics();
   readonly registry: EndpointRegistry;
   readonly loadTable: LoadTable;
+  readonly paces: EndpointPaces;
   readonly suspects: SuspectTable;
   readonly promptParts: PromptPartTable;
   readonly limitTable: LimitTable;
@@ -135,6 +137,7 @@
     this.clock = options.clock ?? new ManualClock();
     this.registry = new EndpointRegistry(this.clock, this.logger);
     this.loadTable = new LoadTable(this.clock);
+    this.paces = new EndpointPaces(this.clock, this.loadTable);
     this.suspects = new SuspectTable(this.clock);
     this.stop = new PlannedStop(this.clock);
     this.streamVersions = new StreamVersionTable(this.clock);
@@ -152,6 +155,7 @@
       () => this.suspects.listQuarantined().map(({ endpoints }) => endpoints),
     );
     const { clock, logger, metrics, registry, loadTable, engineControl } = this;
+    const { paces } = this;
     const random = new SeededRandom(options.seed ?? 1);
     const isRefused = ({ announcement }: RegisteredEndpoint): boolean =>
       engineControl.offline.has(announcement.address);
@@ -161,6 +165,7 @@
       loadTable,
       random,
       ZONE,
+      paces,
     );
     this.limitTable = new LimitTable(clock);
     const peers = {
@@ -195,6 +200,7 @@
         client: client ?? this.endpoints,
         registry,
         loadTable,
+        paces,
         chooser,
         placer: createPlacer?.(this, chooser) ??
           new PlacementQueue(clock, chooser),
@@ -240,6 +246,7 @@
             mark: ({ id }, reason) => registry.markDraining(id, reason),
           },
           paths: { recordAnswer: () => undefined },
+          loads: paces,
         }),
         limits,
         checkSilentPath: (address) => {
--- a/standins/gateway/relay_gate_test.ts
+++ b/standins/gateway/relay_gate_test.ts
@@ -7,6 +7,7 @@
   ServiceId,
   ZoneName,
 } from "../../src/base/common/ids.ts";
+import type { ReportedLoad } from "../../src/features/gateway/common/protocol/gateway_codec.ts";
 import { AnswerObserver } from "../../src/features/gateway/common/monitoring/answer_observer.ts";
 import {
   EndpointRegistry,
@@ -47,6 +48,7 @@
   let connectTimeouts: RegisteredEndpoint[];
   let heldMs: number[];
   let leavingMarks: RegisteredEndpoint[];
+  let reportedLoads: ReportedLoad[];
 
   beforeEach(() => {
     clock = new ManualClock();
@@ -57,6 +59,7 @@
     connectTimeouts = [];
     heldMs = [];
     leavingMarks = [];
+    reportedLoads = [];
     registry.announce({
       id: ENDPOINT,
       service: "app" as ServiceId,
@@ -87,6 +90,7 @@
           observeBrittleness: () => undefined,
         },
         paths: { recordAnswer: () => undefined },
+        loads: { recordLoad: (_endpoint, load) => reportedLoads.push(load) },
       }),
       paths: {
         isLost: () => isLost,
@@ -257,9 +261,14 @@
     endpoints.last.respond(200, "ok", [
       "leaving",
       "1",
+      "load",
+      "3,1,6,55",
       "x-response-stamp",
       "s",
     ]);
     expect(leavingMarks).toHaveLength(1);
+    expect(reportedLoads).toEqual([
+      { running: 3, waiting: 1, slots: 6, pacePercent: 55 },
+    ]);
   });
 });
