Share measured times instead of relative speeds

Cause: a host that sees few endpoints of a service relates their times to a median of only these, so that the placing hub learned little.

Change: pace.v1 carries the measured time of an endpoint process, sent once and again when it changes by more than a fifth; each host computes the median over all that it knows. The load simulation has speeds of engines, reported paces and counts of streams with long gaps.

--- a/src/features/gateway/common/load/endpoint_pace.ts
+++ b/src/features/gateway/common/load/endpoint_pace.ts
@@ -54,20 +54,38 @@
 
 const SAMPLE_KINDS: readonly SampleKind[] = ["event", "prefill", "response"];
 
+/**
+ * Figures that hosts share. The time to a first event is too noisy: it also
+ * depends on cached prompts and waiting runs.
+ */
+export type SharedSampleKind = Exclude<SampleKind, "prefill">;
+
+const SHARED_SAMPLE_KINDS: readonly SharedSampleKind[] = ["event", "response"];
+
 /** Endpoint process, as far as it matters here. */
 export type PacedEndpoint = Pick<RegisteredEndpoint, "announcement">;
 
-/** Relative time of an endpoint process, as exchanged between peers. */
+/**
+ * Measured time of an endpoint process, as exchanged between peers. It is not
+ * relative to a median, since the hosts that see few endpoints know none.
+ */
 export interface PaceReport {
   readonly endpoint: EndpointId;
   /** Wall-clock start time of the process, in milliseconds. */
   readonly bornMs: number;
-  /** Time that work takes there, relative to the median of its service. */
-  readonly relativeTime: number;
+  readonly kind: SharedSampleKind;
+  /** Time between events without a batch, or response time of a call. */
+  readonly timeMs: number;
   /** Whether endpoints of its service report a pace. */
   readonly reportsPace: boolean;
 }
 
+/** Report of a recent measurement. */
+export interface FreshPaceReport extends PaceReport {
+  /** The time relative to the median of the service, as known here. */
+  readonly relativeTime: number;
+}
+
 /** Who sent or receives reports. */
 export type PaceAudience = "hubs" | "leaves";
 
@@ -81,21 +99,24 @@
   readonly loadAgeMs: number | undefined;
 }
 
-/** Latest value from one source. */
-interface Learned {
+/** Time from one source. */
+interface Measurement {
   readonly value: number;
   readonly atMs: number;
+  /** Time for which it is used in full, in milliseconds. */
   readonly freshMs: number;
 }
 
+type ReceivedMeasurement = Measurement & { readonly kind: SampleKind };
+
 class ProcessPace {
   readonly samples: Readonly<Record<SampleKind, RecentMedian>> = {
     event: new RecentMedian(),
     prefill: new RecentMedian(),
     response: new RecentMedian(),
   };
-  /** Latest values of the hosts that report to this one, and of hubs. */
-  readonly received: Partial<Record<PaceAudience, Learned>> = {};
+  /** Latest reports of the hosts that report to this one, and of hubs. */
+  readonly received: Partial<Record<PaceAudience, ReceivedMeasurement>> = {};
   load: ReportedLoad | undefined;
   loadMs = -Infinity;
   /** Runs known to this host when the load was reported. */
@@ -276,20 +297,26 @@
    * and its leaves have measured, so that no report circulates.
    * @returns What was measured recently.
    */
-  freshReports(audience: PaceAudience): readonly PaceReport[] {
+  freshReports(audience: PaceAudience): readonly FreshPaceReport[] {
     const nowMs = this.#clock.monotonicMs();
-    const reports: PaceReport[] = [];
+    const reports: FreshPaceReport[] = [];
     for (const service of this.#services.values()) {
+      this.#refresh(service, nowMs);
       const isReporting = nowMs - service.paceMs <= REPORTS_PACE_LIFETIME_MS;
       for (const process of service.processes) {
-        const latest = this.#latest(process, service, nowMs, audience);
-        if (!latest || nowMs - latest.atMs > SAMPLE_FRESH_MS) continue;
-        reports.push({
-          endpoint: process.id,
-          bornMs: process.bornMs,
-          relativeTime: clampTime(latest.value),
-          reportsPace: isReporting || process.reportsPace,
-        });
+        for (const kind of SHARED_SAMPLE_KINDS) {
+          const latest = measurementOf(process, kind, nowMs, audience);
+          if (!latest || nowMs - latest.atMs > SAMPLE_FRESH_MS) continue;
+          const { value: timeMs } = latest;
+          reports.push({
+            endpoint: process.id,
+            bornMs: process.bornMs,
+            kind,
+            timeMs,
+            reportsPace: isReporting || process.reportsPace,
+            relativeTime: clampTime(timeMs / (service.medians[kind] ?? timeMs)),
+          });
+        }
       }
     }
     return reports;
@@ -303,7 +330,7 @@
    * @param from - Whether a hub sent it, or a host that reports to this one.
    */
   applyReport(
-    { bornMs, relativeTime, reportsPace }: PaceReport,
+    { bornMs, kind, reportsPace, timeMs: value }: PaceReport,
     endpoint: PacedEndpoint,
     from: PaceAudience,
   ): void {
@@ -311,8 +338,7 @@
     const process = this.#process(endpoint);
     if (!process) return;
     const atMs = this.#clock.monotonicMs();
-    const value = clampTime(relativeTime);
-    process.received[from] = { value, atMs, freshMs: REPORT_FRESH_MS };
+    process.received[from] = { kind, value, atMs, freshMs: REPORT_FRESH_MS };
     process.reportsPace = reportsPace;
     process.newsMs = atMs;
   }
@@ -352,35 +378,13 @@
     service: ServicePace,
     nowMs: number,
   ): number | undefined {
-    const latest = this.#latest(process, service, nowMs);
+    this.#refresh(service, nowMs);
+    const latest = relativeMeasurement(process, service, nowMs);
     if (!latest) return undefined;
     const staleMs = Math.max(0, nowMs - latest.atMs - latest.freshMs);
     return clampTime(latest.value) ** 2 ** (-staleMs / DEVIATION_HALF_LIFE_MS);
   }
 
-  /**
-   * @param audience - Who receives the value; this host if absent.
-   * @returns Fresh samples of this host, or else the latest value of any
-   * source.
-   */
-  #latest(
-    process: ProcessPace,
-    service: ServicePace,
-    nowMs: number,
-    audience?: PaceAudience,
-  ): Learned | undefined {
-    this.#refresh(service, nowMs);
-    let latest = ownValue(process, service, nowMs);
-    if (latest && nowMs - latest.atMs <= SAMPLE_FRESH_MS) return latest;
-    const { hubs, leaves } = process.received;
-    for (const received of [leaves, audience === "hubs" ? undefined : hubs]) {
-      if (received && received.atMs > (latest?.atMs ?? -Infinity)) {
-        latest = received;
-      }
-    }
-    return latest;
-  }
-
   /** Computes the medians of a service again, at most once in a period. */
   #refresh(service: ServicePace, nowMs: number): void {
     if (nowMs - service.computedMs < MEDIAN_PERIOD_MS) return;
@@ -395,7 +399,7 @@
     const processes = [...service.processes];
     for (const kind of SAMPLE_KINDS) {
       service.medians[kind] = medianOf(
-        processes.map(({ samples }) => samples[kind].median),
+        processes.map((process) => measurementOf(process, kind, nowMs)?.value),
       );
     }
     const runs = processes.filter(({ loadMs }) =>
@@ -447,26 +451,55 @@
 }
 
 /**
- * Returns the value of the first kind of samples that is fresh, or else of the
- * latest.
+ * Returns what was measured of a process: the fresh samples of this host, or
+ * else the latest time of any source.
+ *
+ * @param audience - Who is told of it; this host if absent.
+ */
+function measurementOf(
+  { received, samples }: ProcessPace,
+  kind: SampleKind,
+  nowMs: number,
+  audience?: PaceAudience,
+): Measurement | undefined {
+  const { latestMs, median } = samples[kind];
+  let latest: Measurement | undefined = median === undefined
+    ? undefined
+    : { value: median, atMs: latestMs, freshMs: SAMPLE_FRESH_MS };
+  if (latest && nowMs - latestMs <= SAMPLE_FRESH_MS) return latest;
+  const { hubs, leaves } = received;
+  for (const report of [leaves, audience === "hubs" ? undefined : hubs]) {
+    if (report?.kind !== kind) continue;
+    if (report.atMs > (latest?.atMs ?? -Infinity)) latest = report;
+  }
+  return latest;
+}
+
+/**
+ * Returns the relative time by the first kind of samples that is fresh, or else
+ * by the latest.
  */
-function ownValue(
-  { samples }: ProcessPace,
+function relativeMeasurement(
+  process: ProcessPace,
   { medians }: ServicePace,
   nowMs: number,
-): Learned | undefined {
-  let latest: Learned | undefined;
+): Measurement | undefined {
+  let latest: Measurement | undefined;
   for (const kind of SAMPLE_KINDS) {
-    const own = samples[kind].median;
+    const measurement = measurementOf(process, kind, nowMs);
     const usual = medians[kind];
-    if (own === undefined || usual === undefined) continue;
-    const { latestMs: atMs } = samples[kind];
+    if (!measurement || usual === undefined) continue;
+    const { atMs, freshMs, value } = measurement;
     if (latest && atMs <= latest.atMs) continue;
-    // The time to a first event is shorter for prompts that the endpoint has
-    // cached, so that it only shows slowness.
-    const value = kind === "prefill" ? Math.max(1, own / usual) : own / usual;
-    latest = { value, atMs, freshMs: SAMPLE_FRESH_MS };
-    if (nowMs - atMs <= SAMPLE_FRESH_MS) return latest;
+    const relative = value / usual;
+    latest = {
+      // The time to a first event is shorter for prompts that the endpoint has
+      // cached, so that it only shows slowness.
+      value: kind === "prefill" ? Math.max(1, relative) : relative,
+      atMs,
+      freshMs,
+    };
+    if (nowMs - atMs <= freshMs) return latest;
   }
   return latest;
 }
--- a/src/features/gateway/common/load/endpoint_pace_sync.ts
+++ b/src/features/gateway/common/load/endpoint_pace_sync.ts
@@ -23,26 +23,29 @@
 import {
   deviation,
   type EndpointPaces,
+  type FreshPaceReport,
   type PaceAudience,
   type PaceReport,
 } from "./endpoint_pace.ts";
 
 /** Period of the messages; none is sent without a change. */
 const SEND_PERIOD_MS = 500;
-/** Changes up to this factor are not sent. */
+/** Changes up to this factor are not sent, after a first time. */
 const MIN_SENT_DEVIATION = 1.2;
 /** Deviations are repeated this often, as receivers forget them. */
 const REPEAT_PERIOD_MS = 2_000;
-const PERCENT = 100;
+/** Resolution of a time: a hundredth of a millisecond. */
+const UNITS_PER_MS = 100;
 
 /** Channel for the speeds. Daemons of earlier versions do not open it. */
 export const PACE_CHANNEL: PeerChannelSpec<readonly PaceReport[]> = {
   name: "pace.v1",
   encode: (reports) => [
-    reports.map(({ endpoint, bornMs, relativeTime, reportsPace }) => [
+    reports.map(({ endpoint, bornMs, kind, timeMs, reportsPace }) => [
       endpoint,
       bornMs,
-      Math.round(relativeTime * PERCENT),
+      kind,
+      Math.max(1, Math.round(timeMs * UNITS_PER_MS)),
       reportsPace,
     ]),
   ],
@@ -61,7 +64,7 @@
 /** What an audience was last told of an endpoint process. */
 interface SentReport {
   readonly bornMs: number;
-  readonly relativeTime: number;
+  readonly timeMs: number;
   readonly sentMs: number;
 }
 
@@ -131,22 +134,22 @@
       isDue(report, sent.get(report.endpoint), nowMs)
     );
     if (changes.length === 0) return;
-    for (const { bornMs, endpoint, relativeTime } of changes) {
-      sent.set(endpoint, { bornMs, relativeTime, sentMs: nowMs });
+    for (const { bornMs, endpoint, timeMs } of changes) {
+      sent.set(endpoint, { bornMs, timeMs, sentMs: nowMs });
     }
     this.#channel.multicast(hosts, changes);
   }
 }
 
 function isDue(
-  { bornMs, relativeTime }: PaceReport,
+  { bornMs, relativeTime, timeMs }: FreshPaceReport,
   sent: SentReport | undefined,
   nowMs: number,
 ): boolean {
-  const previous = sent?.bornMs === bornMs ? sent.relativeTime : 1;
-  if (deviation(relativeTime / previous) > MIN_SENT_DEVIATION) return true;
+  if (sent?.bornMs !== bornMs) return true;
+  if (deviation(timeMs / sent.timeMs) > MIN_SENT_DEVIATION) return true;
   return deviation(relativeTime) > MIN_SENT_DEVIATION &&
-    nowMs - (sent?.sentMs ?? -Infinity) >= REPEAT_PERIOD_MS;
+    nowMs - sent.sentMs >= REPEAT_PERIOD_MS;
 }
 
 function decodeReports(body: unknown): Either<string, readonly PaceReport[]> {
@@ -164,15 +167,16 @@
 /** Reads a row; figures that a later version appends are ignored. */
 function decodeReport(row: unknown): PaceReport | undefined {
   if (!Array.isArray(row)) return undefined;
-  const [endpoint, bornMs, percent, reportsPace] = row as unknown[];
+  const [endpoint, bornMs, kind, time, reportsPace] = row as unknown[];
   const isValid = typeof endpoint === "string" && typeof bornMs === "number" &&
-    typeof percent === "number" && percent > 0 && Number.isFinite(percent) &&
-    typeof reportsPace === "boolean";
+    (kind === "event" || kind === "response") && typeof time === "number" &&
+    time > 0 && Number.isFinite(time) && typeof reportsPace === "boolean";
   if (!isValid) return undefined;
   return {
     endpoint: endpoint as EndpointId,
     bornMs,
-    relativeTime: percent / PERCENT,
+    kind,
+    timeMs: time / UNITS_PER_MS,
     reportsPace,
   };
 }
--- a/standins/gateway/batching_engine.ts
+++ b/standins/gateway/batching_engine.ts
@@ -5,7 +5,11 @@
  */
 
 import type { Clock } from "../../src/base/common/clock.ts";
-import { type FakeTransfer, NOT_RUN_HEADERS } from "./fake_endpoints.ts";
+import {
+  type FakeTransfer,
+  NOT_RUN_HEADERS,
+  SIGNED_HEADERS,
+} from "./fake_endpoints.ts";
 
 /** Capacity of an engine. */
 export interface BatchingEngineOptions {
@@ -14,6 +18,10 @@
   readonly tokensPerEvent: number;
   /** Maximum number of waiting requests; further ones are refused. */
   readonly maxWaiting: number;
+  /** @returns The time that work takes now, relative to the usual time. */
+  relativeTime?(): number;
+  /** Whether answers report that time as the pace of the engine. */
+  readonly reportsPace?: boolean;
 }
 
 const BASE_STEP_MS = 7;
@@ -112,6 +120,18 @@
     return used;
   }
 
+  get #relativeTime(): number {
+    return this.#options.relativeTime?.() ?? 1;
+  }
+
+  #headers(): readonly string[] {
+    const { reportsPace, slots } = this.#options;
+    if (!reportsPace) return SIGNED_HEADERS;
+    const pacePercent = Math.round(100 * this.#relativeTime);
+    const load = [this.#running.length, this.#waiting.length, slots];
+    return [...SIGNED_HEADERS, "load", [...load, pacePercent].join(",")];
+  }
+
   #scheduleStep(): void {
     if (this.#isStepping) return;
     this.#isStepping = true;
@@ -136,7 +156,7 @@
     }
     const stepMs = BASE_STEP_MS + this.#running.length * STEP_MS_PER_RUN +
       (PREFILL_CHUNK_TOKENS - remainingTokens) / PREFILL_TOKENS_PER_MS;
-    this.#clock.setTimer(stepMs, () => {
+    this.#clock.setTimer(stepMs * this.#relativeTime, () => {
       this.#emit();
       this.#step();
     });
@@ -148,7 +168,7 @@
       run.generatedTokens++;
       const { outputTokens } = run.work;
       const isLast = run.generatedTokens >= outputTokens;
-      if (run.generatedTokens === 1) run.transfer.head(200);
+      if (run.generatedTokens === 1) run.transfer.head(200, this.#headers());
       const { tokensPerEvent } = this.#options;
       if (isLast || run.generatedTokens % tokensPerEvent === 1) {
         run.transfer.event(Math.ceil(run.generatedTokens / tokensPerEvent));
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -82,6 +82,8 @@
   readonly client?: PassThroughClient;
   /** Whether other processes have served before this one. */
   readonly hasPredecessor?: boolean;
+  /** Whether endpoints are chosen without regard to their speeds. */
+  readonly ignoresPaces?: boolean;
   readonly createPlacer?: (
     harness: GatewayHarness,
     chooser: EndpointChooser,
@@ -165,7 +167,7 @@
       loadTable,
       random,
       ZONE,
-      paces,
+      options.ignoresPaces ? undefined : paces,
     );
     this.limitTable = new LimitTable(clock);
     const peers = {
--- a/standins/gateway/load_simulation.ts
+++ b/standins/gateway/load_simulation.ts
@@ -11,11 +11,13 @@
   NOOP_DISPOSABLE,
 } from "../../src/base/common/lifecycle.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
+import { EndpointPaceSync } from "../../src/features/gateway/common/load/endpoint_pace_sync.ts";
 import type { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import type {
   GenerationPlacer,
   PlacementRequest,
 } from "../../src/features/gateway/common/placement/placement_queue.ts";
+import type { PeerOverlay } from "../../src/services/peers/common/peer_overlay.ts";
 import type {
   PassThroughClient,
   PassThroughExchange,
@@ -26,7 +28,7 @@
 import { BatchingEngine, type EngineWork } from "./batching_engine.ts";
 import { FakeTransfer } from "./fake_endpoints.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
-import { createZonePlacer } from "./zone_placer_fixture.ts";
+import { createZonePlacer, PLACER_HOST } from "./zone_placer_fixture.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 import {
   configuration,
@@ -56,6 +58,16 @@
    * for all gateways, or on the engines.
    */
   readonly placement: "queued" | "queued-centrally" | "immediate";
+  /**
+   * @param engine - Number of an engine.
+   * @param nowMs - Time since the start in milliseconds.
+   * @returns The time that work takes there, relative to the usual time.
+   */
+  relativeTime?(engine: number, nowMs: number): number;
+  /** Whether the engines report that time. */
+  readonly reportsPace?: boolean;
+  /** Whether the gateways place without regard to speeds. */
+  readonly ignoresPaces?: boolean;
 }
 
 /** Results of one kind of request. */
@@ -66,6 +78,8 @@
   overdue: number;
   refused: number;
   failed: number;
+  /** With a gap between two writes above the objective. */
+  gapped: number;
 }
 
 /** Results of a simulation. */
@@ -88,6 +102,7 @@
 };
 const DRAFT_OBJECTIVE_MS = 1_800;
 const CHECK_OBJECTIVE_MS = 1_500;
+const EVENT_GAP_OBJECTIVE_MS = 180;
 const SIZE_VARIATION = 0.5;
 /** Time for all generations to complete. */
 const COMPLETION_MS = 60_000;
@@ -98,6 +113,8 @@
 /** Records when the response started. */
 class TimedExchange extends FakeCallerExchange {
   firstByteMs: number | undefined;
+  longestGapMs = 0;
+  #lastWriteMs: number | undefined;
   readonly #nowMs: () => number;
 
   constructor(
@@ -112,6 +129,14 @@
     this.firstByteMs = this.#nowMs();
     super.sendHead(...args);
   }
+
+  override write(chunk: Uint8Array): boolean {
+    const nowMs = this.#nowMs();
+    const gapMs = nowMs - (this.#lastWriteMs ?? nowMs);
+    this.longestGapMs = Math.max(this.longestGapMs, gapMs);
+    this.#lastWriteMs = nowMs;
+    return super.write(chunk);
+  }
 }
 
 /** Engines by address; a backup takes up memory on the engine that keeps it. */
@@ -192,6 +217,9 @@
         memoryTokens: options.memoryTokens,
         tokensPerEvent: TOKENS_PER_EVENT,
         maxWaiting: MAX_WAITING,
+        relativeTime: () =>
+          options.relativeTime?.(number, clock.monotonicMs()) ?? 1,
+        reportsPace: options.reportsPace ?? false,
       }),
     );
   }
@@ -256,7 +284,7 @@
 }
 
 async function createHarness(
-  { memoryTokens, placement }: LoadOptions,
+  { ignoresPaces, memoryTokens, placement }: LoadOptions,
   client: PassThroughClient,
   clock: ManualClock,
   network: InProcessNetwork,
@@ -266,6 +294,7 @@
     clock,
     seed,
     client,
+    ignoresPaces: ignoresPaces ?? false,
     ...placement !== "queued" && {
       createPlacer: (harness, chooser) =>
         placement === "immediate"
@@ -273,6 +302,7 @@
           : createZonePlacer(harness, chooser, network, seed),
     },
   });
+  if (placement === "queued-centrally") sharePaces(harness, network, seed);
   const services = new Map([[ENGINE, engineService(memoryTokens)]]);
   harness.state.apply(configuration(2, { services }), 2);
   return harness;
@@ -299,16 +329,44 @@
   });
 }
 
+/** Reports what a gateway learns of speeds to the host that places for all. */
+function sharePaces(
+  { clock, paces, registry }: GatewayHarness,
+  network: InProcessNetwork,
+  number: number,
+): void {
+  const self = `host-${number}` as HostId;
+  const isHub = self === PLACER_HOST;
+  const links = network.hosts.get(self)!;
+  const overlay: PeerOverlay = {
+    onDidChangeHomeHub: () => NOOP_DISPOSABLE,
+    isHub,
+    homeHub: () => isHub ? undefined : PLACER_HOST,
+    zoneHubFor: () => PLACER_HOST,
+    linkedHubs: () => isHub ? [] : [PLACER_HOST],
+    linkedLeaves: () => isHub ? links.connectedHosts() : [],
+  };
+  new EndpointPaceSync({ clock, links, overlay, paces, registry });
+}
+
 function zeroCounts(): RequestCounts {
-  return { requested: 0, onTime: 0, overdue: 0, refused: 0, failed: 0 };
+  return {
+    requested: 0,
+    onTime: 0,
+    overdue: 0,
+    refused: 0,
+    failed: 0,
+    gapped: 0,
+  };
 }
 
 function countRequest(
   counts: RequestCounts,
-  { firstByteMs, outcome, receivedMs, status }: TimedExchange,
+  { firstByteMs, longestGapMs, outcome, receivedMs, status }: TimedExchange,
   objectiveMs: number,
 ): void {
   counts.requested++;
+  if (longestGapMs > EVENT_GAP_OBJECTIVE_MS) counts.gapped++;
   if (status === 503) counts.refused++;
   else if (outcome !== "answered" || status !== 200) counts.failed++;
   else if (firstByteMs! - receivedMs <= objectiveMs) counts.onTime++;
