Show the speed of endpoints to operators

Cause: operators could not see which endpoint the hosts take for slow.

Deviations under a tenth are ignored, and generations are chosen at random only within a difference in cost of 0.02.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -40,6 +40,7 @@
 import { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import { LeavingMarks } from "../../features/gateway/common/endpoints/leaving_marks.ts";
 import { EngineReportPoller } from "../../features/gateway/common/monitoring/engine_report_poller.ts";
+import type { EndpointPaces } from "../../features/gateway/common/load/endpoint_pace.ts";
 import type { ZonePlacer } from "../../features/gateway/common/placement/zone_placer.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
@@ -66,6 +67,7 @@
   readonly #links: WsPeerLinks;
   readonly #store: GatewayStore;
   readonly #placer: ZonePlacer;
+  readonly #paces: EndpointPaces;
   readonly #quarantine: GatewayQuarantine;
   readonly #limits: GatewayEndpointLimits;
   readonly #gateway: Gateway;
@@ -191,6 +193,7 @@
       }),
     );
     this.#placer = placement.placer;
+    this.#paces = placement.paces;
     const leavingMarks = this.#disposables.add(
       new LeavingMarks(this.#links, this.#topology, this.#registry),
     );
@@ -210,12 +213,11 @@
     );
     const limits = this.#limits.endpoints;
     const paths = this.#paths;
-    const loads = placement.paces;
     const answers = new AnswerObserver({
       holds,
       leavingMarks,
       limits,
-      loads,
+      loads: this.#paces,
       paths,
     });
     this.#relay = this.#disposables.add(
@@ -415,6 +417,7 @@
       limitRights: this.#limits.rights,
       roomPermits: this.#limits.rooms,
       queue: this.#placer,
+      paces: this.#paces,
       callers: this.#callers,
       paths: this.#paths,
       registry: this.#registry,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -13,6 +13,10 @@
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
+import type {
+  EndpointPaces,
+  EndpointPaceStatus,
+} from "../../features/gateway/common/load/endpoint_pace.ts";
 import type { LimitRights } from "../../features/gateway/common/limits/limit_rights.ts";
 import type { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
 import type { GenerationPlacer } from "../../features/gateway/common/placement/placement_queue.ts";
@@ -28,6 +32,8 @@
 const HTTP_NOT_IMPLEMENTED = 501;
 const HTTP_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1_000;
+/** Speed below which an endpoint counts as slow. */
+const SLOW_SPEED = 0.67;
 
 /** Status of a gateway, as shown by `ragwort status`. */
 export interface GatewayStatus {
@@ -39,6 +45,8 @@
   /** Always empty: a gateway has no team documents. */
   readonly teams: readonly [];
   readonly configurationVersion: number | undefined;
+  /** Load and speed of the endpoints, as this host knows them. */
+  readonly endpoints: readonly EndpointPaceStatus[];
 }
 
 /** Dependencies of {@link GatewayOperatorPages}. */
@@ -50,6 +58,7 @@
   readonly limitRights: LimitRights;
   readonly roomPermits: RoomPermits;
   readonly queue: GenerationPlacer;
+  readonly paces: EndpointPaces;
   readonly callers: CallerServer;
   readonly paths: GatewayPaths;
   readonly registry: EndpointRegistry;
@@ -129,12 +138,13 @@
   }
 
   #status(): GatewayStatus {
-    const { gateway, daemonState, state } = this.#services;
+    const { gateway, daemonState, paces, state } = this.#services;
     return {
       ...daemonState(),
       active: gateway.activeCount,
       teams: [],
       configurationVersion: state.current?.configuration.version,
+      endpoints: paces.list(),
     };
   }
 
@@ -157,6 +167,8 @@
       caller_connections: services.callers.connectionCount,
       endpoint_connections_opened: services.paths.openedCount,
       endpoints: services.registry.all.length,
+      slow_endpoints:
+        services.paces.list().filter(({ speed }) => speed < SLOW_SPEED).length,
       lost_direct_paths: services.paths.direct.lostAddresses.length,
       limited_endpoints: services.limitRights.list().length,
       brittle_endpoints: services.roomPermits.list().length,
--- a/src/features/gateway/common/load/endpoint_pace.ts
+++ b/src/features/gateway/common/load/endpoint_pace.ts
@@ -23,6 +23,11 @@
  * rely on unchanged choices.
  */
 const MIN_UNREPORTED_DEVIATION = 1.5;
+/**
+ * Smaller deviations are noise of the samples: they would fill equal engines
+ * unequally.
+ */
+const MIN_DEVIATION = 1.1;
 /** Time for which samples of this host are used in full, in milliseconds. */
 const SAMPLE_FRESH_MS = 1_000;
 /** The same for reports of peers, which repeat them each two seconds. */
@@ -252,12 +257,14 @@
       const pace = clampTime(pacePercent / 100);
       // The report is newer than the samples, which in turn show what the
       // report may leave out.
-      return learned === undefined ? pace : Math.sqrt(pace * learned);
+      const combined = learned === undefined ? pace : Math.sqrt(pace * learned);
+      return deviation(combined) > MIN_DEVIATION ? combined : 1;
     }
     if (learned === undefined) return 1;
-    const isUsed = this.reportsPace(endpoint) ||
-      deviation(learned) > MIN_UNREPORTED_DEVIATION;
-    return isUsed ? learned : 1;
+    const minDeviation = this.reportsPace(endpoint)
+      ? MIN_DEVIATION
+      : MIN_UNREPORTED_DEVIATION;
+    return deviation(learned) > minDeviation ? learned : 1;
   }
 
   /**
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -23,6 +23,8 @@
   chooseNearlyCheapest,
   DEFAULT_CHOOSER_SETTINGS,
   type EndpointChooserSettings,
+  NEAR_CALL_COST,
+  NEAR_GENERATION_COST,
 } from "./paced_choice.ts";
 
 /**
@@ -285,8 +287,9 @@
       this.#paces.reportsPace(endpoint) ||
       this.#paces.relativeTime(endpoint) !== 1
     );
+    const nearCost = service.engine ? NEAR_GENERATION_COST : NEAR_CALL_COST;
     const index = isPaced
-      ? chooseNearlyCheapest(costs, this.#random)
+      ? chooseNearlyCheapest(costs, nearCost, this.#random)
       : costs.indexOf(Math.min(...costs));
     const { endpoint } = candidates[index]!;
     return { endpoint, cost: costs[index]!, candidates: candidates.length };
--- a/src/features/gateway/common/placement/paced_choice.ts
+++ b/src/features/gateway/common/placement/paced_choice.ts
@@ -22,10 +22,15 @@
 /** Response time of a call while none is learned; calls take 50 to 80 ms. */
 const TYPICAL_RESPONSE_MS = 65;
 /**
- * Difference in cost below which endpoints count as nearly equal: 15 ms of a
- * call, or the memory of a large prompt.
+ * Difference in cost below which endpoints count as nearly equal for a call:
+ * 15 ms, as the load of the endpoints is known only from their last answers.
  */
-const NEAR_COST = 0.15;
+export const NEAR_CALL_COST = 0.15;
+/**
+ * The same for a generation. Its placer knows the claims of all hosts, and
+ * larger differences led to more preemptions on engines that are nearly full.
+ */
+export const NEAR_GENERATION_COST = 0.02;
 
 /**
  * Returns the cost of an endpoint for a call: the time to its expected
@@ -57,14 +62,16 @@
  * one, so that of two candidates neither is chosen by all hosts.
  *
  * @param costs - Costs of the candidates; not empty.
+ * @param nearCost - Difference in cost up to which they are nearly as cheap.
  * @param random - Source of the two draws.
  * @returns The index of the chosen candidate.
  */
 export function chooseNearlyCheapest(
   costs: readonly number[],
+  nearCost: number,
   random: RandomSource,
 ): number {
-  const limit = Math.min(...costs) + NEAR_COST;
+  const limit = Math.min(...costs) + nearCost;
   const near = [...costs.keys()].filter((index) => costs[index]! <= limit);
   const draw = (): number => near[Math.floor(random.float() * near.length)]!;
   const first = draw();
--- a/standins/gateway/load_simulation.ts
+++ b/standins/gateway/load_simulation.ts
@@ -82,10 +82,20 @@
   gapped: number;
 }
 
+/** Request that was sent to an engine. */
+export interface EngineStart {
+  /** Number of the engine. */
+  readonly engine: number;
+  /** Time since the start of the simulation in milliseconds. */
+  readonly atMs: number;
+}
+
 /** Results of a simulation. */
 export interface LoadOutcome {
   readonly drafts: RequestCounts;
   readonly checks: RequestCounts;
+  /** Requests that were sent to engines, in order. */
+  readonly starts: readonly EngineStart[];
   /** Tokens that engines prefilled again after preemptions. */
   readonly recomputedTokens: number;
 }
@@ -143,6 +153,12 @@
 class SimulatedEngines implements PassThroughClient {
   readonly engines = new Map<Address, BatchingEngine>();
   readonly workByRequest = new Map<string, EngineWork>();
+  readonly starts: EngineStart[] = [];
+  readonly #nowMs: () => number;
+
+  constructor(nowMs: () => number) {
+    this.#nowMs = nowMs;
+  }
 
   send(
     request: PassThroughRequest,
@@ -152,6 +168,8 @@
     queueMicrotask(() => {
       transfer.markSent();
       const engine = this.engines.get(request.address)!;
+      const number = [...this.engines.keys()].indexOf(request.address) + 1;
+      this.starts.push({ engine: number, atMs: this.#nowMs() });
       const backup = this.engines.get(transfer.header("backup") as Address);
       const ended = new Emitter<void>();
       const size = engine.submit(
@@ -198,8 +216,8 @@
  * @returns The results.
  */
 export async function simulateLoad(options: LoadOptions): Promise<LoadOutcome> {
-  const simulatedEngines = new SimulatedEngines();
   const clock = new ManualClock();
+  const simulatedEngines = new SimulatedEngines(() => clock.monotonicMs());
   const network = new InProcessNetwork();
   const harnesses: GatewayHarness[] = [];
   for (let seed = 1; seed <= (options.gateways ?? 1); seed++) {
@@ -267,6 +285,7 @@
   const outcome: LoadOutcome = {
     drafts: zeroCounts(),
     checks: zeroCounts(),
+    starts: simulatedEngines.starts,
     recomputedTokens: [...simulatedEngines.engines.values()].reduce(
       (sum, engine) => sum + engine.recomputedTokens,
       0,
