--- a/standins/gateway/load_simulation.ts
+++ b/standins/gateway/load_simulation.ts
@@ -11,11 +11,13 @@
   NOOP_DISPOSABLE,
 } from "../../src/base/common/lifecycle.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
+import { EndpointPaceSync } from "../../src/features/gateway/common/load/endpoint_pace_sync.ts";
 import type { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import type {
   GenerationPlacer,
   PlacementRequest,
 } from "../../src/features/gateway/common/placement/placement_queue.ts";
+import type { PeerOverlay } from "../../src/services/peers/common/peer_overlay.ts";
 import type {
   PassThroughClient,
   PassThroughExchange,
@@ -26,7 +28,7 @@
 import { BatchingEngine, type EngineWork } from "./batching_engine.ts";
 import { FakeTransfer } from "./fake_endpoints.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
-import { createZonePlacer } from "./zone_placer_fixture.ts";
+import { createZonePlacer, PLACER_HOST } from "./zone_placer_fixture.ts";
 import { GatewayHarness } from "./gateway_harness.ts";
 import {
   configuration,
@@ -56,6 +58,16 @@
    * for all gateways, or on the engines.
    */
   readonly placement: "queued" | "queued-centrally" | "immediate";
+  /**
+   * @param engine - Number of an engine.
+   * @param nowMs - Time since the start in milliseconds.
+   * @returns The time that work takes there, relative to the usual time.
+   */
+  relativeTime?(engine: number, nowMs: number): number;
+  /** Whether the engines report that time. */
+  readonly reportsPace?: boolean;
+  /** Whether the gateways place without regard to speeds. */
+  readonly ignoresPaces?: boolean;
 }
 
 /** Results of one kind of request. */
@@ -66,12 +78,24 @@
   overdue: number;
   refused: number;
   failed: number;
+  /** With a gap between two writes above the objective. */
+  gapped: number;
+}
+
+/** Request that was sent to an engine. */
+export interface EngineStart {
+  /** Number of the engine. */
+  readonly engine: number;
+  /** Time since the start of the simulation in milliseconds. */
+  readonly atMs: number;
 }
 
 /** Results of a simulation. */
 export interface LoadOutcome {
   readonly drafts: RequestCounts;
   readonly checks: RequestCounts;
+  /** Requests that were sent to engines, in order. */
+  readonly starts: readonly EngineStart[];
   /** Tokens that engines prefilled again after preemptions. */
   readonly recomputedTokens: number;
 }
@@ -88,6 +112,7 @@
 };
 const DRAFT_OBJECTIVE_MS = 1_800;
 const CHECK_OBJECTIVE_MS = 1_500;
+const EVENT_GAP_OBJECTIVE_MS = 180;
 const SIZE_VARIATION = 0.5;
 /** Time for all generations to complete. */
 const COMPLETION_MS = 60_000;
@@ -98,6 +123,8 @@
 /** Records when the response started. */
 class TimedExchange extends FakeCallerExchange {
   firstByteMs: number | undefined;
+  longestGapMs = 0;
+  #lastWriteMs: number | undefined;
   readonly #nowMs: () => number;
 
   constructor(
@@ -112,12 +139,26 @@
     this.firstByteMs = this.#nowMs();
     super.sendHead(...args);
   }
+
+  override write(chunk: Uint8Array): boolean {
+    const nowMs = this.#nowMs();
+    const gapMs = nowMs - (this.#lastWriteMs ?? nowMs);
+    this.longestGapMs = Math.max(this.longestGapMs, gapMs);
+    this.#lastWriteMs = nowMs;
+    return super.write(chunk);
+  }
 }
 
 /** Engines by address; a backup takes up memory on the engine that keeps it. */
 class SimulatedEngines implements PassThroughClient {
   readonly engines = new Map<Address, BatchingEngine>();
   readonly workByRequest = new Map<string, EngineWork>();
+  readonly starts: EngineStart[] = [];
+  readonly #nowMs: () => number;
+
+  constructor(nowMs: () => number) {
+    this.#nowMs = nowMs;
+  }
 
   send(
     request: PassThroughRequest,
@@ -127,6 +168,8 @@
     queueMicrotask(() => {
       transfer.markSent();
       const engine = this.engines.get(request.address)!;
+      const number = [...this.engines.keys()].indexOf(request.address) + 1;
+      this.starts.push({ engine: number, atMs: this.#nowMs() });
       const backup = this.engines.get(transfer.header("backup") as Address);
       const ended = new Emitter<void>();
       const size = engine.submit(
@@ -173,8 +216,8 @@
  * @returns The results.
  */
 export async function simulateLoad(options: LoadOptions): Promise<LoadOutcome> {
-  const simulatedEngines = new SimulatedEngines();
   const clock = new ManualClock();
+  const simulatedEngines = new SimulatedEngines(() => clock.monotonicMs());
   const network = new InProcessNetwork();
   const harnesses: GatewayHarness[] = [];
   for (let seed = 1; seed <= (options.gateways ?? 1); seed++) {
@@ -192,6 +235,9 @@
         memoryTokens: options.memoryTokens,
         tokensPerEvent: TOKENS_PER_EVENT,
         maxWaiting: MAX_WAITING,
+        relativeTime: () =>
+          options.relativeTime?.(number, clock.monotonicMs()) ?? 1,
+        reportsPace: options.reportsPace ?? false,
       }),
     );
   }
@@ -239,6 +285,7 @@
   const outcome: LoadOutcome = {
     drafts: zeroCounts(),
     checks: zeroCounts(),
+    starts: simulatedEngines.starts,
     recomputedTokens: [...simulatedEngines.engines.values()].reduce(
       (sum, engine) => sum + engine.recomputedTokens,
       0,
@@ -256,7 +303,7 @@
 }
 
 async function createHarness(
-  { memoryTokens, placement }: LoadOptions,
+  { ignoresPaces, memoryTokens, placement }: LoadOptions,
   client: PassThroughClient,
   clock: ManualClock,
   network: InProcessNetwork,
@@ -266,6 +313,7 @@
     clock,
     seed,
     client,
+    ignoresPaces: ignoresPaces ?? false,
     ...placement !== "queued" && {
       createPlacer: (harness, chooser) =>
         placement === "immediate"
@@ -273,6 +321,7 @@
           : createZonePlacer(harness, chooser, network, seed),
     },
   });
+  if (placement === "queued-centrally") sharePaces(harness, network, seed);
   const services = new Map([[ENGINE, engineService(memoryTokens)]]);
   harness.state.apply(configuration(2, { services }), 2);
   return harness;
@@ -299,16 +348,44 @@
   });
 }
 
+/** Reports what a gateway learns of speeds to the host that places for all. */
+function sharePaces(
+  { clock, paces, registry }: GatewayHarness,
+  network: InProcessNetwork,
+  number: number,
+): void {
+  const self = `host-${number}` as HostId;
+  const isHub = self === PLACER_HOST;
+  const links = network.hosts.get(self)!;
+  const overlay: PeerOverlay = {
+    onDidChangeHomeHub: () => NOOP_DISPOSABLE,
+    isHub,
+    homeHub: () => isHub ? undefined : PLACER_HOST,
+    zoneHubFor: () => PLACER_HOST,
+    linkedHubs: () => isHub ? [] : [PLACER_HOST],
+    linkedLeaves: () => isHub ? links.connectedHosts() : [],
+  };
+  new EndpointPaceSync({ clock, links, overlay, paces, registry });
+}
+
 function zeroCounts(): RequestCounts {
-  return { requested: 0, onTime: 0, overdue: 0, refused: 0, failed: 0 };
+  return {
+    requested: 0,
+    onTime: 0,
+    overdue: 0,
+    refused: 0,
+    failed: 0,
+    gapped: 0,
+  };
 }
 
 function countRequest(
   counts: RequestCounts,
-  { firstByteMs, outcome, receivedMs, status }: TimedExchange,
+  { firstByteMs, longestGapMs, outcome, receivedMs, status }: TimedExchange,
   objectiveMs: number,
 ): void {
   counts.requested++;
+  if (longestGapMs > EVENT_GAP_OBJECTIVE_MS) counts.gapped++;
   if (status === 503) counts.refused++;
   else if (outcome !== "answered" || status !== 200) counts.failed++;
   else if (firstByteMs! - receivedMs <= objectiveMs) counts.onTime++;
