Weigh the delay that prompts cause to running streams

Change: the speed of an engine, the slowest pace reported and the effect of a prefill give the gap to be expected there. Where it exceeds the objective, a placement costs by the streams that it delays and by its own length.

--- a/src/features/gateway/common/generations/generation_placement.ts
+++ b/src/features/gateway/common/generations/generation_placement.ts
@@ -41,9 +41,13 @@
   context: RequestContext,
   memoryTokens: number,
 ): EndpointCriteria {
+  const { fields, route, service } = context.request;
+  const promptTokens = fields.prompt?.promptTokens ?? 0;
   return {
-    service: context.request.service.id,
+    service: service.id,
     memoryTokens,
+    outputTokens: Math.max(0, memoryTokens - promptTokens),
+    gapObjectiveMs: route.eventGapObjectiveMs,
     excluded: context.excludedEndpoints,
     get softwareVersion() {
       return context.softwareVersion;
--- a/src/features/gateway/common/load/endpoint_pace.ts
+++ b/src/features/gateway/common/load/endpoint_pace.ts
@@ -127,6 +127,8 @@
   /** Runs known to this host when the load was reported. */
   runsAtReport = 0;
   reportsPace = false;
+  /** Smoothed time between events, at any pace, in milliseconds. */
+  usualEventMs: number | undefined;
   readonly id: EndpointId;
   readonly bornMs: number;
   /** Monotonic time of the latest news of any kind, in milliseconds. */
@@ -139,6 +141,19 @@
   }
 }
 
+/**
+ * Weight of a new time between events in the usual one. Slow moments last some
+ * 600 ms, so that a few samples of them hardly move it.
+ */
+const USUAL_EVENT_WEIGHT = 0.1;
+/**
+ * Time for which the slowest reported pace counts as one that may return, in
+ * milliseconds.
+ */
+const PEAK_PACE_LIFETIME_MS = 60_000;
+/** A step that also prefills a part of a prompt takes about twice as long. */
+const PREFILL_STEP_FACTOR = 2.15;
+
 class ServicePace {
   readonly processes = new Set<ProcessPace>();
   readonly medians: { [K in SampleKind]?: number | undefined } = {};
@@ -146,6 +161,9 @@
   computedMs = -Infinity;
   /** Monotonic time of the latest reported pace, in milliseconds. */
   paceMs = -Infinity;
+  /** Slowest reported pace, and when it was last reported. */
+  peakPacePercent = 100;
+  peakPaceMs = -Infinity;
 }
 
 /** Loads and relative times of endpoint processes. */
@@ -179,7 +197,7 @@
     process.newsMs = nowMs;
     process.runsAtReport = this.#loadTable.totalUsage(process.id).runs;
     if (load.pacePercent !== undefined) {
-      this.#service(endpoint).paceMs = nowMs;
+      this.#recordPace(this.#service(endpoint), load.pacePercent, nowMs);
     }
   }
 
@@ -346,10 +364,31 @@
     if (!process) return;
     const atMs = this.#clock.monotonicMs();
     process.received[from] = { kind, value, atMs, freshMs: REPORT_FRESH_MS };
+    if (kind === "event") recordUsualEvent(process, value);
     process.reportsPace = reportsPace;
     process.newsMs = atMs;
   }
 
+  /**
+   * @param endpoint - An engine.
+   * @param runs - Runs on the engine.
+   * @returns The time between two events of a stream there, in milliseconds, at
+   * the slowest pace reported lately and while a prompt is prefilled;
+   * `undefined` if the engine or its service is not known yet.
+   */
+  expectedGapMs(endpoint: PacedEndpoint, runs: number): number | undefined {
+    const nowMs = this.#clock.monotonicMs();
+    const service = this.#service(endpoint);
+    this.#refresh(service, nowMs);
+    const usualMs = this.#find(endpoint)?.usualEventMs ??
+      service.medians.event;
+    if (usualMs === undefined) return undefined;
+    const isPeakKnown = nowMs - service.peakPaceMs <= PEAK_PACE_LIFETIME_MS;
+    const peak = isPeakKnown ? service.peakPacePercent / 100 : 1;
+    return usualMs * (1 + STEP_SHARE_PER_RUN * runs) * PREFILL_STEP_FACTOR *
+      Math.max(1, peak);
+  }
+
   /** @returns What is known of each endpoint, for operators. */
   list(): readonly EndpointPaceStatus[] {
     const nowMs = this.#clock.monotonicMs();
@@ -377,9 +416,18 @@
     if (!process) return;
     const nowMs = this.#clock.monotonicMs();
     process.samples[kind].record(value, nowMs);
+    if (kind === "event") recordUsualEvent(process, value);
     process.newsMs = nowMs;
   }
 
+  #recordPace(service: ServicePace, pacePercent: number, nowMs: number): void {
+    service.paceMs = nowMs;
+    const isExpired = nowMs - service.peakPaceMs > PEAK_PACE_LIFETIME_MS;
+    if (pacePercent < service.peakPacePercent && !isExpired) return;
+    service.peakPacePercent = pacePercent;
+    service.peakPaceMs = nowMs;
+  }
+
   #learned(
     process: ProcessPace,
     service: ServicePace,
@@ -450,6 +498,11 @@
   }
 }
 
+function recordUsualEvent(process: ProcessPace, eventMs: number): void {
+  const usualMs = process.usualEventMs ?? eventMs;
+  process.usualEventMs = usualMs + (eventMs - usualMs) * USUAL_EVENT_WEIGHT;
+}
+
 /**
  * Returns a relative time as a factor of at least 1, in either direction.
  */
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -17,6 +17,7 @@
 } from "../endpoints/endpoint_registry.ts";
 import type { GatewayService } from "../configuration/gateway_configuration.ts";
 import { EndpointPaces } from "../load/endpoint_pace.ts";
+import { interferenceCost } from "./prefill_interference.ts";
 import type { EndpointUsage, LoadTable } from "../load/load_table.ts";
 import {
   callCompletionCost,
@@ -90,6 +91,10 @@
   readonly service: ServiceId;
   /** Memory that the request will use, in tokens; 0 for a call. */
   readonly memoryTokens: number;
+  /** Output that is expected of a generation, in tokens; unknown if absent. */
+  readonly outputTokens?: number | undefined;
+  /** Longest gap between events that callers accept; unknown if absent. */
+  readonly gapObjectiveMs?: number | undefined;
   readonly excluded: ReadonlySet<EndpointId>;
   /** Software version that the endpoint must have; any if absent. */
   readonly softwareVersion?: string | undefined;
@@ -365,6 +370,12 @@
     cost += Math.max(0, memoryFill - 1) * MEMORY_OVERCOMMIT_WEIGHT;
     cost += usage.pendingPrefillTokens / FULL_COST_PREFILL_TOKENS *
       relativeTime;
+    cost += interferenceCost({
+      expectedGapMs: this.#paces.expectedGapMs(endpoint, usage.runs),
+      gapObjectiveMs: criteria.gapObjectiveMs ?? 0,
+      runs: usage.runs,
+      outputTokens: criteria.outputTokens ?? 0,
+    });
     return cost + (isLocal ? 0 : GENERATION_CROSS_ZONE_COST);
   }
 }
--- a/src/features/gateway/common/placement/placement_message.ts
+++ b/src/features/gateway/common/placement/placement_message.ts
@@ -29,6 +29,8 @@
   /** Software version that the endpoint must have; any if absent. */
   softwareVersion: z.string().optional(),
   priority: z.number(),
+  /** Longest gap between events that callers accept; unknown if absent. */
+  gapObjectiveMs: z.number().optional(),
   objectiveLeftMs: z.number(),
   startLeftMs: z.number(),
 });
--- a/src/features/gateway/common/placement/zone_placer.ts
+++ b/src/features/gateway/common/placement/zone_placer.ts
@@ -332,6 +332,8 @@
       memoryTokens: ask.memoryTokens,
       excluded: new Set(ask.excluded),
       softwareVersion,
+      outputTokens: Math.max(0, ask.memoryTokens - prefillTokens),
+      gapObjectiveMs: ask.gapObjectiveMs,
       ignoresHolds: true,
     };
     let isAnswered = false;
@@ -407,7 +409,7 @@
   excluded: readonly EndpointId[],
 ): PlacementAsk {
   const { criteria, priority, pendingPrefillTokens, wantsBackup } = request;
-  const { softwareVersion } = criteria;
+  const { gapObjectiveMs, softwareVersion } = criteria;
   return {
     kind: "asked",
     number,
@@ -417,6 +419,7 @@
     wantsBackup,
     excluded,
     ...(softwareVersion !== undefined && { softwareVersion }),
+    ...(gapObjectiveMs !== undefined && { gapObjectiveMs }),
     priority,
     objectiveLeftMs: request.firstEventDueMs - nowMs,
     startLeftMs: request.latestStartMs - nowMs,
--- a/standins/gateway/migration_target_test.ts
+++ b/standins/gateway/migration_target_test.ts
@@ -61,7 +61,10 @@
     const before = others.map(({ id }) =>
       harness.loadTable.totalUsage(id).memoryTokens
     );
-    harness.engineControl.copyFailure = { kind: "no-such-run", message: "no run" };
+    harness.engineControl.copyFailure = {
+      kind: "no-such-run",
+      message: "no run",
+    };
     drain();
     await harness.advance(1_000);
     const after = others.map(({ id }) =>
