Check the eligibility of endpoints in one place

Cause: first sends, retries, placements, backups and continuations each filtered endpoints on their own, so that a rule of the operator would have to be added to each of them.

--- a/src/base/common/ids.ts
+++ b/src/base/common/ids.ts
@@ -14,6 +14,9 @@
 /** Id of a workspace (customer) in the form `team/workspace`. */
 export type WorkspaceId = Brand<string, "WorkspaceId">;
 
+/** Name of a region, which consists of availability zones. */
+export type RegionName = Brand<string, "RegionName">;
+
 /** Id of a service in the form `team/service`. */
 export type ServiceId = Brand<string, "ServiceId">;
 
--- a/src/daemon/common/gateway_factory.ts
+++ b/src/daemon/common/gateway_factory.ts
@@ -6,6 +6,7 @@
 import type { SeededRandom } from "../../base/common/random.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
+import type { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { EndpointLimits } from "../../features/gateway/common/limits/endpoint_limits.ts";
@@ -46,6 +47,7 @@
   readonly fingerprint: GatewayServices["fingerprint"];
   readonly state: ConfigurationState;
   readonly registry: EndpointRegistry;
+  readonly eligibility: EndpointEligibility;
   readonly placement: GatewayPlacement;
   readonly paths: RequestPaths;
   readonly crashMonitor: CrashMonitor;
@@ -70,6 +72,7 @@
       codec: services.codec,
       client: paths.client,
       registry: services.registry,
+      eligibility: services.eligibility,
       loadTable: placement.loadTable,
       chooser: placement.chooser,
       placer: placement.placer,
--- a/src/daemon/common/gateway_placement.ts
+++ b/src/daemon/common/gateway_placement.ts
@@ -34,7 +34,8 @@
 
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayPlacementServices) {
-    const { clock, links, overlay, random, registry, self, zone } = services;
+    const { clock, eligibility, links, overlay, random, registry, self, zone } =
+      services;
     const loadTable = new LoadTable(clock);
     this.loadTable = loadTable;
     this.#disposables.add(
@@ -46,6 +47,7 @@
       loadTable,
       random,
       zone,
+      eligibility,
     );
     this.chooser = chooser;
     const localPlacer = this.#disposables.add(
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -33,6 +33,7 @@
 import { GatewayTopology } from "./gateway_topology.ts";
 import { drainRequests } from "./request_drain.ts";
 import { AnswerObserver } from "../../features/gateway/common/monitoring/answer_observer.ts";
+import { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
@@ -175,6 +176,7 @@
         limits: () => this.#limits.endpoints,
       }),
     );
+    const eligibility = new EndpointEligibility(clock, this.#registry);
     const findService = (id: ServiceId) =>
       this.#state.current?.configuration.services.get(id);
     const placement = this.#disposables.add(
@@ -187,6 +189,7 @@
         links: this.#links,
         overlay: this.#topology,
         registry: this.#registry,
+        eligibility,
         findService,
       }),
     );
@@ -268,6 +271,7 @@
       fingerprint,
       state: this.#state,
       registry: this.#registry,
+      eligibility,
       placement,
       paths: this.#paths,
       crashMonitor: this.#quarantine.monitor,
--- a/src/features/gateway/common/calls/call_forwarder.ts
+++ b/src/features/gateway/common/calls/call_forwarder.ts
@@ -17,6 +17,7 @@
   CUT_OFF_RETRY_AFTER_MS,
   type RequestContext,
 } from "../requests/request_context.ts";
+import { NO_ALLOWED_RETRY_AFTER_MS } from "../requests/request_eligibility.ts";
 import {
   type AttemptResult,
   type BufferedResponse,
@@ -63,6 +64,7 @@
       const choice = this.#choose();
       const endpoint = choice?.endpoint ?? context.rights.nextLimitedEndpoint();
       if (!endpoint) {
+        if (this.#refuseIfBlocked()) return;
         if (await this.#awaitEndpoint()) continue;
         if (context.isCutOff) {
           this.#refuse(CUT_OFF_REASON, CUT_OFF_RETRY_AFTER_MS);
@@ -79,7 +81,7 @@
           this.#refuse(reason, context.rights.retryAfterMs);
           return;
         }
-        if (!isGranted || !endpoint.isUsable) continue;
+        if (!isGranted || !context.eligibility.mayStillUse(endpoint)) continue;
         if (exchange.hasEnded) continue;
         if (context.refuseBeforeSend()) return;
       }
@@ -158,24 +160,27 @@
     return true;
   }
 
+  /**
+   * Refuses the call if rules of the operator leave no endpoint. One that was
+   * sent before is refused with what is known of its runs.
+   */
+  #refuseIfBlocked(): boolean {
+    const reason = this.#context.eligibility.blockedReason;
+    if (reason === undefined) return false;
+    this.#refuse(reason, NO_ALLOWED_RETRY_AFTER_MS);
+    return true;
+  }
+
   #choose(): EndpointChoice | undefined {
-    const { services, request, excludedEndpoints } = this.#context;
-    const { service } = request;
-    const criteria = {
-      service: service.id,
-      memoryTokens: 0,
-      excluded: excludedEndpoints,
-    };
-    return services.chooser.choose(criteria, service);
+    const { eligibility, services, request } = this.#context;
+    const criteria = { ...eligibility.criteria, memoryTokens: 0 };
+    return services.chooser.choose(criteria, request.service);
   }
 
   /** Returns whether the call can be sent to another endpoint now. */
   #hasAlternative(endpoint: RegisteredEndpoint): boolean {
-    const { services, request, excludedEndpoints } = this.#context;
-    const nowMs = services.clock.monotonicMs();
-    return services.registry.reachable(request.service.id).some((other) =>
-      other !== endpoint && !excludedEndpoints.has(other.id) &&
-      !other.isWithheld(nowMs)
+    return this.#context.eligibility.eligible().some((other) =>
+      other !== endpoint
     );
   }
 
@@ -230,10 +235,14 @@
   }
 
   #canRetryElsewhere(endpoint: RegisteredEndpoint): boolean {
-    const { services, request, sentCount, excludedEndpoints } = this.#context;
+    const { eligibility, services, request, sentCount, excludedEndpoints } =
+      this.#context;
     const others = services.registry.reachable(request.service.id).filter((
       other,
-    ) => other !== endpoint && !excludedEndpoints.has(other.id));
+    ) =>
+      other !== endpoint && !excludedEndpoints.has(other.id) &&
+      eligibility.isAllowed(other)
+    );
     return others.length > 0 && sentCount + 1 < request.route.maxAttempts;
   }
 }
--- a/src/features/gateway/common/endpoints/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoints/endpoint_registry.ts
@@ -215,16 +215,26 @@
    */
   reachable(service: ServiceId): RegisteredEndpoint[] {
     return this.usable(service).filter((endpoint) =>
-      this.#unreachableSinceMs(endpoint) === undefined
+      this.isReachable(endpoint)
     );
   }
 
+  /** @returns Whether this host or a peer reaches an endpoint. */
+  isReachable(endpoint: RegisteredEndpoint): boolean {
+    return this.#unreachableSinceMs(endpoint) === undefined;
+  }
+
   /**
+   * @param service - A service.
+   * @param mayServe - Which of its endpoints count; all by default.
    * @returns Whether a service has endpoints and none of them can be reached,
    * or not at present because they may be silent for a moment.
    */
-  reachOf(service: ServiceId): ServiceReach {
-    const endpoints = this.usable(service);
+  reachOf(
+    service: ServiceId,
+    mayServe: (endpoint: RegisteredEndpoint) => boolean = () => true,
+  ): ServiceReach {
+    const endpoints = this.usable(service).filter(mayServe);
     if (endpoints.length === 0) return "none";
     const sinceMs = endpoints.map(this.#unreachableSinceMs);
     if (sinceMs.includes(undefined)) return "reached";
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -17,8 +17,8 @@
   KeyHolder,
 } from "./configuration/gateway_configuration.ts";
 import { deadlineOf, type PlannedStop } from "./requests/planned_stop.ts";
+import type { AdmittedRequest } from "./requests/admitted_request.ts";
 import {
-  type AdmittedRequest,
   RequestContext,
   STOPPING_REASON,
   STOPPING_RETRY_AFTER_MS,
--- a/src/features/gateway/common/generations/continuation_right.ts
+++ b/src/features/gateway/common/generations/continuation_right.ts
@@ -1,7 +1,7 @@
 /**
  * Takes the right to continue a generation on another endpoint: the endpoint
- * must have the software version of the stream, and a right where it names a
- * limit.
+ * must have the software version of the stream, the rules of the operator must
+ * allow it, and a right is needed where it names a limit.
  */
 
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
@@ -37,8 +37,8 @@
     isStale: () => boolean,
     onSettled: (isGranted: boolean) => void,
   ): void {
-    const { rights } = this.#context;
-    if (!this.#context.accepts(endpoint)) {
+    const { eligibility, rights } = this.#context;
+    if (!this.#context.accepts(endpoint) || !eligibility.isAllowed(endpoint)) {
       onSettled(false);
       return;
     }
@@ -50,7 +50,7 @@
     void rights.take(endpoint, MAX_CONTINUATION_WAIT_MS).then((isGranted) => {
       this.#isPending = false;
       if (this.#context.hasEnded || isStale()) return;
-      onSettled(isGranted && endpoint.isUsable);
+      onSettled(isGranted && eligibility.mayStillUse(endpoint));
     });
   }
 }
--- a/src/features/gateway/common/generations/generation_backup.ts
+++ b/src/features/gateway/common/generations/generation_backup.ts
@@ -59,9 +59,12 @@
     grant?: EndpointChoice["grant"],
   ): void {
     this.release();
-    const { request, services } = this.#context;
+    const { eligibility, request, services } = this.#context;
     const { loadTable, chooser } = services;
-    const endpoint = grant
+    // The daemon that granted the placement does not know the allowed regions.
+    const isGranted = grant &&
+      (!grant.backup || eligibility.isAllowed(grant.backup));
+    const endpoint = isGranted
       ? grant.backup
       : chooser.chooseBackup(this.#criteria, request.service, primary);
     if (!endpoint?.isUsable) return;
@@ -88,6 +91,7 @@
     const endpoint = this.#endpoint;
     const nowMs = this.#context.services.clock.monotonicMs();
     if (!isReady || !endpoint?.isUsable) return undefined;
+    if (!this.#context.eligibility.isAllowed(endpoint)) return undefined;
     return endpoint.isHeld(nowMs) ? undefined : endpoint;
   }
 
--- a/src/features/gateway/common/generations/generation_memory_estimate.ts
+++ b/src/features/gateway/common/generations/generation_memory_estimate.ts
@@ -3,7 +3,7 @@
  * and its expected output.
  */
 
-import type { AdmittedRequest } from "../requests/request_context.ts";
+import type { AdmittedRequest } from "../requests/admitted_request.ts";
 
 /**
  * Expected output, as a share of the maximum, when the caller gives no hint.
--- a/src/features/gateway/common/generations/generation_placement.ts
+++ b/src/features/gateway/common/generations/generation_placement.ts
@@ -41,12 +41,16 @@
   context: RequestContext,
   memoryTokens: number,
 ): EndpointCriteria {
+  const { criteria } = context.eligibility;
   return {
-    service: context.request.service.id,
+    service: criteria.service,
     memoryTokens,
-    excluded: context.excludedEndpoints,
+    excluded: criteria.excluded,
     get softwareVersion() {
-      return context.softwareVersion;
+      return criteria.softwareVersion;
+    },
+    get regions() {
+      return criteria.regions;
     },
   };
 }
@@ -85,9 +89,12 @@
   /** Starts a search, in place of an earlier one. */
   start(): void {
     const { request, services } = this.#context;
-    if (this.#context.isCutOff) {
+    const refusal = this.#context.isCutOff
+      ? CUT_OFF_REASON
+      : this.#context.eligibility.blockedReason;
+    if (refusal !== undefined) {
       this.#search = undefined;
-      this.#listener.onRejected(CUT_OFF_REASON);
+      this.#listener.onRejected(refusal);
       return;
     }
     const { deadlineMs, route } = request;
@@ -135,11 +142,15 @@
         const { endpoint } = choice;
         // Another daemon that chose it does not know of holds of this one.
         if (endpoint.isWithheld(clock.monotonicMs())) this.#continue(search);
-        else if (this.#context.rights.isNeeded(endpoint)) {
+        else if (!this.#context.eligibility.isAllowed(endpoint)) {
+          // The rules have changed since it was requested.
+          this.#continue(search);
+        } else if (this.#context.rights.isNeeded(endpoint)) {
           void this.#takeRight(search, choice, 0);
         } else this.#complete(search, choice);
       },
-      onRejected: (reason) => this.#reject(search, reason),
+      onRejected: (reason) =>
+        this.#reject(search, this.#context.eligibility.blockedReason ?? reason),
     }));
   }
 
@@ -148,12 +159,13 @@
     choice: EndpointChoice,
     maxWaitMs: number,
   ): Promise<void> {
-    const { rights } = this.#context;
+    const { eligibility, rights } = this.#context;
     const { endpoint } = choice;
     const isOnlyOne = rights.nextLimitedEndpoint() === endpoint;
     const isGranted = await rights.take(endpoint, rights.patienceMs(maxWaitMs));
     if (search !== this.#search || this.#context.hasEnded) return;
-    if (isGranted && endpoint.isUsable) this.#complete(search, choice);
+    const mayUse = isGranted && eligibility.mayStillUse(endpoint);
+    if (mayUse) this.#complete(search, choice);
     else if (isGranted || !isOnlyOne) this.#continue(search);
     else this.#reject(search, "the limits of all endpoints are used up");
   }
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -7,10 +7,13 @@
 import type {
   EndpointId,
   HostId,
-  ServiceId,
   ZoneName,
 } from "../../../../base/common/ids.ts";
 import type { RandomSource } from "../../../dispatch/common/group_dispatcher.ts";
+import {
+  type EligibilityCriteria,
+  EndpointEligibility,
+} from "../endpoints/endpoint_eligibility.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
@@ -77,18 +80,9 @@
 const BACKUP_HEADROOM = 2;
 
 /** Requirements of a request for an endpoint. */
-export interface EndpointCriteria {
-  readonly service: ServiceId;
+export interface EndpointCriteria extends EligibilityCriteria {
   /** Memory that the request will use, in tokens; 0 for a call. */
   readonly memoryTokens: number;
-  readonly excluded: ReadonlySet<EndpointId>;
-  /** Software version that the endpoint must have; any if absent. */
-  readonly softwareVersion?: string | undefined;
-  /**
-   * Whether the request is another host's, which has excluded what it must not
-   * use now.
-   */
-  readonly ignoresHolds?: boolean;
 }
 
 /** A chosen endpoint, with the values that decided the choice for the log. */
@@ -126,6 +120,7 @@
   readonly #loadTable: LoadTable;
   readonly #random: RandomSource;
   readonly #zone: ZoneName;
+  readonly #eligibility: EndpointEligibility;
 
   /**
    * @param clock - Clock for ejections and cold starts.
@@ -133,6 +128,8 @@
    * @param loadTable - Usage of the endpoints by all daemons.
    * @param random - Breaks ties.
    * @param zone - Availability zone of this daemon.
+   * @param eligibility - Decides which endpoints may serve a request; by
+   * default without rules of the operator.
    */
   constructor(
     clock: Clock,
@@ -140,12 +137,14 @@
     loadTable: LoadTable,
     random: RandomSource,
     zone: ZoneName,
+    eligibility = new EndpointEligibility(clock, registry),
   ) {
     this.#clock = clock;
     this.#registry = registry;
     this.#loadTable = loadTable;
     this.#random = random;
     this.#zone = zone;
+    this.#eligibility = eligibility;
   }
 
   /**
@@ -178,14 +177,15 @@
     const candidates = this.#candidates(criteria);
     const nowMs = this.#clock.monotonicMs();
     if (candidates.length === 0) {
-      const withheldUntilMs = Math.min(
-        ...this.#usable(criteria).map((endpoint) => endpoint.withheldUntilMs),
-      );
-      if (Number.isFinite(withheldUntilMs)) {
+      const withheldUntilMs = this.#eligibility.withheldUntilMs(criteria);
+      if (withheldUntilMs !== undefined) {
         return { kind: "held", forMs: withheldUntilMs - nowMs };
       }
-      const isSilent = this.#registry.reachOf(criteria.service) === "silent";
-      return isSilent ? { kind: "full" } : { kind: "none" };
+      const reach = this.#registry.reachOf(
+        criteria.service,
+        (endpoint) => this.#isAllowed(endpoint, criteria),
+      );
+      return reach === "silent" ? { kind: "full" } : { kind: "none" };
     }
     const withCapacity = candidates.filter((candidate) =>
       candidate.endpoint.id !== reserved &&
@@ -217,22 +217,18 @@
   }
 
   #candidates(criteria: EndpointCriteria): readonly Candidate[] {
-    const nowMs = this.#clock.monotonicMs();
-    return this.#usable(criteria).filter((endpoint) =>
-      criteria.ignoresHolds || !endpoint.isWithheld(nowMs)
-    ).map((endpoint) => ({
+    return this.#eligibility.eligible(criteria).map((endpoint) => ({
       endpoint,
       usage: this.#loadTable.totalUsage(endpoint.id),
     }));
   }
 
-  #usable(criteria: EndpointCriteria): RegisteredEndpoint[] {
-    const { excluded, service, softwareVersion } = criteria;
-    return this.#registry.reachable(service).filter((endpoint) =>
-      !excluded.has(endpoint.id) &&
-      (softwareVersion === undefined ||
-        endpoint.softwareVersion === softwareVersion)
-    );
+  /** @returns Whether the rules of the operator allow an endpoint. */
+  #isAllowed(
+    endpoint: RegisteredEndpoint,
+    { regions }: EndpointCriteria,
+  ): boolean {
+    return this.#eligibility.checkRules(endpoint, regions) === undefined;
   }
 
   #isCold({ announcement, firstSeenMs }: RegisteredEndpoint): boolean {
@@ -296,6 +292,7 @@
       if (endpoint === primary || endpoint.health.isEjected(nowMs)) continue;
       if (endpoint.softwareVersion !== primary.softwareVersion) continue;
       if (!criteria.ignoresHolds && endpoint.isWithheld(nowMs)) continue;
+      if (!this.#isAllowed(endpoint, criteria)) continue;
       const usage = this.#loadTable.totalUsage(endpoint.id);
       const usedTokens = usage.memoryTokens + usage.backupTokens +
         criteria.memoryTokens;
--- a/src/features/gateway/common/placement/zone_placer.ts
+++ b/src/features/gateway/common/placement/zone_placer.ts
@@ -24,6 +24,7 @@
 } from "../../../../services/peers/common/peer_links.ts";
 import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
 import type { EndpointChooser, EndpointCriteria } from "./endpoint_chooser.ts";
+import type { EndpointEligibility } from "../endpoints/endpoint_eligibility.ts";
 import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
 import type { GatewayService } from "../configuration/gateway_configuration.ts";
 import type { LoadTable } from "../load/load_table.ts";
@@ -65,6 +66,7 @@
   readonly registry: EndpointRegistry;
   readonly loadTable: LoadTable;
   readonly chooser: EndpointChooser;
+  readonly eligibility: EndpointEligibility;
   /** Places requests of the whole zone, or only those of this daemon. */
   readonly localPlacer: GenerationPlacer;
   /** @returns The configured service, if it exists. */
@@ -174,10 +176,11 @@
   }
 
   /**
-   * Endpoints that failed this request or were recently ejected by this daemon.
+   * Endpoints that failed this request, that are not eligible for it as far as
+   * this daemon knows, or that were recently ejected by this daemon.
    */
   #avoidedEndpoints({ criteria }: PlacementRequest): readonly EndpointId[] {
-    const { clock, registry } = this.#services;
+    const { clock, eligibility, registry } = this.#services;
     const nowMs = clock.monotonicMs();
     const usableEndpoints = registry.usable(criteria.service).filter(({ id }) =>
       !criteria.excluded.has(id)
@@ -189,17 +192,13 @@
     const avoidedEndpoints = ejected.length < usableEndpoints.length
       ? ejected
       : [];
-    const withheld = usableEndpoints.filter((endpoint) =>
-      endpoint.isWithheld(nowMs)
-    );
-    const reachable = new Set(registry.reachable(criteria.service));
-    const unreachable = usableEndpoints.filter((endpoint) =>
-      !reachable.has(endpoint)
-    );
-    return [
-      ...criteria.excluded,
-      ...[...avoidedEndpoints, ...withheld, ...unreachable].map(({ id }) => id),
-    ];
+    const ineligible = usableEndpoints.filter((endpoint) => {
+      const reason = eligibility.check(endpoint, criteria)?.kind;
+      // The placer checks the version itself.
+      return reason !== undefined && reason !== "other-version";
+    });
+    const avoided = new Set([...avoidedEndpoints, ...ineligible]);
+    return [...criteria.excluded, ...[...avoided].map(({ id }) => id)];
   }
 
   /** Discards all waiting requests and stops all messages. */
@@ -243,18 +242,21 @@
     this.#remoteRecentWaitMs = message.recentWaitMs;
     const delegated = this.#takeDelegated(from, message.number);
     if (!delegated) return;
-    const endpoint = this.#services.registry.get(message.endpoint);
+    const { eligibility, registry } = this.#services;
+    const endpoint = registry.get(message.endpoint);
     const { softwareVersion } = delegated.request.criteria;
     const isOtherVersion = softwareVersion !== undefined &&
       endpoint?.softwareVersion !== softwareVersion;
-    if (!endpoint?.isUsable || isOtherVersion) {
+    const isAllowed = endpoint &&
+      !eligibility.checkRules(endpoint, delegated.request.criteria.regions);
+    if (!endpoint?.isUsable || isOtherVersion || !isAllowed) {
       this.#placeLocally(delegated);
       return;
     }
     const { backup, candidates, cost } = message;
     const grant = {
       placer: from,
-      backup: backup && this.#services.registry.get(backup),
+      backup: backup && registry.get(backup),
     };
     delegated.request.onPlaced({ endpoint, cost, candidates, grant });
   }
--- a/src/features/gateway/common/requests/gateway_services.ts
+++ b/src/features/gateway/common/requests/gateway_services.ts
@@ -9,6 +9,7 @@
 import type { EndpointChooser } from "../placement/endpoint_chooser.ts";
 import type { CrashMonitor } from "../crashes/crash_monitor.ts";
 import type { EndpointProbe } from "../monitoring/endpoint_probe.ts";
+import type { EndpointEligibility } from "../endpoints/endpoint_eligibility.ts";
 import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
 import type { GatewayCodec } from "../protocol/gateway_codec.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
@@ -28,6 +29,8 @@
   readonly codec: GatewayCodec;
   readonly client: PassThroughClient;
   readonly registry: EndpointRegistry;
+  /** Decides which endpoints may serve a request. */
+  readonly eligibility: EndpointEligibility;
   readonly loadTable: LoadTable;
   readonly chooser: EndpointChooser;
   readonly budget: RetryBudget;
--- a/src/features/gateway/common/requests/request_content.ts
+++ b/src/features/gateway/common/requests/request_content.ts
@@ -1,7 +1,7 @@
 /** Content of a request, by which its repetitions are recognized. */
 
 import { isStreamed } from "../../../../services/http/common/request_body.ts";
-import type { AdmittedRequest } from "./request_context.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 
 /**
  * Size in bytes up to which a body is part of a request's fingerprint. Larger
--- a/src/features/gateway/common/requests/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -11,18 +11,13 @@
 import type {
   EndpointId,
   HostId,
-  RequestId,
   WorkspaceId,
 } from "../../../../base/common/ids.ts";
-import type { CallerExchange } from "../../../../services/http/common/caller_exchange.ts";
 import {
   type HeaderList,
   isCloseDelimited,
 } from "../../../../services/http/common/header_list.ts";
-import {
-  isStreamed,
-  type RequestBody,
-} from "../../../../services/http/common/request_body.ts";
+import { isStreamed } from "../../../../services/http/common/request_body.ts";
 import type {
   PassThroughExchange,
   PassThroughListener,
@@ -34,37 +29,21 @@
   RegisteredEndpoint,
   ServiceReach,
 } from "../endpoints/endpoint_registry.ts";
-import type {
-  CallerFields,
-  GenerationFields,
-} from "../protocol/gateway_codec.ts";
-import type {
-  GatewayRoute,
-  GatewayService,
-  KeyHolder,
-} from "../configuration/gateway_configuration.ts";
+import type { GenerationFields } from "../protocol/gateway_codec.ts";
+import { type EventGap, gapFields } from "./event_gap.ts";
 import { contentOf } from "./request_content.ts";
+import {
+  NO_ALLOWED_RETRY_AFTER_MS,
+  RequestEligibility,
+} from "./request_eligibility.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
 import type { AnswerVerdict } from "../protocol/answer_verdict.ts";
 import type { RequestOutcome } from "../metrics/request_outcome.ts";
 import { RunEvidence } from "./run_evidence.ts";
+import type { AdmittedRequest } from "./admitted_request.ts";
 import type { GatewayServices } from "./gateway_services.ts";
 
-/** A request that passed admission. */
-export interface AdmittedRequest {
-  readonly id: RequestId;
-  readonly exchange: CallerExchange;
-  readonly fields: CallerFields;
-  readonly route: GatewayRoute;
-  readonly service: GatewayService;
-  readonly keyHolder: KeyHolder | undefined;
-  readonly areKeysConfigured: boolean;
-  readonly body: RequestBody;
-  /** Monotonic time at which the response is due, in milliseconds. */
-  readonly deadlineMs: number;
-}
-
 /**
  * Minimum retry delay; a full engine finishes some of its work in this time.
  */
@@ -84,19 +63,6 @@
 /** Longer identifiers of parts are replaced by their hash. */
 const MAX_PART_CHARACTERS = 64;
 
-/** Time between two events of a stream, with what preceded the later one. */
-export interface EventGap {
-  readonly gapMs: number;
-  /** Endpoint of the later event. */
-  readonly endpoint: EndpointId;
-  /** Whether the later event is the first one of another run. */
-  readonly isHandover: boolean;
-  /** Prompt tokens that the endpoint had yet to prefill, as known here. */
-  readonly pendingPrefillTokens: number;
-  readonly runs: number;
-  readonly memoryTokens: number;
-}
-
 /** Receives the answer of an endpoint, with what its head proves. */
 export interface AnswerListener extends Omit<PassThroughListener, "onHead"> {
   /** Called when the status and the headers have arrived. */
@@ -111,6 +77,8 @@
   readonly excludedEndpoints = new Set<EndpointId>();
   /** Rights to send the request where endpoints name a limit. */
   readonly rights: RequestRights;
+  /** Which endpoints the request may be sent to. */
+  readonly eligibility: RequestEligibility;
   /** Refuses the request if it crashes the endpoints that run it. */
   readonly quarantine: RequestQuarantine;
   /** Software version whose events the caller has; set by the first one. */
@@ -141,6 +109,7 @@
     this.services = services;
     this.request = request;
     this.evidence = new RunEvidence(request.id, services.logger);
+    this.eligibility = new RequestEligibility(this);
     this.rights = new RequestRights(this);
     this.quarantine = new RequestQuarantine(this);
   }
@@ -152,13 +121,17 @@
   get placementRetryAfterMs(): number {
     const { recentWaitMs } = this.services.placer;
     if (this.isCutOff) return CUT_OFF_RETRY_AFTER_MS;
+    if (this.eligibility.blockingRules) return NO_ALLOWED_RETRY_AFTER_MS;
     return this.rights.retryAfterMs ??
       Math.max(FULL_RETRY_AFTER_MS, recentWaitMs);
   }
 
-  /** Whether endpoints of the service can be reached, on any path. */
+  /** Whether allowed endpoints of the service can be reached, on any path. */
   get serviceReach(): ServiceReach {
-    return this.services.registry.reachOf(this.request.service.id);
+    return this.services.registry.reachOf(
+      this.request.service.id,
+      (endpoint) => this.eligibility.isAllowed(endpoint),
+    );
   }
 
   /** Whether no endpoint of the service has been reached for some time. */
@@ -308,7 +281,8 @@
 
   /**
    * Sends the request to an endpoint. It is counted as sent when its first byte
-   * is about to be written.
+   * is about to be written. A rule of the operator that took effect after the
+   * endpoint was chosen prevents the send, which is then reported as not sent.
    *
    * @param endpoint - The endpoint.
    * @param fields - Fields that only generations add.
@@ -319,6 +293,8 @@
     fields: GenerationFields,
     sink: AnswerListener,
   ): PassThroughExchange {
+    const prevented = this.eligibility.preventSend(endpoint, sink.onFailure);
+    if (prevented) return prevented;
     const { answers, client, clock, codec, crashMonitor } = this.services;
     const { announcement, id } = endpoint;
     const { body, exchange, areKeysConfigured, keyHolder } = this.request;
@@ -438,9 +414,14 @@
 
   /** Records an outcome in the endpoint's health and logs an ejection. */
   recordOutcome(
-    { announcement, health, id }: RegisteredEndpoint,
+    endpoint: RegisteredEndpoint,
     outcome: EndpointOutcome,
   ): void {
+    // A send that was prevented says nothing about the endpoint.
+    if (outcome === "unreachable" && this.eligibility.hasPrevented(endpoint)) {
+      return;
+    }
+    const { announcement, health, id } = endpoint;
     const { client, clock, logger, metrics } = this.services;
     if (!health.record(outcome, clock.monotonicMs())) return;
     metrics.count("endpoints_ejected", outcome);
@@ -542,6 +523,8 @@
     const { exchange, route, service } = this.request;
     const nowMs = clock.monotonicMs();
     const totalMs = nowMs - exchange.receivedMs;
+    const mayLackEndpoints = outcome === "not-run" || outcome === "unknown" ||
+      outcome === "interrupted";
     const firstByteMs = this.#firstByteMs === undefined
       ? undefined
       : this.#firstByteMs - exchange.receivedMs;
@@ -562,22 +545,8 @@
       firstMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
       leftMs: Math.round(this.remainingMs),
+      ...(mayLackEndpoints && this.eligibility.logFields()),
       ...gapFields(this.longestGap),
     });
   }
 }
-
-/** @returns The fields of the log line for the longest gap of a stream. */
-function gapFields(
-  gap: EventGap | undefined,
-): Readonly<Record<string, string | number | boolean>> {
-  if (!gap) return {};
-  return {
-    gapMs: Math.round(gap.gapMs),
-    gapEndpoint: gap.endpoint,
-    gapHandover: gap.isHandover,
-    gapRuns: gap.runs,
-    gapMemoryTokens: Math.round(gap.memoryTokens),
-    gapPendingPrefillTokens: gap.pendingPrefillTokens,
-  };
-}
--- a/src/features/gateway/common/requests/request_rights.ts
+++ b/src/features/gateway/common/requests/request_rights.ts
@@ -38,7 +38,7 @@
   get withheldForMs(): number | undefined {
     const { services, request } = this.#context;
     const endpoints = services.registry.usable(request.service.id)
-      .filter((endpoint) => this.#context.accepts(endpoint));
+      .filter((endpoint) => this.#mayServe(endpoint));
     const nowMs = services.clock.monotonicMs();
     if (endpoints.length === 0) return undefined;
     if (!endpoints.every((endpoint) => endpoint.isWithheld(nowMs))) {
@@ -119,7 +119,7 @@
     const nowMs = clock.monotonicMs();
     const endpoints = registry.usable(request.service.id)
       .filter((endpoint) =>
-        !excludedEndpoints.has(endpoint.id) && this.#context.accepts(endpoint)
+        !excludedEndpoints.has(endpoint.id) && this.#mayServe(endpoint)
       );
     if (!endpoints.every((endpoint) => endpoint.isWithheld(nowMs))) {
       return undefined;
@@ -150,6 +150,11 @@
     this.#room = undefined;
   }
 
+  #mayServe(endpoint: RegisteredEndpoint): boolean {
+    return this.#context.accepts(endpoint) &&
+      this.#context.eligibility.isAllowed(endpoint);
+  }
+
   async #takeRoom(
     endpoint: RegisteredEndpoint,
     maxWaitMs: number,
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -15,6 +15,7 @@
 import { AnswerObserver } from "../../src/features/gateway/common/monitoring/answer_observer.ts";
 import { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import { CrashMonitor } from "../../src/features/gateway/common/crashes/crash_monitor.ts";
+import { EndpointEligibility } from "../../src/features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
@@ -105,6 +106,7 @@
   readonly engineControl = new FakeEngineControl();
   readonly metrics = new GatewayMetrics();
   readonly registry: EndpointRegistry;
+  readonly eligibility: EndpointEligibility;
   readonly loadTable: LoadTable;
   readonly suspects: SuspectTable;
   readonly promptParts: PromptPartTable;
@@ -134,6 +136,7 @@
   ) {
     this.clock = options.clock ?? new ManualClock();
     this.registry = new EndpointRegistry(this.clock, this.logger);
+    this.eligibility = new EndpointEligibility(this.clock, this.registry);
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
     this.stop = new PlannedStop(this.clock);
@@ -161,6 +164,7 @@
       loadTable,
       random,
       ZONE,
+      this.eligibility,
     );
     this.limitTable = new LimitTable(clock);
     const peers = {
@@ -194,6 +198,7 @@
         codec: new FakeGatewayCodec(),
         client: client ?? this.endpoints,
         registry,
+        eligibility: this.eligibility,
         loadTable,
         chooser,
         placer: createPlacer?.(this, chooser) ??
--- a/standins/gateway/zone_placer_fixture.ts
+++ b/standins/gateway/zone_placer_fixture.ts
@@ -38,7 +38,7 @@
   network: InProcessNetwork,
   number: number,
 ): ZonePlacer {
-  const { loadTable, clock, logger, registry, state } = harness;
+  const { eligibility, loadTable, clock, logger, registry, state } = harness;
   const self = `host-${number}` as HostId;
   const links = network.addHost(self, clock);
   for (const [host, joined] of network.hosts) {
@@ -56,6 +56,7 @@
     links,
     overlay: OVERLAY,
     registry,
+    eligibility,
     loadTable,
     chooser,
     localPlacer: new PlacementQueue(clock, chooser),
