Send nothing new to the endpoints of an evacuated zone

Cause: the operator's entry op/evacuate/ZONE had no effect. Change: each host follows the entries through its mirror of the store, applies them before the other changes of a batch, and keeps those of an earlier era for 10 s after a restore. The eligibility of endpoints, and the gate for requests of peers, refuse endpoints of the zone; the gate answers held, which earlier versions understand. ragwort evacuations, the page /evacuations, log lines and a gauge show the zones. Measured: zone_evacuations_test, zone_evacuation_test, relay_gate_test, gateway_test and zone_placer_test pass. Not measured with real daemons yet.

--- a/src/cli/node/command_line.ts
+++ b/src/cli/node/command_line.ts
@@ -7,6 +7,7 @@
 import { addConfigCommand } from "./commands/config.ts";
 import { addDrainCommand } from "./commands/drain.ts";
 import { addEndpointCommand } from "./commands/endpoint.ts";
+import { addEvacuationsCommand } from "./commands/evacuations.ts";
 import { addExplainCommand } from "./commands/explain.ts";
 import { addHintCommands } from "./commands/npm_script_hints.ts";
 import { addHistogramCommand } from "./commands/histogram.ts";
@@ -74,6 +75,7 @@
   addEndpointCommand(cli, shell);
   addQuarantineCommand(cli, shell);
   addLimitsCommand(cli, shell);
+  addEvacuationsCommand(cli, shell);
   addOrdersCommand(cli, shell);
   addCheckCommand(cli, shell);
   addReportCommand(cli, shell);
--- a/src/daemon/common/mirror_change_handler.ts
+++ b/src/daemon/common/mirror_change_handler.ts
@@ -1,6 +1,6 @@
 /**
- * Applies changes of the store mirror to the configuration, the endpoint
- * registry and the peer topology.
+ * Applies changes of the store mirror to the configuration, the evacuations, the
+ * endpoint registry and the peer topology.
  */
 
 import {
@@ -8,10 +8,11 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
-import type { EndpointId, HostId } from "../../base/common/ids.ts";
+import type { EndpointId, HostId, ZoneName } from "../../base/common/ids.ts";
 import { type Either, rightOf } from "../../base/common/result.ts";
 import type { EndpointAnnouncement } from "../../features/gateway/common/endpoints/endpoint_announcement.ts";
 import { KeptConfiguration } from "../../features/gateway/common/configuration/kept_configuration.ts";
+import type { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import type { GatewayConfiguration } from "../../features/gateway/common/configuration/gateway_configuration.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
@@ -33,6 +34,8 @@
   readonly configurationKey: string;
   /** Key prefix of the endpoint entries. */
   readonly endpointPrefix: string;
+  /** Key prefix of the entries that evacuate a zone; followed by its name. */
+  readonly evacuationPrefix: string;
   decodeConfiguration(bytes: Uint8Array): Either<string, GatewayConfiguration>;
   decodeAnnouncement(
     id: string,
@@ -58,6 +61,7 @@
   readonly state: ConfigurationState;
   readonly links: PeerLinks;
   readonly registry: EndpointRegistry;
+  readonly evacuations: ZoneEvacuations;
   readonly peers: HostChangeListener;
   readonly decoder: StoreDocumentDecoder;
 }
@@ -71,7 +75,7 @@
   /** @param services - Dependencies of the handler. */
   constructor(services: MirrorChangeHandlerServices) {
     this.#services = services;
-    const { decoder, links, logger, mirror, state } = services;
+    const { decoder, evacuations, links, logger, mirror, state } = services;
     this.#kept = this.#disposables.add(
       new KeptConfiguration({
         logger,
@@ -80,6 +84,9 @@
         decodeConfiguration: (value) => decoder.decodeConfiguration(value),
       }),
     );
+    this.#disposables.add(
+      mirror.onDidChangeEra((era) => evacuations.recordEra(era)),
+    );
     this.#disposables.add(
       mirror.onDidChange((changes) => this.#apply(changes)),
     );
@@ -97,6 +104,8 @@
     const hosts = new Map<HostId, FleetHost | undefined>();
     /** Endpoints that this host sees for the first time. */
     const added = new Set<EndpointId>();
+    // First, as a new endpoint of the batch may be sent waiting requests at once.
+    this.#applyEvacuations(changes);
     for (const change of changes) {
       const { key } = change;
       if (key === configurationKey) this.#applyConfiguration(change);
@@ -114,6 +123,17 @@
     if (hosts.size > 0) peers.onHostsChanged(hosts);
   }
 
+  #applyEvacuations(changes: readonly MirrorChange[]): void {
+    const { decoder, evacuations } = this.#services;
+    const { evacuationPrefix } = decoder;
+    for (const { key, item } of changes) {
+      if (!key.startsWith(evacuationPrefix)) continue;
+      const zone = key.slice(evacuationPrefix.length) as ZoneName;
+      if (item) evacuations.record(zone, item.revision);
+      else evacuations.remove(zone);
+    }
+  }
+
   #applyConfiguration({ item }: MirrorChange): void {
     if (!item) return;
     const { decoder, logger, state } = this.#services;
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -35,6 +35,7 @@
 import { AnswerObserver } from "../../features/gateway/common/monitoring/answer_observer.ts";
 import { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
+import { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
@@ -64,6 +65,7 @@
   readonly #mirror: StoreMirror;
   readonly #state: ConfigurationState;
   readonly #registry: EndpointRegistry;
+  readonly #evacuations: ZoneEvacuations;
   readonly #links: WsPeerLinks;
   readonly #store: GatewayStore;
   readonly #placer: ZonePlacer;
@@ -104,6 +106,9 @@
       logger,
       (endpoint) => this.#paths.unreachableSinceMs(endpoint),
     );
+    this.#evacuations = this.#disposables.add(
+      new ZoneEvacuations(clock, logger),
+    );
     this.#readinessLog = new ReadinessLog({
       logger,
       mirror: this.#mirror,
@@ -154,6 +159,7 @@
         mirror: this.#mirror,
         state: this.#state,
         registry: this.#registry,
+        evacuations: this.#evacuations,
       }),
     );
     const holds = new EndpointHolds(clock, logger, metrics, random);
@@ -176,7 +182,10 @@
         limits: () => this.#limits.endpoints,
       }),
     );
-    const eligibility = new EndpointEligibility(clock, this.#registry);
+    const eligibility = new EndpointEligibility(clock, this.#registry, {
+      isEvacuated: (evacuated) => this.#evacuations.isEvacuated(evacuated),
+      regionOf: () => undefined,
+    });
     const findService = (id: ServiceId) =>
       this.#state.current?.configuration.services.get(id);
     const placement = this.#disposables.add(
@@ -222,6 +231,7 @@
         metrics,
         signer,
         registry: this.#registry,
+        eligibility,
         codec: adapter.codec,
         client: this.#paths.directClient,
         observer: answers,
@@ -415,6 +425,7 @@
       callers: this.#callers,
       paths: this.#paths,
       registry: this.#registry,
+      evacuations: this.#evacuations,
       links: this.#links,
       state: this.#state,
       mirror: this.#mirror,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -11,6 +11,7 @@
 import type { RoomPermits } from "../../features/brittle/common/room_permits.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import type { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { LimitRights } from "../../features/gateway/common/limits/limit_rights.ts";
@@ -53,6 +54,7 @@
   readonly callers: CallerServer;
   readonly paths: GatewayPaths;
   readonly registry: EndpointRegistry;
+  readonly evacuations: ZoneEvacuations;
   readonly links: WsPeerLinks;
   readonly state: ConfigurationState;
   readonly mirror: StoreMirror;
@@ -122,9 +124,14 @@
       const text = JSON.stringify({ host, limits, brittle });
       return { status: HTTP_OK, text };
     }
+    if (path === "/evacuations") {
+      const { host } = this.#services.daemonState();
+      const evacuations = this.#services.evacuations.list();
+      return { status: HTTP_OK, text: JSON.stringify({ host, evacuations }) };
+    }
     const error =
-      `a gateway has no ${path}; it serves /status, /metrics, /quarantine and /limits, ` +
-      "and logs each decision with the request ID (see docs/OPERATIONS.md)";
+      `a gateway has no ${path}; it serves /status, /metrics, /quarantine, /limits ` +
+      "and /evacuations, and logs each decision with the request ID (see docs/OPERATIONS.md)";
     return { status: HTTP_NOT_IMPLEMENTED, text: JSON.stringify({ error }) };
   }
 
@@ -158,6 +165,7 @@
       endpoint_connections_opened: services.paths.openedCount,
       endpoints: services.registry.all.length,
       lost_direct_paths: services.paths.direct.lostAddresses.length,
+      evacuated_zones: services.evacuations.list().length,
       limited_endpoints: services.limitRights.list().length,
       brittle_endpoints: services.roomPermits.list().length,
       quarantined_requests: services.crashMonitor.list().length,
--- a/src/daemon/node/gateway_store.ts
+++ b/src/daemon/node/gateway_store.ts
@@ -10,6 +10,7 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import type { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import {
   encodeHostEntry,
@@ -40,6 +41,7 @@
   readonly mirror: StoreMirror;
   readonly state: ConfigurationState;
   readonly registry: EndpointRegistry;
+  readonly evacuations: ZoneEvacuations;
 }
 
 /** Follows the store and keeps the entry of this host. */
--- a/src/features/gateway/common/relay/relay_gate.ts
+++ b/src/features/gateway/common/relay/relay_gate.ts
@@ -29,6 +29,7 @@
 } from "../../../../services/relay/common/relay_protocol.ts";
 import type { RelaySigner } from "../../../../services/relay/common/relay_signer.ts";
 import type { AnswerObserver } from "../monitoring/answer_observer.ts";
+import type { EndpointEligibility } from "../endpoints/endpoint_eligibility.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
@@ -50,6 +51,13 @@
  */
 const DEADLINE_MARGIN_MS = 1_000;
 
+/**
+ * Time for which a peer is told to avoid an endpoint of an evacuated zone. It
+ * learns of the evacuation itself meanwhile, and uses the endpoint again soon
+ * after the zone has returned.
+ */
+const EVACUATED_RETRY_AFTER_MS = 1_000;
+
 const HTTP_BAD_REQUEST = 400;
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_UNAVAILABLE = 503;
@@ -62,6 +70,7 @@
   readonly metrics: GatewayMetrics;
   readonly signer: RelaySigner;
   readonly registry: EndpointRegistry;
+  readonly eligibility: Pick<EndpointEligibility, "checkRules">;
   readonly codec: GatewayCodec;
   /** Client that sends only directly. */
   readonly client: PassThroughClient;
@@ -146,7 +155,8 @@
     exchange: CallerExchange,
     { fields, proof }: ReceivedRelay,
   ): Either<Refusal, RegisteredEndpoint> {
-    const { clock, paths, registry, self, signer } = this.#services;
+    const { clock, eligibility, paths, registry, self, signer } =
+      this.#services;
     const { method, target } = exchange;
     const proofText = relayProofText(fields, method, target);
     if (fields.to !== self || !signer.verify(proofText, proof)) {
@@ -162,6 +172,14 @@
     if (!endpoint || !isKnown || !mayBeAsked) {
       return Left({ refusal: "no-endpoint" });
     }
+    // `held` is known to earlier versions, which then ask no other peer.
+    const isRequest = fields.purpose === "request";
+    if (isRequest && eligibility.checkRules(endpoint, undefined)) {
+      return Left({
+        refusal: "held",
+        retryAfterMs: EVACUATED_RETRY_AFTER_MS,
+      });
+    }
     const nowMs = clock.monotonicMs();
     if (nowMs - exchange.receivedMs >= fields.remainingMs) {
       return Left({ refusal: "late" });
--- a/src/services/relay/common/relay_protocol.ts
+++ b/src/services/relay/common/relay_protocol.ts
@@ -37,7 +37,10 @@
   | "forbidden"
   /** The peer does not know the endpoint, or knows that it leaves. */
   | "no-endpoint"
-  /** The endpoint wants no requests from the peer now. */
+  /**
+   * The endpoint wants no requests from the peer now, or the peer knows that its
+   * zone is evacuated.
+   */
   | "held"
   /** The peer cannot connect to the endpoint either. */
   | "unreachable"
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -16,6 +16,7 @@
 import { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import { CrashMonitor } from "../../src/features/gateway/common/crashes/crash_monitor.ts";
 import { EndpointEligibility } from "../../src/features/gateway/common/endpoints/endpoint_eligibility.ts";
+import { ZoneEvacuations } from "../../src/features/gateway/common/endpoints/zone_evacuations.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
@@ -107,6 +108,7 @@
   readonly metrics = new GatewayMetrics();
   readonly registry: EndpointRegistry;
   readonly eligibility: EndpointEligibility;
+  readonly evacuations: ZoneEvacuations;
   readonly loadTable: LoadTable;
   readonly suspects: SuspectTable;
   readonly promptParts: PromptPartTable;
@@ -136,7 +138,11 @@
   ) {
     this.clock = options.clock ?? new ManualClock();
     this.registry = new EndpointRegistry(this.clock, this.logger);
-    this.eligibility = new EndpointEligibility(this.clock, this.registry);
+    this.evacuations = new ZoneEvacuations(this.clock, this.logger);
+    this.eligibility = new EndpointEligibility(this.clock, this.registry, {
+      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
+      regionOf: () => undefined,
+    });
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
     this.stop = new PlannedStop(this.clock);
@@ -290,13 +296,14 @@
     number: number,
     bornMs = 1,
     warmUpRemainingMs = 0,
+    zone = ZONE,
   ): EndpointId {
     const id = `${service}-${number}` as EndpointId;
     this.registry.announce({
       id,
       service,
       address: this.addressOf(number),
-      zone: ZONE,
+      zone,
       slots: service === APP ? 6 : 24,
       bornMs,
       isDraining: false,
--- a/standins/gateway/harness_configuration.ts
+++ b/standins/gateway/harness_configuration.ts
@@ -14,6 +14,7 @@
 export const APP = "app" as ServiceId;
 export const ENGINE = "engine" as ServiceId;
 export const ZONE = "zone-a" as ZoneName;
+export const OTHER_ZONE = "zone-b" as ZoneName;
 export const KEY = "key-1";
 
 const BASE_ROUTE: GatewayRoute = {
--- a/standins/gateway/relay_gate_test.ts
+++ b/standins/gateway/relay_gate_test.ts
@@ -8,6 +8,7 @@
   ZoneName,
 } from "../../src/base/common/ids.ts";
 import { AnswerObserver } from "../../src/features/gateway/common/monitoring/answer_observer.ts";
+import { EndpointEligibility } from "../../src/features/gateway/common/endpoints/endpoint_eligibility.ts";
 import {
   EndpointRegistry,
   type RegisteredEndpoint,
@@ -43,6 +44,7 @@
   let endpoints: FakeEndpoints;
   let registry: EndpointRegistry;
   let gate: RelayGate;
+  let isEvacuated: boolean;
   let isLost: boolean;
   let connectTimeouts: RegisteredEndpoint[];
   let heldMs: number[];
@@ -54,6 +56,7 @@
     const logger = new RecordingLogger();
     registry = new EndpointRegistry(clock, logger);
     isLost = false;
+    isEvacuated = false;
     connectTimeouts = [];
     heldMs = [];
     leavingMarks = [];
@@ -77,6 +80,10 @@
         verify: (text, proof) => proof === `proof of ${text}`,
       },
       registry,
+      eligibility: new EndpointEligibility(clock, registry, {
+        isEvacuated: () => isEvacuated,
+        regionOf: () => undefined,
+      }),
       codec: new FakeGatewayCodec(),
       client: endpoints,
       observer: new AnswerObserver({
@@ -168,6 +175,14 @@
     expect(endpoints.transfers).toHaveLength(1);
   });
 
+  // Guards against requests of peers that do not know of the evacuation.
+  it("sends nothing to an endpoint of an evacuated zone, but its control requests", async () => {
+    isEvacuated = true;
+    await expectRefusal("held");
+    await handle({ purpose: "control" });
+    expect(endpoints.transfers).toHaveLength(1);
+  });
+
   it("sends nothing to another process at the address", async () => {
     await expectRefusal("no-endpoint", { address: "10.0.0.9:80" as Address });
     await expectRefusal("no-endpoint", { endpoint: "e-2" as EndpointId });
