--- a/src/daemon/common/gateway_placement.ts
+++ b/src/daemon/common/gateway_placement.ts
@@ -40,7 +40,8 @@
 
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayPlacementServices) {
-    const { clock, links, overlay, random, registry, self, zone } = services;
+    const { clock, eligibility, links, overlay, random, registry, self, zone } =
+      services;
     const loadTable = new LoadTable(clock);
     this.loadTable = loadTable;
     this.#disposables.add(
@@ -57,6 +58,7 @@
       loadTable,
       random,
       zone,
+      eligibility,
       paces,
       services.chooserSettings,
     );
--- a/src/features/gateway/common/requests/event_gap.ts
+++ b/src/features/gateway/common/requests/event_gap.ts
@@ -1,4 +1,4 @@
-/** The longest gap between two events of a stream, for the log line at its end. */
+/** The longest gap between two events of a stream, for the log. */
 
 import type { EndpointId } from "../../../../base/common/ids.ts";
 
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -15,6 +15,8 @@
 import { AnswerObserver } from "../../src/features/gateway/common/monitoring/answer_observer.ts";
 import { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import { CrashMonitor } from "../../src/features/gateway/common/crashes/crash_monitor.ts";
+import { EndpointEligibility } from "../../src/features/gateway/common/endpoints/endpoint_eligibility.ts";
+import { ZoneEvacuations } from "../../src/features/gateway/common/endpoints/zone_evacuations.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
@@ -108,6 +110,8 @@
   readonly engineControl = new FakeEngineControl();
   readonly metrics = new GatewayMetrics();
   readonly registry: EndpointRegistry;
+  readonly eligibility: EndpointEligibility;
+  readonly evacuations: ZoneEvacuations;
   readonly loadTable: LoadTable;
   readonly paces: EndpointPaces;
   readonly suspects: SuspectTable;
@@ -138,6 +142,11 @@
   ) {
     this.clock = options.clock ?? new ManualClock();
     this.registry = new EndpointRegistry(this.clock, this.logger);
+    this.evacuations = new ZoneEvacuations(this.clock, this.logger);
+    this.eligibility = new EndpointEligibility(this.clock, this.registry, {
+      isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
+      regionOf: () => undefined,
+    });
     this.loadTable = new LoadTable(this.clock);
     this.paces = new EndpointPaces(this.clock, this.loadTable);
     this.suspects = new SuspectTable(this.clock);
@@ -167,6 +176,7 @@
       loadTable,
       random,
       ZONE,
+      this.eligibility,
       options.ignoresPaces ? undefined : paces,
     );
     this.limitTable = new LimitTable(clock);
@@ -201,6 +211,7 @@
         codec: new FakeGatewayCodec(),
         client: client ?? this.endpoints,
         registry,
+        eligibility: this.eligibility,
         loadTable,
         paces,
         chooser,
@@ -294,13 +305,14 @@
     number: number,
     bornMs = 1,
     warmUpRemainingMs = 0,
+    zone = ZONE,
   ): EndpointId {
     const id = `${service}-${number}` as EndpointId;
     this.registry.announce({
       id,
       service,
       address: this.addressOf(number),
-      zone: ZONE,
+      zone,
       slots: service === APP ? 6 : 24,
       bornMs,
       isDraining: false,
