Track until when endpoints are cold

The registry dropped the remaining warm-up time of entries of registered endpoints, so that an endpoint that turns cold again was not noticed.

--- a/src/features/gateway/common/configuration/gateway_configuration.ts
+++ b/src/features/gateway/common/configuration/gateway_configuration.ts
@@ -67,6 +67,14 @@
   readonly canBackUp: boolean;
 }
 
+/** What the endpoints of a service bear while they are cold. */
+export interface ColdBehavior {
+  /** Time for which an endpoint is cold after a start, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests a second that a cold endpoint bears from all hosts together. */
+  readonly requestsPerS: number;
+}
+
 /** A service that is a target of routes. */
 export interface GatewayService {
   readonly id: ServiceId;
@@ -77,6 +85,8 @@
   readonly maxConnections: number;
   /** `undefined` for services that do not run generations. */
   readonly engine: EngineCapabilities | undefined;
+  /** Absent for services whose cold endpoints have no limit. */
+  readonly cold?: ColdBehavior | undefined;
 }
 
 /** Workspace that an API key belongs to. */
--- a/src/features/gateway/common/endpoints/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoints/endpoint_registry.ts
@@ -118,6 +118,13 @@
   readonly atMs: number;
 }
 
+/** An announcement that is newer than those before it. */
+export interface EndpointAnnounced {
+  readonly endpoint: RegisteredEndpoint;
+  /** The announcement; that of the endpoint itself is its first one. */
+  readonly announcement: EndpointAnnouncement;
+}
+
 /**
  * Returns since when no host reaches an endpoint, as a monotonic time in
  * milliseconds, or `undefined` if one does.
@@ -151,6 +158,11 @@
   /** Fires when a process of an endpoint is announced for the first time. */
   readonly onDidAdd = this.#added.event;
 
+  readonly #announced = new Emitter<EndpointAnnounced>();
+
+  /** Fires after each new announcement, also of a registered process. */
+  readonly onDidAnnounce = this.#announced.event;
+
   /** Fires when an endpoint starts to drain or is removed. */
   readonly onDidRetire = this.#retired.event;
 
@@ -244,6 +256,7 @@
       this.#remove(endpoint, "restarted");
       endpoint = undefined;
     }
+    const isNew = endpoint === undefined;
     endpoint ??= this.#add(announcement);
     const { lastSequence, phase } = endpoint;
     const { sequence } = announcement;
@@ -261,6 +274,7 @@
       endpoint.wasLeaving = false;
       this.#logger.log("info", "endpoint-back", { endpoint: id });
     }
+    if (isNew || !isRestored) this.#announced.fire({ endpoint, announcement });
   }
 
   /**
