Limit the rate of requests to cold endpoints over all hosts

A cold endpoint crashes if all hosts together send more than it bears. LimitTable takes the limits of ColdEndpoints as a second source, and the lower one holds. Questions for rights carry the cold rate as a last value, which earlier builds ignore; they see the cold limit as a record of a named one. A hub that takes over, or whose hubs change, grants rights only after those of its predecessor are used, and hosts without a granter use half of the rate in evenly spread parts of a period. The metrics page counts cold endpoints, and ragwort limits names the source. The bound at cold endpoints is not measured yet.

--- a/src/cli/node/commands/limits.ts
+++ b/src/cli/node/commands/limits.ts
@@ -1,4 +1,7 @@
-/** `ragwort limits`: lists the endpoints that name a limit or are brittle. */
+/**
+ * `ragwort limits`: lists the endpoints that have a limit, stated or as they are
+ * cold, and those that are brittle.
+ */
 
 import { rightOf } from "../../../base/common/result.ts";
 import type { ListedBrittle } from "../../../features/brittle/common/room_permits.ts";
@@ -15,6 +18,7 @@
 
 const COLUMN_HEADERS = [
   "endpoint",
+  "source",
   "limit/s",
   "rate/s",
   "known to",
@@ -56,7 +60,7 @@
 export const addLimitsCommand: AddCommand = (cli, shell) => {
   cli.command(
     "limits",
-    "List endpoints that name a limit or are brittle, and who grants what",
+    "List endpoints that have a limit or are brittle, and who grants what",
   )
     .example("ragwort limits --daemons 10.0.0.1:9464,10.0.0.2:9464")
     .action((options: GlobalOptions) => shell.run(options, listLimits));
@@ -69,6 +73,7 @@
   );
   const rows = limits.map((limit) => [
     limit.endpoint,
+    limit.source ?? "stated",
     limit.requestsPerS === undefined ? "ended" : String(limit.requestsPerS),
     limit.ratePerS.toFixed(2),
     String(limit.hosts.length),
@@ -88,7 +93,7 @@
   ]);
   const text = [
     ...rows.length === 0
-      ? ["no endpoint names a limit"]
+      ? ["no endpoint has a limit"]
       : formatTable([COLUMN_HEADERS, ...rows]),
     ...brittleRows.length === 0
       ? ["no endpoint is brittle"]
--- a/src/daemon/common/gateway_endpoint_limits.ts
+++ b/src/daemon/common/gateway_endpoint_limits.ts
@@ -10,6 +10,7 @@
 import { BrittleTable } from "../../features/brittle/common/brittle_table.ts";
 import { RoomPermits } from "../../features/brittle/common/room_permits.ts";
 import { EndpointLimits } from "../../features/gateway/common/limits/endpoint_limits.ts";
+import type { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import {
   LimitRights,
@@ -22,6 +23,7 @@
 export interface GatewayEndpointLimitsServices
   extends Omit<LimitRightsServices, "table"> {
   readonly registry: EndpointRegistry;
+  readonly cold: ColdEndpoints;
   readonly loadTable: LoadTable;
 }
 
@@ -34,8 +36,8 @@
 
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayEndpointLimitsServices) {
-    const { clock, loadTable, metrics, registry } = services;
-    const table = new LimitTable(clock);
+    const { clock, cold, loadTable, metrics, registry } = services;
+    const table = new LimitTable(clock, cold);
     const brittle = new BrittleTable(clock);
     this.rooms = this.#disposables.add(
       new RoomPermits({
--- a/src/daemon/common/gateway_placement.ts
+++ b/src/daemon/common/gateway_placement.ts
@@ -8,6 +8,7 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { ZoneName } from "../../base/common/ids.ts";
+import type { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import { EndpointChooser } from "../../features/gateway/common/placement/endpoint_chooser.ts";
 import { LoadTable } from "../../features/gateway/common/load/load_table.ts";
 import { LoadTableSync } from "../../features/gateway/common/load/load_table_sync.ts";
@@ -23,6 +24,7 @@
   extends Omit<ZonePlacerServices, "loadTable" | "chooser" | "localPlacer"> {
   readonly zone: ZoneName;
   readonly random: RandomSource;
+  readonly cold: ColdEndpoints;
 }
 
 /** Choice of endpoints on one gateway daemon. */
@@ -34,7 +36,8 @@
 
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayPlacementServices) {
-    const { clock, links, overlay, random, registry, self, zone } = services;
+    const { clock, cold, links, overlay, random, registry, self, zone } =
+      services;
     const loadTable = new LoadTable(clock);
     this.loadTable = loadTable;
     this.#disposables.add(
@@ -46,6 +49,7 @@
       loadTable,
       random,
       zone,
+      cold,
     );
     this.chooser = chooser;
     const localPlacer = this.#disposables.add(
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -34,6 +34,7 @@
 import { drainRequests } from "./request_drain.ts";
 import { AnswerObserver } from "../../features/gateway/common/monitoring/answer_observer.ts";
 import { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
+import { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
@@ -63,6 +64,7 @@
   readonly #mirror: StoreMirror;
   readonly #state: ConfigurationState;
   readonly #registry: EndpointRegistry;
+  readonly #cold: ColdEndpoints;
   readonly #links: WsPeerLinks;
   readonly #store: GatewayStore;
   readonly #placer: ZonePlacer;
@@ -177,6 +179,9 @@
     );
     const findService = (id: ServiceId) =>
       this.#state.current?.configuration.services.get(id);
+    this.#cold = this.#disposables.add(
+      new ColdEndpoints({ clock, registry: this.#registry, findService }),
+    );
     const placement = this.#disposables.add(
       new GatewayPlacement({
         self: host,
@@ -187,6 +192,7 @@
         links: this.#links,
         overlay: this.#topology,
         registry: this.#registry,
+        cold: this.#cold,
         findService,
       }),
     );
@@ -205,6 +211,7 @@
         overlay: this.#topology,
         reach: this.#topology,
         registry: this.#registry,
+        cold: this.#cold,
         loadTable: placement.loadTable,
       }),
     );
@@ -405,6 +412,7 @@
       metrics: this.#metrics,
       gateway: this.#gateway,
       crashMonitor: this.#quarantine.monitor,
+      cold: this.#cold,
       limitRights: this.#limits.rights,
       roomPermits: this.#limits.rooms,
       queue: this.#placer,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -11,6 +11,7 @@
 import type { RoomPermits } from "../../features/brittle/common/room_permits.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import type { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { LimitRights } from "../../features/gateway/common/limits/limit_rights.ts";
@@ -47,6 +48,7 @@
   readonly metrics: GatewayMetrics;
   readonly gateway: Gateway;
   readonly crashMonitor: CrashMonitor;
+  readonly cold: ColdEndpoints;
   readonly limitRights: LimitRights;
   readonly roomPermits: RoomPermits;
   readonly queue: GenerationPlacer;
@@ -158,7 +160,10 @@
       endpoint_connections_opened: services.paths.openedCount,
       endpoints: services.registry.all.length,
       lost_direct_paths: services.paths.direct.lostAddresses.length,
-      limited_endpoints: services.limitRights.list().length,
+      limited_endpoints:
+        services.limitRights.list().filter(({ source }) => source === "stated")
+          .length,
+      cold_endpoints: services.cold.count,
       brittle_endpoints: services.roomPermits.list().length,
       quarantined_requests: services.crashMonitor.list().length,
       peers: services.links.connectedHosts().length,
--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -122,6 +122,13 @@
     return this.#planner.hosts.size;
   }
 
+  /** Position of this daemon among them in the order of their ids. */
+  get fleetIndex(): number {
+    const { host } = this.#services.self;
+    return [...this.#planner.hosts.keys()].filter((other) => other < host)
+      .length;
+  }
+
   /**
    * Largest number of daemons in the fleet within the last minute. Entries that
    * lapse while their hosts are alive do not make this daemon's part larger.
--- a/src/features/gateway/common/limits/endpoint_limits.ts
+++ b/src/features/gateway/common/limits/endpoint_limits.ts
@@ -29,12 +29,12 @@
   readonly clock: Clock;
   readonly registry: EndpointRegistry;
   readonly table: LimitTable;
-  readonly rights: Pick<LimitRights, "isLimited" | "take">;
+  readonly rights: Pick<LimitRights, "isCold" | "isLimited" | "take">;
   readonly brittle: Pick<BrittleTable, "observe">;
   readonly rooms: Pick<RoomPermits, "isNeeded" | "take" | "recordRejection">;
 }
 
-/** Applies the limits that endpoints name. */
+/** Applies the limits of endpoints. */
 export class EndpointLimits implements Disposable {
   readonly #services: EndpointLimitsServices;
   readonly #disposables = new DisposableStore();
@@ -57,6 +57,11 @@
     return this.#services.rights.isLimited(processOf(endpoint));
   }
 
+  /** @returns Whether the right to send to an endpoint is that of a cold one. */
+  isCold(endpoint: RegisteredEndpoint): boolean {
+    return this.#services.rights.isCold(processOf(endpoint));
+  }
+
   /**
    * Applies what an answer of an endpoint says.
    *
--- a/src/features/gateway/common/limits/limit_messages.ts
+++ b/src/features/gateway/common/limits/limit_messages.ts
@@ -14,10 +14,20 @@
   | {
     readonly kind: "asked";
     readonly number: number;
+    /**
+     * Limit that the endpoint names. If it names none and is cold, its cold
+     * limit in the form of a named one, so that a granter of an earlier version
+     * keeps it too.
+     */
     readonly record: LimitRecord;
     readonly maxWaitMs: number;
     /** Number of daemons that the question has passed. */
     readonly hops: number;
+    /**
+     * Requests a second that the endpoint bears as it is cold; absent if it is
+     * not, and from daemons of an earlier version.
+     */
+    readonly coldPerS?: number | undefined;
   }
   | {
     readonly kind: "offered";
@@ -44,8 +54,9 @@
     case "limits":
       return ["limits", message.records.map(encodeRecord)];
     case "asked": {
-      const { number, record, maxWaitMs, hops } = message;
-      return ["asked", number, encodeRecord(record), maxWaitMs, hops];
+      const { number, record, maxWaitMs, hops, coldPerS } = message;
+      const values = [number, encodeRecord(record), maxWaitMs, hops];
+      return ["asked", ...values, ...coldPerS === undefined ? [] : [coldPerS]];
     }
     case "offered": {
       const { number, offer } = message;
@@ -69,11 +80,12 @@
         : undefined;
     }
     case "asked": {
-      const [number, item, maxWaitMs, hops] = values;
+      const [number, item, maxWaitMs, hops, coldPerS] = values;
       const record = decodeRecord(item);
       if (!record || !isCount(number) || !isCount(maxWaitMs)) return undefined;
       if (!isCount(hops)) return undefined;
-      return { kind, number, record, maxWaitMs, hops };
+      const asked = { kind, number, record, maxWaitMs, hops } as const;
+      return isCount(coldPerS) && coldPerS > 0 ? { ...asked, coldPerS } : asked;
     }
     case "granted": {
       const [number, waitMs] = values;
--- a/src/features/gateway/common/limits/limit_rights.ts
+++ b/src/features/gateway/common/limits/limit_rights.ts
@@ -1,10 +1,15 @@
 /**
- * Grants the rights to send to endpoints that name a limit. The limit is that
+ * Grants the rights to send to endpoints that have a limit. The limit is that
  * of all hosts together, and often below one request a second, so that fixed
  * shares would neither be used nor kept. One hub, the same for all hosts,
  * therefore grants the rights of an endpoint one by one to the hosts that have
  * a request for it. A host that cannot reach that hub sends no more than an
  * equal share.
+ *
+ * A cold endpoint crashes if its limit is exceeded in a single second, also
+ * while hubs change. Its rights are therefore not granted far ahead, a hub that
+ * takes over waits until those of its predecessor are used, and the shares of
+ * all hosts together are half of the limit.
  */
 
 import { BoundedMap } from "../../../../base/common/bounded_map.ts";
@@ -27,18 +32,19 @@
 import { PeerQuestions } from "../../../../services/peers/common/peer_questions.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
 import { LIMIT_CHANNEL, type LimitMessage } from "./limit_messages.ts";
-import type {
-  LimitChange,
-  LimitedProcess,
-  LimitRecord,
-  LimitTable,
+import {
+  type LimitChange,
+  type LimitedProcess,
+  type LimitRecord,
+  type LimitSource,
+  type LimitTable,
+  lowerRate,
 } from "./limit_table.ts";
 import { type RightOffer, RightSchedule } from "./right_schedule.ts";
+import { type HostShare, ShareSchedule } from "./share_schedule.ts";
 
 /** Reach of this daemon among the hosts of the fleet. */
-export interface FleetReach {
-  /** Number of registered daemons in the fleet. */
-  readonly fleetSize: number;
+export interface FleetReach extends HostShare {
   /** Share of them that this daemon reaches, itself included. */
   readonly reachableShare: number;
 }
@@ -59,7 +65,11 @@
 /** Limit of one endpoint, as listed for operators. */
 export interface ListedLimit {
   readonly endpoint: EndpointId;
-  /** Requests a second that the endpoint named; absent once it has ended. */
+  /** Absent from daemons of an earlier version, which know no other. */
+  readonly source?: LimitSource;
+  /**
+   * Requests a second of the limit in force; absent once a stated one has ended.
+   */
   readonly requestsPerS?: number;
   /** Requests a second that all hosts together may send now. */
   readonly ratePerS: number;
@@ -75,6 +85,31 @@
 /** From a daemon to a hub of its zone, and from there to the granter. */
 const MAX_HOPS = 2;
 const MAX_SCHEDULES = 2_000;
+/**
+ * Longest time that a right to send to a cold endpoint is granted ahead. A
+ * granter that takes over waits as long.
+ */
+export const MAX_COLD_WAIT_MS = 1_000;
+/** Unused rights of a cold endpoint that may be taken at once after a pause. */
+const MAX_UNUSED_COLD_RIGHTS = 1;
+/**
+ * Part of the rate of a cold endpoint that hosts share which reach no granter,
+ * as a granter that they do not reach may use all of it: half of the rate is
+ * what an endpoint bears above it.
+ */
+const COLD_SHARE = 0.5;
+/**
+ * Share of the hosts that a granter of a cold endpoint must reach. Several
+ * granters of a divided fleet add one right each to what the endpoint gets in a
+ * second, so that there must be few of them.
+ */
+const MIN_GRANTER_REACH = 0.25;
+
+/** What a daemon asks for. */
+type Ask = Pick<
+  LimitMessage & { kind: "asked" },
+  "record" | "coldPerS" | "maxWaitMs" | "hops"
+>;
 
 /** Rights that this daemon grants for one process. */
 interface GrantedRights {
@@ -91,12 +126,19 @@
   readonly #granted = new BoundedMap<string, GrantedRights>(MAX_SCHEDULES);
   /** Rights of this host alone, for when the granter does not answer. */
   readonly #ownShares = new BoundedMap<string, RightSchedule>(MAX_SCHEDULES);
+  /** As above, for cold endpoints. */
+  readonly #coldShares = new BoundedMap<string, ShareSchedule>(MAX_SCHEDULES);
   readonly #questions: PeerQuestions<RightOffer>;
+  /** Hubs that this daemon took into account last. */
+  #hubs: readonly HostId[] = [];
+  /** Monotonic time of the latest change of these hubs in milliseconds. */
+  #hubsChangedMs: number;
 
   /** @param services - Dependencies of the rights. */
   constructor(services: LimitRightsServices) {
     this.#services = services;
-    const { clock, links, table } = services;
+    const { clock, links, overlay, table } = services;
+    this.#hubsChangedMs = clock.monotonicMs();
     this.#questions = new PeerQuestions(clock);
     this.#channel = this.#disposables.add(links.openChannel(LIMIT_CHANNEL));
     this.#disposables.add(
@@ -108,6 +150,9 @@
       table.onDidChange((change) => this.#onChange(change)),
     );
     this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
+      if ([...this.#hubs, ...overlay.linkedHubs()].includes(host)) {
+        this.#hubsChangedMs = clock.monotonicMs();
+      }
       if (!isUp) return;
       this.#questions.forgive(host);
       const { records } = table;
@@ -122,6 +167,11 @@
     return this.#services.table.rateOf(process) !== undefined;
   }
 
+  /** @returns Whether a process has the limit of a cold endpoint. */
+  isCold(process: LimitedProcess): boolean {
+    return this.#services.table.coldRateOf(process) !== undefined;
+  }
+
   /**
    * Takes the right to send one request, and waits until it may be sent.
    *
@@ -131,10 +181,16 @@
    */
   async take(process: LimitedProcess, maxWaitMs: number): Promise<RightOffer> {
     const { clock, metrics, table } = this.#services;
-    const record = table.get(process);
+    const coldPerS = table.coldRateOf(process);
+    const record = recordOf(process, table.get(process), coldPerS);
     if (!record) return { kind: "granted", waitMs: 0 };
     const startMs = clock.monotonicMs();
-    const offer = await this.#request(record, Math.max(0, maxWaitMs), 0);
+    const offer = await this.#request({
+      record,
+      coldPerS,
+      maxWaitMs: Math.max(0, maxWaitMs),
+      hops: 0,
+    });
     metrics.count("limit_rights", offer.kind);
     if (offer.kind === "denied") return offer;
     if (offer.waitMs > 0) await sleep(clock, offer.waitMs);
@@ -147,20 +203,22 @@
   /** @returns The limits in force, as this daemon knows them. */
   list(): readonly ListedLimit[] {
     const { table } = this.#services;
-    return table.records.flatMap((record) => {
-      const ratePerS = table.rateOf(record);
-      if (ratePerS === undefined) return [];
-      const { endpoint, requestsPerS } = record;
-      const { granted, denied } = this.#granted.get(keyOf(record)) ??
+    return table.current().map((limit) => {
+      const { endpoint, ratePerS, source } = limit;
+      const requestsPerS = source === "cold"
+        ? ratePerS
+        : table.get(limit)?.requestsPerS;
+      const { granted, denied } = this.#granted.get(keyOf(limit)) ??
         { granted: 0, denied: 0 };
-      return [{
+      return {
         endpoint,
+        source,
         ...(requestsPerS !== undefined && { requestsPerS }),
         ratePerS,
-        granter: this.#granterOf(record),
+        granter: this.#granterOf(limit),
         granted,
         denied,
-      }];
+      };
     });
   }
 
@@ -176,7 +234,10 @@
         for (const record of message.records) table.merge(record);
         return;
       case "asked":
-        table.merge(message.record);
+        // A cold limit does not end by an answer, as those in the table do.
+        if (message.record.requestsPerS !== message.coldPerS) {
+          table.merge(message.record);
+        }
         void this.#answer(from, message);
         return;
       case "offered":
@@ -186,31 +247,46 @@
 
   async #answer(
     from: HostId,
-    { number, record, maxWaitMs, hops }: LimitMessage & { kind: "asked" },
+    { number, ...ask }: LimitMessage & { kind: "asked" },
   ): Promise<void> {
-    const offer = await this.#request(record, maxWaitMs, hops);
+    const offer = await this.#request(ask);
     this.#channel.send(from, { kind: "offered", number, offer });
   }
 
   /** Gets an offer from the granter, which may be this daemon. */
-  async #request(
-    record: LimitRecord,
-    maxWaitMs: number,
-    hops: number,
-  ): Promise<RightOffer> {
+  async #request(asked: Ask): Promise<RightOffer> {
     const { clock, reach, self, table } = this.#services;
-    const ratePerS = table.rateOf(record);
+    const { record, hops } = asked;
+    // The daemon that asks may know more of the endpoint than this one.
+    const coldPerS = lowerRate(asked.coldPerS, table.coldRateOf(record));
+    const ratePerS = lowerRate(table.rateOf(record), coldPerS);
     if (ratePerS === undefined) return { kind: "granted", waitMs: 0 };
-    const granter = hops < MAX_HOPS ? this.#granterOf(record) : self;
-    if (granter === self) return this.#grant(record, ratePerS, maxWaitMs);
-    const current = table.get(record) ?? record;
+    const isCold = coldPerS !== undefined;
+    const maxWaitMs = isCold
+      ? Math.min(asked.maxWaitMs, MAX_COLD_WAIT_MS)
+      : asked.maxWaitMs;
+    const granter = this.#granterOf(record);
+    if (granter === self) {
+      return isCold
+        ? this.#grantCold(record, ratePerS, maxWaitMs)
+        : this.#grant(record, ratePerS, maxWaitMs);
+    }
+    if (hops >= MAX_HOPS) {
+      // Another hub grants the rights at the same time.
+      return isCold
+        ? this.#takeColdShare(record, ratePerS, maxWaitMs)
+        : this.#grant(record, ratePerS, maxWaitMs);
+    }
+    const current = recordOf(record, table.get(record), coldPerS) ?? record;
     const offer = await this.#ask(granter, {
       kind: "asked",
       record: current,
       maxWaitMs,
       hops: hops + 1,
+      coldPerS,
     });
     if (offer) return offer;
+    if (isCold) return this.#takeColdShare(record, ratePerS, maxWaitMs);
     const key = keyOf(record);
     const nowMs = clock.monotonicMs();
     const ownShare = this.#ownShares.get(key) ?? new RightSchedule(nowMs);
@@ -219,23 +295,68 @@
   }
 
   #grant(
-    record: LimitRecord,
+    process: LimitedProcess,
     ratePerS: number,
     maxWaitMs: number,
   ): RightOffer {
     const { clock, reach } = this.#services;
-    const key = keyOf(record);
-    const nowMs = clock.monotonicMs();
-    const rights = this.#granted.get(key) ??
-      { schedule: new RightSchedule(nowMs), granted: 0, denied: 0 };
-    this.#granted.set(key, rights);
+    const rights = this.#rightsOf(process);
     // Hosts that this daemon does not reach may have a granter of their own.
     const reachablePerS = ratePerS * reach.reachableShare;
-    const offer = rights.schedule.take(nowMs, reachablePerS, maxWaitMs);
+    const offer = rights.schedule.take(
+      clock.monotonicMs(),
+      reachablePerS,
+      maxWaitMs,
+    );
     rights[offer.kind]++;
     return offer;
   }
 
+  #grantCold(
+    process: LimitedProcess,
+    ratePerS: number,
+    maxWaitMs: number,
+  ): RightOffer {
+    const { clock, reach } = this.#services;
+    const { reachableShare } = reach;
+    if (reachableShare < MIN_GRANTER_REACH) {
+      return this.#takeColdShare(process, ratePerS, maxWaitMs);
+    }
+    const rights = this.#rightsOf(process);
+    // Another hub may have granted rights before the hubs changed.
+    rights.schedule.deferTo(this.#hubsChangedMs + MAX_COLD_WAIT_MS);
+    const offer = rights.schedule.take(
+      clock.monotonicMs(),
+      ratePerS * reachableShare,
+      maxWaitMs,
+      reachableShare < 1 ? 0 : MAX_UNUSED_COLD_RIGHTS,
+    );
+    rights[offer.kind]++;
+    return offer;
+  }
+
+  /** Takes a right of this host alone, as no granter can be reached. */
+  #takeColdShare(
+    process: LimitedProcess,
+    ratePerS: number,
+    maxWaitMs: number,
+  ): RightOffer {
+    const { clock, reach } = this.#services;
+    const key = keyOf(process);
+    const share = this.#coldShares.get(key) ?? new ShareSchedule();
+    this.#coldShares.set(key, share);
+    return share.take(clock.nowMs(), ratePerS * COLD_SHARE, reach, maxWaitMs);
+  }
+
+  #rightsOf(process: LimitedProcess): GrantedRights {
+    const key = keyOf(process);
+    const nowMs = this.#services.clock.monotonicMs();
+    const rights = this.#granted.get(key) ??
+      { schedule: new RightSchedule(nowMs), granted: 0, denied: 0 };
+    this.#granted.set(key, rights);
+    return rights;
+  }
+
   /** @returns The offer, or `undefined` if the host does not answer. */
   #ask(
     host: HostId,
@@ -260,9 +381,16 @@
    * asks through its own.
    */
   #granterOf({ endpoint }: LimitedProcess): HostId {
-    const { hasher, overlay, self } = this.#services;
-    if (!overlay.isHub) return overlay.homeHub() ?? self;
+    const { clock, hasher, overlay, self } = this.#services;
+    if (!overlay.isHub) {
+      this.#hubs = [];
+      return overlay.homeHub() ?? self;
+    }
     const hubs = [self, ...overlay.linkedHubs()];
+    if (!areEqual(hubs, this.#hubs)) {
+      this.#hubs = hubs;
+      this.#hubsChangedMs = clock.monotonicMs();
+    }
     return rendezvousOrder(hasher, `limits/${endpoint}`, hubs)[0]!;
   }
 
@@ -284,6 +412,30 @@
   }
 }
 
+/**
+ * @returns The record to ask with: that of the named limit while it is in force,
+ * or the cold limit in its form.
+ */
+function recordOf(
+  { bornMs, endpoint }: LimitedProcess,
+  known: LimitRecord | undefined,
+  coldPerS: number | undefined,
+): LimitRecord | undefined {
+  if (coldPerS === undefined || known?.requestsPerS !== undefined) return known;
+  return {
+    endpoint,
+    bornMs,
+    requestsPerS: coldPerS,
+    lastRequestsPerS: coldPerS,
+    revision: known?.revision ?? 0,
+  };
+}
+
+function areEqual(left: readonly HostId[], right: readonly HostId[]): boolean {
+  return left.length === right.length &&
+    left.every((host, index) => host === right[index]);
+}
+
 function keyOf({ endpoint, bornMs }: LimitedProcess): string {
   return `${endpoint}/${bornMs}`;
 }
--- a/src/features/gateway/common/limits/limit_table.ts
+++ b/src/features/gateway/common/limits/limit_table.ts
@@ -1,12 +1,14 @@
 /**
- * The limits that endpoints name in their answers, as one daemon knows them.
- * Records of different daemons can be merged in any order.
+ * The limits of endpoints, as one daemon knows them: those that they name in
+ * their answers, and those of cold endpoints. The lower one holds. Records of
+ * named limits of different daemons can be merged in any order.
  */
 
 import { BoundedMap } from "../../../../base/common/bounded_map.ts";
 import type { Clock } from "../../../../base/common/clock.ts";
 import { Emitter } from "../../../../base/common/event.ts";
 import type { EndpointId } from "../../../../base/common/ids.ts";
+import type { ColdEndpoints } from "../endpoints/cold_endpoints.ts";
 
 /** What an answer says of its endpoint's limit. */
 export type NamedLimit =
@@ -31,6 +33,24 @@
   readonly revision: number;
 }
 
+/** Source of a limit: the endpoint's answers, or that the endpoint is cold. */
+export type LimitSource = "stated" | "cold";
+
+/** Limit in force for one process. */
+export interface CurrentLimit extends LimitedProcess {
+  /** Requests a second from all hosts together. */
+  readonly ratePerS: number;
+  readonly source: LimitSource;
+}
+
+/** Source of the limits of cold endpoints. */
+export type ColdLimits = Pick<ColdEndpoints, "rateOf" | "limited">;
+
+const NO_COLD_LIMITS: ColdLimits = {
+  rateOf: () => undefined,
+  limited: () => [],
+};
+
 /** A changed record, and whether this daemon observed the change itself. */
 export interface LimitChange {
   readonly record: LimitRecord;
@@ -63,15 +83,20 @@
 /** Limits by process. */
 export class LimitTable {
   readonly #clock: Clock;
+  readonly #cold: ColdLimits;
   readonly #limits = new BoundedMap<string, KnownLimit>(MAX_RECORDS);
   readonly #changed = new Emitter<LimitChange>();
 
   /** Fires after a limit was named, has changed or has ended. */
   readonly onDidChange = this.#changed.event;
 
-  /** @param clock - Measures how long a limit has been over. */
-  constructor(clock: Clock) {
+  /**
+   * @param clock - Measures how long a limit has been over.
+   * @param cold - Limits of cold endpoints.
+   */
+  constructor(clock: Clock, cold: ColdLimits = NO_COLD_LIMITS) {
     this.#clock = clock;
+    this.#cold = cold;
   }
 
   /** All records, also of limits that have ended. */
@@ -117,8 +142,40 @@
     }
   }
 
+  /**
+   * @returns Requests a second that a cold process bears from all hosts
+   * together, or `undefined` if it has no such limit.
+   */
+  coldRateOf(process: LimitedProcess): number | undefined {
+    return this.#cold.rateOf(process);
+  }
+
+  /** @returns All limits in force. */
+  current(): readonly CurrentLimit[] {
+    const processes = new Map<string, LimitedProcess>();
+    for (const one of [...this.records, ...this.#cold.limited()]) {
+      processes.set(keyOf(one), one);
+    }
+    return [...processes.values()].flatMap((process) => {
+      const { bornMs, endpoint } = process;
+      const ratePerS = this.rateOf(process);
+      if (ratePerS === undefined) return [];
+      const isCold = ratePerS === this.coldRateOf(process);
+      const source = isCold ? "cold" : "stated";
+      return [{ endpoint, bornMs, ratePerS, source }];
+    });
+  }
+
   /** Applies a record of another daemon. */
   merge(record: LimitRecord): void {
+    const { requestsPerS } = record;
+    // Daemons of an earlier version take the cold limit in a question of this
+    // one for a limit that the endpoint names, and pass it on.
+    if (
+      requestsPerS !== undefined && requestsPerS === this.coldRateOf(record)
+    ) {
+      return;
+    }
     const known = this.#limits.get(keyOf(record));
     if (known && !isNewer(record, known.record)) return;
     this.#set(record, false);
@@ -131,6 +188,10 @@
    * are not limited.
    */
   rateOf(process: LimitedProcess): number | undefined {
+    return lowerRate(this.#statedRateOf(process), this.coldRateOf(process));
+  }
+
+  #statedRateOf(process: LimitedProcess): number | undefined {
     if (this.#limits.size === 0) return undefined;
     const known = this.#limits.get(keyOf(process));
     if (!known) return undefined;
@@ -166,6 +227,17 @@
   }
 }
 
+/**
+ * @returns The lower of two rates, or `undefined` if neither is limited.
+ */
+export function lowerRate(
+  left: number | undefined,
+  right: number | undefined,
+): number | undefined {
+  if (left === undefined || right === undefined) return left ?? right;
+  return Math.min(left, right);
+}
+
 function enforcedRate(requestsPerS: number): number | undefined {
   if (requestsPerS >= MAX_REQUESTS_PER_S) return undefined;
   return Math.max(MIN_REQUESTS_PER_S, requestsPerS);
--- a/src/features/gateway/common/limits/right_schedule.ts
+++ b/src/features/gateway/common/limits/right_schedule.ts
@@ -45,17 +45,33 @@
     this.#nextMs = nowMs;
   }
 
+  /**
+   * Grants no further right before a time.
+   *
+   * @param atMs - Monotonic time in milliseconds.
+   */
+  deferTo(atMs: number): void {
+    this.#nextMs = Math.max(this.#nextMs, atMs);
+  }
+
   /**
    * Takes the next right if it comes in time.
    *
    * @param nowMs - Monotonic time in milliseconds.
    * @param ratePerS - Rights a second; more than 0.
    * @param maxWaitMs - Longest useful wait in milliseconds.
+   * @param maxUnused - Rights that may be taken at once after a pause, in
+   * addition to the one that is due.
    * @returns The right, or when to come back.
    */
-  take(nowMs: number, ratePerS: number, maxWaitMs: number): RightOffer {
+  take(
+    nowMs: number,
+    ratePerS: number,
+    maxWaitMs: number,
+    maxUnused = MAX_UNUSED_RIGHTS,
+  ): RightOffer {
     const intervalMs = MS_PER_SECOND / ratePerS;
-    const oldestMs = nowMs - MAX_UNUSED_RIGHTS * intervalMs;
+    const oldestMs = nowMs - maxUnused * intervalMs;
     const dueMs = Math.max(this.#nextMs, oldestMs);
     const waitMs = Math.max(0, dueMs - nowMs);
     if (waitMs <= maxWaitMs) {
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -11,6 +11,7 @@
   ZoneName,
 } from "../../../../base/common/ids.ts";
 import type { RandomSource } from "../../../dispatch/common/group_dispatcher.ts";
+import type { ColdEndpoints } from "../endpoints/cold_endpoints.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
@@ -126,6 +127,7 @@
   readonly #loadTable: LoadTable;
   readonly #random: RandomSource;
   readonly #zone: ZoneName;
+  readonly #cold: Pick<ColdEndpoints, "isCold"> | undefined;
 
   /**
    * @param clock - Clock for ejections and cold starts.
@@ -133,6 +135,7 @@
    * @param loadTable - Usage of the endpoints by all daemons.
    * @param random - Breaks ties.
    * @param zone - Availability zone of this daemon.
+   * @param cold - Cold endpoints of services that limit their rate.
    */
   constructor(
     clock: Clock,
@@ -140,12 +143,14 @@
     loadTable: LoadTable,
     random: RandomSource,
     zone: ZoneName,
+    cold?: Pick<ColdEndpoints, "isCold">,
   ) {
     this.#clock = clock;
     this.#registry = registry;
     this.#loadTable = loadTable;
     this.#random = random;
     this.#zone = zone;
+    this.#cold = cold;
   }
 
   /**
@@ -235,7 +240,10 @@
     );
   }
 
-  #isCold({ announcement, firstSeenMs }: RegisteredEndpoint): boolean {
+  #isCold(endpoint: RegisteredEndpoint): boolean {
+    const isCold = this.#cold?.isCold(endpoint);
+    if (isCold !== undefined) return isCold;
+    const { announcement, firstSeenMs } = endpoint;
     const ageMs = this.#clock.monotonicMs() - firstSeenMs;
     return ageMs < announcement.warmUpRemainingMs;
   }
--- a/src/features/gateway/common/requests/request_rights.ts
+++ b/src/features/gateway/common/requests/request_rights.ts
@@ -7,6 +7,7 @@
 import { sleep } from "../../../../base/common/clock.ts";
 import type { RoomPermit } from "../../../brittle/common/room_permits.ts";
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
+import { MAX_COLD_WAIT_MS } from "../limits/limit_rights.ts";
 import type { RequestContext } from "./request_context.ts";
 
 /**
@@ -66,9 +67,11 @@
    * @returns The wait in milliseconds.
    */
   patienceMs(dueInMs: number): number {
-    const { priority } = this.#context;
-    const shareOfTime = 1 / (1 + Math.max(0, priority) / 2);
-    return Math.min(MAX_WAIT_MS, dueInMs * shareOfTime);
+    return Math.min(MAX_WAIT_MS, dueInMs * this.#shareOfTime);
+  }
+
+  get #shareOfTime(): number {
+    return 1 / (1 + Math.max(0, this.#context.priority) / 2);
   }
 
   /** @returns Whether something must be taken before sending to an endpoint. */
@@ -94,13 +97,17 @@
     const hasRoom = !limits.needsRoom(endpoint) ||
       await this.#takeRoom(endpoint, maxWaitMs);
     if (!hasRoom || !limits.isLimited(endpoint)) return hasRoom;
-    const offer = await limits.take(endpoint, maxWaitMs);
+    // The cap is in proportion too, so that urgent requests wait longest.
+    const maxRightWaitMs = limits.isCold(endpoint)
+      ? Math.min(maxWaitMs, MAX_COLD_WAIT_MS * this.#shareOfTime)
+      : maxWaitMs;
+    const offer = await limits.take(endpoint, maxRightWaitMs);
     if (offer.kind === "granted") return true;
     this.releaseRoom();
     this.#deniedRetryAfterMs = offer.retryAfterMs;
     this.#context.log("info", "right-denied", {
       endpoint: endpoint.id,
-      maxWaitMs: Math.round(maxWaitMs),
+      maxWaitMs: Math.round(maxRightWaitMs),
       freeInMs: Math.round(offer.freeInMs),
       retryAfterMs: Math.round(offer.retryAfterMs),
     });
--- a/standins/peers/in_process_fleet.ts
+++ b/standins/peers/in_process_fleet.ts
@@ -15,8 +15,12 @@
 import { GatewayStreamVersions } from "../../src/daemon/common/gateway_stream_versions.ts";
 import { GatewayTopology } from "../../src/daemon/node/gateway_topology.ts";
 import { ConfigurationState } from "../../src/features/gateway/common/configuration/configuration_state.ts";
+import { ColdEndpoints } from "../../src/features/gateway/common/endpoints/cold_endpoints.ts";
 import { EndpointRegistry } from "../../src/features/gateway/common/endpoints/endpoint_registry.ts";
-import type { GatewayRoute } from "../../src/features/gateway/common/configuration/gateway_configuration.ts";
+import type {
+  GatewayRoute,
+  GatewayService,
+} from "../../src/features/gateway/common/configuration/gateway_configuration.ts";
 import { GatewayMetrics } from "../../src/features/gateway/common/metrics/gateway_metrics.ts";
 import { BrittleTable } from "../../src/features/brittle/common/brittle_table.ts";
 import { RoomPermits } from "../../src/features/brittle/common/room_permits.ts";
@@ -96,6 +100,8 @@
   readonly dialTargets = new Map<HostId, Set<HostId>>();
   /** Hosts that read the store no more. */
   readonly hostsWithOldView = new Set<HostId>();
+  /** Services of the endpoints that are announced to the daemons. */
+  readonly services = new Map<ServiceId, GatewayService>();
   readonly #hasher: Hasher;
   readonly #hosts: ReadonlyMap<HostId, FleetHost>;
 
@@ -166,6 +172,7 @@
     daemon.suspectSync.dispose();
     daemon.promptPartSync.dispose();
     daemon.streamVersions.dispose();
+    daemon.cold.dispose();
     daemon.limitRights.dispose();
     daemon.roomPermits.dispose();
     daemon.peers.dispose();
@@ -235,7 +242,12 @@
     });
     streamVersions.history.setRoutes([STREAM_ROUTE]);
     streamVersions.history.startObserving();
-    const limitTable = new LimitTable(clock);
+    const cold = new ColdEndpoints({
+      clock,
+      registry,
+      findService: (id) => this.services.get(id),
+    });
+    const limitTable = new LimitTable(clock, cold);
     const limitRights = new LimitRights({
       self: self.host,
       clock,
@@ -262,6 +274,7 @@
     });
     this.daemons.set(self.host, {
       viewTimer,
+      cold,
       limitTable,
       limitRights,
       brittleTable,
@@ -283,6 +296,7 @@
 /** One daemon of a fleet. */
 export interface FleetDaemon {
   readonly viewTimer: Disposable;
+  readonly cold: ColdEndpoints;
   readonly limitTable: LimitTable;
   readonly limitRights: LimitRights;
   readonly brittleTable: BrittleTable;
