Keep the limit of a cold endpoint while hubs do not reach each other

With half of 90 hosts cut off from the granter, two granters sent 73 requests in a second to a cold endpoint that bears 65 (rate 40). Hubs now tell each other which hubs they do not reach, on a channel of its own that earlier builds ignore.

--- a/src/daemon/node/gateway_topology.ts
+++ b/src/daemon/node/gateway_topology.ts
@@ -129,6 +129,11 @@
       .length;
   }
 
+  /** {@inheritDoc FleetReach.plannedHubs} */
+  get plannedHubs(): ReadonlySet<HostId> {
+    return this.#plan.hubs;
+  }
+
   /**
    * Largest number of daemons in the fleet within the last minute. Entries that
    * lapse while their hosts are alive do not make this daemon's part larger.
--- a/src/features/gateway/common/limits/limit_rights.ts
+++ b/src/features/gateway/common/limits/limit_rights.ts
@@ -8,8 +8,8 @@
  *
  * A cold endpoint crashes if its limit is exceeded in a single second, also
  * while hubs change. Its rights are therefore not granted far ahead, a hub that
- * takes over waits until those of its predecessor are used, and the shares of
- * all hosts together are half of the limit.
+ * takes over waits until those of its predecessor are used, and what is sent
+ * without the granter is less than half of the limit.
  */
 
 import { BoundedMap } from "../../../../base/common/bounded_map.ts";
@@ -31,6 +31,7 @@
 import type { PeerOverlay } from "../../../../services/peers/common/peer_overlay.ts";
 import { PeerQuestions } from "../../../../services/peers/common/peer_questions.ts";
 import type { GatewayMetrics } from "../metrics/gateway_metrics.ts";
+import { HubReach } from "./hub_reach.ts";
 import { LIMIT_CHANNEL, type LimitMessage } from "./limit_messages.ts";
 import {
   type LimitChange,
@@ -45,7 +46,9 @@
 
 /** Reach of this daemon among the hosts of the fleet. */
 export interface FleetReach extends HostShare {
-  /** Share of them that this daemon reaches, itself included. */
+  /** Hubs of all these daemons, also those that this one does not reach. */
+  readonly plannedHubs: ReadonlySet<HostId>;
+  /** Share of the daemons that this one reaches, itself included. */
   readonly reachableShare: number;
 }
 
@@ -94,10 +97,12 @@
 const MAX_UNUSED_COLD_RIGHTS = 1;
 /**
  * Part of the rate of a cold endpoint that hosts share which reach no granter,
- * as a granter that they do not reach may use all of it: half of the rate is
- * what an endpoint bears above it.
+ * and that a hub grants in place of one that it does not reach. Others may still
+ * reach that hub, which grants all of the rate. An endpoint bears half of its
+ * rate in addition; the rest of that is for both at once while hosts learn which
+ * hubs are reached.
  */
-const COLD_SHARE = 0.5;
+const COLD_SHARE = 0.4;
 /**
  * Share of the hosts that a granter of a cold endpoint must reach. Several
  * granters of a divided fleet add one right each to what the endpoint gets in a
@@ -129,7 +134,8 @@
   /** As above, for cold endpoints. */
   readonly #coldShares = new BoundedMap<string, ShareSchedule>(MAX_SCHEDULES);
   readonly #questions: PeerQuestions<RightOffer>;
-  /** Hubs that this daemon took into account last. */
+  readonly #hubReach: HubReach;
+  /** This hub and those that it reaches; empty unless this daemon is a hub. */
   #hubs: readonly HostId[] = [];
   /** Monotonic time of the latest change of these hubs in milliseconds. */
   #hubsChangedMs: number;
@@ -137,9 +143,10 @@
   /** @param services - Dependencies of the rights. */
   constructor(services: LimitRightsServices) {
     this.#services = services;
-    const { clock, links, overlay, table } = services;
+    const { clock, links, table } = services;
     this.#hubsChangedMs = clock.monotonicMs();
     this.#questions = new PeerQuestions(clock);
+    this.#hubReach = this.#disposables.add(new HubReach(services));
     this.#channel = this.#disposables.add(links.openChannel(LIMIT_CHANNEL));
     this.#disposables.add(
       this.#channel.onDidReceive(({ from, body }) =>
@@ -150,7 +157,8 @@
       table.onDidChange((change) => this.#onChange(change)),
     );
     this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
-      if ([...this.#hubs, ...overlay.linkedHubs()].includes(host)) {
+      this.#updateHubs();
+      if (this.#hubs.includes(host)) {
         this.#hubsChangedMs = clock.monotonicMs();
       }
       if (!isUp) return;
@@ -323,13 +331,16 @@
       return this.#takeColdShare(process, ratePerS, maxWaitMs);
     }
     const rights = this.#rightsOf(process);
+    const share = this.#isSubstitute(process)
+      ? reachableShare * COLD_SHARE
+      : reachableShare;
     // Another hub may have granted rights before the hubs changed.
     rights.schedule.deferTo(this.#hubsChangedMs + MAX_COLD_WAIT_MS);
     const offer = rights.schedule.take(
       clock.monotonicMs(),
-      ratePerS * reachableShare,
+      ratePerS * share,
       maxWaitMs,
-      reachableShare < 1 ? 0 : MAX_UNUSED_COLD_RIGHTS,
+      share < 1 ? 0 : MAX_UNUSED_COLD_RIGHTS,
     );
     rights[offer.kind]++;
     return offer;
@@ -381,17 +392,30 @@
    * asks through its own.
    */
   #granterOf({ endpoint }: LimitedProcess): HostId {
-    const { clock, hasher, overlay, self } = this.#services;
-    if (!overlay.isHub) {
-      this.#hubs = [];
-      return overlay.homeHub() ?? self;
-    }
-    const hubs = [self, ...overlay.linkedHubs()];
-    if (!areEqual(hubs, this.#hubs)) {
-      this.#hubs = hubs;
-      this.#hubsChangedMs = clock.monotonicMs();
-    }
-    return rendezvousOrder(hasher, `limits/${endpoint}`, hubs)[0]!;
+    const { hasher, overlay, self } = this.#services;
+    this.#updateHubs();
+    if (!overlay.isHub) return overlay.homeHub() ?? self;
+    return rendezvousOrder(hasher, taskOf(endpoint), this.#hubs)[0]!;
+  }
+
+  /** Whether this hub grants in place of one that others may still reach. */
+  #isSubstitute({ endpoint }: LimitedProcess): boolean {
+    const { hasher, self } = this.#services;
+    const missing = this.#hubReach.missingHubs().filter((hub) =>
+      !this.#hubReach.isUnreached(hub)
+    );
+    if (missing.length === 0) return false;
+    const candidates = [self, ...missing];
+    return rendezvousOrder(hasher, taskOf(endpoint), candidates)[0] !== self;
+  }
+
+  #updateHubs(): void {
+    const { clock, overlay, self } = this.#services;
+    this.#hubReach.update();
+    const hubs = overlay.isHub ? [self, ...overlay.linkedHubs()] : [];
+    if (areEqual(hubs, this.#hubs)) return;
+    this.#hubs = hubs;
+    this.#hubsChangedMs = clock.monotonicMs();
   }
 
   #onChange({ record, isLocal }: LimitChange): void {
@@ -431,6 +455,10 @@
   };
 }
 
+function taskOf(endpoint: EndpointId): string {
+  return `limits/${endpoint}`;
+}
+
 function areEqual(left: readonly HostId[], right: readonly HostId[]): boolean {
   return left.length === right.length &&
     left.every((host, index) => host === right[index]);
--- a/src/features/gateway/common/limits/limit_table_test.ts
+++ b/src/features/gateway/common/limits/limit_table_test.ts
@@ -28,6 +28,52 @@
     table.observe(PROCESS, limit, clock.monotonicMs() - sentAgoMs);
   }
 
+  describe("with cold endpoints", () => {
+    let coldPerS: number | undefined;
+
+    beforeEach(() => {
+      coldPerS = 10;
+      table = new LimitTable(clock, {
+        rateOf: () => coldPerS,
+        limited: () =>
+          coldPerS === undefined
+            ? []
+            : [{ ...PROCESS, requestsPerS: coldPerS }],
+      });
+    });
+
+    it.each([[2.8, 2.8, "stated"], [20, 10, "cold"]])(
+      "keeps the lower one of %d requests/s that are named and 10 of a cold endpoint",
+      (namedPerS, ratePerS, source) => {
+        observe(named(namedPerS));
+        expect(table.rateOf(PROCESS)).toBe(ratePerS);
+        expect(table.current()).toEqual([{ ...PROCESS, ratePerS, source }]);
+      },
+    );
+
+    // Only a named limit says nothing of how fast the endpoint recovers.
+    it("limits nothing as soon as an endpoint is no longer cold", () => {
+      expect(table.rateOf(PROCESS)).toBe(10);
+      coldPerS = undefined;
+      expect(table.rateOf(PROCESS)).toBeUndefined();
+      expect(table.current()).toEqual([]);
+    });
+
+    // It would stay in force after the endpoint is warm, and then ramp.
+    it("takes no cold limit that an earlier version passes on for a named one", () => {
+      const record = {
+        ...PROCESS,
+        requestsPerS: 10,
+        lastRequestsPerS: 10,
+        revision: 0,
+      };
+      table.merge(record);
+      expect(table.records).toEqual([]);
+      table.merge({ ...record, requestsPerS: 4 });
+      expect(table.records).toHaveLength(1);
+    });
+  });
+
   it("knows no limit until one is named", () => {
     observe({ kind: "none" });
     observe({ kind: "malformed" });
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -170,7 +170,12 @@
       hasher,
       links: new InProcessNetwork().addHost(HOST, clock),
       overlay: LONE_OVERLAY,
-      reach: { fleetSize: 1, fleetIndex: 0, reachableShare: 1 },
+      reach: {
+        fleetSize: 1,
+        fleetIndex: 0,
+        plannedHubs: new Set([HOST]),
+        reachableShare: 1,
+      },
     };
     const brittle = new BrittleTable(clock);
     const limits = new EndpointLimits({
