--- a/src/daemon/common/gateway_factory.ts
+++ b/src/daemon/common/gateway_factory.ts
@@ -2,11 +2,14 @@
 
 import type { Clock } from "../../base/common/clock.ts";
 import type { Hasher } from "../../base/common/hasher.ts";
-import type { Address, HostId } from "../../base/common/ids.ts";
+import type { Address, HostId, ServiceId } from "../../base/common/ids.ts";
+import type { Disposable } from "../../base/common/lifecycle.ts";
 import type { SeededRandom } from "../../base/common/random.ts";
+import type { GatewayService } from "../../features/gateway/common/configuration/gateway_configuration.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
 import type { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
+import type { LeavingMarks } from "../../features/gateway/common/endpoints/leaving_marks.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { EndpointLimits } from "../../features/gateway/common/limits/endpoint_limits.ts";
@@ -16,11 +19,13 @@
   EndpointProbe,
   type EnginePaths,
 } from "../../features/gateway/common/monitoring/endpoint_probe.ts";
+import { EngineReportPoller } from "../../features/gateway/common/monitoring/engine_report_poller.ts";
 import type { GatewayCodec } from "../../features/gateway/common/protocol/gateway_codec.ts";
 import type { GatewayServices } from "../../features/gateway/common/requests/gateway_services.ts";
 import { PlannedStop } from "../../features/gateway/common/requests/planned_stop.ts";
 import { RunMigrator } from "../../features/gateway/common/requests/run_migrator.ts";
 import type { PassThroughClient } from "../../services/http/common/pass_through_client.ts";
+import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import type { GatewayPlacement } from "./gateway_placement.ts";
 import { createRetryBudget } from "./gateway_retry_budget.ts";
@@ -101,3 +106,29 @@
     hasher,
   );
 }
+
+/** Dependencies of {@link pollEngineReports}. */
+export interface EngineReportServices extends GatewayFactoryServices {
+  readonly leavingMarks: LeavingMarks;
+  readonly overlay: PeerOverlay;
+  /** @returns The configuration of a service, if there is one. */
+  findService(id: ServiceId): GatewayService | undefined;
+}
+
+/** @returns The polls of the engines' reports, which run until disposed of. */
+export function pollEngineReports(services: EngineReportServices): Disposable {
+  const { clock, findService, hasher, limits, logger, paths } = services;
+  return new EngineReportPoller(
+    services.self,
+    clock,
+    hasher,
+    logger,
+    services.leavingMarks,
+    limits,
+    services.overlay,
+    services.registry,
+    paths.control,
+    ({ announcement }) =>
+      findService(announcement.service)?.engine !== undefined,
+  );
+}
--- a/src/daemon/common/gateway_placement.ts
+++ b/src/daemon/common/gateway_placement.ts
@@ -8,6 +8,7 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import type { ZoneName } from "../../base/common/ids.ts";
+import type { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import { EndpointChooser } from "../../features/gateway/common/placement/endpoint_chooser.ts";
 import { EndpointPaces } from "../../features/gateway/common/load/endpoint_pace.ts";
 import { EndpointPaceSync } from "../../features/gateway/common/load/endpoint_pace_sync.ts";
@@ -28,6 +29,7 @@
   readonly random: RandomSource;
   /** @returns The current settings of the choice; the defaults if absent. */
   readonly chooserSettings?: () => EndpointChooserSettings;
+  readonly cold: ColdEndpoints;
 }
 
 /** Choice of endpoints on one gateway daemon. */
@@ -40,8 +42,7 @@
 
   /** @param services - Dependencies of the parts. */
   constructor(services: GatewayPlacementServices) {
-    const { clock, eligibility, links, overlay, random, registry, self, zone } =
-      services;
+    const { clock, links, overlay, random, registry, self, zone } = services;
     const loadTable = new LoadTable(clock);
     this.loadTable = loadTable;
     this.#disposables.add(
@@ -58,9 +59,12 @@
       loadTable,
       random,
       zone,
-      eligibility,
-      paces,
-      services.chooserSettings,
+      {
+        cold: services.cold,
+        eligibility: services.eligibility,
+        paces,
+        settings: services.chooserSettings,
+      },
     );
     this.chooser = chooser;
     const localPlacer = this.#disposables.add(
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -14,10 +14,15 @@
 } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import { admissionLimits } from "../common/settings_limits.ts";
+import { GatewayEndpointRules } from "../common/gateway_endpoint_rules.ts";
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayPlacement } from "../common/gateway_placement.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
-import { createGateway } from "../common/gateway_factory.ts";
+import {
+  createGateway,
+  type GatewayFactoryServices,
+  pollEngineReports,
+} from "../common/gateway_factory.ts";
 import { GatewayStreamVersions } from "../common/gateway_stream_versions.ts";
 import { peerLinkCounters } from "../common/peer_link_counters.ts";
 import { ReadinessLog } from "../common/readiness_log.ts";
@@ -33,15 +38,12 @@
 import { GatewayTopology } from "./gateway_topology.ts";
 import { drainRequests } from "./request_drain.ts";
 import { AnswerObserver } from "../../features/gateway/common/monitoring/answer_observer.ts";
-import { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
-import { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
 import { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import { LeavingMarks } from "../../features/gateway/common/endpoints/leaving_marks.ts";
-import { EngineReportPoller } from "../../features/gateway/common/monitoring/engine_report_poller.ts";
 import type { EndpointPaces } from "../../features/gateway/common/load/endpoint_pace.ts";
 import type { ZonePlacer } from "../../features/gateway/common/placement/zone_placer.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
@@ -66,7 +68,7 @@
   readonly #mirror: StoreMirror;
   readonly #state: ConfigurationState;
   readonly #registry: EndpointRegistry;
-  readonly #evacuations: ZoneEvacuations;
+  readonly #rules: GatewayEndpointRules;
   readonly #links: WsPeerLinks;
   readonly #store: GatewayStore;
   readonly #placer: ZonePlacer;
@@ -108,9 +110,17 @@
       logger,
       (endpoint) => this.#paths.unreachableSinceMs(endpoint),
     );
-    this.#evacuations = this.#disposables.add(
-      new ZoneEvacuations(clock, logger),
+    const findService = (id: ServiceId) =>
+      this.#state.current?.configuration.services.get(id);
+    this.#rules = this.#disposables.add(
+      new GatewayEndpointRules({
+        clock,
+        logger,
+        registry: this.#registry,
+        findService,
+      }),
     );
+    const { cold, eligibility, evacuations } = this.#rules;
     this.#readinessLog = new ReadinessLog({
       logger,
       mirror: this.#mirror,
@@ -161,7 +171,7 @@
         mirror: this.#mirror,
         state: this.#state,
         registry: this.#registry,
-        evacuations: this.#evacuations,
+        evacuations,
       }),
     );
     const holds = new EndpointHolds(clock, logger, metrics, random);
@@ -184,12 +194,6 @@
         limits: () => this.#limits.endpoints,
       }),
     );
-    const eligibility = new EndpointEligibility(clock, this.#registry, {
-      isEvacuated: (evacuated) => this.#evacuations.isEvacuated(evacuated),
-      regionOf: () => undefined,
-    });
-    const findService = (id: ServiceId) =>
-      this.#state.current?.configuration.services.get(id);
     const placement = this.#disposables.add(
       new GatewayPlacement({
         self: host,
@@ -201,6 +205,7 @@
         overlay: this.#topology,
         registry: this.#registry,
         eligibility,
+        cold,
         findService,
       }),
     );
@@ -209,17 +214,22 @@
     const leavingMarks = this.#disposables.add(
       new LeavingMarks(this.#links, this.#topology, this.#registry),
     );
+    const shared = {
+      clock,
+      logger,
+      metrics,
+      hasher,
+      links: this.#links,
+      overlay: this.#topology,
+      registry: this.#registry,
+      mirror: this.#mirror,
+    };
     this.#limits = this.#disposables.add(
       new GatewayEndpointLimits({
+        ...shared,
         self: host,
-        clock,
-        logger,
-        metrics,
-        hasher,
-        links: this.#links,
-        overlay: this.#topology,
         reach: this.#topology,
-        registry: this.#registry,
+        cold,
         loadTable: placement.loadTable,
       }),
     );
@@ -234,12 +244,9 @@
     });
     this.#relay = this.#disposables.add(
       new GatewayRelay({
+        ...shared,
         self: host,
-        clock,
-        logger,
-        metrics,
         signer,
-        registry: this.#registry,
         eligibility,
         codec: adapter.codec,
         client: this.#paths.directClient,
@@ -249,37 +256,24 @@
     );
     const streamVersions = this.#disposables.add(
       new GatewayStreamVersions({
-        clock,
-        logger,
-        hasher,
+        ...shared,
         host,
         incarnation,
-        links: this.#links,
         relay: this.#topology,
-        overlay: this.#topology,
-        registry: this.#registry,
-        mirror: this.#mirror,
         state: this.#state,
         store: adapter.store,
       }),
     );
     this.#quarantine = this.#disposables.add(
       new GatewayQuarantine({
-        clock,
-        logger,
-        metrics,
+        ...shared,
         host,
-        registry: this.#registry,
         control: this.#paths.control,
         isRefused: (endpoint) => this.#paths.isRefused(endpoint),
-        links: this.#links,
-        overlay: this.#topology,
-        hasher,
         store: adapter.store,
-        mirror: this.#mirror,
       }),
     );
-    this.#gateway = createGateway({
+    const parts: GatewayFactoryServices = {
       self: host,
       clock,
       logger,
@@ -299,22 +293,16 @@
       streamVersions,
       settings: () => this.#activeSettings,
       fleetSize: () => this.#topology.largestFleetSize,
-    });
+    };
+    this.#gateway = createGateway(parts);
     this.#callers = this.#disposables.add(new CallerServer(clock));
     this.#disposables.add(
-      new EngineReportPoller(
-        host,
-        clock,
-        hasher,
-        logger,
+      pollEngineReports({
+        ...parts,
         leavingMarks,
-        limits,
-        this.#topology,
-        this.#registry,
-        this.#paths.control,
-        ({ announcement }) =>
-          findService(announcement.service)?.engine !== undefined,
-      ),
+        overlay: this.#topology,
+        findService,
+      }),
     );
   }
 
@@ -428,6 +416,7 @@
       metrics: this.#metrics,
       gateway: this.#gateway,
       crashMonitor: this.#quarantine.monitor,
+      cold: this.#rules.cold,
       limitRights: this.#limits.rights,
       roomPermits: this.#limits.rooms,
       queue: this.#placer,
@@ -435,7 +424,7 @@
       callers: this.#callers,
       paths: this.#paths,
       registry: this.#registry,
-      evacuations: this.#evacuations,
+      evacuations: this.#rules.evacuations,
       links: this.#links,
       state: this.#state,
       mirror: this.#mirror,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -11,6 +11,7 @@
 import type { RoomPermits } from "../../features/brittle/common/room_permits.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import type { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import type { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
@@ -56,6 +57,7 @@
   readonly metrics: GatewayMetrics;
   readonly gateway: Gateway;
   readonly crashMonitor: CrashMonitor;
+  readonly cold: ColdEndpoints;
   readonly limitRights: LimitRights;
   readonly roomPermits: RoomPermits;
   readonly queue: GenerationPlacer;
@@ -178,7 +180,10 @@
         services.paces.list().filter(({ speed }) => speed < SLOW_SPEED).length,
       lost_direct_paths: services.paths.direct.lostAddresses.length,
       evacuated_zones: services.evacuations.list().length,
-      limited_endpoints: services.limitRights.list().length,
+      limited_endpoints:
+        services.limitRights.list().filter(({ source }) => source === "stated")
+          .length,
+      cold_endpoints: services.cold.count,
       brittle_endpoints: services.roomPermits.list().length,
       quarantined_requests: services.crashMonitor.list().length,
       peers: services.links.connectedHosts().length,
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -14,6 +14,7 @@
   type EligibilityCriteria,
   EndpointEligibility,
 } from "../endpoints/endpoint_eligibility.ts";
+import type { ColdEndpoints } from "../endpoints/cold_endpoints.ts";
 import type {
   EndpointRegistry,
   RegisteredEndpoint,
@@ -122,6 +123,21 @@
   /** No endpoint exists. */
   | { readonly kind: "none" };
 
+/** Further sources for the choice of endpoints. */
+export interface EndpointChooserOptions {
+  /**
+   * Decides which endpoints may serve a request; by default without rules of the
+   * operator.
+   */
+  readonly eligibility?: EndpointEligibility | undefined;
+  /** Loads and speeds of the endpoints; none are known by default. */
+  readonly paces?: EndpointPaces | undefined;
+  /** @returns The current settings. */
+  readonly settings?: (() => EndpointChooserSettings) | undefined;
+  /** Cold endpoints of services that limit their rate. */
+  readonly cold?: Pick<ColdEndpoints, "isCold"> | undefined;
+}
+
 interface Candidate {
   readonly endpoint: RegisteredEndpoint;
   readonly usage: EndpointUsage;
@@ -137,6 +153,7 @@
   readonly #eligibility: EndpointEligibility;
   readonly #paces: EndpointPaces;
   readonly #settings: () => EndpointChooserSettings;
+  readonly #cold: Pick<ColdEndpoints, "isCold"> | undefined;
 
   /**
    * @param clock - Clock for ejections and cold starts.
@@ -144,10 +161,7 @@
    * @param loadTable - Usage of the endpoints by all daemons.
    * @param random - Breaks ties.
    * @param zone - Availability zone of this daemon.
-   * @param eligibility - Decides which endpoints may serve a request; by
-   * default without rules of the operator.
-   * @param paces - Loads and speeds of the endpoints; none are known if absent.
-   * @param settings - Returns the current settings; the defaults if absent.
+   * @param options - Further sources for the choice.
    */
   constructor(
     clock: Clock,
@@ -155,18 +169,18 @@
     loadTable: LoadTable,
     random: RandomSource,
     zone: ZoneName,
-    eligibility = new EndpointEligibility(clock, registry),
-    paces = new EndpointPaces(clock, loadTable),
-    settings = (): EndpointChooserSettings => DEFAULT_CHOOSER_SETTINGS,
+    options: EndpointChooserOptions = {},
   ) {
     this.#clock = clock;
     this.#registry = registry;
     this.#loadTable = loadTable;
     this.#random = random;
     this.#zone = zone;
-    this.#eligibility = eligibility;
-    this.#paces = paces;
-    this.#settings = settings;
+    this.#eligibility = options.eligibility ??
+      new EndpointEligibility(clock, registry);
+    this.#paces = options.paces ?? new EndpointPaces(clock, loadTable);
+    this.#settings = options.settings ?? (() => DEFAULT_CHOOSER_SETTINGS);
+    this.#cold = options.cold;
   }
 
   /**
@@ -253,7 +267,10 @@
     return this.#eligibility.checkRules(endpoint, regions) === undefined;
   }
 
-  #isCold({ announcement, firstSeenMs }: RegisteredEndpoint): boolean {
+  #isCold(endpoint: RegisteredEndpoint): boolean {
+    const isCold = this.#cold?.isCold(endpoint);
+    if (isCold !== undefined) return isCold;
+    const { announcement, firstSeenMs } = endpoint;
     const ageMs = this.#clock.monotonicMs() - firstSeenMs;
     return ageMs < announcement.warmUpRemainingMs;
   }
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -176,8 +176,10 @@
       loadTable,
       random,
       ZONE,
-      this.eligibility,
-      options.ignoresPaces ? undefined : paces,
+      {
+        eligibility: this.eligibility,
+        paces: options.ignoresPaces ? undefined : paces,
+      },
     );
     this.limitTable = new LimitTable(clock);
     const peers = {
@@ -187,7 +189,12 @@
       hasher,
       links: new InProcessNetwork().addHost(HOST, clock),
       overlay: LONE_OVERLAY,
-      reach: { fleetSize: 1, reachableShare: 1 },
+      reach: {
+        fleetSize: 1,
+        fleetIndex: 0,
+        plannedHubs: new Set([HOST]),
+        reachableShare: 1,
+      },
     };
     const brittle = new BrittleTable(clock);
     const limits = new EndpointLimits({
