Stop withholding endpoints that are warm again, and document cold ones

The time is bounded by the remaining cold time, and reset when an entry says that the endpoint is warm.

--- a/src/features/gateway/common/endpoints/cold_endpoints.ts
+++ b/src/features/gateway/common/endpoints/cold_endpoints.ts
@@ -111,6 +111,18 @@
     return undefined;
   }
 
+  /**
+   * @param process - Id and start time of a process.
+   * @returns Time for which the process stays cold, in milliseconds.
+   */
+  remainingMs(
+    { endpoint, bornMs }: Omit<ColdProcess, "requestsPerS">,
+  ): number {
+    const state = this.#states.get(endpoint);
+    if (state?.endpoint.announcement.bornMs !== bornMs) return 0;
+    return Math.max(0, state.untilMs - this.#services.clock.monotonicMs());
+  }
+
   /** @returns The cold processes that have a limit. */
   limited(): readonly ColdProcess[] {
     return [...this.#states.values()].flatMap(({ endpoint }) => {
@@ -171,8 +183,12 @@
 
   #set(state: ColdState): void {
     const { id } = state.endpoint;
-    if (this.#isCurrent(state)) this.#states.set(id, state);
-    else this.#states.delete(id);
+    if (this.#isCurrent(state)) {
+      this.#states.set(id, state);
+      return;
+    }
+    // The time was that of the limit before.
+    if (this.#states.delete(id)) state.endpoint.limitedUntilMs = -Infinity;
   }
 
   #isCurrent({ endpoint, untilMs }: ColdState): boolean {
--- a/src/features/gateway/common/limits/limit_rights.ts
+++ b/src/features/gateway/common/limits/limit_rights.ts
@@ -200,7 +200,12 @@
       hops: 0,
     });
     metrics.count("limit_rights", offer.kind);
-    if (offer.kind === "denied") return offer;
+    if (offer.kind === "denied") {
+      if (coldPerS === undefined) return offer;
+      // No right is needed once the endpoint is warm.
+      const remainingMs = table.coldRemainingMs(process);
+      return { ...offer, freeInMs: Math.min(offer.freeInMs, remainingMs) };
+    }
     if (offer.waitMs > 0) await sleep(clock, offer.waitMs);
     const lateMs = clock.monotonicMs() - startMs - offer.waitMs;
     if (lateMs <= MAX_LATENESS_MS) return offer;
--- a/src/features/gateway/common/limits/limit_table.ts
+++ b/src/features/gateway/common/limits/limit_table.ts
@@ -44,10 +44,14 @@
 }
 
 /** Source of the limits of cold endpoints. */
-export type ColdLimits = Pick<ColdEndpoints, "rateOf" | "limited">;
+export type ColdLimits = Pick<
+  ColdEndpoints,
+  "rateOf" | "remainingMs" | "limited"
+>;
 
 const NO_COLD_LIMITS: ColdLimits = {
   rateOf: () => undefined,
+  remainingMs: () => 0,
   limited: () => [],
 };
 
@@ -150,6 +154,11 @@
     return this.#cold.rateOf(process);
   }
 
+  /** @returns Time for which a process stays cold, in milliseconds. */
+  coldRemainingMs(process: LimitedProcess): number {
+    return this.#cold.remainingMs(process);
+  }
+
   /** @returns All limits in force. */
   current(): readonly CurrentLimit[] {
     const processes = new Map<string, LimitedProcess>();
--- a/src/features/gateway/common/limits/limit_table_test.ts
+++ b/src/features/gateway/common/limits/limit_table_test.ts
@@ -35,6 +35,7 @@
       coldPerS = 10;
       table = new LimitTable(clock, {
         rateOf: () => coldPerS,
+        remainingMs: () => 1_000,
         limited: () =>
           coldPerS === undefined
             ? []
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -15,6 +15,7 @@
 import { AnswerObserver } from "../../src/features/gateway/common/monitoring/answer_observer.ts";
 import { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import { CrashMonitor } from "../../src/features/gateway/common/crashes/crash_monitor.ts";
+import { ColdEndpoints } from "../../src/features/gateway/common/endpoints/cold_endpoints.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
@@ -155,14 +156,20 @@
     const random = new SeededRandom(options.seed ?? 1);
     const isRefused = ({ announcement }: RegisteredEndpoint): boolean =>
       engineControl.offline.has(announcement.address);
+    const cold = new ColdEndpoints({
+      clock,
+      registry,
+      findService: (id) => this.state.current?.configuration.services.get(id),
+    });
     const chooser = new EndpointChooser(
       clock,
       registry,
       loadTable,
       random,
       ZONE,
+      cold,
     );
-    this.limitTable = new LimitTable(clock);
+    this.limitTable = new LimitTable(clock, cold);
     const peers = {
       self: HOST,
       clock,
--- a/standins/peers/cold_limits_test.ts
+++ b/standins/peers/cold_limits_test.ts
@@ -263,6 +263,33 @@
       }
     });
 
+    // Such a hub takes the cold limit of a question for a named one.
+    it(`keep the rate through hubs of an earlier version at ${LOAD} times the rate`, async () => {
+      for (const daemon of daemons()) announce(daemon, COLD_MS);
+      const updated = [...fleet.daemons].filter(([host, { limitRights }]) =>
+        limitRights.list()[0]!.granter !== host
+      ).map(([, daemon]) => daemon).slice(-2);
+      const earlier = daemons().filter((daemon) => !updated.includes(daemon));
+      for (const daemon of earlier) {
+        const { links } = daemon;
+        announce(daemon, 0);
+        links.missingChannels = new Set(["hub-reach.v1"]);
+        const deliver = links.deliver.bind(links);
+        links.deliver = (from, channel, body) => {
+          const isAsked = Array.isArray(body) && body[0] === "asked";
+          deliver(from, channel, isAsked ? body.slice(0, 5) : body);
+        };
+      }
+      const startMs = fleet.clock.monotonicMs();
+      await demandFor(5_000, () => updated);
+      expectLimitKept();
+      expect(usedShare(startMs)).toBeGreaterThanOrEqual(0.8);
+      expect(earlier[0]!.limitTable.rateOf(PROCESS)).toBe(ratePerS);
+      for (const { limitTable } of updated) {
+        expect(limitTable.records).toEqual([]);
+      }
+    });
+
     it(`grant rights of an endpoint that only one host knows as cold, at ${LOAD} times the rate`, async () => {
       const leaf = daemons().find(({ peers }) => !peers.isHub) ??
         daemons()[0]!;
