--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -17,6 +17,7 @@
 import { CrashMonitor } from "../../src/features/gateway/common/crashes/crash_monitor.ts";
 import { EndpointEligibility } from "../../src/features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { ZoneEvacuations } from "../../src/features/gateway/common/endpoints/zone_evacuations.ts";
+import { ColdEndpoints } from "../../src/features/gateway/common/endpoints/cold_endpoints.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
@@ -170,6 +171,11 @@
     const random = new SeededRandom(options.seed ?? 1);
     const isRefused = ({ announcement }: RegisteredEndpoint): boolean =>
       engineControl.offline.has(announcement.address);
+    const cold = new ColdEndpoints({
+      clock,
+      registry,
+      findService: (id) => this.state.current?.configuration.services.get(id),
+    });
     const chooser = new EndpointChooser(
       clock,
       registry,
@@ -177,11 +183,12 @@
       random,
       ZONE,
       {
+        cold,
         eligibility: this.eligibility,
         paces: options.ignoresPaces ? undefined : paces,
       },
     );
-    this.limitTable = new LimitTable(clock);
+    this.limitTable = new LimitTable(clock, cold);
     const peers = {
       self: HOST,
       clock,
