--- a/src/features/gateway/common/load/endpoint_pace.ts
+++ b/src/features/gateway/common/load/endpoint_pace.ts
@@ -39,8 +39,11 @@
 const DEVIATION_HALF_LIFE_MS = 1_000;
 /** Period at which the medians of a service are computed. */
 const MEDIAN_PERIOD_MS = 200;
-/** Processes without any news for this time are forgotten. */
-const PROCESS_LIFETIME_MS = 30_000;
+/**
+ * Processes without any news for this time are forgotten. Peers repeat usual
+ * times each minute.
+ */
+const PROCESS_LIFETIME_MS = 150_000;
 /**
  * Time constant after which a reported load says little: an endpoint for calls
  * completes as many calls as it has slots in 50 to 80 ms.
@@ -68,7 +71,10 @@
 const SHARED_SAMPLE_KINDS: readonly SharedSampleKind[] = ["event", "response"];
 
 /** Endpoint process, as far as it matters here. */
-export type PacedEndpoint = Pick<RegisteredEndpoint, "announcement">;
+export type PacedEndpoint = Pick<
+  RegisteredEndpoint,
+  "announcement" | "isUsable"
+>;
 
 /**
  * Measured time of an endpoint process, as exchanged between peers. It is not
@@ -81,14 +87,18 @@
   readonly kind: SharedSampleKind;
   /** Time between events without a batch, or response time of a call. */
   readonly timeMs: number;
+  /** Time since it was measured, in milliseconds. */
+  readonly ageMs: number;
   /** Whether endpoints of its service report a pace. */
   readonly reportsPace: boolean;
 }
 
-/** Report of a recent measurement. */
-export interface FreshPaceReport extends PaceReport {
+/** Report of what this host knows. */
+export interface KnownPaceReport extends PaceReport {
   /** The time relative to the median of the service, as known here. */
   readonly relativeTime: number;
+  /** Whether it was measured or received recently. */
+  readonly isFresh: boolean;
 }
 
 /** Who sent or receives reports. */
@@ -302,24 +312,26 @@
   /**
    * @param audience - Who receives the reports. Hubs learn only what this host
    * and its leaves have measured, so that no report circulates.
-   * @returns What was measured recently.
+   * @returns What is known of all processes.
    */
-  freshReports(audience: PaceAudience): readonly FreshPaceReport[] {
+  reports(audience: PaceAudience): readonly KnownPaceReport[] {
     const nowMs = this.#clock.monotonicMs();
-    const reports: FreshPaceReport[] = [];
+    const reports: KnownPaceReport[] = [];
     for (const service of this.#services.values()) {
       this.#refresh(service, nowMs);
       const isReporting = nowMs - service.paceMs <= REPORTS_PACE_LIFETIME_MS;
       for (const process of service.processes) {
         for (const kind of SHARED_SAMPLE_KINDS) {
           const latest = measurementOf(process, kind, nowMs, audience);
-          if (!latest || nowMs - latest.atMs > SAMPLE_FRESH_MS) continue;
-          const { value: timeMs } = latest;
+          if (!latest) continue;
+          const { atMs, freshMs, value: timeMs } = latest;
           reports.push({
             endpoint: process.id,
             bornMs: process.bornMs,
             kind,
             timeMs,
+            ageMs: nowMs - atMs,
+            isFresh: nowMs - atMs <= freshMs,
             reportsPace: isReporting || process.reportsPace,
             relativeTime: clampTime(timeMs / (service.medians[kind] ?? timeMs)),
           });
@@ -337,17 +349,27 @@
    * @param from - Whether a hub sent it, or a host that reports to this one.
    */
   applyReport(
-    { bornMs, kind, reportsPace, timeMs: value }: PaceReport,
+    { ageMs, bornMs, kind, reportsPace, timeMs: value }: PaceReport,
     endpoint: PacedEndpoint,
     from: PaceAudience,
   ): void {
     if (endpoint.announcement.bornMs !== bornMs) return;
     const process = this.#process(endpoint);
     if (!process) return;
-    const atMs = this.#clock.monotonicMs();
-    process.received[from] = { kind, value, atMs, freshMs: REPORT_FRESH_MS };
+    const nowMs = this.#clock.monotonicMs();
+    const atMs = nowMs - ageMs;
     process.reportsPace = reportsPace;
-    process.newsMs = atMs;
+    process.newsMs = nowMs;
+    if (atMs < (process.received[from]?.atMs ?? -Infinity)) return;
+    process.received[from] = { kind, value, atMs, freshMs: REPORT_FRESH_MS };
+  }
+
+  /** Discards what is known of an endpoint whose process ends. */
+  forget(endpoint: PacedEndpoint): void {
+    const process = this.#find(endpoint);
+    if (!process) return;
+    this.#processes.delete(process.id);
+    this.#service(endpoint).processes.delete(process);
   }
 
   /** @returns What is known of each endpoint, for operators. */
@@ -434,13 +456,15 @@
 
   /**
    * @returns The record of an endpoint's process, which replaces that of an
-   * earlier process; `undefined` if a later process is known.
+   * earlier process; `undefined` if a later process is known or it ends.
    */
   #process(endpoint: PacedEndpoint): ProcessPace | undefined {
     const { bornMs, id } = endpoint.announcement;
     const known = this.#processes.get(id);
     if (known?.bornMs === bornMs) return known;
-    if (known && known.bornMs > bornMs) return undefined;
+    if (!endpoint.isUsable || (known && known.bornMs > bornMs)) {
+      return undefined;
+    }
     const { processes } = this.#service(endpoint);
     if (known) processes.delete(known);
     const process = new ProcessPace(id, bornMs, this.#clock.monotonicMs());
--- a/src/features/gateway/common/load/endpoint_pace_sync.ts
+++ b/src/features/gateway/common/load/endpoint_pace_sync.ts
@@ -23,7 +23,7 @@
 import {
   deviation,
   type EndpointPaces,
-  type FreshPaceReport,
+  type KnownPaceReport,
   type PaceAudience,
   type PaceReport,
 } from "./endpoint_pace.ts";
@@ -34,6 +34,8 @@
 const MIN_SENT_DEVIATION = 1.2;
 /** Deviations are repeated this often, as receivers forget them. */
 const REPEAT_PERIOD_MS = 2_000;
+/** The same for usual times, which receivers need for the median. */
+const REPEAT_USUAL_PERIOD_MS = 60_000;
 /** Resolution of a time: a hundredth of a millisecond. */
 const UNITS_PER_MS = 100;
 
@@ -41,11 +43,12 @@
 export const PACE_CHANNEL: PeerChannelSpec<readonly PaceReport[]> = {
   name: "pace.v1",
   encode: (reports) => [
-    reports.map(({ endpoint, bornMs, kind, timeMs, reportsPace }) => [
+    reports.map(({ endpoint, bornMs, kind, timeMs, ageMs, reportsPace }) => [
       endpoint,
       bornMs,
       kind,
       Math.max(1, Math.round(timeMs * UNITS_PER_MS)),
+      Math.round(ageMs),
       reportsPace,
     ]),
   ],
@@ -58,7 +61,7 @@
   readonly links: PeerLinks;
   readonly overlay: PeerOverlay;
   readonly paces: EndpointPaces;
-  readonly registry: Pick<EndpointRegistry, "get">;
+  readonly registry: Pick<EndpointRegistry, "get" | "onDidRetire">;
 }
 
 /** What an audience was last told of an endpoint process. */
@@ -79,17 +82,23 @@
   /** @param services - Dependencies of the synchronization. */
   constructor(services: EndpointPaceSyncServices) {
     this.#services = services;
-    const { clock, links, overlay } = services;
+    const { clock, links, overlay, paces, registry } = services;
     this.#channel = this.#disposables.add(links.openChannel(PACE_CHANNEL));
     this.#disposables.add(this.#channel.onDidReceive(({ from, body }) => {
       this.#apply(from, body);
     }));
-    this.#disposables.add(links.onDidChangeLink(({ isUp }) => {
-      if (isUp) this.#forgetSent();
+    // A new peer may know nothing, and messages may have been lost before.
+    this.#disposables.add(links.onDidChangeLink(({ host, isUp }) => {
+      if (isUp) this.#sendAll(host);
+    }));
+    this.#disposables.add(overlay.onDidChangeHomeHub(() => {
+      const home = overlay.homeHub();
+      if (home !== undefined) this.#sendAll(home);
+    }));
+    this.#disposables.add(registry.onDidRetire((endpoint) => {
+      paces.forget(endpoint);
+      for (const sent of Object.values(this.#sent)) sent.delete(endpoint.id);
     }));
-    this.#disposables.add(
-      overlay.onDidChangeHomeHub(() => this.#forgetSent()),
-    );
     this.#disposables.add(
       runPeriodically(clock, SEND_PERIOD_MS, () => this.#sendChanges()),
     );
@@ -111,10 +120,13 @@
     }
   }
 
-  /** The next message holds all deviations, for a peer that knows none. */
-  #forgetSent(): void {
-    this.#sent.hubs.clear();
-    this.#sent.leaves.clear();
+  #sendAll(host: HostId): void {
+    const { overlay, paces } = this.#services;
+    const home = overlay.homeHub();
+    if (home !== undefined && host !== home) return;
+    const isHub = host === home || overlay.linkedHubs().includes(host);
+    const reports = paces.reports(isHub ? "hubs" : "leaves");
+    if (reports.length > 0) this.#channel.send(host, reports);
   }
 
   #sendChanges(): void {
@@ -126,11 +138,10 @@
 
   #sendTo(hosts: readonly HostId[], audience: PaceAudience): void {
     if (hosts.length === 0) return;
-    const { clock, paces, registry } = this.#services;
+    const { clock, paces } = this.#services;
     const nowMs = clock.monotonicMs();
     const sent = this.#sent[audience];
-    for (const id of sent.keys()) if (!registry.get(id)) sent.delete(id);
-    const changes = paces.freshReports(audience).filter((report) =>
+    const changes = paces.reports(audience).filter((report) =>
       isDue(report, sent.get(report.endpoint), nowMs)
     );
     if (changes.length === 0) return;
@@ -142,14 +153,17 @@
 }
 
 function isDue(
-  { bornMs, relativeTime, timeMs }: FreshPaceReport,
+  { bornMs, isFresh, relativeTime, timeMs }: KnownPaceReport,
   sent: SentReport | undefined,
   nowMs: number,
 ): boolean {
   if (sent?.bornMs !== bornMs) return true;
+  if (!isFresh) return false;
   if (deviation(timeMs / sent.timeMs) > MIN_SENT_DEVIATION) return true;
-  return deviation(relativeTime) > MIN_SENT_DEVIATION &&
-    nowMs - sent.sentMs >= REPEAT_PERIOD_MS;
+  const periodMs = deviation(relativeTime) > MIN_SENT_DEVIATION
+    ? REPEAT_PERIOD_MS
+    : REPEAT_USUAL_PERIOD_MS;
+  return nowMs - sent.sentMs >= periodMs;
 }
 
 function decodeReports(body: unknown): Either<string, readonly PaceReport[]> {
@@ -167,16 +181,18 @@
 /** Reads a row; figures that a later version appends are ignored. */
 function decodeReport(row: unknown): PaceReport | undefined {
   if (!Array.isArray(row)) return undefined;
-  const [endpoint, bornMs, kind, time, reportsPace] = row as unknown[];
+  const [endpoint, bornMs, kind, time, ageMs, reportsPace] = row as unknown[];
   const isValid = typeof endpoint === "string" && typeof bornMs === "number" &&
     (kind === "event" || kind === "response") && typeof time === "number" &&
-    time > 0 && Number.isFinite(time) && typeof reportsPace === "boolean";
+    time > 0 && Number.isFinite(time) && typeof ageMs === "number" &&
+    ageMs >= 0 && typeof reportsPace === "boolean";
   if (!isValid) return undefined;
   return {
     endpoint: endpoint as EndpointId,
     bornMs,
     kind,
     timeMs: time / UNITS_PER_MS,
+    ageMs,
     reportsPace,
   };
 }
