Know for a whole service whether its endpoints report a pace

Cause: a host that learned from a peer's row that one endpoint reports a pace weighed only that endpoint by expected completion, on another scale than the others of the service. Calls of services without a reported pace were chosen by two draws once a learned time deviated.

Change: the flag of a row holds for the service, and hubs do not repeat it to hubs. Calls without a reported pace are placed as before.

--- a/src/features/gateway/common/load/endpoint_pace.ts
+++ b/src/features/gateway/common/load/endpoint_pace.ts
@@ -15,8 +15,11 @@
 const MAX_RELATIVE_TIME = 4;
 /** Time for which a reported pace is used, in milliseconds. */
 const PACE_LIFETIME_MS = 300;
-/** Time for which a service counts as one whose endpoints report a pace. */
-const REPORTS_PACE_LIFETIME_MS = 10_000;
+/**
+ * Time for which a service counts as one whose endpoints report a pace. Peers
+ * state it with each report, and repeat usual times each minute.
+ */
+const REPORTS_PACE_LIFETIME_MS = 150_000;
 /**
  * Deviation from the median from which a learned time is used without a
  * reported pace. Smaller ones may be noise, and deployments without reports
@@ -136,7 +139,6 @@
   loadMs = -Infinity;
   /** Runs known to this host when the load was reported. */
   runsAtReport = 0;
-  reportsPace = false;
   readonly id: EndpointId;
   readonly bornMs: number;
   /** Monotonic time of the latest news of any kind, in milliseconds. */
@@ -154,8 +156,21 @@
   readonly medians: { [K in SampleKind]?: number | undefined } = {};
   meanRuns = 0;
   computedMs = -Infinity;
-  /** Monotonic time of the latest reported pace, in milliseconds. */
+  /**
+   * Monotonic time at which this host or one of its leaves last knew that an
+   * endpoint reports a pace, in milliseconds.
+   */
   paceMs = -Infinity;
+  /** The same for hubs, which are not told again what they stated. */
+  hubPaceMs = -Infinity;
+
+  /** @returns Whether endpoints report a pace. */
+  reportsPace(nowMs: number, audience?: PaceAudience): boolean {
+    const latestMs = audience === "hubs"
+      ? this.paceMs
+      : Math.max(this.paceMs, this.hubPaceMs);
+    return nowMs - latestMs <= REPORTS_PACE_LIFETIME_MS;
+  }
 }
 
 /** Loads and relative times of endpoint processes. */
@@ -242,12 +257,9 @@
    * @param endpoint - An endpoint.
    * @returns Whether endpoints of its service report a pace.
    */
-  reportsPace(endpoint: PacedEndpoint): boolean {
-    const { id, service } = endpoint.announcement;
-    const paceMs = this.#services.get(service)?.paceMs ?? -Infinity;
-    const ageMs = this.#clock.monotonicMs() - paceMs;
-    return ageMs <= REPORTS_PACE_LIFETIME_MS ||
-      this.#processes.get(id)?.reportsPace === true;
+  reportsPace({ announcement }: PacedEndpoint): boolean {
+    const service = this.#services.get(announcement.service);
+    return service?.reportsPace(this.#clock.monotonicMs()) === true;
   }
 
   /**
@@ -319,7 +331,7 @@
     const reports: KnownPaceReport[] = [];
     for (const service of this.#services.values()) {
       this.#refresh(service, nowMs);
-      const isReporting = nowMs - service.paceMs <= REPORTS_PACE_LIFETIME_MS;
+      const reportsPace = service.reportsPace(nowMs, audience);
       for (const process of service.processes) {
         for (const kind of SHARED_SAMPLE_KINDS) {
           const latest = measurementOf(process, kind, nowMs, audience);
@@ -332,7 +344,7 @@
             timeMs,
             ageMs: nowMs - atMs,
             isFresh: nowMs - atMs <= freshMs,
-            reportsPace: isReporting || process.reportsPace,
+            reportsPace,
             relativeTime: clampTime(timeMs / (service.medians[kind] ?? timeMs)),
           });
         }
@@ -358,7 +370,9 @@
     if (!process) return;
     const nowMs = this.#clock.monotonicMs();
     const atMs = nowMs - ageMs;
-    process.reportsPace = reportsPace;
+    const service = this.#service(endpoint);
+    if (reportsPace && from === "hubs") service.hubPaceMs = nowMs;
+    else if (reportsPace) service.paceMs = nowMs;
     process.newsMs = nowMs;
     if (atMs < (process.received[from]?.atMs ?? -Infinity)) return;
     process.received[from] = { kind, value, atMs, freshMs: REPORT_FRESH_MS };
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -285,7 +285,7 @@
     if (costs.length === 0) return undefined;
     const isPaced = candidates.some(({ endpoint }) =>
       this.#paces.reportsPace(endpoint) ||
-      this.#paces.relativeTime(endpoint) !== 1
+      (service.engine && this.#paces.relativeTime(endpoint) !== 1)
     );
     const nearCost = service.engine ? NEAR_GENERATION_COST : NEAR_CALL_COST;
     const index = isPaced
--- a/standins/gateway/stale_load_test.ts
+++ b/standins/gateway/stale_load_test.ts
@@ -23,6 +23,8 @@
   readonly waiting: number;
   readonly pacePercent?: number;
   readonly zone?: string;
+  /** Response time of earlier calls in milliseconds. */
+  readonly responseMs?: number;
 }
 
 /** Returns which endpoint a host chooses that got the reports some time ago. */
@@ -36,7 +38,7 @@
   const registry = new EndpointRegistry(clock, NOOP_LOGGER);
   const loadTable = new LoadTable(clock);
   const paces = new EndpointPaces(clock, loadTable);
-  const ids = endpoints.map(({ zone, ...load }, index) => {
+  const ids = endpoints.map(({ zone, responseMs = 65, ...load }, index) => {
     const id = `app-${index}` as EndpointId;
     registry.announce({
       id,
@@ -49,6 +51,9 @@
       warmUpRemainingMs: 0,
     });
     paces.recordLoad(registry.get(id)!, { ...load, slots: SLOTS });
+    for (let sample = 0; sample < 5; sample++) {
+      paces.recordResponseTime(registry.get(id)!, responseMs);
+    }
     return id;
   });
   clock.advance(ageMs);
@@ -109,6 +114,11 @@
     expect(countFirst([slow, IDLE, IDLE], () => 10)).toBe(0);
   });
 
+  it("avoid an endpoint whose earlier answers took longer", () => {
+    const slow = { ...IDLE, responseMs: 200 };
+    expect(countFirst([slow, IDLE, IDLE], () => 400)).toBe(0);
+  });
+
   it("go to another zone if the wait here costs more than its bytes", () => {
     const endpoints = [{ ...IDLE, zone: "zone-b" }, { ...BUSY, waiting: 6 }];
     const ageOf = () => 1;
@@ -118,7 +128,16 @@
 
   // Services without a reported pace must be placed by the slots in use.
   it("go to the endpoint with the fewest known calls without a reported pace", () => {
-    const endpoints = [{ running: 0, waiting: 0 }, { running: 6, waiting: 9 }];
-    expect(countFirst(endpoints, () => 10, { ownCalls: 1 })).toBe(0);
+    const idle = { running: 0, waiting: 0 };
+    const busy = { running: 6, waiting: 9, responseMs: 400 };
+    for (const endpoints of [[idle, busy], [idle, idle, busy]]) {
+      expect(countFirst(endpoints, () => 10, { ownCalls: 1 })).toBe(0);
+    }
+    const [first, second] = [[idle, idle, busy], [idle, idle, idle]].map((
+      endpoints,
+    ) =>
+      Array.from({ length: HOSTS }, (_, host) => choose(host, 10, endpoints))
+    );
+    expect(first).toEqual(second);
   });
 });
--- a/standins/peers/pace_load_test.ts
+++ b/standins/peers/pace_load_test.ts
@@ -118,6 +118,14 @@
     expect(relativeTimes()).toEqual([1, 1, 1, 1]);
   });
 
+  it("tell all hosts that the endpoints report a pace, so that they use small ones", async () => {
+    const { paces, registry } = hosts.get("leaf-a" as HostId)!;
+    const load = { running: 1, waiting: 0, slots: 24, pacePercent: 100 };
+    paces.recordLoad(registry.get("llm-2" as EndpointId)!, load);
+    await stream(2_000, 1.4 * USUAL_MS);
+    for (const time of relativeTimes()) expect(time).toBeCloseTo(1.4, 1);
+  });
+
   // Bytes between zones are expensive.
   it("are sent only once while they do not change", async () => {
     await stream(2_000, USUAL_MS);
