--- a/src/features/gateway/common/load/endpoint_pace.ts
+++ b/src/features/gateway/common/load/endpoint_pace.ts
@@ -15,8 +15,11 @@
 const MAX_RELATIVE_TIME = 4;
 /** Time for which a reported pace is used, in milliseconds. */
 const PACE_LIFETIME_MS = 300;
-/** Time for which a service counts as one whose endpoints report a pace. */
-const REPORTS_PACE_LIFETIME_MS = 10_000;
+/**
+ * Time for which a service counts as one whose endpoints report a pace. Peers
+ * state it with each report, and repeat usual times each minute.
+ */
+const REPORTS_PACE_LIFETIME_MS = 150_000;
 /**
  * Deviation from the median from which a learned time is used without a
  * reported pace. Smaller ones may be noise, and deployments without reports
@@ -39,8 +42,11 @@
 const DEVIATION_HALF_LIFE_MS = 1_000;
 /** Period at which the medians of a service are computed. */
 const MEDIAN_PERIOD_MS = 200;
-/** Processes without any news for this time are forgotten. */
-const PROCESS_LIFETIME_MS = 30_000;
+/**
+ * Processes without any news for this time are forgotten. Peers repeat usual
+ * times each minute.
+ */
+const PROCESS_LIFETIME_MS = 150_000;
 /**
  * Time constant after which a reported load says little: an endpoint for calls
  * completes as many calls as it has slots in 50 to 80 ms.
@@ -68,7 +74,10 @@
 const SHARED_SAMPLE_KINDS: readonly SharedSampleKind[] = ["event", "response"];
 
 /** Endpoint process, as far as it matters here. */
-export type PacedEndpoint = Pick<RegisteredEndpoint, "announcement">;
+export type PacedEndpoint = Pick<
+  RegisteredEndpoint,
+  "announcement" | "isUsable"
+>;
 
 /**
  * Measured time of an endpoint process, as exchanged between peers. It is not
@@ -81,14 +90,18 @@
   readonly kind: SharedSampleKind;
   /** Time between events without a batch, or response time of a call. */
   readonly timeMs: number;
+  /** Time since it was measured, in milliseconds. */
+  readonly ageMs: number;
   /** Whether endpoints of its service report a pace. */
   readonly reportsPace: boolean;
 }
 
-/** Report of a recent measurement. */
-export interface FreshPaceReport extends PaceReport {
+/** Report of what this host knows. */
+export interface KnownPaceReport extends PaceReport {
   /** The time relative to the median of the service, as known here. */
   readonly relativeTime: number;
+  /** Whether it was measured or received recently. */
+  readonly isFresh: boolean;
 }
 
 /** Who sent or receives reports. */
@@ -126,7 +139,6 @@
   loadMs = -Infinity;
   /** Runs known to this host when the load was reported. */
   runsAtReport = 0;
-  reportsPace = false;
   /** Smoothed time between events, at any pace, in milliseconds. */
   usualEventMs: number | undefined;
   readonly id: EndpointId;
@@ -159,11 +171,24 @@
   readonly medians: { [K in SampleKind]?: number | undefined } = {};
   meanRuns = 0;
   computedMs = -Infinity;
-  /** Monotonic time of the latest reported pace, in milliseconds. */
+  /**
+   * Monotonic time at which this host or one of its leaves last knew that an
+   * endpoint reports a pace, in milliseconds.
+   */
   paceMs = -Infinity;
   /** Slowest reported pace, and when it was last reported. */
   peakPacePercent = 100;
   peakPaceMs = -Infinity;
+  /** The same for hubs, which are not told again what they stated. */
+  hubPaceMs = -Infinity;
+
+  /** @returns Whether endpoints report a pace. */
+  reportsPace(nowMs: number, audience?: PaceAudience): boolean {
+    const latestMs = audience === "hubs"
+      ? this.paceMs
+      : Math.max(this.paceMs, this.hubPaceMs);
+    return nowMs - latestMs <= REPORTS_PACE_LIFETIME_MS;
+  }
 }
 
 /** Loads and relative times of endpoint processes. */
@@ -250,12 +275,9 @@
    * @param endpoint - An endpoint.
    * @returns Whether endpoints of its service report a pace.
    */
-  reportsPace(endpoint: PacedEndpoint): boolean {
-    const { id, service } = endpoint.announcement;
-    const paceMs = this.#services.get(service)?.paceMs ?? -Infinity;
-    const ageMs = this.#clock.monotonicMs() - paceMs;
-    return ageMs <= REPORTS_PACE_LIFETIME_MS ||
-      this.#processes.get(id)?.reportsPace === true;
+  reportsPace({ announcement }: PacedEndpoint): boolean {
+    const service = this.#services.get(announcement.service);
+    return service?.reportsPace(this.#clock.monotonicMs()) === true;
   }
 
   /**
@@ -320,25 +342,27 @@
   /**
    * @param audience - Who receives the reports. Hubs learn only what this host
    * and its leaves have measured, so that no report circulates.
-   * @returns What was measured recently.
+   * @returns What is known of all processes.
    */
-  freshReports(audience: PaceAudience): readonly FreshPaceReport[] {
+  reports(audience: PaceAudience): readonly KnownPaceReport[] {
     const nowMs = this.#clock.monotonicMs();
-    const reports: FreshPaceReport[] = [];
+    const reports: KnownPaceReport[] = [];
     for (const service of this.#services.values()) {
       this.#refresh(service, nowMs);
-      const isReporting = nowMs - service.paceMs <= REPORTS_PACE_LIFETIME_MS;
+      const reportsPace = service.reportsPace(nowMs, audience);
       for (const process of service.processes) {
         for (const kind of SHARED_SAMPLE_KINDS) {
           const latest = measurementOf(process, kind, nowMs, audience);
-          if (!latest || nowMs - latest.atMs > SAMPLE_FRESH_MS) continue;
-          const { value: timeMs } = latest;
+          if (!latest) continue;
+          const { atMs, freshMs, value: timeMs } = latest;
           reports.push({
             endpoint: process.id,
             bornMs: process.bornMs,
             kind,
             timeMs,
-            reportsPace: isReporting || process.reportsPace,
+            ageMs: nowMs - atMs,
+            isFresh: nowMs - atMs <= freshMs,
+            reportsPace,
             relativeTime: clampTime(timeMs / (service.medians[kind] ?? timeMs)),
           });
         }
@@ -355,18 +379,30 @@
    * @param from - Whether a hub sent it, or a host that reports to this one.
    */
   applyReport(
-    { bornMs, kind, reportsPace, timeMs: value }: PaceReport,
+    { ageMs, bornMs, kind, reportsPace, timeMs: value }: PaceReport,
     endpoint: PacedEndpoint,
     from: PaceAudience,
   ): void {
     if (endpoint.announcement.bornMs !== bornMs) return;
     const process = this.#process(endpoint);
     if (!process) return;
-    const atMs = this.#clock.monotonicMs();
+    const nowMs = this.#clock.monotonicMs();
+    const atMs = nowMs - ageMs;
+    const service = this.#service(endpoint);
+    if (reportsPace && from === "hubs") service.hubPaceMs = nowMs;
+    else if (reportsPace) service.paceMs = nowMs;
+    process.newsMs = nowMs;
+    if (atMs < (process.received[from]?.atMs ?? -Infinity)) return;
     process.received[from] = { kind, value, atMs, freshMs: REPORT_FRESH_MS };
     if (kind === "event") recordUsualEvent(process, value);
-    process.reportsPace = reportsPace;
-    process.newsMs = atMs;
+  }
+
+  /** Discards what is known of an endpoint whose process ends. */
+  forget(endpoint: PacedEndpoint): void {
+    const process = this.#find(endpoint);
+    if (!process) return;
+    this.#processes.delete(process.id);
+    this.#service(endpoint).processes.delete(process);
   }
 
   /**
@@ -482,13 +518,15 @@
 
   /**
    * @returns The record of an endpoint's process, which replaces that of an
-   * earlier process; `undefined` if a later process is known.
+   * earlier process; `undefined` if a later process is known or it ends.
    */
   #process(endpoint: PacedEndpoint): ProcessPace | undefined {
     const { bornMs, id } = endpoint.announcement;
     const known = this.#processes.get(id);
     if (known?.bornMs === bornMs) return known;
-    if (known && known.bornMs > bornMs) return undefined;
+    if (!endpoint.isUsable || (known && known.bornMs > bornMs)) {
+      return undefined;
+    }
     const { processes } = this.#service(endpoint);
     if (known) processes.delete(known);
     const process = new ProcessPace(id, bornMs, this.#clock.monotonicMs());
