Restrict requests to the regions that routes and workspaces allow

Cause: allowed-regions of the configuration had no effect. The eligibility of endpoints applies the lists of the configuration in force at each check, also just before a send. Bodies go only to peers in an allowed region or in that of this host. Measured: allowed_regions_test, zone_evacuation_test, zone_evacuations_test, endpoint_eligibility_test, gateway_test, generation_test, store_documents_test, platform_settings_test and the tests of the paths pass. Not measured with real daemons yet.

--- a/src/daemon/common/gateway_factory.ts
+++ b/src/daemon/common/gateway_factory.ts
@@ -6,7 +6,6 @@
 import type { SeededRandom } from "../../base/common/random.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
-import type { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import type { EndpointLimits } from "../../features/gateway/common/limits/endpoint_limits.ts";
@@ -22,6 +21,7 @@
 import { RunMigrator } from "../../features/gateway/common/requests/run_migrator.ts";
 import type { PassThroughClient } from "../../services/http/common/pass_through_client.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
+import type { GatewayEligibility } from "./gateway_eligibility.ts";
 import type { GatewayPlacement } from "./gateway_placement.ts";
 import { createRetryBudget } from "./gateway_retry_budget.ts";
 import type { ReloadableGatewaySettings } from "./gateway_settings.ts";
@@ -47,7 +47,7 @@
   readonly fingerprint: GatewayServices["fingerprint"];
   readonly state: ConfigurationState;
   readonly registry: EndpointRegistry;
-  readonly eligibility: EndpointEligibility;
+  readonly eligibility: GatewayEligibility;
   readonly placement: GatewayPlacement;
   readonly paths: RequestPaths;
   readonly crashMonitor: CrashMonitor;
@@ -72,7 +72,8 @@
       codec: services.codec,
       client: paths.client,
       registry: services.registry,
-      eligibility: services.eligibility,
+      eligibility: services.eligibility.endpoints,
+      regions: services.eligibility.regions,
       loadTable: placement.loadTable,
       chooser: placement.chooser,
       placer: placement.placer,
--- a/src/daemon/common/gateway_settings.ts
+++ b/src/daemon/common/gateway_settings.ts
@@ -1,6 +1,11 @@
 /** Settings of a gateway daemon, independent of the platform it runs on. */
 
-import type { Address, HostId, ZoneName } from "../../base/common/ids.ts";
+import type {
+  Address,
+  HostId,
+  RegionName,
+  ZoneName,
+} from "../../base/common/ids.ts";
 
 /** Settings that can be reloaded while the daemon is running. */
 export interface ReloadableGatewaySettings {
@@ -12,6 +17,10 @@
   readonly memoryMb: number;
   readonly retries: { readonly share: number; readonly extra: number };
   readonly seedAddresses: readonly Address[];
+  /** Region of this host, if the deployment has regions. */
+  readonly region?: RegionName | undefined;
+  /** Region of each zone. */
+  readonly zoneRegions?: ReadonlyMap<ZoneName, RegionName> | undefined;
 }
 
 /** Identity and addresses of a daemon, with its initial reloadable settings. */
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -14,6 +14,7 @@
 } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import { admissionLimits } from "../common/settings_limits.ts";
+import { GatewayEligibility } from "../common/gateway_eligibility.ts";
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayPlacement } from "../common/gateway_placement.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
@@ -33,9 +34,7 @@
 import { GatewayTopology } from "./gateway_topology.ts";
 import { drainRequests } from "./request_drain.ts";
 import { AnswerObserver } from "../../features/gateway/common/monitoring/answer_observer.ts";
-import { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
-import { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
 import { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
@@ -65,7 +64,7 @@
   readonly #mirror: StoreMirror;
   readonly #state: ConfigurationState;
   readonly #registry: EndpointRegistry;
-  readonly #evacuations: ZoneEvacuations;
+  readonly #eligibility: GatewayEligibility;
   readonly #links: WsPeerLinks;
   readonly #store: GatewayStore;
   readonly #placer: ZonePlacer;
@@ -106,9 +105,15 @@
       logger,
       (endpoint) => this.#paths.unreachableSinceMs(endpoint),
     );
-    this.#evacuations = this.#disposables.add(
-      new ZoneEvacuations(clock, logger),
-    );
+    this.#eligibility = new GatewayEligibility({
+      clock,
+      logger,
+      registry: this.#registry,
+      state: this.#state,
+      zone,
+      settings: () => this.#activeSettings,
+    });
+    this.#disposables.add(this.#eligibility);
     this.#readinessLog = new ReadinessLog({
       logger,
       mirror: this.#mirror,
@@ -159,7 +164,7 @@
         mirror: this.#mirror,
         state: this.#state,
         registry: this.#registry,
-        evacuations: this.#evacuations,
+        evacuations: this.#eligibility.evacuations,
       }),
     );
     const holds = new EndpointHolds(clock, logger, metrics, random);
@@ -182,10 +187,6 @@
         limits: () => this.#limits.endpoints,
       }),
     );
-    const eligibility = new EndpointEligibility(clock, this.#registry, {
-      isEvacuated: (evacuated) => this.#evacuations.isEvacuated(evacuated),
-      regionOf: () => undefined,
-    });
     const findService = (id: ServiceId) =>
       this.#state.current?.configuration.services.get(id);
     const placement = this.#disposables.add(
@@ -198,7 +199,7 @@
         links: this.#links,
         overlay: this.#topology,
         registry: this.#registry,
-        eligibility,
+        eligibility: this.#eligibility.endpoints,
         findService,
       }),
     );
@@ -231,7 +232,7 @@
         metrics,
         signer,
         registry: this.#registry,
-        eligibility,
+        eligibility: this.#eligibility.endpoints,
         codec: adapter.codec,
         client: this.#paths.directClient,
         observer: answers,
@@ -281,7 +282,7 @@
       fingerprint,
       state: this.#state,
       registry: this.#registry,
-      eligibility,
+      eligibility: this.#eligibility,
       placement,
       paths: this.#paths,
       crashMonitor: this.#quarantine.monitor,
@@ -425,7 +426,7 @@
       callers: this.#callers,
       paths: this.#paths,
       registry: this.#registry,
-      evacuations: this.#evacuations,
+      evacuations: this.#eligibility.evacuations,
       links: this.#links,
       state: this.#state,
       mirror: this.#mirror,
--- a/src/features/gateway/common/configuration/gateway_configuration.ts
+++ b/src/features/gateway/common/configuration/gateway_configuration.ts
@@ -5,6 +5,7 @@
 
 import type { ServiceId, WorkspaceId } from "../../../../base/common/ids.ts";
 import type { CallerLimits } from "../../../../services/http/common/caller_exchange.ts";
+import type { RegionList } from "./region_restriction.ts";
 
 /** Kind of requests on a route, which decides what may be retried. */
 export type RouteKind =
@@ -46,6 +47,8 @@
   readonly maxAttempts: number;
   /** Whether requests need no API key. */
   readonly isPublic: boolean;
+  /** Regions in which requests may run; any if absent. */
+  readonly allowedRegions?: RegionList | undefined;
 }
 
 /**
@@ -84,6 +87,8 @@
   readonly workspace: WorkspaceId;
   /** Priority that overrides the route's, if the workspace has one. */
   readonly priority: number | undefined;
+  /** Regions in which requests of the workspace may run; any if absent. */
+  readonly allowedRegions?: RegionList | undefined;
 }
 
 /** One version of the gateway configuration. */
--- a/src/features/gateway/common/endpoints/endpoint_eligibility.ts
+++ b/src/features/gateway/common/endpoints/endpoint_eligibility.ts
@@ -173,7 +173,20 @@
    * @returns The rules; `undefined` if they allow an endpoint, or if there is
    * none without them either.
    */
-  blockingRules(criteria: EligibilityCriteria): BlockingRules | undefined {
+  blockingRules(criteria: EligibilityCriteria): AppliedRules | undefined {
+    const isAllowed = this.#registry.usable(criteria.service).some((endpoint) =>
+      !isOtherVersion(endpoint, criteria) &&
+      this.checkRules(endpoint, criteria.regions) === undefined
+    );
+    return isAllowed ? undefined : this.appliedRules(criteria);
+  }
+
+  /**
+   * @param criteria - Requirements of the request.
+   * @returns The rules of the operator that forbid some of the endpoints;
+   * `undefined` if none does.
+   */
+  appliedRules(criteria: EligibilityCriteria): AppliedRules | undefined {
     let boundBy: RegionBound | undefined;
     const evacuatedZones = new Set<ZoneName>();
     for (const endpoint of this.#registry.usable(criteria.service)) {
@@ -181,7 +194,7 @@
       const rule = this.checkRules(endpoint, criteria.regions);
       switch (rule?.kind) {
         case undefined:
-          return undefined;
+          break;
         case "other-region":
           boundBy = boundBy ? joinBounds(boundBy, rule.boundBy) : rule.boundBy;
           break;
@@ -220,8 +233,8 @@
   }
 }
 
-/** Rules of the operator that leave no endpoint for a request. */
-export interface BlockingRules {
+/** Rules of the operator that forbid endpoints to a request. */
+export interface AppliedRules {
   /** Lists that exclude regions of the endpoints, if some do. */
   readonly boundBy: RegionBound | undefined;
   /** Evacuated zones in regions that are allowed. */
--- a/src/features/gateway/common/requests/gateway_services.ts
+++ b/src/features/gateway/common/requests/gateway_services.ts
@@ -9,6 +9,7 @@
 import type { EndpointChooser } from "../placement/endpoint_chooser.ts";
 import type { CrashMonitor } from "../crashes/crash_monitor.ts";
 import type { EndpointProbe } from "../monitoring/endpoint_probe.ts";
+import type { RegionPolicy } from "../configuration/region_policy.ts";
 import type { EndpointEligibility } from "../endpoints/endpoint_eligibility.ts";
 import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
 import type { GatewayCodec } from "../protocol/gateway_codec.ts";
@@ -31,6 +32,8 @@
   readonly registry: EndpointRegistry;
   /** Decides which endpoints may serve a request. */
   readonly eligibility: EndpointEligibility;
+  /** Regions to which requests are restricted. */
+  readonly regions: RegionPolicy;
   readonly loadTable: LoadTable;
   readonly chooser: EndpointChooser;
   readonly budget: RetryBudget;
--- a/src/features/gateway/common/requests/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -325,6 +325,7 @@
         purpose: "request",
         requestId: this.request.id,
         deadlineMs: this.request.deadlineMs,
+        mayPassTo: (zone) => this.eligibility.mayPassTo(zone),
       },
     };
     const transfer = client.send(request, {
--- a/src/features/gateway/common/requests/request_eligibility.ts
+++ b/src/features/gateway/common/requests/request_eligibility.ts
@@ -1,11 +1,13 @@
 /** Which endpoints one request may be sent to, at any time while it lasts. */
 
+import type { ZoneName } from "../../../../base/common/ids.ts";
 import type {
   PassThroughExchange,
   PassThroughFailure,
 } from "../../../../services/http/common/pass_through_client.ts";
+import type { RegionRestriction } from "../configuration/region_restriction.ts";
 import type {
-  BlockingRules,
+  AppliedRules,
   EligibilityCriteria,
   RuleIneligibility,
 } from "../endpoints/endpoint_eligibility.ts";
@@ -19,18 +21,25 @@
 export class RequestEligibility {
   readonly #context: RequestContext;
   readonly criteria: EligibilityCriteria;
+  #regions: RegionRestriction | undefined;
+  /** Number of the policy's change from which the lists were read. */
+  #regionsChange = -1;
   /** Endpoints to which a rule has prevented a send. */
   readonly #prevented = new Set<RegisteredEndpoint>();
 
   /** @param context - State of the request. */
   constructor(context: RequestContext) {
     this.#context = context;
+    const regions = () => this.#currentRegions();
     this.criteria = {
       service: context.request.service.id,
       excluded: context.excludedEndpoints,
       get softwareVersion() {
         return context.softwareVersion;
       },
+      get regions() {
+        return regions();
+      },
     };
   }
 
@@ -93,8 +102,19 @@
     return this.#context.services.eligibility.eligible(this.criteria);
   }
 
+  /**
+   * @returns Whether a peer in a zone may be sent the body of the request, to
+   * pass it on.
+   */
+  mayPassTo(zone: ZoneName): boolean {
+    return this.#context.services.regions.mayPassTo(
+      zone,
+      this.criteria.regions,
+    );
+  }
+
   /** Rules of the operator that leave no endpoint, if these are the reason. */
-  get blockingRules(): BlockingRules | undefined {
+  get blockingRules(): AppliedRules | undefined {
     return this.#context.services.eligibility.blockingRules(this.criteria);
   }
 
@@ -108,13 +128,14 @@
   }
 
   /**
-   * Fields of the log line of a refusal: the lists that applied, the evacuated
+   * Fields of the log line of a refusal for which no endpoint is eligible and
+   * rules of the operator forbid some or all: the lists that applied, the evacuated
    * zones, and the endpoints counted by reason.
    */
   logFields(): Readonly<Record<string, string | undefined>> {
-    const rules = this.blockingRules;
-    if (!rules) return {};
     const { eligibility } = this.#context.services;
+    const rules = eligibility.appliedRules(this.criteria);
+    if (!rules || this.eligible().length > 0) return {};
     const counts = [...eligibility.explain(this.criteria)].map((
       [reason, count],
     ) => `${reason}=${count}`);
@@ -124,4 +145,16 @@
       endpoints: counts.join(" "),
     };
   }
+
+  /** The lists of the configuration that is in force now. */
+  #currentRegions(): RegionRestriction | undefined {
+    const { request, services } = this.#context;
+    const { changeCount } = services.regions;
+    if (this.#regionsChange !== changeCount) {
+      this.#regionsChange = changeCount;
+      const { keyHolder, route } = request;
+      this.#regions = services.regions.restrictionOf(route, keyHolder);
+    }
+    return this.#regions;
+  }
 }
--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -234,11 +234,19 @@
   }
 
   #canAskPeer(): boolean {
-    const { address, body, relay } = this.#request;
+    const { body, relay } = this.#request;
     if (!relay || this.#askedPeers.size >= MAX_PEERS) return false;
     if (isStreamed(body) && body.isConsumed) return false;
-    return this.#services.chooser.choose(address, this.#askedPeers) !==
-      undefined;
+    return this.#choosePeer() !== undefined;
+  }
+
+  #choosePeer(): RelayPeer | undefined {
+    const { address, relay } = this.#request;
+    return this.#services.chooser.choose(
+      address,
+      this.#askedPeers,
+      (zone) => relay?.mayPassTo?.(zone) ?? true,
+    );
   }
 
   /** @param failure - What is reported if there is no peer to ask. */
@@ -253,9 +261,7 @@
     } = this.#services;
     const request = this.#request;
     const { address } = request;
-    const peer = this.#canAskPeer()
-      ? chooser.choose(address, this.#askedPeers)
-      : undefined;
+    const peer = this.#canAskPeer() ? this.#choosePeer() : undefined;
     if (!peer || !isRelayable(request)) {
       this.#fail(failure);
       return;
--- a/src/features/paths/common/relay_chooser.ts
+++ b/src/features/paths/common/relay_chooser.ts
@@ -58,14 +58,16 @@
    *
    * @param address - Address of the endpoint.
    * @param excluded - Peers that were asked before.
+   * @param mayPassTo - Returns whether peers in a zone may be sent the request.
    * @returns The peer, or `undefined` if none reaches the endpoint.
    */
   choose(
     address: Address,
     excluded: ReadonlySet<HostId>,
+    mayPassTo: (zone: ZoneName) => boolean = () => true,
   ): RelayPeer | undefined {
-    const candidates = this.#candidates(address).filter(({ host }) =>
-      !excluded.has(host)
+    const candidates = this.#candidates(address).filter(({ host, zone }) =>
+      !excluded.has(host) && mayPassTo(zone)
     );
     const { clock, zone, zoneOf } = this.#services;
     const endpointZone = zoneOf(address);
--- a/src/services/http/common/pass_through_client.ts
+++ b/src/services/http/common/pass_through_client.ts
@@ -8,6 +8,7 @@
   EndpointId,
   HostId,
   RequestId,
+  ZoneName,
 } from "../../../base/common/ids.ts";
 import type { HeaderList } from "./header_list.ts";
 import type { RequestBody } from "./request_body.ts";
@@ -44,6 +45,10 @@
   readonly requestId: RequestId | undefined;
   /** Monotonic time at which the response is due, in milliseconds. */
   readonly deadlineMs: number;
+  /**
+   * @returns Whether peers in a zone may be sent the request; all may if absent.
+   */
+  mayPassTo?(zone: ZoneName): boolean;
 }
 
 /** Reason why there is no complete response. */
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -17,6 +17,7 @@
 import { CrashMonitor } from "../../src/features/gateway/common/crashes/crash_monitor.ts";
 import { EndpointEligibility } from "../../src/features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { ZoneEvacuations } from "../../src/features/gateway/common/endpoints/zone_evacuations.ts";
+import { RegionPolicy } from "../../src/features/gateway/common/configuration/region_policy.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
@@ -53,7 +54,13 @@
   Logger,
   LogLevel,
 } from "../../src/services/log/common/logger.ts";
-import { APP, configuration, KEY, ZONE } from "./harness_configuration.ts";
+import {
+  APP,
+  configuration,
+  KEY,
+  REGION_SETTINGS,
+  ZONE,
+} from "./harness_configuration.ts";
 import { FakeEndpoints } from "./fake_endpoints.ts";
 import { FakeEngineControl } from "./fake_engine_control.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
@@ -109,6 +116,7 @@
   readonly registry: EndpointRegistry;
   readonly eligibility: EndpointEligibility;
   readonly evacuations: ZoneEvacuations;
+  readonly regions: RegionPolicy;
   readonly loadTable: LoadTable;
   readonly suspects: SuspectTable;
   readonly promptParts: PromptPartTable;
@@ -141,7 +149,13 @@
     this.evacuations = new ZoneEvacuations(this.clock, this.logger);
     this.eligibility = new EndpointEligibility(this.clock, this.registry, {
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
-      regionOf: () => undefined,
+      regionOf: (zone) => this.regions.regionOf(zone),
+    });
+    this.regions = new RegionPolicy({
+      logger: this.logger,
+      state: this.state,
+      zone: ZONE,
+      settings: () => REGION_SETTINGS,
     });
     this.loadTable = new LoadTable(this.clock);
     this.suspects = new SuspectTable(this.clock);
@@ -205,6 +219,7 @@
         client: client ?? this.endpoints,
         registry,
         eligibility: this.eligibility,
+        regions: this.regions,
         loadTable,
         chooser,
         placer: createPlacer?.(this, chooser) ??
--- a/standins/gateway/harness_configuration.ts
+++ b/standins/gateway/harness_configuration.ts
@@ -1,6 +1,7 @@
 /** Configuration of the gateway in the test harness. */
 
 import type {
+  RegionName,
   ServiceId,
   WorkspaceId,
   ZoneName,
@@ -15,6 +16,13 @@
 export const ENGINE = "engine" as ServiceId;
 export const ZONE = "zone-a" as ZoneName;
 export const OTHER_ZONE = "zone-b" as ZoneName;
+export const REGION = "eu" as RegionName;
+export const OTHER_REGION = "us" as RegionName;
+/** Regions of the two zones, of which the host is in the first. */
+export const REGION_SETTINGS = {
+  region: REGION,
+  zoneRegions: new Map([[ZONE, REGION], [OTHER_ZONE, OTHER_REGION]]),
+};
 export const KEY = "key-1";
 
 const BASE_ROUTE: GatewayRoute = {
