--- a/src/daemon/common/gateway_endpoint_rules.ts
+++ b/src/daemon/common/gateway_eligibility.ts
@@ -1,14 +1,19 @@
 /**
- * Composes what decides which endpoints of a gateway daemon may get requests:
- * evacuated zones, cold endpoints and eligibility.
+ * Composes the rules of the operator on one gateway daemon, the endpoints that
+ * are cold, and the check of endpoints that applies the rules.
  */
 
 import type { Clock } from "../../base/common/clock.ts";
-import type { ServiceId } from "../../base/common/ids.ts";
+import type { ServiceId, ZoneName } from "../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
+import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
+import {
+  RegionPolicy,
+  type RegionSettings,
+} from "../../features/gateway/common/configuration/region_policy.ts";
 import type { GatewayService } from "../../features/gateway/common/configuration/gateway_configuration.ts";
 import { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
@@ -16,35 +21,42 @@
 import { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 
-/** Dependencies of {@link GatewayEndpointRules}. */
-export interface GatewayEndpointRulesServices {
+/** Dependencies of {@link GatewayEligibility}. */
+export interface GatewayEligibilityServices {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly registry: EndpointRegistry;
+  readonly state: ConfigurationState;
+  /** Zone of this host. */
+  readonly zone: ZoneName;
+  /** @returns The current settings. */
+  settings(): RegionSettings;
   /** @returns The configuration of a service, if there is one. */
   findService(id: ServiceId): GatewayService | undefined;
 }
 
-/** Rules for the endpoints of one gateway daemon. */
-export class GatewayEndpointRules implements Disposable {
+/** Rules of the operator, and the check that applies them. */
+export class GatewayEligibility implements Disposable {
   readonly evacuations: ZoneEvacuations;
+  readonly regions: RegionPolicy;
+  readonly endpoints: EndpointEligibility;
   readonly cold: ColdEndpoints;
-  readonly eligibility: EndpointEligibility;
   readonly #disposables = new DisposableStore();
 
   /** @param services - Dependencies of the parts. */
-  constructor(services: GatewayEndpointRulesServices) {
+  constructor(services: GatewayEligibilityServices) {
     const { clock, logger, registry } = services;
     this.evacuations = this.#disposables.add(
       new ZoneEvacuations(clock, logger),
     );
-    this.cold = this.#disposables.add(new ColdEndpoints(services));
-    this.eligibility = new EndpointEligibility(clock, registry, {
+    this.regions = new RegionPolicy(services);
+    this.endpoints = new EndpointEligibility(clock, registry, {
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
-      regionOf: () => undefined,
+      regionOf: (zone) => this.regions.regionOf(zone),
     });
+    this.cold = this.#disposables.add(new ColdEndpoints(services));
     this.#disposables.add(
-      this.evacuations.onDidChange(({ zone, isEvacuated }) => {
+      this.evacuations.onDidChange(({ isEvacuated, zone }) => {
         if (!isEvacuated) this.cold.markZoneCold(zone);
       }),
     );
--- a/src/daemon/common/gateway_factory.ts
+++ b/src/daemon/common/gateway_factory.ts
@@ -8,7 +8,6 @@
 import type { GatewayService } from "../../features/gateway/common/configuration/gateway_configuration.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
-import type { EndpointEligibility } from "../../features/gateway/common/endpoints/endpoint_eligibility.ts";
 import type { LeavingMarks } from "../../features/gateway/common/endpoints/leaving_marks.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import { Gateway } from "../../features/gateway/common/gateway.ts";
@@ -27,6 +26,7 @@
 import type { PassThroughClient } from "../../services/http/common/pass_through_client.ts";
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
+import type { GatewayEligibility } from "./gateway_eligibility.ts";
 import type { GatewayPlacement } from "./gateway_placement.ts";
 import { createRetryBudget } from "./gateway_retry_budget.ts";
 import type { ReloadableGatewaySettings } from "./gateway_settings.ts";
@@ -52,7 +52,7 @@
   readonly fingerprint: GatewayServices["fingerprint"];
   readonly state: ConfigurationState;
   readonly registry: EndpointRegistry;
-  readonly eligibility: EndpointEligibility;
+  readonly eligibility: GatewayEligibility;
   readonly placement: GatewayPlacement;
   readonly paths: RequestPaths;
   readonly crashMonitor: CrashMonitor;
@@ -77,7 +77,8 @@
       codec: services.codec,
       client: paths.client,
       registry: services.registry,
-      eligibility: services.eligibility,
+      eligibility: services.eligibility.endpoints,
+      regions: services.eligibility.regions,
       loadTable: placement.loadTable,
       paces: placement.paces,
       chooser: placement.chooser,
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -14,7 +14,7 @@
 } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import { admissionLimits } from "../common/settings_limits.ts";
-import { GatewayEndpointRules } from "../common/gateway_endpoint_rules.ts";
+import { GatewayEligibility } from "../common/gateway_eligibility.ts";
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayPlacement } from "../common/gateway_placement.ts";
 import { GatewayQuarantine } from "../common/gateway_quarantine.ts";
@@ -68,7 +68,7 @@
   readonly #mirror: StoreMirror;
   readonly #state: ConfigurationState;
   readonly #registry: EndpointRegistry;
-  readonly #rules: GatewayEndpointRules;
+  readonly #eligibility: GatewayEligibility;
   readonly #links: WsPeerLinks;
   readonly #store: GatewayStore;
   readonly #placer: ZonePlacer;
@@ -112,15 +112,17 @@
     );
     const findService = (id: ServiceId) =>
       this.#state.current?.configuration.services.get(id);
-    this.#rules = this.#disposables.add(
-      new GatewayEndpointRules({
-        clock,
-        logger,
-        registry: this.#registry,
-        findService,
-      }),
-    );
-    const { cold, eligibility, evacuations } = this.#rules;
+    this.#eligibility = new GatewayEligibility({
+      clock,
+      logger,
+      registry: this.#registry,
+      state: this.#state,
+      zone,
+      settings: () => this.#activeSettings,
+      findService,
+    });
+    this.#disposables.add(this.#eligibility);
+    const { cold } = this.#eligibility;
     this.#readinessLog = new ReadinessLog({
       logger,
       mirror: this.#mirror,
@@ -171,7 +173,7 @@
         mirror: this.#mirror,
         state: this.#state,
         registry: this.#registry,
-        evacuations,
+        evacuations: this.#eligibility.evacuations,
       }),
     );
     const holds = new EndpointHolds(clock, logger, metrics, random);
@@ -204,7 +206,7 @@
         links: this.#links,
         overlay: this.#topology,
         registry: this.#registry,
-        eligibility,
+        eligibility: this.#eligibility.endpoints,
         cold,
         findService,
       }),
@@ -247,7 +249,7 @@
         ...shared,
         self: host,
         signer,
-        eligibility,
+        eligibility: this.#eligibility.endpoints,
         codec: adapter.codec,
         client: this.#paths.directClient,
         observer: answers,
@@ -284,7 +286,7 @@
       fingerprint,
       state: this.#state,
       registry: this.#registry,
-      eligibility,
+      eligibility: this.#eligibility,
       placement,
       paths: this.#paths,
       crashMonitor: this.#quarantine.monitor,
@@ -416,7 +418,7 @@
       metrics: this.#metrics,
       gateway: this.#gateway,
       crashMonitor: this.#quarantine.monitor,
-      cold: this.#rules.cold,
+      cold: this.#eligibility.cold,
       limitRights: this.#limits.rights,
       roomPermits: this.#limits.rooms,
       queue: this.#placer,
@@ -424,7 +426,7 @@
       callers: this.#callers,
       paths: this.#paths,
       registry: this.#registry,
-      evacuations: this.#rules.evacuations,
+      evacuations: this.#eligibility.evacuations,
       links: this.#links,
       state: this.#state,
       mirror: this.#mirror,
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -18,6 +18,7 @@
 import { EndpointEligibility } from "../../src/features/gateway/common/endpoints/endpoint_eligibility.ts";
 import { ZoneEvacuations } from "../../src/features/gateway/common/endpoints/zone_evacuations.ts";
 import { ColdEndpoints } from "../../src/features/gateway/common/endpoints/cold_endpoints.ts";
+import { RegionPolicy } from "../../src/features/gateway/common/configuration/region_policy.ts";
 import { EndpointHolds } from "../../src/features/gateway/common/endpoints/endpoint_holds.ts";
 import { EndpointLimits } from "../../src/features/gateway/common/limits/endpoint_limits.ts";
 import { LimitRights } from "../../src/features/gateway/common/limits/limit_rights.ts";
@@ -55,7 +56,13 @@
   Logger,
   LogLevel,
 } from "../../src/services/log/common/logger.ts";
-import { APP, configuration, KEY, ZONE } from "./harness_configuration.ts";
+import {
+  APP,
+  configuration,
+  KEY,
+  REGION_SETTINGS,
+  ZONE,
+} from "./harness_configuration.ts";
 import { FakeEndpoints } from "./fake_endpoints.ts";
 import { FakeEngineControl } from "./fake_engine_control.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
@@ -113,6 +120,7 @@
   readonly registry: EndpointRegistry;
   readonly eligibility: EndpointEligibility;
   readonly evacuations: ZoneEvacuations;
+  readonly regions: RegionPolicy;
   readonly loadTable: LoadTable;
   readonly paces: EndpointPaces;
   readonly suspects: SuspectTable;
@@ -146,7 +154,13 @@
     this.evacuations = new ZoneEvacuations(this.clock, this.logger);
     this.eligibility = new EndpointEligibility(this.clock, this.registry, {
       isEvacuated: (zone) => this.evacuations.isEvacuated(zone),
-      regionOf: () => undefined,
+      regionOf: (zone) => this.regions.regionOf(zone),
+    });
+    this.regions = new RegionPolicy({
+      logger: this.logger,
+      state: this.state,
+      zone: ZONE,
+      settings: () => REGION_SETTINGS,
     });
     this.loadTable = new LoadTable(this.clock);
     this.paces = new EndpointPaces(this.clock, this.loadTable);
@@ -226,6 +240,7 @@
         client: client ?? this.endpoints,
         registry,
         eligibility: this.eligibility,
+        regions: this.regions,
         loadTable,
         paces,
         chooser,
--- a/standins/gateway/stale_load_test.ts
+++ b/standins/gateway/stale_load_test.ts
@@ -66,8 +66,10 @@
     loadTable,
     new SeededRandom(seed),
     ZONE,
-    paces,
-    () => ({ crossZoneCostMs: options.crossZoneCostMs ?? 10 }),
+    {
+      paces,
+      settings: () => ({ crossZoneCostMs: options.crossZoneCostMs ?? 10 }),
+    },
   );
   return ids.indexOf(chooser.choose(CRITERIA, SERVICE)!.endpoint.id);
 }
