Keep the comparison of costs as it was without known speeds

Cause: with the minimum of a list, an endpoint of infinite cost would have been chosen, which the loop before never did.

Change: the loop is back, and two draws replace its result only where speeds are known.

--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -282,15 +282,22 @@
     const costs = candidates.map((candidate) =>
       this.#costOf(candidate, criteria, service)
     );
-    if (costs.length === 0) return undefined;
+    let index = -1;
+    let bestCost = Infinity;
+    for (const [candidate, cost] of costs.entries()) {
+      if (cost >= bestCost) continue;
+      index = candidate;
+      bestCost = cost;
+    }
+    if (index < 0) return undefined;
     const isPaced = candidates.some(({ endpoint }) =>
       this.#paces.reportsPace(endpoint) ||
       (service.engine && this.#paces.relativeTime(endpoint) !== 1)
     );
-    const nearCost = service.engine ? NEAR_GENERATION_COST : NEAR_CALL_COST;
-    const index = isPaced
-      ? chooseNearlyCheapest(costs, nearCost, this.#random)
-      : costs.indexOf(Math.min(...costs));
+    if (isPaced) {
+      const nearCost = service.engine ? NEAR_GENERATION_COST : NEAR_CALL_COST;
+      index = chooseNearlyCheapest(costs, nearCost, this.#random);
+    }
     const { endpoint } = candidates[index]!;
     return { endpoint, cost: costs[index]!, candidates: candidates.length };
   }
