--- a/src/features/retries/common/retry_budget.ts
+++ b/src/features/retries/common/retry_budget.ts
@@ -15,31 +15,60 @@
   readonly minRetriesPerWindow: number;
 }
 
+/** Limits on the number of hedges of a service, each of which is a retry. */
+export interface HedgeLimits {
+  /** Number of hedges allowed per successful request in the window. */
+  readonly successShare: number;
+  /** Number of hedges allowed in the window, however many requests succeed. */
+  readonly maxHedgesPerWindow: number;
+}
+
 /** Dependencies of a {@link RetryBudget}. */
 export interface RetryBudgetServices {
   readonly clock: Clock;
   readonly random: SeededRandom;
   /** Returns the current limits; default limits apply if omitted. */
   readonly limits?: () => RetryLimits;
+  /**
+   * Returns the current limits of the hedges of a service; `undefined` if its
+   * calls are not hedged. No calls are hedged if omitted.
+   */
+  readonly hedgeLimits?: (service: ServiceId) => HedgeLimits | undefined;
 }
 
 /** Duration of one bucket of the sliding window. */
 const BUCKET_MS = 1_000;
 /** Number of buckets in the sliding window. */
 const BUCKET_COUNT = 10;
+/**
+ * Number of buckets that are kept. The oldest one is partly within the window;
+ * hedges in it still count, so that no window holds more than their limit.
+ */
+const KEPT_BUCKET_COUNT = BUCKET_COUNT + 1;
 /** Duration of the sliding window. */
 export const RETRY_WINDOW_MS = BUCKET_MS * BUCKET_COUNT;
 const DEFAULT_LIMITS: RetryLimits = {
   successShare: 0.2,
   minRetriesPerWindow: 100,
 };
+/** Share of the budget that hedges may use; the rest is left for true retries. */
+const MAX_HEDGE_SHARE_OF_BUDGET = 0.5;
 const INITIAL_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 2_000;
 
 interface Bucket {
   index: number;
   successes: number;
+  /** Retries, including hedges. */
   retries: number;
+  hedges: number;
+}
+
+/** Sums over the window. */
+interface WindowTotals {
+  readonly successes: number;
+  readonly retries: number;
+  readonly hedges: number;
 }
 
 /**
@@ -75,17 +104,49 @@
    */
   tryRetry(service: ServiceId, attempt: number): number | undefined {
     const bucket = this.#currentBucket(service);
-    const { successes, retries } = this.#sum(service);
-    const limits = this.#services.limits?.() ?? DEFAULT_LIMITS;
-    const { minRetriesPerWindow, successShare } = limits;
+    const totals = this.#sum(service);
     // A fraction of a retry, times all daemons, would be many retries.
-    if (retries + 1 > minRetriesPerWindow + successes * successShare) {
-      return undefined;
-    }
+    if (totals.retries + 1 > this.#allowedRetries(totals)) return undefined;
     bucket.retries++;
     return this.backoffMs(attempt);
   }
 
+  /** @returns Whether the calls of a service are hedged at all. */
+  allowsHedges(service: ServiceId): boolean {
+    return this.#services.hedgeLimits?.(service) !== undefined;
+  }
+
+  /**
+   * Returns whether one more hedge is within the budget, within the half of it
+   * that hedges may use, and within the limits of the service.
+   *
+   * @param service - Service of the call.
+   */
+  canHedge(service: ServiceId): boolean {
+    const limits = this.#services.hedgeLimits?.(service);
+    if (!limits) return false;
+    const totals = this.#sum(service);
+    const allowedRetries = this.#allowedRetries(totals);
+    const allowedHedges = Math.min(
+      allowedRetries * MAX_HEDGE_SHARE_OF_BUDGET,
+      totals.successes * limits.successShare,
+      limits.maxHedgesPerWindow,
+    );
+    return totals.retries + 1 <= allowedRetries &&
+      totals.hedges + 1 <= allowedHedges;
+  }
+
+  /**
+   * Charges a hedge to the budget.
+   *
+   * @param service - Service of the call.
+   */
+  recordHedge(service: ServiceId): void {
+    const bucket = this.#currentBucket(service);
+    bucket.retries++;
+    bucket.hedges++;
+  }
+
   /**
    * Returns an exponential backoff delay with jitter.
    *
@@ -101,23 +162,30 @@
     return boundMs * (0.5 + this.#services.random.float() / 2);
   }
 
+  #allowedRetries({ successes }: WindowTotals): number {
+    const limits = this.#services.limits?.() ?? DEFAULT_LIMITS;
+    return limits.minRetriesPerWindow + successes * limits.successShare;
+  }
+
   #currentBucket(service: ServiceId): Bucket {
     const index = this.#currentIndex();
     const window = this.#windows.get(service) ?? [];
     this.#windows.set(service, window);
-    const position = index % BUCKET_COUNT;
+    const position = index % KEPT_BUCKET_COUNT;
     const existing = window[position];
     if (existing?.index === index) return existing;
-    const bucket = { index, successes: 0, retries: 0 };
+    const bucket = { index, successes: 0, retries: 0, hedges: 0 };
     window[position] = bucket;
     return bucket;
   }
 
-  #sum(service: ServiceId): { successes: number; retries: number } {
+  #sum(service: ServiceId): WindowTotals {
     const oldest = this.#currentIndex() - BUCKET_COUNT + 1;
-    const total = { successes: 0, retries: 0 };
+    const total = { successes: 0, retries: 0, hedges: 0 };
     for (const bucket of this.#windows.get(service) ?? []) {
-      if (!bucket || bucket.index < oldest) continue;
+      if (!bucket || bucket.index < oldest - 1) continue;
+      total.hedges += bucket.hedges;
+      if (bucket.index < oldest) continue;
       total.successes += bucket.successes;
       total.retries += bucket.retries;
     }
