Hedge idempotent calls that are slower than nearly all of their kind

Change: HedgedCall runs a call with up to two CallAttempts and resolves with one AttemptResult; findHedgeTarget picks an eligible endpoint with a free slot; once an attempt streams, the other one is aborted. A hedged call waits for its responses until the deadline; if one attempt fails and the route allows another send, the silence limit of the remaining one applies again. RequestContext waits for the crash checks of both attempts and logs hedged, hedgeDelayMs and wonBy.

--- a/src/features/gateway/common/calls/call_attempt.ts
+++ b/src/features/gateway/common/calls/call_attempt.ts
@@ -26,7 +26,14 @@
 const MIN_RESPONSE_TIMEOUT_MS = 250;
 /** Result of one attempt. */
 export type AttemptResult =
-  | { readonly kind: "answered"; readonly response: BufferedResponse }
+  | {
+    readonly kind: "answered";
+    readonly response: BufferedResponse;
+    /** Endpoint that answered. */
+    readonly endpoint: RegisteredEndpoint;
+    /** Whether the answer proves that the call was not run. */
+    readonly isNotRun: boolean;
+  }
   /** Part of the response was already sent to the caller. */
   | { readonly kind: "streamed"; readonly isComplete: boolean }
   | { readonly kind: "not-run"; readonly reason: string }
@@ -47,11 +54,18 @@
   readonly chunks: readonly Uint8Array[];
 }
 
+/**
+ * Decides whether an attempt may send its response to the caller before it is
+ * complete. From then on, no other attempt may.
+ */
+export type StreamPermission = (status: number) => boolean;
+
 /** One attempt of a call on one endpoint. */
 export class CallAttempt {
   readonly #context: RequestContext;
   readonly #endpoint: RegisteredEndpoint;
   readonly #resolve: (result: AttemptResult) => void;
+  readonly #mayStream: StreamPermission;
   readonly #chunks: Uint8Array[] = [];
   #claim: Disposable = NOOP_DISPOSABLE;
   #transfer: PassThroughExchange | undefined;
@@ -59,18 +73,35 @@
   #bufferedBytes = 0;
   #isStreaming = false;
   #isSettled = false;
+  #abortsWithoutResponse = false;
+  #isResponseOverdue = false;
 
+  /**
+   * @param context - State of the request.
+   * @param endpoint - Endpoint that is sent to.
+   * @param resolve - Receives the result, unless the attempt is aborted.
+   * @param mayStream - Asked before a part of the response is sent on.
+   */
   constructor(
     context: RequestContext,
     endpoint: RegisteredEndpoint,
     resolve: (result: AttemptResult) => void,
+    mayStream: StreamPermission = () => true,
   ) {
     this.#context = context;
     this.#endpoint = endpoint;
     this.#resolve = resolve;
+    this.#mayStream = mayStream;
   }
 
+  /**
+   * Sends the request.
+   *
+   * @param abortsWithoutResponse - Whether the attempt ends when there is no
+   * response for several objectives, so that the call is retried elsewhere.
+   */
   start(abortsWithoutResponse: boolean): void {
+    this.#abortsWithoutResponse = abortsWithoutResponse;
     const context = this.#context;
     const { services, request } = context;
     const { exchange, route } = request;
@@ -91,7 +122,7 @@
     if (!context.isBodyStreamed) {
       context.setTimer(
         timeoutMs,
-        () => this.#onResponseTimeout(abortsWithoutResponse),
+        () => this.#onResponseTimeout(),
       );
     }
     this.#transfer = context.send(this.#endpoint, {}, {
@@ -103,6 +134,29 @@
     });
   }
 
+  /** Waits for a response until the deadline, as a hedge was sent. */
+  waitForResponse(): void {
+    this.#abortsWithoutResponse = false;
+  }
+
+  /**
+   * Ends the attempt if there is no response for several objectives, or at once
+   * if there was none so far, as the other attempt has failed.
+   */
+  abortWithoutResponse(): void {
+    this.#abortsWithoutResponse = true;
+    if (this.#isResponseOverdue) this.#abortIfSilent();
+  }
+
+  /** Ends the attempt without a result, as another one has won. */
+  abort(): void {
+    if (this.#isSettled) return;
+    this.#isSettled = true;
+    this.#chunks.length = 0;
+    this.#claim.dispose();
+    this.#transfer?.abort();
+  }
+
   #settle(result: AttemptResult): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
@@ -110,10 +164,15 @@
     this.#resolve(result);
   }
 
-  #onResponseTimeout(shouldAbort: boolean): void {
+  #onResponseTimeout(): void {
     if (this.#isSettled || this.#head) return;
+    this.#isResponseOverdue = true;
     this.#recordOutcome("silent");
-    if (!shouldAbort) return;
+    if (this.#abortsWithoutResponse) this.#abortIfSilent();
+  }
+
+  #abortIfSilent(): void {
+    if (this.#head) return;
     this.#stop({
       kind: "unknown",
       reason: "no response from the endpoint in time",
@@ -130,6 +189,7 @@
   }
 
   #onHead(head: ReceivedHead): void {
+    if (this.#isSettled) return;
     this.#head = head;
     if (head.verdict === "foreign") {
       this.#recordOutcome("broken");
@@ -154,6 +214,13 @@
       this.#abandonEndlessBody(head);
       return true;
     }
+    if (!this.#mayStream(head.status)) {
+      this.#chunks.length = 0;
+      this.#recordOutcome("failed");
+      const reason = `status ${head.status} with a body too large to buffer`;
+      this.#stop({ kind: "unknown", reason });
+      return true;
+    }
     this.#isStreaming = true;
     const { codec } = this.#context.services;
     exchange.sendHead(
@@ -203,7 +270,12 @@
       case "answered": {
         this.#recordOutcome(status < 500 ? "served" : "failed");
         const response = { status, headers, chunks: this.#chunks };
-        this.#settle({ kind: "answered", response });
+        this.#settle({
+          kind: "answered",
+          response,
+          endpoint: this.#endpoint,
+          isNotRun: verdict === "invalid",
+        });
       }
     }
   }
--- a/src/features/gateway/common/calls/call_forwarder.ts
+++ b/src/features/gateway/common/calls/call_forwarder.ts
@@ -22,6 +22,8 @@
   type BufferedResponse,
   CallAttempt,
 } from "./call_attempt.ts";
+import { HedgedCall } from "./hedged_call.ts";
+import type { ResponseTimes } from "./response_times.ts";
 
 /**
  * Maximum number of attempts that endpoints refuse with proof that they have
@@ -41,10 +43,15 @@
 /** Forwards one call, with retries where the route allows them. */
 export class CallForwarder {
   readonly #context: RequestContext;
+  readonly #responseTimes: ResponseTimes;
 
-  /** @param context - State of the request. */
-  constructor(context: RequestContext) {
+  /**
+   * @param context - State of the request.
+   * @param responseTimes - Recent response times of calls that are hedged.
+   */
+  constructor(context: RequestContext, responseTimes: ResponseTimes) {
     this.#context = context;
+    this.#responseTimes = responseTimes;
   }
 
   /** Runs attempts until the caller has a response or has disconnected. */
@@ -88,7 +95,7 @@
       context.excludedEndpoints.add(endpoint.id);
       switch (result.kind) {
         case "answered":
-          if (this.#shouldRetryElsewhere(endpoint, result.response)) {
+          if (this.#shouldRetryElsewhere(result.endpoint, result.response)) {
             lastReason = `status ${result.response.status}`;
             continue;
           }
@@ -223,9 +230,18 @@
   }
 
   #attempt(endpoint: RegisteredEndpoint): Promise<AttemptResult> {
+    const { services, request } = this.#context;
+    const abortsWithoutResponse = this.#isIdempotent() &&
+      this.#canRetryElsewhere(endpoint);
+    if (
+      this.#isIdempotent() && services.budget.allowsHedges(request.service.id)
+    ) {
+      return new HedgedCall(this.#context, endpoint, this.#responseTimes)
+        .run(abortsWithoutResponse);
+    }
     return new Promise((resolve) => {
       const attempt = new CallAttempt(this.#context, endpoint, resolve);
-      attempt.start(this.#isIdempotent() && this.#canRetryElsewhere(endpoint));
+      attempt.start(abortsWithoutResponse);
     });
   }
 
--- a/src/features/gateway/common/crashes/crash_monitor.ts
+++ b/src/features/gateway/common/crashes/crash_monitor.ts
@@ -185,6 +185,13 @@
     return suspects.quarantineOf(workspaceOf(content), content.fingerprint);
   }
 
+  /** @returns Whether a request was running when an endpoint crashed. */
+  isSuspect(content: RequestContent): boolean {
+    const { suspects } = this.#services;
+    if (suspects.isEmpty) return false;
+    return suspects.isSuspect(workspaceOf(content), content.fingerprint);
+  }
+
   /** @returns The requests that this daemon refuses. */
   list(): readonly QuarantinedRequest[] {
     return this.#services.suspects.listQuarantined();
--- a/src/features/gateway/common/gateway.ts
+++ b/src/features/gateway/common/gateway.ts
@@ -11,6 +11,7 @@
 import type { CallerExchange } from "../../../services/http/common/caller_exchange.ts";
 import type { RequestBody } from "../../../services/http/common/request_body.ts";
 import { CallForwarder } from "./calls/call_forwarder.ts";
+import { ResponseTimes } from "./calls/response_times.ts";
 import type { CallerFields } from "./protocol/gateway_codec.ts";
 import type {
   GatewayRoute,
@@ -104,6 +105,7 @@
   readonly #state: ConfigurationState;
   readonly #limits: () => GatewayLimits;
   readonly #hasher: Hasher;
+  readonly #responseTimes: ResponseTimes;
   #bodyBytesInUse = 0;
   #activeCount = 0;
 
@@ -125,6 +127,7 @@
     this.#state = state;
     this.#limits = limits;
     this.#hasher = hasher;
+    this.#responseTimes = new ResponseTimes(services.clock);
   }
 
   /** Number of requests in progress. */
@@ -258,7 +261,7 @@
         return;
       case "idempotent":
       case "non-idempotent":
-        void new CallForwarder(context).run();
+        void new CallForwarder(context, this.#responseTimes).run();
     }
   }
 
--- a/src/features/gateway/common/metrics/gateway_metrics.ts
+++ b/src/features/gateway/common/metrics/gateway_metrics.ts
@@ -21,6 +21,7 @@
 export type GatewayCounter =
   | "requests_refused"
   | "requests_sent_again"
+  | "hedges"
   | "streams_continued"
   | "streams_moved"
   | "endpoints_ejected"
--- a/src/features/gateway/common/requests/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -43,6 +43,8 @@
   GatewayService,
   KeyHolder,
 } from "../configuration/gateway_configuration.ts";
+import { type EventGap, gapFields } from "./event_gap.ts";
+import { hedgeFields, type HedgeRecord } from "./hedge_record.ts";
 import { contentOf } from "./request_content.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRights } from "./request_rights.ts";
@@ -84,19 +86,6 @@
 /** Longer identifiers of parts are replaced by their hash. */
 const MAX_PART_CHARACTERS = 64;
 
-/** Time between two events of a stream, with what preceded the later one. */
-export interface EventGap {
-  readonly gapMs: number;
-  /** Endpoint of the later event. */
-  readonly endpoint: EndpointId;
-  /** Whether the later event is the first one of another run. */
-  readonly isHandover: boolean;
-  /** Prompt tokens that the endpoint had yet to prefill, as known here. */
-  readonly pendingPrefillTokens: number;
-  readonly runs: number;
-  readonly memoryTokens: number;
-}
-
 /** Receives the answer of an endpoint, with what its head proves. */
 export interface AnswerListener extends Omit<PassThroughListener, "onHead"> {
   /** Called when the status and the headers have arrived. */
@@ -130,6 +119,8 @@
   #firstByteMs: number | undefined;
   /** Longest gap between two events of the stream. */
   longestGap: EventGap | undefined;
+  /** The latest hedge of the call, if one was sent. */
+  hedge: HedgeRecord | undefined;
   /** Whether the latest response had no framing but the end of its connection. */
   #isCloseDelimited = false;
 
@@ -412,7 +403,9 @@
             workspace: this.workspace,
             reason: failure.message,
           });
-          this.#crashCheck = run.onLost();
+          // Two attempts of a call may lose their runs at the same time.
+          this.#crashCheck = Promise.all([this.#crashCheck, run.onLost()])
+            .then(() => undefined);
         }
         sink.onFailure(failure);
       },
@@ -429,8 +422,7 @@
   }
 
   /**
-   * Waits until it is known whether the endpoint that lost the latest run still
-   * answers.
+   * Waits until it is known whether the endpoints that lost runs still answer.
    */
   async awaitCrashCheck(): Promise<void> {
     await this.#crashCheck;
@@ -562,22 +554,8 @@
       firstMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
       leftMs: Math.round(this.remainingMs),
+      ...hedgeFields(this.hedge),
       ...gapFields(this.longestGap),
     });
   }
 }
-
-/** @returns The fields of the log line for the longest gap of a stream. */
-function gapFields(
-  gap: EventGap | undefined,
-): Readonly<Record<string, string | number | boolean>> {
-  if (!gap) return {};
-  return {
-    gapMs: Math.round(gap.gapMs),
-    gapEndpoint: gap.endpoint,
-    gapHandover: gap.isHandover,
-    gapRuns: gap.runs,
-    gapMemoryTokens: Math.round(gap.memoryTokens),
-    gapPendingPrefillTokens: gap.pendingPrefillTokens,
-  };
-}
