--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -45,7 +45,10 @@
 import { BrittleTable } from "../../src/features/brittle/common/brittle_table.ts";
 import { RoomPermits } from "../../src/features/brittle/common/room_permits.ts";
 import type { PeerOverlay } from "../../src/services/peers/common/peer_overlay.ts";
-import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
+import {
+  type HedgeLimits,
+  RetryBudget,
+} from "../../src/features/retries/common/retry_budget.ts";
 import type {
   LogFields,
   Logger,
@@ -81,6 +84,8 @@
   readonly client?: PassThroughClient;
   /** Whether other processes have served before this one. */
   readonly hasPredecessor?: boolean;
+  /** Limits of hedges; without them, no call is hedged. */
+  readonly hedgeLimits?: HedgeLimits;
   readonly createPlacer?: (
     harness: GatewayHarness,
     chooser: EndpointChooser,
@@ -198,7 +203,11 @@
         chooser,
         placer: createPlacer?.(this, chooser) ??
           new PlacementQueue(clock, chooser),
-        budget: new RetryBudget({ clock, random }),
+        budget: new RetryBudget({
+          clock,
+          random,
+          hedgeLimits: () => options.hedgeLimits,
+        }),
         probe: new EndpointProbe(
           clock,
           logger,
