--- a/src/cli/node/status_command.ts
+++ b/src/cli/node/status_command.ts
@@ -1,6 +1,10 @@
 /** `ragwort status`: prints the status of all daemons. */
 
 import type { Address } from "../../base/common/ids.ts";
+import type {
+  HedgingLimits,
+  HedgingSettings,
+} from "../../features/gateway/common/configuration/operator_settings.ts";
 import type { Either } from "../../base/common/result.ts";
 import {
   type CliContext,
@@ -28,6 +32,8 @@
   }[];
   /** Reported only by gateways, which have no teams. */
   readonly configurationVersion?: number;
+  /** Limits of hedged calls; earlier gateways do not report them. */
+  readonly hedging?: HedgingSettings;
 }
 
 /** Prints the status of all daemons. */
@@ -58,9 +64,24 @@
       if (rest.configurationVersion !== undefined) {
         revisions.push(`configuration ${rest.configurationVersion}`);
       }
-      return `${address}  ${host}  ${zone}  ${state}  ${active} active  ${
-        revisions.join(" ")
-      }`;
+      const status =
+        `${address}  ${host}  ${zone}  ${state}  ${active} active  ${
+          revisions.join(" ")
+        }`;
+      return [status, ...formatHedging(rest.hedging)].join("  ");
     },
   });
 }
+
+/** @returns A column with the limits in force; none if no calls are hedged. */
+export function formatHedging(hedging: HedgingSettings | undefined): string[] {
+  if (!hedging) return [];
+  const { default: defaults, services } = hedging;
+  const named: [string, HedgingLimits][] = Object.entries(services);
+  if (defaults) named.unshift(["default", defaults]);
+  if (named.length === 0) return [];
+  const texts = named.map(([name, { maxExtraPerS, maxExtraShare }]) =>
+    `${name} ${maxExtraShare} of calls, ${maxExtraPerS}/s`
+  );
+  return [`hedging ${texts.join("; ")}`];
+}
--- a/src/daemon/common/gateway_retry_budget.ts
+++ b/src/daemon/common/gateway_retry_budget.ts
@@ -6,7 +6,11 @@
 import type { SeededRandom } from "../../base/common/random.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
 import type { ReloadableGatewaySettings } from "./gateway_settings.ts";
-import { retryLimits } from "./settings_limits.ts";
+import {
+  type FleetPlace,
+  hedgeLimits,
+  retryLimits,
+} from "./settings_limits.ts";
 
 const HASH_RANGE = 2 ** 32;
 
@@ -28,14 +32,16 @@
 ): RetryBudget {
   const { clock, hasher, host, random } = services;
   const startedMs = clock.monotonicMs();
+  const place = (): FleetPlace => ({
+    fleetSize: services.fleetSize(),
+    uptimeMs: clock.monotonicMs() - startedMs,
+    remainderRank: hasher.hash32(host) / HASH_RANGE,
+  });
   return new RetryBudget({
     clock,
     random,
-    limits: () =>
-      retryLimits(services.settings(), {
-        fleetSize: services.fleetSize(),
-        uptimeMs: clock.monotonicMs() - startedMs,
-        remainderRank: hasher.hash32(host) / HASH_RANGE,
-      }),
+    limits: () => retryLimits(services.settings(), place()),
+    hedgeLimits: (service) =>
+      hedgeLimits(services.settings().operator?.hedging, service, place()),
   });
 }
--- a/src/daemon/common/gateway_settings.ts
+++ b/src/daemon/common/gateway_settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a gateway daemon, independent of the platform it runs on. */
 
 import type { Address, HostId, ZoneName } from "../../base/common/ids.ts";
+import type { OperatorSettings } from "../../features/gateway/common/configuration/operator_settings.ts";
 
 /** Settings that can be reloaded while the daemon is running. */
 export interface ReloadableGatewaySettings {
@@ -12,6 +13,8 @@
   readonly memoryMb: number;
   readonly retries: { readonly share: number; readonly extra: number };
   readonly seedAddresses: readonly Address[];
+  /** Settings of the operators' own file; the defaults if absent. */
+  readonly operator?: OperatorSettings | undefined;
 }
 
 /** Identity and addresses of a daemon, with its initial reloadable settings. */
--- a/src/daemon/common/settings_limits.ts
+++ b/src/daemon/common/settings_limits.ts
@@ -1,7 +1,13 @@
 /** Limits of a gateway daemon that follow from its settings. */
 
 import type { GatewayLimits } from "../../features/gateway/common/gateway.ts";
+import type { ServiceId } from "../../base/common/ids.ts";
 import {
+  hedgingLimitsOf,
+  type HedgingSettings,
+} from "../../features/gateway/common/configuration/operator_settings.ts";
+import {
+  type HedgeLimits,
   RETRY_WINDOW_MS,
   type RetryLimits,
 } from "../../features/retries/common/retry_budget.ts";
@@ -25,6 +31,7 @@
 /** Fraction of the memory limit that request bodies may use. */
 const BODY_MEMORY_RATIO = 0.15;
 const BYTES_PER_MB = 1_048_576;
+const MS_PER_SECOND = 1_000;
 
 /** @returns The limits of admission. */
 export function admissionLimits(
@@ -69,3 +76,28 @@
     minRetriesPerWindow: isFirstWindow ? 0 : minRetries + remainderRank,
   };
 }
+
+/**
+ * @param hedging - Limits of the whole fleet.
+ * @param service - Service of the calls.
+ * @param place - Place of this daemon in the fleet.
+ * @returns The part of this daemon, or `undefined` if the calls of the service
+ * are not hedged.
+ */
+export function hedgeLimits(
+  hedging: HedgingSettings | undefined,
+  service: ServiceId,
+  { fleetSize, remainderRank, uptimeMs }: FleetPlace,
+): HedgeLimits | undefined {
+  const limits = hedging && hedgingLimitsOf(hedging, service);
+  if (!limits) return undefined;
+  const { maxExtraPerS, maxExtraShare } = limits;
+  const maxHedges = maxExtraPerS * RETRY_WINDOW_MS / MS_PER_SECOND *
+    RETRY_LIMIT_RATIO / fleetSize;
+  // The process before may have used this host's part of the current window.
+  const isFirstWindow = uptimeMs < RETRY_WINDOW_MS;
+  return {
+    successShare: maxExtraShare,
+    maxHedgesPerWindow: isFirstWindow ? 0 : maxHedges + remainderRank,
+  };
+}
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -414,6 +414,7 @@
       links: this.#links,
       state: this.#state,
       mirror: this.#mirror,
+      settings: () => this.#activeSettings,
       daemonState: () => ({
         host: this.#settings.host,
         zone: this.#settings.zone,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -10,6 +10,10 @@
 } from "../../base/common/lifecycle.ts";
 import type { RoomPermits } from "../../features/brittle/common/room_permits.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
+import {
+  DEFAULT_OPERATOR_SETTINGS,
+  type HedgingSettings,
+} from "../../features/gateway/common/configuration/operator_settings.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { EndpointRegistry } from "../../features/gateway/common/endpoints/endpoint_registry.ts";
 import type { Gateway } from "../../features/gateway/common/gateway.ts";
@@ -20,6 +24,7 @@
 import type { CallerServer } from "../../services/http/node/caller_server.ts";
 import { type Page, PageServer } from "../../services/http/node/page_server.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
+import type { ReloadableGatewaySettings } from "../common/gateway_settings.ts";
 import type { GatewayPaths } from "./gateway_paths.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
@@ -39,6 +44,8 @@
   /** Always empty: a gateway has no team documents. */
   readonly teams: readonly [];
   readonly configurationVersion: number | undefined;
+  /** Limits of hedged calls in force. */
+  readonly hedging: HedgingSettings;
 }
 
 /** Dependencies of {@link GatewayOperatorPages}. */
@@ -56,6 +63,8 @@
   readonly links: WsPeerLinks;
   readonly state: ConfigurationState;
   readonly mirror: StoreMirror;
+  /** @returns The settings in force. */
+  settings(): ReloadableGatewaySettings;
   /** @returns Identity and state of the daemon. */
   daemonState(): Pick<
     GatewayStatus,
@@ -129,12 +138,14 @@
   }
 
   #status(): GatewayStatus {
-    const { gateway, daemonState, state } = this.#services;
+    const { gateway, daemonState, state, settings } = this.#services;
+    const operator = settings().operator ?? DEFAULT_OPERATOR_SETTINGS;
     return {
       ...daemonState(),
       active: gateway.activeCount,
       teams: [],
       configurationVersion: state.current?.configuration.version,
+      hedging: operator.hedging,
     };
   }
 
--- a/src/features/gateway/common/calls/call_attempt.ts
+++ b/src/features/gateway/common/calls/call_attempt.ts
@@ -9,6 +9,7 @@
   PassThroughExchange,
   PassThroughFailure,
 } from "../../../../services/http/common/pass_through_client.ts";
+import type { GatewayRoute } from "../configuration/gateway_configuration.ts";
 import type { EndpointOutcome } from "../endpoints/endpoint_health.ts";
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import type { AnswerVerdict } from "../protocol/answer_verdict.ts";
@@ -24,6 +25,19 @@
  */
 const RESPONSE_TIMEOUT_OBJECTIVES = 3;
 const MIN_RESPONSE_TIMEOUT_MS = 250;
+
+/**
+ * @param route - Route of the call.
+ * @returns The time after which an endpoint without a response counts as
+ * silent, in milliseconds.
+ */
+export function responseTimeoutMs({ objectiveMs }: GatewayRoute): number {
+  return Math.max(
+    MIN_RESPONSE_TIMEOUT_MS,
+    RESPONSE_TIMEOUT_OBJECTIVES * objectiveMs,
+  );
+}
+
 /** Result of one attempt. */
 export type AttemptResult =
   | {
@@ -114,10 +128,7 @@
       context.remainingMs,
       () => this.#stop({ kind: "timed-out" }),
     );
-    const timeoutMs = Math.max(
-      MIN_RESPONSE_TIMEOUT_MS,
-      RESPONSE_TIMEOUT_OBJECTIVES * route.objectiveMs,
-    );
+    const timeoutMs = responseTimeoutMs(route);
     // While the body is still arriving, the caller causes the delay.
     if (!context.isBodyStreamed) {
       context.setTimer(
--- a/src/features/gateway/common/calls/hedge_policy.ts
+++ b/src/features/gateway/common/calls/hedge_policy.ts
@@ -2,6 +2,12 @@
 
 import type { RouteKind } from "../configuration/gateway_configuration.ts";
 
+/**
+ * Time by which a hedge may be early. A timer may fire slightly early, and a
+ * wait for the rest may round to no time at all.
+ */
+const TIMER_TOLERANCE_MS = 1;
+
 /** Why a hedge is not sent. The values appear in metrics. */
 export type HedgeSuppression =
   /** The call must not run twice. */
@@ -80,7 +86,9 @@
   if (Math.max(dueMs, nowMs) >= call.objectiveEndMs) {
     return suppressed("past-objective");
   }
-  if (nowMs < dueMs) return { kind: "wait", untilMs: dueMs };
+  if (nowMs < dueMs - TIMER_TOLERANCE_MS) {
+    return { kind: "wait", untilMs: dueMs };
+  }
   const { hasEndpoint, hasFreeSlot, isStopping, isSuspect, isWithinBudget } =
     conditions();
   if (isStopping) return suppressed("stopping");
--- a/src/features/gateway/common/calls/hedge_policy_test.ts
+++ b/src/features/gateway/common/calls/hedge_policy_test.ts
@@ -57,6 +57,11 @@
       .toEqual({ kind: "suppressed", reason });
   });
 
+  it("sends without another wait when a timer is slightly early", () => {
+    expect(decideHedge(CALL, 120 - 1e-9, () => CONDITIONS))
+      .toEqual({ kind: "send" });
+  });
+
   it("sends none at the end of the objective, when a timer is late", () => {
     expect(decideHedge(CALL, 250, () => CONDITIONS)).toEqual({
       kind: "suppressed",
--- a/src/features/gateway/common/calls/hedged_call.ts
+++ b/src/features/gateway/common/calls/hedged_call.ts
@@ -11,7 +11,11 @@
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import type { HedgeRecord } from "../requests/hedge_record.ts";
 import type { RequestContext } from "../requests/request_context.ts";
-import { type AttemptResult, CallAttempt } from "./call_attempt.ts";
+import {
+  type AttemptResult,
+  CallAttempt,
+  responseTimeoutMs,
+} from "./call_attempt.ts";
 import { decideHedge, type HedgeableCall } from "./hedge_policy.ts";
 import { findHedgeTarget } from "./hedge_target.ts";
 import type { ResponseTimes } from "./response_times.ts";
@@ -231,14 +235,30 @@
   }
 
   #abortOthers(winner: AttemptRole | undefined): void {
-    for (const { role, attempt } of [...this.#running.values()]) {
+    for (const { role, attempt, startedMs } of [...this.#running.values()]) {
       if (role === winner) continue;
       this.#recordTime(role, "censored");
       this.#running.delete(role);
       attempt.abort();
+      if (role === "first" && winner === "hedge") {
+        this.#holdFirstClaim(startedMs);
+      }
     }
   }
 
+  /**
+   * Counts the aborted call as in progress for a time: the endpoint may still
+   * run it. If its slot were free at once, a slow endpoint would draw more and
+   * more of the calls, until the 95th percentile is that of its responses.
+   */
+  #holdFirstClaim(startedMs: number): void {
+    const { clock, loadTable } = this.#context.services;
+    const claim = loadTable.claimCall(this.#endpoint.id);
+    const timeoutMs = responseTimeoutMs(this.#context.request.route);
+    const endMs = startedMs + timeoutMs;
+    clock.setTimer(endMs - clock.monotonicMs(), () => claim.dispose());
+  }
+
   #settle(result: AttemptResult): void {
     this.#isSettled = true;
     this.#timer.dispose();
