--- a/docs/generate/settings_page.ts
+++ b/docs/generate/settings_page.ts
@@ -4,6 +4,7 @@
  */
 
 import { z } from "zod";
+import { operatorSettingsSchema } from "../../src/features/gateway/common/configuration/operator_settings.ts";
 import { teamDocumentSchema } from "../../src/features/configuration/common/team_document.ts";
 import { daemonSettingsSchema } from "../../src/services/settings/common/daemon_settings.ts";
 import {
@@ -46,6 +47,15 @@
 
 `;
 
+const OPERATOR_INTRODUCTION = `
+## Settings of a gateway
+
+The YAML file that \`RAGWORTSADDLE_GATEWAY_SETTINGS\` names, beside the settings of the
+platform. It is read at the start, on SIGHUP and when it changes; a bad file keeps the settings
+in force. [Hedged calls](design/hedging.md) are off without it.
+
+`;
+
 /** Descriptions of the string patterns of the schemas. */
 const PATTERN_DESCRIPTIONS: ReadonlyMap<string | undefined, string> = new Map([
   [toJsonSchema(addressSchema).pattern, "IP number and port"],
@@ -56,7 +66,8 @@
 export function createSettingsPage(): string {
   return INTRODUCTION +
     DAEMON_INTRODUCTION + formatRows(createRows(daemonSettingsSchema)) +
-    TEAM_INTRODUCTION + formatRows(createRows(teamDocumentSchema));
+    TEAM_INTRODUCTION + formatRows(createRows(teamDocumentSchema)) +
+    OPERATOR_INTRODUCTION + formatRows(createRows(operatorSettingsSchema));
 }
 
 function toJsonSchema(schema: z.ZodType): JsonSchema {
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -341,6 +341,7 @@
       configurationDelayMs: newSettings.configurationDelayMs,
       revocationDelayMs: newSettings.revocationDelayMs,
       memoryMb: newSettings.memoryMb,
+      hedging: JSON.stringify(newSettings.operator?.hedging),
     });
   }
 
--- a/src/features/gateway/common/configuration/operator_settings.ts
+++ b/src/features/gateway/common/configuration/operator_settings.ts
@@ -35,18 +35,24 @@
 
 const hedgingLimitsSchema = z.strictObject({
   maxExtraShare: z.number().min(0).max(1)
-    .describe("most hedges per successful call"),
+    .describe("most hedges per successful call; 0 turns hedging off"),
   maxExtraPerS: z.number().nonnegative()
     .describe("most hedges in a second, of all hosts together"),
 });
 
-const operatorSettingsSchema: z.ZodType<OperatorSettings> = z.strictObject({
-  hedging: z.strictObject({
-    default: hedgingLimitsSchema.optional(),
-    services: z.record(z.string().min(1), hedgingLimitsSchema).default({}),
-  }).default({ services: {} }),
-  crossZoneCostMs: z.number().nonnegative().optional(),
-});
+/** Schema of the settings file of the operators. */
+export const operatorSettingsSchema: z.ZodType<OperatorSettings> = z
+  .strictObject({
+    hedging: z.strictObject({
+      default: hedgingLimitsSchema.optional()
+        .describe("limits of services without their own"),
+      services: z.record(z.string().min(1), hedgingLimitsSchema).default({})
+        .describe("limits of single services"),
+    }).default({ services: {} })
+      .describe("second attempts of slow idempotent calls"),
+    crossZoneCostMs: z.number().nonnegative().optional()
+      .describe("cost of an endpoint in another zone, in milliseconds"),
+  });
 
 /** Settings that apply without a file. */
 export const DEFAULT_OPERATOR_SETTINGS: OperatorSettings = {
