Load the YAML parser only on hosts with a settings file of the operators

Cause: platform/main.ts would have loaded it on each start, which delays hosts that restart. Change: the schema is a module of its own, imported on demand. Time of the start: not measured.

--- a/docs/generate/settings_page.ts
+++ b/docs/generate/settings_page.ts
@@ -4,7 +4,7 @@
  */
 
 import { z } from "zod";
-import { operatorSettingsSchema } from "../../src/features/gateway/common/configuration/operator_settings.ts";
+import { operatorSettingsSchema } from "../../src/features/gateway/common/configuration/operator_settings_schema.ts";
 import { teamDocumentSchema } from "../../src/features/configuration/common/team_document.ts";
 import { daemonSettingsSchema } from "../../src/services/settings/common/daemon_settings.ts";
 import {
--- a/src/features/gateway/common/configuration/operator_settings_test.ts
+++ b/src/features/gateway/common/configuration/operator_settings_test.ts
@@ -3,8 +3,8 @@
 import {
   DEFAULT_OPERATOR_SETTINGS,
   hedgingLimitsOf,
-  parseOperatorSettings,
 } from "./operator_settings.ts";
+import { parseOperatorSettings } from "./operator_settings_schema.ts";
 
 const SERVICE = "team/app" as ServiceId;
 
