--- a/src/daemon/common/settings_limits_test.ts
+++ b/src/daemon/common/settings_limits_test.ts
@@ -2,7 +2,7 @@
 import { asId, type ServiceId } from "../../base/common/ids.ts";
 import { SeededRandom } from "../../base/common/random.ts";
 import { RetryBudget } from "../../features/retries/common/retry_budget.ts";
-import { retryLimits } from "./settings_limits.ts";
+import { hedgeLimits, retryLimits } from "./settings_limits.ts";
 
 const SERVICE = asId<ServiceId>("app");
 const WINDOW_MS = 10_000;
@@ -55,3 +55,57 @@
     },
   );
 });
+
+describe("the hedges of a fleet", () => {
+  const HEDGING = {
+    default: { maxExtraShare: 1, maxExtraPerS: 6 },
+    services: { off: { maxExtraShare: 0, maxExtraPerS: 6 } },
+  };
+
+  it.each([1, 9, 90, 340])(
+    "stay within the limit of all %d hosts together, and begin after the first window",
+    (hostCount) => {
+      const clock = new ManualClock();
+      const random = new SeededRandom(7);
+      const budgets = Array.from({ length: hostCount }, (_, index) => {
+        const place = () => ({
+          fleetSize: hostCount,
+          uptimeMs: clock.monotonicMs(),
+          remainderRank: index / hostCount,
+        });
+        return new RetryBudget({
+          clock,
+          random,
+          limits: () => retryLimits(SETTINGS, place()),
+          hedgeLimits: (service) => hedgeLimits(HEDGING, service, place()),
+        });
+      });
+      let hedges = 0;
+      let firstWindowHedges = 0;
+      for (let atMs = 0; atMs < 2 * WINDOW_MS; atMs += 100) {
+        for (const budget of budgets) {
+          for (let count = 0; count < 20; count++) {
+            budget.recordSuccess(SERVICE);
+          }
+          if (!budget.canHedge(SERVICE)) continue;
+          budget.recordHedge(SERVICE);
+          hedges++;
+        }
+        clock.advance(100);
+        if (clock.monotonicMs() === WINDOW_MS) firstWindowHedges = hedges;
+      }
+      expect(firstWindowHedges).toBe(0);
+      expect(hedges).toBeGreaterThan(0);
+      expect(hedges).toBeLessThanOrEqual(60);
+    },
+  );
+
+  it("are none where they are not set, or where a service turns them off", () => {
+    const place = { fleetSize: 1, uptimeMs: WINDOW_MS, remainderRank: 0 };
+    const off = asId<ServiceId>("off");
+    expect(hedgeLimits(undefined, SERVICE, place)).toBeUndefined();
+    expect(hedgeLimits(HEDGING, off, place)).toBeUndefined();
+    expect(hedgeLimits(HEDGING, SERVICE, place)?.maxHedgesPerWindow)
+      .toBeLessThan(60);
+  });
+});
