--- a/src/daemon/common/gateway_settings.ts
+++ b/src/daemon/common/gateway_settings.ts
@@ -6,6 +6,7 @@
   RegionName,
   ZoneName,
 } from "../../base/common/ids.ts";
+import type { OperatorSettings } from "../../features/gateway/common/configuration/operator_settings.ts";
 
 /** Settings that can be reloaded while the daemon is running. */
 export interface ReloadableGatewaySettings {
@@ -21,6 +22,8 @@
   readonly region?: RegionName | undefined;
   /** Region of each zone. */
   readonly zoneRegions?: ReadonlyMap<ZoneName, RegionName> | undefined;
+  /** Settings of the operators' own file; the defaults if absent. */
+  readonly operator?: OperatorSettings | undefined;
 }
 
 /** Identity and addresses of a daemon, with its initial reloadable settings. */
--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -13,7 +13,7 @@
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
 import { SeededRandom } from "../../base/common/random.ts";
-import { admissionLimits } from "../common/settings_limits.ts";
+import { admissionLimits, chooserSettings } from "../common/settings_limits.ts";
 import { GatewayEligibility } from "../common/gateway_eligibility.ts";
 import { GatewayEndpointLimits } from "../common/gateway_endpoint_limits.ts";
 import { GatewayPlacement } from "../common/gateway_placement.ts";
@@ -208,6 +208,7 @@
         registry: this.#registry,
         eligibility: this.#eligibility.endpoints,
         cold,
+        chooserSettings: () => chooserSettings(this.#activeSettings),
         findService,
       }),
     );
@@ -354,6 +355,7 @@
       configurationDelayMs: newSettings.configurationDelayMs,
       revocationDelayMs: newSettings.revocationDelayMs,
       memoryMb: newSettings.memoryMb,
+      hedging: JSON.stringify(newSettings.operator?.hedging),
     });
   }
 
@@ -430,6 +432,7 @@
       links: this.#links,
       state: this.#state,
       mirror: this.#mirror,
+      settings: () => this.#activeSettings,
       daemonState: () => ({
         host: this.#settings.host,
         zone: this.#settings.zone,
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -10,6 +10,10 @@
 } from "../../base/common/lifecycle.ts";
 import type { RoomPermits } from "../../features/brittle/common/room_permits.ts";
 import type { CrashMonitor } from "../../features/gateway/common/crashes/crash_monitor.ts";
+import {
+  DEFAULT_OPERATOR_SETTINGS,
+  type HedgingSettings,
+} from "../../features/gateway/common/configuration/operator_settings.ts";
 import type { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import type { ColdEndpoints } from "../../features/gateway/common/endpoints/cold_endpoints.ts";
 import type { ZoneEvacuations } from "../../features/gateway/common/endpoints/zone_evacuations.ts";
@@ -26,6 +30,7 @@
 import type { CallerServer } from "../../services/http/node/caller_server.ts";
 import { type Page, PageServer } from "../../services/http/node/page_server.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
+import type { ReloadableGatewaySettings } from "../common/gateway_settings.ts";
 import type { GatewayPaths } from "./gateway_paths.ts";
 import type { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
 import type { WsPeerLinks } from "../../services/peers/node/ws_peer_links.ts";
@@ -49,6 +54,8 @@
   readonly configurationVersion: number | undefined;
   /** Load and speed of the endpoints, as this host knows them. */
   readonly endpoints: readonly EndpointPaceStatus[];
+  /** Limits of hedged calls in force. */
+  readonly hedging: HedgingSettings;
 }
 
 /** Dependencies of {@link GatewayOperatorPages}. */
@@ -69,6 +76,8 @@
   readonly links: WsPeerLinks;
   readonly state: ConfigurationState;
   readonly mirror: StoreMirror;
+  /** @returns The settings in force. */
+  settings(): ReloadableGatewaySettings;
   /** @returns Identity and state of the daemon. */
   daemonState(): Pick<
     GatewayStatus,
@@ -147,13 +156,15 @@
   }
 
   #status(): GatewayStatus {
-    const { gateway, daemonState, paces, state } = this.#services;
+    const { gateway, daemonState, paces, state, settings } = this.#services;
+    const operator = settings().operator ?? DEFAULT_OPERATOR_SETTINGS;
     return {
       ...daemonState(),
       active: gateway.activeCount,
       teams: [],
       configurationVersion: state.current?.configuration.version,
       endpoints: paces.list(),
+      hedging: operator.hedging,
     };
   }
 
--- a/src/features/gateway/common/requests/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -31,6 +31,7 @@
 } from "../endpoints/endpoint_registry.ts";
 import type { GenerationFields } from "../protocol/gateway_codec.ts";
 import { type EventGap, gapFields } from "./event_gap.ts";
+import { hedgeFields, type HedgeRecord } from "./hedge_record.ts";
 import { contentOf } from "./request_content.ts";
 import {
   NO_ALLOWED_RETRY_AFTER_MS,
@@ -98,6 +99,8 @@
   #firstByteMs: number | undefined;
   /** Longest gap between two events of the stream. */
   longestGap: EventGap | undefined;
+  /** The latest hedge of the call, if one was sent. */
+  hedge: HedgeRecord | undefined;
   /** Whether the latest response had no framing but the end of its connection. */
   #isCloseDelimited = false;
 
@@ -389,7 +392,9 @@
             workspace: this.workspace,
             reason: failure.message,
           });
-          this.#crashCheck = run.onLost();
+          // Two attempts of a call may lose their runs at the same time.
+          this.#crashCheck = Promise.all([this.#crashCheck, run.onLost()])
+            .then(() => undefined);
         }
         sink.onFailure(failure);
       },
@@ -406,8 +411,7 @@
   }
 
   /**
-   * Waits until it is known whether the endpoint that lost the latest run still
-   * answers.
+   * Waits until it is known whether the endpoints that lost runs still answer.
    */
   async awaitCrashCheck(): Promise<void> {
     await this.#crashCheck;
@@ -547,6 +551,7 @@
       totalMs: Math.round(totalMs),
       leftMs: Math.round(this.remainingMs),
       ...(mayLackEndpoints && this.eligibility.logFields()),
+      ...hedgeFields(this.hedge),
       ...gapFields(this.longestGap),
     });
   }
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -50,7 +50,10 @@
 import { BrittleTable } from "../../src/features/brittle/common/brittle_table.ts";
 import { RoomPermits } from "../../src/features/brittle/common/room_permits.ts";
 import type { PeerOverlay } from "../../src/services/peers/common/peer_overlay.ts";
-import { RetryBudget } from "../../src/features/retries/common/retry_budget.ts";
+import {
+  type HedgeLimits,
+  RetryBudget,
+} from "../../src/features/retries/common/retry_budget.ts";
 import type {
   LogFields,
   Logger,
@@ -94,6 +97,8 @@
   readonly hasPredecessor?: boolean;
   /** Whether endpoints are chosen without regard to their speeds. */
   readonly ignoresPaces?: boolean;
+  /** Limits of hedges; without them, no call is hedged. */
+  readonly hedgeLimits?: HedgeLimits;
   readonly createPlacer?: (
     harness: GatewayHarness,
     chooser: EndpointChooser,
@@ -246,7 +251,11 @@
         chooser,
         placer: createPlacer?.(this, chooser) ??
           new PlacementQueue(clock, chooser),
-        budget: new RetryBudget({ clock, random }),
+        budget: new RetryBudget({
+          clock,
+          random,
+          hedgeLimits: () => options.hedgeLimits,
+        }),
         probe: new EndpointProbe(
           clock,
           logger,
