Reserve, forecast and reject early when engine memory is scarce

Cause: with all engines full, the queue served overdue urgent requests after less urgent ones, let long drafts take the memory that short checks need, and kept requests waiting until their latest start although none could be placed. The largest requests were overtaken until they were rejected.

Change: the queue orders by priority, then objective, then age. While a request had to wait within 3 s and at least two priorities arrive, less urgent generations leave one mean prompt of the most urgent kind free on each engine (urgent_capacity.ts); those with a tenth of its expected output or less are exempt. Requests whose expected wait (wait_estimate.ts, on DrainRate of the dispatcher) exceeds their useful time are rejected at once with a spread Retry-After. A priority placed half as often as the average comes first with one request. An engine is reserved for the largest overtaken request. Learned output lengths (output_lengths.ts) replace the share of the maximum while capacity is scarce, unless there is a hint that predicts no worse than the mean length. Placement messages have new optional fields only. The simulation takes kinds of generations with sizes and priorities of their own.

--- a/src/daemon/common/gateway_factory.ts
+++ b/src/daemon/common/gateway_factory.ts
@@ -18,6 +18,7 @@
 import type { GatewayCodec } from "../../features/gateway/common/protocol/gateway_codec.ts";
 import type { GatewayServices } from "../../features/gateway/common/requests/gateway_services.ts";
 import { PlannedStop } from "../../features/gateway/common/requests/planned_stop.ts";
+import { OutputLengths } from "../../features/gateway/common/generations/output_lengths.ts";
 import { RunMigrator } from "../../features/gateway/common/requests/run_migrator.ts";
 import type { PassThroughClient } from "../../services/http/common/pass_through_client.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
@@ -81,6 +82,7 @@
         settings: services.settings,
         fleetSize: services.fleetSize,
       }),
+      outputLengths: new OutputLengths(),
       probe: new EndpointProbe(clock, logger, metrics, paths, limits),
       migrator: new RunMigrator(clock, paths.control, limits),
       crashMonitor: services.crashMonitor,
--- a/src/daemon/common/gateway_placement.ts
+++ b/src/daemon/common/gateway_placement.ts
@@ -49,7 +49,7 @@
     );
     this.chooser = chooser;
     const localPlacer = this.#disposables.add(
-      new PlacementQueue(clock, chooser),
+      new PlacementQueue(clock, chooser, random),
     );
     this.placer = this.#disposables.add(
       new ZonePlacer({ ...services, loadTable, chooser, localPlacer }),
--- a/src/daemon/node/gateway_operator_pages.ts
+++ b/src/daemon/node/gateway_operator_pages.ts
@@ -154,6 +154,7 @@
     return {
       active_requests: services.gateway.activeCount,
       waiting_generations: services.queue.length,
+      urgent_reserve_tokens: services.queue.reserveTokens,
       caller_connections: services.callers.connectionCount,
       endpoint_connections_opened: services.paths.openedCount,
       endpoints: services.registry.all.length,
--- a/src/features/dispatch/common/drain_rate.ts
+++ b/src/features/dispatch/common/drain_rate.ts
@@ -1,22 +1,35 @@
 /** Measures the rate at which queued work is granted. */
 
-/** Time after which the weight of an observation has decayed to 1/e. */
-const DECAY_TIME_MS = 90_000;
-/** Minimum observation time before a rate is available. */
-const MIN_OBSERVED_MS = 10_000;
+/** Time constants of a {@link DrainRate}. */
+export interface DrainRateOptions {
+  /** Time after which the weight of an observation has decayed to 1/e. */
+  readonly decayTimeMs: number;
+  /** Minimum observation time before a rate is available. */
+  readonly minObservedMs: number;
+}
+
+const DEFAULT_OPTIONS: DrainRateOptions = {
+  decayTimeMs: 90_000,
+  minObservedMs: 10_000,
+};
 
 /**
  * Exponentially decaying average in tokens per second, measured only while work
  * is queued.
  */
 export class DrainRate {
+  readonly #options: DrainRateOptions;
   #grantedTokens = 0;
   #observedMs = 0;
   #updatedMs: number;
 
-  /** @param nowMs - Current time in milliseconds. */
-  constructor(nowMs: number) {
+  /**
+   * @param nowMs - Current time in milliseconds.
+   * @param options - Time constants.
+   */
+  constructor(nowMs: number, options: DrainRateOptions = DEFAULT_OPTIONS) {
     this.#updatedMs = nowMs;
+    this.#options = options;
   }
 
   /**
@@ -30,7 +43,7 @@
     const elapsedMs = Math.max(0, nowMs - this.#updatedMs);
     this.#updatedMs = nowMs;
     if (!isWorkWaiting) return;
-    const decay = Math.exp(-elapsedMs / DECAY_TIME_MS);
+    const decay = Math.exp(-elapsedMs / this.#options.decayTimeMs);
     this.#grantedTokens *= decay;
     this.#observedMs = this.#observedMs * decay + elapsedMs;
   }
@@ -45,7 +58,7 @@
    * short.
    */
   get tokensPerSecond(): number | undefined {
-    if (this.#observedMs < MIN_OBSERVED_MS) return undefined;
+    if (this.#observedMs < this.#options.minObservedMs) return undefined;
     return Math.max(1, this.#grantedTokens / this.#observedMs * 1_000);
   }
 }
--- a/src/features/gateway/common/generations/generation_failure.ts
+++ b/src/features/gateway/common/generations/generation_failure.ts
@@ -24,9 +24,18 @@
     this.#stream = stream;
   }
 
-  /** Ends the generation. */
-  fail(reason: string): void {
-    this.#context.refuse(reason, this.#context.placementRetryAfterMs);
+  /**
+   * Ends the generation.
+   *
+   * @param reason - Reason for the log and the response body.
+   * @param retryAfterMs - Time after which the caller may return, in
+   * milliseconds, if the placer has said so.
+   */
+  fail(reason: string, retryAfterMs?: number): void {
+    this.#context.refuse(
+      reason,
+      this.#context.placementRetryAfterMs(retryAfterMs),
+    );
   }
 
   /** Ends the generation with the endpoint's own error response. */
--- a/src/features/gateway/common/generations/generation_forwarder.ts
+++ b/src/features/gateway/common/generations/generation_forwarder.ts
@@ -59,8 +59,8 @@
   /** @param context - State of the request. */
   constructor(context: RequestContext) {
     this.#context = context;
-    const { request } = context;
-    this.#memory = new GenerationMemoryEstimate(request);
+    const { request, services } = context;
+    this.#memory = new GenerationMemoryEstimate(request, services);
     this.#criteria = createCriteria(context, this.#memory.reservedTokens);
     this.#right = new ContinuationRight(context);
     this.#outage = new EndpointOutage(context, () => {
@@ -80,7 +80,7 @@
     });
     this.#placement = new GenerationPlacement(context, this.#criteria, {
       onPlaced: (choice) => this.#onPlaced(choice),
-      onRejected: (reason) => this.#failure.fail(reason),
+      onRejected: (...rejection) => this.#failure.fail(...rejection),
     });
     this.#migration = new GenerationMigration(context, this.#criteria, {
       isRequired: (attempt) => attempt === this.#attempt && !context.hasEnded,
@@ -279,6 +279,7 @@
     attempt.recordOutcome("served");
     this.#stream.end();
     services.budget.recordSuccess(request.service.id);
+    this.#memory.recordCompletion();
     this.#context.finish("served", 200, "");
   }
 
--- a/src/features/gateway/common/generations/generation_memory_estimate.ts
+++ b/src/features/gateway/common/generations/generation_memory_estimate.ts
@@ -3,6 +3,11 @@
  * and its expected output.
  */
 
+import type {
+  GatewayServices,
+  OutputLimits,
+} from "../requests/gateway_services.ts";
+import type { ServiceId } from "../../../../base/common/ids.ts";
 import type { AdmittedRequest } from "../requests/request_context.ts";
 
 /**
@@ -12,21 +17,47 @@
 /** Share of the output still expected that is counted as required now. */
 const RESERVED_GROWTH_SHARE = 0.7;
 
+/** Number of events between two records of a growing output. */
+const EVENTS_PER_RECORD = 16;
+
 /** Memory estimate that grows with the events of a generation. */
 export class GenerationMemoryEstimate {
   readonly promptTokens: number;
-  readonly #expectedOutputTokens: number;
+  readonly #service: ServiceId;
+  readonly #route: string;
+  readonly #limits: OutputLimits;
+  readonly #services: Pick<GatewayServices, "outputLengths" | "placer">;
+  readonly #statedOutputTokens: number;
   readonly #tokensPerEvent: number;
+  /** Whether the request asks only for the rest of an earlier output. */
+  readonly #isPartial: boolean;
   #eventCount = 0;
+  /** Output that the length model has been told of, in tokens. */
+  #recordedTokens = 0;
 
-  /** @param request - The request, with the size of its prompt. */
+  /**
+   * @param request - The request, with the size of its prompt.
+   * @param services - The observed output lengths, and whether capacity is
+   * scarce. Otherwise the hint or the share of the maximum alone counts.
+   */
   constructor(
-    { fields, service }: Pick<AdmittedRequest, "fields" | "service">,
+    { fields, route, service }: Pick<
+      AdmittedRequest,
+      "fields" | "route" | "service"
+    >,
+    services: Pick<GatewayServices, "outputLengths" | "placer">,
   ) {
     const { prompt } = fields;
+    const maxTokens = prompt?.maxOutputTokens ?? 0;
+    const hintedTokens = prompt?.hintedOutputTokens;
     this.promptTokens = prompt?.promptTokens ?? 0;
-    this.#expectedOutputTokens = prompt?.hintedOutputTokens ??
-      (prompt?.maxOutputTokens ?? 0) * UNHINTED_OUTPUT_SHARE;
+    this.#service = service.id;
+    this.#route = route.name;
+    this.#limits = { maxTokens, hintedTokens };
+    this.#services = services;
+    this.#isPartial = fields.resumeAfterEventId !== undefined;
+    this.#statedOutputTokens = hintedTokens ??
+      maxTokens * UNHINTED_OUTPUT_SHARE;
     this.#tokensPerEvent = service.engine?.tokensPerEvent ?? 1;
   }
 
@@ -37,7 +68,7 @@
 
   /** Memory used by the prompt and the output so far, in tokens. */
   get usedTokens(): number {
-    return this.promptTokens + this.#eventCount * this.#tokensPerEvent;
+    return this.promptTokens + this.#outputTokens;
   }
 
   /**
@@ -54,5 +85,37 @@
   /** Records an event. */
   recordEvent(): void {
     this.#eventCount++;
+    if (this.#isPartial || this.#eventCount % EVENTS_PER_RECORD !== 0) return;
+    const outputTokens = this.#outputTokens;
+    const { outputLengths } = this.#services;
+    outputLengths.recordProgress(
+      this.#route,
+      this.#recordedTokens,
+      outputTokens,
+    );
+    this.#recordedTokens = outputTokens;
+  }
+
+  /** Tells the length model that the output is complete. */
+  recordCompletion(): void {
+    if (this.#isPartial) return;
+    this.#services.outputLengths.recordCompletion(
+      this.#route,
+      this.#outputTokens,
+      this.#recordedTokens,
+      this.#limits,
+    );
+  }
+
+  get #outputTokens(): number {
+    return this.#eventCount * this.#tokensPerEvent;
+  }
+
+  get #expectedOutputTokens(): number {
+    const { outputLengths, placer } = this.#services;
+    const forecastTokens = placer.isScarce(this.#service)
+      ? outputLengths.forecast(this.#route, this.#outputTokens, this.#limits)
+      : undefined;
+    return forecastTokens ?? this.#statedOutputTokens;
   }
 }
--- a/src/features/gateway/common/generations/generation_placement.ts
+++ b/src/features/gateway/common/generations/generation_placement.ts
@@ -8,6 +8,10 @@
   EndpointChoice,
   EndpointCriteria,
 } from "../placement/endpoint_chooser.ts";
+import type {
+  PlacementDetails,
+  RejectionDetails,
+} from "../placement/placement_queue.ts";
 import {
   CUT_OFF_REASON,
   type RequestContext,
@@ -28,8 +32,14 @@
 export interface GenerationPlacementListener {
   /** The endpoint is to be used now. */
   onPlaced(choice: EndpointChoice): void;
-  /** No endpoint will have capacity in time. */
-  onRejected(reason: string): void;
+  /**
+   * No endpoint will have capacity in time.
+   *
+   * @param reason - Reason for the log and the caller.
+   * @param retryAfterMs - Time after which the caller may return, in
+   * milliseconds, if the placer has said so.
+   */
+  onRejected(reason: string, retryAfterMs?: number): void;
 }
 
 /**
@@ -131,15 +141,15 @@
       queuedMs: clock.monotonicMs(),
       firstEventDueMs: exchange.receivedMs + route.objectiveMs,
       latestStartMs: search.latestStartMs,
-      onPlaced: (choice) => {
+      onPlaced: (choice, details) => {
         const { endpoint } = choice;
         // Another daemon that chose it does not know of holds of this one.
         if (endpoint.isWithheld(clock.monotonicMs())) this.#continue(search);
         else if (this.#context.rights.isNeeded(endpoint)) {
-          void this.#takeRight(search, choice, 0);
-        } else this.#complete(search, choice);
+          void this.#takeRight(search, choice, 0, details);
+        } else this.#complete(search, choice, details);
       },
-      onRejected: (reason) => this.#reject(search, reason),
+      onRejected: (reason, details) => this.#reject(search, reason, details),
     }));
   }
 
@@ -147,18 +157,24 @@
     search: Search,
     choice: EndpointChoice,
     maxWaitMs: number,
+    details: PlacementDetails = {},
   ): Promise<void> {
     const { rights } = this.#context;
     const { endpoint } = choice;
     const isOnlyOne = rights.nextLimitedEndpoint() === endpoint;
     const isGranted = await rights.take(endpoint, rights.patienceMs(maxWaitMs));
     if (search !== this.#search || this.#context.hasEnded) return;
-    if (isGranted && endpoint.isUsable) this.#complete(search, choice);
-    else if (isGranted || !isOnlyOne) this.#continue(search);
-    else this.#reject(search, "the limits of all endpoints are used up");
+    if (isGranted && endpoint.isUsable) {
+      this.#complete(search, choice, details);
+    } else if (isGranted || !isOnlyOne) this.#continue(search);
+    else this.#reject(search, "the limits of all endpoints are used up", {});
   }
 
-  #complete(search: Search, choice: EndpointChoice): void {
+  #complete(
+    search: Search,
+    choice: EndpointChoice,
+    details: PlacementDetails,
+  ): void {
     if (search !== this.#search) return;
     this.#search = undefined;
     const { services } = this.#context;
@@ -170,13 +186,41 @@
       memoryTokens: this.#criteria.memoryTokens,
       waitedMs: Math.round(services.clock.monotonicMs() - search.startedMs),
       waiting: services.placer.length,
+      ...detailFields(details),
     });
     this.#listener.onPlaced(choice);
   }
 
-  #reject(search: Search, reason: string): void {
+  #reject(search: Search, reason: string, details: RejectionDetails): void {
     if (search !== this.#search) return;
     this.#search = undefined;
-    this.#listener.onRejected(reason);
+    const { clock, metrics } = this.#context.services;
+    const { isEarly, retryAfterMs } = details;
+    metrics.count("generations_rejected", isEarly ? "early" : "late");
+    this.#context.log("info", "placement-rejected", {
+      reason,
+      isEarly: isEarly ?? false,
+      priority: this.#context.priority,
+      memoryTokens: this.#criteria.memoryTokens,
+      waitedMs: Math.round(clock.monotonicMs() - search.startedMs),
+      retryAfterMs: roundOptional(retryAfterMs),
+      ...detailFields(details),
+    });
+    this.#listener.onRejected(reason, retryAfterMs);
   }
 }
+
+/** @returns What the placer knew, for the log. */
+function detailFields(
+  { expectedWaitMs, reserve }: PlacementDetails,
+): Readonly<Record<string, number | undefined>> {
+  return {
+    expectedWaitMs: roundOptional(expectedWaitMs),
+    reserveTokens: roundOptional(reserve?.tokens),
+    reserveForPriority: reserve?.forPriority,
+  };
+}
+
+function roundOptional(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
--- a/src/features/gateway/common/metrics/gateway_metrics.ts
+++ b/src/features/gateway/common/metrics/gateway_metrics.ts
@@ -25,6 +25,7 @@
   | "streams_moved"
   | "endpoints_ejected"
   | "endpoints_held"
+  | "generations_rejected"
   | "direct_paths_lost"
   | "requests_relayed"
   | "relays_ended"
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -109,11 +109,28 @@
   | { readonly kind: "chosen"; readonly choice: EndpointChoice }
   /** Nothing may be sent to any endpoint for a time. */
   | { readonly kind: "held"; readonly forMs: number }
-  /** Endpoints exist, but all are full. */
-  | { readonly kind: "full" }
+  /** Endpoints exist, but all are full or reserved. */
+  | {
+    readonly kind: "full";
+    /** Whether one has capacity, apart from what is reserved for others. */
+    readonly isOnlyReserved: boolean;
+  }
   /** No endpoint exists. */
   | { readonly kind: "none" };
 
+/** Capacity that a generation must leave to others. */
+export interface CapacityReservations {
+  /** Endpoints that are reserved for other generations. */
+  readonly endpoints: ReadonlySet<EndpointId>;
+  /** Memory to leave free on each endpoint, in tokens. */
+  readonly memoryTokens: number;
+}
+
+const NO_RESERVATIONS: CapacityReservations = {
+  endpoints: new Set(),
+  memoryTokens: 0,
+};
+
 interface Candidate {
   readonly endpoint: RegisteredEndpoint;
   readonly usage: EndpointUsage;
@@ -167,13 +184,13 @@
    *
    * @param criteria - Requirements of the generation.
    * @param service - Its service.
-   * @param reserved - Endpoint that is reserved for another generation.
+   * @param reserved - Capacity that is reserved for other generations.
    * @returns The endpoint with the lowest cost at which nothing is preempted.
    */
   chooseWithCapacity(
     criteria: EndpointCriteria,
     service: GatewayService,
-    reserved?: EndpointId,
+    reserved: CapacityReservations = NO_RESERVATIONS,
   ): CapacityResult {
     const candidates = this.#candidates(criteria);
     const nowMs = this.#clock.monotonicMs();
@@ -185,29 +202,40 @@
         return { kind: "held", forMs: withheldUntilMs - nowMs };
       }
       const isSilent = this.#registry.reachOf(criteria.service) === "silent";
-      return isSilent ? { kind: "full" } : { kind: "none" };
+      return isSilent
+        ? { kind: "full", isOnlyReserved: false }
+        : { kind: "none" };
     }
     const withCapacity = candidates.filter((candidate) =>
-      candidate.endpoint.id !== reserved &&
-      this.#hasCapacity(candidate, criteria, service) &&
+      this.#hasCapacity(candidate, criteria, service, 0) &&
       !candidate.endpoint.health.isEjected(nowMs)
     );
-    const choice = this.#lowestCost(withCapacity, criteria, service);
-    return choice ? { kind: "chosen", choice } : { kind: "full" };
+    const unreserved = withCapacity.filter((candidate) =>
+      !reserved.endpoints.has(candidate.endpoint.id) &&
+      this.#hasCapacity(candidate, criteria, service, reserved.memoryTokens)
+    );
+    const choice = this.#lowestCost(unreserved, criteria, service);
+    if (choice) return { kind: "chosen", choice };
+    return { kind: "full", isOnlyReserved: withCapacity.length > 0 };
   }
 
   /**
    * Finds the endpoint to reserve for a generation.
    *
    * @param criteria - Requirements of the generation.
+   * @param reserved - Endpoints that are reserved for other generations.
    * @returns The endpoint with the least memory in use.
    */
-  leastUsed(criteria: EndpointCriteria): RegisteredEndpoint | undefined {
+  leastUsed(
+    criteria: EndpointCriteria,
+    reserved: ReadonlySet<EndpointId> = NO_RESERVATIONS.endpoints,
+  ): RegisteredEndpoint | undefined {
     const nowMs = this.#clock.monotonicMs();
     let best: RegisteredEndpoint | undefined;
     let leastUsedTokens = Infinity;
     for (const { endpoint, usage } of this.#candidates(criteria)) {
       if (endpoint.health.isEjected(nowMs) || this.#isCold(endpoint)) continue;
+      if (reserved.has(endpoint.id)) continue;
       const usedTokens = usage.memoryTokens + usage.backupTokens;
       if (usedTokens >= leastUsedTokens) continue;
       best = endpoint;
@@ -244,6 +272,7 @@
     { endpoint, usage }: Candidate,
     criteria: EndpointCriteria,
     { engine }: GatewayService,
+    reservedTokens: number,
   ): boolean {
     const { announcement } = endpoint;
     if (!engine || usage.runs === 0) return true;
@@ -254,7 +283,8 @@
     const usedTokens = usage.memoryTokens + usage.backupTokens;
     return usage.runs < announcement.slots &&
       usage.pendingPrefillTokens <= MAX_PENDING_PREFILL_TOKENS &&
-      usedTokens + criteria.memoryTokens <= engine.memoryTokens;
+      usedTokens + criteria.memoryTokens + reservedTokens <=
+        engine.memoryTokens;
   }
 
   #lowestCost(
--- a/src/features/gateway/common/placement/placement_message.ts
+++ b/src/features/gateway/common/placement/placement_message.ts
@@ -33,6 +33,20 @@
   startLeftMs: z.number(),
 });
 
+/**
+ * What the sender knew when it decided. Earlier builds neither send nor read
+ * these fields.
+ */
+const detailFields = {
+  expectedWaitMs: z.number().optional(),
+  /** Memory of each engine that is kept free for urgent requests, in tokens. */
+  reserveTokens: z.number().optional(),
+  /** Priority for which it is kept free. */
+  reserveForPriority: z.number().optional(),
+  /** Whether requests of the service had to wait in the last seconds. */
+  isScarce: z.boolean().optional(),
+};
+
 const placementMessageSchema = z.discriminatedUnion("kind", [
   requestSchema,
   /** The placement is no longer required. */
@@ -46,6 +60,7 @@
     cost: z.number(),
     candidates: z.number(),
     recentWaitMs: z.number(),
+    ...detailFields,
   }),
   /** No capacity will be available in time. */
   z.object({
@@ -53,6 +68,10 @@
     kind: z.literal("rejected"),
     reason: z.string(),
     recentWaitMs: z.number(),
+    /** Whether it was rejected before its latest start time. */
+    isEarly: z.boolean().optional(),
+    retryAfterMs: z.number().optional(),
+    ...detailFields,
   }),
   /** The service or its endpoints are not yet registered at the sender. */
   z.object({ ...requestNumber, kind: z.literal("declined") }),
@@ -63,6 +82,11 @@
 /** Request for the placement of a generation. */
 export type PlacementAsk = z.infer<typeof requestSchema>;
 
+/** What the sender of a decision knew, as far as it said so. */
+export type PlacementDetailFields = z.infer<
+  z.ZodObject<typeof detailFields>
+>;
+
 /** Any message about placements. */
 export type PlacementMessage = z.infer<typeof placementMessageSchema>;
 
--- a/src/features/gateway/common/placement/zone_placer.ts
+++ b/src/features/gateway/common/placement/zone_placer.ts
@@ -27,12 +27,22 @@
 import type { EndpointRegistry } from "../endpoints/endpoint_registry.ts";
 import type { GatewayService } from "../configuration/gateway_configuration.ts";
 import type { LoadTable } from "../load/load_table.ts";
+import {
+  fromDetailFields,
+  toDetailFields,
+  toPlacementAsk,
+} from "./placement_conversion.ts";
 import {
   PLACEMENT_CHANNEL,
   type PlacementAsk,
+  type PlacementDetailFields,
   type PlacementMessage,
 } from "./placement_message.ts";
-import type { GenerationPlacer, PlacementRequest } from "./placement_queue.ts";
+import type {
+  GenerationPlacer,
+  PlacementDetails,
+  PlacementRequest,
+} from "./placement_queue.ts";
 
 /**
  * Time for which a granted placement is claimed here, until the rows of the
@@ -54,6 +64,8 @@
  */
 const PLACER_COOLDOWN_MS = 3_000;
 const INACTIVITY_CHECK_PERIOD_MS = 50;
+/** Time for which the statement of a placer that capacity is scarce holds. */
+const SCARCITY_LIFETIME_MS = 3_000;
 
 /** Dependencies of `ZonePlacer`. */
 export interface ZonePlacerServices {
@@ -95,6 +107,8 @@
   readonly #remote = new Map<HostId, Map<number, Disposable>>();
   readonly #lastReceivedMs = new Map<HostId, number>();
   readonly #cooldownEndMs = new Map<HostId, number>();
+  /** Monotonic time until which capacity counts as scarce, in milliseconds. */
+  readonly #scarceUntilMs = new Map<ServiceId, number>();
   #nextNumber = 0;
   #remoteRecentWaitMs = 0;
 
@@ -141,6 +155,18 @@
     );
   }
 
+  /** {@inheritDoc GenerationPlacer.reserveTokens} */
+  get reserveTokens(): number {
+    return this.#services.localPlacer.reserveTokens;
+  }
+
+  /** {@inheritDoc GenerationPlacer.isScarce} */
+  isScarce(service: ServiceId): boolean {
+    const { clock, localPlacer } = this.#services;
+    const untilMs = this.#scarceUntilMs.get(service) ?? -Infinity;
+    return clock.monotonicMs() < untilMs || localPlacer.isScarce(service);
+  }
+
   /** {@inheritDoc GenerationPlacer.add} */
   add(request: PlacementRequest): Disposable {
     const { clock, overlay, localPlacer, self } = this.#services;
@@ -224,7 +250,13 @@
       case "rejected": {
         this.#remoteRecentWaitMs = message.recentWaitMs;
         const delegated = this.#takeDelegated(from, message.number);
-        delegated?.request.onRejected(message.reason);
+        if (!delegated) return;
+        const { isEarly, reason, retryAfterMs } = message;
+        delegated.request.onRejected(reason, {
+          ...this.#readDetails(delegated, message),
+          isEarly,
+          retryAfterMs,
+        });
         return;
       }
       case "declined": {
@@ -256,7 +288,22 @@
       placer: from,
       backup: backup && this.#services.registry.get(backup),
     };
-    delegated.request.onPlaced({ endpoint, cost, candidates, grant });
+    delegated.request.onPlaced(
+      { endpoint, cost, candidates, grant },
+      this.#readDetails(delegated, message),
+    );
+  }
+
+  #readDetails(
+    { request }: DelegatedRequest,
+    fields: PlacementDetailFields,
+  ): PlacementDetails {
+    if (fields.isScarce !== undefined) {
+      const nowMs = this.#services.clock.monotonicMs();
+      const untilMs = fields.isScarce ? nowMs + SCARCITY_LIFETIME_MS : nowMs;
+      this.#scarceUntilMs.set(request.service.id, untilMs);
+    }
+    return fromDetailFields(fields);
   }
 
   #takeDelegated(from: HostId, number: number): DelegatedRequest | undefined {
@@ -349,7 +396,7 @@
       queuedMs: nowMs,
       firstEventDueMs: nowMs + ask.objectiveLeftMs,
       latestStartMs: nowMs + ask.startLeftMs,
-      onPlaced: ({ endpoint, cost, candidates }) => {
+      onPlaced: ({ endpoint, cost, candidates }, details) => {
         const claims = new DisposableStore();
         claims.add(
           loadTable.claim(
@@ -372,11 +419,20 @@
           cost,
           candidates,
           recentWaitMs: localPlacer.recentWaitMs,
+          ...toDetailFields(details, localPlacer.isScarce(service.id)),
         });
       },
-      onRejected: (reason) => {
-        const { recentWaitMs } = localPlacer;
-        respond({ kind: "rejected", number, reason, recentWaitMs });
+      onRejected: (reason, details) => {
+        const { isEarly, retryAfterMs } = details;
+        respond({
+          kind: "rejected",
+          number,
+          reason,
+          recentWaitMs: localPlacer.recentWaitMs,
+          ...(isEarly !== undefined && { isEarly }),
+          ...(retryAfterMs !== undefined && { retryAfterMs }),
+          ...toDetailFields(details, localPlacer.isScarce(service.id)),
+        });
       },
     });
     if (isAnswered) return;
@@ -399,26 +455,3 @@
     return waiting.length > 0;
   }
 }
-
-function toPlacementAsk(
-  request: PlacementRequest,
-  number: number,
-  nowMs: number,
-  excluded: readonly EndpointId[],
-): PlacementAsk {
-  const { criteria, priority, pendingPrefillTokens, wantsBackup } = request;
-  const { softwareVersion } = criteria;
-  return {
-    kind: "asked",
-    number,
-    service: criteria.service,
-    memoryTokens: criteria.memoryTokens,
-    unreadTokens: pendingPrefillTokens,
-    wantsBackup,
-    excluded,
-    ...(softwareVersion !== undefined && { softwareVersion }),
-    priority,
-    objectiveLeftMs: request.firstEventDueMs - nowMs,
-    startLeftMs: request.latestStartMs - nowMs,
-  };
-}
--- a/src/features/gateway/common/requests/gateway_services.ts
+++ b/src/features/gateway/common/requests/gateway_services.ts
@@ -20,6 +20,51 @@
 import type { SoftwareVersionHistory } from "../versions/software_version_history.ts";
 import type { StreamVersionTable } from "../versions/stream_versions.ts";
 
+/** What a caller states of the output of its generation. */
+export interface OutputLimits {
+  readonly maxTokens: number;
+  /** Length that it expects, if it says so. */
+  readonly hintedTokens: number | undefined;
+}
+
+/** Learns and forecasts the output lengths of routes. */
+export interface OutputLengthModel {
+  /**
+   * @param route - Name of the route.
+   * @param generatedTokens - Output so far, in tokens.
+   * @param limits - What the caller states.
+   * @returns The expected length of the whole output in tokens, or `undefined`
+   * if what the caller states is to be used.
+   */
+  forecast(
+    route: string,
+    generatedTokens: number,
+    limits: OutputLimits,
+  ): number | undefined;
+  /**
+   * Records that an output has grown.
+   *
+   * @param route - Name of the route.
+   * @param fromTokens - Length that was recorded before, in tokens.
+   * @param toTokens - Length now, in tokens.
+   */
+  recordProgress(route: string, fromTokens: number, toTokens: number): void;
+  /**
+   * Records a complete output.
+   *
+   * @param route - Name of the route.
+   * @param tokens - Its length, in tokens.
+   * @param countedTokens - Length that was recorded before, in tokens.
+   * @param limits - What the caller stated.
+   */
+  recordCompletion(
+    route: string,
+    tokens: number,
+    countedTokens: number,
+    limits: OutputLimits,
+  ): void;
+}
+
 /** Dependencies of the forwarders. */
 export interface GatewayServices {
   readonly clock: Clock;
@@ -35,6 +80,7 @@
    * Assigns endpoints to generations and queues those that wait for capacity.
    */
   readonly placer: GenerationPlacer;
+  readonly outputLengths: OutputLengthModel;
   readonly probe: EndpointProbe;
   readonly migrator: RunMigrator;
   readonly crashMonitor: CrashMonitor;
--- a/src/features/gateway/common/requests/request_context.ts
+++ b/src/features/gateway/common/requests/request_context.ts
@@ -146,13 +146,14 @@
   }
 
   /**
-   * Time after which a caller whose generation was not placed may return, in
-   * milliseconds.
+   * @param placerRetryAfterMs - The time that the placer has given, if any.
+   * @returns Time after which a caller whose generation was not placed may
+   * return, in milliseconds.
    */
-  get placementRetryAfterMs(): number {
+  placementRetryAfterMs(placerRetryAfterMs?: number): number {
     const { recentWaitMs } = this.services.placer;
     if (this.isCutOff) return CUT_OFF_RETRY_AFTER_MS;
-    return this.rights.retryAfterMs ??
+    return this.rights.retryAfterMs ?? placerRetryAfterMs ??
       Math.max(FULL_RETRY_AFTER_MS, recentWaitMs);
   }
 
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -34,6 +34,7 @@
   type GenerationPlacer,
   PlacementQueue,
 } from "../../src/features/gateway/common/placement/placement_queue.ts";
+import { OutputLengths } from "../../src/features/gateway/common/generations/output_lengths.ts";
 import { RunMigrator } from "../../src/features/gateway/common/requests/run_migrator.ts";
 import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
 import { PromptPartMonitor } from "../../src/features/gateway/common/crashes/prompt_part_monitor.ts";
@@ -197,8 +198,9 @@
         loadTable,
         chooser,
         placer: createPlacer?.(this, chooser) ??
-          new PlacementQueue(clock, chooser),
+          new PlacementQueue(clock, chooser, new SeededRandom(2)),
         budget: new RetryBudget({ clock, random }),
+        outputLengths: new OutputLengths(),
         probe: new EndpointProbe(
           clock,
           logger,
--- a/standins/gateway/load_simulation.ts
+++ b/standins/gateway/load_simulation.ts
@@ -5,12 +5,17 @@
 
 import { flushPromises, ManualClock } from "../../src/base/common/clock.ts";
 import { Emitter } from "../../src/base/common/event.ts";
-import type { Address, HostId } from "../../src/base/common/ids.ts";
+import type {
+  Address,
+  HostId,
+  WorkspaceId,
+} from "../../src/base/common/ids.ts";
 import {
   type Disposable,
   NOOP_DISPOSABLE,
 } from "../../src/base/common/lifecycle.ts";
 import { SeededRandom } from "../../src/base/common/random.ts";
+import type { KeyHolder } from "../../src/features/gateway/common/configuration/gateway_configuration.ts";
 import type { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import type {
   GenerationPlacer,
@@ -27,7 +32,7 @@
 import { FakeTransfer } from "./fake_endpoints.ts";
 import { FakeCallerExchange } from "./fake_caller_exchange.ts";
 import { createZonePlacer } from "./zone_placer_fixture.ts";
-import { GatewayHarness } from "./gateway_harness.ts";
+import { GatewayHarness, type RecordingLogger } from "./gateway_harness.ts";
 import {
   configuration,
   ENGINE,
@@ -56,6 +61,41 @@
    * for all gateways, or on the engines.
    */
   readonly placement: "queued" | "queued-centrally" | "immediate";
+  /**
+   * Kinds of generations that replace the usual drafts and checks; their rates
+   * replace `draftsPerSecond` and `checksPerSecond`.
+   */
+  readonly kinds?: readonly LoadKind[];
+}
+
+/** One kind of generations. */
+export interface LoadKind {
+  readonly name: "drafts" | "checks";
+  readonly perSecond: number;
+  /** Time at which the last one is sent, in milliseconds. */
+  readonly untilMs: number;
+  /** Priority; 0 is the most urgent. */
+  readonly priority: number;
+  readonly objectiveMs: number;
+  /** Maximum that callers state, in tokens. */
+  readonly maxOutputTokens: number;
+  /** @returns The size of one generation. */
+  drawSize(random: SeededRandom): Pick<
+    EngineWork,
+    "promptTokens" | "outputTokens"
+  >;
+}
+
+/** One generation of a simulation and how it was served. */
+export interface SimulatedGeneration {
+  readonly kind: LoadKind["name"];
+  readonly priority: number;
+  readonly promptTokens: number;
+  readonly result: "onTime" | "overdue" | "refused" | "failed";
+  /** Time to the first byte or the refusal, in milliseconds. */
+  readonly answeredAfterMs: number;
+  /** `Retry-After` of a refusal, in seconds. */
+  readonly retryAfterS: number | undefined;
 }
 
 /** Results of one kind of request. */
@@ -74,6 +114,9 @@
   readonly checks: RequestCounts;
   /** Tokens that engines prefilled again after preemptions. */
   readonly recomputedTokens: number;
+  readonly generations: readonly SimulatedGeneration[];
+  /** Log lines of all gateways. */
+  readonly logLines: RecordingLogger["lines"];
 }
 
 const DRAFT: EngineWork = {
@@ -89,6 +132,8 @@
 const DRAFT_OBJECTIVE_MS = 1_800;
 const CHECK_OBJECTIVE_MS = 1_500;
 const SIZE_VARIATION = 0.5;
+/** Workspaces with a priority of their own, by key. */
+const PRIORITIES = [0, 1, 2];
 /** Time for all generations to complete. */
 const COMPLETION_MS = 60_000;
 const TOKENS_PER_EVENT = 4;
@@ -98,6 +143,7 @@
 /** Records when the response started. */
 class TimedExchange extends FakeCallerExchange {
   firstByteMs: number | undefined;
+  refusedMs: number | undefined;
   readonly #nowMs: () => number;
 
   constructor(
@@ -112,6 +158,11 @@
     this.firstByteMs = this.#nowMs();
     super.sendHead(...args);
   }
+
+  override reply(...args: Parameters<FakeCallerExchange["reply"]>): void {
+    this.refusedMs = this.#nowMs();
+    super.reply(...args);
+  }
 }
 
 /** Engines by address; a backup takes up memory on the engine that keeps it. */
@@ -152,6 +203,8 @@
 class ImmediatePlacer implements GenerationPlacer {
   readonly length = 0;
   readonly recentWaitMs = 0;
+  readonly reserveTokens = 0;
+  readonly isScarce = (): boolean => false;
   readonly #chooser: EndpointChooser;
 
   constructor(chooser: EndpointChooser) {
@@ -160,8 +213,8 @@
 
   add(request: PlacementRequest): Disposable {
     const choice = this.#chooser.choose(request.criteria, request.service);
-    if (choice) request.onPlaced(choice);
-    else request.onRejected("no endpoint is available");
+    if (choice) request.onPlaced(choice, {});
+    else request.onRejected("no endpoint is available", {});
     return NOOP_DISPOSABLE;
   }
 }
@@ -196,63 +249,94 @@
     );
   }
   const random = new SeededRandom(options.seed);
-  const sent: { exchange: TimedExchange; isDraft: boolean }[] = [];
-  const requestsPerMs = (options.draftsPerSecond + options.checksPerSecond) /
-    1_000;
-  const draftShare = options.draftsPerSecond /
-    (options.draftsPerSecond + options.checksPerSecond);
+  const sent: SentGeneration[] = [];
+  const kinds = options.kinds ?? usualKinds(options);
   let atMs = 0;
   while (atMs < options.durationMs) {
-    const gapMs = -Math.log(1 - random.float()) / requestsPerMs;
+    const active = kinds.filter(({ untilMs }) => atMs < untilMs);
+    const perSecond = active.reduce((sum, kind) => sum + kind.perSecond, 0);
+    const gapMs = -Math.log(1 - random.float()) / (perSecond / 1_000);
     await clock.advanceAsync(gapMs);
     atMs += gapMs;
-    const isDraft = random.float() < draftShare;
-    const averageWork = isDraft ? DRAFT : CHECK;
-    const scale = 1 + SIZE_VARIATION * (2 * random.float() - 1);
-    const work: EngineWork = {
-      ...averageWork,
-      promptTokens: Math.round(averageWork.promptTokens * scale),
-      outputTokens: Math.round(averageWork.outputTokens * scale),
-    };
+    let remaining = random.float() * perSecond;
+    const kind = active.find(({ perSecond }) => (remaining -= perSecond) < 0)!;
+    const { priority } = kind;
+    const work: EngineWork = { ...kind.drawSize(random), priority };
     const id = `r${sent.length}`;
     simulatedEngines.workByRequest.set(id, work);
     const exchange = new TimedExchange({
-      target: isDraft ? "/draft/x" : "/short/x",
+      target: kind.name === "drafts" ? "/draft/x" : "/short/x",
       headers: [
         "host",
         "app.example",
         "id",
         id,
         "key",
-        KEY,
+        options.kinds ? keyOf(priority) : KEY,
         "prompt",
-        `${work.promptTokens},${work.outputTokens * 2}`,
+        `${work.promptTokens},${
+          options.kinds ? kind.maxOutputTokens : work.outputTokens * 2
+        }`,
       ],
       receivedMs: clock.monotonicMs(),
     }, () => clock.monotonicMs());
-    sent.push({ exchange, isDraft });
+    sent.push({ exchange, kind, work });
     const harness = harnesses[Math.floor(random.float() * harnesses.length)]!;
     void harness.gateway.handle(exchange);
     await flushPromises();
   }
   await clock.advanceAsync(COMPLETION_MS);
-  const outcome: LoadOutcome = {
-    drafts: zeroCounts(),
-    checks: zeroCounts(),
+  const generations = sent.map(toSimulatedGeneration);
+  return {
+    drafts: countKind(generations, "drafts"),
+    checks: countKind(generations, "checks"),
     recomputedTokens: [...simulatedEngines.engines.values()].reduce(
       (sum, engine) => sum + engine.recomputedTokens,
       0,
     ),
+    generations,
+    logLines: harnesses.flatMap(({ logger }) => logger.lines),
   };
-  for (const { exchange, isDraft } of sent) {
-    const counts = isDraft ? outcome.drafts : outcome.checks;
-    countRequest(
-      counts,
-      exchange,
-      isDraft ? DRAFT_OBJECTIVE_MS : CHECK_OBJECTIVE_MS,
-    );
-  }
-  return outcome;
+}
+
+/** A generation that was sent to a gateway. */
+interface SentGeneration {
+  readonly exchange: TimedExchange;
+  readonly kind: LoadKind;
+  readonly work: EngineWork;
+}
+
+function usualKinds(
+  { checksPerSecond, draftsPerSecond }: LoadOptions,
+): LoadKind[] {
+  const toKind = (
+    name: LoadKind["name"],
+    average: EngineWork,
+    perSecond: number,
+    objectiveMs: number,
+  ): LoadKind => ({
+    name,
+    perSecond,
+    untilMs: Infinity,
+    priority: average.priority,
+    objectiveMs,
+    maxOutputTokens: 0,
+    drawSize: (random) => {
+      const scale = 1 + SIZE_VARIATION * (2 * random.float() - 1);
+      return {
+        promptTokens: Math.round(average.promptTokens * scale),
+        outputTokens: Math.round(average.outputTokens * scale),
+      };
+    },
+  });
+  return [
+    toKind("drafts", DRAFT, draftsPerSecond, DRAFT_OBJECTIVE_MS),
+    toKind("checks", CHECK, checksPerSecond, CHECK_OBJECTIVE_MS),
+  ];
+}
+
+function keyOf(priority: number): string {
+  return `key-priority-${priority}`;
 }
 
 async function createHarness(
@@ -274,7 +358,14 @@
     },
   });
   const services = new Map([[ENGINE, engineService(memoryTokens)]]);
-  harness.state.apply(configuration(2, { services }), 2);
+  const keys = new Map<string, KeyHolder>([
+    [KEY, { workspace: "w" as WorkspaceId, priority: undefined }],
+    ...PRIORITIES.map((priority): [string, KeyHolder] => [
+      keyOf(priority),
+      { workspace: `w${priority}` as WorkspaceId, priority },
+    ]),
+  ]);
+  harness.state.apply(configuration(2, { services, keys }), 2);
   return harness;
 }
 
@@ -299,18 +390,39 @@
   });
 }
 
-function zeroCounts(): RequestCounts {
-  return { requested: 0, onTime: 0, overdue: 0, refused: 0, failed: 0 };
+function toSimulatedGeneration(
+  { exchange, kind, work }: SentGeneration,
+): SimulatedGeneration {
+  const { firstByteMs, outcome, receivedMs, refusedMs, status } = exchange;
+  const answeredMs = firstByteMs ?? refusedMs ?? Infinity;
+  const answeredAfterMs = answeredMs - receivedMs;
+  const isServed = outcome === "answered" && status === 200;
+  const retryAfter = exchange.responseHeader("retry-after");
+  return {
+    kind: kind.name,
+    priority: kind.priority,
+    promptTokens: work.promptTokens,
+    result: status === 503
+      ? "refused"
+      : !isServed
+      ? "failed"
+      : answeredAfterMs <= kind.objectiveMs
+      ? "onTime"
+      : "overdue",
+    answeredAfterMs,
+    retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter),
+  };
 }
 
-function countRequest(
-  counts: RequestCounts,
-  { firstByteMs, outcome, receivedMs, status }: TimedExchange,
-  objectiveMs: number,
-): void {
-  counts.requested++;
-  if (status === 503) counts.refused++;
-  else if (outcome !== "answered" || status !== 200) counts.failed++;
-  else if (firstByteMs! - receivedMs <= objectiveMs) counts.onTime++;
-  else counts.overdue++;
+function countKind(
+  generations: readonly SimulatedGeneration[],
+  name: LoadKind["name"],
+): RequestCounts {
+  const counts = { requested: 0, onTime: 0, overdue: 0, refused: 0, failed: 0 };
+  for (const { kind, result } of generations) {
+    if (kind !== name) continue;
+    counts.requested++;
+    counts[result]++;
+  }
+  return counts;
 }
--- a/standins/gateway/placement_queue_test.ts
+++ b/standins/gateway/placement_queue_test.ts
@@ -42,7 +42,11 @@
       new SeededRandom(1),
       ZONE,
     );
-    const queue = new PlacementQueue(harness.clock, chooser);
+    const queue = new PlacementQueue(
+      harness.clock,
+      chooser,
+      new SeededRandom(2),
+    );
     const id = harness.announce(ENGINE, 1);
     const claim = harness.loadTable.claim(id, MEMORY_TOKENS, 0);
     const placed: string[] = [];
--- a/standins/gateway/zone_placer_fixture.ts
+++ b/standins/gateway/zone_placer_fixture.ts
@@ -4,6 +4,7 @@
  */
 
 import type { HostId } from "../../src/base/common/ids.ts";
+import { SeededRandom } from "../../src/base/common/random.ts";
 import type { EndpointChooser } from "../../src/features/gateway/common/placement/endpoint_chooser.ts";
 import { PlacementQueue } from "../../src/features/gateway/common/placement/placement_queue.ts";
 import { ZonePlacer } from "../../src/features/gateway/common/placement/zone_placer.ts";
@@ -58,7 +59,7 @@
     registry,
     loadTable,
     chooser,
-    localPlacer: new PlacementQueue(clock, chooser),
+    localPlacer: new PlacementQueue(clock, chooser, new SeededRandom(number)),
     findService: (id) => state.current?.configuration.services.get(id),
   });
 }
