--- a/src/features/gateway/common/generations/generation_placement.ts
+++ b/src/features/gateway/common/generations/generation_placement.ts
@@ -196,10 +196,10 @@
     this.#search = undefined;
     const { clock, metrics } = this.#context.services;
     const { isEarly, retryAfterMs } = details;
-    metrics.count("generations_rejected", isEarly ? "early" : "late");
+    metrics.count("generations_rejected", rejectionKind(isEarly));
     this.#context.log("info", "placement-rejected", {
       reason,
-      isEarly: isEarly ?? false,
+      isEarly,
       priority: this.#context.priority,
       memoryTokens: this.#criteria.memoryTokens,
       waitedMs: Math.round(clock.monotonicMs() - search.startedMs),
@@ -210,6 +210,12 @@
   }
 }
 
+/** @returns The reason of the metric; the placer knows of capacity alone. */
+function rejectionKind(isEarly: boolean | undefined): string {
+  if (isEarly === undefined) return "other";
+  return isEarly ? "early" : "late";
+}
+
 /** @returns What the placer knew, for the log. */
 function detailFields(
   { expectedWaitMs, reserve }: PlacementDetails,
--- a/src/features/gateway/common/placement/endpoint_chooser.ts
+++ b/src/features/gateway/common/placement/endpoint_chooser.ts
@@ -112,8 +112,11 @@
   /** Endpoints exist, but all are full or reserved. */
   | {
     readonly kind: "full";
-    /** Whether one has capacity, apart from what is reserved for others. */
-    readonly isOnlyReserved: boolean;
+    /**
+     * Whether none has capacity even without what is reserved for others.
+     * Endpoints that are silent for a moment do not count as short of capacity.
+     */
+    readonly isShort: boolean;
   }
   /** No endpoint exists. */
   | { readonly kind: "none" };
@@ -202,9 +205,7 @@
         return { kind: "held", forMs: withheldUntilMs - nowMs };
       }
       const isSilent = this.#registry.reachOf(criteria.service) === "silent";
-      return isSilent
-        ? { kind: "full", isOnlyReserved: false }
-        : { kind: "none" };
+      return isSilent ? { kind: "full", isShort: false } : { kind: "none" };
     }
     const withCapacity = candidates.filter((candidate) =>
       this.#hasCapacity(candidate, criteria, service, 0) &&
@@ -212,11 +213,12 @@
     );
     const unreserved = withCapacity.filter((candidate) =>
       !reserved.endpoints.has(candidate.endpoint.id) &&
-      this.#hasCapacity(candidate, criteria, service, reserved.memoryTokens)
+      (reserved.memoryTokens === 0 ||
+        this.#hasCapacity(candidate, criteria, service, reserved.memoryTokens))
     );
     const choice = this.#lowestCost(unreserved, criteria, service);
     if (choice) return { kind: "chosen", choice };
-    return { kind: "full", isOnlyReserved: withCapacity.length > 0 };
+    return { kind: "full", isShort: withCapacity.length === 0 };
   }
 
   /**
--- a/src/features/gateway/common/placement/placement_queue.ts
+++ b/src/features/gateway/common/placement/placement_queue.ts
@@ -250,7 +250,7 @@
           break;
         case "full": {
           const { work } = waiting;
-          if (!choice.isOnlyReserved) {
+          if (choice.isShort) {
             this.#urgentCapacity.recordShortage(work.service);
           }
           const expectedWaitMs = forecast.expectedWaitMs(work);
--- a/standins/gateway/placement_queue_test.ts
+++ b/standins/gateway/placement_queue_test.ts
@@ -75,6 +75,16 @@
     expect(placed.sort()).toEqual(["first", "requeued", "second"]);
   });
 
+  it("places nothing on an engine that leaves while another has capacity", async () => {
+    const harness = await GatewayHarness.create();
+    const leaving = harness.announce(ENGINE, 1);
+    const staying = harness.announce(ENGINE, 2);
+    harness.loadTable.claim(staying, MEMORY_TOKENS / 2, 0);
+    harness.registry.markDraining(leaving, "draining");
+    await harness.send("/draft/x");
+    expect(harness.endpoints.last.request.endpoint).toBe(staying);
+  });
+
   it("refuses a request early when no engine has free capacity", async () => {
     const harness = await GatewayHarness.create();
     harness.loadTable.claim(harness.announce(ENGINE, 1), MEMORY_TOKENS, 0);
