--- a/src/features/paths/common/relay_chooser_test.ts
+++ b/src/features/paths/common/relay_chooser_test.ts
@@ -54,6 +54,17 @@
     expect(Math.max(...counts)).toBeLessThanOrEqual(9);
   });
 
+  // Guards against bodies that reach peers outside of their regions.
+  it("chooses only peers in zones to which the request may be passed", () => {
+    addPeers("zone-a", 2);
+    addPeers("zone-c", 2);
+    for (let index = 0; index < 20; index++) {
+      const peer = chooser.choose(ADDRESS, NONE, (zone) => zone === "zone-c");
+      expect(peer?.zone).toBe("zone-c");
+    }
+    expect(chooser.choose(ADDRESS, NONE, () => false)).toBeUndefined();
+  });
+
   it("prefers peers in its own zone and in that of the endpoint", () => {
     addPeers("zone-a", 2);
     addPeers("zone-b", 2);
