Check the evidence of runs with two sends in progress

Cause: a refusal may promise that a call has not run only if that is proved of both attempts. Change: a test of RunEvidence with two sends in progress; its comment says why counting is enough.

--- a/src/features/gateway/common/requests/run_evidence.ts
+++ b/src/features/gateway/common/requests/run_evidence.ts
@@ -61,8 +61,9 @@
   }
 
   /**
-   * Records the head of the answer to the latest send, and logs one that proves
-   * nothing.
+   * Records the head of the answer to one of the sends, and logs one that proves
+   * nothing. Each send has at most one proof: a peer that sent nothing passes no
+   * answer on. So two sends in progress at the same time may be counted.
    *
    * @returns What the answer proves.
    */
--- a/standins/gateway/hedging_load_test.ts
+++ b/standins/gateway/hedging_load_test.ts
@@ -26,15 +26,14 @@
 async function runLoad(isHedged: boolean): Promise<LoadResult> {
   const clock = new ManualClock();
   const random = new SeededRandom(11);
-  let harness: GatewayHarness | undefined;
   const endpoints = new TimedEndpoints(
     clock,
     (address) =>
-      address === harness!.addressOf(SLOW_ENDPOINT)
+      address === harness.addressOf(SLOW_ENDPOINT)
         ? SLOW_RESPONSE_MS
         : 8 + 4 * random.float(),
   );
-  harness = await GatewayHarness.create({
+  const harness: GatewayHarness = await GatewayHarness.create({
     clock,
     client: endpoints,
     ...(isHedged && {
--- a/standins/gateway/run_evidence_test.ts
+++ b/standins/gateway/run_evidence_test.ts
@@ -48,6 +48,18 @@
     expect(evidence.mayHaveRun).toBe(true);
   });
 
+  it("needs a proof for both of two sends in progress, in any order", () => {
+    evidence.recordSent();
+    evidence.recordSent();
+    evidence.recordUnsent();
+    expect(evidence.mayHaveRun).toBe(true);
+    evidence.recordAnswer(ENDPOINT, 503, REFUSAL);
+    expect(evidence.mayHaveRun).toBe(false);
+    // The second attempt of a call may be written after the first was refused.
+    evidence.recordSent();
+    expect(evidence.mayHaveRun).toBe(true);
+  });
+
   it("takes no answer for a proof that names no request, and logs it", () => {
     evidence.recordSent();
     evidence.recordAnswer(ENDPOINT, 503, { ...REFUSAL, requestId: undefined });
