Test the order by priority and that lengths do not count without a shortage

Cause: no test guarded against an overdue urgent generation that waits behind a less urgent one, nor against learned lengths that change choices while engines have room.

Change: two tests, no change of behavior.

--- a/standins/gateway/placement_queue_test.ts
+++ b/standins/gateway/placement_queue_test.ts
@@ -75,6 +75,45 @@
     expect(placed.sort()).toEqual(["first", "requeued", "second"]);
   });
 
+  it("places an overdue urgent generation before a less urgent one in time", async () => {
+    const harness = await GatewayHarness.create();
+    const chooser = new EndpointChooser(
+      harness.clock,
+      harness.registry,
+      harness.loadTable,
+      new SeededRandom(1),
+      ZONE,
+    );
+    const queue = new PlacementQueue(
+      harness.clock,
+      chooser,
+      new SeededRandom(2),
+    );
+    const claim = harness.loadTable.claim(
+      harness.announce(ENGINE, 1),
+      MEMORY_TOKENS,
+      0,
+    );
+    const placed: number[] = [];
+    for (const [priority, firstEventDueMs] of [[1, 1_800], [0, 200]] as const) {
+      queue.add({
+        criteria: { service: ENGINE, memoryTokens: 100, excluded: new Set() },
+        pendingPrefillTokens: 100,
+        wantsBackup: false,
+        service: engineService(MEMORY_TOKENS),
+        priority,
+        queuedMs: 0,
+        firstEventDueMs,
+        latestStartMs: 3_600,
+        onPlaced: () => placed.push(priority),
+        onRejected: () => undefined,
+      });
+    }
+    claim.dispose();
+    await harness.advance(100);
+    expect(placed).toEqual([0, 1]);
+  });
+
   it("places nothing on an engine that leaves while another has capacity", async () => {
     const harness = await GatewayHarness.create();
     const leaving = harness.announce(ENGINE, 1);
--- a/standins/gateway/scarce_capacity_test.ts
+++ b/standins/gateway/scarce_capacity_test.ts
@@ -188,6 +188,15 @@
     const { generations, logLines } = await simulateDay(1, 0.5, 0.5);
     expect(generations.every(({ result }) => result === "onTime")).toBe(true);
     const placed = logLines.filter(({ event }) => event === "stream-placed");
+    // 0.7 of half of the stated maximum is reserved, whatever was learned.
+    const statedTokens = generations.map(({ kind, promptTokens }) => {
+      const max = kind === "drafts" ? MAX_DRAFT_TOKENS : CHECKS.maxOutputTokens;
+      return Math.round(promptTokens + 0.7 * 0.5 * max);
+    });
+    const reservedTokens = placed.map(({ fields }) =>
+      Math.round(Number(fields["memoryTokens"]))
+    );
+    expect(reservedTokens.sort()).toEqual(statedTokens.sort());
     for (const { fields } of placed) {
       expect(fields["reserveTokens"]).toBeUndefined();
       expect(fields["expectedWaitMs"]).toBeUndefined();
