Merge ended limits that questions for rights carry

Since cold limits, a question with an ended limit was taken for one of a cold endpoint, as neither states a rate, and its record was dropped. The granter then learned of the end only from hubs. The new test fails without the change on 90 hosts. Measured: limit_rights_test.ts on 9 hosts and the new test on 90, and cold_limits_test.ts on 9 hosts pass.

--- a/src/features/gateway/common/limits/limit_rights.ts
+++ b/src/features/gateway/common/limits/limit_rights.ts
@@ -246,13 +246,15 @@
       case "limits":
         for (const record of message.records) table.merge(record);
         return;
-      case "asked":
+      case "asked": {
+        const { coldPerS, record } = message;
         // A cold limit does not end by an answer, as those in the table do.
-        if (message.record.requestsPerS !== message.coldPerS) {
-          table.merge(message.record);
-        }
+        const isStated = coldPerS === undefined ||
+          record.requestsPerS !== coldPerS;
+        if (isStated) table.merge(record);
         void this.#answer(from, message);
         return;
+      }
       case "offered":
         this.#questions.settle(message.number, message.offer);
     }
--- a/standins/peers/limit_rights_test.ts
+++ b/standins/peers/limit_rights_test.ts
@@ -135,6 +135,24 @@
     expect(mostInWindow() - size).toBeLessThanOrEqual(MAX_PER_WINDOW);
   });
 
+  it("are asked for with a limit that has ended, which the granter learns", async () => {
+    // Hubs pass on what they learn; a leaf only asks with it.
+    const leaf = [...fleet.daemons.values()].find(({ peers }) =>
+      !peers.isHub
+    ) ??
+      anyDaemon();
+    const { granter } = leaf.limitRights.list()[0]!;
+    leaf.limitTable.merge({
+      ...leaf.limitTable.get(PROCESS)!,
+      requestsPerS: undefined,
+      revision: 9,
+    });
+    void leaf.limitRights.take(PROCESS, 0);
+    await fleet.advance(100);
+    const known = fleet.daemons.get(granter)!.limitTable.get(PROCESS);
+    expect(known?.revision).toBe(9);
+  });
+
   it("follow limits that change and end", async () => {
     await demandFor(4_000);
     name(anyDaemon(), 0);
