--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -44,8 +44,6 @@
 import { GatewayMetrics } from "../../features/gateway/common/metrics/gateway_metrics.ts";
 import { ConfigurationState } from "../../features/gateway/common/configuration/configuration_state.ts";
 import { LeavingMarks } from "../../features/gateway/common/endpoints/leaving_marks.ts";
-import type { EndpointPaces } from "../../features/gateway/common/load/endpoint_pace.ts";
-import type { ZonePlacer } from "../../features/gateway/common/placement/zone_placer.ts";
 import { CallerServer } from "../../services/http/node/caller_server.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
 import { StoreMirror } from "../../services/mirror/common/store_mirror.ts";
@@ -71,8 +69,7 @@
   readonly #eligibility: GatewayEligibility;
   readonly #links: WsPeerLinks;
   readonly #store: GatewayStore;
-  readonly #placer: ZonePlacer;
-  readonly #paces: EndpointPaces;
+  readonly #placement: GatewayPlacement;
   readonly #quarantine: GatewayQuarantine;
   readonly #limits: GatewayEndpointLimits;
   readonly #gateway: Gateway;
@@ -212,8 +209,7 @@
         findService,
       }),
     );
-    this.#placer = placement.placer;
-    this.#paces = placement.paces;
+    this.#placement = placement;
     const leavingMarks = this.#disposables.add(
       new LeavingMarks(this.#links, this.#topology, this.#registry),
     );
@@ -242,7 +238,7 @@
       holds,
       leavingMarks,
       limits,
-      loads: this.#paces,
+      loads: placement.paces,
       paths,
     });
     this.#relay = this.#disposables.add(
@@ -423,8 +419,8 @@
       cold: this.#eligibility.cold,
       limitRights: this.#limits.rights,
       roomPermits: this.#limits.rooms,
-      queue: this.#placer,
-      paces: this.#paces,
+      queue: this.#placement.placer,
+      paces: this.#placement.paces,
       callers: this.#callers,
       paths: this.#paths,
       registry: this.#registry,
--- a/src/features/gateway/common/generations/generation_forwarder.ts
+++ b/src/features/gateway/common/generations/generation_forwarder.ts
@@ -36,8 +36,6 @@
  * run the request.
  */
 const MAX_REFUSED_ATTEMPTS = 4;
-/** Number of events between two updates of the memory in use. */
-const EVENTS_PER_RESIZE = 16;
 
 /** Forwards one generation until it ends. */
 export class GenerationForwarder {
@@ -235,8 +233,7 @@
     const isFirstOfAttempt = !attempt.hasEvents;
     attempt.recordEvent(nowMs, id !== undefined);
     this.#outage.end();
-    this.#memory.recordEvent();
-    if (this.#memory.eventCount % EVENTS_PER_RESIZE === 0) {
+    if (this.#memory.recordEvent()) {
       attempt.resize(this.#memory.reservedTokens);
       this.#backup.resize();
     }
--- a/src/features/gateway/common/generations/generation_memory_estimate.ts
+++ b/src/features/gateway/common/generations/generation_memory_estimate.ts
@@ -82,10 +82,19 @@
       Math.max(0, expectedTotalTokens - usedTokens) * RESERVED_GROWTH_SHARE;
   }
 
-  /** Records an event. */
-  recordEvent(): void {
+  /**
+   * Records an event.
+   *
+   * @returns Whether the memory in use is to be updated.
+   */
+  recordEvent(): boolean {
     this.#eventCount++;
-    if (this.#isPartial || this.#eventCount % EVENTS_PER_RECORD !== 0) return;
+    if (this.#eventCount % EVENTS_PER_RECORD !== 0) return false;
+    if (!this.#isPartial) this.#recordProgress();
+    return true;
+  }
+
+  #recordProgress(): void {
     const outputTokens = this.#outputTokens;
     const { outputLengths } = this.#services;
     outputLengths.recordProgress(
--- a/src/features/gateway/common/generations/migration_target.ts
+++ b/src/features/gateway/common/generations/migration_target.ts
@@ -9,6 +9,7 @@
 import { toDisposable } from "../../../../base/common/lifecycle.ts";
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import type { EndpointCriteria } from "../placement/endpoint_chooser.ts";
+import { MIGRATION_PRIORITY } from "../placement/placement_queue.ts";
 import type { RequestContext } from "../requests/request_context.ts";
 import type { GenerationMemoryEstimate } from "./generation_memory_estimate.ts";
 import type { MigrationTarget } from "../requests/run_migrator.ts";
@@ -18,8 +19,6 @@
  * 2.1 s ahead, and a copy takes up to half a second.
  */
 const MAX_WAIT_MS = 400;
-/** A run that is about to lose its engine goes before all that wait. */
-const MIGRATION_PRIORITY = -1;
 /**
  * Time for which the memory stays claimed after the copy is complete, until the
  * continuation claims it.
--- a/src/features/gateway/common/placement/placement_queue.ts
+++ b/src/features/gateway/common/placement/placement_queue.ts
@@ -113,6 +113,11 @@
   wasOvertaken: boolean;
 }
 
+/**
+ * Priority of a generation that is moved from an engine that leaves. It goes
+ * before all that wait, and is none of the priorities that callers have.
+ */
+export const MIGRATION_PRIORITY = -1;
 /**
  * Period of the scans. Capacity that is freed by another daemon shows here
  * within 50 ms, and scans are cheap.
@@ -207,7 +212,9 @@
       expectedWaitMs: undefined,
       wasOvertaken: false,
     };
-    this.#urgentCapacity.recordArrival(work);
+    if (priority !== MIGRATION_PRIORITY) {
+      this.#urgentCapacity.recordArrival(work);
+    }
     this.#waitingRequests.add(waiting);
     this.#waitEstimate.recordQueued(work, nowMs);
     this.#placeWaiting();
--- a/standins/gateway/load_simulation_test.ts
+++ b/standins/gateway/load_simulation_test.ts
@@ -1,8 +1,5 @@
-import {
-  type LoadOptions,
-  type LoadOutcome,
-  simulateLoad,
-} from "./load_simulation.ts";
+import { type LoadOutcome, simulateLoad } from "./load_simulation.ts";
+import type { LoadOptions } from "./load_options.ts";
 
 /** Six engines with memory for about 33 long generations in total. */
 const FLEET = { engines: 6, memoryTokens: 21_864, durationMs: 40_000 };
--- a/standins/gateway/scarce_capacity_test.ts
+++ b/standins/gateway/scarce_capacity_test.ts
@@ -1,10 +1,10 @@
 import type { SeededRandom } from "../../src/base/common/random.ts";
 import {
-  type LoadKind,
   type LoadOutcome,
   type SimulatedGeneration,
   simulateLoad,
 } from "./load_simulation.ts";
+import type { LoadKind } from "./load_options.ts";
 
 const ENGINES = 8;
 const MEMORY_TOKENS = 26_900;
--- a/standins/gateway/uneven_load_test.ts
+++ b/standins/gateway/uneven_load_test.ts
@@ -1,9 +1,9 @@
 import {
   type EngineStart,
-  type LoadOptions,
   type LoadOutcome,
   simulateLoad,
 } from "./load_simulation.ts";
+import type { LoadOptions } from "./load_options.ts";
 
 const ENGINES = 14;
 const LOAD = {
