Evacuate zones in the soak and check what they receive

Cause: the soak did not exercise zone evacuation; all its endpoints stood in one zone.

Change: the fault `evacuate` writes the entry of a zone and removes it after 1 to 5 s. Evacuations of a zone that overlap extend the first one; otherwise no entry would outlast the bound of 5 s that the rule checks. Endpoints stand in two zones, so that each version of a service has both. The new rules report requests that arrive later than the bound and streams that were cut in an evacuated zone. Disturbed or separated hosts have the whole bound again, and so have hosts that the store failed; the stand-in of the store records when its faults met a request. A restored store gets the entries of evacuations again.

--- a/soak/endpoint_observer.ts
+++ b/soak/endpoint_observer.ts
@@ -26,6 +26,7 @@
   readonly service: SoakService;
   /** Software version that it announces. */
   readonly version: string;
+  readonly zone: string;
 }
 
 /** Options of an {@link EndpointObserver}. */
@@ -35,6 +36,12 @@
   readonly hasUnprovenAnswers: boolean;
   readonly invariants: InvariantChecker;
   readonly daemons: readonly DaemonProcess[];
+  /**
+   * @param daemon - A daemon.
+   * @returns Wall-clock time at which it last could not read the store, in
+   * milliseconds.
+   */
+  storeFailedMsOf(daemon: DaemonProcess): number;
   /** Called with the name of an endpoint that a request has crashed. */
   onCrash(name: string): void;
 }
@@ -49,9 +56,8 @@
   }
 
   /** Connects a process that has just started to the checks. */
-  observe(
-    { process, proxy, replica, service, version }: ObservedEndpoint,
-  ): void {
+  observe(endpoint: ObservedEndpoint): void {
+    const { process, proxy, replica, service, version, zone } = endpoint;
     const { daemons, hasUnprovenAnswers, invariants, onCrash, seed } =
       this.#options;
     const { name } = replica;
@@ -59,7 +65,8 @@
     replica.onBegin = ({ id }) => invariants.recordBegin(id, name);
     replica.onRun = ({ id, headers, body }) => {
       const atMs = Date.now();
-      const source = this.#daemonOf(id)?.options.ip ?? "";
+      const daemon = this.#daemonOf(id);
+      const source = daemon?.options.ip ?? "";
       invariants.recordRun({
         id,
         endpoint: name,
@@ -70,6 +77,14 @@
         wasCut: () => proxy.disturbedMsOf(source) >= atMs,
       });
       if (service === "app") return;
+      invariants.evacuationRules.recordRun({
+        request: id,
+        zone,
+        atMs,
+        wasDisturbed: (sinceMs) =>
+          proxy.disturbedMsOf(source) >= atMs || !daemon?.isServing ||
+          daemon.separatedMs >= atMs || wasDisturbed(sinceMs),
+      });
       invariants.versionRules.recordRun({
         stream: String(headers["resumes"] ?? id),
         request: id,
@@ -88,7 +103,7 @@
         isContinuation: headers["kv-from"] !== undefined,
         givenMs: given === undefined ? undefined : Number(given),
       });
-      this.#recordArrival(replica, process, id);
+      this.#recordArrival(endpoint, id);
     };
     const wasDisturbed = (sinceMs: number): boolean =>
       daemons.some(({ options, separatedMs }) =>
@@ -124,12 +139,18 @@
     };
   }
 
-  #recordArrival(replica: ReplicaServer, process: string, id: string): void {
-    const { endpointRules, limitRules } = this.#options.invariants;
+  #recordArrival(
+    { process, replica, zone }: ObservedEndpoint,
+    id: string,
+  ): void {
+    const { endpointRules, evacuationRules, limitRules } =
+      this.#options.invariants;
     const arrival = this.#arrivalOf(process, id);
     if (!arrival) return;
     limitRules.recordArrival(arrival);
     endpointRules.recordArrival(arrival);
+    const storeFailedMs = this.#options.storeFailedMsOf(this.#daemonOf(id)!);
+    evacuationRules.recordArrival({ ...arrival, zone, storeFailedMs });
     if (replica.isLeaving) endpointRules.recordNotice(arrival);
     if (replica.retryAfter !== undefined) {
       endpointRules.recordHold(arrival, Number(replica.retryAfter) * 1_000);
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -25,6 +25,9 @@
 const MAX_EXTRA_ROUTES = 4_000;
 const MAX_CONFIGURATIONS = 4;
 const CONFIGURATION_GAP_MS = 150;
+/** Bounds of the time until the entry of an evacuated zone is removed. */
+const MIN_EVACUATION_MS = 1_000;
+const MAX_EVACUATION_MS = 5_000;
 /** Number of endpoints of each service that draining must leave. */
 const MIN_ENDPOINTS_PER_SERVICE = 2;
 
@@ -48,6 +51,7 @@
   "spot",
   "remove",
   "cut-host",
+  "evacuate",
   // From the start to the end.
   "crashing-requests",
   "uploads",
@@ -78,6 +82,8 @@
   readonly #names: readonly FaultName[];
   readonly #releases: Releases;
   readonly #isolation: HostIsolation;
+  /** Resolve when the evacuations have ended, which may outlast other faults. */
+  readonly #pendingEvacuations = new Set<Promise<void>>();
   #isStopping = false;
 
   /**
@@ -162,6 +168,7 @@
       ["remove", (deployment) => this.#removeEndpoint(deployment)],
       ["cut-host", (deployment) => this.#cutHost(deployment)],
       ["cut-host", (deployment) => this.#cutHost(deployment)],
+      ["evacuate", (deployment) => this.#evacuateZone(deployment)],
     ];
     return named.filter(([name]) => this.#names.includes(name))
       .map(([, action]) => action);
@@ -174,6 +181,7 @@
 
   async #awaitRecovery(): Promise<void> {
     await wait(MAX_FAULT_DURATION_MS);
+    await Promise.all(this.#pendingEvacuations);
     this.#isolation.end();
     for (const daemon of this.#deployment.daemons) {
       daemon.resume();
@@ -255,6 +263,17 @@
     return `cut ${daemon.options.name} from all endpoints (${cut})`;
   }
 
+  #evacuateZone(deployment: SoakDeployment): string {
+    const { zone } = this.#pick(deployment.endpoints);
+    const evacuatedMs = MIN_EVACUATION_MS +
+      this.#random.float() * (MAX_EVACUATION_MS - MIN_EVACUATION_MS);
+    deployment.evacuate(zone);
+    this.#pendingEvacuations.add(
+      wait(evacuatedMs).then(() => deployment.endEvacuation(zone)),
+    );
+    return `evacuate ${zone} for ${Math.round(evacuatedMs)} ms`;
+  }
+
   #killAll(deployment: SoakDeployment): string {
     for (const daemon of deployment.daemons) daemon.kill();
     return "kill all";
--- a/soak/invariant_checker.ts
+++ b/soak/invariant_checker.ts
@@ -11,6 +11,7 @@
   uploadBodyOf,
 } from "./answer_shapes.ts";
 import { EndpointRules } from "./endpoint_rules.ts";
+import { EvacuationRules } from "./evacuation_rules.ts";
 import { LimitRules } from "./limit_rules.ts";
 import { RetryRules } from "./retry_rules.ts";
 import { findStreamViolation } from "./stream_rules.ts";
@@ -94,6 +95,7 @@
 export class InvariantChecker {
   readonly answerRules = new AnswerRules();
   readonly endpointRules = new EndpointRules();
+  readonly evacuationRules = new EvacuationRules();
   readonly limitRules = new LimitRules();
   readonly retryRules = new RetryRules();
   readonly versionRules = new VersionRules();
@@ -205,6 +207,12 @@
     const found = [...this.#runs.keys()].filter((id) => !this.#sent.has(id))
       .map((id) => `unasked: ${id} was run, and no caller sent it`);
     found.push(...this.endpointRules.findViolations());
+    for (const request of this.#sent.values()) {
+      if (isCutStream(request)) {
+        this.evacuationRules.recordCut(request.id, Date.now());
+      }
+    }
+    found.push(...this.evacuationRules.findViolations());
     found.push(...this.limitRules.findViolations());
     found.push(...this.retryRules.findViolations());
     found.push(...this.versionRules.findViolations());
@@ -284,6 +292,12 @@
   }
 }
 
+/** @returns Whether a stream that had begun ended early, not by its caller. */
+function isCutStream({ kind, result }: SentRequest): boolean {
+  return (kind === "draft" || kind === "check") && result?.kind === "cut" &&
+    result.status === 200 && !result.isByCaller;
+}
+
 /** @returns The body that a caller sends. */
 export function bodyOf({ firstTry, id, kind }: SentRequest): string {
   if (kind === "upload") return uploadBodyOf(id);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -67,7 +67,7 @@
     const { answers, mixedStreams, takeUps } = result;
     const verdict = violations.length === 0 ? "kept" : "BROKEN";
     console.log(
-      `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed, ${limitCount} limits named, ${resumedCount} streams went on, at most ${mostRepeats} repeats in 10 s`,
+      `seed ${seed}: ${verdict}, ${servedCount} of ${sentCount} served, ${restartCount} restarts, ${crashCount} endpoints crashed, ${limitCount} limits named, ${result.evacuationCount} evacuations (${result.longEvacuationCount} past the bound, ${result.evacuatedCutCount} streams cut beside them), ${resumedCount} streams went on, at most ${mostRepeats} repeats in 10 s`,
     );
     console.log(
       `  ${result.relayedCount} passed on by peers, ${result.refusedCount} refused with a promise`,
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -16,6 +16,7 @@
 import {
   CONFIGURATION_KEY,
   ENDPOINT_PREFIX,
+  EVACUATION_PREFIX,
 } from "../platform/store_documents.ts";
 import { DaemonProcess } from "./daemon_process.ts";
 import { createConfiguration } from "./soak_configuration.ts";
@@ -56,6 +57,7 @@
   readonly name: string;
   /** Software version that it announces. */
   readonly version: string;
+  readonly zone: string;
   replica: ReplicaServer;
   /** Identifies the current process of the endpoint. */
   process: string;
@@ -106,6 +108,8 @@
   #configurationText = "";
   /** Current entries of the endpoints, by their names. */
   readonly #entries = new Map<string, string>();
+  /** Number of evacuations that have not ended, by zone. */
+  readonly #evacuations = new Map<string, number>();
   #isStopped = false;
   #endpointCount = 0;
   #startCount = 0;
@@ -120,6 +124,7 @@
     this.#observer = new EndpointObserver({
       ...options,
       daemons: this.daemons,
+      storeFailedMsOf: (daemon) => this.#storeFailedMsOf(daemon),
       onCrash: (name) => void this.#replaceCrashed(name),
     });
   }
@@ -182,7 +187,13 @@
       const name = key.slice(ENDPOINT_PREFIX.length);
       const isGone = key.startsWith(ENDPOINT_PREFIX) &&
         !this.#entries.has(name);
-      if (isGone) store.remove(key);
+      const zone = key.slice(EVACUATION_PREFIX.length);
+      const hasReturned = key.startsWith(EVACUATION_PREFIX) &&
+        !this.#evacuations.has(zone);
+      if (isGone || hasReturned) store.remove(key);
+    }
+    for (const zone of this.#evacuations.keys()) {
+      store.put(`${EVACUATION_PREFIX}${zone}`, "1");
     }
     for (const [name, text] of this.#entries) {
       store.put(`${ENDPOINT_PREFIX}${name}`, text);
@@ -209,19 +220,53 @@
     this.storeServer.dispose();
   }
 
-  /** Starts an endpoint of a software version and adds it to the store. */
-  async addEndpoint(service: "app" | "llm", version: string): Promise<void> {
-    const name = `${service}-${++this.#endpointCount}`;
-    const started = await this.#startReplica(name, version);
-    const endpoint = { service, name, version, ...started };
+  /**
+   * Evacuates a zone. Evacuations of a zone that overlap extend the first one.
+   */
+  evacuate(zone: string): void {
+    const count = this.#evacuations.get(zone) ?? 0;
+    this.#evacuations.set(zone, count + 1);
+    this.storeServer.store.put(`${EVACUATION_PREFIX}${zone}`, "1");
+    const { evacuationRules } = this.#options.invariants;
+    if (count === 0) evacuationRules.begin(zone, Date.now());
+  }
+
+  /** Ends one evacuation of a zone, and removes the entry with the last one. */
+  endEvacuation(zone: string): void {
+    const count = this.#evacuations.get(zone) ?? 0;
+    if (count > 1) this.#evacuations.set(zone, count - 1);
+    if (count !== 1) return;
+    this.#evacuations.delete(zone);
+    this.storeServer.store.remove(`${EVACUATION_PREFIX}${zone}`);
+    this.#options.invariants.evacuationRules.end(zone, Date.now());
+  }
+
+  /**
+   * Starts an endpoint of a software version and adds it to the store.
+   *
+   * @param service - Service of the endpoint.
+   * @param version - Software version that it announces.
+   * @param zone - Its zone; by default the zones alternate.
+   */
+  async addEndpoint(
+    service: "app" | "llm",
+    version: string,
+    zone?: string,
+  ): Promise<void> {
+    const count = ++this.#endpointCount;
+    const name = `${service}-${count}`;
+    // In pairs (a, b, b, a), as versions alternate one by one at the start.
+    const ownZone = zone ?? ZONES[(count >> 1) % ZONES.length]!;
+    const started = await this.#startReplica(name, version, ownZone);
+    const endpoint = { service, name, version, zone: ownZone, ...started };
     this.endpoints.push(endpoint);
     this.#writeEndpointEntry(endpoint, "ready");
   }
 
   /** Adds an endpoint in the place of one that leaves. */
-  addReplacement({ service, version }: SoakEndpoint): Promise<void> {
+  addReplacement({ service, version, zone }: SoakEndpoint): Promise<void> {
     const newVersion = service === "llm" ? this.replacementVersion : undefined;
-    return this.addEndpoint(service, newVersion ?? version);
+    return this.addEndpoint(service, newVersion ?? version, zone);
   }
 
   /**
@@ -261,8 +306,8 @@
   /** Stops an endpoint without notice and starts it again under its name. */
   async restartEndpoint(endpoint: SoakEndpoint): Promise<void> {
     this.#endProcess(endpoint);
-    const { name, version } = endpoint;
-    Object.assign(endpoint, await this.#startReplica(name, version));
+    const { name, version, zone } = endpoint;
+    Object.assign(endpoint, await this.#startReplica(name, version, zone));
     this.#writeEndpointEntry(endpoint, "ready");
   }
 
@@ -328,6 +373,15 @@
     }
   }
 
+  /** Latest time at which a daemon could not read the store. */
+  #storeFailedMsOf(daemon: DaemonProcess): number {
+    const partition = this.partitions[this.daemons.indexOf(daemon)];
+    return Math.max(
+      partition?.storeProxy.disturbedMs ?? 0,
+      this.storeServer.failedMsOf(daemon.options.ip),
+    );
+  }
+
   #getPeersAddress(index: number): Address {
     return `${this.#getIp(index)}:${this.#getPort(index) + 2}` as Address;
   }
@@ -344,12 +398,20 @@
   async #startReplica(
     name: string,
     version: string,
-  ): Promise<Omit<SoakEndpoint, "service" | "name" | "version">> {
+    zone: string,
+  ): Promise<Omit<SoakEndpoint, "service" | "name" | "version" | "zone">> {
     const service = name.startsWith("app") ? "app" : "llm";
     const process = `${name}@${++this.#startCount}`;
     const replica = new ReplicaServer(name);
     const proxy = new FaultProxy(await replica.listen());
-    this.#observer.observe({ replica, proxy, process, service, version });
+    this.#observer.observe({
+      replica,
+      proxy,
+      process,
+      service,
+      version,
+      zone,
+    });
     const address = await proxy.listen();
     for (const [daemon, cut] of this.#cuts) {
       proxy.cutSource(daemon.options.ip, cut);
@@ -385,11 +447,11 @@
     endpoint: SoakEndpoint,
     state: "ready" | "draining",
   ): void {
-    const { service, name, version, address, startedMs } = endpoint;
+    const { service, name, version, zone, address, startedMs } = endpoint;
     const entry = {
       service,
       address,
-      "zone": ZONES[0],
+      zone,
       version,
       "slots": 8,
       state,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -61,6 +61,12 @@
   readonly crashCount: number;
   /** Number of limits that endpoints have named. */
   readonly limitCount: number;
+  /** Number of evacuations of zones. */
+  readonly evacuationCount: number;
+  /** Those that lasted longer than an evacuation may take to be in effect. */
+  readonly longEvacuationCount: number;
+  /** Cut streams that ran in zones while these were evacuated. */
+  readonly evacuatedCutCount: number;
   /** Number of streams that went on after events of another run. */
   readonly resumedCount: number;
   readonly takeUps: TakeUpCounts;
@@ -156,6 +162,9 @@
     takeUps: invariants.takeUpCounts(),
     answers: invariants.answerCounts(),
     mixedStreams: invariants.versionRules.mixedStreams,
+    evacuationCount: invariants.evacuationRules.evacuationCount,
+    longEvacuationCount: invariants.evacuationRules.longCount,
+    evacuatedCutCount: invariants.evacuationRules.checkedCutCount,
     limitCount: invariants.limitRules.limitCount,
     mostRepeats: invariants.retryRules.mostRepeats,
     relayedCount: countRelayed(folder),
