--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -263,6 +263,7 @@
     return `cut ${daemon.options.name} from all endpoints (${cut})`;
   }
 
+  /** Only zones that are evacuated again before they return test the bound. */
   #evacuateZone(deployment: SoakDeployment): string {
     const { zone } = this.#pick(deployment.endpoints);
     const evacuatedMs = MIN_EVACUATION_MS +
