Reword comments of the new parts

Cause: some comments used figurative words for messages and updates. Change: comments and one private name; no behaviour.

--- a/src/features/brittle/common/brittle_table.ts
+++ b/src/features/brittle/common/brittle_table.ts
@@ -57,7 +57,7 @@
   /** Fires after a process has become brittle, names another number, or ends. */
   readonly onDidChange = this.#changed.event;
 
-  /** @param clock - Tells which answers are older than what is known. */
+  /** @param clock - Determines which answers are older than what is known. */
   constructor(clock: Clock) {
     this.#clock = clock;
   }
--- a/src/features/gateway/common/generations/generation_memory_estimate.ts
+++ b/src/features/gateway/common/generations/generation_memory_estimate.ts
@@ -32,7 +32,7 @@
   /** Whether the request asks only for the rest of an earlier output. */
   readonly #isPartial: boolean;
   #eventCount = 0;
-  /** Output that the length model has been told of, in tokens. */
+  /** Output that the length model has recorded, in tokens. */
   #recordedTokens = 0;
 
   /**
@@ -105,7 +105,7 @@
     this.#recordedTokens = outputTokens;
   }
 
-  /** Tells the length model that the output is complete. */
+  /** Records the complete output in the length model. */
   recordCompletion(): void {
     if (this.#isPartial) return;
     this.#services.outputLengths.recordCompletion(
--- a/src/features/gateway/common/limits/hub_reach.ts
+++ b/src/features/gateway/common/limits/hub_reach.ts
@@ -1,5 +1,5 @@
 /**
- * Tells each hub which hubs the others do not reach. A hub that none of them
+ * Exchanges which hubs each hub does not reach. A hub that none of them
  * reaches has ended or is cut off from all of them, so that another one may take
  * over what it granted.
  */
@@ -59,7 +59,7 @@
     }));
   }
 
-  /** Tells the other hubs if this daemon reaches other hubs than before. */
+  /** Notifies the other hubs if this daemon reaches other hubs than before. */
   update(): void {
     const { overlay } = this.#services;
     const missing = this.missingHubs();
--- a/src/features/gateway/common/load/endpoint_pace.ts
+++ b/src/features/gateway/common/load/endpoint_pace.ts
@@ -43,7 +43,7 @@
 /** Period at which the medians of a service are computed. */
 const MEDIAN_PERIOD_MS = 200;
 /**
- * Processes without any news for this time are forgotten. Peers repeat usual
+ * Processes without any update for this time are discarded. Peers repeat usual
  * times each minute.
  */
 const PROCESS_LIFETIME_MS = 150_000;
@@ -143,13 +143,13 @@
   usualEventMs: number | undefined;
   readonly id: EndpointId;
   readonly bornMs: number;
-  /** Monotonic time of the latest news of any kind, in milliseconds. */
-  newsMs: number;
+  /** Monotonic time of the latest update of any kind, in milliseconds. */
+  updatedMs: number;
 
   constructor(id: EndpointId, bornMs: number, nowMs: number) {
     this.id = id;
     this.bornMs = bornMs;
-    this.newsMs = nowMs;
+    this.updatedMs = nowMs;
   }
 }
 
@@ -179,7 +179,7 @@
   /** Slowest reported pace, and when it was last reported. */
   peakPacePercent = 100;
   peakPaceMs = -Infinity;
-  /** The same for hubs, which are not told again what they stated. */
+  /** The same for hubs, which do not get their own reports back. */
   hubPaceMs = -Infinity;
 
   /** @returns Whether endpoints report a pace. */
@@ -219,7 +219,7 @@
     const nowMs = this.#clock.monotonicMs();
     process.load = load;
     process.loadMs = nowMs;
-    process.newsMs = nowMs;
+    process.updatedMs = nowMs;
     process.runsAtReport = this.#loadTable.totalUsage(process.id).runs;
     if (load.pacePercent !== undefined) {
       this.#recordPace(this.#service(endpoint), load.pacePercent, nowMs);
@@ -391,7 +391,7 @@
     const service = this.#service(endpoint);
     if (reportsPace && from === "hubs") service.hubPaceMs = nowMs;
     else if (reportsPace) service.paceMs = nowMs;
-    process.newsMs = nowMs;
+    process.updatedMs = nowMs;
     if (atMs < (process.received[from]?.atMs ?? -Infinity)) return;
     process.received[from] = { kind, value, atMs, freshMs: REPORT_FRESH_MS };
     if (kind === "event") recordUsualEvent(process, value);
@@ -453,7 +453,7 @@
     const nowMs = this.#clock.monotonicMs();
     process.samples[kind].record(value, nowMs);
     if (kind === "event") recordUsualEvent(process, value);
-    process.newsMs = nowMs;
+    process.updatedMs = nowMs;
   }
 
   #recordPace(service: ServicePace, pacePercent: number, nowMs: number): void {
@@ -481,7 +481,7 @@
     if (nowMs - service.computedMs < MEDIAN_PERIOD_MS) return;
     service.computedMs = nowMs;
     for (const process of service.processes) {
-      if (nowMs - process.newsMs <= PROCESS_LIFETIME_MS) continue;
+      if (nowMs - process.updatedMs <= PROCESS_LIFETIME_MS) continue;
       service.processes.delete(process);
       if (this.#processes.get(process.id) === process) {
         this.#processes.delete(process.id);
@@ -552,7 +552,7 @@
  * Returns what was measured of a process: the fresh samples of this host, or
  * else the latest time of any source.
  *
- * @param audience - Who is told of it; this host if absent.
+ * @param audience - Who receives it; this host if absent.
  */
 function measurementOf(
   { received, samples }: ProcessPace,
--- a/src/features/gateway/common/load/endpoint_pace_sync.ts
+++ b/src/features/gateway/common/load/endpoint_pace_sync.ts
@@ -1,7 +1,7 @@
 /**
  * Shares the learned speeds of endpoints with the peers: a host sees an
  * endpoint only now and then, while the host that places for a zone must know.
- * Leaves report to their home hub; a hub tells the other hubs what it and its
+ * Leaves report to their home hub; a hub reports to the other hubs what it and its
  * leaves have measured, and its leaves all that it knows. Only changes are
  * sent, as bytes between zones are expensive.
  */
@@ -64,7 +64,7 @@
   readonly registry: Pick<EndpointRegistry, "get" | "onDidRetire">;
 }
 
-/** What an audience was last told of an endpoint process. */
+/** What was last sent to an audience about an endpoint process. */
 interface SentReport {
   readonly bornMs: number;
   readonly timeMs: number;
--- a/src/features/gateway/common/placement/urgent_capacity.ts
+++ b/src/features/gateway/common/placement/urgent_capacity.ts
@@ -39,7 +39,7 @@
   readonly forPriority: number;
 }
 
-/** What a request for a placement tells of its kind. */
+/** Kind of a request for a placement. */
 export interface ArrivingRequest {
   readonly service: ServiceId;
   /** Priority; 0 is the most urgent. */
--- a/src/features/gateway/common/placement/wait_estimate.ts
+++ b/src/features/gateway/common/placement/wait_estimate.ts
@@ -118,7 +118,7 @@
     return aheadTokens / rate * 1_000;
   }
 
-  /** Counts a request that goes on waiting and precedes the next ones. */
+  /** Counts a request that continues to wait and precedes the next ones. */
   add({ memoryTokens, priority, service }: QueuedWork): void {
     const ahead = this.#aheadTokens.get(service) ?? new Map<number, number>();
     this.#aheadTokens.set(service, ahead);
--- a/src/features/gateway/common/relay/relay_gate.ts
+++ b/src/features/gateway/common/relay/relay_gate.ts
@@ -52,7 +52,7 @@
 const DEADLINE_MARGIN_MS = 1_000;
 
 /**
- * Time for which a peer is told to avoid an endpoint of an evacuated zone. It
+ * Time for which a peer is asked to avoid an endpoint of an evacuated zone. It
  * learns of the evacuation itself meanwhile, and uses the endpoint again soon
  * after the zone has returned.
  */
