--- a/review/kit-2/case.mjs
+++ b/review/kit-2/case.mjs
@@ -12,6 +12,26 @@
 /** Whether the disruption happens. */
 export const hasTrouble = process.env.TROUBLE !== "0";
 
+/** Period at which pauses of this process are looked for. */
+const PAUSE_CHECK_MS = 20;
+
+/**
+ * Measures how long this process, and with it all stand-ins, has stood still. A
+ * machine that is too busy delays all arrivals and lets them come together.
+ *
+ * @returns A function that returns the longest pause so far, in milliseconds.
+ */
+export function watchPauses() {
+  let lastMs = performance.now();
+  let longestMs = 0;
+  setInterval(() => {
+    const nowMs = performance.now();
+    longestMs = Math.max(longestMs, nowMs - lastMs - PAUSE_CHECK_MS);
+    lastMs = nowMs;
+  }, PAUSE_CHECK_MS);
+  return () => longestMs;
+}
+
 /**
  * Runs a case and exits.
  *
