--- a/review/kit-2/wire.mjs
+++ b/review/kit-2/wire.mjs
@@ -170,6 +170,11 @@
       return;
     }
     const id = headers["x-request-id"];
+    if (id === undefined) {
+      request.resume();
+      response.writeHead(400, { "X-Not-Executed": "1" }).end();
+      return;
+    }
     if (
       headers["x-expect-replica"] !== undefined &&
       headers["x-expect-replica"] !== this.id
