--- a/review/kit-2/fleet.mjs
+++ b/review/kit-2/fleet.mjs
@@ -4,7 +4,14 @@
  */
 
 import { spawn } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  readlinkSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { createServer } from "node:net";
 import { get } from "node:http";
 import { tmpdir } from "node:os";
@@ -190,6 +197,33 @@
     throw new Error(`${daemon.name} is not ready\n${daemon.log.slice(-2000)}`);
   }
 
+  /** @returns The daemon that owns a local TCP port, if one does. */
+  ownerOf(port) {
+    const hex = port.toString(16).toUpperCase().padStart(4, "0");
+    const inodes = new Set(
+      readFileSync("/proc/net/tcp", "utf8").split("\n").slice(1).map((line) =>
+        line.trim().split(/\s+/)
+      )
+        .filter((row) => row[1]?.endsWith(`:${hex}`)).map((row) =>
+          `socket:[${row[9]}]`
+        ),
+    );
+    return this.daemons.find(({ child }) => {
+      try {
+        const folder = `/proc/${child.pid}/fd`;
+        return readdirSync(folder).some((fd) => {
+          try {
+            return inodes.has(readlinkSync(join(folder, fd)));
+          } catch {
+            return false;
+          }
+        });
+      } catch {
+        return false;
+      }
+    });
+  }
+
   killAll() {
     for (const { child } of this.daemons) {
       if (child.exitCode === null && child.signalCode === null) {
--- a/review/kit-2/store.mjs
+++ b/review/kit-2/store.mjs
@@ -99,8 +99,8 @@
     }
     const text = Buffer.concat(chunks).toString();
     const url = new URL(request.url, "http://store");
-    const from = request.socket.remoteAddress;
-    this.onCall({ method: request.method, path: url.pathname, from });
+    const { remoteAddress: from, remotePort: port } = request.socket;
+    this.onCall({ method: request.method, path: url.pathname, from, port });
     switch (
       this.faultOf({ from, path: url.pathname, method: request.method })
     ) {
