--- a/src/features/gateway/common/relay/relay_gate.ts
+++ b/src/features/gateway/common/relay/relay_gate.ts
@@ -121,7 +121,9 @@
   async handle(exchange: CallerExchange): Promise<void> {
     const decoded = decodeRelayRequest(exchange.headers);
     if (decoded.isLeft()) {
-      exchange.reply(HTTP_BAD_REQUEST, [], `${decoded.extract()}\n`);
+      const detail = String(decoded.extract());
+      this.#services.logger.log("warn", "relay-unreadable", { detail });
+      exchange.reply(HTTP_BAD_REQUEST, [], `${detail}\n`);
       return;
     }
     const received = decoded.unsafeCoerce();
