--- a/src/features/gateway/common/relay/relay_gate.ts
+++ b/src/features/gateway/common/relay/relay_gate.ts
@@ -123,7 +123,12 @@
     if (decoded.isLeft()) {
       const detail = String(decoded.extract());
       this.#services.logger.log("warn", "relay-unreadable", { detail });
-      exchange.reply(HTTP_BAD_REQUEST, [], `${detail}\n`);
+      const headers = encodeRelayFailure({
+        kind: "not-sent",
+        refusal: "unreadable",
+        retryAfterMs: undefined,
+      });
+      exchange.reply(HTTP_BAD_REQUEST, headers, `${detail}\n`);
       return;
     }
     const received = decoded.unsafeCoerce();
--- a/src/services/relay/common/relay_protocol.ts
+++ b/src/services/relay/common/relay_protocol.ts
@@ -49,7 +49,9 @@
   /** The peer stops. */
   | "stopping"
   /** The response was due before the request was sent. */
-  | "late";
+  | "late"
+  /** A part is missing without which the peer can pass nothing on. */
+  | "unreadable";
 
 /** What a response of a peer says of the relay. */
 export type RelayResult =
@@ -93,6 +95,7 @@
   "busy",
   "stopping",
   "late",
+  "unreadable",
 ];
 
 /** How the endpoint marks the end of its response. */
--- a/standins/gateway/relay_gate_test.ts
+++ b/standins/gateway/relay_gate_test.ts
@@ -184,6 +184,19 @@
     await expectRefusal("forbidden", { to: "host-3" as HostId });
   });
 
+  // Guards against callers that get 502 although no endpoint got their request: a
+  // peer that cannot read what to pass on has sent nothing.
+  it.each([
+    ["no endpoint", { endpoint: "" as EndpointId }],
+    ["no address", { address: "" as Address }],
+    ["no time", { remainingMs: NaN }],
+  ])("states that it has sent nothing of a request with %s", async (
+    _what,
+    changes,
+  ) => {
+    await expectRefusal("unreadable", changes);
+  });
+
   it("never asks another peer, so that requests cannot go round in a circle", async () => {
     isLost = true;
     await expectRefusal("unreachable");
