--- a/src/base/common/errors.ts
+++ b/src/base/common/errors.ts
@@ -1,5 +1,7 @@
 /** Error type that names the failed operation, and helpers for errors. */
 
+import { type Disposable, toDisposable } from "./lifecycle.ts";
+
 /** Operation that failed and the peer it failed with. */
 export interface ErrorContext {
   /** Name of the operation, such as `store.put`. */
@@ -45,6 +47,39 @@
   return String(thrown);
 }
 
+/** Handles an error that the code in which it occurs cannot handle. */
+export type UnexpectedErrorHandler = (thrown: unknown) => void;
+
+let unexpectedErrorHandler: UnexpectedErrorHandler = (thrown) => {
+  throw thrown;
+};
+
+/**
+ * Replaces the handler of unexpected errors. Until a process sets one, they are
+ * thrown on.
+ *
+ * @param handler - The handler; must not throw in a process that serves.
+ * @returns A disposable that restores the handler before.
+ */
+export function setUnexpectedErrorHandler(
+  handler: UnexpectedErrorHandler,
+): Disposable {
+  const previous = unexpectedErrorHandler;
+  unexpectedErrorHandler = handler;
+  return toDisposable(() => {
+    unexpectedErrorHandler = previous;
+  });
+}
+
+/**
+ * Reports an error that must not stop what follows it.
+ *
+ * @param thrown - Value that was caught.
+ */
+export function onUnexpectedError(thrown: unknown): void {
+  unexpectedErrorHandler(thrown);
+}
+
 /**
  * Checks at compile time that all variants are handled.
  *
--- a/src/base/common/event.ts
+++ b/src/base/common/event.ts
@@ -3,6 +3,7 @@
  * `Event`.
  */
 
+import { onUnexpectedError } from "./errors.ts";
 import { type Disposable, toDisposable } from "./lifecycle.ts";
 
 /** Subscribes a listener. Disposing the result unsubscribes it. */
@@ -24,12 +25,20 @@
   }
 
   /**
-   * Calls every listener that is subscribed when the method is called.
+   * Calls every listener that is subscribed when the method is called. Listeners
+   * are independent of one another: an error in one is reported, and the others
+   * are called.
    *
    * @param value - Value to pass to the listeners.
    */
   fire(value: T): void {
-    for (const listener of [...this.#listeners]) listener(value);
+    for (const listener of [...this.#listeners]) {
+      try {
+        listener(value);
+      } catch (thrown) {
+        onUnexpectedError(thrown);
+      }
+    }
   }
 
   /** Unsubscribes all listeners. */
--- a/src/daemon/common/mirror_change_handler.ts
+++ b/src/daemon/common/mirror_change_handler.ts
@@ -9,6 +9,7 @@
 } from "../../base/common/lifecycle.ts";
 import type { PeerLinks } from "../../services/peers/common/peer_links.ts";
 import type { EndpointId, HostId, ZoneName } from "../../base/common/ids.ts";
+import { toErrorMessage } from "../../base/common/errors.ts";
 import { type Either, rightOf } from "../../base/common/result.ts";
 import type { EndpointAnnouncement } from "../../features/gateway/common/endpoints/endpoint_announcement.ts";
 import { KeptConfiguration } from "../../features/gateway/common/configuration/kept_configuration.ts";
@@ -99,14 +100,12 @@
 
   /** Applies a batch of changes of the mirror. */
   #apply(changes: readonly MirrorChange[]): void {
-    const { decoder, peers, registry } = this.#services;
+    const { decoder, logger, peers, registry } = this.#services;
     const { configurationKey, endpointPrefix } = decoder;
     const hosts = new Map<HostId, FleetHost | undefined>();
     /** Endpoints that this host sees for the first time. */
     const added = new Set<EndpointId>();
-    // First, as a new endpoint of the batch may be sent waiting requests at once.
-    this.#applyEvacuations(changes);
-    for (const change of changes) {
+    const apply = (change: MirrorChange): void => {
       const { key } = change;
       if (key === configurationKey) this.#applyConfiguration(change);
       else if (key.startsWith(endpointPrefix)) {
@@ -119,6 +118,20 @@
         // An entry that cannot be decoded leaves the host unchanged.
         if (entry || !change.item) hosts.set(host, entry);
       }
+    };
+    // First, as a new endpoint of the batch may be sent waiting requests at once.
+    this.#applyEvacuations(changes);
+    for (const change of changes) {
+      try {
+        apply(change);
+      } catch (thrown) {
+        // Each entry may have another writer; the others of the batch hold.
+        logger.log("error", "change-crashed", {
+          key: change.key,
+          revision: change.item?.revision,
+          detail: toErrorMessage(thrown),
+        });
+      }
     }
     if (hosts.size > 0) peers.onHostsChanged(hosts);
   }
--- a/src/features/gateway/common/calls/call_attempt.ts
+++ b/src/features/gateway/common/calls/call_attempt.ts
@@ -126,7 +126,9 @@
     this.#claim = context.disposables.add(
       services.loadTable.claimCall(announcement.id),
     );
-    exchange.onDidEnd(() => this.#stop({ kind: "caller-left" }));
+    exchange.onDidEnd(
+      context.guard.listener(() => this.#stop({ kind: "caller-left" })),
+    );
     context.setTimer(
       context.remainingMs,
       () => this.#stop({ kind: "timed-out" }),
@@ -260,7 +262,9 @@
       head.status,
       codec.callerResponseHeaders(head.headers),
     );
-    exchange.onDidDrain(() => this.#transfer?.resume());
+    exchange.onDidDrain(
+      this.#context.guard.listener(() => this.#transfer?.resume()),
+    );
     const chunks = this.#chunks.splice(0);
     return chunks.map((buffered) => this.#write(buffered)).every(Boolean);
   }
--- a/src/features/gateway/common/generations/generation_forwarder.ts
+++ b/src/features/gateway/common/generations/generation_forwarder.ts
@@ -106,26 +106,26 @@
   /** Starts the first run. */
   start(): void {
     const context = this.#context;
-    const { services, request } = context;
+    const { guard, services, request } = context;
     context.disposables.add({ dispose: () => this.#release() });
-    context.disposables.add(
-      services.registry.onDidRetire((endpoint) => this.#onRetired(endpoint)),
-    );
-    context.disposables.add(
-      services.probe.onDidFail((endpoint) => this.#onUnreachable(endpoint)),
-    );
+    context.disposables.add(services.registry.onDidRetire(
+      guard.listener((endpoint) => this.#onRetired(endpoint)),
+    ));
+    context.disposables.add(services.probe.onDidFail(
+      guard.listener((endpoint) => this.#onUnreachable(endpoint)),
+    ));
     context.disposables.add(this.#stallMonitor);
-    context.disposables.add(services.stop.onDidProgress(() => {
+    context.disposables.add(services.stop.onDidProgress(guard.listener(() => {
       if (!this.#attempt) context.refuseIfStopping();
-    }));
+    })));
     context.setTimer(context.remainingMs, () => {
       this.#release();
       this.#failure.failAtDeadline();
     });
-    request.exchange.onDidEnd((end) => {
+    request.exchange.onDidEnd(guard.listener((end) => {
       if (end === "left") context.finish("caller-left", 0, "caller went away");
-    });
-    request.exchange.onDidDrain(() => this.#attempt?.resume());
+    }));
+    request.exchange.onDidDrain(guard.listener(() => this.#attempt?.resume()));
     this.#resumption.prepare(() => this.#startFromPrompt());
   }
 
--- a/src/features/gateway/common/requests/request_guard.ts
+++ b/src/features/gateway/common/requests/request_guard.ts
@@ -33,6 +33,14 @@
     }
   }
 
+  /**
+   * @param listener - Listener of an event that others listen to as well.
+   * @returns A listener whose unexpected errors end the request.
+   */
+  listener<T>(listener: (value: T) => void): (value: T) => void {
+    return (value) => this.attempt(() => listener(value));
+  }
+
   /** Follows a part of the request; an unexpected error in it ends the request. */
   follow(work: Promise<unknown>): void {
     work.catch((thrown: unknown) => this.#crash(thrown));
--- /dev/null
+++ b/src/services/log/node/unexpected_error_log.ts
@@ -0,0 +1,39 @@
+/** Logs unexpected errors of a process that serves, instead of ending it. */
+
+import {
+  setUnexpectedErrorHandler,
+  toErrorMessage,
+} from "../../../base/common/errors.ts";
+import {
+  type Disposable,
+  toDisposable,
+} from "../../../base/common/lifecycle.ts";
+import type { Logger } from "../common/logger.ts";
+
+const MAX_STACK_CHARACTERS = 2_000;
+
+/**
+ * Writes `unexpected-error` for each error that nothing handles. The end of the
+ * process would break off everything that it serves, and the same input could
+ * end the next process too.
+ *
+ * @param logger - Logger for the errors.
+ * @returns A disposable that restores the handling before.
+ */
+export function logUnexpectedErrors(logger: Logger): Disposable {
+  const handle = (thrown: unknown): void => {
+    const stack = thrown instanceof Error ? thrown.stack : undefined;
+    logger.log("error", "unexpected-error", {
+      detail: toErrorMessage(thrown),
+      stack: stack?.slice(0, MAX_STACK_CHARACTERS),
+    });
+  };
+  const handler = setUnexpectedErrorHandler(handle);
+  process.on("uncaughtException", handle);
+  process.on("unhandledRejection", handle);
+  return toDisposable(() => {
+    handler.dispose();
+    process.off("uncaughtException", handle);
+    process.off("unhandledRejection", handle);
+  });
+}
--- a/src/services/mirror/common/store_watcher.ts
+++ b/src/services/mirror/common/store_watcher.ts
@@ -4,6 +4,7 @@
  */
 
 import { type Clock, sleep } from "../../../base/common/clock.ts";
+import { toErrorMessage } from "../../../base/common/errors.ts";
 import { type Disposable } from "../../../base/common/lifecycle.ts";
 import { leftOf } from "../../../base/common/result.ts";
 import { timestampNow } from "../../../base/common/timestamp.ts";
@@ -71,9 +72,7 @@
         );
         continue;
       }
-      const failure = this.#isCurrent
-        ? await this.#watch()
-        : await this.#catchUp();
+      const failure = await this.#read();
       if (failure && !this.#isDisposed) await this.#backOff(failure);
     }
   }
@@ -83,6 +82,15 @@
     this.#isDisposed = true;
   }
 
+  /** Reads the store once; an unexpected error is a failure like others. */
+  async #read(): Promise<StoreCallFailure | undefined> {
+    try {
+      return this.#isCurrent ? await this.#watch() : await this.#catchUp();
+    } catch (thrown) {
+      return { kind: "unknown", message: toErrorMessage(thrown) };
+    }
+  }
+
   async #catchUp(): Promise<StoreCallFailure | undefined> {
     // After a failure, the store may not answer this call in time either.
     const isReplayed = this.#failureCount === 0 && await this.#replay();
--- a/standins/gateway/unexpected_error_test.ts
+++ b/standins/gateway/unexpected_error_test.ts
@@ -61,6 +61,40 @@
     );
   });
 
+  // Guards against an error in a listener of an event, of the caller's connection
+  // or of the fleet, that ends the process and with it all other requests.
+  it.each(ROUTES)(
+    "ends no other request when its caller has left, on %s",
+    async (target) => {
+      const endpoints = new FakeEndpoints();
+      let sendCount = 0;
+      const harness = await GatewayHarness.create({
+        client: {
+          send: (request, listener) => {
+            const exchange = endpoints.send(request, listener);
+            if (++sendCount > 1) return exchange;
+            const abort = (): void => {
+              throw new TypeError("already closed");
+            };
+            return { resume: () => undefined, abort };
+          },
+          closeIdleConnections: () => undefined,
+        },
+      });
+      harness.announce(APP, 1);
+      harness.announce(ENGINE, 2);
+      const left = await harness.send(target);
+      expect(() => left.disconnect()).not.toThrow();
+      expect(harness.logger.lastFields("request-crashed"))
+        .toMatchObject({ detail: "already closed" });
+      expect(harness.gateway.activeCount).toBe(0);
+      const served = await harness.send(target);
+      endpoints.last.respond(200, "id: 1\ndata: e\n\n");
+      await flushPromises();
+      expect(served.status).toBe(200);
+    },
+  );
+
   it.each(ROUTES)(
     "after it may have run promises nothing, on %s",
     async (target) => {
--- a/standins/mirror/mirror_test.ts
+++ b/standins/mirror/mirror_test.ts
@@ -122,6 +122,21 @@
     expect(mirror.get("b")).toBeUndefined();
   });
 
+  // Guards against an answer of the store that ends the process, and the next one
+  // that reads it.
+  it("reads again after an unexpected error", async () => {
+    const { clock, store, mirror } = startWatcher();
+    await clock.advanceAsync(20);
+    const read = jest.spyOn(store, "watch").mockImplementation(() => {
+      throw new TypeError("Invalid URL");
+    });
+    await clock.advanceAsync(1_000);
+    store.put("a", "1");
+    read.mockRestore();
+    await clock.advanceAsync(1_000);
+    expect(readText(mirror, "a")).toBe("1");
+  });
+
   it("catches up after the history has been compacted", async () => {
     const { clock, store, mirror } = startWatcher();
     store.put("a", "1");
