--- a/src/services/mirror/common/store_watcher.ts
+++ b/src/services/mirror/common/store_watcher.ts
@@ -7,7 +7,11 @@
 import { toErrorMessage } from "../../../base/common/errors.ts";
 import { type Disposable } from "../../../base/common/lifecycle.ts";
 import { leftOf } from "../../../base/common/result.ts";
-import { timestampNow } from "../../../base/common/timestamp.ts";
+import {
+  ageMs,
+  type Timestamp,
+  timestampNow,
+} from "../../../base/common/timestamp.ts";
 import type { Logger } from "../../log/common/logger.ts";
 import type { MirrorBounds } from "./mirror_bounds.ts";
 import type { RevisionedStore, StoreCallFailure } from "./revisioned_store.ts";
@@ -72,8 +76,11 @@
         );
         continue;
       }
+      const calledAt = timestampNow(clock);
       const failure = await this.#read();
-      if (failure && !this.#isDisposed) await this.#backOff(failure);
+      if (failure && !this.#isDisposed) {
+        await this.#backOff(failure, calledAt);
+      }
     }
   }
 
@@ -108,6 +115,7 @@
   async #list(): Promise<StoreCallFailure | undefined> {
     const { clock, store, mirror, logger } = this.#services;
     const sentAt = timestampNow(clock);
+    const confirmedAgeMs = mirror.confirmationAgeMs;
     const listing = await store.list("");
     const failure = leftOf(listing);
     if (failure) return failure;
@@ -120,6 +128,9 @@
       items: items.length,
       failures: this.#failureCount,
       isReplayed,
+      tookMs: elapsedMs(clock, sentAt),
+      confirmedAgeMs: loggedMs(confirmedAgeMs),
+      sinceDisruptionMs: loggedMs(mirror.sinceDisruptionMs),
     });
     this.#isCurrent = true;
     this.#failureCount = 0;
@@ -161,7 +172,10 @@
     });
   }
 
-  async #backOff(failure: StoreCallFailure): Promise<void> {
+  async #backOff(
+    failure: StoreCallFailure,
+    calledAt: Timestamp,
+  ): Promise<void> {
     const { clock, mirror, logger } = this.#services;
     const wasConnected = this.#isCurrent;
     this.#isCurrent = false;
@@ -172,7 +186,8 @@
         step: wasConnected ? "store.watch" : "store.list",
         reason: failure.kind,
         detail: failure.message,
-        confirmedAgeMs: Math.round(mirror.confirmationAgeMs),
+        tookMs: elapsedMs(clock, calledAt),
+        confirmedAgeMs: loggedMs(mirror.confirmationAgeMs),
       });
     }
     if (failure.kind === "compacted") return;
@@ -185,3 +200,12 @@
     );
   }
 }
+
+/** @returns A duration for the log; `undefined` if it is infinite. */
+function loggedMs(durationMs: number): number | undefined {
+  return Number.isFinite(durationMs) ? Math.round(durationMs) : undefined;
+}
+
+function elapsedMs(clock: Clock, since: Timestamp): number {
+  return Math.round(ageMs(clock, since));
+}
