--- a/src/services/mirror/common/store_availability.ts
+++ b/src/services/mirror/common/store_availability.ts
@@ -7,6 +7,7 @@
 import {
   ageMs,
   type Timestamp,
+  timestampBefore,
   timestampNow,
 } from "../../../base/common/timestamp.ts";
 
@@ -14,18 +15,44 @@
 const INTERVALS_PER_ENTRY = 3;
 /** Intervals within which each living writer writes; writes may be late. */
 const INTERVALS_PER_WRITE = 1.25;
+/**
+ * Time after the start of a call without an answer within which the store counts
+ * as unavailable still. It may have returned at any time since, and what follows
+ * from the return must not wait for the time limit of the call as well.
+ */
+const MAX_RETURN_DELAY_MS = 800;
+
+/** A call to which the store gave no answer. */
+interface UnansweredCall {
+  readonly calledAt: Timestamp;
+  readonly failedAt: Timestamp;
+}
 
-/** Records the answers and failures of the reads of this host. */
+/**
+ * Records the answers and failures of the reads of this host, and the answers
+ * that confirm what peers have read.
+ *
+ * A single call without an answer shows that its connection was lost: the next
+ * call opens another one, and if the store answers it, nothing shows that the
+ * store was unavailable. Two in a row show that it was, or that no path led to
+ * it.
+ */
 export class StoreAvailability {
   readonly #clock: Clock;
   readonly #writeIntervalMs: number;
-  /** First answer since the last failure. */
+  /** First answer since the store was last unavailable. */
   #availableSince: Timestamp | undefined;
   #lastAnswer: Timestamp | undefined;
   #lastFailure: Timestamp | undefined;
+  /** Last call without an answer. */
+  #lastCall: UnansweredCall | undefined;
+  /** Number of calls without an answer since the last answer. */
+  #unansweredCount = 0;
+  /** Last time at which the store was unavailable. */
+  #unavailableAt: Timestamp | undefined;
   /**
-   * Last answer before the interruption, at which all living writers had
-   * written; `undefined` if none is known.
+   * Last answer before the store was unavailable at which all living writers
+   * had written; `undefined` if none is known.
    */
   #interruptedSince: Timestamp | undefined;
 
@@ -45,27 +72,45 @@
   }
 
   /**
-   * Time of the last failure if entries of living writers may have lapsed by
-   * now, since the store has not been seen to answer before it for long enough.
+   * Last time at which the store was unavailable, if entries of living writers
+   * may have lapsed by now, since it has not been seen to answer before for long
+   * enough.
    */
   get lastDisruption(): Timestamp | undefined {
-    const minLapseMs = this.#writeIntervalMs *
-      (INTERVALS_PER_ENTRY - INTERVALS_PER_WRITE);
-    const interruptionMs = ageMs(this.#clock, this.#interruptedSince);
-    return interruptionMs >= minLapseMs ? this.#lastFailure : undefined;
+    return this.#mayHaveLapsedSince(this.#interruptedSince)
+      ? this.#unavailableAt
+      : undefined;
   }
 
-  /** Records that the store has just answered a read. */
-  recordAnswer(): void {
-    this.#lastAnswer = timestampNow(this.#clock);
-    this.#availableSince ??= this.#lastAnswer;
+  /**
+   * Records that the store has answered a read of this host or of a peer.
+   *
+   * @param at - Time at which the store was available.
+   */
+  recordAnswer(at: Timestamp): void {
+    const { monotonicMs } = at;
+    if (monotonicMs < (this.#lastAnswer?.monotonicMs ?? -Infinity)) return;
+    const calledMs = this.#lastCall?.calledAt.monotonicMs ?? -Infinity;
+    if (this.#unansweredCount > 0 && monotonicMs >= calledMs) {
+      if (this.#mayHaveLapsedSince(this.#lastAnswer)) this.#endAvailability();
+      this.#unansweredCount = 0;
+    }
+    this.#lastAnswer = at;
+    this.#availableSince ??= at;
   }
 
-  /** Records that a read failed. */
-  recordFailure(at: Timestamp): void {
-    this.#lastFailure = at;
-    if (this.#hasBeenAvailable()) this.#interruptedSince = this.#lastAnswer;
-    this.#availableSince = undefined;
+  /**
+   * Records that a read had no answer.
+   *
+   * @param calledAt - Time at which the read began.
+   */
+  recordFailure(calledAt: Timestamp): void {
+    this.#lastFailure = timestampNow(this.#clock);
+    this.#lastCall = { calledAt, failedAt: this.#lastFailure };
+    this.#unansweredCount++;
+    const isConnectionLost = this.#unansweredCount === 1 &&
+      this.#hasBeenAvailable();
+    if (!isConnectionLost) this.#endAvailability();
   }
 
   /**
@@ -74,18 +119,45 @@
    */
   recordOutage(at: Timestamp): void {
     this.#lastFailure = at;
+    this.#unavailableAt = at;
     this.#interruptedSince = undefined;
     this.#availableSince = undefined;
   }
 
+  #endAvailability(): void {
+    if (this.#hasBeenAvailable()) this.#interruptedSince = this.#lastAnswer;
+    this.#availableSince = undefined;
+    this.#unavailableAt = this.#lastCall && unavailableTimeOf(this.#lastCall);
+  }
+
   /**
-   * @returns Whether all living writers have written between the last failure
-   * and the last answer.
+   * @returns Whether entries may have lapsed by now if the store was unavailable
+   * since an answer; true without one.
+   */
+  #mayHaveLapsedSince(answer: Timestamp | undefined): boolean {
+    const minLapseMs = this.#writeIntervalMs *
+      (INTERVALS_PER_ENTRY - INTERVALS_PER_WRITE);
+    return ageMs(this.#clock, answer) >= minLapseMs;
+  }
+
+  /**
+   * @returns Whether all living writers have written since the store was last
+   * unavailable, until the last answer.
    */
   #hasBeenAvailable(): boolean {
     if (!this.#availableSince || !this.#lastAnswer) return false;
+    // Without an interval, entries may lapse in any interruption.
+    if (this.#writeIntervalMs === 0) return false;
     const availableMs = this.#lastAnswer.monotonicMs -
       this.#availableSince.monotonicMs;
     return availableMs >= this.#writeIntervalMs * INTERVALS_PER_WRITE;
   }
 }
+
+/** @returns The last time at which a call shows that the store was unavailable. */
+function unavailableTimeOf(
+  { calledAt, failedAt }: UnansweredCall,
+): Timestamp {
+  const tookMs = failedAt.monotonicMs - calledAt.monotonicMs;
+  return timestampBefore(failedAt, Math.max(0, tookMs - MAX_RETURN_DELAY_MS));
+}
--- a/src/services/mirror/common/store_mirror.ts
+++ b/src/services/mirror/common/store_mirror.ts
@@ -144,14 +144,14 @@
   }
 
   /**
-   * Records that a store call failed.
+   * Records that a store call has just failed.
    *
-   * @param at - Time of the failure.
+   * @param calledAt - Time at which the call began.
    * @param isStated - Whether the store itself has refused the call.
    */
-  recordStoreFailure(at: Timestamp, isStated = false): void {
-    if (isStated) this.#availability.recordOutage(at);
-    else this.#availability.recordFailure(at);
+  recordStoreFailure(calledAt: Timestamp, isStated = false): void {
+    if (isStated) this.#availability.recordOutage(timestampNow(this.#clock));
+    else this.#availability.recordFailure(calledAt);
   }
 
   /**
@@ -287,7 +287,9 @@
     }
     this.#commitRevision(snapshot.revision);
     if (Number.isFinite(snapshot.ageMs)) {
-      this.#confirm(timestampBefore(requestedAt, snapshot.ageMs));
+      const confirmedAt = timestampBefore(requestedAt, snapshot.ageMs);
+      this.#availability.recordAnswer(confirmedAt);
+      this.#confirm(confirmedAt);
     }
     this.#reportSkipped(skippedMs);
     return true;
@@ -334,7 +336,7 @@
   }
 
   #recordAnswer(): void {
-    this.#availability.recordAnswer();
+    this.#availability.recordAnswer(timestampNow(this.#clock));
     this.#recordDisruption(this.#availability.lastDisruption);
   }
 
--- a/src/services/mirror/common/store_watcher.ts
+++ b/src/services/mirror/common/store_watcher.ts
@@ -180,7 +180,7 @@
     const wasConnected = this.#isCurrent;
     this.#isCurrent = false;
     this.#failureCount++;
-    mirror.recordStoreFailure(timestampNow(clock), failure.kind === "refused");
+    mirror.recordStoreFailure(calledAt, failure.kind === "refused");
     if (wasConnected || this.#failureCount === 1) {
       logger.log("warn", "store-lost", {
         step: wasConnected ? "store.watch" : "store.list",
--- a/standins/mirror/mirror_test.ts
+++ b/standins/mirror/mirror_test.ts
@@ -471,6 +471,127 @@
   });
 });
 
+/** A mirror whose reads are answered or fail at given times. */
+function startSteadyMirror(steadyMs = 4_000) {
+  const clock = new ManualClock();
+  const mirror = new StoreMirror(clock, 1_200);
+  const answer = (): void => mirror.applyChanges([], 2, timestampNow(clock));
+  for (let elapsedMs = 0; elapsedMs <= steadyMs; elapsedMs += 500) {
+    answer();
+    clock.advance(500);
+  }
+  /** A call that gets no answer, and the pause before the next one. */
+  const fail = (tookMs: number, pauseMs = 100): void => {
+    const calledAt = timestampNow(clock);
+    clock.advance(tookMs);
+    mirror.recordStoreFailure(calledAt);
+    clock.advance(pauseMs);
+  };
+  return { clock, mirror, answer, fail };
+}
+
+describe("an interruption of the reads of the store", () => {
+  /** Time for which a missing entry is waited for after a disruption. */
+  const WAIT_MS = 2_000;
+  /** Time after a silence until a host is bound to what it has read. */
+  const CONTACT_MS = 3_000;
+  /** For the time of a request until it reaches its endpoint. */
+  const MARGIN_MS = 100;
+
+  // Guards against requests to an endpoint that was removed while connections
+  // fell silent in series (review/9, with silences 1.2 s apart).
+  it.each([2, 3, 8])(
+    "is no disruption if a new connection was answered after each of %d silences",
+    (silenceCount) => {
+      const { answer, fail, mirror } = startSteadyMirror();
+      for (let count = 0; count < silenceCount; count++) {
+        fail(1_100);
+        answer();
+      }
+      expect(mirror.sinceDisruptionMs).toBe(Infinity);
+    },
+  );
+
+  it("is no disruption for what is removed after a silence either", () => {
+    const { answer, clock, fail, mirror } = startSteadyMirror();
+    fail(1_100);
+    for (let count = 0; count < 5; count++) {
+      answer();
+      expect(mirror.sinceDisruptionMs).toBe(Infinity);
+      clock.advance(500);
+    }
+  });
+
+  it("is a disruption if two calls in a row had no answer for long enough", () => {
+    const { answer, fail, mirror } = startSteadyMirror();
+    fail(1_100);
+    fail(1_500);
+    answer();
+    expect(mirror.sinceDisruptionMs).toBeLessThan(WAIT_MS);
+  });
+
+  it("is a disruption after another one before all living writers have written again", () => {
+    const { answer, clock, fail, mirror } = startSteadyMirror();
+    for (let count = 0; count < 8; count++) fail(500);
+    answer();
+    clock.advance(1_000);
+    answer();
+    fail(1_100);
+    answer();
+    expect(mirror.sinceDisruptionMs).toBeLessThan(WAIT_MS);
+  });
+
+  // Guards against a wait that begins with the end of the last failed call: its
+  // time limit and the wait exceed the time until hosts are bound again.
+  it.each([
+    ["a listing, too", [1_100, 1_500]],
+    ["all calls for a time", [1_100, 1_500, 1_500, 1_500]],
+    ["connections as they are opened", [1_100, 500, 500, 500]],
+  ])("ends the wait before a host is bound if it silenced %s", (
+    _what,
+    timesMs,
+  ) => {
+    const { answer, clock, fail, mirror } = startSteadyMirror();
+    let lastCallMs = 0;
+    for (const tookMs of timesMs) {
+      lastCallMs = clock.monotonicMs();
+      fail(tookMs);
+    }
+    answer();
+    const waitMs = WAIT_MS - mirror.sinceDisruptionMs;
+    expect(waitMs).toBeGreaterThan(0);
+    // The last call began before its connection fell silent.
+    expect(clock.monotonicMs() + waitMs - lastCallMs)
+      .toBeLessThanOrEqual(CONTACT_MS - MARGIN_MS);
+  });
+
+  // Guards against the path of one host that is taken for the state of the store.
+  it("is no disruption if a peer has read the store meanwhile", () => {
+    const { answer, clock, fail, mirror } = startSteadyMirror();
+    const relay = new StoreMirror(clock, 1_200);
+    for (let count = 0; count < 4; count++) {
+      fail(700);
+      relay.applyChanges([], 2, timestampNow(clock));
+      mirror.applySnapshot(relay.snapshotSince(2), timestampNow(clock));
+    }
+    fail(700);
+    answer();
+    expect(mirror.sinceDisruptionMs).toBe(Infinity);
+  });
+
+  it("is one if the peer has read the store only before", () => {
+    const { answer, clock, fail, mirror } = startSteadyMirror();
+    const relay = new StoreMirror(clock, 1_200);
+    relay.applyChanges([], 2, timestampNow(clock));
+    for (let count = 0; count < 4; count++) {
+      fail(700);
+      mirror.applySnapshot(relay.snapshotSince(2), timestampNow(clock));
+    }
+    answer();
+    expect(mirror.sinceDisruptionMs).toBeLessThan(WAIT_MS);
+  });
+});
+
 describe("mirrors of different eras", () => {
   function createMirror(era: number, counter: number, items: string[]) {
     const clock = new ManualClock();
--- a/standins/network/host_partition.ts
+++ b/standins/network/host_partition.ts
@@ -72,6 +72,12 @@
     this.#peerProxy.setFault(SILENCE);
   }
 
+  /** Lets the open links that its peers have opened carry nothing more. */
+  silenceLinksOfPeers(): void {
+    this.#peerProxy.setFault(SILENCE);
+    this.#peerProxy.setFault({ kind: "none" });
+  }
+
   /**
    * Ends the cut of the links that peers open. All links that they have opened
    * end, so that they open others.
