--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -22,6 +22,9 @@
  */
 export const SHUTDOWN_GRACE_MS = 6_000;
 
+/** Interval at which endpoints write their entries, as the daemons know it. */
+const ANNOUNCEMENT_INTERVAL_MS = 1_200;
+
 /** Offset of the port at which peers ask to pass requests on. */
 const RELAY_PORT_OFFSET = 3;
 
@@ -92,6 +95,11 @@
     this.#rejoinedMs = Date.now();
   }
 
+  /** Records that its open links to its peers have fallen silent. */
+  recordSilentLinks(): void {
+    this.#rejoinedMs = Date.now();
+  }
+
   /** Ends of the process that no signal asked for. */
   get ownEnds(): readonly string[] {
     return this.#ownEnds;
@@ -123,6 +131,7 @@
       "port-range": [port + RELAY_PORT_OFFSET],
       seeds,
       "limits": { "memory-mb": 200 },
+      "heartbeat-ms": ANNOUNCEMENT_INTERVAL_MS,
       "bounds": {
         "config-apply-ms": 2_000,
         "revoke-ms": maxRevocationMs,
--- a/soak/endpoint_observer.ts
+++ b/soak/endpoint_observer.ts
@@ -171,6 +171,7 @@
       atMs,
       calmMs: atMs - daemon.disturbedMs,
       contactMs: atMs - daemon.separatedMs,
+      storeContactMs: atMs - this.#options.storeFailedMsOf(daemon),
     };
   }
 
--- a/soak/endpoint_rules.ts
+++ b/soak/endpoint_rules.ts
@@ -16,6 +16,11 @@
    * milliseconds.
    */
   readonly contactMs: number;
+  /**
+   * Time for which the daemon has been in touch with the store, undisturbed, in
+   * milliseconds.
+   */
+  readonly storeContactMs: number;
 }
 
 /** Time in milliseconds that a daemon has after a disturbance or a crash. */
@@ -44,6 +49,7 @@
   readonly #crashTimesMs = new Map<string, number[]>();
   readonly #lateRetries = new Map<string, number>();
   readonly #noticesMs = new Map<string, number>();
+  readonly #removalsMs = new Map<string, number>();
   readonly #holds = new Map<string, Hold>();
   readonly #violations = new Set<string>();
   #crashCount = 0;
@@ -99,8 +105,31 @@
     this.#holds.set(key, { key, sinceMs: atMs, untilMs, arrivals: 0 });
   }
 
-  /** Checks an arrival against earlier notices and holds. */
-  recordArrival({ atMs, calmMs, daemon, endpoint }: EndpointArrival): void {
+  /**
+   * Records that the entry of an endpoint was removed.
+   *
+   * @param endpoint - The endpoint, which may serve on.
+   * @param atMs - Wall-clock time of the removal in milliseconds.
+   * @param stableMs - Time since the store was disrupted, in milliseconds.
+   */
+  recordRemoval(endpoint: string, atMs: number, stableMs: number): void {
+    if (stableMs >= CONTACT_MS) this.#removalsMs.set(endpoint, atMs);
+  }
+
+  /** Forgets removals, when entries may have returned. */
+  forgetRemovals(): void {
+    this.#removalsMs.clear();
+  }
+
+  /** Checks an arrival against earlier removals, notices and holds. */
+  recordArrival(arrival: EndpointArrival): void {
+    const { atMs, calmMs, contactMs, daemon, endpoint, storeContactMs } =
+      arrival;
+    const removedMs = this.#removalsMs.get(endpoint) ?? Infinity;
+    const inTouchMs = Math.min(calmMs, contactMs, storeContactMs);
+    if (atMs - removedMs > DRAIN_MS && inTouchMs >= CONTACT_MS) {
+      this.#violations.add(`drain: ${daemon} sent to removed ${endpoint}`);
+    }
     const key = `${endpoint} ${daemon}`;
     const noticeMs = this.#noticesMs.get(key);
     const sinceNoticeMs = noticeMs === undefined ? 0 : atMs - noticeMs;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -5,12 +5,15 @@
 
 import { setTimeout as wait } from "node:timers/promises";
 import type { SeededRandom } from "../src/base/common/random.ts";
+import { ENDPOINT_PREFIX } from "../platform/store_documents.ts";
 import type { StoreFault } from "../platform/standins/metadata_store_server.ts";
 import type { ProxyFault, SourceCut } from "../standins/network/fault_proxy.ts";
 import { HostIsolation } from "./host_isolation.ts";
 import type { InvariantChecker } from "./invariant_checker.ts";
+import { drawOddEntry } from "./odd_entries.ts";
 import { drawLeftMs } from "./reused_addresses.ts";
 import { Releases } from "./releases.ts";
+import { Silences } from "./silences.ts";
 import type { SoakDeployment } from "./soak_deployment.ts";
 
 const MAX_FAULT_DURATION_MS = 3_000;
@@ -56,6 +59,8 @@
   "cut-host",
   "evacuate",
   "two-ids",
+  "silence",
+  "odd-entries",
   // From the start to the end.
   "crashing-requests",
   "uploads",
@@ -87,6 +92,7 @@
   readonly #names: readonly FaultName[];
   readonly #releases: Releases;
   readonly #isolation: HostIsolation;
+  readonly #silences: Silences;
   /** Resolve when the evacuations have ended, which may outlast other faults. */
   readonly #pendingEvacuations = new Set<Promise<void>>();
   #isStopping = false;
@@ -111,6 +117,7 @@
     this.#log = log;
     this.#names = names;
     this.#releases = new Releases(deployment, random, firstVersions(names));
+    this.#silences = new Silences(deployment, random, invariants);
     this.#isolation = new HostIsolation(
       deployment,
       random,
@@ -177,6 +184,9 @@
       ["evacuate", (deployment) => this.#evacuateZone(deployment)],
       ["two-ids", (deployment) => this.#returnUnderOtherId(deployment)],
       ["two-ids", (deployment) => this.#returnUnderOtherId(deployment)],
+      ["silence", () => this.#silences.begin()],
+      ["silence", () => this.#silences.begin()],
+      ["odd-entries", (deployment) => this.#writeOddEntry(deployment)],
     ];
     return named.filter(([name]) => this.#names.includes(name))
       .map(([, action]) => action);
@@ -335,6 +345,17 @@
     return `${endpoint.name} returns under another id, its entry remains for ${leftMs} ms`;
   }
 
+  /** Another writer leaves an entry beside those of the endpoints. */
+  #writeOddEntry(
+    { endpoints, storeServer: { store } }: SoakDeployment,
+  ): string {
+    const { service, zone } = this.#pick(endpoints);
+    const { id, text } = drawOddEntry(this.#random, service, zone);
+    const key = `${ENDPOINT_PREFIX}${id}`;
+    this.#applyTemporarily(() => store.put(key, text), () => store.remove(key));
+    return `entry ${JSON.stringify(id)}: ${text}`;
+  }
+
   /** Restores a copy of the store that is some time old by then. */
   #restoreStore(deployment: SoakDeployment): string {
     const copy = deployment.storeServer.store.copy();
--- a/soak/soak_deployment.ts
+++ b/soak/soak_deployment.ts
@@ -199,6 +199,8 @@
   restoreStore(copy: StoreCopy): void {
     const { store } = this.storeServer;
     store.restore(copy);
+    // The entries of endpoints that have left are there for a moment.
+    this.#options.invariants.endpointRules.forgetRemovals();
     for (const key of store.keys()) {
       const name = key.slice(ENDPOINT_PREFIX.length);
       const isGone = key.startsWith(ENDPOINT_PREFIX) &&
@@ -318,6 +320,18 @@
     this.drainEndpoint(endpoint, noticeMs);
   }
 
+  /**
+   * Removes the entry of an endpoint that never says that it leaves.
+   *
+   * @param endpoint - Endpoint that leaves.
+   * @param servesMs - Time in milliseconds for which it serves on.
+   */
+  withdrawEndpoint(endpoint: SoakEndpoint, servesMs: number): void {
+    this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
+    this.#removeEndpointEntry(endpoint.name);
+    setTimeout(() => this.#endProcess(endpoint), servesMs);
+  }
+
   /** Ends an endpoint without notice, and its entry at once. */
   removeEndpoint(endpoint: SoakEndpoint): void {
     this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
--- a/standins/network/fault_proxy.ts
+++ b/standins/network/fault_proxy.ts
@@ -82,6 +82,12 @@
     for (const connection of this.#connections) connection.isDiscarding = true;
   }
 
+  /** Lets the connections that are open now carry nothing more. */
+  silence(): void {
+    this.#disturbedMs = Date.now();
+    for (const connection of this.#connections) connection.isDiscarding = true;
+  }
+
   /**
    * @param source - Address of a client host.
    * @returns Wall-clock time of its latest fault, in milliseconds.
--- a/standins/network/host_partition.ts
+++ b/standins/network/host_partition.ts
@@ -74,8 +74,7 @@
 
   /** Lets the open links that its peers have opened carry nothing more. */
   silenceLinksOfPeers(): void {
-    this.#peerProxy.setFault(SILENCE);
-    this.#peerProxy.setFault({ kind: "none" });
+    this.#peerProxy.silence();
   }
 
   /**
