--- a/review/kit-3/engine.mjs
+++ b/review/kit-3/engine.mjs
@@ -36,8 +36,8 @@
   id;
 
   /**
-   * @param options - `id`, `service`, `zone`, `memory`, `world`, and
-   * `onBegin(run)`, which may do something to this replica.
+   * @param options - `id`, `service`, `zone`, `memory`, `world`, the `version`
+   * of the software, and `onBegin(run)`, which may do something to this replica.
    */
   constructor(options) {
     this.#options = options;
@@ -71,12 +71,12 @@
   }
 
   announce(state = "ready") {
-    const { service, world, zone } = this.#options;
+    const { service, version, world, zone } = this.#options;
     world.store.put(`servers/${this.id}`, {
       service,
       address: this.address,
       zone,
-      version: "v1",
+      version: version ?? "v1",
       slots: 24,
       state,
       "cold-left-ms": 0,
