--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 for module in kit-3/*.mjs 1[1-5]/*.mjs; do
-  [ -e "$module" ] && node --check "$module"
+  if [ -e "$module" ]; then node --check "$module"; fi
 done
--- a/review/kit-3/engine.mjs
+++ b/review/kit-3/engine.mjs
@@ -9,6 +9,8 @@
 
 const BACKUP_PERIOD_EVENTS = 5;
 const COPY_MS = 50;
+/** Three heartbeat intervals, after which a silent replica is removed. */
+const ENTRY_MS = 3_600;
 
 /** Copies of runs, by the address that holds them and their name. */
 class Memory {
@@ -37,7 +39,8 @@
 
   /**
    * @param options - `id`, `service`, `zone`, `memory`, `world`, the `version`
-   * of the software, and `onBegin(run)`, which may do something to this replica.
+   * of the software, whether its answers end with their connections
+   * (`endsByClose`), and `onBegin(run)`, which may do something to this replica.
    */
   constructor(options) {
     this.#options = options;
@@ -126,6 +129,25 @@
     world.note("replica-back", { replica: nextId, was: oldId });
   }
 
+  /**
+   * The process ends, and its host closes its connections. After a time another
+   * incarnation listens at the address; the entry stays for three heartbeats.
+   */
+  async restart(afterMs, nextId) {
+    const { world } = this.#options;
+    const oldId = this.id;
+    this.#kill();
+    setTimeout(() => world.store.remove(`servers/${oldId}`), ENTRY_MS);
+    await world.sleep(50);
+    this.proxy.refuse(false);
+    await world.sleep(afterMs - 50);
+    if (!this.#isUp || world.isStopped) return;
+    this.id = nextId;
+    await this.proxy.accept(await this.#listen());
+    this.announce();
+    world.note("replica-back", { replica: nextId, was: oldId });
+  }
+
   async #listen() {
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
@@ -248,6 +270,10 @@
     response.on("close", () => run.end("dropped"));
     const begin = () => {
       if (this.#runs.get(id) !== run) return;
+      if (this.#options.endsByClose) {
+        response.useChunkedEncodingByDefault = false;
+        response.shouldKeepAlive = false;
+      }
       response.writeHead(200, {
         "X-Request-Id": id,
         "X-Response-Stamp": `${this.id}.${id}`,
--- a/review/kit-3/proxy.mjs
+++ b/review/kit-3/proxy.mjs
@@ -23,8 +23,9 @@
   }
 
   /** Nothing listens at the address any more. */
-  refuse() {
+  refuse(resetsPairs = true) {
     this.#server.close();
+    if (!resetsPairs) return;
     for (const pair of [...this.#pairs]) this.#reset(pair);
   }
 
