Stop runs whose closed connections may not tell their endpoints

Cause: a host ended a run only by closing its connection. On a connection that has fallen silent the close doesn't arrive either, so the first run of a draft went on next to its continuation (TWICE), and the run of a caller that had left went on for nobody.

Change: when a run's connection has carried nothing for 250 ms, or has ended with its own time-out, the endpoint is asked over another connection to make the last copy of the run, which ends it; the copy is freed. Such an endpoint gets the request no more.

--- a/src/daemon/common/gateway_factory.ts
+++ b/src/daemon/common/gateway_factory.ts
@@ -25,6 +25,7 @@
 import { PlannedStop } from "../../features/gateway/common/requests/planned_stop.ts";
 import { OutputLengths } from "../../features/gateway/common/generations/output_lengths.ts";
 import { RunMigrator } from "../../features/gateway/common/requests/run_migrator.ts";
+import { RunStopper } from "../../features/gateway/common/requests/run_stopper.ts";
 import type { PassThroughClient } from "../../services/http/common/pass_through_client.ts";
 import type { PeerOverlay } from "../../services/peers/common/peer_overlay.ts";
 import type { Logger } from "../../services/log/common/logger.ts";
@@ -98,6 +99,13 @@
       outputLengths: new OutputLengths(),
       probe: new EndpointProbe(clock, logger, metrics, paths, limits),
       migrator: new RunMigrator(clock, paths.control, limits),
+      runStopper: new RunStopper({
+        clock,
+        logger,
+        metrics,
+        control: paths.control,
+        limits,
+      }),
       crashMonitor: services.crashMonitor,
       answers: services.answers,
       limits,
--- a/src/features/gateway/common/generations/generation_forwarder.ts
+++ b/src/features/gateway/common/generations/generation_forwarder.ts
@@ -441,6 +441,7 @@
     this.#handover.onTargetUnreachable(endpoint);
     const attempt = this.#activeAttempt;
     if (attempt?.endpoint !== endpoint || this.#context.hasEnded) return;
+    attempt.markOutOfReach();
     const reason = "the endpoint is unreachable";
     if (!attempt.wasSent) {
       this.#onLost(attempt, false, reason);
--- a/src/features/gateway/common/generations/generation_migration.ts
+++ b/src/features/gateway/common/generations/generation_migration.ts
@@ -88,6 +88,7 @@
       isRequired: () => this.#listener.isRequired(attempt),
     });
     this.#isRunning = false;
+    if (endsAtSource && result.kind === "copied") attempt.markOutOfReach();
     const from = attempt.endpoint.id;
     switch (result.kind) {
       case "copied":
--- a/src/features/gateway/common/generations/upstream_attempt.ts
+++ b/src/features/gateway/common/generations/upstream_attempt.ts
@@ -22,6 +22,11 @@
 const MAX_ERROR_BODY_BYTES = 65_536;
 /** Maximum size of one event in bytes. */
 const MAX_EVENT_BYTES = 262_144;
+/**
+ * Time without data after which a connection may be one that does not carry its
+ * close to the endpoint either. Events are tens of milliseconds apart.
+ */
+const QUIET_CONNECTION_MS = 250;
 
 /** Receives the progress and the result of an attempt. */
 export interface UpstreamAttemptListener {
@@ -65,6 +70,12 @@
   #wasSent = false;
   #isRelayed = false;
   #isEnded = false;
+  /** Whether data is not read until the caller has accepted more. */
+  #isPaused = false;
+  /** Monotonic time at which the connection was last known to carry data. */
+  #heardMs = 0;
+  /** Whether the endpoint cannot be asked to stop the run, or has stopped it. */
+  #isOutOfReach = false;
 
   /** @param options - Parameters of the attempt. */
   constructor(options: UpstreamAttemptOptions) {
@@ -146,6 +157,7 @@
       },
       onSent: () => {
         this.#wasSent = true;
+        this.#heardMs = this.#nowMs();
         this.#recordPromptSent();
       },
       onUnsent: () => {
@@ -155,10 +167,14 @@
         this.#onHead(status, received, verdict),
       onData: (chunk) => this.#onData(chunk),
       onEnd: () => this.#onEnd(),
-      onFailure: ({ message }) => {
+      onFailure: ({ isTimedOut, message }) => {
         // A head that proves a refusal needs no body.
-        if (this.#verdict === "refused") this.#onEnd();
-        else this.#fail(this.#wasSent, message);
+        if (this.#verdict === "refused") {
+          this.#onEnd();
+          return;
+        }
+        if (isTimedOut && this.#wasSent && !this.#isEnded) this.#stopRun();
+        this.#fail(this.#wasSent, message);
       },
     });
   }
@@ -184,9 +200,18 @@
 
   /** Resumes reading after the caller has accepted the data written so far. */
   resume(): void {
+    this.#isPaused = false;
     this.#transfer?.resume();
   }
 
+  /**
+   * Records that the endpoint cannot be asked to stop the run, or has stopped
+   * it. Data that arrives afterwards refutes that.
+   */
+  markOutOfReach(): void {
+    this.#isOutOfReach = true;
+  }
+
   /** Records an outcome in the endpoint's health. */
   recordOutcome(outcome: EndpointOutcome): void {
     this.#options.context.recordOutcome(this.endpoint, outcome);
@@ -204,18 +229,47 @@
 
   /** Closes the connection; the listener receives no further calls. */
   abort(): void {
+    const isRunning = this.#wasSent && !this.#isEnded;
     this.#isEnded = true;
     this.#transfer?.abort();
     this.#options.claim.dispose();
+    if (isRunning && this.#isQuiet()) this.#stopRun();
+  }
+
+  #nowMs(): number {
+    return this.#options.context.services.clock.monotonicMs();
+  }
+
+  /** @returns Whether the connection may not carry its close. */
+  #isQuiet(): boolean {
+    return this.hasEvents && !this.#isPaused &&
+      this.#nowMs() - this.#heardMs >= QUIET_CONNECTION_MS;
+  }
+
+  /** Stops the run at the endpoint, which may not learn of the close. */
+  #stopRun(): void {
+    const { context, endpoint } = this.#options;
+    const { guard, request, services } = context;
+    if (this.#isOutOfReach || !request.service.engine?.canMigrate) return;
+    // A later run of the request there would be the one that is stopped.
+    context.excludedEndpoints.add(endpoint.id);
+    guard.follow(services.runStopper.stop({
+      requestId: request.id,
+      source: endpoint,
+      quietMs: this.#nowMs() - this.#heardMs,
+      findTarget: () =>
+        services.registry.reachable(request.service.id)
+          .find((other) => other !== endpoint),
+    }));
   }
 
   #recordPromptSent(): void {
-    const { request, services } = this.#options.context;
+    const { request } = this.#options.context;
     const { promptParts } = request.fields;
     // Shared parts may be cached there, a copy is not prefilled, and a peer
     // adds time of its own.
     if (promptParts.length > 0 || this.isFromCopy || this.#isRelayed) return;
-    this.#paceSampler.recordPromptSent(services.clock.monotonicMs());
+    this.#paceSampler.recordPromptSent(this.#nowMs());
   }
 
   #onHead(status: number, headers: HeaderList, verdict: AnswerVerdict): void {
@@ -239,9 +293,14 @@
 
   #onData(chunk: Uint8Array): boolean {
     if (this.#isEnded) return true;
+    this.#heardMs = this.#nowMs();
+    this.#isOutOfReach = false;
     if (this.#status === 200) {
       const canContinue = this.#options.listener.onData(chunk);
-      if (!canContinue) this.#paceSampler.interrupt();
+      if (!canContinue) {
+        this.#isPaused = true;
+        this.#paceSampler.interrupt();
+      }
       if (this.eventSplitter.pendingBytes > MAX_EVENT_BYTES) {
         this.#transfer?.abort();
         this.#fail(true, `an event is larger than ${MAX_EVENT_BYTES} bytes`);
--- a/src/features/gateway/common/metrics/gateway_metrics.ts
+++ b/src/features/gateway/common/metrics/gateway_metrics.ts
@@ -24,6 +24,7 @@
   | "hedges"
   | "streams_continued"
   | "streams_moved"
+  | "runs_stopped"
   | "endpoints_ejected"
   | "endpoints_held"
   | "generations_rejected"
--- a/src/features/gateway/common/protocol/engine_control.ts
+++ b/src/features/gateway/common/protocol/engine_control.ts
@@ -39,6 +39,8 @@
 export interface CopyFailure {
   readonly kind: "no-such-run" | "busy" | "no-room" | "unreachable";
   readonly message: string;
+  /** State that the source keeps of a run that it has stopped. */
+  readonly keptCopy?: GenerationCopy;
 }
 
 /** Sends control requests to engines. Every request has a timeout. */
--- a/src/features/gateway/common/requests/gateway_services.ts
+++ b/src/features/gateway/common/requests/gateway_services.ts
@@ -21,6 +21,7 @@
 import type { GenerationPlacer } from "../placement/placement_queue.ts";
 import type { PlannedStop } from "./planned_stop.ts";
 import type { RunMigrator } from "./run_migrator.ts";
+import type { RunStopper } from "./run_stopper.ts";
 import type { SoftwareVersionHistory } from "../versions/software_version_history.ts";
 import type { StreamVersionTable } from "../versions/stream_versions.ts";
 
@@ -94,6 +95,7 @@
   readonly outputLengths: OutputLengthModel;
   readonly probe: EndpointProbe;
   readonly migrator: RunMigrator;
+  readonly runStopper: RunStopper;
   readonly crashMonitor: CrashMonitor;
   /** Applies what answers say of their endpoints. */
   readonly answers: AnswerObserver;
--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -342,10 +342,14 @@
     } else this.#fail(failure);
   }
 
-  #fail({ kind, message }: PassThroughFailure): void {
+  #fail({ kind, message, isTimedOut }: PassThroughFailure): void {
     if (this.#isEnded) return;
     this.#end();
-    this.#listener.onFailure({ kind, message });
+    this.#listener.onFailure({
+      kind,
+      message,
+      ...(isTimedOut !== undefined && { isTimedOut }),
+    });
   }
 
   #end(): void {
--- a/src/services/http/common/pass_through_client.ts
+++ b/src/services/http/common/pass_through_client.ts
@@ -80,6 +80,11 @@
    */
   readonly kind: "not-sent" | "broken";
   readonly message: string;
+  /**
+   * Whether the connection carried nothing until its own time-out, so that the
+   * endpoint may still have it open; unknown if absent.
+   */
+  readonly isTimedOut?: boolean;
 }
 
 /** Receives the response of an endpoint. The methods are called in order. */
--- a/src/services/http/node/undici_exchange.ts
+++ b/src/services/http/node/undici_exchange.ts
@@ -177,11 +177,18 @@
       this.#listener.onFailure({
         kind: this.#isSent ? "broken" : "not-sent",
         message: toErrorMessage(thrown),
+        isTimedOut: isTimeout(thrown),
       })
     );
   }
 }
 
+/** @returns Whether a connection ended because its peer confirmed no data. */
+function isTimeout(thrown: unknown): boolean {
+  return thrown instanceof Error && "code" in thrown &&
+    thrown.code === "ETIMEDOUT";
+}
+
 /**
  * @returns A stream that starts to read the body only when the stream is read.
  */
--- a/standins/gateway/fake_endpoints.ts
+++ b/standins/gateway/fake_endpoints.ts
@@ -79,6 +79,13 @@
     if (!this.isAborted) this.#sink.onFailure({ kind: "broken", message });
   }
 
+  /** Ends a connection that has carried nothing until its own time-out. */
+  timeOut(): void {
+    if (this.isAborted) return;
+    const message = "ETIMEDOUT";
+    this.#sink.onFailure({ kind: "broken", message, isTimedOut: true });
+  }
+
   refuseConnection(): void {
     this.#sink.onFailure({ kind: "not-sent", message: "refused" });
   }
--- a/standins/gateway/gateway_harness.ts
+++ b/standins/gateway/gateway_harness.ts
@@ -41,6 +41,7 @@
 } from "../../src/features/gateway/common/placement/placement_queue.ts";
 import { OutputLengths } from "../../src/features/gateway/common/generations/output_lengths.ts";
 import { RunMigrator } from "../../src/features/gateway/common/requests/run_migrator.ts";
+import { RunStopper } from "../../src/features/gateway/common/requests/run_stopper.ts";
 import type { PassThroughClient } from "../../src/services/http/common/pass_through_client.ts";
 import { PromptPartMonitor } from "../../src/features/gateway/common/crashes/prompt_part_monitor.ts";
 import { PromptPartTable } from "../../src/features/quarantine/common/prompt_part_table.ts";
@@ -274,6 +275,13 @@
           limits,
         ),
         migrator: new RunMigrator(clock, engineControl, limits),
+        runStopper: new RunStopper({
+          clock,
+          logger,
+          metrics,
+          control: engineControl,
+          limits,
+        }),
         crashMonitor: new CrashMonitor({
           clock,
           logger,
--- a/standins/network/fault_proxy.ts
+++ b/standins/network/fault_proxy.ts
@@ -36,6 +36,8 @@
    * the fault is cleared, like a connection whose state a middlebox has lost.
    */
   isDiscarding: boolean;
+  /** Whether the server does not learn either that the client has closed it. */
+  hidesEnd: boolean;
 }
 
 /** Forwards connections to one address and injects faults. */
@@ -88,6 +90,15 @@
     for (const connection of this.#connections) connection.isDiscarding = true;
   }
 
+  /**
+   * Lets the connections that are open now carry nothing more, not even to the
+   * server that the client has closed them.
+   */
+  silenceForGood(): void {
+    this.silence();
+    for (const connection of this.#connections) connection.hidesEnd = true;
+  }
+
   /**
    * @param source - Address of a client host.
    * @returns Wall-clock time of its latest fault, in milliseconds.
@@ -166,6 +177,7 @@
       client,
       server,
       isDiscarding: this.#fault.kind === "silence" || sourceCut === "silent",
+      hidesEnd: false,
     };
     this.#connections.add(connection);
     this.#forward(connection, client, server, false);
@@ -179,18 +191,22 @@
     isResponse: boolean,
   ): void {
     const writer = new DelayedWriter(to);
+    const isHidden = (): boolean => connection.hidesEnd && !isResponse;
     from.on("data", (bytes) => {
       const fault = this.#fault;
       const isOneWay = fault.kind === "silence" && fault.isOneWay;
       if (connection.isDiscarding && (isResponse || !isOneWay)) return;
       writer.write(bytes, fault.kind === "delay" ? fault.delayMs : 0);
     });
-    from.on("error", () => to.resetAndDestroy());
+    from.on("error", () => {
+      if (!isHidden()) to.resetAndDestroy();
+    });
     from.on("end", () => {
       if (!connection.isDiscarding) writer.end();
     });
     from.on("close", () => {
       this.#connections.delete(connection);
+      if (isHidden()) return;
       // TCP delivers no orderly end after bytes that were lost.
       if (connection.isDiscarding || from.errored) to.resetAndDestroy();
     });
