Keep in the store at which versions streams began

Callers saw: after all hosts were killed while endpoints of two software versions served, no stream could be taken up (36 of 36 tries refused).

Cause: the version that began a stream was known to the hosts only. New processes learned from the store that there are two versions, and not which of them began a stream.

Hosts add the entries to their tables. A stream without an entry stays unknown.

--- a/src/daemon/common/gateway_stream_versions.ts
+++ b/src/daemon/common/gateway_stream_versions.ts
@@ -17,6 +17,7 @@
   SOFTWARE_VERSION_KEY_PREFIX,
   SoftwareVersionSync,
 } from "../../features/gateway/common/versions/software_version_sync.ts";
+import { StreamVersionArchive } from "../../features/gateway/common/versions/stream_version_archive.ts";
 import {
   StreamVersionSync,
   type StreamVersionSyncServices,
@@ -77,6 +78,9 @@
     );
     this.#disposables.add(new StreamVersionSync({ ...services, table }));
     this.#disposables.add(new SoftwareVersionSync({ ...services, history }));
+    this.#disposables.add(
+      new StreamVersionArchive({ ...services, table, history }),
+    );
     const archive = this.#disposables.add(
       createSoftwareVersionArchive({ ...services, history }),
     );
--- a/src/features/gateway/common/versions/software_version_history.ts
+++ b/src/features/gateway/common/versions/software_version_history.ts
@@ -181,6 +181,17 @@
       .map(([softwareVersion]) => softwareVersion);
   }
 
+  /**
+   * @returns The services whose current streams may have begun at several
+   * versions, as far as this process knows.
+   */
+  servicesWithUnsureVersion(): ReadonlySet<ServiceId> {
+    return new Set(this.#lifetimes.services.filter((service) => {
+      const versions = this.currentVersions(service);
+      return versions === undefined || versions.size > 1;
+    }));
+  }
+
   /** The services whose versions are known. */
   records(): readonly ServiceVersions[] {
     const nowMs = this.#clock.monotonicMs();
--- a/src/features/gateway/common/versions/stream_version_sync.ts
+++ b/src/features/gateway/common/versions/stream_version_sync.ts
@@ -7,11 +7,7 @@
 import * as z from "zod";
 import type { Clock } from "../../../../base/common/clock.ts";
 import { toErrorMessage } from "../../../../base/common/errors.ts";
-import type {
-  HostId,
-  ServiceId,
-  WorkspaceId,
-} from "../../../../base/common/ids.ts";
+import type { HostId } from "../../../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
@@ -23,25 +19,18 @@
   PeerLinks,
 } from "../../../../services/peers/common/peer_links.ts";
 import type { RecordRelay } from "../../../quarantine/common/record_sync.ts";
+import {
+  MAX_STREAMS_PER_PAGE,
+  streamPageSchema,
+  toStream,
+  toStreamRow,
+} from "./stream_page.ts";
 import type { StreamVersion, StreamVersionTable } from "./stream_versions.ts";
 
-const MAX_NAME_CHARACTERS = 500;
-const MAX_STREAMS_PER_MESSAGE = 200;
 /** Streams that begin within this time share a message. */
 const BATCH_DELAY_MS = 50;
 
-const name = z.string().max(MAX_NAME_CHARACTERS);
-
-const messageSchema = z.object({
-  /** Rows of id, workspace, service, software version and time left in ms. */
-  streams: z.array(z.tuple([
-    name.min(1),
-    name,
-    name.min(1),
-    name,
-    z.number().nonnegative(),
-  ])).max(MAX_STREAMS_PER_MESSAGE).readonly(),
-});
+const messageSchema = z.object({ streams: streamPageSchema });
 
 type StreamVersionMessage = z.infer<typeof messageSchema>;
 
@@ -93,15 +82,9 @@
   #receive({ streams }: StreamVersionMessage): void {
     const { clock, table } = this.#services;
     const nowMs = clock.monotonicMs();
-    for (const [id, workspace, service, softwareVersion, leftMs] of streams) {
-      if (leftMs <= 0) continue;
-      const stream = {
-        id,
-        workspace: workspace as WorkspaceId,
-        service: service as ServiceId,
-        softwareVersion,
-        expiresMs: nowMs + leftMs,
-      };
+    for (const row of streams) {
+      const stream = toStream(row, nowMs);
+      if (stream.expiresMs <= nowMs) continue;
       if (table.add(stream)) this.#add(this.#peerChanges, stream);
     }
   }
@@ -128,17 +111,11 @@
     for (
       let start = 0;
       start < current.length && hosts.length > 0;
-      start += MAX_STREAMS_PER_MESSAGE
+      start += MAX_STREAMS_PER_PAGE
     ) {
-      const page = current.slice(start, start + MAX_STREAMS_PER_MESSAGE);
+      const page = current.slice(start, start + MAX_STREAMS_PER_PAGE);
       this.#channel.multicast(hosts, {
-        streams: page.map((stream) => [
-          stream.id,
-          stream.workspace,
-          stream.service,
-          stream.softwareVersion,
-          Math.round(stream.expiresMs - nowMs),
-        ]),
+        streams: page.map((stream) => toStreamRow(stream, nowMs)),
       });
     }
   }
--- a/src/features/gateway/common/versions/stream_versions.ts
+++ b/src/features/gateway/common/versions/stream_versions.ts
@@ -32,11 +32,14 @@
   readonly #clock: Clock;
   readonly #streams = new BoundedMap<string, StreamVersion>(MAX_STREAMS);
   readonly #didRecord = new Emitter<StreamVersion>();
+  readonly #didAdd = new Emitter<StreamVersion>();
   /** Called when a stream becomes known, by its key in the map. */
   readonly #waiting = new Map<string, Set<(softwareVersion: string) => void>>();
 
   /** Fires when a stream of this daemon has begun. */
   readonly onDidRecord = this.#didRecord.event;
+  /** Fires when a stream of any daemon becomes known. */
+  readonly onDidAdd = this.#didAdd.event;
 
   /** @param clock - Clock for the expiry of streams. */
   constructor(clock: Clock) {
@@ -104,10 +107,13 @@
     for (const settle of this.#waiting.get(key) ?? []) {
       settle(stream.softwareVersion);
     }
-    return known?.softwareVersion !== stream.softwareVersion;
+    const isNew = known?.softwareVersion !== stream.softwareVersion;
+    if (isNew) this.#didAdd.fire(stream);
+    return isNew;
   }
 }
 
-function toMapKey({ id, service, workspace }: StreamKey): string {
+/** @returns The key of a stream among those of all services and workspaces. */
+export function toMapKey({ id, service, workspace }: StreamKey): string {
   return `${service} ${workspace} ${id}`;
 }
