Check the end of a response by the time at which it may have come

The replica had ended meanwhile and another one had its address.

Cause: the 2 s in which no other process can have an address were counted from the time at which the host read the end of the connection, not from the time at which it may have come.

Change: an end is dated from the latest data before it, or from before the pause with whose backlog it is read. Where it may be older than a second, the endpoint is asked by its id on its health path, so that another process shows itself; an answer that names no process counts only while the address cannot have been used again.

--- a/src/daemon/node/gateway_daemon.ts
+++ b/src/daemon/node/gateway_daemon.ts
@@ -189,6 +189,7 @@
         holds,
         connector: adapter.connector,
         createControl: (http) => adapter.createControl(http),
+        findService,
         relayPeers: () => this.#topology.relayPeers,
         limits: () => this.#limits.endpoints,
       }),
--- a/src/daemon/node/gateway_paths.ts
+++ b/src/daemon/node/gateway_paths.ts
@@ -4,11 +4,17 @@
  */
 
 import type { Clock } from "../../base/common/clock.ts";
-import type { Address, HostId, ZoneName } from "../../base/common/ids.ts";
+import type {
+  Address,
+  HostId,
+  ServiceId,
+  ZoneName,
+} from "../../base/common/ids.ts";
 import {
   type Disposable,
   DisposableStore,
 } from "../../base/common/lifecycle.ts";
+import type { GatewayService } from "../../features/gateway/common/configuration/gateway_configuration.ts";
 import type { EndpointHolds } from "../../features/gateway/common/endpoints/endpoint_holds.ts";
 import type { EndpointLimits } from "../../features/gateway/common/limits/endpoint_limits.ts";
 import type { EnginePaths } from "../../features/gateway/common/monitoring/endpoint_probe.ts";
@@ -70,6 +76,8 @@
   readonly connector: SocketConnector;
   /** @returns The control of engines, which calls them by a client. */
   createControl(http: JsonCaller): EngineControl;
+  /** @returns The configuration of a service, if there is one. */
+  findService(id: ServiceId): GatewayService | undefined;
   /** @returns The other hosts that pass requests on. */
   relayPeers(): readonly RelayPeer[];
   /** Limits of the endpoints, which probes count against. */
@@ -117,6 +125,7 @@
       connector,
     });
     this.directClient = new VerifyingClient(
+      clock,
       this.#connections,
       (endpoint) => this.#createEndCheck(registry.get(endpoint)),
     );
@@ -145,13 +154,13 @@
       new JsonClient(clock, undefined, connector, this.direct),
     );
     const [ask, askLeaving] = [directHttp, leavingHttp].map((http) =>
-      askBy(createControl(http))
+      this.#askBy(createControl(http))
     );
     this.#survival = new EndpointSurvival({
       ...services,
-      askDirectly: (endpoint) =>
-        (endpoint.wasLeaving ? askLeaving! : ask!)(endpoint),
-      askThroughPeers: askBy(createControl(controlHttp.throughPeer)),
+      askDirectly: (endpoint, kind) =>
+        (endpoint.wasLeaving ? askLeaving! : ask!)(endpoint, kind),
+      askThroughPeers: this.#askBy(createControl(controlHttp.throughPeer)),
       // A connection that is reset may be one too many for a living process.
       isRefused: ({ announcement }) =>
         this.direct.lossOf(announcement.address) === "refused",
@@ -299,9 +308,14 @@
     endpoint: RegisteredEndpoint | undefined,
     askOnPath?: LivenessQuestion,
   ): EndCheck {
-    return async (isCancelled) => {
+    return async (endedSince, isCancelled) => {
       const survival = endpoint
-        ? await this.#survival.check({ endpoint, askOnPath, isCancelled })
+        ? await this.#survival.check({
+          endpoint,
+          endedSince,
+          askOnPath,
+          isCancelled,
+        })
         : "unknown";
       return survival === "outlived"
         ? undefined
@@ -323,7 +337,7 @@
         (request, listener) => this.client.sendThrough(peer, request, listener),
       ),
     );
-    return this.#createEndCheck(registry.get(endpoint), askBy(control));
+    return this.#createEndCheck(registry.get(endpoint), this.#askBy(control));
   }
 
   /** @returns What peers have to know to pass a control request on. */
@@ -344,6 +358,16 @@
     );
   }
 
+  #askBy(control: EngineControl): LivenessQuestion {
+    return ({ announcement, id }, kind) => {
+      const { address, service } = announcement;
+      const healthPath = this.#services.findService(service)?.healthPath;
+      return kind === "liveness" || healthPath === undefined
+        ? control.checkLiveness(address)
+        : control.identify(address, id, healthPath);
+    };
+  }
+
   #groupOf(address: Address): readonly Address[] {
     const { registry } = this.#services;
     const service = this.#endpointAt(address)?.announcement.service;
@@ -353,7 +377,3 @@
     );
   }
 }
-
-function askBy(control: EngineControl): LivenessQuestion {
-  return ({ announcement }) => control.checkLiveness(announcement.address);
-}
--- a/src/features/gateway/common/configuration/gateway_configuration.ts
+++ b/src/features/gateway/common/configuration/gateway_configuration.ts
@@ -81,6 +81,8 @@
 /** A service that is a target of routes. */
 export interface GatewayService {
   readonly id: ServiceId;
+  /** Path of the health checks of its endpoints; unknown if absent. */
+  readonly healthPath?: string | undefined;
   /**
    * Maximum number of connections that one endpoint accepts from all daemons
    * together.
--- a/src/features/gateway/common/monitoring/endpoint_survival.ts
+++ b/src/features/gateway/common/monitoring/endpoint_survival.ts
@@ -11,6 +11,11 @@
 } from "../../../../base/common/errors.ts";
 import { type Clock, sleep } from "../../../../base/common/clock.ts";
 import type { Logger } from "../../../../services/log/common/logger.ts";
+import {
+  ageMs,
+  type Timestamp,
+  timestampNow,
+} from "../../../../base/common/timestamp.ts";
 import type { EndpointLimits } from "../limits/endpoint_limits.ts";
 import type { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import type { Liveness } from "../protocol/engine_control.ts";
@@ -36,12 +41,21 @@
  * address. A later answer shows that the process lives only if it names it.
  */
 const ADDRESS_REUSE_MS = 2_000;
+/** Age of an end from which the endpoint itself is asked for. */
+const MIN_IDENTITY_AGE_MS = 1_000;
 /** Longest wait for the right to ask an endpoint with a limit. */
 const MAX_RIGHT_WAIT_MS = 500;
 
-/** Asks whether the process at the address of an endpoint answers. */
+/**
+ * What a question is to show: whether any process answers at the address of an
+ * endpoint, or whether the endpoint itself does.
+ */
+export type QuestionKind = "liveness" | "identity";
+
+/** Asks the process at the address of an endpoint. */
 export type LivenessQuestion = (
   endpoint: RegisteredEndpoint,
+  kind: QuestionKind,
 ) => Promise<Liveness>;
 
 /** What became of the process that wrote an answer. */
@@ -67,6 +81,8 @@
 export interface EndedResponse {
   /** The process that wrote it. */
   readonly endpoint: RegisteredEndpoint;
+  /** Earliest time at which it may have ended; now if absent. */
+  readonly endedSince?: Timestamp;
   /** Asks on the path on which it came, if that was not the direct one. */
   readonly askOnPath?: LivenessQuestion | undefined;
   /** @returns Whether the response is not needed any more. */
@@ -88,12 +104,17 @@
   readonly limits: () => Pick<EndpointLimits, "isLimited" | "take">;
 }
 
-/** What is known of one process. */
-interface ProcessState {
+/** Questions of one kind to one process. */
+interface QuestionState {
   /** Question in progress; its answer is not one to a later end. */
   current: Promise<Reply> | undefined;
   /** Question for the ends that came meanwhile. */
   next: Promise<Reply> | undefined;
+}
+
+/** What is known of one process. */
+interface ProcessState {
+  readonly questions: Readonly<Record<QuestionKind, QuestionState>>;
   /** Latest start of a request that the process has answered. */
   answeredSentMs: number;
   /** End of the hold during which it was asked. */
@@ -142,19 +163,29 @@
   }
 
   async #await(response: EndedResponse, endedMs: number): Promise<Survival> {
-    const { endpoint } = response;
+    const { endpoint, endedSince } = response;
     const { clock } = this.#services;
+    const endedAt = endedSince ?? timestampNow(clock);
     let unansweredCount = 0;
+    let canIdentify = true;
     while (!response.isCancelled()) {
-      const reply = await this.#ask(response);
+      // By the time of the answer, another process may have the address.
+      const isOld = ageMs(clock, endedAt) >= MIN_IDENTITY_AGE_MS;
+      const kind: QuestionKind = isOld && canIdentify ? "identity" : "liveness";
+      const reply = await this.#ask(response, kind);
       const elapsedMs = clock.monotonicMs() - endedMs;
       if (this.#stateOf(endpoint).answeredSentMs > endedMs) return "outlived";
       switch (reply.kind) {
         case "answered":
-          if (isOtherProcess(endpoint, reply.bornMs)) return "replaced";
+          if (isOtherProcess(endpoint, reply)) return "replaced";
           if (
-            elapsedMs >= ADDRESS_REUSE_MS && !isKnownProcess(endpoint, reply)
-          ) return "silent";
+            ageMs(clock, endedAt) >= ADDRESS_REUSE_MS &&
+            !isKnownProcess(endpoint, reply)
+          ) {
+            if (elapsedMs >= MAX_SILENCE_MS) return "silent";
+            canIdentify = kind === "liveness";
+            break;
+          }
           if (!isAboutToStop(endpoint, reply) || elapsedMs >= SETTLE_MS) {
             return "outlived";
           }
@@ -185,28 +216,34 @@
     const { askThroughPeers, isRefused } = this.#services;
     // The state of the path may change while peers are asked.
     const wasRefused = isRefused(endpoint);
-    const reply = await askThroughPeers(endpoint);
-    const bornMs = reply.kind === "answered" ? reply.bornMs : undefined;
-    // On another path, only start times show which process answers.
-    if (
-      bornMs !== undefined && endpoint.announcement.bornMs !== NO_START_TIME
-    ) {
-      return isOtherProcess(endpoint, bornMs) ? "replaced" : "outlived";
+    const hasStartTime = endpoint.announcement.bornMs !== NO_START_TIME;
+    const reply = await askThroughPeers(
+      endpoint,
+      hasStartTime ? "liveness" : "identity",
+    );
+    // On another path, only an answer that names its process shows anything.
+    if (reply.kind === "answered") {
+      if (isOtherProcess(endpoint, reply)) return "replaced";
+      if (isKnownProcess(endpoint, reply)) return "outlived";
     }
     return wasRefused ? "refused" : undefined;
   }
 
   /** @returns The reply to a question that is asked from now on. */
-  #ask({ askOnPath, endpoint }: EndedResponse): Promise<Reply> {
-    if (askOnPath) return askOnPath(endpoint);
-    const state = this.#stateOf(endpoint);
-    if (!state.current) return this.#start(endpoint, state);
-    state.next ??= state.current.then(() => this.#start(endpoint, state));
+  #ask(
+    { askOnPath, endpoint }: EndedResponse,
+    kind: QuestionKind,
+  ): Promise<Reply> {
+    if (askOnPath) return askOnPath(endpoint, kind);
+    const state = this.#stateOf(endpoint).questions[kind];
+    if (!state.current) return this.#start(endpoint, kind);
+    state.next ??= state.current.then(() => this.#start(endpoint, kind));
     return state.next;
   }
 
-  #start(endpoint: RegisteredEndpoint, state: ProcessState): Promise<Reply> {
-    const question = this.#askDirectly(endpoint, state).catch(
+  #start(endpoint: RegisteredEndpoint, kind: QuestionKind): Promise<Reply> {
+    const state = this.#stateOf(endpoint).questions[kind];
+    const question = this.#askDirectly(endpoint, kind).catch(
       (thrown: unknown): Reply => {
         onUnexpectedError(thrown);
         return { kind: "no-answer", detail: toErrorMessage(thrown) };
@@ -222,20 +259,23 @@
 
   async #askDirectly(
     endpoint: RegisteredEndpoint,
-    state: ProcessState,
+    kind: QuestionKind,
   ): Promise<Reply> {
+    const state = this.#stateOf(endpoint);
     const { askDirectly, askThroughPeers, clock, limits } = this.#services;
     if (limits().isLimited(endpoint)) {
       const offer = await limits().take(endpoint, MAX_RIGHT_WAIT_MS);
       if (offer.kind === "denied") return { kind: "not-asked" };
     }
-    if (!endpoint.isHeld(clock.monotonicMs())) return askDirectly(endpoint);
+    if (!endpoint.isHeld(clock.monotonicMs())) {
+      return askDirectly(endpoint, kind);
+    }
     // A few requests may still reach an endpoint that wants none.
     if (state.askedHoldUntilMs < endpoint.heldUntilMs) {
       state.askedHoldUntilMs = endpoint.heldUntilMs;
-      return askDirectly(endpoint);
+      return askDirectly(endpoint, kind);
     }
-    const reply = await askThroughPeers(endpoint);
+    const reply = await askThroughPeers(endpoint, kind);
     return reply.kind === "answered" ? reply : { kind: "not-asked" };
   }
 
@@ -243,8 +283,10 @@
     let state = this.#states.get(endpoint);
     if (!state) {
       state = {
-        current: undefined,
-        next: undefined,
+        questions: {
+          liveness: { current: undefined, next: undefined },
+          identity: { current: undefined, next: undefined },
+        },
         answeredSentMs: -Infinity,
         askedHoldUntilMs: -Infinity,
       };
@@ -254,20 +296,23 @@
   }
 }
 
+/** @returns Whether a reply names another process than the endpoint's. */
 function isOtherProcess(
   { announcement }: RegisteredEndpoint,
-  bornMs: number | undefined,
+  { bornMs, isExpected }: Extract<Liveness, { kind: "answered" }>,
 ): boolean {
+  if (isExpected === false) return true;
   const knownMs = announcement.bornMs;
   return bornMs !== undefined && knownMs !== NO_START_TIME &&
     bornMs !== knownMs;
 }
 
-/** @returns Whether a reply states the start time that the entry states. */
+/** @returns Whether a reply names the process of the endpoint. */
 function isKnownProcess(
   { announcement }: RegisteredEndpoint,
-  { bornMs }: Extract<Liveness, { kind: "answered" }>,
+  { bornMs, isExpected }: Extract<Liveness, { kind: "answered" }>,
 ): boolean {
+  if (isExpected) return true;
   return bornMs === announcement.bornMs && bornMs !== NO_START_TIME;
 }
 
--- a/src/features/gateway/common/monitoring/endpoint_survival_test.ts
+++ b/src/features/gateway/common/monitoring/endpoint_survival_test.ts
@@ -6,11 +6,16 @@
   ServiceId,
   ZoneName,
 } from "../../../../base/common/ids.ts";
+import {
+  timestampBefore,
+  timestampNow,
+} from "../../../../base/common/timestamp.ts";
 import { NOOP_LOGGER } from "../../../../services/log/common/logger.ts";
 import { RegisteredEndpoint } from "../endpoints/endpoint_registry.ts";
 import {
   EndpointSurvival,
   type LivenessQuestion,
+  type QuestionKind,
   type Survival,
 } from "./endpoint_survival.ts";
 import type { Liveness } from "../protocol/engine_control.ts";
@@ -28,6 +33,7 @@
 /** A question that was asked and is not answered yet. */
 interface Question {
   readonly path: "direct" | "peers" | "same";
+  readonly kind: QuestionKind;
   readonly atMs: number;
   answeredMs: number | undefined;
   readonly answer: (liveness: Liveness) => Promise<void>;
@@ -65,8 +71,10 @@
       logger: NOOP_LOGGER,
       metrics,
       askDirectly: askOn("direct"),
-      askThroughPeers: (asked) =>
-        arePeersAsked ? askOn("peers")(asked) : Promise.resolve(NO_ANSWER),
+      askThroughPeers: (asked, kind) =>
+        arePeersAsked
+          ? askOn("peers")(asked, kind)
+          : Promise.resolve(NO_ANSWER),
       isRefused: () => isRefused,
       limits: () => ({
         isLimited: () => isLimited,
@@ -105,10 +113,11 @@
   }
 
   function askOn(path: Question["path"]): LivenessQuestion {
-    return () =>
+    return (_endpoint, kind) =>
       new Promise((resolve) => {
         const question: Question = {
           path,
+          kind,
           atMs: clock.monotonicMs(),
           answeredMs: undefined,
           answer: async (liveness) => {
@@ -121,10 +130,19 @@
       });
   }
 
-  async function check(askOnPath?: LivenessQuestion): Promise<Check> {
+  /**
+   * @param askOnPath - Asks on the path of the response, if it is not direct.
+   * @param ageMs - Time for which the end may have been on its way.
+   */
+  async function check(
+    askOnPath?: LivenessQuestion,
+    ageMs = 0,
+  ): Promise<Check> {
     const started: Check = { survival: undefined, endedMs: undefined };
     const isCancelled = () => started.isCancelled === true;
-    void survival.check({ endpoint, askOnPath, isCancelled }).then((result) => {
+    const endedSince = timestampBefore(timestampNow(clock), ageMs);
+    const response = { endpoint, endedSince, askOnPath, isCancelled };
+    void survival.check(response).then((result) => {
       started.survival = result;
       started.endedMs = clock.monotonicMs();
     });
@@ -219,6 +237,74 @@
     },
   );
 
+  describe("that may be older than the address of its process", () => {
+    const OLD_MS = 2_500;
+    const UNNAMED: Liveness = { kind: "answered", bornMs: undefined };
+
+    beforeEach(() => {
+      endpoint = createEndpoint(0);
+    });
+
+    // Guards against the end of a process that was read late, after another one
+    // had begun to answer at its address.
+    it.each<[string, boolean, Survival]>([
+      ["another one", false, "replaced"],
+      ["the endpoint", true, "outlived"],
+    ])(
+      "is checked by a question for the endpoint, which %s answers",
+      async (_which, isExpected, expected) => {
+        const checked = await check(undefined, OLD_MS);
+        expect(questions.map(({ kind }) => kind)).toEqual(["identity"]);
+        await questions[0]!.answer({ ...UNNAMED, isExpected });
+        expect(checked).toEqual({ survival: expected, endedMs: 0 });
+      },
+    );
+
+    it("is not taken for outlived when no answer names its process", async () => {
+      const checked = await check(undefined, OLD_MS);
+      await answerFor(MAX_CHECK_MS, 5, () => UNNAMED);
+      expect(checked.survival).toBe("silent");
+    });
+
+    it("is outlived once an answer names its process", async () => {
+      const checked = await check(undefined, OLD_MS);
+      await answerFor(
+        MAX_CHECK_MS,
+        5,
+        (atMs) => atMs > 300 ? { ...UNNAMED, isExpected: true } : UNNAMED,
+      );
+      expect(checked.survival).toBe("outlived");
+    });
+
+    it("is checked on the path of its response", async () => {
+      const checked = await check(askOn("same"), OLD_MS);
+      expect(questions.map(({ kind, path }) => [kind, path]))
+        .toEqual([["identity", "same"]]);
+      await questions[0]!.answer({ ...UNNAMED, isExpected: false });
+      expect(checked.survival).toBe("replaced");
+    });
+
+    it("is checked by the start time where no answer names the endpoint", async () => {
+      endpoint = createEndpoint(BORN_MS);
+      const checked = await check(undefined, OLD_MS);
+      await questions[0]!.answer(UNNAMED);
+      await clock.advanceAsync(50);
+      expect(questions.map(({ kind }) => kind)).toEqual([
+        "identity",
+        "liveness",
+      ]);
+      await questions[1]!.answer(ANSWERED);
+      expect(checked.survival).toBe("outlived");
+    });
+
+    it("is told from one that has just come, which any answer verifies", async () => {
+      const checked = await check(undefined, 100);
+      expect(questions.map(({ kind }) => kind)).toEqual(["liveness"]);
+      await questions[0]!.answer(UNNAMED);
+      expect(checked.survival).toBe("outlived");
+    });
+  });
+
   it("is not taken for outlived when the process is silent to the end", async () => {
     const checked = await check();
     await answerFor(MAX_CHECK_MS + 500, 400, () => NO_ANSWER);
--- a/src/features/gateway/common/protocol/engine_control.ts
+++ b/src/features/gateway/common/protocol/engine_control.ts
@@ -1,6 +1,10 @@
 /** Control operations of engines, in addition to answering requests. */
 
-import type { Address, RequestId } from "../../../../base/common/ids.ts";
+import type {
+  Address,
+  EndpointId,
+  RequestId,
+} from "../../../../base/common/ids.ts";
 import type { NamedBrittleness } from "../../../brittle/common/brittle_table.ts";
 import type { NamedLimit } from "../limits/limit_table.ts";
 import type { AsyncEither } from "../../../../base/common/result.ts";
@@ -22,6 +26,11 @@
     readonly kind: "answered";
     /** Wall-clock start time of the process, if it is reported. */
     readonly bornMs: number | undefined;
+    /**
+     * Whether it is the process that was asked for; absent if the answer does
+     * not tell.
+     */
+    readonly isExpected?: boolean;
     /** Whether the process is leaving; absent if it does not say. */
     readonly isDraining?: boolean;
     /** Time until it shuts down in milliseconds, if it is known. */
@@ -48,6 +57,19 @@
   readReport(address: Address): AsyncEither<string, EngineReport>;
   /** Any answer counts, also a refusal and that of another service's endpoint. */
   checkLiveness(address: Address): Promise<Liveness>;
+  /**
+   * Asks whether one process answers at an address, in a way in which another
+   * one would say that it is not the one that is asked for.
+   *
+   * @param address - The address.
+   * @param endpoint - Id of the process.
+   * @param healthPath - Path of the health checks of its service.
+   */
+  identify(
+    address: Address,
+    endpoint: EndpointId,
+    healthPath: string,
+  ): Promise<Liveness>;
   /**
    * Copies the KV state of a generation to another engine.
    *
--- a/src/features/paths/common/path_client.ts
+++ b/src/features/paths/common/path_client.ts
@@ -273,6 +273,7 @@
     const endRelay = chooser.begin(peer);
     const askedMs = clock.monotonicMs();
     const response = new VerifiedResponse(
+      clock,
       request.method,
       {
         onHead: (status, headers) => this.#listener.onHead(status, headers),
@@ -298,6 +299,10 @@
           chooser.recordSuccess(peer, address);
           response.onHead(status, headers);
         },
+        onData: (chunk) => {
+          response.onData();
+          return this.#listener.onData(chunk);
+        },
         onEndVerified: () => response.onEndVerified(),
         onSentOnce: () => {
           isSentOnce = true;
--- a/src/features/paths/common/relayed_json_caller.ts
+++ b/src/features/paths/common/relayed_json_caller.ts
@@ -64,12 +64,12 @@
   /** {@inheritDoc JsonCaller.call} */
   call(
     address: Address,
-    { body, method, target, timeoutMs }: JsonRequest,
+    { body, headers: given = [], method, target, timeoutMs }: JsonRequest,
   ): AsyncEither<string, JsonResponse> {
     const deadlineMs = this.#clock.monotonicMs() + timeoutMs;
     const relay = this.#instruct(address, deadlineMs);
     if (!relay) return Promise.resolve(Left(`no endpoint at ${address}`));
-    const headers = ["host", address];
+    const headers = ["host", address, ...given];
     if (body !== undefined) headers.push("content-type", "application/json");
     return new Promise((resolve) => {
       const response = new CollectedResponse();
--- a/src/features/paths/common/verified_response_test.ts
+++ b/src/features/paths/common/verified_response_test.ts
@@ -1,4 +1,4 @@
-import { flushPromises } from "../../../base/common/clock.ts";
+import { flushPromises, ManualClock } from "../../../base/common/clock.ts";
 import { setUnexpectedErrorHandler } from "../../../base/common/errors.ts";
 import type { PassThroughFailure } from "../../../services/http/common/pass_through_client.ts";
 import { VerifiedResponse } from "./verified_response.ts";
@@ -9,6 +9,7 @@
     const handler = setUnexpectedErrorHandler((error) => thrown.push(error));
     const failures: PassThroughFailure[] = [];
     const response = new VerifiedResponse(
+      new ManualClock(),
       "GET",
       {
         onHead: () => undefined,
--- a/src/features/paths/common/verifying_client.ts
+++ b/src/features/paths/common/verifying_client.ts
@@ -1,5 +1,6 @@
 /** Client whose responses end only when their end is verified. */
 
+import type { Clock } from "../../../base/common/clock.ts";
 import type {
   Address,
   EndpointId,
@@ -15,17 +16,21 @@
 
 /** Verifies the ends of the responses of another client. */
 export class VerifyingClient implements ProvenConnectionClient {
+  readonly #clock: Clock;
   readonly #client: ProvenConnectionClient;
   readonly #createCheck: (endpoint: EndpointId) => EndCheck;
 
   /**
+   * @param clock - Clock for the times at which responses arrive.
    * @param client - The client that sends the requests.
    * @param createCheck - Creates the check for a response of an endpoint.
    */
   constructor(
+    clock: Clock,
     client: ProvenConnectionClient,
     createCheck: (endpoint: EndpointId) => EndCheck,
   ) {
+    this.#clock = clock;
     this.#client = client;
     this.#createCheck = createCheck;
   }
@@ -38,6 +43,7 @@
     const { endpoint, method } = request;
     if (endpoint === undefined) return this.#client.send(request, listener);
     const response = new VerifiedResponse(
+      this.#clock,
       method,
       listener,
       () => this.#createCheck(endpoint),
@@ -45,6 +51,10 @@
     const exchange = this.#client.send(request, {
       ...listener,
       onHead: (status, headers) => response.onHead(status, headers),
+      onData: (chunk) => {
+        response.onData();
+        return listener.onData(chunk);
+      },
       onEnd: () => response.onEnd(),
     });
     return {
--- a/src/services/http/common/json_caller.ts
+++ b/src/services/http/common/json_caller.ts
@@ -2,12 +2,15 @@
 
 import type { Address } from "../../../base/common/ids.ts";
 import type { AsyncEither } from "../../../base/common/result.ts";
+import type { HeaderList } from "./header_list.ts";
 
 /** A request with an optional JSON body. */
 export interface JsonRequest {
   readonly method: "GET" | "POST" | "DELETE";
   /** Path and query. */
   readonly target: string;
+  /** Headers beside those of the body, as names and values in turn. */
+  readonly headers?: HeaderList;
   readonly body?: unknown;
   readonly timeoutMs: number;
   /**
--- a/src/services/http/node/json_client.ts
+++ b/src/services/http/node/json_client.ts
@@ -118,9 +118,12 @@
         {
           method: call.method,
           path: call.target,
-          headers: call.body === undefined
-            ? {}
-            : { "content-type": "application/json" },
+          headers: [
+            ...call.headers ?? [],
+            ...(call.body === undefined
+              ? []
+              : ["content-type", "application/json"]),
+          ],
           body: call.body === undefined ? null : JSON.stringify(call.body),
           signal: abortController.signal,
           onInfo: () => {
--- a/standins/gateway/fake_engine_control.ts
+++ b/standins/gateway/fake_engine_control.ts
@@ -39,6 +39,10 @@
     );
   }
 
+  identify(address: Address): Promise<Liveness> {
+    return this.checkLiveness(address);
+  }
+
   copyRun(
     source: Address,
     target: Address,
