Use endpoints again whose entries are back after the wait

Cause: an endpoint whose entry was missing for longer than the wait, or unreadable, was never made ready again; only one whose entry was removed was. And an entry counted as written again only if its sequence had grown, which need not show in the store.

Change: an endpoint is used again however its entry was lost, unless it has said itself that it leaves. The registry keeps the revision at which the entry was lost; an entry with a later one of the same era was written since. In another era the sequence decides, as before.

--- a/src/daemon/common/mirror_change_handler.ts
+++ b/src/daemon/common/mirror_change_handler.ts
@@ -168,6 +168,7 @@
   ): void {
     const { decoder, logger, mirror, registry } = this.#services;
     if (!item) {
+      registry.recordEntryLoss(endpoint, mirror.revision);
       // One that came and went unseen may only have begun streams.
       registry.withdraw(endpoint, isNew ? Infinity : mirror.sinceDisruptionMs);
       return;
@@ -180,9 +181,10 @@
           revision,
           detail,
         });
+        registry.recordEntryLoss(endpoint, revision);
         registry.markDraining(endpoint, "unreadable");
       },
-      Right: (announcement) => registry.announce(announcement),
+      Right: (announcement) => registry.announce(announcement, revision),
     });
   }
 
--- a/src/features/gateway/common/endpoints/endpoint_registry.ts
+++ b/src/features/gateway/common/endpoints/endpoint_registry.ts
@@ -8,6 +8,10 @@
 import type { Clock } from "../../../../base/common/clock.ts";
 import { Emitter } from "../../../../base/common/event.ts";
 import type { EndpointId, ServiceId } from "../../../../base/common/ids.ts";
+import {
+  eraOf,
+  type StoreRevision,
+} from "../../../../services/mirror/common/store_revision.ts";
 import type { Logger } from "../../../../services/log/common/logger.ts";
 import {
   type EndpointAnnouncement,
@@ -49,6 +53,11 @@
   limitedUntilMs = -Infinity;
   /** Highest sequence that was announced, if any was. */
   lastSequence: number | undefined;
+  /**
+   * Revision of the store at which the entry was removed or could not be read;
+   * `undefined` if neither is known to have happened.
+   */
+  entryLostAt: StoreRevision | undefined;
   /** Whether the endpoint was known to leave, even if it is removed by now. */
   wasLeaving = false;
 
@@ -255,8 +264,14 @@
     return lostForMs < MAX_SILENCE_MS ? "silent" : "cut-off";
   }
 
-  /** Applies an announcement. */
-  announce(announcement: EndpointAnnouncement): void {
+  /**
+   * Applies an announcement.
+   *
+   * @param announcement - The announcement.
+   * @param revision - Revision of the store at which it was written, if it is
+   * known.
+   */
+  announce(announcement: EndpointAnnouncement, revision?: StoreRevision): void {
     const { id } = announcement;
     let endpoint = this.#endpoints.get(id);
     const departed = this.#departed.get(id);
@@ -272,14 +287,15 @@
     const { sequence } = announcement;
     // A store that was restored from a copy holds entries that were removed.
     const isRestored = sequence !== undefined && lastSequence !== undefined &&
-      sequence <= lastSequence;
+      sequence <= lastSequence &&
+      !isWrittenAfter(endpoint.entryLostAt, revision);
     if (!isRestored) endpoint.lastSequence = sequence ?? lastSequence;
     if (announcement.isDraining) this.markDraining(id, "draining");
     else if (phase.kind === "missing") endpoint.phase = { kind: "ready" };
     else if (
-      phase.kind === "draining" && phase.reason === "removed" && !isRestored
+      phase.kind === "draining" && !endpoint.hasSaidLeaving && !isRestored
     ) {
-      // A server that is still alive has written an expired entry again.
+      // An endpoint that is still alive has written its entry again.
       endpoint.phase = { kind: "ready" };
       endpoint.wasLeaving = false;
       this.#logger.log("info", "endpoint-back", { endpoint: id });
@@ -287,6 +303,17 @@
     if (isNew || !isRestored) this.#announced.fire({ endpoint, announcement });
   }
 
+  /**
+   * Records that the entry of an endpoint was removed or cannot be read.
+   *
+   * @param id - Id of the endpoint.
+   * @param revision - Revision of the store at that time.
+   */
+  recordEntryLoss(id: EndpointId, revision: StoreRevision): void {
+    const endpoint = this.#endpoints.get(id);
+    if (endpoint) endpoint.entryLostAt = revision;
+  }
+
   /**
    * Handles a missing announcement: drains the endpoint, or waits for the entry
    * to reappear if the store was disrupted recently.
@@ -411,6 +438,19 @@
   }
 }
 
+/**
+ * Returns whether an entry is known to have been written after it was lost. A
+ * store that was restored from a copy is in another era, or holds the entry at
+ * the revision that it had before.
+ */
+function isWrittenAfter(
+  lostAt: StoreRevision | undefined,
+  revision: StoreRevision | undefined,
+): boolean {
+  if (lostAt === undefined || revision === undefined) return false;
+  return eraOf(lostAt) === eraOf(revision) && revision > lostAt;
+}
+
 /**
  * Returns whether two announcements come from the same process of an endpoint.
  */
--- a/src/features/gateway/common/endpoints/endpoint_registry_test.ts
+++ b/src/features/gateway/common/endpoints/endpoint_registry_test.ts
@@ -6,6 +6,7 @@
   ZoneName,
 } from "../../../../base/common/ids.ts";
 import { NOOP_LOGGER } from "../../../../services/log/common/logger.ts";
+import { storeRevision } from "../../../../services/mirror/common/store_revision.ts";
 import type { EndpointAnnouncement } from "./endpoint_announcement.ts";
 import { EndpointRegistry } from "./endpoint_registry.ts";
 
@@ -136,6 +137,71 @@
     expect(registry.usable(SERVICE)).toHaveLength(1);
   });
 
+  /** Ways in which the entry alone says that an endpoint is gone. */
+  const ENTRY_LOSSES: readonly [string, () => void][] = [
+    ["was removed", () => registry.withdraw(ID, CALM)],
+    ["was missing for two seconds after an outage", () => {
+      registry.withdraw(ID, 300);
+      clock.advance(1_701);
+      registry.expirePhases();
+    }],
+    ["was unreadable", () => registry.markDraining(ID, "unreadable")],
+  ];
+
+  // Guards against an endpoint that is never used again though it has written
+  // its entry again.
+  it.each(ENTRY_LOSSES)(
+    "uses an endpoint again whose entry %s and is written again",
+    (_loss, lose) => {
+      registry.announce(announcement({ sequence: 7 }));
+      lose();
+      expect(registry.usable(SERVICE)).toEqual([]);
+      clock.advance(200);
+      registry.announce(announcement({ sequence: 8 }));
+      expect(registry.usable(SERVICE)).toHaveLength(1);
+      clock.advance(20_000);
+      registry.expirePhases();
+      expect(registry.usable(SERVICE)).toHaveLength(1);
+    },
+  );
+
+  // The entry need not show how often it was written.
+  it.each(ENTRY_LOSSES)(
+    "uses an endpoint again whose entry %s and is written as it was",
+    (_loss, lose) => {
+      registry.announce(announcement({ sequence: 7 }), storeRevision(2, 40));
+      registry.recordEntryLoss(ID, storeRevision(2, 50));
+      lose();
+      registry.announce(announcement({ sequence: 7 }), storeRevision(2, 51));
+      expect(registry.usable(SERVICE)).toHaveLength(1);
+    },
+  );
+
+  it.each([
+    ["with the revision of before", storeRevision(2, 40)],
+    ["in a later era", storeRevision(3, 51)],
+    ["at an unknown revision", undefined],
+  ])(
+    "does not use an endpoint again whose removed entry is back %s",
+    (_how, revision) => {
+      registry.announce(announcement({ sequence: 7 }), storeRevision(2, 40));
+      registry.recordEntryLoss(ID, storeRevision(2, 50));
+      registry.withdraw(ID, CALM);
+      registry.announce(announcement({ sequence: 7 }), revision);
+      expect(registry.usable(SERVICE)).toEqual([]);
+    },
+  );
+
+  it.each(ENTRY_LOSSES)(
+    "does not use an endpoint again whose entry %s and is back in a restored store",
+    (_loss, lose) => {
+      registry.announce(announcement({ sequence: 7 }));
+      lose();
+      registry.announce(announcement({ sequence: 7 }));
+      expect(registry.usable(SERVICE)).toEqual([]);
+    },
+  );
+
   it.each(["answer", "report", "reported by a peer"])(
     "never uses an endpoint again that says it leaves after its entry was removed, by %s",
     (reason) => {
